--- /dev/null
+++ b/config/revision.go
@@ -0,0 +1,51 @@
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/bramleytrail/bramleytrail/declare"
+)
+
+// Key is the key of the published revision in the key-value service.
+const Key = "config/current"
+
+// Revision is a published set of objects.
+type Revision struct {
+	Number    uint64    `json:"number"`
+	Digest    string    `json:"digest"`
+	Publisher string    `json:"publisher"`
+	Published time.Time `json:"published"`
+	Body      []byte    `json:"body"` // output of declare.Encode
+}
+
+// Marshal returns the value stored in the key-value service.
+func (r Revision) Marshal() ([]byte, error) {
+	data, err := json.Marshal(r)
+	if err != nil {
+		return nil, fmt.Errorf("encode revision %d: %w", r.Number, err)
+	}
+	return data, nil
+}
+
+// UnmarshalRevision reads a stored value and verifies its digest.
+func UnmarshalRevision(data []byte) (Revision, error) {
+	var r Revision
+	if err := json.Unmarshal(data, &r); err != nil {
+		return r, fmt.Errorf("decode revision: %w", err)
+	}
+	if got := declare.Digest(r.Body); got != r.Digest {
+		return r, fmt.Errorf("decode revision %d: digest is %s, content has %s", r.Number, r.Digest, got)
+	}
+	return r, nil
+}
+
+// Newer reports whether r replaces other. Two different sets can share a number only after the key-value service lost
+// writes; the digest then breaks the tie in the same way at every daemon.
+func (r Revision) Newer(other Revision) bool {
+	if r.Number != other.Number {
+		return r.Number > other.Number
+	}
+	return r.Digest > other.Digest
+}
--- /dev/null
+++ b/config/view.go
@@ -0,0 +1,86 @@
+package config
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+
+	"github.com/bramleytrail/bramleytrail/declare"
+	"github.com/bramleytrail/bramleytrail/object"
+	"github.com/bramleytrail/bramleytrail/result"
+)
+
+// View is an immutable, indexed revision.
+type View struct {
+	Revision  Revision
+	Set       object.Set
+	Domains   map[string]*object.FailureDomain
+	Services  map[string]*object.Service
+	Models    map[string]*object.Model
+	Versions  map[string]*object.Version
+	Teams     map[string]*object.Team
+	Policies  map[string]*object.SessionPolicy
+	Cascades  map[string]*object.Cascade
+	ByModel   map[string][]*object.Version // versions of a model, by name
+	Rollouts  map[string]*object.Rollout   // by model
+	teamByKey map[string]*object.Team
+}
+
+// NewView decodes, checks and indexes a revision. It fails with result.ConfigInvalid if the set has findings.
+func NewView(rev Revision) (*View, error) {
+	set, err := declare.Decode(rev.Body)
+	if err != nil {
+		return nil, result.Wrap(result.ConfigInvalid, result.NotRun, err)
+	}
+	if findings := declare.Check(set, nil); len(findings) > 0 {
+		return nil, result.Newf(result.ConfigInvalid, "%d findings, first: %s", len(findings), findings[0])
+	}
+	v := &View{
+		Revision: rev,
+		Set:      set,
+		Domains:  index(set.FailureDomains, func(o *object.FailureDomain) string { return o.Name }),
+		Services: index(set.Services, func(o *object.Service) string { return o.Name }),
+		Models:   index(set.Models, func(o *object.Model) string { return o.Name }),
+		Versions: index(set.Versions, func(o *object.Version) string { return o.Name }),
+		Teams:    index(set.Teams, func(o *object.Team) string { return o.Name }),
+		Policies: index(set.SessionPolicies, func(o *object.SessionPolicy) string { return o.Name }),
+		Cascades: index(set.Cascades, func(o *object.Cascade) string { return o.Name }),
+		Rollouts: index(set.Rollouts, func(o *object.Rollout) string { return o.Model }),
+		ByModel:  map[string][]*object.Version{},
+	}
+	for i := range set.Versions {
+		ver := &set.Versions[i]
+		v.ByModel[ver.Model] = append(v.ByModel[ver.Model], ver)
+	}
+	v.teamByKey = map[string]*object.Team{}
+	for _, t := range v.Teams {
+		for _, h := range t.KeyHashes {
+			v.teamByKey[h] = t
+		}
+	}
+	return v, nil
+}
+
+func index[T any](list []T, key func(*T) string) map[string]*T {
+	m := make(map[string]*T, len(list))
+	for i := range list {
+		m[key(&list[i])] = &list[i]
+	}
+	return m
+}
+
+// HashKey returns the stored form of a bearer key.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// TeamByKey returns the team that owns a bearer key, or nil.
+func (v *View) TeamByKey(key string) *object.Team {
+	return v.teamByKey[HashKey(key)]
+}
+
+// DomainIn reports whether a failure domain is declared and in service.
+func (v *View) DomainIn(name string) bool {
+	d := v.Domains[name]
+	return d != nil && d.State == object.DomainIn
+}
--- /dev/null
+++ b/ctl/config.go
@@ -0,0 +1,313 @@
+package ctl
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/user"
+	"time"
+
+	"github.com/bramleytrail/bramleytrail/config"
+	"github.com/bramleytrail/bramleytrail/declare"
+	"github.com/bramleytrail/bramleytrail/kv"
+	"github.com/bramleytrail/bramleytrail/object"
+	"github.com/bramleytrail/bramleytrail/result"
+)
+
+type dirArg struct {
+	Dir string `positional-arg-name:"DIR" description:"directory with the declarations"`
+}
+
+type validateCommand struct {
+	*app `no-flag:"true"`
+	Args dirArg `positional-args:"yes" required:"yes"`
+}
+
+type validateOutput struct {
+	OK       bool              `json:"ok"`
+	Objects  int               `json:"objects"`
+	Bytes    int               `json:"bytes"` // of the published form
+	Findings []declare.Finding `json:"findings"`
+}
+
+// Execute implements flags.Commander.
+func (c *validateCommand) Execute([]string) error {
+	set, findings, err := load(c.Args.Dir)
+	if err != nil {
+		return err
+	}
+	out := validateOutput{OK: len(findings) == 0, Objects: count(set), Findings: findings}
+	if out.OK {
+		body, _, err := declare.Encode(set)
+		if err != nil {
+			return err
+		}
+		out.Bytes = len(body)
+	}
+	err = c.print(out, func(w io.Writer) {
+		printFindings(w, findings)
+		if out.OK {
+			fmt.Fprintf(w, "%d objects are valid; the published form has %d bytes\n", out.Objects, out.Bytes)
+		}
+	})
+	if err == nil && !out.OK {
+		return &exitError{code: ExitFailed}
+	}
+	return err
+}
+
+func printFindings(w io.Writer, findings []declare.Finding) {
+	for _, f := range findings {
+		fmt.Fprintln(w, f)
+	}
+	if len(findings) > 0 {
+		fmt.Fprintf(w, "%d findings\n", len(findings))
+	}
+}
+
+func load(dir string) (object.Set, []declare.Finding, error) {
+	set, sources, findings, err := declare.Load(dir)
+	if err != nil {
+		return set, nil, err
+	}
+	return set, append(findings, declare.Check(set, sources)...), nil
+}
+
+func count(s object.Set) int {
+	return len(s.FailureDomains) + len(s.Services) + len(s.Models) + len(s.Versions) + len(s.Teams) + len(s.SessionPolicies) +
+		len(s.Cascades) + len(s.Rollouts)
+}
+
+// loadValid loads a directory and prints its findings if it has any.
+func (a *app) loadValid(dir string) (object.Set, error) {
+	set, findings, err := load(dir)
+	if err != nil {
+		return set, err
+	}
+	if len(findings) > 0 {
+		err := a.print(validateOutput{Objects: count(set), Findings: findings}, func(w io.Writer) { printFindings(w, findings) })
+		return set, errors.Join(err, &exitError{code: ExitFailed})
+	}
+	return set, nil
+}
+
+// current reads the revision in force and the key-value service's own revision of it; both are zero if there is none.
+func current(ctx context.Context, store kv.Store) (config.Revision, object.Set, uint64, error) {
+	e, err := store.Get(ctx, config.Key)
+	if errors.Is(err, kv.ErrNotFound) {
+		return config.Revision{}, object.Set{}, 0, nil
+	}
+	if err != nil {
+		return config.Revision{}, object.Set{}, 0, err
+	}
+	rev, err := config.UnmarshalRevision(e.Value)
+	if err != nil {
+		return rev, object.Set{}, 0, err
+	}
+	set, err := declare.Decode(rev.Body)
+	return rev, set, e.Revision, err
+}
+
+type diffCommand struct {
+	*app `no-flag:"true"`
+	Args dirArg `positional-args:"yes" required:"yes"`
+}
+
+type diffOutput struct {
+	Revision uint64           `json:"revision"`
+	Changes  []declare.Change `json:"changes"`
+}
+
+// Execute implements flags.Commander.
+func (c *diffCommand) Execute([]string) error {
+	set, err := c.loadValid(c.Args.Dir)
+	if err != nil {
+		return err
+	}
+	store, err := c.store()
+	if err != nil {
+		return err
+	}
+	rev, inForce, _, err := current(c.ctx, store)
+	if err != nil {
+		return err
+	}
+	out := diffOutput{rev.Number, declare.Diff(inForce, set)}
+	return c.print(out, func(w io.Writer) {
+		fmt.Fprintf(w, "against revision %d:\n", rev.Number)
+		printChanges(w, out.Changes)
+	})
+}
+
+func printChanges(w io.Writer, changes []declare.Change) {
+	for _, ch := range changes {
+		fmt.Fprintln(w, ch)
+	}
+	fmt.Fprintf(w, "%d changes\n", len(changes))
+}
+
+type publishCommand struct {
+	*app    `no-flag:"true"`
+	Base    *uint64  `long:"base" description:"last seen revision; the publication fails if another is in force (default: the one in force)"`
+	Daemons []string `long:"daemon" description:"URL of a daemon's operator port; guards against a key-value service that holds an older revision than the daemons"`
+	Args    dirArg   `positional-args:"yes" required:"yes"`
+}
+
+type publishOutput struct {
+	Revision uint64           `json:"revision"`
+	Digest   string           `json:"digest"`
+	Changes  []declare.Change `json:"changes"`
+	Conflict *conflictOutput  `json:"conflict,omitempty"`
+}
+
+type conflictOutput struct {
+	Base   uint64           `json:"base"`
+	Theirs []declare.Change `json:"theirs"` // from the base to the revision in force
+	Mine   []declare.Change `json:"mine"`   // from the base to the directory
+}
+
+// historyPrefix is the prefix of keys that keep earlier revisions, so that a conflict can show both changes.
+const historyPrefix = "config-history/"
+
+func historyKey(n uint64) string { return fmt.Sprintf("%s%012d", historyPrefix, n) }
+
+// Execute implements flags.Commander.
+func (c *publishCommand) Execute([]string) error {
+	set, err := c.loadValid(c.Args.Dir)
+	if err != nil {
+		return err
+	}
+	store, err := c.store()
+	if err != nil {
+		return err
+	}
+	rev, inForce, stored, err := current(c.ctx, store)
+	if err != nil {
+		return err
+	}
+	if err := c.checkDaemons(rev); err != nil {
+		return err
+	}
+	if c.Base != nil && *c.Base != rev.Number {
+		return c.conflict(store, *c.Base, inForce, set)
+	}
+	next, err := newRevision(rev.Number+1, set)
+	if err != nil {
+		return err
+	}
+	if err := put(c.ctx, store, next, stored); err != nil {
+		if errors.Is(err, kv.ErrConflict) {
+			_, now, _, err := current(c.ctx, store)
+			if err != nil {
+				return err
+			}
+			return c.conflict(store, rev.Number, now, set)
+		}
+		return err
+	}
+	out := publishOutput{next.Number, next.Digest, declare.Diff(inForce, set), nil}
+	return c.print(out, func(w io.Writer) {
+		printChanges(w, out.Changes)
+		fmt.Fprintf(w, "revision %d is published\n", next.Number)
+	})
+}
+
+func newRevision(n uint64, set object.Set) (config.Revision, error) {
+	body, digest, err := declare.Encode(set)
+	if err != nil {
+		return config.Revision{}, err
+	}
+	return config.Revision{Number: n, Digest: digest, Publisher: publisher(), Published: time.Now().UTC(), Body: body}, nil
+}
+
+func publisher() string {
+	name := "unknown"
+	if u, err := user.Current(); err == nil {
+		name = u.Username
+	}
+	if host, err := os.Hostname(); err == nil {
+		name += "@" + host
+	}
+	return name
+}
+
+// put stores a revision by compare-and-swap. A write whose answer was lost is read back: it took effect if the stored
+// value is the one written.
+func put(ctx context.Context, store kv.Store, rev config.Revision, prev uint64) error {
+	data, err := rev.Marshal()
+	if err != nil {
+		return err
+	}
+	_, err = store.CAS(ctx, config.Key, data, prev, 0)
+	if err != nil && !errors.Is(err, kv.ErrTooLarge) {
+		e, readErr := store.Get(ctx, config.Key)
+		if readErr == nil && string(e.Value) == string(data) {
+			err = nil
+		}
+	}
+	if err != nil {
+		return fmt.Errorf("publish revision %d: %w", rev.Number, err)
+	}
+	// The history serves only to explain conflicts, so a failure here doesn't fail the publication.
+	_, _ = store.CAS(ctx, historyKey(rev.Number), data, 0, 0)
+	return nil
+}
+
+// conflict shows what was published since the base and what this directory changes. Nothing is lost: the revision in
+// force and the directory stay as they are.
+func (c *publishCommand) conflict(store kv.Store, base uint64, inForce, mine object.Set) error {
+	out := conflictOutput{Base: base}
+	baseSet, err := history(c.ctx, store, base)
+	if err != nil {
+		out.Mine = declare.Diff(inForce, mine)
+	} else {
+		out.Theirs, out.Mine = declare.Diff(baseSet, inForce), declare.Diff(baseSet, mine)
+	}
+	printErr := c.print(publishOutput{Conflict: &out}, func(w io.Writer) {
+		if err != nil {
+			fmt.Fprintf(w, "revision %d is no longer in force and its content is not kept; this directory against the one in force:\n", base)
+			printChanges(w, out.Mine)
+			return
+		}
+		fmt.Fprintf(w, "published since revision %d:\n", base)
+		printChanges(w, out.Theirs)
+		fmt.Fprintf(w, "in this directory since revision %d:\n", base)
+		printChanges(w, out.Mine)
+	})
+	if printErr != nil {
+		return printErr
+	}
+	return &exitError{ExitConflict, result.Newf(result.ConfigConflict, "Merge the changes and publish again.")}
+}
+
+func history(ctx context.Context, store kv.Store, n uint64) (object.Set, error) {
+	if n == 0 {
+		return object.Set{}, nil
+	}
+	e, err := store.Get(ctx, historyKey(n))
+	if err != nil {
+		return object.Set{}, err
+	}
+	rev, err := config.UnmarshalRevision(e.Value)
+	if err != nil {
+		return object.Set{}, err
+	}
+	return declare.Decode(rev.Body)
+}
+
+// checkDaemons fails if a daemon has a newer revision than the key-value service, which has then lost writes. The
+// daemons write the newer one back within seconds.
+func (c *publishCommand) checkDaemons(stored config.Revision) error {
+	for _, url := range c.Daemons {
+		s, err := fetchState(c.ctx, url)
+		if err != nil {
+			return err
+		}
+		if s.Revision > stored.Number {
+			return result.Newf(result.ConfigBehind, "Daemon %s has revision %d, the service has %d.", s.ID, s.Revision, stored.Number)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/ctl/doc.go
@@ -0,0 +1,2 @@
+// Package ctl implements the commands of bramleyctl.
+package ctl
--- /dev/null
+++ b/ctl/inspect.go
@@ -0,0 +1,158 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"text/tabwriter"
+
+	"github.com/bramleytrail/bramleytrail/daemon"
+	"github.com/bramleytrail/bramleytrail/ledger"
+	"github.com/bramleytrail/bramleytrail/result"
+)
+
+// maxStateBytes bounds a state dump.
+const maxStateBytes = 16 << 20
+
+// fetch reads a document from a daemon's operator port.
+func fetch(ctx context.Context, url string, v any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return &exitError{ExitUsage, err}
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return &exitError{ExitUnavailable, err}
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusNotFound {
+		return &exitError{ExitFailed, errors.New("not found")}
+	}
+	if resp.StatusCode != http.StatusOK {
+		return &exitError{ExitUnavailable, fmt.Errorf("%s: status %d", url, resp.StatusCode)}
+	}
+	return json.NewDecoder(io.LimitReader(resp.Body, maxStateBytes)).Decode(v)
+}
+
+func fetchState(ctx context.Context, base string) (daemon.State, error) {
+	var s daemon.State
+	err := fetch(ctx, base+"/debug/state", &s)
+	return s, err
+}
+
+type statusCommand struct {
+	*app    `no-flag:"true"`
+	Daemons []string `long:"daemon" description:"URL of a daemon's operator port" required:"yes"`
+}
+
+type statusRow struct {
+	Daemon   string `json:"daemon"`
+	Domain   string `json:"domain,omitempty"`
+	Revision uint64 `json:"revision"`
+	Digest   string `json:"digest,omitempty"`
+	Ready    bool   `json:"ready"`
+	Error    string `json:"error,omitempty"`
+}
+
+// Execute implements flags.Commander.
+func (c *statusCommand) Execute([]string) error {
+	var rows []statusRow
+	failed := false
+	for _, url := range c.Daemons {
+		s, err := fetchState(c.ctx, url)
+		row := statusRow{Daemon: s.ID, Domain: s.Domain, Revision: s.Revision, Digest: s.Digest, Ready: s.Ready}
+		if err != nil {
+			row, failed = statusRow{Daemon: url, Error: err.Error()}, true
+		}
+		rows = append(rows, row)
+	}
+	err := c.print(rows, func(w io.Writer) {
+		tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+		fmt.Fprintln(tw, "DAEMON\tDOMAIN\tREVISION\tREADY\tERROR")
+		for _, r := range rows {
+			fmt.Fprintf(tw, "%s\t%s\t%d\t%t\t%s\n", r.Daemon, r.Domain, r.Revision, r.Ready, r.Error)
+		}
+		_ = tw.Flush() // a failed write means that the reader has left
+	})
+	if err == nil && failed {
+		return &exitError{code: ExitUnavailable}
+	}
+	return err
+}
+
+type stateCommand struct {
+	*app    `no-flag:"true"`
+	Daemon  string `long:"daemon" description:"URL of the daemon's operator port" required:"yes"`
+	Request string `long:"request" description:"show one request by its Bramley-Request-Id"`
+}
+
+// Execute implements flags.Commander.
+func (c *stateCommand) Execute([]string) error {
+	path := "/debug/state"
+	if c.Request != "" {
+		path = "/debug/requests/" + url.PathEscape(c.Request)
+	}
+	var v json.RawMessage
+	if err := fetch(c.ctx, c.Daemon+path, &v); err != nil {
+		return err
+	}
+	return c.print(v, func(w io.Writer) { fmt.Fprintln(w, string(v)) })
+}
+
+type billsCommand struct {
+	*app `no-flag:"true"`
+	Team string `long:"team" description:"only this team's bills"`
+}
+
+type billsOutput struct {
+	Bills []ledger.Bill `json:"bills"`
+	Cost  int64         `json:"cost"` // micro-units
+}
+
+// Execute implements flags.Commander.
+func (c *billsCommand) Execute([]string) error {
+	store, err := c.store()
+	if err != nil {
+		return err
+	}
+	all, err := ledger.Read(c.ctx, store)
+	if err != nil {
+		return err
+	}
+	out := billsOutput{Bills: []ledger.Bill{}}
+	for _, b := range all {
+		if c.Team == "" || b.Team == c.Team {
+			out.Bills = append(out.Bills, b)
+			out.Cost += b.Cost()
+		}
+	}
+	return c.print(out, func(w io.Writer) {
+		tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+		fmt.Fprintln(tw, "REQUEST\tTEAM\tRESULT\tCALLS\tCOST")
+		for _, b := range out.Bills {
+			fmt.Fprintf(tw, "%s\t%s\t%s\t%d\t%d\n", b.ID, b.Team, result.Code(b.Code), len(b.Calls), b.Cost())
+		}
+		_ = tw.Flush() // a failed write means that the reader has left
+		fmt.Fprintf(w, "%d bills, %d micro-units\n", len(out.Bills), out.Cost)
+	})
+}
+
+type codesCommand struct {
+	*app `no-flag:"true"`
+}
+
+// Execute implements flags.Commander.
+func (c *codesCommand) Execute([]string) error {
+	return c.print(result.All(), func(w io.Writer) {
+		tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+		fmt.Fprintln(tw, "CODE\tNAME\tSTATUS\tMEANING")
+		for _, i := range result.All() {
+			fmt.Fprintf(tw, "%d\t%s\t%d\t%s\n", int(i.Code), i.Name, i.Status, i.Text)
+		}
+		_ = tw.Flush() // a failed write means that the reader has left
+	})
+}
--- /dev/null
+++ b/ctl/main.go
@@ -0,0 +1,149 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/bramleytrail/bramleytrail/kv"
+	"github.com/bramleytrail/bramleytrail/kv/httpkv"
+	"github.com/bramleytrail/bramleytrail/result"
+)
+
+// Exit codes.
+const (
+	ExitOK          = 0
+	ExitFailed      = 1 // the command ran and its result is negative, for example findings
+	ExitUsage       = 2
+	ExitConflict    = 3 // another operator published in the meantime
+	ExitUnavailable = 4 // the platform or a daemon does not answer
+)
+
+// commandTimeout bounds a command.
+const commandTimeout = 30 * time.Second
+
+// exitError ends a command with a given exit code. Its message was printed already if Err is nil.
+type exitError struct {
+	code int
+	err  error
+}
+
+func (e *exitError) Error() string {
+	if e.err == nil {
+		return fmt.Sprintf("exit code %d", e.code)
+	}
+	return e.err.Error()
+}
+
+func (e *exitError) Unwrap() error { return e.err }
+
+// app holds what the commands share.
+type app struct {
+	Output string `long:"output" short:"o" description:"output format" choice:"text" choice:"json" default:"text"`
+	Store  string `long:"store" env:"BRAMLEY_STORE" description:"URL of the platform's key-value service"`
+
+	ctx      context.Context
+	out      io.Writer
+	newStore func(url string) kv.Store
+}
+
+// Main runs bramleyctl and returns its exit code.
+func Main(args []string) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	return Run(ctx, args, os.Stdout, os.Stderr, func(url string) kv.Store { return httpkv.NewClient(url) })
+}
+
+// Run is Main with its environment handed in.
+func Run(ctx context.Context, args []string, stdout, stderr io.Writer, newStore func(string) kv.Store) int {
+	a := &app{ctx: ctx, out: stdout, newStore: newStore}
+	p := flags.NewNamedParser("bramleyctl", flags.HelpFlag|flags.PassDoubleDash)
+	if err := a.register(p); err != nil {
+		fmt.Fprintf(stderr, "bramleyctl: %v\n", err)
+		return ExitFailed
+	}
+	_, err := p.ParseArgs(args)
+	var fe *flags.Error
+	if errors.As(err, &fe) {
+		if fe.Type == flags.ErrHelp {
+			fmt.Fprintln(stdout, fe.Message)
+			return ExitOK
+		}
+		fmt.Fprintf(stderr, "bramleyctl: %s\n", fe.Message)
+		return ExitUsage
+	}
+	return exitCode(err, stderr)
+}
+
+func exitCode(err error, stderr io.Writer) int {
+	if err == nil {
+		return ExitOK
+	}
+	var ee *exitError
+	if errors.As(err, &ee) && ee.err == nil {
+		return ee.code
+	}
+	fmt.Fprintf(stderr, "bramleyctl: %v\n", err)
+	var re *result.Error
+	switch {
+	case ee != nil:
+		return ee.code
+	case errors.Is(err, kv.ErrUnavailable):
+		return ExitUnavailable
+	case errors.As(err, &re) && re.Code == result.ConfigConflict:
+		return ExitConflict
+	default:
+		return ExitFailed
+	}
+}
+
+func (a *app) register(p *flags.Parser) error {
+	if _, err := p.AddGroup("Common options", "", a); err != nil {
+		return err
+	}
+	commands := []struct {
+		name, short string
+		data        any
+	}{
+		{"validate", "Check a directory of declarations as one set", &validateCommand{app: a}},
+		{"diff", "Show how a directory differs from the revision in force", &diffCommand{app: a}},
+		{"publish", "Check a directory and publish it as the next revision", &publishCommand{app: a}},
+		{"status", "Show which daemon has which revision", &statusCommand{app: a}},
+		{"state", "Show the state of a daemon or of one request", &stateCommand{app: a}},
+		{"bills", "Show the bills that are stored, merged by request", &billsCommand{app: a}},
+		{"codes", "List the result codes", &codesCommand{app: a}},
+	}
+	for _, c := range commands {
+		if _, err := p.AddCommand(c.name, c.short, "", c.data); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (a *app) store() (kv.Store, error) {
+	if a.Store == "" {
+		return nil, &exitError{ExitUsage, errors.New("--store or BRAMLEY_STORE is required")}
+	}
+	return a.newStore(a.Store), nil
+}
+
+// print writes v as JSON, or calls text.
+func (a *app) print(v any, text func(io.Writer)) error {
+	if a.Output == "json" {
+		enc := json.NewEncoder(a.out)
+		enc.SetIndent("", "  ")
+		return enc.Encode(v)
+	}
+	text(a.out)
+	return nil
+}
--- /dev/null
+++ b/daemon/operator.go
@@ -0,0 +1,128 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/pprof"
+	"time"
+
+	"github.com/lesismal/nbio/nbhttp"
+
+	"github.com/bramleytrail/bramleytrail/observe"
+	"github.com/bramleytrail/bramleytrail/peer"
+	"github.com/bramleytrail/bramleytrail/pool"
+)
+
+const (
+	maxDumpEndpoints = 200
+	maxDumpRequests  = 50
+	maxOperators     = 64 // connections
+)
+
+// State is the dump of a daemon's state. It holds no key, prompt or answer.
+type State struct {
+	ID          string            `json:"id"`
+	Domain      string            `json:"domain"`
+	Incarnation string            `json:"incarnation"`
+	Ready       bool              `json:"ready"`
+	Leaving     bool              `json:"leaving"`
+	Revision    uint64            `json:"revision"`
+	Digest      string            `json:"digest"`
+	HostList    uint64            `json:"hostListRevision"`
+	Watcher     bool              `json:"watcher"`
+	Peers       []string          `json:"peers"`
+	Documents   []peer.DocumentID `json:"documents"`
+	InFlight    int               `json:"inFlight"`
+	BillsHeld   int               `json:"billsHeld"`
+	CopiesHeld  int               `json:"copiesHeld"`
+	Endpoints   []pool.State      `json:"endpoints"`
+	Requests    []observe.Request `json:"requests"`
+}
+
+// State returns the daemon's state. Its size is bounded.
+func (d *Daemon) State() State {
+	now := time.Now()
+	rev := d.config.Revision()
+	s := State{
+		ID: d.settings.ID, Domain: d.settings.Domain, Incarnation: d.incarnation, Ready: d.Ready(), Leaving: d.leaving.Load(),
+		Revision: rev.Number, Digest: rev.Digest, Watcher: d.watcher.Load(), Peers: d.node.Peers(), Documents: d.node.Documents(),
+		InFlight: d.admit.InFlight(), BillsHeld: d.ledger.Held(), CopiesHeld: d.copies.Held(),
+		Endpoints: d.pool.Dump(now, maxDumpEndpoints), Requests: d.recent.Last(maxDumpRequests),
+	}
+	if l := d.list.Load(); l != nil {
+		s.HostList = l.Revision
+	}
+	return s
+}
+
+// operatorServer serves metrics and state dumps on a port of its own, which callers can't reach.
+type operatorServer struct {
+	daemon *Daemon
+	engine *nbhttp.Engine
+	addr   string
+}
+
+func newOperatorServer(d *Daemon) *operatorServer { return &operatorServer{daemon: d} }
+
+func (o *operatorServer) start(addr string) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", o.metrics)
+	mux.HandleFunc("GET /debug/state", o.state)
+	mux.HandleFunc("GET /debug/requests/{id}", o.request)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("GET /debug/pprof/heap", pprof.Handler("heap").ServeHTTP)
+	mux.HandleFunc("GET /debug/pprof/goroutine", pprof.Handler("goroutine").ServeHTTP)
+	o.engine = nbhttp.NewEngine(nbhttp.Config{
+		Name: "operators", Network: "tcp", Addrs: []string{addr}, IOMod: nbhttp.IOModBlocking, MaxBlockingOnline: maxOperators,
+		MaxLoad: maxOperators, Handler: mux,
+		Listen: func(network, addr string) (net.Listener, error) {
+			ln, err := net.Listen(network, addr)
+			if err == nil {
+				o.addr = ln.Addr().String()
+			}
+			return ln, err
+		},
+	})
+	if err := o.engine.Start(); err != nil {
+		return fmt.Errorf("listen for operators on %s: %w", addr, err)
+	}
+	return nil
+}
+
+func (o *operatorServer) stop() { _ = o.engine.Shutdown(context.Background()) }
+
+func (o *operatorServer) metrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	o.daemon.metrics.Write(w)
+}
+
+func (o *operatorServer) state(w http.ResponseWriter, _ *http.Request) {
+	replyState(w, o.daemon.State())
+}
+
+func (o *operatorServer) request(w http.ResponseWriter, r *http.Request) {
+	req, ok := o.daemon.recent.Find(r.PathValue("id"))
+	if !ok {
+		http.NotFound(w, r)
+		return
+	}
+	replyState(w, req)
+}
+
+func replyState(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	_ = enc.Encode(v) // a failed write means that the operator has left
+}
+
+func (d *Daemon) registerGauges() {
+	d.metrics.Gauge("bramley_requests_in_flight", func() float64 { return float64(d.admit.InFlight()) })
+	d.metrics.Gauge("bramley_bills_held", func() float64 { return float64(d.ledger.Held()) })
+	d.metrics.Gauge("bramley_bill_copies_held", func() float64 { return float64(d.copies.Held()) })
+	d.metrics.Gauge("bramley_config_revision", func() float64 { return float64(d.config.Revision().Number) })
+	d.metrics.Gauge("bramley_peers", func() float64 { return float64(len(d.node.Peers())) })
+}
--- /dev/null
+++ b/declare/check.go
@@ -0,0 +1,377 @@
+package declare
+
+import (
+	"encoding/hex"
+	"fmt"
+	"time"
+
+	"github.com/bramleytrail/bramleytrail/object"
+)
+
+// Ranges of declared numbers.
+const (
+	maxPrice       = 1_000_000_000 // micro-units per 1,000 tokens
+	maxSlots       = 4096
+	maxTokens      = 100_000_000
+	maxConcurrent  = 100_000
+	maxRate        = 100_000 // requests a second
+	maxPriority    = 9
+	maxTimeout     = time.Hour
+	maxSessionAge  = 30 * 24 * time.Hour
+	sha256HexChars = 64
+)
+
+// Check validates the whole set and returns every finding. Sources may be nil.
+func Check(set object.Set, sources Sources) []Finding {
+	c := checker{set: set, sources: sources, index: indexOf(set)}
+	c.checkDomains()
+	c.checkServices()
+	c.checkModels()
+	c.checkVersions()
+	c.checkSessionPolicies()
+	c.checkCascades()
+	c.checkTeams()
+	c.checkRollouts()
+	return c.findings
+}
+
+type index struct {
+	domains  map[string]object.FailureDomain
+	services map[string]object.Service
+	models   map[string]object.Model
+	versions map[string]object.Version
+	policies map[string]object.SessionPolicy
+	cascades map[string]object.Cascade
+	byModel  map[string][]object.Version
+}
+
+func indexOf(s object.Set) index {
+	ix := index{
+		domains:  byName(s.FailureDomains, func(v object.FailureDomain) string { return v.Name }),
+		services: byName(s.Services, func(v object.Service) string { return v.Name }),
+		models:   byName(s.Models, func(v object.Model) string { return v.Name }),
+		versions: byName(s.Versions, func(v object.Version) string { return v.Name }),
+		policies: byName(s.SessionPolicies, func(v object.SessionPolicy) string { return v.Name }),
+		cascades: byName(s.Cascades, func(v object.Cascade) string { return v.Name }),
+		byModel:  map[string][]object.Version{},
+	}
+	for _, v := range s.Versions {
+		ix.byModel[v.Model] = append(ix.byModel[v.Model], v)
+	}
+	return ix
+}
+
+func byName[T any](list []T, name func(T) string) map[string]T {
+	m := make(map[string]T, len(list))
+	for _, v := range list {
+		m[name(v)] = v
+	}
+	return m
+}
+
+type checker struct {
+	set      object.Set
+	sources  Sources
+	index    index
+	findings []Finding
+}
+
+func (c *checker) report(ref Ref, field, problem, want string) {
+	c.findings = append(c.findings, Finding{File: c.sources[ref], Kind: ref.Kind, Name: ref.Name, Field: field, Problem: problem, Want: want})
+}
+
+func (c *checker) inRange(ref Ref, field string, v, low, high int64) {
+	if v < low || v > high {
+		c.report(ref, field, fmt.Sprintf("%d is out of range", v), fmt.Sprintf("%d to %d", low, high))
+	}
+}
+
+func (c *checker) duration(ref Ref, field string, v, high time.Duration) {
+	if v <= 0 || v > high {
+		c.report(ref, field, fmt.Sprintf("%s is out of range", v), fmt.Sprintf("above 0s and at most %s", high))
+	}
+}
+
+func (c *checker) checkDomains() {
+	if len(c.set.FailureDomains) == 0 {
+		c.report(Ref{Kind: object.KindFailureDomain}, "", "none is declared", "at least one failure domain")
+	}
+	in := 0
+	for _, d := range c.set.FailureDomains {
+		ref := Ref{object.KindFailureDomain, d.Name}
+		if d.Region == "" {
+			c.report(ref, "region", "is missing", "the region's name")
+		}
+		switch d.State {
+		case object.DomainIn:
+			in++
+		case object.DomainOut:
+		default:
+			c.report(ref, "state", fmt.Sprintf("%q is unknown", d.State), "in or out")
+		}
+	}
+	if in == 0 && len(c.set.FailureDomains) > 0 {
+		c.report(Ref{Kind: object.KindFailureDomain}, "state", "every failure domain is out", "at least one failure domain in service")
+	}
+}
+
+func (c *checker) checkServices() {
+	for _, s := range c.set.Services {
+		ref := Ref{object.KindService, s.Name}
+		if s.Type != object.ServiceModel && s.Type != object.ServicePlain {
+			c.report(ref, "type", fmt.Sprintf("%q is unknown", s.Type), "model or plain")
+		}
+		if len(s.FailureDomains) == 0 {
+			c.report(ref, "failureDomains", "is empty", "at least one failure domain")
+		}
+		for i, d := range s.FailureDomains {
+			if _, ok := c.index.domains[d]; !ok {
+				c.report(ref, fmt.Sprintf("failureDomains[%d]", i), fmt.Sprintf("failure domain %q is not declared", d), "a declared failure domain")
+			}
+		}
+		c.inRange(ref, "limits.slots", int64(s.Limits.Slots), 1, maxSlots)
+		c.inRange(ref, "limits.coldSlots", int64(s.Limits.ColdSlots), 1, int64(max(1, s.Limits.Slots)))
+		c.inRange(ref, "limits.warmAfter", int64(s.Limits.WarmAfter), 0, maxSlots)
+		if s.Type == object.ServiceModel {
+			c.inRange(ref, "limits.tokens", s.Limits.Tokens, 1, maxTokens)
+		}
+		c.duration(ref, "timeouts.firstByte", s.Timeouts.FirstByte, maxTimeout)
+		c.duration(ref, "timeouts.progress", s.Timeouts.Progress, maxTimeout)
+		c.duration(ref, "timeouts.connect", s.Timeouts.Connect, maxTimeout)
+		c.inRange(ref, "callPrice", s.CallPrice, 0, maxPrice)
+	}
+}
+
+func (c *checker) checkModels() {
+	for _, m := range c.set.Models {
+		ref := Ref{object.KindModel, m.Name}
+		svc, ok := c.index.services[m.Service]
+		switch {
+		case !ok:
+			c.report(ref, "service", fmt.Sprintf("service %q is not declared", m.Service), "a declared service")
+		case svc.Type != object.ServiceModel:
+			c.report(ref, "service", fmt.Sprintf("service %q has type %s", m.Service, svc.Type), "a service of type model")
+		}
+		if len(c.index.byModel[m.Name]) == 0 {
+			c.report(ref, "", "has no version", "at least one Version that names this model")
+		}
+	}
+}
+
+func (c *checker) checkVersions() {
+	for _, v := range c.set.Versions {
+		ref := Ref{object.KindVersion, v.Name}
+		if _, ok := c.index.models[v.Model]; !ok {
+			c.report(ref, "model", fmt.Sprintf("model %q is not declared", v.Model), "a declared model")
+		}
+		switch v.State {
+		case object.VersionActive, object.VersionWithdrawn, object.VersionRetired:
+		default:
+			c.report(ref, "state", fmt.Sprintf("%q is unknown", v.State), "active, withdrawn or retired")
+		}
+		c.fraction(ref, "quality", v.Quality)
+		c.inRange(ref, "prices.input", v.Prices.Input, 0, maxPrice)
+		c.inRange(ref, "prices.output", v.Prices.Output, 0, maxPrice)
+	}
+}
+
+func (c *checker) fraction(ref Ref, field string, v float64) {
+	if !(v >= 0 && v <= 1) {
+		c.report(ref, field, fmt.Sprintf("%g is out of range", v), "0 to 1")
+	}
+}
+
+func (c *checker) checkSessionPolicies() {
+	for _, p := range c.set.SessionPolicies {
+		ref := Ref{object.KindSessionPolicy, p.Name}
+		c.duration(ref, "maxAge", p.MaxAge, maxSessionAge)
+		if p.OnWithdrawn != object.WithdrawnMove && p.OnWithdrawn != object.WithdrawnRefuse {
+			c.report(ref, "onWithdrawn", fmt.Sprintf("%q is unknown", p.OnWithdrawn), "move or refuse")
+		}
+	}
+}
+
+func (c *checker) checkCascades() {
+	for _, cs := range c.set.Cascades {
+		ref := Ref{object.KindCascade, cs.Name}
+		if len(cs.Steps) == 0 {
+			c.report(ref, "steps", "is empty", "at least one model")
+		}
+		seen := map[string]bool{}
+		for i, step := range cs.Steps {
+			field := fmt.Sprintf("steps[%d]", i)
+			if _, ok := c.index.cascades[step]; ok {
+				c.report(ref, field, fmt.Sprintf("%q is a cascade", step), "a model; cascades can't contain cascades")
+				continue
+			}
+			c.modelRef(ref, field, step)
+			if seen[step] {
+				c.report(ref, field, fmt.Sprintf("model %q appears twice", step), "each model once")
+			}
+			seen[step] = true
+		}
+	}
+}
+
+// modelRef reports a reference to a model that is not declared or that has only retired versions.
+func (c *checker) modelRef(ref Ref, field, name string) {
+	if _, ok := c.index.models[name]; !ok {
+		c.report(ref, field, fmt.Sprintf("model %q is not declared", name), "a declared model")
+		return
+	}
+	versions := c.index.byModel[name]
+	for _, v := range versions {
+		if v.State != object.VersionRetired {
+			return
+		}
+	}
+	if len(versions) > 0 {
+		c.report(ref, field, fmt.Sprintf("model %q has only retired versions", name), "a model with a version that is not retired")
+	}
+}
+
+func (c *checker) checkTeams() {
+	owner := map[string]string{}
+	for _, t := range c.set.Teams {
+		ref := Ref{object.KindTeam, t.Name}
+		c.checkTeamKeys(ref, t, owner)
+		c.checkTeamRefs(ref, t)
+		c.fraction(ref, "qualityTarget", t.QualityTarget)
+		c.inRange(ref, "priority", int64(t.Priority), 0, maxPriority)
+		c.inRange(ref, "share", int64(t.Share), 1, maxConcurrent)
+		c.inRange(ref, "limits.concurrent", int64(t.Limits.Concurrent), 1, maxConcurrent)
+		c.inRange(ref, "limits.burst", int64(t.Limits.Burst), 1, maxConcurrent)
+		c.inRange(ref, "limits.maxTokens", t.Limits.MaxTokens, 1, maxTokens)
+		if !(t.Limits.RequestsPerSecond > 0 && t.Limits.RequestsPerSecond <= maxRate) {
+			c.report(ref, "limits.requestsPerSecond", fmt.Sprintf("%g is out of range", t.Limits.RequestsPerSecond), fmt.Sprintf("above 0 and at most %d", maxRate))
+		}
+	}
+}
+
+func (c *checker) checkTeamKeys(ref Ref, t object.Team, owner map[string]string) {
+	if len(t.KeyHashes) == 0 {
+		c.report(ref, "keyHashes", "is empty", "at least one hex SHA-256 hash")
+	}
+	for i, h := range t.KeyHashes {
+		field := fmt.Sprintf("keyHashes[%d]", i)
+		if _, err := hex.DecodeString(h); err != nil || len(h) != sha256HexChars {
+			c.report(ref, field, "is not a SHA-256 hash", "64 lower-case hex digits")
+		}
+		if other, ok := owner[h]; ok {
+			c.report(ref, field, fmt.Sprintf("is also a key of team %q", other), "a key that belongs to one team")
+		}
+		owner[h] = t.Name
+	}
+}
+
+func (c *checker) checkTeamRefs(ref Ref, t object.Team) {
+	if len(t.Models) == 0 && len(t.Services) == 0 {
+		c.report(ref, "models", "the team may use no model and no service", "at least one model or plain service")
+	}
+	for i, m := range t.Models {
+		c.modelRef(ref, fmt.Sprintf("models[%d]", i), m)
+	}
+	for i, name := range t.Services {
+		field := fmt.Sprintf("services[%d]", i)
+		svc, ok := c.index.services[name]
+		switch {
+		case !ok:
+			c.report(ref, field, fmt.Sprintf("service %q is not declared", name), "a declared service")
+		case svc.Type != object.ServicePlain:
+			c.report(ref, field, fmt.Sprintf("service %q has type %s", name, svc.Type), "a service of type plain; model services are allowed through models")
+		}
+	}
+	if t.SessionPolicy != "" {
+		if _, ok := c.index.policies[t.SessionPolicy]; !ok {
+			c.report(ref, "sessionPolicy", fmt.Sprintf("session policy %q is not declared", t.SessionPolicy), "a declared session policy")
+		}
+	}
+	c.checkTeamCascade(ref, t)
+	c.checkTeamQuality(ref, t)
+}
+
+func (c *checker) checkTeamCascade(ref Ref, t object.Team) {
+	if t.Cascade == "" {
+		return
+	}
+	cs, ok := c.index.cascades[t.Cascade]
+	if !ok {
+		c.report(ref, "cascade", fmt.Sprintf("cascade %q is not declared", t.Cascade), "a declared cascade")
+		return
+	}
+	allowed := map[string]bool{}
+	for _, m := range t.Models {
+		allowed[m] = true
+	}
+	for _, step := range cs.Steps {
+		if !allowed[step] {
+			c.report(ref, "cascade", fmt.Sprintf("step %q of cascade %q is not among the team's models", step, cs.Name), "a cascade of allowed models")
+		}
+	}
+}
+
+// checkTeamQuality reports a team whose allowed active versions all fall short of its quality target.
+func (c *checker) checkTeamQuality(ref Ref, t object.Team) {
+	if len(t.Models) == 0 {
+		return
+	}
+	best, found := 0.0, false
+	for _, m := range t.Models {
+		for _, v := range c.index.byModel[m] {
+			if v.State == object.VersionActive {
+				best, found = max(best, v.Quality), true
+			}
+		}
+	}
+	if !found {
+		c.report(ref, "models", "no allowed model has an active version", "at least one active version")
+		return
+	}
+	if best < t.QualityTarget {
+		c.report(ref, "qualityTarget", fmt.Sprintf("%g is above the best allowed version's quality %g", t.QualityTarget, best), fmt.Sprintf("at most %g, or a better allowed model", best))
+	}
+}
+
+func (c *checker) checkRollouts() {
+	byModel := map[string]string{}
+	for _, r := range c.set.Rollouts {
+		ref := Ref{object.KindRollout, r.Name}
+		c.modelRef(ref, "model", r.Model)
+		if other, ok := byModel[r.Model]; ok {
+			c.report(ref, "model", fmt.Sprintf("model %q already has roll-out %q", r.Model, other), "one roll-out per model")
+		}
+		byModel[r.Model] = r.Name
+		c.rolloutVersion(ref, "from", r.From, r.Model)
+		c.rolloutVersion(ref, "to", r.To, r.Model)
+		if r.From == r.To {
+			c.report(ref, "to", "equals from", "a different version")
+		}
+		c.checkSteps(ref, r)
+	}
+}
+
+func (c *checker) rolloutVersion(ref Ref, field, name, model string) {
+	v, ok := c.index.versions[name]
+	switch {
+	case !ok:
+		c.report(ref, field, fmt.Sprintf("version %q is not declared", name), "a declared version")
+	case v.Model != model:
+		c.report(ref, field, fmt.Sprintf("version %q belongs to model %q", name, v.Model), "a version of model "+model)
+	case v.State == object.VersionRetired:
+		c.report(ref, field, fmt.Sprintf("version %q is retired", name), "a version that is not retired")
+	}
+}
+
+func (c *checker) checkSteps(ref Ref, r object.Rollout) {
+	if len(r.Steps) == 0 {
+		c.report(ref, "steps", "is empty", "at least one share")
+	}
+	last := 0.0
+	for i, s := range r.Steps {
+		if !(s > last && s <= 1) {
+			c.report(ref, fmt.Sprintf("steps[%d]", i), fmt.Sprintf("%g does not ascend from %g", s, last), "shares that ascend, above 0 and at most 1")
+		}
+		last = s
+	}
+	c.inRange(ref, "step", int64(r.Step), -1, int64(len(r.Steps)-1))
+}
--- /dev/null
+++ b/declare/diff.go
@@ -0,0 +1,102 @@
+package declare
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"github.com/bramleytrail/bramleytrail/object"
+)
+
+// Change is one difference between two sets.
+type Change struct {
+	Kind  object.Kind `json:"kind"`
+	Name  string      `json:"name"`
+	Field string      `json:"field,omitempty"` // empty if the whole object was added or removed
+	Old   string      `json:"old,omitempty"`   // JSON; empty if added
+	New   string      `json:"new,omitempty"`   // JSON; empty if removed
+}
+
+// String formats the change on one line.
+func (c Change) String() string {
+	switch {
+	case c.Field == "" && c.Old == "":
+		return fmt.Sprintf("+ %s/%s", c.Kind, c.Name)
+	case c.Field == "" && c.New == "":
+		return fmt.Sprintf("- %s/%s", c.Kind, c.Name)
+	default:
+		return fmt.Sprintf("~ %s/%s: %s: %s -> %s", c.Kind, c.Name, c.Field, c.Old, c.New)
+	}
+}
+
+// Diff returns the changes that lead from one set to another, ordered by kind, name and field.
+func Diff(from, to object.Set) []Change {
+	a, b := flatten(from), flatten(to)
+	var out []Change
+	for ref, old := range a {
+		if fields, ok := b[ref]; ok {
+			out = append(out, diffFields(ref, old, fields)...)
+			continue
+		}
+		out = append(out, Change{Kind: ref.Kind, Name: ref.Name, Old: string(mustJSON(old))})
+	}
+	for ref, fields := range b {
+		if _, ok := a[ref]; !ok {
+			out = append(out, Change{Kind: ref.Kind, Name: ref.Name, New: string(mustJSON(fields))})
+		}
+	}
+	slices.SortFunc(out, func(x, y Change) int {
+		return cmp.Or(cmp.Compare(x.Kind, y.Kind), cmp.Compare(x.Name, y.Name), cmp.Compare(x.Field, y.Field))
+	})
+	return out
+}
+
+type fieldMap map[string]json.RawMessage
+
+func diffFields(ref Ref, old, new fieldMap) []Change {
+	var out []Change
+	for name, v := range old {
+		if !bytes.Equal(v, new[name]) {
+			out = append(out, Change{Kind: ref.Kind, Name: ref.Name, Field: name, Old: string(v), New: string(new[name])})
+		}
+	}
+	for name, v := range new {
+		if _, ok := old[name]; !ok {
+			out = append(out, Change{Kind: ref.Kind, Name: ref.Name, Field: name, New: string(v)})
+		}
+	}
+	return out
+}
+
+func flatten(s object.Set) map[Ref]fieldMap {
+	m := map[Ref]fieldMap{}
+	addAll(m, object.KindFailureDomain, s.FailureDomains, func(o object.FailureDomain) string { return o.Name })
+	addAll(m, object.KindService, s.Services, func(o object.Service) string { return o.Name })
+	addAll(m, object.KindModel, s.Models, func(o object.Model) string { return o.Name })
+	addAll(m, object.KindVersion, s.Versions, func(o object.Version) string { return o.Name })
+	addAll(m, object.KindTeam, s.Teams, func(o object.Team) string { return o.Name })
+	addAll(m, object.KindSessionPolicy, s.SessionPolicies, func(o object.SessionPolicy) string { return o.Name })
+	addAll(m, object.KindCascade, s.Cascades, func(o object.Cascade) string { return o.Name })
+	addAll(m, object.KindRollout, s.Rollouts, func(o object.Rollout) string { return o.Name })
+	return m
+}
+
+func addAll[T any](m map[Ref]fieldMap, kind object.Kind, list []T, name func(T) string) {
+	for _, o := range list {
+		var fields fieldMap
+		if err := json.Unmarshal(mustJSON(o), &fields); err != nil {
+			panic(err) // a struct always encodes as an object
+		}
+		m[Ref{kind, name(o)}] = fields
+	}
+}
+
+func mustJSON(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // declared objects hold no value that JSON can't encode
+	}
+	return data
+}
--- /dev/null
+++ b/declare/load.go
@@ -0,0 +1,217 @@
+package declare
+
+import (
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+
+	"github.com/bramleytrail/bramleytrail/object"
+)
+
+// maxFileBytes bounds one declaration file; a complete deployment of 18 versions and 100 teams stays below 100 KB.
+const maxFileBytes = 4 << 20
+
+// Ref names a declared object.
+type Ref struct {
+	Kind object.Kind
+	Name string
+}
+
+// Sources maps each object to the file that declares it.
+type Sources map[Ref]string
+
+// envelope is the common form of every document.
+type envelope struct {
+	APIVersion string      `yaml:"apiVersion"`
+	Kind       object.Kind `yaml:"kind"`
+	Name       string      `yaml:"name"`
+	Spec       ast.Node    `yaml:"spec"`
+}
+
+// Load reads every .yaml and .yml file below dir. Problems in the files are returned as findings, all at once; the
+// error reports only that the directory itself can't be read.
+func Load(dir string) (object.Set, Sources, []Finding, error) {
+	l := loader{sources: Sources{}}
+	err := filepath.WalkDir(dir, func(path string, d fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		ext := filepath.Ext(path)
+		if d.IsDir() || (ext != ".yaml" && ext != ".yml") {
+			return nil
+		}
+		rel, err := filepath.Rel(dir, path)
+		if err != nil {
+			return err
+		}
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		l.addFile(rel, data)
+		return nil
+	})
+	if err != nil {
+		return object.Set{}, nil, nil, fmt.Errorf("read declarations in %s: %w", dir, err)
+	}
+	Sort(&l.set)
+	return l.set, l.sources, l.findings, nil
+}
+
+// Parse reads one file's content, as Load does for each file of a directory.
+func Parse(name string, data []byte) (object.Set, Sources, []Finding) {
+	l := loader{sources: Sources{}}
+	l.addFile(name, data)
+	Sort(&l.set)
+	return l.set, l.sources, l.findings
+}
+
+type loader struct {
+	set      object.Set
+	sources  Sources
+	findings []Finding
+}
+
+func (l *loader) report(file string, ref Ref, field, problem, want string) {
+	l.findings = append(l.findings, Finding{File: file, Kind: ref.Kind, Name: ref.Name, Field: field, Problem: problem, Want: want})
+}
+
+func (l *loader) addFile(name string, data []byte) {
+	if len(data) > maxFileBytes {
+		l.report(name, Ref{}, "", fmt.Sprintf("file has %d bytes", len(data)), fmt.Sprintf("at most %d bytes", maxFileBytes))
+		return
+	}
+	file, err := parser.ParseBytes(data, 0)
+	if err != nil {
+		l.report(name, Ref{}, "", firstLine(err), "a valid YAML document")
+		return
+	}
+	for _, doc := range file.Docs {
+		if doc.Body == nil || doc.Body.Type() == ast.NullType || doc.Body.Type() == ast.CommentType {
+			continue
+		}
+		l.addDocument(name, doc.Body)
+	}
+}
+
+func (l *loader) addDocument(file string, body ast.Node) {
+	var env envelope
+	if err := yaml.NodeToValue(body, &env, yaml.Strict()); err != nil {
+		l.report(file, Ref{}, "", firstLine(err), "the fields apiVersion, kind, name and spec")
+		return
+	}
+	ref := Ref{env.Kind, env.Name}
+	if env.APIVersion != object.APIVersion {
+		l.report(file, ref, "apiVersion", fmt.Sprintf("%q is not supported", env.APIVersion), object.APIVersion)
+		return
+	}
+	if !validName(env.Name) {
+		l.report(file, ref, "name", fmt.Sprintf("%q is not a valid name", env.Name), "1 to 63 of a-z, 0-9, '-' and '.', first a letter or digit")
+		return
+	}
+	if first, ok := l.sources[ref]; ok {
+		l.report(file, ref, "name", "declared twice, first in "+first, "one declaration of each name and kind")
+		return
+	}
+	l.sources[ref] = file
+	l.addObject(file, ref, env.Spec)
+}
+
+func (l *loader) addObject(file string, ref Ref, spec ast.Node) {
+	if spec == nil || spec.Type() == ast.NullType {
+		l.report(file, ref, "spec", "is missing", "the fields of a "+string(ref.Kind))
+		return
+	}
+	var err error
+	switch ref.Kind {
+	case object.KindFailureDomain:
+		v := object.FailureDomain{Name: ref.Name, State: object.DomainIn}
+		err = decode(spec, &v)
+		l.set.FailureDomains = append(l.set.FailureDomains, v)
+	case object.KindService:
+		v := object.Service{Name: ref.Name}
+		err = decode(spec, &v)
+		l.set.Services = append(l.set.Services, v)
+	case object.KindModel:
+		v := object.Model{Name: ref.Name}
+		err = decode(spec, &v)
+		l.set.Models = append(l.set.Models, v)
+	case object.KindVersion:
+		v := object.Version{Name: ref.Name, State: object.VersionActive}
+		err = decode(spec, &v)
+		l.set.Versions = append(l.set.Versions, v)
+	case object.KindTeam:
+		v := object.Team{Name: ref.Name, Share: 1}
+		err = decode(spec, &v)
+		l.set.Teams = append(l.set.Teams, v)
+	case object.KindSessionPolicy:
+		v := object.SessionPolicy{Name: ref.Name, OnWithdrawn: object.WithdrawnMove}
+		err = decode(spec, &v)
+		l.set.SessionPolicies = append(l.set.SessionPolicies, v)
+	case object.KindCascade:
+		v := object.Cascade{Name: ref.Name}
+		err = decode(spec, &v)
+		l.set.Cascades = append(l.set.Cascades, v)
+	case object.KindRollout:
+		v := object.Rollout{Name: ref.Name, Step: -1}
+		err = decode(spec, &v)
+		l.set.Rollouts = append(l.set.Rollouts, v)
+	default:
+		l.report(file, ref, "kind", fmt.Sprintf("%q is unknown", ref.Kind), "one of "+kindList())
+		return
+	}
+	if err != nil {
+		l.report(file, ref, "spec", firstLine(err), "only the documented fields, each with its type")
+	}
+}
+
+func decode(node ast.Node, v any) error {
+	return yaml.NodeToValue(node, v, yaml.Strict())
+}
+
+func kindList() string {
+	return strings.Join([]string{
+		string(object.KindFailureDomain), string(object.KindService), string(object.KindModel),
+		string(object.KindVersion), string(object.KindTeam), string(object.KindSessionPolicy),
+		string(object.KindCascade), string(object.KindRollout),
+	}, ", ")
+}
+
+// firstLine drops the source excerpt that the YAML library appends to its errors.
+func firstLine(err error) string {
+	line, _, _ := strings.Cut(err.Error(), "\n")
+	return line
+}
+
+const maxNameLen = 63
+
+func validName(name string) bool {
+	if name == "" || len(name) > maxNameLen || name[0] == '-' || name[0] == '.' {
+		return false
+	}
+	for _, r := range name {
+		if (r < 'a' || r > 'z') && (r < '0' || r > '9') && r != '-' && r != '.' {
+			return false
+		}
+	}
+	return true
+}
+
+// Sort orders each list of the set by name, so that equal sets have equal encodings.
+func Sort(s *object.Set) {
+	slices.SortFunc(s.FailureDomains, func(a, b object.FailureDomain) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(s.Services, func(a, b object.Service) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(s.Models, func(a, b object.Model) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(s.Versions, func(a, b object.Version) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(s.Teams, func(a, b object.Team) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(s.SessionPolicies, func(a, b object.SessionPolicy) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(s.Cascades, func(a, b object.Cascade) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(s.Rollouts, func(a, b object.Rollout) int { return strings.Compare(a.Name, b.Name) })
+}
--- /dev/null
+++ b/dispatch/answer.go
@@ -0,0 +1,325 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/bramleytrail/bramleytrail/choose"
+	"github.com/bramleytrail/bramleytrail/engine"
+	"github.com/bramleytrail/bramleytrail/object"
+	"github.com/bramleytrail/bramleytrail/poison"
+	"github.com/bramleytrail/bramleytrail/result"
+)
+
+// Answer is the answer to one request. It hides failures of endpoints: events come once each and in order. It is used
+// by one goroutine.
+type Answer struct {
+	filter *Filter
+	in     Input
+	ctx    context.Context
+
+	room     room
+	reserved bool
+	stream   engine.Stream
+	ctxCall  context.Context // context of stream
+	cancel   context.CancelCauseFunc
+	timer    *time.Timer // cancels stream when it makes no progress
+	callID   string
+	first    *engine.Event // read by start and not delivered yet
+
+	attempts int
+	exclude  []string
+	suspect  bool
+	text     strings.Builder // answer so far, to continue it at another endpoint
+	seq      int64
+	usage    engine.Usage
+	done     bool
+	ran      result.Ran
+	served   *object.Version
+	trace    []Attempt
+}
+
+// Attempt records one endpoint that a request was sent to.
+type Attempt struct {
+	Endpoint string `json:"endpoint"`
+	Version  string `json:"version"`
+	Error    string `json:"error,omitempty"`
+}
+
+// Version returns the version that answers.
+func (a *Answer) Version() *object.Version { return a.served }
+
+// Usage returns the tokens of the answer so far. The engine's own counts replace the estimate at the end.
+func (a *Answer) Usage() engine.Usage { return a.usage }
+
+// Attempts returns the endpoints that the request was sent to.
+func (a *Answer) Attempts() []Attempt { return a.trace }
+
+// start sends the request until an endpoint gives the first event.
+func (a *Answer) start() error {
+	ev, err := a.advance()
+	if errors.Is(err, io.EOF) {
+		return &result.Error{Code: result.EndpointFailed, Ran: result.RunUnknown, Detail: "The answer is empty."}
+	}
+	if err != nil {
+		return err
+	}
+	a.first = &ev
+	return nil
+}
+
+// Next returns the next event, or io.EOF after the last one.
+func (a *Answer) Next() (engine.Event, error) {
+	if a.first != nil {
+		ev := *a.first
+		a.first = nil
+		return ev, nil
+	}
+	return a.advance()
+}
+
+func (a *Answer) advance() (engine.Event, error) {
+	for {
+		if a.done {
+			return engine.Event{}, io.EOF
+		}
+		if a.stream == nil {
+			if err := a.open(); err != nil {
+				return engine.Event{}, err
+			}
+		}
+		ev, err := a.read()
+		switch {
+		case err == nil && ev.Seq <= a.seq:
+			continue // a resumed stream repeated an event
+		case err == nil:
+			a.accept(ev)
+			return ev, nil
+		case err == io.EOF: // a broken stream wraps io.EOF
+			a.done = true
+			a.closeStream(nil)
+			return engine.Event{}, io.EOF
+		}
+		if err := a.recover(err); err != nil {
+			return engine.Event{}, err
+		}
+	}
+}
+
+func (a *Answer) accept(ev engine.Event) {
+	a.seq = ev.Seq
+	a.ran = result.RunDone
+	a.text.WriteString(ev.Text)
+	a.usage = engine.Usage{InputTokens: a.in.Tokens, OutputTokens: ev.Seq}
+	if ev.Usage != nil {
+		a.usage = *ev.Usage
+	}
+	a.room.Progress(a.filter.spec.Now())
+}
+
+// open reserves room and sends the request, or its continuation, to an endpoint.
+func (a *Answer) open() error {
+	if err := a.mayAttempt(); err != nil {
+		return err
+	}
+	candidates := a.in.Candidates
+	if a.served != nil && a.seq > 0 {
+		// Text of one version is continued by the same version only.
+		candidates = []choose.Candidate{a.room.candidate}
+	}
+	r, err := a.filter.reserve(a.ctx, &a.in, candidates, a.exclude, a.suspect)
+	if err != nil {
+		return a.withRan(err)
+	}
+	a.room, a.reserved, a.served = r, true, r.candidate.Version
+	a.attempts++
+	a.callID = callID(a.in.RequestID, a.attempts)
+	a.trace = append(a.trace, Attempt{Endpoint: r.ID, Version: r.candidate.Version.Name})
+	req := engine.Request{
+		ID: a.callID, Version: r.candidate.Version.Name, Body: a.in.Body, Priority: a.in.Priority,
+		MaxTokens: a.in.MaxTokens, Prior: a.text.String(), PriorTokens: a.seq,
+	}
+	err = a.connect(r.timeouts.firstByte, func(ctx context.Context) (engine.Stream, error) {
+		return a.filter.spec.Client.Stream(ctx, r.Addr, req)
+	})
+	if err != nil {
+		return a.recover(err)
+	}
+	return nil
+}
+
+// mayAttempt checks the limits on attempts, crashes and retries.
+func (a *Answer) mayAttempt() error {
+	now := a.filter.spec.Now()
+	crashes := a.filter.spec.Poison.Crashes(a.in.Fingerprint, now)
+	if crashes >= poison.MaxCrashes {
+		return &result.Error{Code: result.PoisonRequest, Ran: a.ran}
+	}
+	a.suspect = crashes >= poison.IsolateAfter
+	if a.attempts == 0 {
+		return nil
+	}
+	if a.attempts >= maxAttempts || !a.filter.budget.withdraw() {
+		return a.exhausted()
+	}
+	return nil
+}
+
+func (a *Answer) exhausted() error {
+	code := result.EndpointFailed
+	if a.seq > 0 {
+		code = result.StreamBroken
+	}
+	return &result.Error{Code: code, Ran: a.ran, RetryAfter: fullRetry}
+}
+
+// connect opens a stream under a deadline for its response header.
+func (a *Answer) connect(limit time.Duration, open func(context.Context) (engine.Stream, error)) error {
+	ctx, cancel := context.WithCancelCause(a.ctx)
+	timer := time.AfterFunc(limit, func() { cancel(errStalled) })
+	start := a.filter.spec.Now()
+	s, err := open(ctx)
+	if !timer.Stop() && err == nil {
+		s.Close()
+		err = errStalled
+	}
+	if err != nil {
+		err = a.cause(ctx, err)
+		cancel(nil)
+		return err
+	}
+	a.stream, a.ctxCall, a.cancel, a.timer = s, ctx, cancel, timer
+	now := a.filter.spec.Now()
+	a.room.Opened(s.Boot(), now.Sub(start), now)
+	return nil
+}
+
+// read returns the next event under a progress deadline.
+func (a *Answer) read() (engine.Event, error) {
+	limit := a.room.timeouts.progress
+	if a.seq == 0 {
+		limit = a.room.timeouts.firstByte
+	}
+	a.timer.Reset(limit)
+	ev, err := a.stream.Next()
+	a.timer.Stop()
+	if err != nil && err != io.EOF {
+		err = a.cause(a.ctxCall, err)
+	}
+	return ev, err
+}
+
+// cause replaces the error of a cancelled call by the reason for the cancellation.
+func (a *Answer) cause(ctx context.Context, err error) error {
+	if a.ctx.Err() != nil {
+		return errCancelled
+	}
+	if c := context.Cause(ctx); errors.Is(c, errStalled) {
+		return errStalled
+	}
+	return err
+}
+
+// recover handles a failed attempt. It returns nil if the answer can go on.
+func (a *Answer) recover(err error) error {
+	a.note(err)
+	if errors.Is(err, errCancelled) {
+		a.closeStream(err)
+		return contextError(a.ctx, a.ran)
+	}
+	if errors.Is(err, engine.ErrRejected) {
+		a.closeStream(err)
+		return result.Wrap(result.EndpointRejected, a.ran, err)
+	}
+	notRun := errors.Is(err, engine.ErrUnreachable) || errors.Is(err, engine.ErrBusy)
+	if !notRun {
+		a.ran = max(a.ran, result.RunUnknown)
+		if a.resume(err) {
+			return nil
+		}
+		if a.in.Once {
+			a.closeStream(err)
+			return a.exhausted()
+		}
+	}
+	a.exclude = append(a.exclude, a.room.ID)
+	a.closeStream(err)
+	return nil
+}
+
+// resume asks the same endpoint for the rest of the stream on a new connection. If the endpoint has started anew or
+// can't be reached, the crash is recorded and resume returns false.
+func (a *Answer) resume(cause error) bool {
+	boot := a.room.Boot()
+	ctx, cancel := context.WithTimeout(a.ctx, probeLimit)
+	defer cancel()
+	load, err := a.filter.spec.Client.Load(ctx, a.room.Addr)
+	if err != nil || load.Boot != boot {
+		if errors.Is(cause, engine.ErrBroken) {
+			a.recordCrash(boot)
+		}
+		return false
+	}
+	if a.attempts >= maxAttempts || a.seq == 0 {
+		return false
+	}
+	a.attempts++
+	if a.cancel != nil {
+		a.cancel(nil)
+		a.stream.Close()
+		a.stream = nil
+	}
+	err = a.connect(probeLimit, func(ctx context.Context) (engine.Stream, error) {
+		return a.filter.spec.Client.Resume(ctx, a.room.Addr, a.callID, a.seq)
+	})
+	return err == nil
+}
+
+// recordCrash blames this request for a crash unless a request that ran in isolation is the cause.
+func (a *Answer) recordCrash(boot string) {
+	if a.room.BesideSuspect() {
+		return
+	}
+	r := poison.Record{Fingerprint: a.in.Fingerprint, Crash: a.room.ID + "/" + boot, Isolated: a.room.Isolated()}
+	if a.filter.spec.Poison.Add(r, a.filter.spec.Now()) {
+		a.filter.spec.OnCrash(r)
+	}
+}
+
+func (a *Answer) note(err error) { a.trace[len(a.trace)-1].Error = err.Error() }
+
+// closeStream ends the attempt and gives its room back.
+func (a *Answer) closeStream(err error) {
+	if a.stream != nil {
+		a.cancel(nil)
+		a.stream.Close()
+		a.stream, a.cancel = nil, nil
+	}
+	if a.reserved {
+		a.reserved = false
+		a.room.Release(outcomeOf(err), a.filter.spec.Now())
+	}
+}
+
+// withRan sets the run state of the attempts so far on an error of a later one.
+func (a *Answer) withRan(err error) error {
+	e := *result.From(err)
+	e.Ran = max(e.Ran, a.ran)
+	return &e
+}
+
+// Close ends the answer. An unfinished stream is cancelled at the endpoint.
+func (a *Answer) Close() {
+	if a.stream == nil {
+		a.closeStream(errCancelled)
+		return
+	}
+	addr, id := a.room.Addr, a.callID
+	a.closeStream(errCancelled)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(a.ctx), probeLimit)
+	defer cancel()
+	_ = a.filter.spec.Client.Cancel(ctx, addr, id) // the closed connection ends the stream too
+}
--- /dev/null
+++ b/dispatch/plain.go
@@ -0,0 +1,128 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/bramleytrail/bramleytrail/engine"
+	"github.com/bramleytrail/bramleytrail/object"
+	"github.com/bramleytrail/bramleytrail/pool"
+	"github.com/bramleytrail/bramleytrail/result"
+)
+
+// PlainInput is a call of a plain service.
+type PlainInput struct {
+	Service *object.Service
+	Request engine.PlainRequest
+}
+
+// PlainAnswer is the response of a plain service. Close must be called.
+type PlainAnswer struct {
+	*engine.PlainResponse
+	Endpoint string
+	filter   *Filter
+	room     pool.Reservation
+	cancel   context.CancelCauseFunc
+	progress time.Duration
+	err      error
+}
+
+// Call sends a call to a plain service and waits for the response header. A non-repeatable call is sent once; it moves
+// to another endpoint only if no connection could be made.
+func (f *Filter) Call(ctx context.Context, in PlainInput) (*PlainAnswer, error) {
+	f.budget.deposit()
+	var exclude []string
+	ran := result.NotRun
+	for attempt := 1; ; attempt++ {
+		r, err := f.reservePlain(ctx, in.Service.Name, exclude)
+		if err != nil {
+			e := *result.From(err)
+			e.Ran = max(e.Ran, ran)
+			return nil, &e
+		}
+		answer, err := f.callOnce(ctx, in, r)
+		if err == nil {
+			return answer, nil
+		}
+		r.Release(outcomeOf(err), f.spec.Now())
+		if errors.Is(err, errCancelled) {
+			return nil, contextError(ctx, max(ran, result.RunUnknown))
+		}
+		if !errors.Is(err, engine.ErrUnreachable) {
+			ran = result.RunUnknown
+		}
+		mayRepeat := in.Request.Repeatable || ran == result.NotRun
+		if !mayRepeat || attempt >= maxAttempts || !f.budget.withdraw() {
+			return nil, plainError(err, ran)
+		}
+		exclude = append(exclude, r.ID)
+	}
+}
+
+func plainError(err error, ran result.Ran) error {
+	code := result.EndpointFailed
+	if errors.Is(err, errStalled) {
+		code = result.EndpointTimeout
+	}
+	return &result.Error{Code: code, Ran: ran, Err: err, RetryAfter: fullRetry}
+}
+
+func (f *Filter) reservePlain(ctx context.Context, service string, exclude []string) (pool.Reservation, error) {
+	deadline := f.spec.Now().Add(f.spec.QueueWait)
+	for {
+		r, short, ok := f.spec.Pool.Pick(pool.Query{Service: service, Exclude: exclude}, f.spec.Now())
+		if ok {
+			return r, nil
+		}
+		if !f.spec.Now().Before(deadline) {
+			return r, noEndpoint(short)
+		}
+		if err := pause(ctx, pickPause); err != nil {
+			return r, err
+		}
+	}
+}
+
+func (f *Filter) callOnce(ctx context.Context, in PlainInput, r pool.Reservation) (*PlainAnswer, error) {
+	callCtx, cancel := context.WithCancelCause(ctx)
+	timer := time.AfterFunc(in.Service.Timeouts.FirstByte, func() { cancel(errStalled) })
+	start := f.spec.Now()
+	resp, err := f.spec.Client.Call(callCtx, r.Addr, in.Request)
+	if !timer.Stop() && err == nil {
+		resp.Body.Close()
+		err = errStalled
+	}
+	if err != nil {
+		switch {
+		case ctx.Err() != nil:
+			err = errCancelled
+		case errors.Is(context.Cause(callCtx), errStalled):
+			err = errStalled
+		}
+		cancel(nil)
+		return nil, err
+	}
+	now := f.spec.Now()
+	r.Opened("", now.Sub(start), now)
+	return &PlainAnswer{PlainResponse: resp, Endpoint: r.ID, filter: f, room: r, cancel: cancel, progress: in.Service.Timeouts.Progress}, nil
+}
+
+// Read reads the body under the service's progress deadline.
+func (a *PlainAnswer) Read(p []byte) (int, error) {
+	timer := time.AfterFunc(a.progress, func() { a.cancel(errStalled) })
+	n, err := a.Body.Read(p)
+	timer.Stop()
+	if err != nil && !errors.Is(err, io.EOF) {
+		a.err = err
+	}
+	return n, err
+}
+
+// Close ends the call and gives its room back.
+func (a *PlainAnswer) Close() {
+	a.cancel(nil)
+	a.Body.Close()
+	a.room.Release(outcomeOf(a.err), a.filter.spec.Now())
+}
--- /dev/null
+++ b/engine/httpengine/client.go
@@ -0,0 +1,248 @@
+package httpengine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/bramleytrail/bramleytrail/engine"
+)
+
+const (
+	connectTimeout   = time.Second
+	idleTimeout      = 30 * time.Second
+	maxIdlePerHost   = 64
+	maxControlBytes  = 1 << 20  // load report or cache events
+	maxCacheBytes    = 64 << 20 // exported KV cache of one session
+	maxHeaderBytes   = 64 << 10
+	transportBufSize = 4 << 10 // read and write buffer of one connection
+)
+
+// Client implements engine.Client over HTTP.
+type Client struct {
+	shared *http.Client // keeps connections
+	single *http.Client // one connection for each call
+}
+
+// NewClient returns a client. Each non-repeatable call uses a connection of its own: net/http sends a request with an
+// Idempotency-Key header again if a kept connection turns out to be closed, which could run the call twice.
+func NewClient() *Client {
+	return &Client{shared: &http.Client{Transport: transport(false)}, single: &http.Client{Transport: transport(true)}}
+}
+
+func transport(single bool) *http.Transport {
+	return &http.Transport{
+		DialContext:            (&net.Dialer{Timeout: connectTimeout}).DialContext,
+		MaxIdleConnsPerHost:    maxIdlePerHost,
+		IdleConnTimeout:        idleTimeout,
+		DisableKeepAlives:      single,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		ReadBufferSize:         transportBufSize,
+		WriteBufferSize:        transportBufSize,
+	}
+}
+
+// Close drops idle connections.
+func (c *Client) Close() {
+	c.shared.CloseIdleConnections()
+	c.single.CloseIdleConnections()
+}
+
+// Stream implements engine.Client.
+func (c *Client) Stream(ctx context.Context, addr string, r engine.Request) (engine.Stream, error) {
+	body, err := streamBody(r)
+	if err != nil {
+		return nil, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/v1/chat/completions", bytes.NewReader(body))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", engine.ErrRejected, err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(HeaderRequestID, r.ID)
+	req.Header.Set(HeaderPriority, strconv.Itoa(r.Priority))
+	return c.open(req)
+}
+
+// streamBody merges the caller's request with the fields that the router sets.
+func streamBody(r engine.Request) ([]byte, error) {
+	fields := map[string]json.RawMessage{}
+	if err := json.Unmarshal(r.Body, &fields); err != nil {
+		return nil, fmt.Errorf("%w: %w", engine.ErrRejected, err)
+	}
+	set := func(name string, v any) error {
+		data, err := json.Marshal(v)
+		fields[name] = data
+		return err
+	}
+	err := errors.Join(set("model", r.Version), set("stream", true), set("max_tokens", r.MaxTokens))
+	if r.PriorTokens > 0 {
+		err = errors.Join(err, set("continuation", Continuation{Text: r.Prior, Tokens: r.PriorTokens}))
+	}
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", engine.ErrRejected, err)
+	}
+	return json.Marshal(fields)
+}
+
+// Resume implements engine.Client.
+func (c *Client) Resume(ctx context.Context, addr, id string, after int64) (engine.Stream, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/v1/streams/"+url.PathEscape(id), nil)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", engine.ErrRejected, err)
+	}
+	req.Header.Set("Last-Event-ID", strconv.FormatInt(after, 10))
+	return c.open(req)
+}
+
+func (c *Client) open(req *http.Request) (engine.Stream, error) {
+	resp, err := c.shared.Do(req)
+	if err != nil {
+		return nil, transportError(err)
+	}
+	if err := statusError(resp.StatusCode); err != nil {
+		resp.Body.Close()
+		return nil, err
+	}
+	return newStream(resp), nil
+}
+
+// transportError tells failures before the request was sent from later ones.
+func transportError(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return fmt.Errorf("%w: %w", engine.ErrUnreachable, err)
+	}
+	return fmt.Errorf("%w: %w", engine.ErrBroken, err)
+}
+
+func statusError(status int) error {
+	switch {
+	case status < 300:
+		return nil
+	case status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable:
+		return engine.ErrBusy
+	case status == http.StatusNotFound:
+		return engine.ErrUnknownStream
+	case status == http.StatusPreconditionFailed:
+		return engine.ErrStaleFence
+	case status < 500:
+		return fmt.Errorf("%w: status %d", engine.ErrRejected, status)
+	default:
+		return fmt.Errorf("%w: status %d", engine.ErrFailed, status)
+	}
+}
+
+// Cancel implements engine.Client.
+func (c *Client) Cancel(ctx context.Context, addr, id string) error {
+	return c.control(ctx, http.MethodDelete, addr, "/v1/streams/"+url.PathEscape(id), nil, nil)
+}
+
+// Load implements engine.Client.
+func (c *Client) Load(ctx context.Context, addr string) (engine.Load, error) {
+	var l engine.Load
+	err := c.control(ctx, http.MethodGet, addr, "/v1/load", nil, &l)
+	return l, err
+}
+
+// CacheEvents implements engine.Client.
+func (c *Client) CacheEvents(ctx context.Context, addr string, after uint64) ([]engine.CacheEvent, error) {
+	var events []engine.CacheEvent
+	err := c.control(ctx, http.MethodGet, addr, "/v1/cache/events?after="+strconv.FormatUint(after, 10), nil, &events)
+	return events, err
+}
+
+// ExportCache implements engine.Client.
+func (c *Client) ExportCache(ctx context.Context, addr, session string) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/v1/cache/sessions/"+url.PathEscape(session), nil)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", engine.ErrRejected, err)
+	}
+	resp, err := c.shared.Do(req)
+	if err != nil {
+		return nil, transportError(err)
+	}
+	defer resp.Body.Close()
+	if err := statusError(resp.StatusCode); err != nil {
+		return nil, err
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxCacheBytes))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", engine.ErrBroken, err)
+	}
+	return data, nil
+}
+
+// ImportCache implements engine.Client.
+func (c *Client) ImportCache(ctx context.Context, addr, session string, data []byte) error {
+	return c.control(ctx, http.MethodPut, addr, "/v1/cache/sessions/"+url.PathEscape(session), data, nil)
+}
+
+// Order implements engine.Client.
+func (c *Client) Order(ctx context.Context, addr string, o engine.Order) error {
+	data, err := json.Marshal(o)
+	if err != nil {
+		return fmt.Errorf("%w: %w", engine.ErrRejected, err)
+	}
+	return c.control(ctx, http.MethodPost, addr, "/v1/orders", data, nil)
+}
+
+func (c *Client) control(ctx context.Context, method, addr, path string, in []byte, out any) error {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, bytes.NewReader(in))
+	if err != nil {
+		return fmt.Errorf("%w: %w", engine.ErrRejected, err)
+	}
+	resp, err := c.shared.Do(req)
+	if err != nil {
+		return transportError(err)
+	}
+	defer resp.Body.Close()
+	if err := statusError(resp.StatusCode); err != nil {
+		return err
+	}
+	if out == nil {
+		_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxControlBytes))
+		return err
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxControlBytes)).Decode(out); err != nil {
+		return fmt.Errorf("%w: %w", engine.ErrBroken, err)
+	}
+	return nil
+}
+
+// hopHeaders are connection headers that are not forwarded.
+var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
+
+// Call implements engine.Client.
+func (c *Client) Call(ctx context.Context, addr string, r engine.PlainRequest) (*engine.PlainResponse, error) {
+	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+addr+r.Path, bytes.NewReader(r.Body))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", engine.ErrRejected, err)
+	}
+	req.Header = r.Header.Clone()
+	if req.Header == nil {
+		req.Header = http.Header{}
+	}
+	for _, h := range hopHeaders {
+		req.Header.Del(h)
+	}
+	req.Header.Set(HeaderRequestID, r.ID)
+	client := c.single
+	if r.Repeatable {
+		client = c.shared
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, transportError(err)
+	}
+	return &engine.PlainResponse{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body}, nil
+}
--- /dev/null
+++ b/entry/caller.go
@@ -0,0 +1,162 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/bramleytrail/bramleytrail/relay"
+	"github.com/bramleytrail/bramleytrail/result"
+)
+
+// errNotHijackable can occur only if the engine changes the type of its response writer.
+var errNotHijackable = errors.New("response writer can't be hijacked")
+
+// errUnsupported is returned for a streamed answer on a caller that asked for a whole one.
+var errUnsupported = errors.New("caller takes whole answers only")
+
+// wholeCaller sends an answer in one piece through the engine, which keeps the connection for the next request.
+type wholeCaller struct{ w http.ResponseWriter }
+
+func (c *wholeCaller) Begin(int, http.Header) error { return errUnsupported }
+func (c *wholeCaller) Write([]byte) (int, error)    { return 0, errUnsupported }
+func (c *wholeCaller) End() error                   { return errUnsupported }
+func (c *wholeCaller) Reply(status int, h http.Header, body []byte) error {
+	return replyWhole(c.w, status, h, body)
+}
+
+func replyWhole(w http.ResponseWriter, status int, h http.Header, body []byte) error {
+	for name, values := range h {
+		w.Header()[name] = values
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	_, err := w.Write(body)
+	return err
+}
+
+func replyError(w http.ResponseWriter, err error, status int) {
+	e := result.From(err)
+	h := http.Header{}
+	relay.ErrorHeader(h, e)
+	if status == 0 {
+		status = e.Code.Info().Status
+	}
+	_ = replyWhole(w, status, h, relay.ErrorBody(e)) // the caller may have left
+}
+
+func replyJSON(w http.ResponseWriter, v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		replyError(w, err, 0)
+		return
+	}
+	_ = replyWhole(w, http.StatusOK, http.Header{"Content-Type": {"application/json"}}, data) // the caller may have left
+}
+
+// streamCaller writes to the caller's connection directly. The engine's response writer reports neither a failed write
+// nor a caller that has left; the connection does both.
+type streamCaller struct {
+	conn  net.Conn
+	stall time.Duration
+	body  io.WriteCloser // chunked framing; nil until Begin
+	begun bool
+	once  sync.Once
+}
+
+// hijack takes over the connection. The returned context ends when the caller closes it.
+func (s *Server) hijack(w http.ResponseWriter, r *http.Request) (*streamCaller, context.Context, error) {
+	h, ok := w.(http.Hijacker)
+	if !ok {
+		return nil, nil, result.Wrap(result.Internal, result.NotRun, errNotHijackable)
+	}
+	conn, _, err := h.Hijack()
+	if err != nil {
+		return nil, nil, result.Wrap(result.Internal, result.NotRun, err)
+	}
+	_ = conn.SetReadDeadline(time.Time{}) // the engine's deadline for the next request
+	ctx, cancel := context.WithCancel(r.Context())
+	go watch(conn, cancel)
+	return &streamCaller{conn: conn, stall: s.spec.StallTimeout}, ctx, nil
+}
+
+// watch waits until the caller closes the connection. What a caller sends during an answer is ignored, since the answer
+// ends the connection.
+func watch(conn net.Conn, left func()) {
+	var buf [64]byte
+	for {
+		if _, err := conn.Read(buf[:]); err != nil {
+			left()
+			return
+		}
+	}
+}
+
+// Begun reports whether the answer's header was sent.
+func (c *streamCaller) Begun() bool { return c.begun }
+
+// Begin implements relay.Caller.
+func (c *streamCaller) Begin(status int, h http.Header) error {
+	h = h.Clone()
+	h.Set("Transfer-Encoding", "chunked")
+	if err := c.sendHeader(status, h, nil); err != nil {
+		return err
+	}
+	c.body = httputil.NewChunkedWriter(deadlineWriter{c})
+	return nil
+}
+
+func (c *streamCaller) sendHeader(status int, h http.Header, body []byte) error {
+	c.begun = true
+	h.Set("Connection", "close")
+	var buf bytes.Buffer
+	fmt.Fprintf(&buf, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
+	if err := h.Write(&buf); err != nil {
+		return err
+	}
+	buf.WriteString("\r\n")
+	buf.Write(body)
+	_, err := deadlineWriter{c}.Write(buf.Bytes())
+	return err
+}
+
+// Write implements relay.Caller.
+func (c *streamCaller) Write(p []byte) (int, error) { return c.body.Write(p) }
+
+// End implements relay.Caller.
+func (c *streamCaller) End() error {
+	if err := c.body.Close(); err != nil {
+		return err
+	}
+	_, err := deadlineWriter{c}.Write([]byte("\r\n"))
+	return err
+}
+
+// Reply implements relay.Caller.
+func (c *streamCaller) Reply(status int, h http.Header, body []byte) error {
+	h = h.Clone()
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	return c.sendHeader(status, h, body)
+}
+
+// close ends the connection. Without End, the caller sees that the answer is incomplete.
+func (c *streamCaller) close() { c.once.Do(func() { _ = c.conn.Close() }) }
+
+// deadlineWriter writes to the connection. A write fails if the caller reads nothing for the stall timeout.
+type deadlineWriter struct{ c *streamCaller }
+
+func (w deadlineWriter) Write(p []byte) (int, error) {
+	if err := w.c.conn.SetWriteDeadline(time.Now().Add(w.c.stall)); err != nil {
+		return 0, err
+	}
+	return w.c.conn.Write(p)
+}
--- /dev/null
+++ b/entry/server.go
@@ -0,0 +1,227 @@
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/lesismal/nbio/nbhttp"
+
+	"github.com/bramleytrail/bramleytrail/claim"
+	"github.com/bramleytrail/bramleytrail/config"
+	"github.com/bramleytrail/bramleytrail/identify"
+	"github.com/bramleytrail/bramleytrail/object"
+	"github.com/bramleytrail/bramleytrail/pipeline"
+	"github.com/bramleytrail/bramleytrail/result"
+)
+
+const (
+	maxBodyBytes   = 4 << 20
+	maxReadBytes   = maxBodyBytes + 64<<10 // body and header
+	readBufferSize = 4 << 10               // for each connection
+	keepaliveTime  = 2 * time.Minute
+	servicePrefix  = "/v1/services/"
+	claimPrefix    = "/v1/claims/"
+)
+
+// Spec configures a Server.
+type Spec struct {
+	Addr           string // IP address and port
+	MaxConnections int
+	// StallTimeout bounds the time for which a caller may read nothing.
+	StallTimeout time.Duration
+	Pipeline     *pipeline.Pipeline
+	Config       *config.Holder
+	// Ready reports whether the balancer may send requests to this daemon.
+	Ready func() bool
+}
+
+// Server is the callers' listener.
+type Server struct {
+	spec   Spec
+	engine *nbhttp.Engine
+	addr   string
+}
+
+// New returns a server. It opens no port.
+func New(spec Spec) *Server { return &Server{spec: spec} }
+
+// Start opens the port and serves callers.
+//
+// The engine runs in blocking mode: in non-blocking mode its write queue has no limit, so that a caller that reads
+// slowly would fill the process's memory.
+func (s *Server) Start() error {
+	conf := nbhttp.Config{
+		Name: "entry", Network: "tcp", Addrs: []string{s.spec.Addr}, IOMod: nbhttp.IOModBlocking, MaxBlockingOnline: s.spec.MaxConnections,
+		MaxLoad: s.spec.MaxConnections, ReadLimit: maxReadBytes, MaxHTTPBodySize: maxBodyBytes,
+		BlockingReadBufferSize: readBufferSize, KeepaliveTime: keepaliveTime, Handler: s,
+		Listen: func(network, addr string) (net.Listener, error) {
+			ln, err := net.Listen(network, addr)
+			if err == nil {
+				s.addr = ln.Addr().String()
+			}
+			return ln, err
+		},
+	}
+	s.engine = nbhttp.NewEngine(conf)
+	if err := s.engine.Start(); err != nil {
+		return fmt.Errorf("listen for callers on %s: %w", s.spec.Addr, err)
+	}
+	return nil
+}
+
+// Addr returns the address that Start opened.
+func (s *Server) Addr() string { return s.addr }
+
+// Shutdown closes the port and all connections. Requests in flight must have ended: the engine does not wait for them.
+func (s *Server) Shutdown(ctx context.Context) error { return s.engine.Shutdown(ctx) }
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch path := r.URL.Path; {
+	case path == "/v1/chat/completions":
+		s.chat(w, r)
+	case path == "/v1/models":
+		s.models(w, r)
+	case path == "/readyz":
+		s.ready(w)
+	case path == "/healthz":
+		w.WriteHeader(http.StatusOK)
+	case strings.HasPrefix(path, servicePrefix):
+		s.plain(w, r)
+	case strings.HasPrefix(path, claimPrefix):
+		s.claim(w, r)
+	default:
+		replyError(w, result.Newf(result.BadRequest, "Unknown path."), http.StatusNotFound)
+	}
+}
+
+func (s *Server) ready(w http.ResponseWriter) {
+	if !s.spec.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// newRequest reads the request. Its identity is random; the caller's own identifiers are not trusted to be unique.
+func newRequest(r *http.Request) (*pipeline.Request, error) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes+1))
+	if err != nil {
+		return nil, result.Wrap(result.BadRequest, result.NotRun, err)
+	}
+	if len(body) > maxBodyBytes {
+		return nil, result.Newf(result.BodyTooLarge, "The limit is %d bytes.", maxBodyBytes)
+	}
+	return &pipeline.Request{ID: rand.Text(), Method: r.Method, Path: r.URL.RequestURI(), Header: r.Header.Clone(), Body: body}, nil
+}
+
+func (s *Server) chat(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodPost {
+		replyError(w, result.Newf(result.BadRequest, "The method must be POST."), http.StatusMethodNotAllowed)
+		return
+	}
+	req, err := newRequest(r)
+	if err != nil {
+		replyError(w, err, 0)
+		return
+	}
+	if !pipeline.WantsStream(req.Body) {
+		_ = s.spec.Pipeline.Chat(r.Context(), req, &wholeCaller{w: w}) // reported to the caller and to Observe
+		return
+	}
+	c, ctx, err := s.hijack(w, r)
+	if err != nil {
+		replyError(w, err, 0)
+		return
+	}
+	defer c.close()
+	_ = s.spec.Pipeline.Chat(ctx, req, c)
+}
+
+func (s *Server) plain(w http.ResponseWriter, r *http.Request) {
+	service, path, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, servicePrefix), "/")
+	req, err := newRequest(r)
+	if err != nil {
+		replyError(w, err, 0)
+		return
+	}
+	req.Path = "/" + path
+	if r.URL.RawQuery != "" {
+		req.Path += "?" + r.URL.RawQuery
+	}
+	c, ctx, err := s.hijack(w, r)
+	if err != nil {
+		replyError(w, err, 0)
+		return
+	}
+	defer c.close()
+	_ = s.spec.Pipeline.Plain(ctx, service, req, c)
+}
+
+// authenticate finds the team of a request that passes no stage.
+func (s *Server) authenticate(r *http.Request) (*config.View, *object.Team, error) {
+	view := s.spec.Config.View()
+	if view == nil {
+		return nil, nil, result.Newf(result.NoConfiguration, "")
+	}
+	team, err := identify.Team(view, r.Header)
+	return view, team, err
+}
+
+type claimStatus struct {
+	State  claim.State `json:"state"`
+	Owner  string      `json:"owner"`
+	At     time.Time   `json:"at"`
+	Status int         `json:"status,omitempty"`
+}
+
+// claim tells a caller what became of a non-repeatable call.
+func (s *Server) claim(w http.ResponseWriter, r *http.Request) {
+	service, key, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, claimPrefix), "/")
+	_, team, err := s.authenticate(r)
+	if err != nil {
+		replyError(w, err, 0)
+		return
+	}
+	rec, err := s.spec.Pipeline.Claim.Lookup(r.Context(), service, team.Name, key)
+	if err != nil {
+		replyError(w, err, 0)
+		return
+	}
+	if rec == nil {
+		replyError(w, result.Newf(result.BadRequest, "No claim with this key exists; the call did not run."), http.StatusNotFound)
+		return
+	}
+	replyJSON(w, claimStatus{rec.State, rec.Owner, rec.At, rec.Status})
+}
+
+type modelEntry struct {
+	ID     string `json:"id"`
+	Object string `json:"object"`
+	Owner  string `json:"owned_by"`
+}
+
+type modelList struct {
+	Object string       `json:"object"`
+	Data   []modelEntry `json:"data"`
+}
+
+// models lists the models that the caller's team may use.
+func (s *Server) models(w http.ResponseWriter, r *http.Request) {
+	view, team, err := s.authenticate(r)
+	if err != nil {
+		replyError(w, err, 0)
+		return
+	}
+	list := modelList{Object: "list", Data: []modelEntry{}}
+	for _, m := range team.Models {
+		list.Data = append(list.Data, modelEntry{ID: m, Object: "model", Owner: view.Models[m].Service})
+	}
+	replyJSON(w, list)
+}
--- /dev/null
+++ b/hostlist/http.go
@@ -0,0 +1,63 @@
+package hostlist
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// HTTPSource reads the list over HTTP.
+type HTTPSource struct {
+	base string
+	http *http.Client
+}
+
+// NewHTTPSource returns a source that reads from the service at base.
+func NewHTTPSource(base string) *HTTPSource {
+	return &HTTPSource{base: base, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}}}
+}
+
+// Close drops idle connections.
+func (s *HTTPSource) Close() { s.http.CloseIdleConnections() }
+
+// List implements Source.
+func (s *HTTPSource) List(ctx context.Context, known uint64) (List, error) {
+	var list List
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, s.base+"/v1/hosts?known="+strconv.FormatUint(known, 10), nil)
+	if err != nil {
+		return list, fmt.Errorf("host list: %w", err)
+	}
+	resp, err := s.http.Do(req)
+	if err != nil {
+		return list, fmt.Errorf("host list: %w", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return list, fmt.Errorf("host list: status %d", resp.StatusCode)
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&list); err != nil {
+		return list, fmt.Errorf("host list: %w", err)
+	}
+	return list, nil
+}
+
+// Handler serves source in the protocol that HTTPSource reads.
+func Handler(source Source) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		known, err := strconv.ParseUint(r.FormValue("known"), 10, 64)
+		if err != nil {
+			http.Error(w, "bad revision", http.StatusBadRequest)
+			return
+		}
+		list, err := source.List(r.Context(), known)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(list) // a failed write means that the client has left
+	})
+}
--- /dev/null
+++ b/kv/httpkv/client.go
@@ -0,0 +1,170 @@
+package httpkv
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/bramleytrail/bramleytrail/kv"
+)
+
+// callTimeout bounds every call except a watch. The service answers in milliseconds when it is up.
+const callTimeout = 2 * time.Second
+
+// maxResponseBytes bounds a response; a list returns at most a few hundred values.
+const maxResponseBytes = 64 << 20
+
+// Client is a kv.Store over the network.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// NewClient returns a client of the service at base, for example http://127.0.0.1:7000.
+func NewClient(base string) *Client {
+	return &Client{base: base, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute}}}
+}
+
+// Close drops idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+type casRequest struct {
+	Value    []byte     `json:"value"`
+	Previous uint64     `json:"previous"`
+	Lease    kv.LeaseID `json:"lease,omitempty"`
+}
+
+type revisionReply struct {
+	Revision uint64 `json:"revision"`
+}
+
+type leaseRequest struct {
+	TTL time.Duration `json:"ttl"`
+}
+
+type leaseReply struct {
+	Lease kv.LeaseID `json:"lease"`
+}
+
+func keyPath(key string) string { return "/v1/keys/" + url.PathEscape(key) }
+
+func leasePath(id kv.LeaseID) string { return "/v1/leases/" + strconv.FormatUint(uint64(id), 10) }
+
+// Get implements kv.Store.
+func (c *Client) Get(ctx context.Context, key string) (kv.Entry, error) {
+	var e kv.Entry
+	err := c.call(ctx, http.MethodGet, keyPath(key), nil, &e)
+	return e, err
+}
+
+// CAS implements kv.Store.
+func (c *Client) CAS(ctx context.Context, key string, value []byte, prev uint64, lease kv.LeaseID) (uint64, error) {
+	if len(value) > kv.MaxValueBytes {
+		return 0, kv.ErrTooLarge
+	}
+	var reply revisionReply
+	err := c.call(ctx, http.MethodPut, keyPath(key), casRequest{Value: value, Previous: prev, Lease: lease}, &reply)
+	return reply.Revision, err
+}
+
+// Delete implements kv.Store.
+func (c *Client) Delete(ctx context.Context, key string, prev uint64) error {
+	return c.call(ctx, http.MethodDelete, keyPath(key)+"?previous="+strconv.FormatUint(prev, 10), nil, nil)
+}
+
+// List implements kv.Store.
+func (c *Client) List(ctx context.Context, prefix string) ([]kv.Entry, error) {
+	var out []kv.Entry
+	err := c.call(ctx, http.MethodGet, "/v1/list?prefix="+url.QueryEscape(prefix), nil, &out)
+	return out, err
+}
+
+// Watch implements kv.Store.
+func (c *Client) Watch(ctx context.Context, prefix string, after uint64) (kv.Changes, error) {
+	var out kv.Changes
+	path := "/v1/watch?prefix=" + url.QueryEscape(prefix) + "&after=" + strconv.FormatUint(after, 10)
+	err := c.do(ctx, http.MethodGet, path, nil, &out)
+	return out, err
+}
+
+// Grant implements kv.Store.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (kv.LeaseID, error) {
+	var reply leaseReply
+	err := c.call(ctx, http.MethodPost, "/v1/leases", leaseRequest{TTL: ttl}, &reply)
+	return reply.Lease, err
+}
+
+// KeepAlive implements kv.Store.
+func (c *Client) KeepAlive(ctx context.Context, id kv.LeaseID) error {
+	return c.call(ctx, http.MethodPost, leasePath(id), nil, nil)
+}
+
+// Revoke implements kv.Store.
+func (c *Client) Revoke(ctx context.Context, id kv.LeaseID) error {
+	return c.call(ctx, http.MethodDelete, leasePath(id), nil, nil)
+}
+
+func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return c.do(ctx, method, path, in, out)
+}
+
+func (c *Client) do(ctx context.Context, method, path string, in, out any) error {
+	var body io.Reader
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return fmt.Errorf("kv: encode request: %w", err)
+		}
+		body = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
+	if err != nil {
+		return fmt.Errorf("kv: %w", err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return errors.Join(kv.ErrUnavailable, err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	if err != nil {
+		return errors.Join(kv.ErrUnavailable, err)
+	}
+	if err := statusError(resp.StatusCode); err != nil {
+		return err
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		return fmt.Errorf("kv: decode response: %w", err)
+	}
+	return nil
+}
+
+// statusError maps an HTTP status to an error of package kv.
+func statusError(status int) error {
+	switch status {
+	case http.StatusOK:
+		return nil
+	case http.StatusNotFound:
+		return kv.ErrNotFound
+	case http.StatusConflict:
+		return kv.ErrConflict
+	case http.StatusGone:
+		return kv.ErrNoLease
+	case http.StatusRequestEntityTooLarge:
+		return kv.ErrTooLarge
+	default:
+		return fmt.Errorf("%w: status %d", kv.ErrUnavailable, status)
+	}
+}
--- /dev/null
+++ b/kv/httpkv/server.go
@@ -0,0 +1,133 @@
+package httpkv
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+
+	"github.com/bramleytrail/bramleytrail/kv"
+)
+
+// maxRequestBytes admits a value of the largest size in its base64 form.
+const maxRequestBytes = 2 * kv.MaxValueBytes
+
+// Handler serves store in the protocol that Client speaks.
+func Handler(store kv.Store) http.Handler {
+	s := server{store: store}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/keys/{key}", s.get)
+	mux.HandleFunc("PUT /v1/keys/{key}", s.cas)
+	mux.HandleFunc("DELETE /v1/keys/{key}", s.delete)
+	mux.HandleFunc("GET /v1/list", s.list)
+	mux.HandleFunc("GET /v1/watch", s.watch)
+	mux.HandleFunc("POST /v1/leases", s.grant)
+	mux.HandleFunc("POST /v1/leases/{id}", s.keepAlive)
+	mux.HandleFunc("DELETE /v1/leases/{id}", s.revoke)
+	return mux
+}
+
+type server struct{ store kv.Store }
+
+func (s server) get(w http.ResponseWriter, r *http.Request) {
+	e, err := s.store.Get(r.Context(), r.PathValue("key"))
+	reply(w, e, err)
+}
+
+func (s server) cas(w http.ResponseWriter, r *http.Request) {
+	var req casRequest
+	if !decode(w, r, &req) {
+		return
+	}
+	rev, err := s.store.CAS(r.Context(), r.PathValue("key"), req.Value, req.Previous, req.Lease)
+	reply(w, revisionReply{rev}, err)
+}
+
+func (s server) delete(w http.ResponseWriter, r *http.Request) {
+	prev, err := strconv.ParseUint(r.FormValue("previous"), 10, 64)
+	if err != nil {
+		http.Error(w, "bad revision", http.StatusBadRequest)
+		return
+	}
+	reply(w, struct{}{}, s.store.Delete(r.Context(), r.PathValue("key"), prev))
+}
+
+func (s server) list(w http.ResponseWriter, r *http.Request) {
+	entries, err := s.store.List(r.Context(), r.FormValue("prefix"))
+	reply(w, entries, err)
+}
+
+func (s server) watch(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.FormValue("after"), 10, 64)
+	if err != nil {
+		http.Error(w, "bad revision", http.StatusBadRequest)
+		return
+	}
+	changes, err := s.store.Watch(r.Context(), r.FormValue("prefix"), after)
+	reply(w, changes, err)
+}
+
+func (s server) grant(w http.ResponseWriter, r *http.Request) {
+	var req leaseRequest
+	if !decode(w, r, &req) {
+		return
+	}
+	id, err := s.store.Grant(r.Context(), req.TTL)
+	reply(w, leaseReply{id}, err)
+}
+
+func (s server) keepAlive(w http.ResponseWriter, r *http.Request) {
+	id, ok := leaseID(w, r)
+	if ok {
+		reply(w, struct{}{}, s.store.KeepAlive(r.Context(), id))
+	}
+}
+
+func (s server) revoke(w http.ResponseWriter, r *http.Request) {
+	id, ok := leaseID(w, r)
+	if ok {
+		reply(w, struct{}{}, s.store.Revoke(r.Context(), id))
+	}
+}
+
+func leaseID(w http.ResponseWriter, r *http.Request) (kv.LeaseID, bool) {
+	id, err := strconv.ParseUint(r.PathValue("id"), 10, 64)
+	if err != nil {
+		http.Error(w, "bad lease", http.StatusBadRequest)
+		return 0, false
+	}
+	return kv.LeaseID(id), true
+}
+
+func decode(w http.ResponseWriter, r *http.Request, v any) bool {
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes)).Decode(v); err != nil {
+		http.Error(w, "bad request", http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func reply(w http.ResponseWriter, v any, err error) {
+	if err != nil {
+		http.Error(w, err.Error(), errorStatus(err))
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v) // a failed write means that the client has left
+}
+
+// errorStatus is the inverse of statusError.
+func errorStatus(err error) int {
+	switch {
+	case errors.Is(err, kv.ErrNotFound):
+		return http.StatusNotFound
+	case errors.Is(err, kv.ErrConflict):
+		return http.StatusConflict
+	case errors.Is(err, kv.ErrNoLease):
+		return http.StatusGone
+	case errors.Is(err, kv.ErrTooLarge):
+		return http.StatusRequestEntityTooLarge
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
--- /dev/null
+++ b/kv/memkv/store.go
@@ -0,0 +1,305 @@
+package memkv
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/bramleytrail/bramleytrail/kv"
+)
+
+// watchLimit bounds a pending watch, as a server-side limit does.
+const watchLimit = 30 * time.Second
+
+type lease struct {
+	ttl     time.Duration
+	expires time.Time
+	keys    map[string]bool
+}
+
+// Store implements kv.Store in memory.
+type Store struct {
+	Faults *Faults
+
+	mu       sync.Mutex
+	entries  map[string]kv.Entry
+	deleted  map[string]uint64 // revision of the deletion
+	leases   map[kv.LeaseID]*lease
+	owner    map[string]kv.LeaseID
+	revision uint64
+	lastID   kv.LeaseID
+	changed  chan struct{} // closed at the next change
+}
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{
+		Faults:  newFaults(),
+		entries: map[string]kv.Entry{},
+		deleted: map[string]uint64{},
+		leases:  map[kv.LeaseID]*lease{},
+		owner:   map[string]kv.LeaseID{},
+		changed: make(chan struct{}),
+	}
+}
+
+// Get implements kv.Store.
+func (s *Store) Get(ctx context.Context, key string) (kv.Entry, error) {
+	if err := s.Faults.before(ctx, CallGet); err != nil {
+		return kv.Entry{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	e, ok := s.entries[key]
+	if !ok {
+		return kv.Entry{}, kv.ErrNotFound
+	}
+	e.Value = slices.Clone(e.Value)
+	return e, nil
+}
+
+// CAS implements kv.Store.
+func (s *Store) CAS(ctx context.Context, key string, value []byte, prev uint64, id kv.LeaseID) (uint64, error) {
+	if err := s.Faults.before(ctx, CallCAS); err != nil {
+		return 0, err
+	}
+	rev, err := s.cas(key, value, prev, id)
+	if err != nil {
+		return 0, err
+	}
+	return rev, s.Faults.after(ctx)
+}
+
+func (s *Store) cas(key string, value []byte, prev uint64, id kv.LeaseID) (uint64, error) {
+	if len(value) > kv.MaxValueBytes {
+		return 0, kv.ErrTooLarge
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	if s.entries[key].Revision != prev {
+		return 0, kv.ErrConflict
+	}
+	if id != 0 {
+		l, ok := s.leases[id]
+		if !ok {
+			return 0, kv.ErrNoLease
+		}
+		l.keys[key] = true
+	}
+	s.detach(key, id)
+	s.revision++
+	s.entries[key] = kv.Entry{Key: key, Value: slices.Clone(value), Revision: s.revision}
+	delete(s.deleted, key)
+	s.notify()
+	return s.revision, nil
+}
+
+// detach removes key from the lease that held it before.
+func (s *Store) detach(key string, id kv.LeaseID) {
+	if old := s.owner[key]; old != id {
+		if l, ok := s.leases[old]; ok {
+			delete(l.keys, key)
+		}
+	}
+	if id == 0 {
+		delete(s.owner, key)
+		return
+	}
+	s.owner[key] = id
+}
+
+// Delete implements kv.Store.
+func (s *Store) Delete(ctx context.Context, key string, prev uint64) error {
+	if err := s.Faults.before(ctx, CallDelete); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.expire()
+	e, ok := s.entries[key]
+	if !ok {
+		s.mu.Unlock()
+		return kv.ErrNotFound
+	}
+	if e.Revision != prev {
+		s.mu.Unlock()
+		return kv.ErrConflict
+	}
+	s.remove(key)
+	s.mu.Unlock()
+	return s.Faults.after(ctx)
+}
+
+func (s *Store) remove(key string) {
+	s.detach(key, 0)
+	delete(s.entries, key)
+	s.revision++
+	s.deleted[key] = s.revision
+	s.notify()
+}
+
+// List implements kv.Store.
+func (s *Store) List(ctx context.Context, prefix string) ([]kv.Entry, error) {
+	if err := s.Faults.before(ctx, CallList); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	return s.list(prefix, 0), nil
+}
+
+func (s *Store) list(prefix string, after uint64) []kv.Entry {
+	var out []kv.Entry
+	for k, e := range s.entries {
+		if strings.HasPrefix(k, prefix) && e.Revision > after {
+			e.Value = slices.Clone(e.Value)
+			out = append(out, e)
+		}
+	}
+	slices.SortFunc(out, func(a, b kv.Entry) int { return strings.Compare(a.Key, b.Key) })
+	return out
+}
+
+// Watch implements kv.Store.
+func (s *Store) Watch(ctx context.Context, prefix string, after uint64) (kv.Changes, error) {
+	if err := s.Faults.before(ctx, CallWatch); err != nil {
+		return kv.Changes{}, err
+	}
+	limit := time.NewTimer(watchLimit)
+	defer limit.Stop()
+	for {
+		changes, wait := s.changes(prefix, after)
+		if len(changes.Entries) > 0 || changes.Reset {
+			return changes, nil
+		}
+		select {
+		case <-ctx.Done():
+			return kv.Changes{}, ctx.Err()
+		case <-limit.C:
+			return changes, nil
+		case <-s.Faults.brokenWatches():
+			return kv.Changes{}, kv.ErrUnavailable
+		case <-wait:
+		}
+	}
+}
+
+func (s *Store) changes(prefix string, after uint64) (kv.Changes, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	if after > s.revision { // the store lost writes
+		return kv.Changes{Entries: s.list(prefix, 0), Revision: s.revision, Reset: true}, s.changed
+	}
+	out := s.list(prefix, after)
+	for k, rev := range s.deleted {
+		if strings.HasPrefix(k, prefix) && rev > after {
+			out = append(out, kv.Entry{Key: k, Revision: rev, Deleted: true})
+		}
+	}
+	return kv.Changes{Entries: out, Revision: s.revision}, s.changed
+}
+
+// Grant implements kv.Store.
+func (s *Store) Grant(ctx context.Context, ttl time.Duration) (kv.LeaseID, error) {
+	if err := s.Faults.before(ctx, CallGrant); err != nil {
+		return 0, err
+	}
+	s.mu.Lock()
+	s.lastID++
+	id := s.lastID
+	s.leases[id] = &lease{ttl: ttl, expires: time.Now().Add(ttl), keys: map[string]bool{}}
+	s.mu.Unlock()
+	return id, s.Faults.after(ctx)
+}
+
+// KeepAlive implements kv.Store.
+func (s *Store) KeepAlive(ctx context.Context, id kv.LeaseID) error {
+	if err := s.Faults.before(ctx, CallKeepAlive); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	l, ok := s.leases[id]
+	if !ok {
+		return kv.ErrNoLease
+	}
+	l.expires = time.Now().Add(l.ttl)
+	return nil
+}
+
+// Revoke implements kv.Store.
+func (s *Store) Revoke(ctx context.Context, id kv.LeaseID) error {
+	if err := s.Faults.before(ctx, CallRevoke); err != nil {
+		return err
+	}
+	s.Lapse(id)
+	return nil
+}
+
+// Lapse ends a lease at once, as an expiry does.
+func (s *Store) Lapse(id kv.LeaseID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.endLease(id)
+}
+
+func (s *Store) endLease(id kv.LeaseID) {
+	l, ok := s.leases[id]
+	if !ok {
+		return
+	}
+	delete(s.leases, id)
+	for key := range l.keys {
+		s.remove(key)
+	}
+}
+
+func (s *Store) expire() {
+	now := time.Now()
+	for id, l := range s.leases {
+		if now.After(l.expires) {
+			s.endLease(id)
+		}
+	}
+}
+
+func (s *Store) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Snapshot is a copy of a store's entries.
+type Snapshot struct {
+	entries  map[string]kv.Entry
+	revision uint64
+}
+
+// Snapshot returns a copy of the current entries.
+func (s *Store) Snapshot() Snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	snap := Snapshot{entries: map[string]kv.Entry{}, revision: s.revision}
+	for k, e := range s.entries {
+		snap.entries[k] = e
+	}
+	return snap
+}
+
+// Restore returns the store to a snapshot, as a service that came back with older data does.
+func (s *Store) Restore(snap Snapshot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.entries = map[string]kv.Entry{}
+	for k, e := range snap.entries {
+		s.entries[k] = e
+	}
+	s.deleted = map[string]uint64{}
+	s.revision = snap.revision
+	s.notify()
+}
--- /dev/null
+++ b/local/deployment.go
@@ -0,0 +1,193 @@
+package local
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/bramleytrail/bramleytrail/config"
+	"github.com/bramleytrail/bramleytrail/daemon"
+	"github.com/bramleytrail/bramleytrail/declare"
+	"github.com/bramleytrail/bramleytrail/hostlist"
+	"github.com/bramleytrail/bramleytrail/object"
+	"github.com/bramleytrail/bramleytrail/settings"
+	"github.com/bramleytrail/bramleytrail/standin"
+)
+
+// SessionKey signs session tokens of a local deployment.
+const SessionKey = "local-deployment-session-key"
+
+const readyPoll = 10 * time.Millisecond
+
+// Deployment is a running set of processes' parts.
+type Deployment struct {
+	Platform    *standin.Platform
+	PlatformURL string
+	Daemons     []*daemon.Daemon
+	Engines     map[string]*standin.Engine
+	Plains      map[string]*standin.Plain
+	Log         *logrus.Logger
+
+	platform *standin.Server
+	servers  map[string]*standin.Server
+	revision uint64
+}
+
+// New starts the platform.
+func New(log *logrus.Logger) (*Deployment, error) {
+	if log == nil {
+		log = logrus.New()
+		log.SetOutput(io.Discard)
+	}
+	p := standin.NewPlatform()
+	srv, err := standin.Serve("127.0.0.1:0", p.Handler())
+	if err != nil {
+		return nil, err
+	}
+	return &Deployment{
+		Platform: p, PlatformURL: "http://" + srv.Addr, Engines: map[string]*standin.Engine{}, Plains: map[string]*standin.Plain{}, Log: log,
+		platform: srv, servers: map[string]*standin.Server{},
+	}, nil
+}
+
+// AddEngine starts a model engine and lists it.
+func (d *Deployment) AddEngine(domain, service string, spec standin.EngineSpec) (*standin.Engine, error) {
+	e := standin.NewEngine(spec)
+	srv, err := standin.Serve("127.0.0.1:0", e.Handler())
+	if err != nil {
+		return nil, err
+	}
+	d.Engines[spec.Name], d.servers[spec.Name] = e, srv
+	d.Platform.Hosts.Put(hostlist.Host{
+		ID: spec.Name, Role: hostlist.RoleEndpoint, Domain: domain, State: hostlist.StateLive, Addr: srv.Addr, Service: service, Versions: spec.Versions,
+	})
+	return e, nil
+}
+
+// AddPlain starts a plain service's endpoint and lists it.
+func (d *Deployment) AddPlain(domain, service, name string) (*standin.Plain, error) {
+	p := standin.NewPlain(name)
+	srv, err := standin.Serve("127.0.0.1:0", p.Handler())
+	if err != nil {
+		return nil, err
+	}
+	d.Plains[name], d.servers[name] = p, srv
+	d.Platform.Hosts.Put(hostlist.Host{ID: name, Role: hostlist.RoleEndpoint, Domain: domain, State: hostlist.StateLive, Addr: srv.Addr, Service: service})
+	return p, nil
+}
+
+// Settings returns settings for a daemon with free ports and short intervals.
+func (d *Deployment) Settings(id, domain string) *settings.Settings {
+	return &settings.Settings{
+		ID: id, Domain: domain, Rack: id, Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", OperatorListen: "127.0.0.1:0",
+		Store: d.PlatformURL, Hosts: d.PlatformURL, MaxInFlight: 1000, MaxConnections: 1000, QueueWait: 2 * time.Second,
+		StallTimeout: 30 * time.Second, Settle: 0, BillInterval: 500 * time.Millisecond, CopyTimeout: 500 * time.Millisecond,
+		ClaimWrites: 1000, PollsPerSecond: 50, LogLevel: "info", SessionKey: []byte(SessionKey),
+	}
+}
+
+// AddDaemon starts a daemon and lists it.
+func (d *Deployment) AddDaemon(s *settings.Settings) (*daemon.Daemon, error) {
+	dm := daemon.FromSettings(s, d.Log)
+	if err := dm.Start(); err != nil {
+		return nil, err
+	}
+	d.Daemons = append(d.Daemons, dm)
+	d.Platform.Hosts.Put(hostlist.Host{
+		ID: s.ID, Role: hostlist.RoleEntry, Domain: s.Domain, Rack: s.Rack, State: hostlist.StateLive, Addr: dm.PeerAddr(),
+	})
+	return dm, nil
+}
+
+// Publish stores a set as the next revision.
+func (d *Deployment) Publish(ctx context.Context, set object.Set) (config.Revision, error) {
+	body, digest, err := declare.Encode(set)
+	if err != nil {
+		return config.Revision{}, err
+	}
+	d.revision++
+	rev := config.Revision{Number: d.revision, Digest: digest, Publisher: "local", Published: time.Now().UTC(), Body: body}
+	data, err := rev.Marshal()
+	if err != nil {
+		return rev, err
+	}
+	prev := uint64(0)
+	if e, err := d.Platform.KV.Get(ctx, config.Key); err == nil {
+		prev = e.Revision
+	}
+	_, err = d.Platform.KV.CAS(ctx, config.Key, data, prev, 0)
+	return rev, err
+}
+
+// WaitRevision waits until every daemon has a revision at least as new as n and is ready.
+func (d *Deployment) WaitRevision(ctx context.Context, n uint64) error {
+	return Wait(ctx, func() bool {
+		for _, dm := range d.Daemons {
+			if s := dm.State(); s.Revision < n || !s.Ready {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// WaitEndpoints waits until every daemon has a load report of n endpoints.
+func (d *Deployment) WaitEndpoints(ctx context.Context, n int) error {
+	return Wait(ctx, func() bool {
+		for _, dm := range d.Daemons {
+			reported := 0
+			for _, e := range dm.State().Endpoints {
+				if e.Boot != "" {
+					reported++
+				}
+			}
+			if reported < n {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Wait polls until cond holds or ctx ends.
+func Wait(ctx context.Context, cond func() bool) error {
+	t := time.NewTicker(readyPoll)
+	defer t.Stop()
+	for !cond() {
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("condition not reached: %w", ctx.Err())
+		case <-t.C:
+		}
+	}
+	return nil
+}
+
+// CloseServer stops the server of an engine or plain service.
+func (d *Deployment) CloseServer(name string) {
+	if s := d.servers[name]; s != nil {
+		s.Close()
+	}
+}
+
+// Close drains all daemons and stops everything.
+func (d *Deployment) Close(ctx context.Context) error {
+	var errs []error
+	for _, dm := range d.Daemons {
+		errs = append(errs, dm.Drain(ctx))
+	}
+	d.Stop()
+	return errors.Join(errs...)
+}
+
+// Stop stops the platform and the endpoints.
+func (d *Deployment) Stop() {
+	for _, s := range d.servers {
+		s.Close()
+	}
+	d.platform.Close()
+}
--- /dev/null
+++ b/object/object.go
@@ -0,0 +1,181 @@
+package object
+
+import "time"
+
+// APIVersion is the schema version that each declared document states.
+const APIVersion = "bramleytrail/v1"
+
+// Kind is the type of a declared object.
+type Kind string
+
+// Kinds of declared objects.
+const (
+	KindFailureDomain Kind = "FailureDomain"
+	KindService       Kind = "Service"
+	KindModel         Kind = "Model"
+	KindVersion       Kind = "Version"
+	KindTeam          Kind = "Team"
+	KindSessionPolicy Kind = "SessionPolicy"
+	KindCascade       Kind = "Cascade"
+	KindRollout       Kind = "Rollout"
+)
+
+// Set is a complete set of declared objects, each list ordered by name.
+type Set struct {
+	FailureDomains  []FailureDomain `json:"failureDomains"`
+	Services        []Service       `json:"services"`
+	Models          []Model         `json:"models"`
+	Versions        []Version       `json:"versions"`
+	Teams           []Team          `json:"teams"`
+	SessionPolicies []SessionPolicy `json:"sessionPolicies"`
+	Cascades        []Cascade       `json:"cascades"`
+	Rollouts        []Rollout       `json:"rollouts"`
+}
+
+// DomainState says whether a failure domain is in service.
+type DomainState string
+
+// States of a failure domain.
+const (
+	DomainIn  DomainState = "in"
+	DomainOut DomainState = "out"
+)
+
+// FailureDomain is a group of hosts that can fail or be taken out of service together.
+type FailureDomain struct {
+	Name   string      `json:"name" yaml:"-"`
+	Region string      `json:"region" yaml:"region"`
+	State  DomainState `json:"state" yaml:"state"`
+}
+
+// ServiceType separates model engines from plain HTTP services.
+type ServiceType string
+
+// Types of services.
+const (
+	ServiceModel ServiceType = "model"
+	ServicePlain ServiceType = "plain"
+)
+
+// Service is a group of endpoints with the same protocol and limits.
+type Service struct {
+	Name           string      `json:"name" yaml:"-"`
+	Type           ServiceType `json:"type" yaml:"type"`
+	FailureDomains []string    `json:"failureDomains" yaml:"failureDomains"`
+	// Repeatable is the default for calls that don't state whether they may be repeated.
+	Repeatable bool           `json:"repeatable" yaml:"repeatable"`
+	Limits     EndpointLimits `json:"limits" yaml:"limits"`
+	Timeouts   Timeouts       `json:"timeouts" yaml:"timeouts"`
+	// ChecksFencing says whether the service's engines reject orders with a stale fencing number.
+	ChecksFencing bool `json:"checksFencing,omitempty" yaml:"checksFencing"`
+	// AuthenticatesOrders says whether the engines authenticate the sender of an order.
+	AuthenticatesOrders bool `json:"authenticatesOrders,omitempty" yaml:"authenticatesOrders"`
+	// CallPrice is the price of one call of a plain service, in micro-units of cost.
+	CallPrice int64 `json:"callPrice,omitempty" yaml:"callPrice"`
+}
+
+// EndpointLimits bound the work at one endpoint over all daemons together.
+type EndpointLimits struct {
+	Slots     int   `json:"slots" yaml:"slots"`         // concurrent requests when warm
+	ColdSlots int   `json:"coldSlots" yaml:"coldSlots"` // concurrent requests right after start
+	Tokens    int64 `json:"tokens" yaml:"tokens"`       // estimated tokens held; 0 for plain services
+	WarmAfter int   `json:"warmAfter" yaml:"warmAfter"` // completed requests until Slots applies
+}
+
+// Timeouts of calls to a service's endpoints.
+type Timeouts struct {
+	FirstByte time.Duration `json:"firstByte" yaml:"firstByte"`
+	Progress  time.Duration `json:"progress" yaml:"progress"` // between two parts of an answer
+	Connect   time.Duration `json:"connect" yaml:"connect"`
+}
+
+// Model is a family of versions of one service.
+type Model struct {
+	Name    string `json:"name" yaml:"-"`
+	Service string `json:"service" yaml:"service"`
+}
+
+// VersionState is the life cycle state of a version.
+type VersionState string
+
+// States of a version. A withdrawn version receives no new work; a retired one may not be referred to.
+const (
+	VersionActive    VersionState = "active"
+	VersionWithdrawn VersionState = "withdrawn"
+	VersionRetired   VersionState = "retired"
+)
+
+// Version is one deployable version of a model.
+type Version struct {
+	Name  string       `json:"name" yaml:"-"`
+	Model string       `json:"model" yaml:"model"`
+	State VersionState `json:"state" yaml:"state"`
+	// Quality is the expected answer rating before ratings arrive, 0 to 1.
+	Quality float64 `json:"quality" yaml:"quality"`
+	Prices  Prices  `json:"prices" yaml:"prices"`
+}
+
+// Prices in micro-units of cost per 1,000 tokens.
+type Prices struct {
+	Input  int64 `json:"input" yaml:"input"`
+	Output int64 `json:"output" yaml:"output"`
+}
+
+// Team is a customer with keys, permissions and limits.
+type Team struct {
+	Name string `json:"name" yaml:"-"`
+	// KeyHashes are hex SHA-256 hashes of the team's bearer keys. Several are valid at once, so keys can be rotated.
+	KeyHashes     []string   `json:"keyHashes" yaml:"keyHashes"`
+	Models        []string   `json:"models" yaml:"models"`
+	Services      []string   `json:"services" yaml:"services"` // plain services that the team may call
+	QualityTarget float64    `json:"qualityTarget" yaml:"qualityTarget"`
+	Cascade       string     `json:"cascade,omitempty" yaml:"cascade"`
+	SessionPolicy string     `json:"sessionPolicy,omitempty" yaml:"sessionPolicy"`
+	Limits        TeamLimits `json:"limits" yaml:"limits"`
+	// Priority orders teams under overload; 0 is lowest, 9 highest.
+	Priority int `json:"priority" yaml:"priority"`
+	// Share is the team's relative weight when capacity is short.
+	Share int `json:"share" yaml:"share"`
+}
+
+// TeamLimits bound a team's requests at one daemon's share of the deployment.
+type TeamLimits struct {
+	RequestsPerSecond float64 `json:"requestsPerSecond" yaml:"requestsPerSecond"`
+	Burst             int     `json:"burst" yaml:"burst"`
+	Concurrent        int     `json:"concurrent" yaml:"concurrent"`
+	MaxTokens         int64   `json:"maxTokens" yaml:"maxTokens"` // prompt and answer of one request
+}
+
+// WithdrawnAction says what happens to a session whose version is withdrawn.
+type WithdrawnAction string
+
+// Actions on withdrawal.
+const (
+	WithdrawnMove   WithdrawnAction = "move"
+	WithdrawnRefuse WithdrawnAction = "refuse"
+)
+
+// SessionPolicy says how long a session keeps its version and what happens when the version is withdrawn.
+type SessionPolicy struct {
+	Name        string          `json:"name" yaml:"-"`
+	MaxAge      time.Duration   `json:"maxAge" yaml:"maxAge"`
+	OnWithdrawn WithdrawnAction `json:"onWithdrawn" yaml:"onWithdrawn"`
+}
+
+// Cascade lists models from cheapest to best; a doubtful answer climbs one step.
+type Cascade struct {
+	Name  string   `json:"name" yaml:"-"`
+	Steps []string `json:"steps" yaml:"steps"` // model names
+}
+
+// Rollout moves a model's sessions from one version to another in steps.
+type Rollout struct {
+	Name  string `json:"name" yaml:"-"`
+	Model string `json:"model" yaml:"model"`
+	From  string `json:"from" yaml:"from"`
+	To    string `json:"to" yaml:"to"`
+	// Steps are shares of sessions, ascending, each above 0 and at most 1.
+	Steps []float64 `json:"steps" yaml:"steps"`
+	// Step is the index of the step in force; -1 before the first.
+	Step int `json:"step" yaml:"step"`
+}
--- /dev/null
+++ b/observe/recent.go
@@ -0,0 +1,79 @@
+package observe
+
+import (
+	"sync"
+	"time"
+
+	"github.com/bramleytrail/bramleytrail/dispatch"
+	"github.com/bramleytrail/bramleytrail/pipeline"
+)
+
+// recentSize is the number of finished requests that a daemon remembers.
+const recentSize = 1024
+
+// Request describes a finished request in a state dump. It holds no prompt, answer or key.
+type Request struct {
+	ID        string             `json:"id"`
+	Team      string             `json:"team"`
+	Kind      string             `json:"kind"`
+	Target    string             `json:"target"` // version or service
+	Code      int                `json:"code"`
+	Detail    string             `json:"detail,omitempty"`
+	FirstByte time.Duration      `json:"firstByteNs"`
+	Total     time.Duration      `json:"totalNs"`
+	Attempts  []dispatch.Attempt `json:"attempts,omitempty"`
+}
+
+// Recent is a ring of the last finished requests.
+type Recent struct {
+	mu   sync.Mutex
+	ring [recentSize]Request
+	next int
+	byID map[string]int
+}
+
+// NewRecent returns an empty ring.
+func NewRecent() *Recent { return &Recent{byID: map[string]int{}} }
+
+// Add remembers a request.
+func (r *Recent) Add(o pipeline.Outcome) {
+	req := Request{
+		ID: o.RequestID, Team: o.Team, Kind: o.Kind, Target: o.Version, Code: int(o.Code), FirstByte: o.FirstByte, Total: o.Total,
+		Attempts: o.Attempts,
+	}
+	if o.Err != nil {
+		req.Detail = o.Err.Error()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.byID, r.ring[r.next].ID)
+	r.ring[r.next] = req
+	r.byID[req.ID] = r.next
+	r.next = (r.next + 1) % recentSize
+}
+
+// Find returns a remembered request.
+func (r *Recent) Find(id string) (Request, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	i, ok := r.byID[id]
+	if !ok {
+		return Request{}, false
+	}
+	return r.ring[i], true
+}
+
+// Last returns up to n requests, the newest first.
+func (r *Recent) Last(n int) []Request {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := []Request{}
+	for i := 1; i <= recentSize && len(out) < n; i++ {
+		req := r.ring[(r.next-i+recentSize)%recentSize]
+		if req.ID == "" {
+			break
+		}
+		out = append(out, req)
+	}
+	return out
+}
--- /dev/null
+++ b/observe/store.go
@@ -0,0 +1,48 @@
+package observe
+
+import (
+	"context"
+	"time"
+
+	"github.com/bramleytrail/bramleytrail/kv"
+)
+
+// Store wraps a kv.Store and counts its calls.
+type Store struct {
+	kv.Store
+	Metrics *Metrics
+}
+
+func (s Store) observe(call string, start time.Time, err error) {
+	s.Metrics.Store(call, time.Since(start), err)
+}
+
+// Get implements kv.Store.
+func (s Store) Get(ctx context.Context, key string) (e kv.Entry, err error) {
+	defer func(t time.Time) { s.observe("get", t, err) }(time.Now())
+	return s.Store.Get(ctx, key)
+}
+
+// CAS implements kv.Store.
+func (s Store) CAS(ctx context.Context, key string, value []byte, prev uint64, lease kv.LeaseID) (rev uint64, err error) {
+	defer func(t time.Time) { s.observe("cas", t, err) }(time.Now())
+	return s.Store.CAS(ctx, key, value, prev, lease)
+}
+
+// Delete implements kv.Store.
+func (s Store) Delete(ctx context.Context, key string, prev uint64) (err error) {
+	defer func(t time.Time) { s.observe("delete", t, err) }(time.Now())
+	return s.Store.Delete(ctx, key, prev)
+}
+
+// List implements kv.Store.
+func (s Store) List(ctx context.Context, prefix string) (out []kv.Entry, err error) {
+	defer func(t time.Time) { s.observe("list", t, err) }(time.Now())
+	return s.Store.List(ctx, prefix)
+}
+
+// Watch implements kv.Store.
+func (s Store) Watch(ctx context.Context, prefix string, after uint64) (c kv.Changes, err error) {
+	defer func(t time.Time) { s.observe("watch", t, err) }(time.Now())
+	return s.Store.Watch(ctx, prefix, after)
+}
--- /dev/null
+++ b/peer/message.go
@@ -0,0 +1,56 @@
+package peer
+
+import (
+	"github.com/bramleytrail/bramleytrail/ledger"
+	"github.com/bramleytrail/bramleytrail/poison"
+)
+
+// serviceName is the net/rpc service of every daemon.
+const serviceName = "Peer"
+
+// DocumentID identifies one version of a document.
+type DocumentID struct {
+	Name   string
+	Number uint64
+	Digest string
+}
+
+// Newer reports whether id replaces other.
+func (id DocumentID) Newer(other DocumentID) bool {
+	if id.Number != other.Number {
+		return id.Number > other.Number
+	}
+	return id.Digest > other.Digest
+}
+
+// Document is one version of a document.
+type Document struct {
+	DocumentID
+	Body []byte
+}
+
+// DigestArgs tells a peer which documents the sender has.
+type DigestArgs struct {
+	From string // peer address of the sender
+	Docs []DocumentID
+	// Starting asks for all crash records.
+	Starting bool
+}
+
+// DigestReply tells which documents the receiver has.
+type DigestReply struct {
+	Docs    []DocumentID
+	Crashes []poison.Record
+}
+
+// FetchArgs asks for a document.
+type FetchArgs struct{ Name string }
+
+// CrashArgs spreads crash records.
+type CrashArgs struct{ Records []poison.Record }
+
+// BillsArgs carries copies of bills.
+type BillsArgs struct{ Copy ledger.Copy }
+
+// Empty is a reply without content.
+type Empty struct{}
--- /dev/null
+++ b/pipeline/pipeline.go
@@ -0,0 +1,154 @@
+package pipeline
+
+import (
+	"context"
+	"time"
+
+	"github.com/bramleytrail/bramleytrail/admit"
+	"github.com/bramleytrail/bramleytrail/bill"
+	"github.com/bramleytrail/bramleytrail/choose"
+	"github.com/bramleytrail/bramleytrail/claim"
+	"github.com/bramleytrail/bramleytrail/config"
+	"github.com/bramleytrail/bramleytrail/dispatch"
+	"github.com/bramleytrail/bramleytrail/identify"
+	"github.com/bramleytrail/bramleytrail/relay"
+	"github.com/bramleytrail/bramleytrail/result"
+	"github.com/bramleytrail/bramleytrail/session"
+)
+
+// Pipeline holds the stages in their order.
+type Pipeline struct {
+	Config *config.Holder
+
+	Admit    *admit.Filter
+	Identify *identify.Filter
+	Claim    *claim.Filter
+	Choose   *choose.Filter
+	Dispatch *dispatch.Filter
+	Bill     *bill.Filter
+
+	Signer *session.Signer
+	Now    func() time.Time
+	// Observe is called at the end of each request.
+	Observe func(Outcome)
+}
+
+// Outcome describes a finished request.
+type Outcome struct {
+	RequestID string
+	Team      string
+	Kind      string // "chat" or "plain"
+	Version   string // version or service that answered
+	Code      result.Code
+	FirstByte time.Duration // 0 if no answer began
+	Total     time.Duration
+	Attempts  []dispatch.Attempt
+	Err       error
+}
+
+// entered holds what the first two stages give to the later ones.
+type entered struct {
+	view    *config.View
+	who     *identify.Output
+	start   time.Time
+	outcome *Outcome
+}
+
+// run passes a request through admit and identify, then through the given stages, and reports the outcome.
+func (p *Pipeline) run(ctx context.Context, r *Request, kind string, rest func(context.Context, *entered) error) error {
+	e := &entered{start: p.Now(), outcome: &Outcome{RequestID: r.ID, Kind: kind}}
+	err := p.enter(ctx, r, e, rest)
+	e.outcome.Err = err
+	if err != nil {
+		e.outcome.Code = result.From(err).Code
+	}
+	e.outcome.Total = p.Now().Sub(e.start)
+	p.Observe(*e.outcome)
+	return err
+}
+
+func (p *Pipeline) enter(ctx context.Context, r *Request, e *entered, rest func(context.Context, *entered) error) error {
+	permit, err := p.Admit.Do()
+	if err != nil {
+		return err
+	}
+	defer permit.Release()
+	if e.view = p.Config.View(); e.view == nil {
+		return result.Newf(result.NoConfiguration, "").WithRetry(configRetry)
+	}
+	if e.who, err = p.Identify.Do(e.view, r.Header, e.start); err != nil {
+		return err
+	}
+	defer e.who.Release()
+	e.outcome.Team = e.who.Team.Name
+	if !e.who.Deadline.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, e.who.Deadline)
+		defer cancel()
+	}
+	return rest(ctx, e)
+}
+
+const configRetry = 2 * time.Second
+
+// Chat serves a chat completion request.
+func (p *Pipeline) Chat(ctx context.Context, r *Request, c relay.Caller) error {
+	err := p.run(ctx, r, "chat", func(ctx context.Context, e *entered) error {
+		s, err := p.newChatStages(r, c, e)
+		if err != nil {
+			return err
+		}
+		done, err := s.claim(ctx)
+		if done || err != nil {
+			return err
+		}
+		if err := s.choose(); err != nil {
+			return s.release(err)
+		}
+		if err := s.dispatch(ctx); err != nil {
+			return s.release(err)
+		}
+		defer s.answer.Close()
+		err = s.relay()
+		s.bill(ctx, err)
+		return s.finish(err)
+	})
+	return p.reportError(err, r, c)
+}
+
+// Plain serves a call of a plain service.
+func (p *Pipeline) Plain(ctx context.Context, service string, r *Request, c relay.Caller) error {
+	err := p.run(ctx, r, "plain", func(ctx context.Context, e *entered) error {
+		s, err := p.newPlainStages(service, r, c, e)
+		if err != nil {
+			return err
+		}
+		done, err := s.claim(ctx)
+		if done || err != nil {
+			return err
+		}
+		if err := s.dispatch(ctx); err != nil {
+			return s.release(err)
+		}
+		defer s.answer.Close()
+		err = s.relay()
+		s.bill(ctx, err)
+		return s.finish(err)
+	})
+	return p.reportError(err, r, c)
+}
+
+// reportError sends the error to the caller unless an answer has begun, in which case the stage has reported it.
+func (p *Pipeline) reportError(err error, r *Request, c relay.Caller) error {
+	if err == nil {
+		return nil
+	}
+	e := result.From(err)
+	if b, ok := c.(interface{ Begun() bool }); ok && b.Begun() {
+		return e
+	}
+	h := header(r.ID)
+	relay.ErrorHeader(h, e)
+	_ = c.Reply(e.Code.Info().Status, h, relay.ErrorBody(e)) // the caller may have left
+	return e
+}
--- /dev/null
+++ b/pipeline/request.go
@@ -0,0 +1,73 @@
+package pipeline
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/bramleytrail/bramleytrail/choose"
+	"github.com/bramleytrail/bramleytrail/object"
+	"github.com/bramleytrail/bramleytrail/result"
+)
+
+const (
+	bytesPerToken    = 4    // estimate for prompts
+	defaultMaxTokens = 1024 // limit of an answer if the request states none
+	maxMessages      = 4096
+)
+
+// Request is a caller's request.
+type Request struct {
+	ID     string
+	Method string
+	Path   string // for plain services: path and query at the endpoint
+	Header http.Header
+	Body   []byte
+}
+
+// chat holds the fields of a chat completion request that the router reads. The others are passed on as they are.
+type chat struct {
+	Model     string            `json:"model"`
+	Messages  []json.RawMessage `json:"messages"`
+	Stream    bool              `json:"stream"`
+	MaxTokens int64             `json:"max_tokens"`
+}
+
+// WantsStream reports whether a chat completion request asks for a streamed answer. A body that can't be parsed does
+// not.
+func WantsStream(body []byte) bool {
+	var c struct {
+		Stream bool `json:"stream"`
+	}
+	return json.Unmarshal(body, &c) == nil && c.Stream
+}
+
+func parseChat(body []byte) (chat, error) {
+	var c chat
+	if err := json.Unmarshal(body, &c); err != nil {
+		return c, result.Newf(result.BadRequest, "The body is not a JSON object of a chat completion request.")
+	}
+	if len(c.Messages) == 0 || len(c.Messages) > maxMessages {
+		return c, result.Newf(result.BadRequest, "The field messages needs 1 to %d entries.", maxMessages)
+	}
+	if c.MaxTokens < 0 {
+		return c, result.Newf(result.BadRequest, "The field max_tokens is negative.")
+	}
+	if c.Model == "" {
+		c.Model = choose.AutoModel
+	}
+	return c, nil
+}
+
+// limitTokens returns the estimated prompt tokens and the limit of the answer, both within the team's limit.
+func limitTokens(c chat, body []byte, t *object.Team) (prompt, answer int64, err error) {
+	prompt = int64(len(body)) / bytesPerToken
+	room := t.Limits.MaxTokens - prompt
+	if room <= 0 {
+		return 0, 0, result.Newf(result.BadRequest, "The prompt has about %d tokens, the team's limit is %d.", prompt, t.Limits.MaxTokens)
+	}
+	answer = c.MaxTokens
+	if answer == 0 {
+		answer = defaultMaxTokens
+	}
+	return prompt, min(answer, room), nil
+}
--- /dev/null
+++ b/pool/poll.go
@@ -0,0 +1,83 @@
+package pool
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/bramleytrail/bramleytrail/engine"
+)
+
+// Target is an endpoint whose load report is due.
+type Target struct {
+	ID   string
+	Addr string
+}
+
+// Due returns up to n endpoints whose reports are most needed: first those that a request wanted, then the oldest.
+func (p *Pool) Due(n int) []Target {
+	type candidate struct {
+		Target
+		wanted bool
+		at     time.Time
+	}
+	var list []candidate
+	for _, e := range p.table.Load().all {
+		e.mu.Lock()
+		list = append(list, candidate{Target{e.host.ID, e.host.Addr}, e.wanted, e.loadAt})
+		e.mu.Unlock()
+	}
+	slices.SortFunc(list, func(a, b candidate) int {
+		if a.wanted != b.wanted {
+			if a.wanted {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.ID, b.ID))
+	})
+	out := make([]Target, 0, n)
+	for _, c := range list[:min(n, len(list))] {
+		out = append(out, c.Target)
+	}
+	return out
+}
+
+// State describes one endpoint in a state dump.
+type State struct {
+	ID        string      `json:"id"`
+	Addr      string      `json:"addr"`
+	Domain    string      `json:"domain"`
+	Service   string      `json:"service"`
+	Versions  []string    `json:"versions,omitempty"`
+	Rank      int         `json:"rank"`
+	Members   int         `json:"members"`
+	Slots     int64       `json:"slots"` // this daemon's share now
+	InFlight  int64       `json:"inFlight"`
+	Tokens    int64       `json:"tokens"`
+	Boot      string      `json:"boot"`
+	Completed int64       `json:"completed"`
+	Failures  int         `json:"failures"`
+	Ejected   bool        `json:"ejected"`
+	Load      engine.Load `json:"load"`
+}
+
+// Dump returns the state of up to limit endpoints.
+func (p *Pool) Dump(now time.Time, limit int) []State {
+	t := p.table.Load()
+	out := []State{}
+	for _, e := range t.all[:min(limit, len(t.all))] {
+		e.mu.Lock()
+		s := State{
+			ID: e.host.ID, Addr: e.host.Addr, Domain: e.host.Domain, Service: e.host.Service, Versions: e.host.Versions,
+			Rank: e.pos.current.rank, Members: e.pos.current.members, InFlight: e.inFlight, Tokens: e.tokens,
+			Boot: e.boot, Completed: e.completed, Failures: e.failures, Ejected: now.Before(e.ejected), Load: e.load,
+		}
+		if svc := t.view.Services[e.host.Service]; svc != nil {
+			s.Slots = e.pos.share(e.slots(svc.Limits, now), now)
+		}
+		e.mu.Unlock()
+		out = append(out, s)
+	}
+	return out
+}
--- /dev/null
+++ b/relay/relay.go
@@ -0,0 +1,204 @@
+package relay
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/bramleytrail/bramleytrail/engine"
+	"github.com/bramleytrail/bramleytrail/result"
+)
+
+// maxAnswerBytes bounds an answer that is sent in one piece. It is collected before it is sent.
+const maxAnswerBytes = 1 << 20
+
+// plainBuffer is the size of the copy buffer for a plain service's answer.
+const plainBuffer = 16 << 10
+
+// Caller receives an answer. Each method returns an error once the caller has left.
+type Caller interface {
+	// Begin sends the status and header of an answer of unknown length.
+	Begin(status int, h http.Header) error
+	// Write sends a part of the body at once.
+	Write(p []byte) (int, error)
+	// End completes the body.
+	End() error
+	// Reply sends a whole answer.
+	Reply(status int, h http.Header, body []byte) error
+}
+
+// Source is an answer being generated. Next returns io.EOF after the last event.
+type Source interface {
+	Next() (engine.Event, error)
+}
+
+// Meta is the fixed content of each chunk of an answer.
+type Meta struct {
+	ID      string
+	Model   string
+	Created int64 // Unix seconds
+}
+
+type choice struct {
+	Index        int     `json:"index"`
+	Delta        *delta  `json:"delta,omitempty"`
+	Message      *delta  `json:"message,omitempty"`
+	FinishReason *string `json:"finish_reason"`
+}
+
+type delta struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+type usage struct {
+	engine.Usage
+	TotalTokens int64 `json:"total_tokens"`
+}
+
+type completion struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+// StreamHeader is the header of a streamed answer.
+func StreamHeader(h http.Header) http.Header {
+	h.Set("Content-Type", "text/event-stream")
+	h.Set("Cache-Control", "no-cache")
+	return h
+}
+
+// Stream relays a streamed answer up to and including its last event, but without the final marker: the caller must
+// see the end of the answer only after the request is billed. See Finish.
+func Stream(src Source, c Caller, m Meta) error {
+	first := true
+	for {
+		ev, err := src.Next()
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		d := &delta{Content: ev.Text}
+		if first {
+			d.Role = "assistant"
+			first = false
+		}
+		out := completion{ID: m.ID, Object: "chat.completion.chunk", Created: m.Created, Model: m.Model,
+			Choices: []choice{{Delta: d, FinishReason: finish(ev)}}, Usage: usageOf(ev.Usage)}
+		if err := sendEvent(c, out); err != nil {
+			return err
+		}
+	}
+}
+
+func sendEvent(c Caller, v any) error {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return fmt.Errorf("encode event: %w", err)
+	}
+	buf := make([]byte, 0, len(data)+8)
+	buf = append(buf, "data: "...)
+	buf = append(buf, data...)
+	buf = append(buf, "\n\n"...)
+	if _, err := c.Write(buf); err != nil {
+		return gone(err)
+	}
+	return nil
+}
+
+func gone(err error) error {
+	return &result.Error{Code: result.CallerGone, Ran: result.RunDone, Err: err}
+}
+
+// Finish sends the final marker of a streamed answer.
+func Finish(c Caller) error {
+	if _, err := c.Write([]byte("data: [DONE]\n\n")); err != nil {
+		return gone(err)
+	}
+	if err := c.End(); err != nil {
+		return gone(err)
+	}
+	return nil
+}
+
+// Fail ends a streamed answer with an error event.
+func Fail(c Caller, e *result.Error) error {
+	if err := sendEvent(c, json.RawMessage(ErrorBody(e))); err != nil {
+		return err
+	}
+	return c.End()
+}
+
+// Collect reads a whole answer and returns its JSON.
+func Collect(src Source, m Meta) ([]byte, error) {
+	var text strings.Builder
+	var last engine.Event
+	for {
+		ev, err := src.Next()
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			return nil, err
+		}
+		if text.Len()+len(ev.Text) > maxAnswerBytes {
+			return nil, &result.Error{Code: result.EndpointFailed, Ran: result.RunDone, Detail: fmt.Sprintf("The answer exceeds %d bytes.", maxAnswerBytes)}
+		}
+		text.WriteString(ev.Text)
+		last = ev
+	}
+	out := completion{ID: m.ID, Object: "chat.completion", Created: m.Created, Model: m.Model,
+		Choices: []choice{{Message: &delta{Role: "assistant", Content: text.String()}, FinishReason: finish(last)}}, Usage: usageOf(last.Usage)}
+	data, err := json.Marshal(out)
+	if err != nil {
+		return nil, fmt.Errorf("encode answer: %w", err)
+	}
+	return data, nil
+}
+
+func finish(ev engine.Event) *string {
+	if ev.FinishReason == "" {
+		return nil
+	}
+	return &ev.FinishReason
+}
+
+func usageOf(u *engine.Usage) *usage {
+	if u == nil {
+		return nil
+	}
+	return &usage{Usage: *u, TotalTokens: u.InputTokens + u.OutputTokens}
+}
+
+// Copy relays the body of a plain service's answer, and returns up to keep bytes of it. Kept is false if the body is
+// longer.
+func Copy(body io.Reader, c Caller, keep int) (start []byte, kept bool, err error) {
+	buf := make([]byte, plainBuffer)
+	kept = true
+	for {
+		n, readErr := body.Read(buf)
+		if n > 0 {
+			if kept = kept && len(start)+n <= keep; kept {
+				start = append(start, buf[:n]...)
+			}
+			if _, err := c.Write(buf[:n]); err != nil {
+				return start, kept, gone(err)
+			}
+		}
+		if errors.Is(readErr, io.EOF) {
+			return start, kept, nil
+		}
+		if readErr != nil {
+			return start, kept, &result.Error{Code: result.StreamBroken, Ran: result.RunDone, Err: readErr}
+		}
+	}
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,130 @@
+// Package settings reads a daemon's settings from flags and environment variables and checks them together.
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"os"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/sirupsen/logrus"
+)
+
+// Settings of one daemon. They are static: everything that may change while the daemon runs is in the configuration.
+type Settings struct {
+	ID             string `long:"id" env:"BRAMLEY_ID" description:"identity of this daemon in the host list" required:"true"`
+	Domain         string `long:"domain" env:"BRAMLEY_DOMAIN" description:"failure domain of this host" required:"true"`
+	Rack           string `long:"rack" env:"BRAMLEY_RACK" description:"rack of this host"`
+	Listen         string `long:"listen" env:"BRAMLEY_LISTEN" description:"IP address and port for callers" default:"127.0.0.1:8080"`
+	PeerListen     string `long:"peer-listen" env:"BRAMLEY_PEER_LISTEN" description:"IP address and port for other daemons" default:"127.0.0.1:8081"`
+	OperatorListen string `long:"operator-listen" env:"BRAMLEY_OPERATOR_LISTEN" description:"IP address and port for operators" default:"127.0.0.1:8082"`
+	Store          string `long:"store" env:"BRAMLEY_STORE" description:"URL of the platform's key-value service" required:"true"`
+	Hosts          string `long:"hosts" env:"BRAMLEY_HOSTS" description:"URL of the platform's host list" required:"true"`
+	Ratings        string `long:"ratings" env:"BRAMLEY_RATINGS" description:"URL of the platform's rating service"`
+	SessionKeyFile string `long:"session-key-file" env:"BRAMLEY_SESSION_KEY_FILE" description:"file with the secret that signs session tokens, the same for all daemons" required:"true"`
+
+	MaxInFlight    int           `long:"max-in-flight" env:"BRAMLEY_MAX_IN_FLIGHT" description:"requests in flight in this daemon" default:"2000"`
+	MaxConnections int           `long:"max-connections" env:"BRAMLEY_MAX_CONNECTIONS" description:"open connections of callers" default:"8000"`
+	QueueWait      time.Duration `long:"queue-wait" env:"BRAMLEY_QUEUE_WAIT" description:"longest wait for room at an endpoint" default:"5s"`
+	StallTimeout   time.Duration `long:"stall-timeout" env:"BRAMLEY_STALL_TIMEOUT" description:"longest time for which a caller may read nothing" default:"2m"`
+	Settle         time.Duration `long:"settle" env:"BRAMLEY_SETTLE" description:"time within which every daemon sees a change of the host list" default:"3s"`
+	BillInterval   time.Duration `long:"bill-interval" env:"BRAMLEY_BILL_INTERVAL" description:"time between writes of bills" default:"10s"`
+	CopyTimeout    time.Duration `long:"copy-timeout" env:"BRAMLEY_COPY_TIMEOUT" description:"longest wait for the copy of a bill" default:"100ms"`
+	ClaimWrites    float64       `long:"claim-writes" env:"BRAMLEY_CLAIM_WRITES" description:"claim writes a second of this daemon" default:"20"`
+	PollsPerSecond int           `long:"polls-per-second" env:"BRAMLEY_POLLS_PER_SECOND" description:"load reports that this daemon reads a second" default:"8"`
+	LogLevel       string        `long:"log-level" env:"BRAMLEY_LOG_LEVEL" description:"error, warn, info or debug" default:"info"`
+
+	SessionKey []byte `no-flag:"true"`
+}
+
+// minSessionKeyBytes is the shortest key that resists guessing.
+const minSessionKeyBytes = 16
+
+// ErrHelp says that the arguments asked for help; its text was printed.
+var ErrHelp = errors.New("help requested")
+
+// Parse reads and checks the settings. All problems are reported in one error.
+func Parse(program string, args []string) (*Settings, error) {
+	s := &Settings{}
+	p := flags.NewNamedParser(program, flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := p.AddGroup("Settings", "", s); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	rest, err := p.ParseArgs(args)
+	var fe *flags.Error
+	if errors.As(err, &fe) && fe.Type == flags.ErrHelp {
+		fmt.Fprintln(os.Stdout, fe.Message)
+		return nil, ErrHelp
+	}
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	if len(rest) > 0 {
+		return nil, fmt.Errorf("settings: unexpected argument %q", rest[0])
+	}
+	s.SessionKey, err = readKey(s.SessionKeyFile)
+	return s, errors.Join(err, s.Check())
+}
+
+func readKey(path string) ([]byte, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("--session-key-file: %w", err)
+	}
+	return []byte(strings.TrimSpace(string(data))), nil
+}
+
+var nameFormat = regexp.MustCompile(`^[a-z0-9][a-z0-9.-]{0,62}$`)
+
+// Check validates the settings and returns all problems joined.
+func (s *Settings) Check() error {
+	var errs []error
+	bad := func(flag, format string, args ...any) {
+		errs = append(errs, fmt.Errorf("--%s: %s", flag, fmt.Sprintf(format, args...)))
+	}
+	for flag, v := range map[string]string{"id": s.ID, "domain": s.Domain} {
+		if !nameFormat.MatchString(v) {
+			bad(flag, "%q is not a name of a-z, 0-9, '-' and '.'", v)
+		}
+	}
+	for flag, v := range map[string]string{"listen": s.Listen, "peer-listen": s.PeerListen, "operator-listen": s.OperatorListen} {
+		if _, err := netip.ParseAddrPort(v); err != nil {
+			bad(flag, "%q is not an IP address and port", v)
+		}
+	}
+	for flag, v := range map[string]string{"store": s.Store, "hosts": s.Hosts} {
+		if u, err := url.Parse(v); err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
+			bad(flag, "%q is not an http or https URL", v)
+		}
+	}
+	for flag, v := range map[string]int{"max-in-flight": s.MaxInFlight, "max-connections": s.MaxConnections, "polls-per-second": s.PollsPerSecond} {
+		if v < 1 {
+			bad(flag, "%d is below 1", v)
+		}
+	}
+	for flag, v := range map[string]time.Duration{
+		"queue-wait": s.QueueWait, "stall-timeout": s.StallTimeout, "bill-interval": s.BillInterval, "copy-timeout": s.CopyTimeout,
+	} {
+		if v <= 0 {
+			bad(flag, "%s is not positive", v)
+		}
+	}
+	if s.Settle < 0 {
+		bad("settle", "%s is negative", s.Settle)
+	}
+	if s.ClaimWrites <= 0 {
+		bad("claim-writes", "%g is not positive", s.ClaimWrites)
+	}
+	if len(s.SessionKey) < minSessionKeyBytes {
+		bad("session-key-file", "the key has %d bytes; want at least %d", len(s.SessionKey), minSessionKeyBytes)
+	}
+	if _, err := logrus.ParseLevel(s.LogLevel); err != nil {
+		bad("log-level", "%q is unknown", s.LogLevel)
+	}
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/standin/engine.go
@@ -0,0 +1,337 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/bramleytrail/bramleytrail/engine"
+	"github.com/bramleytrail/bramleytrail/engine/httpengine"
+)
+
+const (
+	maxEngineBody = 16 << 20
+	bytesPerToken = 4
+	defaultAnswer = 24 // tokens of an answer if the request states no smaller limit
+)
+
+// EngineSpec describes a fake model engine.
+type EngineSpec struct {
+	Name       string
+	Versions   []string
+	Slots      int           // concurrent requests beyond which the engine answers busy
+	ColdSlots  int           // concurrent requests beyond which a cold engine crashes
+	WarmAfter  int           // completed requests until the engine is warm
+	TokensMax  int64         // tokens held beyond which the engine crashes; 0 for no limit
+	Answer     int64         // tokens of an answer unless the request's limit is smaller; 0 for defaultAnswer
+	TokenDelay time.Duration // time between tokens
+	FirstDelay time.Duration // time to the first token
+}
+
+// Run is the record of one request that an engine started.
+type Run struct {
+	ID      string
+	Engine  string
+	Version string
+	Tokens  int64 // generated so far
+	Done    bool
+}
+
+// Engine is a fake model engine with fault injection.
+type Engine struct {
+	spec EngineSpec
+
+	mu        sync.Mutex
+	boot      int
+	started   time.Time
+	running   int
+	held      int64
+	completed int64 // since start
+	versions  []string
+	runs      []*Run
+	streams   map[string]*generation
+	crashOn   string
+	silent    bool
+	down      bool
+	noFence   bool
+	fence     uint64
+	orders    []engine.Order
+	failEvery int
+	failCount int
+	events    []engine.CacheEvent
+	eventSeq  uint64
+	sessions  map[string][]byte
+	reset     chan struct{} // closed when the engine crashes
+	changed   chan struct{} // closed when a fault setting changes
+}
+
+// generation is the state of one answer, kept so that its stream can be resumed.
+type generation struct {
+	run    *Run
+	prompt string
+	first  int64 // sequence number before the first token generated here
+	limit  int64
+	input  int64
+	boot   int             // number of the start that this generation belongs to
+	reset  <-chan struct{} // closed when that start ends
+}
+
+// NewEngine returns a started, cold engine.
+func NewEngine(spec EngineSpec) *Engine {
+	return &Engine{
+		spec:     spec,
+		boot:     1,
+		started:  time.Now(),
+		versions: slices.Clone(spec.Versions),
+		streams:  map[string]*generation{},
+		sessions: map[string][]byte{},
+		reset:    make(chan struct{}),
+		changed:  make(chan struct{}),
+	}
+}
+
+// Handler serves the engines' protocol.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", e.guard(e.complete))
+	mux.HandleFunc("GET /v1/streams/{id}", e.guard(e.resume))
+	mux.HandleFunc("DELETE /v1/streams/{id}", e.guard(e.cancel))
+	mux.HandleFunc("GET /v1/load", e.guard(e.load))
+	mux.HandleFunc("GET /v1/cache/events", e.guard(e.cacheEvents))
+	mux.HandleFunc("GET /v1/cache/sessions/{id}", e.guard(e.exportCache))
+	mux.HandleFunc("PUT /v1/cache/sessions/{id}", e.guard(e.importCache))
+	mux.HandleFunc("POST /v1/orders", e.guard(e.order))
+	return mux
+}
+
+// guard drops connections while the engine is down.
+func (e *Engine) guard(h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		e.mu.Lock()
+		down, boot := e.down, e.bootID()
+		e.mu.Unlock()
+		if down {
+			panic(http.ErrAbortHandler)
+		}
+		w.Header().Set(httpengine.HeaderBoot, boot)
+		h(w, r)
+	}
+}
+
+func (e *Engine) bootID() string { return fmt.Sprintf("%s-%d", e.spec.Name, e.boot) }
+
+type chatRequest struct {
+	Model        string                   `json:"model"`
+	Messages     json.RawMessage          `json:"messages"`
+	MaxTokens    int64                    `json:"max_tokens"`
+	Continuation *httpengine.Continuation `json:"continuation"`
+}
+
+func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
+	var req chatRequest
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxEngineBody)).Decode(&req); err != nil {
+		http.Error(w, "bad request", http.StatusBadRequest)
+		return
+	}
+	g, status := e.admit(r.Header.Get(httpengine.HeaderRequestID), req)
+	if status != http.StatusOK {
+		http.Error(w, http.StatusText(status), status)
+		return
+	}
+	e.stream(w, r, g, g.first, e.spec.FirstDelay)
+}
+
+// admit starts a generation, or crashes the engine if the request is one that does.
+func (e *Engine) admit(id string, req chatRequest) (*generation, int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !slices.Contains(e.versions, req.Model) {
+		return nil, http.StatusUnprocessableEntity
+	}
+	if e.running >= e.spec.Slots && e.spec.Slots > 0 {
+		return nil, http.StatusServiceUnavailable
+	}
+	prompt := string(req.Messages)
+	g := &generation{
+		run:    &Run{ID: id, Engine: e.spec.Name, Version: req.Model},
+		prompt: prompt, limit: e.answerTokens(req.MaxTokens), input: int64(len(prompt)) / bytesPerToken,
+		boot: e.boot, reset: e.reset,
+	}
+	if req.Continuation != nil {
+		g.first = req.Continuation.Tokens
+	}
+	e.runs = append(e.runs, g.run)
+	e.running++
+	e.held += g.input + g.limit
+	e.streams[id] = g
+	e.cachePrefix(prompt)
+	cold := e.completed < int64(e.spec.WarmAfter)
+	switch {
+	case e.crashOn != "" && strings.Contains(prompt, e.crashOn),
+		cold && e.spec.ColdSlots > 0 && e.running > e.spec.ColdSlots,
+		e.spec.TokensMax > 0 && e.held > e.spec.TokensMax:
+		e.crash()
+	}
+	if e.failEvery > 0 {
+		e.failCount++
+		if e.failCount%e.failEvery == 0 {
+			e.release(g)
+			return nil, http.StatusInternalServerError
+		}
+	}
+	return g, http.StatusOK
+}
+
+// answerTokens returns the length of an answer under the request's limit; 0 means no limit.
+func (e *Engine) answerTokens(limit int64) int64 {
+	n := e.spec.Answer
+	if n == 0 {
+		n = defaultAnswer
+	}
+	if limit > 0 {
+		n = min(n, limit)
+	}
+	return n
+}
+
+func (e *Engine) cachePrefix(prompt string) {
+	e.eventSeq++
+	e.events = append(e.events, engine.CacheEvent{Seq: e.eventSeq, Prefix: Fingerprint(prompt), Tokens: int64(len(prompt)) / bytesPerToken})
+}
+
+func (e *Engine) release(g *generation) {
+	e.running--
+	e.held -= g.input + g.limit
+}
+
+// crash drops every connection and starts the engine anew, cold. The caller holds the lock.
+func (e *Engine) crash() {
+	close(e.reset)
+	e.reset = make(chan struct{})
+	e.boot++
+	e.started = time.Now()
+	e.completed = 0
+	e.running, e.held = 0, 0
+	e.streams = map[string]*generation{}
+	e.events = nil
+	e.sessions = map[string][]byte{}
+}
+
+func (e *Engine) resume(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseInt(r.Header.Get("Last-Event-ID"), 10, 64)
+	if err != nil {
+		http.Error(w, "bad Last-Event-ID", http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	g := e.streams[r.PathValue("id")]
+	if g != nil {
+		e.running++
+		e.held += g.input + g.limit
+	}
+	e.mu.Unlock()
+	if g == nil {
+		http.NotFound(w, r)
+		return
+	}
+	e.stream(w, r, g, after, 0)
+}
+
+// stream sends the tokens after a sequence number, the usage and the done marker.
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, g *generation, after int64, firstDelay time.Duration) {
+	defer func() {
+		e.mu.Lock()
+		if e.boot == g.boot {
+			e.release(g)
+		}
+		e.mu.Unlock()
+	}()
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	flush(w)
+	wait := firstDelay
+	for seq := after + 1; seq <= g.limit; seq++ {
+		if !e.pause(r, g.reset, wait) {
+			panic(http.ErrAbortHandler)
+		}
+		wait = e.spec.TokenDelay
+		if err := e.sendToken(w, g, seq); err != nil {
+			return
+		}
+	}
+	e.mu.Lock()
+	g.run.Done = true
+	e.completed++
+	e.mu.Unlock()
+	_, _ = io.WriteString(w, "data: [DONE]\n\n") // a failed write means that the client has left
+	flush(w)
+}
+
+// pause waits before the next token. It returns false if the engine crashed or the client left.
+func (e *Engine) pause(r *http.Request, reset <-chan struct{}, d time.Duration) bool {
+	var timer <-chan time.Time
+	if d > 0 {
+		timer = time.After(d)
+	}
+	for {
+		e.mu.Lock()
+		silent, changed := e.silent, e.changed
+		e.mu.Unlock()
+		ready := timer
+		if d <= 0 {
+			done := make(chan time.Time)
+			close(done)
+			ready = done
+		}
+		if silent {
+			ready = nil
+		}
+		select {
+		case <-reset:
+			return false
+		default:
+		}
+		select {
+		case <-reset:
+			return false
+		case <-r.Context().Done():
+			return false
+		case <-changed:
+		case <-ready:
+			return true
+		}
+	}
+}
+
+func (e *Engine) sendToken(w http.ResponseWriter, g *generation, seq int64) error {
+	chunk := httpengine.Chunk{Choices: []httpengine.ChunkChoice{{Delta: httpengine.Delta{Content: Token(g.run.Version, g.prompt, seq)}}}}
+	if seq == g.limit {
+		stop := "stop"
+		chunk.Choices[0].FinishReason = &stop
+		chunk.Usage = &engine.Usage{InputTokens: g.input, OutputTokens: seq}
+	}
+	data, err := json.Marshal(chunk)
+	if err != nil {
+		return err
+	}
+	e.mu.Lock()
+	g.run.Tokens = max(g.run.Tokens, seq)
+	e.mu.Unlock()
+	if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", seq, data); err != nil {
+		return err
+	}
+	flush(w)
+	return nil
+}
+
+func flush(w http.ResponseWriter) {
+	if f, ok := w.(http.Flusher); ok {
+		f.Flush()
+	}
+}
--- /dev/null
+++ b/standin/enginecontrol.go
@@ -0,0 +1,163 @@
+package standin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/bramleytrail/bramleytrail/engine"
+)
+
+// maxCacheBytes bounds an imported KV cache.
+const maxCacheBytes = 64 << 20
+
+func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	delete(e.streams, r.PathValue("id"))
+	e.mu.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	l := engine.Load{
+		Boot: e.bootID(), Running: e.running, TokensHeld: e.held, TokensMax: e.spec.TokensMax, Completed: e.completed,
+		Versions: slices.Clone(e.versions), UptimeSeconds: time.Since(e.started).Seconds(),
+	}
+	e.mu.Unlock()
+	replyJSON(w, l)
+}
+
+func (e *Engine) cacheEvents(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.FormValue("after"), 10, 64)
+	if err != nil {
+		http.Error(w, "bad sequence number", http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	events := []engine.CacheEvent{}
+	for _, ev := range e.events {
+		if ev.Seq > after {
+			events = append(events, ev)
+		}
+	}
+	e.mu.Unlock()
+	replyJSON(w, events)
+}
+
+func (e *Engine) exportCache(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	data, ok := e.sessions[r.PathValue("id")]
+	e.mu.Unlock()
+	if !ok {
+		http.NotFound(w, r)
+		return
+	}
+	_, _ = w.Write(data) // a failed write means that the client has left
+}
+
+func (e *Engine) importCache(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(io.LimitReader(r.Body, maxCacheBytes))
+	if err != nil {
+		http.Error(w, "bad request", http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	e.sessions[r.PathValue("id")] = data
+	e.mu.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
+	var o engine.Order
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxEngineBody)).Decode(&o); err != nil {
+		http.Error(w, "bad request", http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.noFence && o.Fence < e.fence {
+		http.Error(w, "stale fencing number", http.StatusPreconditionFailed)
+		return
+	}
+	e.fence = max(e.fence, o.Fence)
+	e.orders = append(e.orders, o)
+	switch o.Action {
+	case "load":
+		if !slices.Contains(e.versions, o.Target) {
+			e.versions = append(e.versions, o.Target)
+		}
+	case "unload":
+		e.versions = slices.DeleteFunc(e.versions, func(v string) bool { return v == o.Target })
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func replyJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v) // a failed write means that the client has left
+}
+
+// CrashOn makes each request whose prompt contains text crash the engine.
+func (e *Engine) CrashOn(text string) { e.set(func() { e.crashOn = text }) }
+
+// SetSilent stops open streams from sending anything while new connections work.
+func (e *Engine) SetSilent(silent bool) { e.set(func() { e.silent = silent }) }
+
+// SetDown makes the engine drop every connection.
+func (e *Engine) SetDown(down bool) {
+	e.set(func() {
+		if down {
+			e.crash()
+		}
+		e.down = down
+	})
+}
+
+// IgnoreFencing makes the engine accept orders with stale fencing numbers.
+func (e *Engine) IgnoreFencing() { e.set(func() { e.noFence = true }) }
+
+// FailEvery makes each nth request fail after it was accepted; 0 turns it off.
+func (e *Engine) FailEvery(n int) { e.set(func() { e.failEvery = n }) }
+
+// Crash restarts the engine, cold.
+func (e *Engine) Crash() { e.set(e.crash) }
+
+// DropEvents removes the cache events that no reader has fetched yet, so that their sequence numbers have a gap.
+func (e *Engine) DropEvents() { e.set(func() { e.events = nil }) }
+
+func (e *Engine) set(f func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	f()
+	close(e.changed)
+	e.changed = make(chan struct{})
+}
+
+// Runs returns a copy of the record of all requests that the engine started.
+func (e *Engine) Runs() []Run {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := make([]Run, len(e.runs))
+	for i, r := range e.runs {
+		out[i] = *r
+	}
+	return out
+}
+
+// Orders returns the orders that the engine accepted.
+func (e *Engine) Orders() []engine.Order {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.orders)
+}
+
+// Boots returns the number of starts.
+func (e *Engine) Boots() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.boot
+}
--- /dev/null
+++ b/standin/plain.go
@@ -0,0 +1,96 @@
+package standin
+
+import (
+	"io"
+	"net/http"
+	"sync"
+
+	"github.com/bramleytrail/bramleytrail/engine"
+)
+
+// maxPlainBody bounds the request body that a plain service reads.
+const maxPlainBody = 1 << 20
+
+// PlainRun is the record of one call that a plain service executed.
+type PlainRun struct {
+	Key    string // Idempotency-Key header
+	Method string
+	Path   string
+	Body   string
+}
+
+// Plain is a fake plain service with fault injection.
+type Plain struct {
+	Name string
+
+	mu        sync.Mutex
+	runs      []PlainRun
+	dropReply int
+	hold      chan struct{} // calls wait until it is closed
+}
+
+// NewPlain returns a plain service.
+func NewPlain(name string) *Plain { return &Plain{Name: name} }
+
+// DropReplies makes the next n calls take effect and then drop the connection.
+func (p *Plain) DropReplies(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dropReply = n
+}
+
+// Hold makes calls wait after they took effect, until the returned function is called.
+func (p *Plain) Hold() (release func()) {
+	ch := make(chan struct{})
+	p.mu.Lock()
+	p.hold = ch
+	p.mu.Unlock()
+	return sync.OnceFunc(func() {
+		p.mu.Lock()
+		p.hold = nil
+		p.mu.Unlock()
+		close(ch)
+	})
+}
+
+// Runs returns the calls that took effect.
+func (p *Plain) Runs() []PlainRun {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]PlainRun(nil), p.runs...)
+}
+
+// Handler serves any path, and the load report.
+func (p *Plain) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/load", func(w http.ResponseWriter, _ *http.Request) {
+		replyJSON(w, engine.Load{Boot: p.Name + "-1"})
+	})
+	mux.HandleFunc("/", p.call)
+	return mux
+}
+
+func (p *Plain) call(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxPlainBody))
+	if err != nil {
+		http.Error(w, "bad request", http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	p.runs = append(p.runs, PlainRun{Key: r.Header.Get("Idempotency-Key"), Method: r.Method, Path: r.URL.RequestURI(), Body: string(body)})
+	drop, hold := p.dropReply > 0, p.hold
+	if drop {
+		p.dropReply--
+	}
+	p.mu.Unlock()
+	if hold != nil {
+		select {
+		case <-hold:
+		case <-r.Context().Done():
+		}
+	}
+	if drop {
+		panic(http.ErrAbortHandler)
+	}
+	replyJSON(w, map[string]string{"service": p.Name, "method": r.Method, "path": r.URL.RequestURI()})
+}
