--- a/object/object.go
+++ b/object/object.go
@@ -44,8 +44,8 @@
 // FailureDomain is a group of hosts that can fail or be taken out of service together.
 type FailureDomain struct {
 	Name   string      `json:"name" yaml:"-"`
-	Region string      `json:"region" yaml:"region"`
-	State  DomainState `json:"state" yaml:"state"`
+	Region string      `json:"region" yaml:"region"` // name of the region
+	State  DomainState `json:"state" yaml:"state"`   // out: receives no new work
 }
 
 // ServiceType separates model engines from plain HTTP services.
@@ -60,8 +60,8 @@
 // Service is a group of endpoints with the same protocol and limits.
 type Service struct {
 	Name           string      `json:"name" yaml:"-"`
-	Type           ServiceType `json:"type" yaml:"type"`
-	FailureDomains []string    `json:"failureDomains" yaml:"failureDomains"`
+	Type           ServiceType `json:"type" yaml:"type"`                     // model engines or plain HTTP services
+	FailureDomains []string    `json:"failureDomains" yaml:"failureDomains"` // failure domains that have endpoints
 	// Repeatable is the default for calls that don't state whether they may be repeated.
 	Repeatable bool           `json:"repeatable" yaml:"repeatable"`
 	Limits     EndpointLimits `json:"limits" yaml:"limits"`
@@ -84,15 +84,15 @@
 
 // Timeouts of calls to a service's endpoints.
 type Timeouts struct {
-	FirstByte time.Duration `json:"firstByte" yaml:"firstByte"`
-	Progress  time.Duration `json:"progress" yaml:"progress"` // between two parts of an answer
-	Connect   time.Duration `json:"connect" yaml:"connect"`
+	FirstByte time.Duration `json:"firstByte" yaml:"firstByte"` // until the first part of an answer
+	Progress  time.Duration `json:"progress" yaml:"progress"`   // between two parts of an answer
+	Connect   time.Duration `json:"connect" yaml:"connect"`     // until a connection is open
 }
 
 // Model is a family of versions of one service.
 type Model struct {
 	Name    string `json:"name" yaml:"-"`
-	Service string `json:"service" yaml:"service"`
+	Service string `json:"service" yaml:"service"` // service of type model
 }
 
 // VersionState is the life cycle state of a version.
@@ -108,8 +108,8 @@
 // Version is one deployable version of a model.
 type Version struct {
 	Name  string       `json:"name" yaml:"-"`
-	Model string       `json:"model" yaml:"model"`
-	State VersionState `json:"state" yaml:"state"`
+	Model string       `json:"model" yaml:"model"` // model that this is a version of
+	State VersionState `json:"state" yaml:"state"` // life cycle state; withdrawn: receives no new work
 	// Quality is the expected answer rating before ratings arrive, 0 to 1.
 	Quality float64 `json:"quality" yaml:"quality"`
 	Prices  Prices  `json:"prices" yaml:"prices"`
@@ -117,8 +117,8 @@
 
 // Prices in micro-units of cost per 1,000 tokens.
 type Prices struct {
-	Input  int64 `json:"input" yaml:"input"`
-	Output int64 `json:"output" yaml:"output"`
+	Input  int64 `json:"input" yaml:"input"`   // micro-units of cost per 1,000 prompt tokens
+	Output int64 `json:"output" yaml:"output"` // micro-units of cost per 1,000 tokens of the answer
 }
 
 // Team is a customer with keys, permissions and limits.
@@ -126,11 +126,11 @@
 	Name string `json:"name" yaml:"-"`
 	// KeyHashes are hex SHA-256 hashes of the team's bearer keys. Several are valid at once, so keys can be rotated.
 	KeyHashes     []string   `json:"keyHashes" yaml:"keyHashes"`
-	Models        []string   `json:"models" yaml:"models"`
-	Services      []string   `json:"services" yaml:"services"` // plain services that the team may call
-	QualityTarget float64    `json:"qualityTarget" yaml:"qualityTarget"`
-	Cascade       string     `json:"cascade,omitempty" yaml:"cascade"`
-	SessionPolicy string     `json:"sessionPolicy,omitempty" yaml:"sessionPolicy"`
+	Models        []string   `json:"models" yaml:"models"`                         // models that the team may use
+	Services      []string   `json:"services" yaml:"services"`                     // plain services that the team may call
+	QualityTarget float64    `json:"qualityTarget" yaml:"qualityTarget"`           // mean answer rating that the team needs, 0 to 1
+	Cascade       string     `json:"cascade,omitempty" yaml:"cascade"`             // cascade for requests that leave the model open
+	SessionPolicy string     `json:"sessionPolicy,omitempty" yaml:"sessionPolicy"` // how the team's sessions keep their version
 	Limits        TeamLimits `json:"limits" yaml:"limits"`
 	// Priority orders teams under overload; 0 is lowest, 9 highest.
 	Priority int `json:"priority" yaml:"priority"`
@@ -138,12 +138,12 @@
 	Share int `json:"share" yaml:"share"`
 }
 
-// TeamLimits bound a team's requests at one daemon's share of the deployment.
+// TeamLimits bound a team's requests over the whole deployment; each daemon applies its part of them.
 type TeamLimits struct {
-	RequestsPerSecond float64 `json:"requestsPerSecond" yaml:"requestsPerSecond"`
-	Burst             int     `json:"burst" yaml:"burst"`
-	Concurrent        int     `json:"concurrent" yaml:"concurrent"`
-	MaxTokens         int64   `json:"maxTokens" yaml:"maxTokens"` // prompt and answer of one request
+	RequestsPerSecond float64 `json:"requestsPerSecond" yaml:"requestsPerSecond"` // sustained rate
+	Burst             int     `json:"burst" yaml:"burst"`                         // requests above the rate at once
+	Concurrent        int     `json:"concurrent" yaml:"concurrent"`               // requests in flight
+	MaxTokens         int64   `json:"maxTokens" yaml:"maxTokens"`                 // prompt and answer of one request
 }
 
 // WithdrawnAction says what happens to a session whose version is withdrawn.
@@ -158,22 +158,22 @@
 // SessionPolicy says how long a session keeps its version and what happens when the version is withdrawn.
 type SessionPolicy struct {
 	Name        string          `json:"name" yaml:"-"`
-	MaxAge      time.Duration   `json:"maxAge" yaml:"maxAge"`
-	OnWithdrawn WithdrawnAction `json:"onWithdrawn" yaml:"onWithdrawn"`
+	MaxAge      time.Duration   `json:"maxAge" yaml:"maxAge"`           // age at which a session may change its version
+	OnWithdrawn WithdrawnAction `json:"onWithdrawn" yaml:"onWithdrawn"` // move to another version, or refuse
 }
 
 // Cascade lists models from cheapest to best; a doubtful answer climbs one step.
 type Cascade struct {
 	Name  string   `json:"name" yaml:"-"`
-	Steps []string `json:"steps" yaml:"steps"` // model names
+	Steps []string `json:"steps" yaml:"steps"` // models, cheapest first
 }
 
 // Rollout moves a model's sessions from one version to another in steps.
 type Rollout struct {
 	Name  string `json:"name" yaml:"-"`
-	Model string `json:"model" yaml:"model"`
-	From  string `json:"from" yaml:"from"`
-	To    string `json:"to" yaml:"to"`
+	Model string `json:"model" yaml:"model"` // model whose sessions move
+	From  string `json:"from" yaml:"from"`   // version that is replaced
+	To    string `json:"to" yaml:"to"`       // version that is rolled out
 	// Steps are shares of sessions, ascending, each above 0 and at most 1.
 	Steps []float64 `json:"steps" yaml:"steps"`
 	// Step is the index of the step in force; -1 before the first.
