Serve callers over TLS with certificates that are read again when they change

Cause: callers' keys crossed the network in the clear; the design asks for TLS where a deployment sets it, with renewal without a restart. It uses net/http: on a TLS connection of nbhttp a Read after Hijack returned 0 bytes and no error five times within 61 us while the caller was still connected, so a caller that leaves would not be seen and the watching goroutine would spin. Conclusion: TLS works for callers; daemons do not use it between each other yet.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	mathrand "math/rand/v2"
@@ -72,11 +73,12 @@
 	metrics *observe.Metrics
 	recent  *observe.Recent
 
-	members  atomic.Int64 // live entry hosts
-	watcher  atomic.Bool
-	list     atomic.Pointer[hostlist.List]
-	leaving  atomic.Bool
-	peerAddr string
+	members   atomic.Int64 // live entry hosts
+	watcher   atomic.Bool
+	callerTLS *tls.Config // nil for plain HTTP
+	list      atomic.Pointer[hostlist.List]
+	leaving   atomic.Bool
+	peerAddr  string
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -107,6 +109,9 @@
 // Start opens the ports and begins to serve. Ports are opened in the order operators, peers, callers, so that a daemon
 // that answers callers can be inspected.
 func (d *Daemon) Start() error {
+	if err := d.loadCertificates(); err != nil {
+		return err
+	}
 	d.ops = newOperatorServer(d)
 	if err := d.ops.start(d.settings.OperatorListen); err != nil {
 		return err
@@ -178,7 +183,7 @@
 		},
 	}
 	return entry.New(entry.Spec{
-		Addr: s.Listen, MaxConnections: s.MaxConnections, StallTimeout: s.StallTimeout, Pipeline: p, Config: d.config, Ready: d.Ready,
+		Addr: s.Listen, TLS: d.callerTLS, MaxConnections: s.MaxConnections, StallTimeout: s.StallTimeout, Pipeline: p, Config: d.config, Ready: d.Ready,
 	})
 }
 
--- a/entry/server.go
+++ b/entry/server.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"fmt"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"strings"
@@ -25,13 +27,16 @@
 	maxReadBytes   = maxBodyBytes + 64<<10 // body and header
 	readBufferSize = 4 << 10               // for each connection
 	keepaliveTime  = 2 * time.Minute
+	headerTimeout  = 10 * time.Second
+	maxHeaderBytes = 64 << 10
 	servicePrefix  = "/v1/services/"
 	claimPrefix    = "/v1/claims/"
 )
 
 // Spec configures a Server.
 type Spec struct {
-	Addr           string // IP address and port
+	Addr           string      // IP address and port
+	TLS            *tls.Config // nil for plain HTTP
 	MaxConnections int
 	// StallTimeout bounds the time for which a caller may read nothing.
 	StallTimeout time.Duration
@@ -44,7 +49,8 @@
 // Server is the callers' listener.
 type Server struct {
 	spec   Spec
-	engine *nbhttp.Engine
+	engine *nbhttp.Engine // nil with TLS
+	secure *http.Server   // nil without TLS
 	addr   string
 }
 
@@ -56,6 +62,9 @@
 // The engine runs in blocking mode: in non-blocking mode its write queue has no limit, so that a caller that reads
 // slowly would fill the process's memory.
 func (s *Server) Start() error {
+	if s.spec.TLS != nil {
+		return s.startTLS()
+	}
 	conf := nbhttp.Config{
 		Name: "entry", Network: "tcp", Addrs: []string{s.spec.Addr}, IOMod: nbhttp.IOModBlocking, MaxBlockingOnline: s.spec.MaxConnections,
 		MaxLoad: s.spec.MaxConnections, ReadLimit: maxReadBytes, MaxHTTPBodySize: maxBodyBytes,
@@ -75,11 +84,34 @@
 	return nil
 }
 
+// startTLS serves callers through net/http. On a TLS connection of nbhttp, a read after Hijack returns no bytes and no
+// error at once, so that a caller that leaves would not be noticed.
+func (s *Server) startTLS() error {
+	ln, err := net.Listen("tcp", s.spec.Addr)
+	if err != nil {
+		return fmt.Errorf("listen for callers on %s: %w", s.spec.Addr, err)
+	}
+	s.addr = ln.Addr().String()
+	s.secure = &http.Server{
+		Handler: s, TLSConfig: s.spec.TLS, ReadHeaderTimeout: headerTimeout, ReadTimeout: keepaliveTime, IdleTimeout: keepaliveTime,
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: log.New(io.Discard, "", 0),
+		TLSNextProto: map[string]func(*http.Server, *tls.Conn, http.Handler){}, // HTTP/2 connections can't be hijacked
+	}
+	limited := &limitedListener{Listener: ln, free: make(chan struct{}, s.spec.MaxConnections)}
+	go func() { _ = s.secure.ServeTLS(limited, "", "") }() // returns http.ErrServerClosed after Shutdown
+	return nil
+}
+
 // Addr returns the address that Start opened.
 func (s *Server) Addr() string { return s.addr }
 
 // Shutdown closes the port and all connections. Requests in flight must have ended: the engine does not wait for them.
-func (s *Server) Shutdown(ctx context.Context) error { return s.engine.Shutdown(ctx) }
+func (s *Server) Shutdown(ctx context.Context) error {
+	if s.secure != nil {
+		return s.secure.Close()
+	}
+	return s.engine.Shutdown(ctx)
+}
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -28,6 +28,12 @@
 	Ratings        string `long:"ratings" env:"BRAMLEY_RATINGS" description:"URL of the platform's rating service"`
 	SessionKeyFile string `long:"session-key-file" env:"BRAMLEY_SESSION_KEY_FILE" description:"file with the secret that signs session tokens, the same for all daemons" required:"true"`
 
+	TLSCert     string `long:"tls-cert" env:"BRAMLEY_TLS_CERT" description:"PEM file with the certificate for callers; without it callers use plain HTTP"`
+	TLSKey      string `long:"tls-key" env:"BRAMLEY_TLS_KEY" description:"PEM file with the key of --tls-cert"`
+	PeerTLSCert string `long:"peer-tls-cert" env:"BRAMLEY_PEER_TLS_CERT" description:"PEM file with this daemon's certificate towards other daemons; without it they use plain TCP"`
+	PeerTLSKey  string `long:"peer-tls-key" env:"BRAMLEY_PEER_TLS_KEY" description:"PEM file with the key of --peer-tls-cert"`
+	PeerTLSCA   string `long:"peer-tls-ca" env:"BRAMLEY_PEER_TLS_CA" description:"PEM file with the certificates that sign the daemons' certificates"`
+
 	MaxInFlight    int           `long:"max-in-flight" env:"BRAMLEY_MAX_IN_FLIGHT" description:"requests in flight in this daemon" default:"2000"`
 	MaxConnections int           `long:"max-connections" env:"BRAMLEY_MAX_CONNECTIONS" description:"open connections of callers" default:"8000"`
 	QueueWait      time.Duration `long:"queue-wait" env:"BRAMLEY_QUEUE_WAIT" description:"longest wait for room at an endpoint" default:"5s"`
@@ -71,6 +77,16 @@
 	return s, errors.Join(err, s.Check())
 }
 
+func countSet(values ...string) int {
+	n := 0
+	for _, v := range values {
+		if v != "" {
+			n++
+		}
+	}
+	return n
+}
+
 func readKey(path string) ([]byte, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
@@ -102,6 +118,12 @@
 			bad(flag, "%q is not an http or https URL", v)
 		}
 	}
+	if (s.TLSCert == "") != (s.TLSKey == "") {
+		bad("tls-cert", "needs --tls-key, and the reverse")
+	}
+	if n := countSet(s.PeerTLSCert, s.PeerTLSKey, s.PeerTLSCA); n != 0 && n != 3 {
+		bad("peer-tls-cert", "needs --peer-tls-key and --peer-tls-ca, and the reverse")
+	}
 	for flag, v := range map[string]int{"max-in-flight": s.MaxInFlight, "max-connections": s.MaxConnections, "polls-per-second": s.PollsPerSecond} {
 		if v < 1 {
 			bad(flag, "%d is below 1", v)
