--- a/local/tls_test.go
+++ b/local/tls_test.go
@@ -60,7 +60,7 @@
 		t.Fatal(err)
 	}
 	c := secureClient(t, dm.Addr(), a)
-	answer, err := c.Chat(ctx, []byte(`{"model":"small","stream":true,"max_tokens":8,"messages":` + Messages("hello") + `}`), nil)
+	answer, err := c.Chat(ctx, []byte(`{"model":"small","stream":true,"max_tokens":8,"messages":`+Messages("hello")+`}`), nil)
 	if err != nil {
 		t.Fatal(err)
 	}
