--- a/pipeline/request.go
+++ b/pipeline/request.go
@@ -13,6 +13,7 @@
 	bytesPerToken    = 4    // estimate for prompts
 	defaultMaxTokens = 1024 // limit of an answer if the request states none
 	maxMessages      = 4096
+	maxDepth         = 64 // nested JSON values
 )
 
 // Request is a caller's request.
@@ -43,6 +44,9 @@
 
 func parseChat(body []byte) (chat, error) {
 	var c chat
+	if tooDeep(body) {
+		return c, result.Newf(result.BadRequest, "The body has more than %d nested values.", maxDepth)
+	}
 	if err := json.Unmarshal(body, &c); err != nil {
 		return c, result.Newf(result.BadRequest, "The body is not a JSON object of a chat completion request.")
 	}
@@ -58,6 +62,31 @@
 	return c, nil
 }
 
+// tooDeep reports whether JSON values are nested more than maxDepth deep. It looks at brackets outside of strings only,
+// so that it costs one pass over the body.
+func tooDeep(body []byte) bool {
+	depth := 0
+	inString, escaped := false, false
+	for _, b := range body {
+		switch {
+		case escaped:
+			escaped = false
+		case inString && b == '\\':
+			escaped = true
+		case b == '"':
+			inString = !inString
+		case inString:
+		case b == '{' || b == '[':
+			if depth++; depth > maxDepth {
+				return true
+			}
+		case b == '}' || b == ']':
+			depth--
+		}
+	}
+	return false
+}
+
 // limitTokens returns the estimated prompt tokens and the limit of the answer, both within the team's limit.
 func limitTokens(c chat, body []byte, t *object.Team) (prompt, answer int64, err error) {
 	prompt = int64(len(body)) / bytesPerToken
