--- /dev/null
+++ b/reference/metrics.go
@@ -0,0 +1,57 @@
+package reference
+
+import (
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+)
+
+// metricName finds the names of metrics in source text. A label set or an end quote follows the name.
+var metricName = regexp.MustCompile("[\"`](bramley_[a-z0-9_]+)[{\"`]")
+
+// MetricNames returns the names of all metrics that the Go files below root use, without tests.
+func MetricNames(root string) ([]string, error) {
+	seen := map[string]bool{}
+	err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		if d.IsDir() || filepath.Ext(path) != ".go" || strings.HasSuffix(path, "_test.go") {
+			return nil
+		}
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		for _, m := range metricName.FindAllSubmatch(data, -1) {
+			seen[string(m[1])] = true
+		}
+		return nil
+	})
+	if err != nil {
+		return nil, fmt.Errorf("reference: %w", err)
+	}
+	var names []string
+	for name := range seen {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names, nil
+}
+
+// documentedMetric finds the names in the first column of the metrics page.
+var documentedMetric = regexp.MustCompile("(?m)^\\| `(bramley_[a-z0-9_]+)")
+
+// DocumentedMetrics returns the names of the metrics on a page.
+func DocumentedMetrics(page string) []string {
+	var names []string
+	for _, m := range documentedMetric.FindAllStringSubmatch(page, -1) {
+		names = append(names, m[1])
+	}
+	slices.Sort(names)
+	return names
+}
--- a/reference/pages_test.go
+++ b/reference/pages_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -26,3 +27,26 @@
 		}
 	}
 }
+
+// Guards against a metric without a description, a described metric that does not exist, and one without a unit.
+func TestMetricsPageMatchesCode(t *testing.T) {
+	page, err := os.ReadFile("../docs/metrics.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	want, err := MetricNames("..")
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := DocumentedMetrics(string(page))
+	for _, name := range want {
+		if !slices.Contains(got, name) {
+			t.Errorf("docs/metrics.md lacks %s", name)
+		}
+	}
+	for _, name := range got {
+		if !slices.Contains(want, name) {
+			t.Errorf("docs/metrics.md has %s, which the code does not use", name)
+		}
+	}
+}
