--- a/engine/httpengine/client.go
+++ b/engine/httpengine/client.go
@@ -113,7 +113,7 @@
 		resp.Body.Close()
 		return nil, err
 	}
-	return newStream(resp), nil
+	return NewStream(resp), nil
 }
 
 // transportError tells failures before the request was sent from later ones.
--- a/engine/httpengine/stream.go
+++ b/engine/httpengine/stream.go
@@ -26,7 +26,8 @@
 	done  bool
 }
 
-func newStream(resp *http.Response) *stream {
+// NewStream reads the event stream of a response.
+func NewStream(resp *http.Response) engine.Stream {
 	return &stream{body: resp.Body, lines: bufio.NewReaderSize(resp.Body, transportBufSize), boot: resp.Header.Get(HeaderBoot)}
 }
 
--- /dev/null
+++ b/kv/httpkv/contract_test.go
@@ -0,0 +1,163 @@
+package httpkv
+
+import (
+	"context"
+	"errors"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/bramleytrail/bramleytrail/kv"
+	"github.com/bramleytrail/bramleytrail/kv/memkv"
+)
+
+// eachStore runs a test on the fake directly and over the network.
+func eachStore(t *testing.T, test func(t *testing.T, ctx context.Context, s kv.Store, fake *memkv.Store)) {
+	t.Helper()
+	for _, network := range []bool{false, true} {
+		name := "direct"
+		if network {
+			name = "network"
+		}
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			fake := memkv.New()
+			var s kv.Store = fake
+			if network {
+				srv := httptest.NewServer(Handler(fake))
+				defer srv.Close()
+				c := NewClient(srv.URL)
+				defer c.Close()
+				s = c
+			}
+			test(t, ctx, s, fake)
+		})
+	}
+}
+
+func mustCAS(t *testing.T, ctx context.Context, s kv.Store, key, value string, prev uint64, lease kv.LeaseID) uint64 {
+	t.Helper()
+	rev, err := s.CAS(ctx, key, []byte(value), prev, lease)
+	if err != nil {
+		t.Fatalf("CAS %s: %v", key, err)
+	}
+	return rev
+}
+
+// Guards against an adapter that loses the difference between the store's answers: not found, conflict, no lease, too
+// large, unavailable.
+func TestErrors(t *testing.T) {
+	eachStore(t, func(t *testing.T, ctx context.Context, s kv.Store, fake *memkv.Store) {
+		rev := mustCAS(t, ctx, s, "a/x y?%", "1", 0, 0)
+		if e, err := s.Get(ctx, "a/x y?%"); err != nil || string(e.Value) != "1" || e.Revision != rev {
+			t.Errorf("get: %+v, %v", e, err)
+		}
+		check := func(name string, err, want error) {
+			t.Helper()
+			if !errors.Is(err, want) {
+				t.Errorf("%s: %v, want %v", name, err, want)
+			}
+		}
+		_, err := s.Get(ctx, "none")
+		check("get", err, kv.ErrNotFound)
+		_, err = s.CAS(ctx, "a/x y?%", nil, rev+1, 0)
+		check("stale write", err, kv.ErrConflict)
+		_, err = s.CAS(ctx, "b", nil, 0, 99)
+		check("write without lease", err, kv.ErrNoLease)
+		_, err = s.CAS(ctx, "b", make([]byte, kv.MaxValueBytes+1), 0, 0)
+		check("large write", err, kv.ErrTooLarge)
+		check("stale delete", s.Delete(ctx, "a/x y?%", rev+1), kv.ErrConflict)
+		check("delete", s.Delete(ctx, "none", 1), kv.ErrNotFound)
+		check("keep alive", s.KeepAlive(ctx, 99), kv.ErrNoLease)
+		fake.Faults.LoseReplies(1)
+		_, err = s.CAS(ctx, "c", []byte("x"), 0, 0)
+		check("lost reply", err, kv.ErrUnavailable)
+		if e, err := s.Get(ctx, "c"); err != nil || string(e.Value) != "x" {
+			t.Errorf("a write whose reply was lost did not take effect: %v", err)
+		}
+		fake.Faults.SetDown(true)
+		_, err = s.List(ctx, "")
+		check("list while down", err, kv.ErrUnavailable)
+	})
+}
+
+// Guards against watches that miss a change, a deletion or the loss of writes, or that outlive an outage.
+func TestWatch(t *testing.T) {
+	eachStore(t, func(t *testing.T, ctx context.Context, s kv.Store, fake *memkv.Store) {
+		mustCAS(t, ctx, s, "other", "0", 0, 0)
+		snapshot := fake.Snapshot()
+		rev := mustCAS(t, ctx, s, "w/a", "1", 0, 0)
+		c, err := s.Watch(ctx, "w/", 0)
+		if err != nil || len(c.Entries) != 1 || c.Revision != rev {
+			t.Fatalf("first watch: %+v, %v", c, err)
+		}
+		next := make(chan kv.Changes, 1)
+		go func() {
+			c, _ := s.Watch(ctx, "w/", rev)
+			next <- c
+		}()
+		if err := s.Delete(ctx, "w/a", rev); err != nil {
+			t.Fatal(err)
+		}
+		if c := <-next; len(c.Entries) != 1 || !c.Entries[0].Deleted {
+			t.Errorf("deletion: %+v", c)
+		}
+		fake.Restore(snapshot)
+		if c, err := s.Watch(ctx, "w/", rev+1); err != nil || !c.Reset || len(c.Entries) != 0 {
+			t.Errorf("after writes were lost: %+v, %v", c, err)
+		}
+		failed := make(chan error, 1)
+		waiting := make(chan struct{}, 8)
+		fake.Faults.OnCall(func(memkv.Call) { waiting <- struct{}{} })
+		go func() {
+			_, err := s.Watch(ctx, "w/", snapshotRevision(ctx, s))
+			failed <- err
+		}()
+		<-waiting
+		<-waiting
+		fake.Faults.SetDown(true)
+		if err := <-failed; !errors.Is(err, kv.ErrUnavailable) {
+			t.Errorf("watch during an outage: %v", err)
+		}
+	})
+}
+
+func snapshotRevision(ctx context.Context, s kv.Store) uint64 {
+	e, err := s.Get(ctx, "other")
+	if err != nil {
+		return 0
+	}
+	return e.Revision
+}
+
+// Guards against entries that outlive their lease, and a lease that a paused holder can use after it has lapsed.
+func TestLease(t *testing.T) {
+	eachStore(t, func(t *testing.T, ctx context.Context, s kv.Store, fake *memkv.Store) {
+		id, err := s.Grant(ctx, time.Hour)
+		if err != nil {
+			t.Fatal(err)
+		}
+		rev := mustCAS(t, ctx, s, "l", "1", 0, id)
+		if err := s.KeepAlive(ctx, id); err != nil {
+			t.Error(err)
+		}
+		fake.Lapse(id)
+		if _, err := s.Get(ctx, "l"); !errors.Is(err, kv.ErrNotFound) {
+			t.Errorf("entry after its lease lapsed: %v", err)
+		}
+		if _, err := s.CAS(ctx, "l", nil, rev, id); err == nil {
+			t.Error("a write with a lapsed lease is accepted")
+		}
+		second, err := s.Grant(ctx, time.Hour)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if next := mustCAS(t, ctx, s, "l", "2", 0, second); next <= rev {
+			t.Errorf("fencing number %d does not exceed %d", next, rev)
+		}
+		if err := s.Revoke(ctx, second); err != nil {
+			t.Error(err)
+		}
+	})
+}
--- /dev/null
+++ b/standin/contract_test.go
@@ -0,0 +1,203 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/bramleytrail/bramleytrail/engine"
+	"github.com/bramleytrail/bramleytrail/engine/httpengine"
+	"github.com/bramleytrail/bramleytrail/hostlist"
+	"github.com/bramleytrail/bramleytrail/rating"
+	"github.com/bramleytrail/bramleytrail/weight"
+)
+
+func serve(t *testing.T, h http.Handler) string {
+	t.Helper()
+	s, err := Serve("127.0.0.1:0", h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return s.Addr
+}
+
+func testContext(t *testing.T) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// Guards against adapters that read a platform service differently from how it answers, or hide that it is down.
+func TestPlatformAdapters(t *testing.T) {
+	ctx := testContext(t)
+	p := NewPlatform()
+	base := "http://" + serve(t, p.Handler())
+	hosts, weights, ratings := hostlist.NewHTTPSource(base), weight.NewHTTPStore(base), rating.NewHTTPSource(base)
+	p.Hosts.Put(hostlist.Host{ID: "h", Role: hostlist.RoleEntry, Domain: "d", State: hostlist.StateLive})
+	list, err := hosts.List(ctx, 0)
+	if err != nil || len(list.Hosts) != 1 {
+		t.Fatalf("hosts %+v, %v", list, err)
+	}
+	changed := make(chan hostlist.List, 1)
+	go func() {
+		next, _ := hosts.List(ctx, list.Revision)
+		changed <- next
+	}()
+	p.Hosts.SetState("h", hostlist.StateLeaving)
+	if next := <-changed; len(next.Hosts) != 1 || next.Hosts[0].State != hostlist.StateLeaving {
+		t.Errorf("hosts after a change: %+v", next)
+	}
+	limited := false
+	for range weightBurst + 1 {
+		if _, err := weights.Reserve(ctx, "v"); errors.Is(err, weight.ErrRateLimited) {
+			limited = true
+		} else if err != nil {
+			t.Error(err)
+		}
+	}
+	if !limited {
+		t.Error("the weight store's rate limit is not reported")
+	}
+	p.Ratings.KeepEvery(2)
+	p.Ratings.Add(rating.Rating{RequestID: "1"}, rating.Rating{RequestID: "2", Score: 0.5})
+	page, err := ratings.After(ctx, 0, 10)
+	if err != nil || len(page.Ratings) != 1 || page.Ratings[0].Score != 0.5 || page.Next != 1 {
+		t.Errorf("ratings %+v, %v", page, err)
+	}
+	p.Hosts.SetDown(true)
+	p.Weights.SetDown(true)
+	p.Ratings.SetDown(true)
+	_, hostErr := hosts.List(ctx, 0)
+	_, weightErr := weights.Reserve(ctx, "v")
+	_, ratingErr := ratings.After(ctx, 0, 1)
+	if hostErr == nil || weightErr == nil || errors.Is(weightErr, weight.ErrRateLimited) || ratingErr == nil {
+		t.Errorf("services that are down: %v, %v, %v", hostErr, weightErr, ratingErr)
+	}
+}
+
+func readAll(t *testing.T, s engine.Stream) (text string, last engine.Event, err error) {
+	t.Helper()
+	for {
+		ev, err := s.Next()
+		if err != nil {
+			return text, last, err
+		}
+		text += ev.Text
+		last = ev
+	}
+}
+
+// Guards against an engine adapter that loses tokens or usage, or takes a broken stream for a complete one.
+func TestEngineStreams(t *testing.T) {
+	ctx := testContext(t)
+	e := NewEngine(EngineSpec{Name: "e", Versions: []string{"v"}, Answer: 10})
+	addr := serve(t, e.Handler())
+	c := httpengine.NewClient()
+	defer c.Close()
+	req := engine.Request{ID: "r1", Version: "v", Body: []byte(`{"messages":["hello"]}`)}
+	s, err := c.Stream(ctx, addr, req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, last, err := readAll(t, s)
+	if err != io.EOF || text != Answer("v", `["hello"]`, 10) || last.Usage == nil || last.Usage.OutputTokens != 10 || last.FinishReason != "stop" {
+		t.Errorf("text %q, last %+v, %v", text, last, err)
+	}
+	s, err = c.Resume(ctx, addr, "r1", 4)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rest, _, err := readAll(t, s)
+	if err != io.EOF || !strings.HasSuffix(text, rest) || len(rest) != len(text)*6/10 {
+		t.Errorf("resumed text %q, %v", rest, err)
+	}
+	if err := c.Cancel(ctx, addr, "r1"); err != nil {
+		t.Error(err)
+	}
+	if _, err := c.Resume(ctx, addr, "r1", 4); !errors.Is(err, engine.ErrUnknownStream) {
+		t.Errorf("resume of a cancelled stream: %v", err)
+	}
+	e.CrashOn("boom")
+	s, err = c.Stream(ctx, addr, engine.Request{ID: "r2", Version: "v", Body: []byte(`{"messages":["boom"]}`)})
+	if err == nil {
+		_, _, err = readAll(t, s)
+	}
+	if !errors.Is(err, engine.ErrBroken) || e.Boots() != 2 {
+		t.Errorf("crash: %v, %d boots", err, e.Boots())
+	}
+	if _, err := c.Stream(ctx, addr, engine.Request{ID: "r3", Version: "none", Body: []byte(`{}`)}); !errors.Is(err, engine.ErrRejected) {
+		t.Errorf("unknown version: %v", err)
+	}
+	if _, err := c.Stream(ctx, "127.0.0.1:1", req); !errors.Is(err, engine.ErrUnreachable) {
+		t.Errorf("closed port: %v", err)
+	}
+}
+
+// Guards against control calls that don't tell a stale order, a missing cache or a gap in cache events.
+func TestEngineControl(t *testing.T) {
+	ctx := testContext(t)
+	e := NewEngine(EngineSpec{Name: "e", Versions: []string{"v"}, Answer: 1})
+	addr := serve(t, e.Handler())
+	c := httpengine.NewClient()
+	defer c.Close()
+	for i, fence := range []uint64{5, 4, 5} {
+		err := c.Order(ctx, addr, engine.Order{Action: "load", Target: "w", Fence: fence})
+		if stale := errors.Is(err, engine.ErrStaleFence); stale != (i == 1) {
+			t.Errorf("order with fence %d: %v", fence, err)
+		}
+	}
+	e.IgnoreFencing()
+	if err := c.Order(ctx, addr, engine.Order{Action: "unload", Target: "w", Fence: 1}); err != nil {
+		t.Errorf("stale order at an engine without fencing: %v", err)
+	}
+	if err := c.ImportCache(ctx, addr, "s", []byte("kv")); err != nil {
+		t.Error(err)
+	}
+	if data, err := c.ExportCache(ctx, addr, "s"); err != nil || string(data) != "kv" {
+		t.Errorf("exported cache %q, %v", data, err)
+	}
+	if _, err := c.ExportCache(ctx, addr, "none"); !errors.Is(err, engine.ErrUnknownStream) {
+		t.Errorf("export of an unknown session: %v", err)
+	}
+	for i, drop := range []bool{true, false} {
+		s, err := c.Stream(ctx, addr, engine.Request{ID: "r", Version: "v", Body: []byte(`{"messages":["x"]}`)})
+		if err != nil {
+			t.Fatal(i, err)
+		}
+		if _, _, err := readAll(t, s); err != io.EOF {
+			t.Fatal(err)
+		}
+		if drop {
+			e.DropEvents()
+		}
+	}
+	events, err := c.CacheEvents(ctx, addr, 0)
+	if err != nil || len(events) != 1 || events[0].Seq != 2 {
+		t.Errorf("cache events %+v, %v; want sequence number 2 after a gap", events, err)
+	}
+	if l, err := c.Load(ctx, addr); err != nil || l.Completed != 2 || l.Boot == "" {
+		t.Errorf("load %+v, %v", l, err)
+	}
+}
+
+// FuzzStream guards against a panic, or an unbounded line, on any bytes that an endpoint sends.
+func FuzzStream(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: {\"choices\":[{\"delta\":{\"content\":\"x\"}}]}\n\ndata: [DONE]\n\n"))
+	f.Add([]byte("data: {}\n\n"))
+	f.Add([]byte("id: 9999999999999999999999\r\ndata: null\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s := httpengine.NewStream(&http.Response{Header: http.Header{}, Body: io.NopCloser(strings.NewReader(string(data)))})
+		for range len(data) + 2 {
+			if _, err := s.Next(); err != nil {
+				return
+			}
+		}
+		t.Error("more events than bytes")
+	})
+}
