placement: plan which versions the endpoints of a failure domain load

Cause: no code decides what endpoints have loaded, so that the loss of a failure domain, a roll-out or a withdrawal would need orders by hand. Change: a pure plan for one service in one failure domain: replicas each domain needs so that the others carry the demand when one is lost, loads within the weight store's limit, unloads that keep the need and a spare replica where engines don't check fencing numbers. Nothing sends the orders yet.

--- /dev/null
+++ b/placement/doc.go
@@ -0,0 +1,4 @@
+// Package placement decides which versions the endpoints of a failure domain should have loaded. The plan is pure: it is
+// computed from reports that are handed in. Each plan takes a small step towards the target and never unloads a version
+// below what the loss of another failure domain needs.
+package placement
--- /dev/null
+++ b/placement/plan.go
@@ -0,0 +1,186 @@
+package placement
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+// headroom is the part of demand added to it, so that a plan does not follow every fluctuation.
+const headroom = 0.25
+
+// Endpoint is one endpoint of the failure domain that is planned.
+type Endpoint struct {
+	ID       string
+	Addr     string
+	Versions []string
+	Running  int // requests
+}
+
+// Demand is the load of one version over the whole deployment.
+type Demand struct {
+	Version string
+	// Running is the number of requests that are running or waiting, in all failure domains.
+	Running int
+	// Wanted says that a team or roll-out may use the version. Versions that are not wanted are unloaded when idle.
+	Wanted bool
+}
+
+// Input of a plan for one service in one failure domain.
+type Input struct {
+	Endpoints []Endpoint
+	Demands   []Demand
+	// Domains is the number of failure domains that are in service and have endpoints of the service.
+	Domains int
+	// Slots is the number of concurrent requests of a warm endpoint.
+	Slots int
+	// VersionsPerEndpoint is the number of versions that fit on an endpoint.
+	VersionsPerEndpoint int
+	// MaxLoads bounds the loads of this plan; the weight store's rate limit gives it.
+	MaxLoads int
+	// Spare is the number of replicas of a version above the need that an unload must leave. It is 1 for engines that
+	// don't check fencing numbers: a late order of an earlier holder can then take one replica too many, not two.
+	Spare int
+}
+
+// Action of an order.
+type Action string
+
+// Actions.
+const (
+	Load   Action = "load"
+	Unload Action = "unload"
+)
+
+// Order is one step of a plan.
+type Order struct {
+	Endpoint string
+	Addr     string
+	Action   Action
+	Version  string
+}
+
+// Need returns the number of replicas of a version that each failure domain must have, so that the others can serve its
+// demand when one is lost.
+func Need(d Demand, domains, slots int) int {
+	if !d.Wanted {
+		return 0
+	}
+	others := max(1, domains-1)
+	return max(1, int(math.Ceil(float64(d.Running)*(1+headroom)/float64(slots*others))))
+}
+
+// Plan returns the next orders, unloads first. Applied again and again, plans converge.
+func Plan(in Input) []Order {
+	p := newPlanner(in)
+	p.unloadUnwanted()
+	p.loadMissing()
+	return p.orders
+}
+
+type planner struct {
+	in        Input
+	endpoints []Endpoint
+	need      map[string]int
+	have      map[string]int
+	loads     int
+	orders    []Order
+}
+
+func newPlanner(in Input) *planner {
+	p := &planner{in: in, need: map[string]int{}, have: map[string]int{}}
+	for _, d := range in.Demands {
+		p.need[d.Version] = Need(d, in.Domains, in.Slots)
+	}
+	for _, e := range in.Endpoints {
+		e.Versions = slices.Clone(e.Versions)
+		p.endpoints = append(p.endpoints, e)
+		for _, v := range e.Versions {
+			p.have[v]++
+		}
+	}
+	slices.SortFunc(p.endpoints, func(a, b Endpoint) int {
+		return cmp.Or(cmp.Compare(a.Running, b.Running), cmp.Compare(a.ID, b.ID))
+	})
+	return p
+}
+
+// mayUnload reports whether a replica of a version can go.
+func (p *planner) mayUnload(version string) bool {
+	need := p.need[version]
+	if need == 0 {
+		return true
+	}
+	return p.have[version]-1 >= need+p.in.Spare
+}
+
+func (p *planner) unload(e *Endpoint, version string) {
+	e.Versions = slices.DeleteFunc(e.Versions, func(v string) bool { return v == version })
+	p.have[version]--
+	p.orders = append(p.orders, Order{e.ID, e.Addr, Unload, version})
+}
+
+// unloadUnwanted frees idle endpoints of versions that nobody may use.
+func (p *planner) unloadUnwanted() {
+	for i := range p.endpoints {
+		e := &p.endpoints[i]
+		for _, v := range slices.Clone(e.Versions) {
+			if p.need[v] == 0 && e.Running == 0 {
+				p.unload(e, v)
+			}
+		}
+	}
+}
+
+// loadMissing loads the versions with the largest shortage first.
+func (p *planner) loadMissing() {
+	for p.loads < p.in.MaxLoads {
+		version, ok := p.mostMissing()
+		if !ok {
+			return
+		}
+		e := p.place(version)
+		if e == nil {
+			p.need[version] = p.have[version] // no endpoint can take it in this plan
+			continue
+		}
+		e.Versions = append(e.Versions, version)
+		p.have[version]++
+		p.loads++
+		p.orders = append(p.orders, Order{e.ID, e.Addr, Load, version})
+	}
+}
+
+func (p *planner) mostMissing() (string, bool) {
+	best, most := "", 0
+	for v, need := range p.need {
+		missing := need - p.have[v]
+		if missing > most || missing == most && missing > 0 && v < best {
+			best, most = v, missing
+		}
+	}
+	return best, most > 0
+}
+
+// place returns the least loaded endpoint that has room for a version, or that can give up a version in surplus.
+func (p *planner) place(version string) *Endpoint {
+	for i := range p.endpoints {
+		e := &p.endpoints[i]
+		if len(e.Versions) < p.in.VersionsPerEndpoint && !slices.Contains(e.Versions, version) {
+			return e
+		}
+	}
+	for i := range p.endpoints {
+		e := &p.endpoints[i]
+		if slices.Contains(e.Versions, version) {
+			continue
+		}
+		for _, v := range e.Versions {
+			if p.mayUnload(v) {
+				p.unload(e, v)
+				return e
+			}
+		}
+	}
+	return nil
+}
