--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -20,7 +20,7 @@
 func run(t *testing.T, store kv.Store, args ...string) (int, string) {
 	t.Helper()
 	var out bytes.Buffer
-	code := Run(context.Background(), append([]string{"--store", "http://store"}, args...), &out, &out, func(string) kv.Store { return store })
+	code := Run(context.Background(), append([]string{"--store", "http://store"}, args...), strings.NewReader("secret\n"), &out, &out, func(string) kv.Store { return store })
 	return code, out.String()
 }
 
@@ -134,6 +134,7 @@
 		{ExitOK, []string{"codes"}},
 		{ExitOK, []string{"diff", "../examples/nogalera"}},
 		{ExitOK, []string{"bills"}},
+		{ExitOK, []string{"key"}},
 		{ExitFailed, []string{"validate", bad}},
 		{ExitFailed, []string{"publish", bad}},
 		{ExitFailed, []string{"validate", "no-such-directory"}},
@@ -152,6 +153,9 @@
 	if code, _ := run(t, store, "publish", "../examples/nogalera"); code != ExitUnavailable {
 		t.Errorf("exit code %d with the service down, want %d", code, ExitUnavailable)
 	}
+	if _, out := run(t, store, "key", "--hash"); !strings.Contains(out, config.HashKey("secret")) {
+		t.Errorf("hash of a key: %s", out)
+	}
 	_, out := run(t, store, "validate", "--output", "json", bad)
 	var v validateOutput
 	if err := json.Unmarshal([]byte(out), &v); err != nil || v.OK || len(v.Findings) != 1 || v.Findings[0].File != "teams.yaml" {
--- a/ctl/main.go
+++ b/ctl/main.go
@@ -50,6 +50,7 @@
 	Store  string `long:"store" env:"BRAMLEY_STORE" description:"URL of the platform's key-value service"`
 
 	ctx      context.Context
+	in       io.Reader
 	out      io.Writer
 	newStore func(url string) kv.Store
 }
@@ -60,12 +61,12 @@
 	defer stop()
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
-	return Run(ctx, args, os.Stdout, os.Stderr, func(url string) kv.Store { return httpkv.NewClient(url) })
+	return Run(ctx, args, os.Stdin, os.Stdout, os.Stderr, func(url string) kv.Store { return httpkv.NewClient(url) })
 }
 
 // Run is Main with its environment handed in.
-func Run(ctx context.Context, args []string, stdout, stderr io.Writer, newStore func(string) kv.Store) int {
-	a := &app{ctx: ctx, out: stdout, newStore: newStore}
+func Run(ctx context.Context, args []string, stdin io.Reader, stdout, stderr io.Writer, newStore func(string) kv.Store) int {
+	a := &app{ctx: ctx, in: stdin, out: stdout, newStore: newStore}
 	p := flags.NewNamedParser("bramleyctl", flags.HelpFlag|flags.PassDoubleDash)
 	if err := a.register(p); err != nil {
 		fmt.Fprintf(stderr, "bramleyctl: %v\n", err)
@@ -121,6 +122,7 @@
 		{"state", "Show the state of a daemon or of one request", &stateCommand{app: a}},
 		{"bills", "Show the bills that are stored, merged by request", &billsCommand{app: a}},
 		{"codes", "List the result codes", &codesCommand{app: a}},
+		{"key", "Make a bearer key for a team, or hash one", &keyCommand{app: a}},
 	}
 	for _, c := range commands {
 		if _, err := p.AddCommand(c.name, c.short, "", c.data); err != nil {
