--- /dev/null
+++ b/chaos/chaos_test.go
@@ -0,0 +1,49 @@
+package chaos
+
+import (
+	"context"
+	"testing"
+	"time"
+)
+
+func runFaults(t *testing.T, seed uint64, hold time.Duration, faults ...Fault) {
+	t.Helper()
+	report, err := Run(context.Background(), Spec{Seed: seed, Faults: faults, Hold: hold})
+	if err != nil {
+		t.Fatalf("seed %d: %v", seed, err)
+	}
+	for i, v := range report.Violations {
+		if i == 10 {
+			t.Errorf("seed %d: %d more", seed, len(report.Violations)-i)
+			break
+		}
+		t.Errorf("seed %d: %s", seed, v)
+	}
+	if report.Requests == 0 {
+		t.Error("no request was sent")
+	}
+}
+
+// Guards each invariant against each failure alone. The failure lasts longer than the time after which new work must
+// have ended.
+func TestFailuresAlone(t *testing.T) {
+	for i, f := range Faults() {
+		t.Run(f.Name, func(t *testing.T) {
+			t.Parallel()
+			runFaults(t, uint64(i), noNewWorkAfter+time.Second, f)
+		})
+	}
+}
+
+// Guards each invariant against each pair of failures at the same time.
+func TestFailuresInPairs(t *testing.T) {
+	faults := Faults()
+	for i, a := range faults {
+		for j, b := range faults[i+1:] {
+			t.Run(a.Name+"+"+b.Name, func(t *testing.T) {
+				t.Parallel()
+				runFaults(t, uint64(100*i+j), 500*time.Millisecond, a, b)
+			})
+		}
+	}
+}
--- /dev/null
+++ b/chaos/fault.go
@@ -0,0 +1,145 @@
+package chaos
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/bramleytrail/bramleytrail/hostlist"
+	"github.com/bramleytrail/bramleytrail/local"
+	"github.com/bramleytrail/bramleytrail/object"
+	"github.com/bramleytrail/bramleytrail/standin"
+)
+
+// Fault is a failure that can be injected. Inject causes it, keeps it up for hold and ends it.
+type Fault struct {
+	Name   string
+	Inject func(ctx context.Context, r *run, hold time.Duration) error
+}
+
+// Faults returns all failures, in a fixed order.
+func Faults() []Fault {
+	return []Fault{
+		{"store-down", onOff(func(r *run, on bool) { r.dep.Platform.KV.Faults.SetDown(on) })},
+		{"store-slow", onOff(func(r *run, on bool) { r.dep.Platform.KV.Faults.SetDelay(choice(on, 150*time.Millisecond, 0)) })},
+		{"store-replies-lost", once(func(r *run) { r.dep.Platform.KV.Faults.LoseReplies(8) })},
+		{"host-list-down", onOff(func(r *run, on bool) { r.dep.Platform.Hosts.SetDown(on) })},
+		{"endpoint-crash", once(func(r *run) { r.engine().Crash() })},
+		{"endpoint-down", onOffEngine(func(e *standin.Engine, on bool) { e.SetDown(on) })},
+		{"endpoint-silent", onOffEngine(func(e *standin.Engine, on bool) { e.SetSilent(on) })},
+		{"version-fails", onOffEngine(func(e *standin.Engine, on bool) { e.FailEvery(choice(on, 3, 0)) })},
+		{"plain-reply-lost", once(func(r *run) { r.plain().DropReplies(2) })},
+		{"endpoint-leaving", leaving},
+		{"domain-out", domainOut},
+		{"version-withdrawn", versionWithdrawn},
+		{"publish-race", publishRace},
+		{"daemon-killed", daemonKilled},
+		{"daemon-restarted", daemonRestarted},
+		{"poison-request", once(func(*run) {})}, // the workload sends it
+	}
+}
+
+func choice[T any](on bool, yes, no T) T {
+	if on {
+		return yes
+	}
+	return no
+}
+
+func once(f func(*run)) func(context.Context, *run, time.Duration) error {
+	return func(ctx context.Context, r *run, hold time.Duration) error {
+		f(r)
+		sleep(ctx, hold)
+		return nil
+	}
+}
+
+func onOff(set func(*run, bool)) func(context.Context, *run, time.Duration) error {
+	return func(ctx context.Context, r *run, hold time.Duration) error {
+		set(r, true)
+		sleep(ctx, hold)
+		set(r, false)
+		return nil
+	}
+}
+
+func onOffEngine(set func(*standin.Engine, bool)) func(context.Context, *run, time.Duration) error {
+	return func(ctx context.Context, r *run, hold time.Duration) error {
+		e := r.engine()
+		set(e, true)
+		sleep(ctx, hold)
+		set(e, false)
+		return nil
+	}
+}
+
+func leaving(ctx context.Context, r *run, hold time.Duration) error {
+	id := r.engineName()
+	from := time.Now()
+	r.dep.Platform.Hosts.SetState(id, hostlist.StateLeaving)
+	sleep(ctx, hold)
+	r.record.addWindow(Window{Endpoint: id, From: from, To: time.Now()})
+	r.dep.Platform.Hosts.SetState(id, hostlist.StateLive)
+	return nil
+}
+
+// edit publishes a change of the configuration, and the earlier one again after hold.
+func edit(ctx context.Context, r *run, hold time.Duration, window Window, change func(*object.Set)) error {
+	if err := r.publish(ctx, change); err != nil {
+		return err
+	}
+	window.From = time.Now()
+	sleep(ctx, hold)
+	window.To = time.Now()
+	r.record.addWindow(window)
+	return r.publish(ctx, func(*object.Set) {})
+}
+
+func domainOut(ctx context.Context, r *run, hold time.Duration) error {
+	return edit(ctx, r, hold, Window{Domain: local.SampleDomainB}, func(s *object.Set) {
+		s.FailureDomains[slices.IndexFunc(s.FailureDomains, func(d object.FailureDomain) bool { return d.Name == local.SampleDomainB })].State = object.DomainOut
+	})
+}
+
+func versionWithdrawn(ctx context.Context, r *run, hold time.Duration) error {
+	return edit(ctx, r, hold, Window{Version: local.SampleSmall}, func(s *object.Set) {
+		s.Versions[slices.IndexFunc(s.Versions, func(v object.Version) bool { return v.Name == local.SampleSmall })].State = object.VersionWithdrawn
+	})
+}
+
+// publishRace lets two operators publish at the same time, several times. One of each pair meets a conflict and repeats.
+func publishRace(ctx context.Context, r *run, hold time.Duration) error {
+	for range 4 {
+		other := make(chan error, 1)
+		go func() { other <- r.publish(ctx, func(s *object.Set) { s.Teams[0].Share = 2 }) }()
+		err := r.publish(ctx, func(s *object.Set) { s.Teams[0].Share = 3 })
+		if err := errors.Join(err, <-other); err != nil {
+			return err
+		}
+		sleep(ctx, hold/4)
+	}
+	return nil
+}
+
+func daemonKilled(ctx context.Context, r *run, hold time.Duration) error {
+	dm, id := r.take()
+	dm.Kill()
+	sleep(ctx, hold)
+	r.dep.Platform.Hosts.Remove(id)
+	return r.addDaemon(ctx)
+}
+
+func daemonRestarted(ctx context.Context, r *run, _ time.Duration) error {
+	if err := r.addDaemon(ctx); err != nil {
+		return err
+	}
+	dm, id := r.take()
+	r.dep.Platform.Hosts.SetState(id, hostlist.StateLeaving)
+	if err := dm.Drain(ctx); err != nil && !r.storeFaulty {
+		return fmt.Errorf("drain: %w", err)
+	}
+	r.dep.Platform.Hosts.Remove(id)
+	return nil
+}
--- /dev/null
+++ b/chaos/run.go
@@ -0,0 +1,256 @@
+package chaos
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/bramleytrail/bramleytrail/config"
+	"github.com/bramleytrail/bramleytrail/daemon"
+	"github.com/bramleytrail/bramleytrail/kv"
+	"github.com/bramleytrail/bramleytrail/ledger"
+	"github.com/bramleytrail/bramleytrail/local"
+	"github.com/bramleytrail/bramleytrail/object"
+	"github.com/bramleytrail/bramleytrail/standin"
+)
+
+const (
+	daemons      = 3
+	settleAfter  = 300 * time.Millisecond // load before and after the failures
+	revisionPoll = 5 * time.Millisecond
+	runTimeout   = 2 * time.Minute
+)
+
+// Spec describes one run.
+type Spec struct {
+	Seed uint64
+	// Faults are injected at the same time, Rounds times one after the other.
+	Faults []Fault
+	Rounds int
+	Hold   time.Duration // how long each failure lasts
+}
+
+// Report is the result of a run.
+type Report struct {
+	Requests   int
+	Answered   int
+	Violations []string
+}
+
+// run is the state of one run.
+type run struct {
+	spec        Spec
+	dep         *local.Deployment
+	record      *Record
+	poison      bool
+	storeFaulty bool
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	live    []liveDaemon
+	number  int
+	engines []string
+}
+
+type liveDaemon struct {
+	id string
+	dm *daemon.Daemon
+}
+
+// Run runs a deployment under load, injects the failures and checks the invariants.
+func Run(ctx context.Context, spec Spec) (Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, runTimeout)
+	defer cancel()
+	dep, err := local.New(nil)
+	if err != nil {
+		return Report{}, err
+	}
+	defer dep.Stop()
+	r := &run{spec: spec, dep: dep, record: &Record{}, rng: rand.New(rand.NewPCG(spec.Seed, 1))}
+	for _, f := range spec.Faults {
+		r.poison = r.poison || f.Name == "poison-request"
+		r.storeFaulty = r.storeFaulty || f.Name == "store-down" || f.Name == "store-slow" || f.Name == "store-replies-lost"
+	}
+	if err := r.start(ctx); err != nil {
+		return Report{}, err
+	}
+	w := &workload{run: r, record: r.record, stop: make(chan struct{})}
+	w.start(ctx, spec.Seed)
+	stopWatch := r.watchRevisions()
+	err = r.inject(ctx)
+	sleep(ctx, settleAfter)
+	close(w.stop)
+	w.wg.Wait()
+	stopWatch()
+	if drainErr := r.drain(ctx); err == nil {
+		err = drainErr
+	}
+	if err != nil {
+		return Report{}, err
+	}
+	return r.check(ctx)
+}
+
+func (r *run) start(ctx context.Context) error {
+	spec := standin.EngineSpec{Slots: 64, ColdSlots: 12, WarmAfter: 8, TokenDelay: 4 * time.Millisecond}
+	if err := local.Sample(ctx, r.dep, daemons, spec); err != nil {
+		return err
+	}
+	for i, dm := range r.dep.Daemons {
+		r.live = append(r.live, liveDaemon{fmt.Sprintf("entry-%d", i+1), dm})
+	}
+	r.number = daemons
+	for _, domain := range []string{local.SampleDomainA, local.SampleDomainB} {
+		for _, version := range []string{local.SampleSmall, local.SampleLarge} {
+			r.engines = append(r.engines, version+"-"+domain)
+		}
+	}
+	for _, e := range r.dep.Engines {
+		e.CrashOn(poisonPrompt)
+	}
+	return nil
+}
+
+// inject causes all failures of the run at the same time, round after round.
+func (r *run) inject(ctx context.Context) error {
+	sleep(ctx, settleAfter)
+	for range max(1, r.spec.Rounds) {
+		errs := make([]error, len(r.spec.Faults))
+		var wg sync.WaitGroup
+		for i, f := range r.spec.Faults {
+			wg.Go(func() {
+				if err := f.Inject(ctx, r, r.spec.Hold); err != nil {
+					errs[i] = fmt.Errorf("%s: %w", f.Name, err)
+				}
+			})
+		}
+		wg.Wait()
+		if err := errors.Join(errs...); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// daemon returns the address of a daemon that the balancer would choose.
+func (r *run) daemon(rng *rand.Rand) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	start := rng.IntN(len(r.live))
+	for i := range r.live {
+		if dm := r.live[(start+i)%len(r.live)].dm; dm.Ready() {
+			return dm.Addr()
+		}
+	}
+	return r.live[start].dm.Addr()
+}
+
+// take removes a daemon from the balancer.
+func (r *run) take() (*daemon.Daemon, string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	i := r.rng.IntN(len(r.live))
+	l := r.live[i]
+	r.live = append(r.live[:i:i], r.live[i+1:]...)
+	return l.dm, l.id
+}
+
+func (r *run) addDaemon(ctx context.Context) error {
+	r.mu.Lock()
+	r.number++
+	id := fmt.Sprintf("entry-%d", r.number)
+	domain := []string{local.SampleDomainA, local.SampleDomainB}[r.number%2]
+	r.mu.Unlock()
+	dm, err := r.dep.AddDaemon(r.dep.Settings(id, domain))
+	if err != nil {
+		return err
+	}
+	if err := local.Wait(ctx, dm.Ready); err != nil {
+		return fmt.Errorf("daemon %s is not ready: %w", id, err)
+	}
+	r.mu.Lock()
+	r.live = append(r.live, liveDaemon{id, dm})
+	r.mu.Unlock()
+	return nil
+}
+
+func (r *run) engineName() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.engines[r.rng.IntN(len(r.engines))]
+}
+
+func (r *run) engine() *standin.Engine { return r.dep.Engines[r.engineName()] }
+
+func (r *run) plain() *standin.Plain {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.dep.Plains["lots-"+[]string{local.SampleDomainA, local.SampleDomainB}[r.rng.IntN(2)]]
+}
+
+// publish stores the sample configuration with a change as the next revision, as an operator does: it repeats the
+// command while the service is down and after a conflict.
+func (r *run) publish(ctx context.Context, change func(*object.Set)) error {
+	set := local.SampleSet()
+	change(&set)
+	for {
+		_, err := r.dep.Publish(ctx, set)
+		if err == nil || !errors.Is(err, kv.ErrUnavailable) && !errors.Is(err, kv.ErrConflict) {
+			return err
+		}
+		if !sleep(ctx, deliveryPause) {
+			return ctx.Err()
+		}
+	}
+}
+
+// watchRevisions records each daemon whose revision goes back.
+func (r *run) watchRevisions() (stop func()) {
+	done, ended := make(chan struct{}), make(chan struct{})
+	seen := map[string]config.Revision{}
+	go func() {
+		defer close(ended)
+		for {
+			r.mu.Lock()
+			live := append([]liveDaemon(nil), r.live...)
+			r.mu.Unlock()
+			for _, l := range live {
+				rev := l.dm.Revision()
+				if last := seen[l.id]; last.Newer(rev) {
+					r.record.revision = append(r.record.revision, fmt.Sprintf("%s went from revision %d back to %d", l.id, last.Number, rev.Number))
+				}
+				seen[l.id] = rev
+			}
+			select {
+			case <-done:
+				return
+			case <-time.After(revisionPoll):
+			}
+		}
+	}()
+	return func() { close(done); <-ended }
+}
+
+func (r *run) drain(ctx context.Context) error {
+	for _, l := range r.live {
+		if err := l.dm.Drain(ctx); err != nil {
+			return fmt.Errorf("drain %s: %w", l.id, err)
+		}
+	}
+	return nil
+}
+
+func (r *run) bills(ctx context.Context) (map[string]ledger.Bill, error) {
+	list, err := ledger.Read(ctx, r.dep.Platform.KV)
+	if err != nil {
+		return nil, err
+	}
+	bills := map[string]ledger.Bill{}
+	for _, b := range list {
+		bills[b.ID] = b
+	}
+	return bills, nil
+}
--- a/choose/choose.go
+++ b/choose/choose.go
@@ -54,6 +54,9 @@
 
 // Do returns the candidates, the preferred one first.
 func (f *Filter) Do(in Input) ([]Candidate, error) {
+	if c, err := continued(in); c != nil || err != nil {
+		return c, err
+	}
 	models, err := models(in)
 	if err != nil {
 		return nil, err
@@ -81,6 +84,23 @@
 	return list, nil
 }
 
+// continued returns the version that answered the session last, if the caller leaves the model open. Earlier versions of
+// the session don't count: it would go back to one of them when a withdrawal is undone.
+func continued(in Input) ([]Candidate, error) {
+	if in.Model != AutoModel || len(in.Session.Versions) == 0 {
+		return nil, nil
+	}
+	last := in.View.Versions[in.Session.Versions[len(in.Session.Versions)-1]]
+	if last == nil || !slices.Contains(in.Team.Models, last.Model) {
+		return nil, nil
+	}
+	v, err := pinned(in, last.Model)
+	if v == nil || err != nil {
+		return nil, err
+	}
+	return []Candidate{{Service: in.View.Models[v.Model].Service, Version: v}}, nil
+}
+
 // models returns the names of the models that the request may use.
 func models(in Input) ([]string, error) {
 	if in.Model == AutoModel {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -196,6 +196,9 @@
 // OperatorAddr returns the operators' address.
 func (d *Daemon) OperatorAddr() string { return d.ops.addr }
 
+// Revision returns the configuration revision in force.
+func (d *Daemon) Revision() config.Revision { return d.config.Revision() }
+
 // Ready reports whether the balancer may send requests: the daemon has a configuration and a host list and is not
 // leaving.
 func (d *Daemon) Ready() bool {
--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -23,6 +23,7 @@
 
 	room     room
 	reserved bool
+	boot     string // endpoint's boot identity when the attempt began
 	stream   engine.Stream
 	ctxCall  context.Context // context of stream
 	cancel   context.CancelCauseFunc
@@ -90,6 +91,7 @@
 			if err := a.open(); err != nil {
 				return engine.Event{}, err
 			}
+			continue // a failed attempt that may be repeated leaves no stream
 		}
 		ev, err := a.read()
 		switch {
@@ -135,6 +137,7 @@
 		return a.withRan(err)
 	}
 	a.room, a.reserved, a.served = r, true, r.candidate.Version
+	a.boot = r.Boot()
 	a.attempts++
 	a.callID = callID(a.in.RequestID, a.attempts)
 	a.trace = append(a.trace, Attempt{Endpoint: r.ID, Version: r.candidate.Version.Name})
@@ -192,6 +195,7 @@
 		return err
 	}
 	a.stream, a.ctxCall, a.cancel, a.timer = s, ctx, cancel, timer
+	a.boot = s.Boot()
 	now := a.filter.spec.Now()
 	a.room.Opened(s.Boot(), now.Sub(start), now)
 	return nil
@@ -253,13 +257,12 @@
 // resume asks the same endpoint for the rest of the stream on a new connection. If the endpoint has started anew or
 // can't be reached, the crash is recorded and resume returns false.
 func (a *Answer) resume(cause error) bool {
-	boot := a.room.Boot()
 	ctx, cancel := context.WithTimeout(a.ctx, probeLimit)
 	defer cancel()
 	load, err := a.filter.spec.Client.Load(ctx, a.room.Addr)
-	if err != nil || load.Boot != boot {
+	if err != nil || load.Boot != a.boot {
 		if errors.Is(cause, engine.ErrBroken) {
-			a.recordCrash(boot)
+			a.recordCrash()
 		}
 		return false
 	}
@@ -278,12 +281,8 @@
 	return err == nil
 }
 
-// recordCrash blames this request for a crash unless a request that ran in isolation is the cause.
-func (a *Answer) recordCrash(boot string) {
-	if a.room.BesideSuspect() {
-		return
-	}
-	r := poison.Record{Fingerprint: a.in.Fingerprint, Crash: a.room.ID + "/" + boot, Isolated: a.room.Isolated()}
+func (a *Answer) recordCrash() {
+	r := poison.Record{Fingerprint: a.in.Fingerprint, Crash: a.room.ID + "/" + a.boot}
 	if a.filter.spec.Poison.Add(r, a.filter.spec.Now()) {
 		a.filter.spec.OnCrash(r)
 	}
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -108,11 +108,8 @@
 func (c *streamCaller) Begin(status int, h http.Header) error {
 	h = h.Clone()
 	h.Set("Transfer-Encoding", "chunked")
-	if err := c.sendHeader(status, h, nil); err != nil {
-		return err
-	}
 	c.body = httputil.NewChunkedWriter(deadlineWriter{c})
-	return nil
+	return c.sendHeader(status, h, nil)
 }
 
 func (c *streamCaller) sendHeader(status int, h http.Header, body []byte) error {
--- a/local/deployment.go
+++ b/local/deployment.go
@@ -13,6 +13,7 @@
 	"github.com/bramleytrail/bramleytrail/daemon"
 	"github.com/bramleytrail/bramleytrail/declare"
 	"github.com/bramleytrail/bramleytrail/hostlist"
+	"github.com/bramleytrail/bramleytrail/kv"
 	"github.com/bramleytrail/bramleytrail/object"
 	"github.com/bramleytrail/bramleytrail/settings"
 	"github.com/bramleytrail/bramleytrail/standin"
@@ -34,7 +35,6 @@
 
 	platform *standin.Server
 	servers  map[string]*standin.Server
-	revision uint64
 }
 
 // New starts the platform.
@@ -103,23 +103,28 @@
 	return dm, nil
 }
 
-// Publish stores a set as the next revision.
+// Publish stores a set as the next revision. It fails with kv.ErrConflict if another revision is stored at the same time.
 func (d *Deployment) Publish(ctx context.Context, set object.Set) (config.Revision, error) {
 	body, digest, err := declare.Encode(set)
 	if err != nil {
 		return config.Revision{}, err
 	}
-	d.revision++
-	rev := config.Revision{Number: d.revision, Digest: digest, Publisher: "local", Published: time.Now().UTC(), Body: body}
+	stored, err := d.Platform.KV.Get(ctx, config.Key)
+	if err != nil && !errors.Is(err, kv.ErrNotFound) {
+		return config.Revision{}, err
+	}
+	var last config.Revision
+	if err == nil {
+		if last, err = config.UnmarshalRevision(stored.Value); err != nil {
+			return config.Revision{}, err
+		}
+	}
+	rev := config.Revision{Number: last.Number + 1, Digest: digest, Publisher: "local", Published: time.Now().UTC(), Body: body}
 	data, err := rev.Marshal()
 	if err != nil {
 		return rev, err
 	}
-	prev := uint64(0)
-	if e, err := d.Platform.KV.Get(ctx, config.Key); err == nil {
-		prev = e.Revision
-	}
-	_, err = d.Platform.KV.CAS(ctx, config.Key, data, prev, 0)
+	_, err = d.Platform.KV.CAS(ctx, config.Key, data, stored.Revision, 0)
 	return rev, err
 }
 
--- a/peer/node.go
+++ b/peer/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/rpc"
@@ -96,7 +97,7 @@
 	_ = n.listener.Close() // ends accept
 	n.mu.Lock()
 	n.closed = true
-	links := n.links
+	links := slices.Collect(maps.Values(n.links))
 	for c := range n.conns {
 		_ = c.Close() // ends the connection's goroutine
 	}
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -2,8 +2,8 @@
 // of endpoints across all daemons.
 //
 // A crash interrupts every request at the endpoint, and only one of them may be the cause. A request that was present at
-// one crash is sent elsewhere like any other; after two it runs only where no other such request runs, so that a third
-// crash has one possible cause and clears the other requests that were interrupted by it.
+// one crash is sent elsewhere like any other; after two it runs only where no other such request runs, so that one
+// request that crashes endpoints can't take a harmless one with it to its third crash.
 package poison
 
 import (
@@ -30,8 +30,6 @@
 type Record struct {
 	Fingerprint uint64
 	Crash       string // endpoint and its boot identity
-	// Isolated says that the request was the only one that could have caused the crash.
-	Isolated bool
 }
 
 // Fingerprint identifies a request's content, so that a repeat through another host has the same one.
@@ -46,9 +44,6 @@
 // Table holds the known crashes.
 type Table struct {
 	shards [shardCount]shard
-
-	mu       sync.Mutex
-	resolved map[string]time.Time // crashes whose cause is known, with their expiry
 }
 
 type shard struct {
@@ -64,7 +59,7 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	t := &Table{resolved: map[string]time.Time{}}
+	t := &Table{}
 	for i := range t.shards {
 		t.shards[i].records = map[uint64]*history{}
 	}
@@ -73,11 +68,6 @@
 
 // Add records a crash and reports whether that was new.
 func (t *Table) Add(r Record, now time.Time) bool {
-	if r.Isolated {
-		t.resolve(r, now)
-	} else if t.isResolved(r.Crash, now) {
-		return false
-	}
 	s := &t.shards[r.Fingerprint%shardCount]
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -88,46 +78,13 @@
 		s.records[r.Fingerprint] = h
 	}
 	h.expires = now.Add(recordTTL)
-	if slices.ContainsFunc(h.crashes, func(c Record) bool { return c.Crash == r.Crash }) {
+	if slices.Contains(h.crashes, r) {
 		return false
 	}
 	h.crashes = append(h.crashes, r)
 	return true
 }
 
-// resolve clears the other requests that were present at a crash whose cause is known.
-func (t *Table) resolve(r Record, now time.Time) {
-	t.mu.Lock()
-	for crash, expires := range t.resolved {
-		if now.After(expires) {
-			delete(t.resolved, crash)
-		}
-	}
-	t.resolved[r.Crash] = now.Add(recordTTL)
-	t.mu.Unlock()
-	for i := range t.shards {
-		s := &t.shards[i]
-		s.mu.Lock()
-		for fp, h := range s.records {
-			if fp == r.Fingerprint {
-				continue
-			}
-			h.crashes = slices.DeleteFunc(h.crashes, func(c Record) bool { return c.Crash == r.Crash })
-			if len(h.crashes) == 0 {
-				delete(s.records, fp)
-			}
-		}
-		s.mu.Unlock()
-	}
-}
-
-func (t *Table) isResolved(crash string, now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	expires, ok := t.resolved[crash]
-	return ok && !now.After(expires)
-}
-
 // trim drops expired records, and any record if the shard is full.
 func (s *shard) trim(now time.Time) {
 	for fp, h := range s.records {
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -294,20 +294,6 @@
 	return r.e.boot
 }
 
-// Isolated reports whether the request is the only suspect of all daemons at its endpoint.
-func (r *Reservation) Isolated() bool {
-	r.e.mu.Lock()
-	defer r.e.mu.Unlock()
-	return r.suspect && r.e.pos.current.rank == 0
-}
-
-// BesideSuspect reports whether another request at the endpoint is the only suspect there.
-func (r *Reservation) BesideSuspect() bool {
-	r.e.mu.Lock()
-	defer r.e.mu.Unlock()
-	return !r.suspect && r.e.suspects > 0 && r.e.pos.current.rank == 0
-}
-
 // HasRankZero reports whether this daemon has the first rank at an endpoint that serves the version.
 func (p *Pool) HasRankZero(service, version string) bool {
 	for _, e := range p.table.Load().groups[groupKey{service, version}] {
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -41,8 +41,21 @@
 	Version string
 	Tokens  int64 // generated so far
 	Done    bool
+	Started time.Time
+	Prompt  string
 }
 
+// Cause of a crash.
+type Cause string
+
+// Causes of a crash.
+const (
+	CauseForced Cause = "forced"
+	CausePrompt Cause = "prompt" // a prompt that CrashOn names
+	CauseCold   Cause = "cold"   // more requests than a cold engine can bear
+	CauseMemory Cause = "memory" // more tokens held than fit
+)
+
 // Engine is a fake model engine with fault injection.
 type Engine struct {
 	spec EngineSpec
@@ -67,6 +80,7 @@
 	events    []engine.CacheEvent
 	eventSeq  uint64
 	sessions  map[string][]byte
+	causes    map[Cause]int
 	reset     chan struct{} // closed when the engine crashes
 	changed   chan struct{} // closed when a fault setting changes
 }
@@ -91,6 +105,7 @@
 		versions: slices.Clone(spec.Versions),
 		streams:  map[string]*generation{},
 		sessions: map[string][]byte{},
+		causes:   map[Cause]int{},
 		reset:    make(chan struct{}),
 		changed:  make(chan struct{}),
 	}
@@ -159,7 +174,7 @@
 	}
 	prompt := string(req.Messages)
 	g := &generation{
-		run:    &Run{ID: id, Engine: e.spec.Name, Version: req.Model},
+		run:    &Run{ID: id, Engine: e.spec.Name, Version: req.Model, Started: time.Now(), Prompt: prompt},
 		prompt: prompt, limit: e.answerTokens(req.MaxTokens), input: int64(len(prompt)) / bytesPerToken,
 		boot: e.boot, reset: e.reset,
 	}
@@ -173,12 +188,14 @@
 	e.cachePrefix(prompt)
 	cold := e.completed < int64(e.spec.WarmAfter)
 	switch {
-	case e.crashOn != "" && strings.Contains(prompt, e.crashOn),
-		cold && e.spec.ColdSlots > 0 && e.running > e.spec.ColdSlots,
-		e.spec.TokensMax > 0 && e.held > e.spec.TokensMax:
-		e.crash()
+	case e.crashOn != "" && strings.Contains(prompt, e.crashOn):
+		e.crash(CausePrompt)
+	case cold && e.spec.ColdSlots > 0 && e.running > e.spec.ColdSlots:
+		e.crash(CauseCold)
+	case e.spec.TokensMax > 0 && e.held > e.spec.TokensMax:
+		e.crash(CauseMemory)
 	}
-	if e.failEvery > 0 {
+	if e.failEvery > 0 && e.boot == g.boot {
 		e.failCount++
 		if e.failCount%e.failEvery == 0 {
 			e.release(g)
@@ -211,7 +228,8 @@
 }
 
 // crash drops every connection and starts the engine anew, cold. The caller holds the lock.
-func (e *Engine) crash() {
+func (e *Engine) crash(c Cause) {
+	e.causes[c]++
 	close(e.reset)
 	e.reset = make(chan struct{})
 	e.boot++
--- a/standin/enginecontrol.go
+++ b/standin/enginecontrol.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -111,7 +112,7 @@
 func (e *Engine) SetDown(down bool) {
 	e.set(func() {
 		if down {
-			e.crash()
+			e.crash(CauseForced)
 		}
 		e.down = down
 	})
@@ -124,7 +125,7 @@
 func (e *Engine) FailEvery(n int) { e.set(func() { e.failEvery = n }) }
 
 // Crash restarts the engine, cold.
-func (e *Engine) Crash() { e.set(e.crash) }
+func (e *Engine) Crash() { e.set(func() { e.crash(CauseForced) }) }
 
 // DropEvents removes the cache events that no reader has fetched yet, so that their sequence numbers have a gap.
 func (e *Engine) DropEvents() { e.set(func() { e.events = nil }) }
@@ -155,6 +156,13 @@
 	return slices.Clone(e.orders)
 }
 
+// Crashes returns the number of crashes by cause.
+func (e *Engine) Crashes() map[Cause]int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return maps.Clone(e.causes)
+}
+
 // Boots returns the number of starts.
 func (e *Engine) Boots() int {
 	e.mu.Lock()
--- a/standin/plain.go
+++ b/standin/plain.go
@@ -17,6 +17,7 @@
 	Method string
 	Path   string
 	Body   string
+	Team   string
 }
 
 // Plain is a fake plain service with fault injection.
@@ -77,7 +78,7 @@
 		return
 	}
 	p.mu.Lock()
-	p.runs = append(p.runs, PlainRun{Key: r.Header.Get("Idempotency-Key"), Method: r.Method, Path: r.URL.RequestURI(), Body: string(body)})
+	p.runs = append(p.runs, PlainRun{Key: r.Header.Get("Idempotency-Key"), Method: r.Method, Path: r.URL.RequestURI(), Body: string(body), Team: r.Header.Get("Bramley-Team")})
 	drop, hold := p.dropReply > 0, p.hold
 	if drop {
 		p.dropReply--
