--- a/chaos/check.go
+++ b/chaos/check.go
@@ -83,6 +83,9 @@
 // checkAnswers: a caller receives the whole answer to its own request, and no request is lost.
 func (c *checker) checkAnswers(req *Request) {
 	for _, d := range req.Deliveries {
+		if d.Cut && !c.run.record.killed[d.Daemon] {
+			c.fail("%s %q was cut off by a daemon that was not killed", req.Kind, req.Key)
+		}
 		if !d.Complete || d.Status != http.StatusOK || req.Kind == KindRelease {
 			continue
 		}
--- a/chaos/fault.go
+++ b/chaos/fault.go
@@ -85,8 +85,8 @@
 	return nil
 }
 
-// edit publishes a change of the configuration, and the earlier one again after hold.
-func edit(ctx context.Context, r *run, hold time.Duration, window Window, change func(*object.Set)) error {
+// edit publishes a change of the configuration, and its reversal after hold.
+func edit(ctx context.Context, r *run, hold time.Duration, window Window, change, reversal func(*object.Set)) error {
 	if err := r.publish(ctx, change); err != nil {
 		return err
 	}
@@ -94,19 +94,27 @@
 	sleep(ctx, hold)
 	window.To = time.Now()
 	r.record.addWindow(window)
-	return r.publish(ctx, func(*object.Set) {})
+	return r.publish(ctx, reversal)
 }
 
 func domainOut(ctx context.Context, r *run, hold time.Duration) error {
-	return edit(ctx, r, hold, Window{Domain: local.SampleDomainB}, func(s *object.Set) {
-		s.FailureDomains[slices.IndexFunc(s.FailureDomains, func(d object.FailureDomain) bool { return d.Name == local.SampleDomainB })].State = object.DomainOut
-	})
+	set := func(state object.DomainState) func(*object.Set) {
+		return func(s *object.Set) {
+			i := slices.IndexFunc(s.FailureDomains, func(d object.FailureDomain) bool { return d.Name == local.SampleDomainB })
+			s.FailureDomains[i].State = state
+		}
+	}
+	return edit(ctx, r, hold, Window{Domain: local.SampleDomainB}, set(object.DomainOut), set(object.DomainIn))
 }
 
 func versionWithdrawn(ctx context.Context, r *run, hold time.Duration) error {
-	return edit(ctx, r, hold, Window{Version: local.SampleSmall}, func(s *object.Set) {
-		s.Versions[slices.IndexFunc(s.Versions, func(v object.Version) bool { return v.Name == local.SampleSmall })].State = object.VersionWithdrawn
-	})
+	set := func(state object.VersionState) func(*object.Set) {
+		return func(s *object.Set) {
+			i := slices.IndexFunc(s.Versions, func(v object.Version) bool { return v.Name == local.SampleSmall })
+			s.Versions[i].State = state
+		}
+	}
+	return edit(ctx, r, hold, Window{Version: local.SampleSmall}, set(object.VersionWithdrawn), set(object.VersionActive))
 }
 
 // publishRace lets two operators publish at the same time, several times. One of each pair meets a conflict and repeats.
@@ -125,6 +133,7 @@
 
 func daemonKilled(ctx context.Context, r *run, hold time.Duration) error {
 	dm, id := r.take()
+	r.record.addKilled(dm.Addr())
 	dm.Kill()
 	sleep(ctx, hold)
 	r.dep.Platform.Hosts.Remove(id)
--- a/chaos/record.go
+++ b/chaos/record.go
@@ -25,6 +25,7 @@
 	Ran      string // Bramley-Ran header
 	Code     string // Bramley-Code header
 	Complete bool   // the whole answer arrived
+	Cut      bool   // a stream ended without its end and without an error event
 	Text     string
 	Version  string
 	Billing  string // identity under which a complete answer is billed
@@ -71,7 +72,8 @@
 	mu       sync.Mutex
 	requests []*Request
 	windows  []Window
-	revision []string // violations of the order of revisions
+	revision []string        // violations of the order of revisions
+	killed   map[string]bool // addresses of daemons that were killed
 }
 
 func (r *Record) add(req *Request) {
@@ -85,3 +87,9 @@
 	defer r.mu.Unlock()
 	r.windows = append(r.windows, w)
 }
+
+func (r *Record) addKilled(addr string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.killed[addr] = true
+}
--- a/chaos/run.go
+++ b/chaos/run.go
@@ -10,6 +10,7 @@
 
 	"github.com/bramleytrail/bramleytrail/config"
 	"github.com/bramleytrail/bramleytrail/daemon"
+	"github.com/bramleytrail/bramleytrail/declare"
 	"github.com/bramleytrail/bramleytrail/kv"
 	"github.com/bramleytrail/bramleytrail/ledger"
 	"github.com/bramleytrail/bramleytrail/local"
@@ -69,7 +70,7 @@
 		return Report{}, err
 	}
 	defer dep.Stop()
-	r := &run{spec: spec, dep: dep, record: &Record{}, rng: rand.New(rand.NewPCG(spec.Seed, 1))}
+	r := &run{spec: spec, dep: dep, record: &Record{killed: map[string]bool{}}, rng: rand.New(rand.NewPCG(spec.Seed, 1))}
 	for _, f := range spec.Faults {
 		r.poison = r.poison || f.Name == "poison-request"
 		r.storeFaulty = r.storeFaulty || f.Name == "store-down" || f.Name == "store-slow" || f.Name == "store-replies-lost"
@@ -191,13 +192,15 @@
 	return r.dep.Plains["lots-"+[]string{local.SampleDomainA, local.SampleDomainB}[r.rng.IntN(2)]]
 }
 
-// publish stores the sample configuration with a change as the next revision, as an operator does: it repeats the
-// command while the service is down and after a conflict.
+// publish changes the configuration in force, as an operator does: it repeats the command while the service is down, and
+// merges and repeats it after a conflict.
 func (r *run) publish(ctx context.Context, change func(*object.Set)) error {
-	set := local.SampleSet()
-	change(&set)
 	for {
-		_, err := r.dep.Publish(ctx, set)
+		set, err := r.stored(ctx)
+		if err == nil {
+			change(&set)
+			_, err = r.dep.Publish(ctx, set)
+		}
 		if err == nil || !errors.Is(err, kv.ErrUnavailable) && !errors.Is(err, kv.ErrConflict) {
 			return err
 		}
@@ -207,6 +210,18 @@
 	}
 }
 
+func (r *run) stored(ctx context.Context) (object.Set, error) {
+	e, err := r.dep.Platform.KV.Get(ctx, config.Key)
+	if err != nil {
+		return object.Set{}, err
+	}
+	rev, err := config.UnmarshalRevision(e.Value)
+	if err != nil {
+		return object.Set{}, err
+	}
+	return declare.Decode(rev.Body)
+}
+
 // watchRevisions records each daemon whose revision goes back.
 func (r *run) watchRevisions() (stop func()) {
 	done, ended := make(chan struct{}), make(chan struct{})
--- a/chaos/workload.go
+++ b/chaos/workload.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -88,7 +89,7 @@
 	for range maxDeliveries {
 		d := w.deliverChat(ctx, req, body, header, rng, &session)
 		req.Deliveries = append(req.Deliveries, d)
-		if d.Complete && d.Status != 0 && d.Status < 500 && d.Status != http.StatusTooManyRequests || req.Kind == KindLeave {
+		if d.final() || req.Kind == KindLeave {
 			break
 		}
 		if !sleep(ctx, deliveryPause) {
@@ -115,6 +116,15 @@
 	return d
 }
 
+// statusCallerGone is the status of a request that was given up because its connection closed.
+const statusCallerGone = 499
+
+// final reports whether a caller would not send the request again.
+func (d *Delivery) final() bool {
+	retry := d.Status >= 500 || d.Status == http.StatusTooManyRequests || d.Status == statusCallerGone
+	return d.Complete && !retry
+}
+
 func (Delivery) header(a local.Answer, name string) string {
 	if a.Header == nil {
 		return ""
@@ -123,7 +133,7 @@
 }
 
 func delivery(addr string, a local.Answer, err error) Delivery {
-	d := Delivery{Daemon: addr, Status: a.Status, Text: a.Text, Complete: err == nil && a.Status != 0}
+	d := Delivery{Daemon: addr, Status: a.Status, Text: a.Text, Complete: err == nil && a.Status != 0, Cut: errors.Is(err, local.ErrIncomplete)}
 	d.Ran, d.Code = d.header(a, relay.HeaderRan), d.header(a, relay.HeaderCode)
 	return d
 }
--- a/local/client.go
+++ b/local/client.go
@@ -15,8 +15,8 @@
 // maxBodyBytes bounds an answer that a Client reads.
 const maxBodyBytes = 16 << 20
 
-// errIncomplete says that a stream ended without its final marker.
-var errIncomplete = errors.New("stream ended without [DONE]")
+// ErrIncomplete says that a stream ended without its final marker and without an error event.
+var ErrIncomplete = errors.New("stream ended without [DONE]")
 
 // Client is a caller that uses the standard library's HTTP client only.
 type Client struct {
@@ -160,5 +160,5 @@
 			a.Tokens = c.Usage.CompletionTokens
 		}
 	}
-	return errors.Join(lines.Err(), errIncomplete)
+	return errors.Join(lines.Err(), ErrIncomplete)
 }
