httpengine: follow no redirects

Cause: net/http sends a POST again when an endpoint answers 307 or 308, so a call that must not be repeated could run twice, and at a host that is no endpoint. Change: both clients return the redirect as the endpoint's answer; a redirect to a model stream counts as a failure of the engine.

--- a/engine/httpengine/client.go
+++ b/engine/httpengine/client.go
@@ -35,7 +35,16 @@
 // NewClient returns a client. Each non-repeatable call uses a connection of its own: net/http sends a request with an
 // Idempotency-Key header again if a kept connection turns out to be closed, which could run the call twice.
 func NewClient() *Client {
-	return &Client{shared: &http.Client{Transport: transport(false)}, single: &http.Client{Transport: transport(true)}}
+	return &Client{shared: client(false), single: client(true)}
+}
+
+// client follows no redirect: it would send the request again, possibly to a host that is no endpoint. The caller gets
+// the redirect as the endpoint's answer.
+func client(single bool) *http.Client {
+	return &http.Client{
+		Transport:     transport(single),
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
 }
 
 func transport(single bool) *http.Transport {
@@ -129,6 +138,8 @@
 	switch {
 	case status < 300:
 		return nil
+	case status < 400: // an engine has nothing to redirect to
+		return fmt.Errorf("%w: status %d", engine.ErrFailed, status)
 	case status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable:
 		return engine.ErrBusy
 	case status == http.StatusNotFound:
