dispatch: a cancelled request that was sent may have run

Cause: when the deadline passed or the caller left before the first token, the result said "not run" although the engine had the request. The claim of a request that must not be repeated was then released, and a repeat ran again. Change: the run state of a cancelled attempt is at least unknown. Conclusion: checked by TestChatThatMustNotBeRepeated in local.

--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -228,7 +228,7 @@
 	a.note(err)
 	if errors.Is(err, errCancelled) {
 		a.closeStream(err)
-		return contextError(a.ctx, a.ran)
+		return contextError(a.ctx, max(a.ran, result.RunUnknown)) // the endpoint may have the request
 	}
 	if errors.Is(err, engine.ErrRejected) {
 		a.closeStream(err)
