ledger: keep every bill in two places until it is stored

Cause, each shown by a test: two writers at a planned stop dropped an unwritten batch; a batch of 4,000 bills with long names exceeded the value limit and blocked all later ones; a holder that was lost or stopped during an outage took the only copies with it; a bill of an answered repeat was dropped when a failed delivery's bill was stored under the same name; a damaged value with a list length of 4 billion ended the process, since the msgpack library allocates the stated length; memory had no limit during an outage; an outage of an hour left 360 small batches for each daemon. Change: writes are serialised; batches are bounded by encoded bytes, and the open batch is sealed only when the earlier ones are stored; a holder confirms copies with its incarnation, and bills without a confirmed copy are copied again at each interval; a holder adopts the bills of a silent owner if it can't write them; a leaving daemon refuses copies and hands over those it can't write; announcements run beside writes and in parallel, and end when everything at a holder is stored; peers are dialled without holding a lock. The identity of a bill with an idempotency key includes the content, so that different requests under one key are billed each. One write and no read for each daemon and interval with bills. Conclusion: a bill is lost only if its owner and its holder fail within five intervals of each other.

--- a/bill/bill.go
+++ b/bill/bill.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/bramleytrail/bramleytrail/ledger"
@@ -16,6 +17,8 @@
 // Appender stores bills.
 type Appender interface {
 	Add(ctx context.Context, b ledger.Bill)
+	// Full reports whether there is no room for further bills.
+	Full() bool
 }
 
 // Filter bills requests.
@@ -33,23 +36,28 @@
 	Service   string // plain service, or "chat"
 	Key       string // idempotency key, may be empty
 	RequestID string
+	Content   uint64 // hash of the request's content
 	Code      result.Code
 	Calls     []ledger.Call
 	Now       time.Time
 }
 
-// Identity returns the identity under which a request is billed: repeats with the same idempotency key are one request.
-func Identity(team, service, key, requestID string) string {
-	if key != "" {
-		return team + "/" + service + "/key/" + key
+// Identity returns the identity under which a request is billed: repeats with the same idempotency key and the same
+// content are one request. Without the content, a caller could have many different requests billed as one.
+func Identity(in Input) string {
+	if in.Key != "" {
+		return fmt.Sprintf("%s/%s/key/%016x/%s", in.Team, in.Service, in.Content, in.Key)
 	}
-	return team + "/" + service + "/id/" + requestID
+	return in.Team + "/" + in.Service + "/id/" + in.RequestID
 }
 
+// Full reports whether no request may be admitted because there is no room for its bill.
+func (f *Filter) Full() bool { return f.ledger.Full() }
+
 // Do bills the request.
 func (f *Filter) Do(ctx context.Context, in Input) {
 	f.ledger.Add(ctx, ledger.Bill{
-		ID: Identity(in.Team, in.Service, in.Key, in.RequestID), Team: in.Team, Code: int(in.Code), Calls: in.Calls,
+		ID: Identity(in), Team: in.Team, Code: int(in.Code), Calls: in.Calls,
 		At: in.Now.UnixMilli(), Daemon: f.daemon,
 	})
 }
--- a/ctl/inspect.go
+++ b/ctl/inspect.go
@@ -109,8 +109,10 @@
 }
 
 type billsOutput struct {
-	Bills []ledger.Bill `json:"bills"`
-	Cost  int64         `json:"cost"` // micro-units
+	Bills   []ledger.Bill `json:"bills"`
+	Cost    int64         `json:"cost"`              // micro-units
+	Batches int           `json:"batches"`           // records read
+	Damaged []string      `json:"damaged,omitempty"` // keys of records that can't be decoded
 }
 
 // Execute implements flags.Commander.
@@ -119,26 +121,33 @@
 	if err != nil {
 		return err
 	}
-	all, err := ledger.Read(c.ctx, store)
+	stored, err := ledger.Inspect(c.ctx, store)
 	if err != nil {
 		return err
 	}
-	out := billsOutput{Bills: []ledger.Bill{}}
-	for _, b := range all {
+	out := billsOutput{Bills: []ledger.Bill{}, Batches: stored.Batches, Damaged: stored.Damaged}
+	for _, b := range stored.Bills {
 		if c.Team == "" || b.Team == c.Team {
 			out.Bills = append(out.Bills, b)
 			out.Cost += b.Cost()
 		}
 	}
-	return c.print(out, func(w io.Writer) {
+	err = c.print(out, func(w io.Writer) {
 		tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 		fmt.Fprintln(tw, "REQUEST\tTEAM\tRESULT\tCALLS\tCOST")
 		for _, b := range out.Bills {
 			fmt.Fprintf(tw, "%s\t%s\t%s\t%d\t%d\n", b.ID, b.Team, result.Code(b.Code), len(b.Calls), b.Cost())
 		}
 		_ = tw.Flush() // a failed write means that the reader has left
-		fmt.Fprintf(w, "%d bills, %d micro-units\n", len(out.Bills), out.Cost)
+		fmt.Fprintf(w, "%d bills, %d micro-units, from %d batches\n", len(out.Bills), out.Cost, out.Batches)
+		for _, key := range out.Damaged {
+			fmt.Fprintf(w, "damaged batch %s\n", key)
+		}
 	})
+	if err == nil && len(out.Damaged) > 0 {
+		return &exitError{code: ExitFailed}
+	}
+	return err
 }
 
 type codesCommand struct {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -218,22 +218,45 @@
 	d.leaving.Store(true)
 	d.admit.Drain()
 	waitErr := d.admit.Wait(ctx)
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
+	ctx = context.WithoutCancel(ctx)
+	storeErr := d.settle(ctx)
+	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
 	defer cancel()
-	d.claims.Close(ctx)
-	stored := d.ledger.Drain(ctx)
-	copyErr := d.copies.WriteAll(ctx)
 	shutdownErr := d.entry.Shutdown(ctx)
 	d.stop()
-	var billErr error
-	if !stored {
-		billErr = fmt.Errorf("%d bills not written; their copies are held by a peer", d.ledger.Held())
+	return errors.Join(waitErr, storeErr, shutdownErr)
+}
+
+// settle writes outcomes, bills and copies. What can't be written within stopTimeout is left with other daemons: the
+// holders of this daemon's copies learn of the last bills, and the copies kept here are handed over.
+func (d *Daemon) settle(ctx context.Context) error {
+	writeCtx, cancel := context.WithTimeout(ctx, stopTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	var stored bool
+	var copyErr error
+	wg.Go(func() { d.claims.Close(writeCtx) })
+	wg.Go(func() { stored = d.ledger.Drain(writeCtx) })
+	wg.Go(func() { copyErr = d.copies.Close(writeCtx) })
+	wg.Wait()
+	handOverCtx, cancelHandOver := context.WithTimeout(ctx, stopTimeout)
+	defer cancelHandOver()
+	d.ledger.Announce(handOverCtx)
+	if copyErr != nil {
+		d.log.WithError(copyErr).Warn("copies of bills not written; handing them over")
+		copyErr = d.copies.HandOver(handOverCtx, d.node)
 	}
-	return errors.Join(waitErr, billErr, copyErr, shutdownErr)
+	if bills, uncopied := d.ledger.Held(); !stored && uncopied > 0 {
+		copyErr = errors.Join(copyErr, fmt.Errorf("%d of %d unwritten bills have no copy", uncopied, bills))
+	}
+	return copyErr
 }
 
 // Kill closes the ports without waiting for anything, as the loss of the host does. It is for tests.
 func (d *Daemon) Kill() {
+	d.cancel()
+	d.node.Close()
+	d.claims.Close(d.ctx) // ended, so that outcomes are given up
 	_ = d.entry.Shutdown(context.Background())
 	d.stop()
 }
--- a/daemon/documents.go
+++ b/daemon/documents.go
@@ -53,7 +53,9 @@
 }
 
 // KeepBills implements peer.Handler.
-func (d *Daemon) KeepBills(c ledger.Copy) { d.copies.Keep(c, time.Now()) }
+func (d *Daemon) KeepBills(c ledger.Copy) (string, error) {
+	return d.incarnation, d.copies.Keep(c, time.Now())
+}
 
 func (d *Daemon) applyConfig(rev config.Revision) error {
 	changed, err := d.config.Offer(rev)
@@ -192,8 +194,8 @@
 	for d.ctx.Err() == nil {
 		d.sleep(d.settings.BillInterval)
 		ctx, cancel := context.WithTimeout(d.ctx, stopTimeout)
-		if err := d.copies.WriteSilent(ctx, time.Now()); err != nil && d.ctx.Err() == nil {
-			d.log.WithError(err).Warn("copies of bills not written")
+		if err := d.copies.WriteSilent(ctx, time.Now(), d.ledger.Adopt); err != nil && d.ctx.Err() == nil {
+			d.log.WithError(err).Warn("copies of bills not written; this daemon keeps them as its own")
 		}
 		cancel()
 	}
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -37,19 +37,22 @@
 	Documents   []peer.DocumentID `json:"documents"`
 	InFlight    int               `json:"inFlight"`
 	BillsHeld   int               `json:"billsHeld"`
-	CopiesHeld  int               `json:"copiesHeld"`
-	Endpoints   []pool.State      `json:"endpoints"`
-	Requests    []observe.Request `json:"requests"`
+	// BillsUncopied counts the held bills that would be lost with this daemon.
+	BillsUncopied int               `json:"billsUncopied"`
+	CopiesHeld    int               `json:"copiesHeld"`
+	Endpoints     []pool.State      `json:"endpoints"`
+	Requests      []observe.Request `json:"requests"`
 }
 
 // State returns the daemon's state. Its size is bounded.
 func (d *Daemon) State() State {
 	now := time.Now()
 	rev := d.config.Revision()
+	held, uncopied := d.ledger.Held()
 	s := State{
 		ID: d.settings.ID, Domain: d.settings.Domain, Incarnation: d.incarnation, Ready: d.Ready(), Leaving: d.leaving.Load(),
 		Revision: rev.Number, Digest: rev.Digest, Watcher: d.watcher.Load(), Peers: d.node.Peers(), Documents: d.node.Documents(),
-		InFlight: d.admit.InFlight(), BillsHeld: d.ledger.Held(), CopiesHeld: d.copies.Held(),
+		InFlight: d.admit.InFlight(), BillsHeld: held, BillsUncopied: uncopied, CopiesHeld: d.copies.Held(),
 		Endpoints: d.pool.Dump(now, maxDumpEndpoints), Requests: d.recent.Last(maxDumpRequests),
 	}
 	if l := d.list.Load(); l != nil {
@@ -121,7 +124,8 @@
 
 func (d *Daemon) registerGauges() {
 	d.metrics.Gauge("bramley_requests_in_flight", func() float64 { return float64(d.admit.InFlight()) })
-	d.metrics.Gauge("bramley_bills_held", func() float64 { return float64(d.ledger.Held()) })
+	d.metrics.Gauge("bramley_bills_held", func() float64 { held, _ := d.ledger.Held(); return float64(held) })
+	d.metrics.Gauge("bramley_bills_held_uncopied", func() float64 { _, uncopied := d.ledger.Held(); return float64(uncopied) })
 	d.metrics.Gauge("bramley_bill_copies_held", func() float64 { return float64(d.copies.Held()) })
 	d.metrics.Gauge("bramley_config_revision", func() float64 { return float64(d.config.Revision().Number) })
 	d.metrics.Gauge("bramley_peers", func() float64 { return float64(len(d.node.Peers())) })
--- a/ledger/bill.go
+++ b/ledger/bill.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"slices"
 	"time"
-
-	"github.com/vmihailenco/msgpack/v5"
 )
 
 // Prefix of batch keys in the key-value service.
@@ -20,12 +18,15 @@
 	Cost    int64  `msgpack:"c" json:"cost"`    // micro-units
 }
 
+// Calls are the calls of one request.
+type Calls []Call
+
 // Bill is the entry of one request. Requests with equal identities are one request.
 type Bill struct {
 	ID    string `msgpack:"r" json:"id"`
 	Team  string `msgpack:"t" json:"team"`
 	Code  int    `msgpack:"s" json:"code"` // result code
-	Calls []Call `msgpack:"l" json:"calls"`
+	Calls Calls  `msgpack:"l" json:"calls"`
 	// At is the time of the end of the answer, in Unix milliseconds.
 	At     int64  `msgpack:"a" json:"at"`
 	Daemon string `msgpack:"d" json:"daemon"`
@@ -55,20 +56,38 @@
 	return fmt.Sprintf("%s%s/%s/%012d", Prefix, id.Domain, id.Incarnation, id.Seq)
 }
 
-func encodeBills(bills []Bill) ([]byte, error) {
-	data, err := msgpack.Marshal(bills)
-	if err != nil {
-		return nil, fmt.Errorf("encode bills: %w", err)
-	}
-	return data, nil
+// billKey tells the bills of one identity apart.
+type billKey struct {
+	id     string
+	at     int64
+	code   int
+	daemon string
 }
 
-func decodeBills(data []byte) ([]Bill, error) {
-	var bills []Bill
-	if err := msgpack.Unmarshal(data, &bills); err != nil {
-		return nil, fmt.Errorf("decode bills: %w", err)
+func (b *Bill) key() billKey { return billKey{b.ID, b.At, b.Code, b.Daemon} }
+
+const (
+	// boundOfBill and boundOfCall are upper bounds of the encoded size without the strings: each field takes 2 bytes for
+	// its name, a string or list takes up to 5 bytes for its length, and a number up to 9.
+	boundOfBill = 64
+	boundOfCall = 48
+	// structOfBill and structOfCall are sizes in memory without the strings, with the name of the copy's holder.
+	structOfBill = 104
+	structOfCall = 40
+)
+
+// encodedBound returns an upper bound of the encoded size, in bytes.
+func (b *Bill) encodedBound() int { return b.size(boundOfBill, boundOfCall) }
+
+// memory returns the size in memory, in bytes.
+func (b *Bill) memory() int { return b.size(structOfBill, structOfCall) }
+
+func (b *Bill) size(fixed, call int) int {
+	n := fixed + len(b.ID) + len(b.Team) + len(b.Daemon) + call*len(b.Calls)
+	for i := range b.Calls {
+		n += len(b.Calls[i].Version)
 	}
-	return bills, nil
+	return n
 }
 
 // Merge returns one bill for each identity, ordered by identity. Among bills of the same request, a completed answer
@@ -94,18 +113,3 @@
 	}
 	return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.Daemon, b.Daemon)) < 0
 }
-
-// missing returns the bills of want whose identity is not in have.
-func missing(want, have []Bill) []Bill {
-	ids := make(map[string]bool, len(have))
-	for _, b := range have {
-		ids[b.ID] = true
-	}
-	var out []Bill
-	for _, b := range want {
-		if !ids[b.ID] {
-			out = append(out, b)
-		}
-	}
-	return out
-}
--- a/peer/client.go
+++ b/peer/client.go
@@ -32,17 +32,26 @@
 	return now.Sub(l.failed) < downTime
 }
 
-func (l *link) connect() (*rpc.Client, error) {
+// connect returns the connection, or makes one. The lock is not held meanwhile: a host that does not answer would block
+// every choice of peers.
+func (l *link) connect(ctx context.Context) (*rpc.Client, error) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.client != nil {
-		return l.client, nil
+	client := l.client
+	l.mu.Unlock()
+	if client != nil {
+		return client, nil
 	}
-	conn, err := net.DialTimeout("tcp", l.addr, dialTimeout)
+	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", l.addr)
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if err != nil {
 		l.failed = time.Now()
 		return nil, fmt.Errorf("peer %s: %w", l.addr, err)
 	}
+	if l.client != nil { // another call was faster
+		_ = conn.Close()
+		return l.client, nil
+	}
 	l.client = rpc.NewClient(conn)
 	return l.client, nil
 }
@@ -70,12 +79,12 @@
 
 // call calls a method of the peer within callTimeout.
 func (l *link) call(ctx context.Context, method string, args, reply any) error {
-	c, err := l.connect()
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	c, err := l.connect(ctx)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	done := c.Go(serviceName+"."+method, args, reply, make(chan *rpc.Call, 1)).Done
 	select {
 	case call := <-done:
--- a/peer/message.go
+++ b/peer/message.go
@@ -52,5 +52,8 @@
 // BillsArgs carries copies of bills.
 type BillsArgs struct{ Copy ledger.Copy }
 
+// BillsReply names the incarnation that keeps the copies. A daemon that was started again has lost them and has another.
+type BillsReply struct{ Holder string }
+
 // Empty is a reply without content.
 type Empty struct{}
--- a/peer/node.go
+++ b/peer/node.go
@@ -21,8 +21,6 @@
 const (
 	digestInterval = time.Second
 	digestJitter   = 200 * time.Millisecond
-	// holderTTL is the time for which a daemon that received copies of bills is told that this daemon lives.
-	holderTTL = 10 * time.Minute
 )
 
 // ErrNoPeer says that no other daemon can be reached.
@@ -33,8 +31,9 @@
 	// OfferDocument is called with a document that is newer than the node's. It returns an error if the document must
 	// not be kept or spread.
 	OfferDocument(Document) error
-	// KeepBills stores copies of another daemon's bills.
-	KeepBills(ledger.Copy)
+	// KeepBills stores copies of another daemon's bills and returns this daemon's incarnation, or an error if it keeps
+	// no copies.
+	KeepBills(ledger.Copy) (string, error)
 }
 
 // Spec configures a Node.
@@ -60,8 +59,8 @@
 	links   map[string]*link
 	conns   map[net.Conn]bool
 	next    int
-	holders map[string]time.Time // addresses of daemons that hold copies of bills
-	started bool                 // the first digest was answered
+	holders map[string]holder // by address
+	started bool              // the first digest was answered
 	closed  bool
 
 	offering sync.Mutex // serialises documents
@@ -75,7 +74,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
 		spec: spec, listener: ln, server: rpc.NewServer(), docs: map[string]Document{}, links: map[string]*link{},
-		conns: map[net.Conn]bool{}, holders: map[string]time.Time{}, ctx: ctx, cancel: cancel,
+		conns: map[net.Conn]bool{}, holders: map[string]holder{}, ctx: ctx, cancel: cancel,
 	}
 	if err := n.server.RegisterName(serviceName, &service{n}); err != nil {
 		cancel()
@@ -291,64 +290,3 @@
 		})
 	}
 }
-
-// CopyBills implements ledger.Replicator. It prefers daemons of other failure domains, then those of other racks.
-func (n *Node) CopyBills(ctx context.Context, c ledger.Copy) error {
-	err := ErrNoPeer
-	for _, addr := range n.copyTargets() {
-		if ctx.Err() != nil {
-			return ctx.Err()
-		}
-		if err = n.link(addr).call(ctx, "CopyBills", BillsArgs{c}, &Empty{}); err == nil {
-			n.mu.Lock()
-			n.holders[addr] = n.spec.Now()
-			n.mu.Unlock()
-			return nil
-		}
-	}
-	return err
-}
-
-// AnnounceBills implements ledger.Replicator.
-func (n *Node) AnnounceBills(ctx context.Context, c ledger.Copy) {
-	now := n.spec.Now()
-	n.mu.Lock()
-	var addrs []string
-	for addr, used := range n.holders {
-		if now.Sub(used) > holderTTL {
-			delete(n.holders, addr)
-			continue
-		}
-		addrs = append(addrs, addr)
-	}
-	n.mu.Unlock()
-	for _, addr := range addrs {
-		if err := n.link(addr).call(ctx, "CopyBills", BillsArgs{c}, &Empty{}); err != nil {
-			n.spec.Log.WithError(err).Debug("bill announcement not delivered")
-		}
-	}
-}
-
-// maxCopyTargets bounds the daemons that are tried for one copy.
-const maxCopyTargets = 3
-
-func (n *Node) copyTargets() []string {
-	now := n.spec.Now()
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	var out []string
-	add := func(list []member, ok func(member) bool) {
-		for _, m := range list {
-			if len(out) < maxCopyTargets && ok(m) && !slices.Contains(out, m.Addr) && !n.linkLocked(m.Addr).down(now) {
-				out = append(out, m.Addr)
-				return
-			}
-		}
-	}
-	for _, d := range domainsAfter(n.spec.Self.Domain, n.remote) {
-		add(n.remote[d], func(m member) bool { return m.State == hostlist.StateLive })
-	}
-	add(n.local, func(m member) bool { return m.Rack != n.spec.Self.Rack })
-	add(n.local, func(member) bool { return true })
-	return out
-}
--- a/peer/service.go
+++ b/peer/service.go
@@ -46,7 +46,8 @@
 }
 
 // CopyBills keeps copies of a peer's bills.
-func (s *service) CopyBills(args BillsArgs, _ *Empty) error {
-	s.node.spec.Handler.KeepBills(args.Copy)
-	return nil
+func (s *service) CopyBills(args BillsArgs, reply *BillsReply) error {
+	holder, err := s.node.spec.Handler.KeepBills(args.Copy)
+	reply.Holder = holder
+	return err
 }
