claim: settle late writes, outcomes and lookups

Change: a claim that is given back is marked, not deleted, which also defeats late writes; it takes one write and no read. Names use the hash of the key, as the design says. Lookups never report a run state but unknown unless an outcome is stored, and accept the key in a header. A claim that has been running for longer than any deadline is reported as unknown. Answers to claimed calls carry Bramley-Claim. A claimed call goes on when its caller leaves. A call that was sent without an answer is billed at no cost. Two writes and no read for each claimed call without faults.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -6,11 +6,12 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
-	"net/url"
 	"sync"
 	"time"
 
@@ -32,16 +33,23 @@
 	Running State = "running" // recorded, and the call may have been sent
 	Done    State = "done"    // the endpoint answered
 	Unknown State = "unknown" // the call was sent and gave no answer
+	// Released says that the owner gave the claim back without sending the call. A repeat may replace the record.
+	Released State = "released"
 )
 
 const (
 	// MaxBody is the largest answer body that a claim keeps for repeats.
-	MaxBody       = 64 << 10
-	readBackTries = 3
-	readBackPause = 50 * time.Millisecond
-	runningRetry  = time.Second
-	storeRetry    = 2 * time.Second
-	finishPause   = 500 * time.Millisecond
+	MaxBody      = 64 << 10
+	acquireTries = 4
+	acquirePause = 50 * time.Millisecond
+	storeRetry   = 2 * time.Second
+	finishPause  = 500 * time.Millisecond
+	// A repeat of a running call is told to come back after a quarter of the claim's age, within these limits.
+	minRunningRetry = time.Second
+	maxRunningRetry = time.Minute
+	// runningLimit is the longest deadline that a caller may state. A claim that is still running after it belongs to an
+	// owner that ended without recording an outcome.
+	runningLimit = 24 * time.Hour
 	// finishLimit is the time for which a daemon tries to record an outcome while the service is down.
 	finishLimit = 30 * time.Minute
 )
@@ -49,6 +57,7 @@
 // Record is the stored form of a claim.
 type Record struct {
 	State    State       `json:"state"`
+	Key      string      `json:"key"` // idempotency key; the name of the record holds its hash
 	Nonce    string      `json:"nonce"`
 	Owner    string      `json:"owner"`
 	Request  uint64      `json:"request"` // hash of method, path and body
@@ -112,9 +121,11 @@
 	return d.Sum64()
 }
 
-// StoreKey returns the key of a claim.
+// StoreKey returns the name of a claim in the key-value service. The idempotency key is hashed: it may hold any bytes, and
+// names stay short.
 func StoreKey(service, team, key string) string {
-	return Prefix + service + "/" + team + "/" + url.QueryEscape(key)
+	sum := sha256.Sum256([]byte(key))
+	return Prefix + service + "/" + team + "/" + hex.EncodeToString(sum[:])
 }
 
 // Claim is the right to send a call once.
@@ -126,7 +137,8 @@
 	closed bool
 }
 
-// Do makes a claim. If the call already ran, it returns the recorded outcome instead and no claim.
+// Do makes a claim. If the call already ran, it returns the recorded outcome instead and no claim. An error with
+// result.NotRun says that this delivery was not sent; an earlier one with the same key may have run.
 func (f *Filter) Do(ctx context.Context, in Input) (*Claim, *Record, error) {
 	if in.Key == "" {
 		return nil, nil, result.Newf(result.KeyRequired, "")
@@ -135,18 +147,9 @@
 		return nil, nil, result.Newf(result.ClaimBudget, "").WithRetry(storeRetry)
 	}
 	c := &Claim{filter: f, key: StoreKey(in.Service, in.Team, in.Key), record: Record{
-		State: Running, Nonce: rand.Text(), Owner: f.spec.Owner, Request: in.Request, At: f.spec.Now(),
+		State: Running, Key: in.Key, Nonce: rand.Text(), Owner: f.spec.Owner, Request: in.Request, At: f.spec.Now(),
 	}}
-	rev, err := f.write(ctx, c.key, c.record, 0)
-	switch {
-	case err == nil:
-		c.rev = rev
-		return c, nil, nil
-	case errors.Is(err, kv.ErrConflict):
-		return f.existing(ctx, c)
-	default:
-		return f.readBack(ctx, c, err)
-	}
+	return f.acquire(ctx, c)
 }
 
 func (f *Filter) write(ctx context.Context, key string, r Record, prev uint64) (uint64, error) {
@@ -158,89 +161,108 @@
 }
 
 func (f *Filter) read(ctx context.Context, key string) (Record, uint64, error) {
-	var r Record
 	e, err := f.spec.Store.Get(ctx, key)
 	if err != nil {
-		return r, 0, err
+		return Record{}, 0, err
 	}
-	if err := json.Unmarshal(e.Value, &r); err != nil {
-		return r, 0, fmt.Errorf("decode claim: %w", err)
+	r, err := decode(e.Value)
+	return r, e.Revision, err
+}
+
+func decode(data []byte) (Record, error) {
+	var r Record
+	if err := json.Unmarshal(data, &r); err != nil {
+		return r, fmt.Errorf("decode claim: %w", err)
 	}
-	return r, e.Revision, nil
+	return r, nil
 }
 
-// readBack settles a write whose answer was lost: the write took effect if the stored nonce is the claim's own. As long
-// as that is not known, the call is not sent.
-func (f *Filter) readBack(ctx context.Context, c *Claim, cause error) (*Claim, *Record, error) {
-	for try := range readBackTries {
-		if try > 0 && !sleep(ctx, readBackPause) {
+// acquire writes the claim. A write without an answer or with a conflict is settled by reading back: it took effect if
+// the stored nonce is the claim's own. As long as that is not known, the call is not sent.
+func (f *Filter) acquire(ctx context.Context, c *Claim) (*Claim, *Record, error) {
+	var cause error
+	conflict, uncertain, write, prev := false, false, true, uint64(0)
+	for try := range acquireTries {
+		if try > 0 && !sleep(ctx, acquirePause) {
 			break
 		}
+		if write {
+			rev, err := f.write(ctx, c.key, c.record, prev)
+			if err == nil {
+				c.rev = rev
+				return c, nil, nil
+			}
+			cause = err
+			conflict = conflict || errors.Is(err, kv.ErrConflict)
+			uncertain = uncertain || !errors.Is(err, kv.ErrConflict)
+		}
 		r, rev, err := f.read(ctx, c.key)
 		switch {
 		case err == nil && r.Nonce == c.record.Nonce:
 			c.rev = rev
 			return c, nil, nil
-		case err == nil:
+		case err == nil && r.State != Released:
 			return f.judge(c, r)
-		case errors.Is(err, kv.ErrNotFound):
-			rev, err := f.write(ctx, c.key, c.record, 0)
-			if err == nil {
-				c.rev = rev
-				return c, nil, nil
-			}
+		case err == nil || errors.Is(err, kv.ErrNotFound):
+			write, prev = true, rev
+		default:
+			write, cause = false, err
 		}
 	}
-	c.releaseLater()
-	return nil, nil, result.Wrap(result.ClaimUnavailable, result.NotRun, cause).WithRetry(storeRetry)
-}
-
-// existing settles a conflict: another claim with this key was made before.
-func (f *Filter) existing(ctx context.Context, c *Claim) (*Claim, *Record, error) {
-	r, rev, err := f.read(ctx, c.key)
-	if err != nil {
-		return nil, nil, &result.Error{Code: result.ClaimUnknown, Ran: result.RunUnknown, RetryAfter: storeRetry, Err: err}
+	if uncertain {
+		c.abandon()
 	}
-	if r.Nonce == c.record.Nonce {
-		c.rev = rev
-		return c, nil, nil
+	if conflict { // another claim was seen but not its state
+		return nil, nil, &result.Error{Code: result.ClaimUnknown, Ran: result.RunUnknown, RetryAfter: storeRetry, Err: cause}
 	}
-	return f.judge(c, r)
+	return nil, nil, result.Wrap(result.ClaimUnavailable, result.NotRun, cause).WithRetry(storeRetry)
 }
 
+// judge answers a repeat of a call whose claim exists.
 func (f *Filter) judge(c *Claim, r Record) (*Claim, *Record, error) {
 	if r.Request != c.record.Request {
 		return nil, nil, result.Newf(result.ClaimKeyReused, "")
 	}
-	switch r.State {
-	case Done:
+	age := f.spec.Now().Sub(r.At)
+	switch {
+	case r.State == Done:
 		return nil, &r, nil
-	case Unknown:
-		return nil, nil, &result.Error{Code: result.ClaimUnknown, Ran: result.RunUnknown}
+	case r.State == Running && age <= runningLimit:
+		retry := min(max(age/4, minRunningRetry), maxRunningRetry)
+		return nil, nil, &result.Error{Code: result.ClaimRunning, Ran: result.RunUnknown, RetryAfter: retry}
 	default:
-		return nil, nil, &result.Error{Code: result.ClaimRunning, Ran: result.RunUnknown, RetryAfter: runningRetry}
+		return nil, nil, &result.Error{Code: result.ClaimUnknown, Ran: result.RunUnknown}
 	}
 }
 
-// Lookup returns the recorded state of a call, or nil if no claim exists.
+// Lookup returns the recorded state of a call, or nil if no claim exists. A claim that has been running for longer than
+// any call may is reported as unknown.
 func (f *Filter) Lookup(ctx context.Context, service, team, key string) (*Record, error) {
 	r, _, err := f.read(ctx, StoreKey(service, team, key))
 	if errors.Is(err, kv.ErrNotFound) {
 		return nil, nil
 	}
 	if err != nil {
-		return nil, &result.Error{Code: result.StoreUnavailable, RetryAfter: storeRetry, Err: err}
+		return nil, &result.Error{Code: result.StoreUnavailable, Ran: result.RunUnknown, RetryAfter: storeRetry, Err: err}
+	}
+	if r.State == Running && f.spec.Now().Sub(r.At) > runningLimit {
+		r.State = Unknown
 	}
 	return &r, nil
 }
 
-// Release gives the claim back because the call was not sent. A repeat may then run.
+// Release gives the claim back because the call was not sent. A repeat may then run. The record is marked, not deleted: a
+// late write of another daemon, which requires that no record exists, would become a running claim that nobody owns.
 func (c *Claim) Release() {
 	if c.closed {
 		return
 	}
 	c.closed = true
-	c.releaseLater()
+	c.record.State = Released
+	c.inBackground(func(ctx context.Context) bool {
+		_, err := c.filter.write(ctx, c.key, c.record, c.rev)
+		return err == nil || errors.Is(err, kv.ErrConflict)
+	})
 }
 
 // Finish records the outcome of a call that was sent. The body is kept for repeats if it is whole and not too large.
@@ -272,17 +294,23 @@
 	return false
 }
 
-func (c *Claim) releaseLater() {
+// abandon gives up a claim of which a write may still take effect. It marks the record as released, which changes its
+// revision, so that the late write fails.
+func (c *Claim) abandon() {
+	c.record.State = Released
 	c.inBackground(func(ctx context.Context) bool {
 		r, rev, err := c.filter.read(ctx, c.key)
-		if errors.Is(err, kv.ErrNotFound) || (err == nil && r.Nonce != c.record.Nonce) {
-			return true
-		}
-		if err != nil {
+		own := r.Nonce == c.record.Nonce
+		switch {
+		case errors.Is(err, kv.ErrNotFound):
+			rev = 0
+		case err != nil:
 			return false
+		case own && r.State == Released, !own && r.State != Released:
+			return true
 		}
-		err = c.filter.spec.Store.Delete(ctx, c.key, rev)
-		return err == nil || errors.Is(err, kv.ErrNotFound)
+		_, err = c.filter.write(ctx, c.key, c.record, rev)
+		return err == nil
 	})
 }
 
--- /dev/null
+++ b/claim/claim_test.go
@@ -0,0 +1,182 @@
+package claim
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/bramleytrail/bramleytrail/kv"
+	"github.com/bramleytrail/bramleytrail/kv/memkv"
+	"github.com/bramleytrail/bramleytrail/result"
+)
+
+var lotInput = Input{Service: "lots", Team: "growers", Key: "lot-1", Request: 7}
+
+func newFilter(store kv.Store) *Filter {
+	return New(Spec{Store: store, Owner: "a", WritesPerSecond: 1000, Now: time.Now})
+}
+
+func claimOnce(t *testing.T, f *Filter) *Claim {
+	t.Helper()
+	c, earlier, err := f.Do(t.Context(), lotInput)
+	if c == nil {
+		t.Fatalf("no claim: earlier %+v, error %v", earlier, err)
+	}
+	return c
+}
+
+// Guards against more key-value calls than the design's two writes for each claimed call.
+func TestCallsPerClaim(t *testing.T) {
+	for name, c := range map[string]struct {
+		run  func(t *testing.T, f *Filter)
+		want map[memkv.Call]int
+	}{
+		"finished": {func(t *testing.T, f *Filter) { claimOnce(t, f).Finish(Done, 200, http.Header{}, []byte("ok"), true) },
+			map[memkv.Call]int{memkv.CallCAS: 2}},
+		"released": {func(t *testing.T, f *Filter) { claimOnce(t, f).Release() },
+			map[memkv.Call]int{memkv.CallCAS: 2}},
+		"replayed": {func(t *testing.T, f *Filter) {
+			claimOnce(t, f).Finish(Done, 200, http.Header{}, []byte("ok"), true)
+			f.pending.Wait()
+			if _, earlier, err := f.Do(t.Context(), lotInput); earlier == nil || string(earlier.Body) != "ok" {
+				t.Errorf("earlier %+v, error %v", earlier, err)
+			}
+		}, map[memkv.Call]int{memkv.CallCAS: 3, memkv.CallGet: 1}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			store := memkv.New()
+			f := newFilter(store)
+			c.run(t, f)
+			f.Close(t.Context())
+			if got := store.Faults.Counts(); !maps.Equal(got, c.want) {
+				t.Errorf("calls %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+// Guards against a takeover of a claim whose owner is paused: the pause exceeds the longest deadline, after which the claim
+// is reported as unknown, and the owner still sends its call afterwards.
+func TestPausedOwnerKeepsItsClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memkv.New()
+		a, b := newFilter(store), newFilter(store)
+		held := claimOnce(t, a)
+		for age, want := range map[time.Duration]result.Code{0: result.ClaimRunning, 2 * runningLimit: result.ClaimUnknown} {
+			b.spec.Now = func() time.Time { return time.Now().Add(age) }
+			_, _, err := b.Do(t.Context(), lotInput)
+			if e := result.From(err); e.Code != want || e.Ran != result.RunUnknown || (e.RetryAfter > 0) != (age == 0) {
+				t.Errorf("repeat at age %s: %+v, want code %d with unknown run state", age, e, want)
+			}
+		}
+		if rec, err := b.Lookup(t.Context(), "lots", "growers", "lot-1"); err != nil || rec.State != Unknown {
+			t.Errorf("lookup of the old claim: %+v, %v", rec, err)
+		}
+		held.Finish(Done, 200, nil, []byte("ran"), true)
+		a.Close(t.Context())
+		if _, earlier, err := b.Do(t.Context(), lotInput); earlier == nil || string(earlier.Body) != "ran" {
+			t.Errorf("repeat after the owner resumed: %+v, %v", earlier, err)
+		}
+		b.Close(t.Context())
+	})
+}
+
+// Guards against a claim that stays without an owner when the reply to its write is lost and reading back fails: the
+// refusal says that the call did not run, so a repeat must be able to run it.
+func TestLostReplyAndFailedReadBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memkv.New()
+		store.Faults.LoseReplies(1)
+		store.Faults.OnCall(func(memkv.Call) { store.Faults.SetDown(true) }) // this call still takes effect
+		a, b := newFilter(store), newFilter(store)
+		_, _, err := a.Do(t.Context(), lotInput)
+		if e := result.From(err); e.Code != result.ClaimUnavailable || e.Ran != result.NotRun {
+			t.Errorf("%v, want a refusal that says that the call did not run", err)
+		}
+		store.Faults.OnCall(nil)
+		store.Faults.SetDown(false)
+		a.Close(t.Context())
+		claimOnce(t, b).Finish(Done, 200, nil, nil, true)
+		b.Close(t.Context())
+	})
+}
+
+// Guards against a lookup that calls a call "not run" because the service is down.
+func TestLookupDuringOutage(t *testing.T) {
+	store := memkv.New()
+	store.Faults.SetDown(true)
+	_, err := newFilter(store).Lookup(t.Context(), "lots", "growers", "lot-1")
+	if e := result.From(err); e.Code != result.StoreUnavailable || e.Ran != result.RunUnknown {
+		t.Errorf("%+v, want an unknown run state", e)
+	}
+}
+
+// Guards against removal of claims that still protect a call: recent ones and those without an outcome.
+func TestPruneKeepsClaimsThatProtect(t *testing.T) {
+	store := memkv.New()
+	old, recent := time.Now().Add(-60*24*time.Hour), time.Now()
+	put := func(name string, s State, at time.Time) string {
+		key := StoreKey("lots", "growers", name)
+		if _, err := newFilter(store).write(t.Context(), key, Record{State: s, Key: name, At: at}, 0); err != nil {
+			t.Fatal(err)
+		}
+		return key
+	}
+	removed := map[string]bool{put("1", Done, old): true, put("2", Unknown, old): true, put("3", Released, old): true}
+	running := put("4", Running, old)
+	kept := []string{running, put("5", Done, recent), put("6", Running, recent)}
+	if _, err := Prune(t.Context(), store, time.Now().Add(-MinRetention/2), false); err == nil {
+		t.Error("claims within the shortest retention may be removed")
+	}
+	p, err := Prune(t.Context(), store, time.Now().Add(-30*24*time.Hour), false)
+	if err != nil || p.Removed != len(removed) || fmt.Sprint(p.Unfinished) != fmt.Sprint([]string{running}) {
+		t.Errorf("%+v, %v", p, err)
+	}
+	for key := range removed {
+		if _, err := store.Get(t.Context(), key); !errors.Is(err, kv.ErrNotFound) {
+			t.Errorf("%s: %v, want it removed", key, err)
+		}
+	}
+	for _, key := range kept {
+		if _, err := store.Get(t.Context(), key); err != nil {
+			t.Errorf("%s: %v, want it kept", key, err)
+		}
+	}
+}
+
+// Guards against a crash or an unstable form when a stored claim is damaged or was written by another version.
+func FuzzDecode(f *testing.F) {
+	for _, seed := range []string{
+		`{"state":"running","key":"k","nonce":"n","owner":"a","request":7,"at":"2026-01-02T03:04:05Z"}`,
+		`{"state":"done","status":200,"header":{"A":["b"]},"body":"b2s=","bodyKept":true}`,
+		`{"state":"released"`, `{"request":-1}`, `{"at":"x"}`, `[]`, `null`, ``, "\xff\xfe", `{"state":"future","extra":{}}`,
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r, err := decode(data)
+		if err != nil {
+			return
+		}
+		store := memkv.New()
+		filter := newFilter(store)
+		defer filter.Close(context.Background())
+		if _, err := filter.write(context.Background(), "claim/x", r, 0); err != nil {
+			t.Skip() // times outside the years 0 to 9999 don't encode
+		}
+		again, _, err := filter.read(context.Background(), "claim/x")
+		if err != nil || again.State != r.State || again.Nonce != r.Nonce || again.Request != r.Request || string(again.Body) != string(r.Body) {
+			t.Errorf("%+v decodes as %+v: %v", r, again, err)
+		}
+		if r.State != Done {
+			if _, earlier, _ := filter.judge(&Claim{record: Record{Request: r.Request}}, r); earlier != nil {
+				t.Errorf("state %q is replayed", r.State)
+			}
+		}
+	})
+}
--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -16,6 +16,8 @@
 type PlainInput struct {
 	Service *object.Service
 	Request engine.PlainRequest
+	// KeepOn lets a call that was sent go on when its caller leaves, so that its outcome is known to a repeat.
+	KeepOn bool
 }
 
 // PlainAnswer is the response of a plain service. Close must be called.
@@ -86,6 +88,9 @@
 }
 
 func (f *Filter) callOnce(ctx context.Context, in PlainInput, r pool.Reservation) (*PlainAnswer, error) {
+	if in.KeepOn {
+		ctx = detach(ctx)
+	}
 	callCtx, cancel := context.WithCancelCause(ctx)
 	timer := time.AfterFunc(in.Service.Timeouts.FirstByte, func() { cancel(errStalled) })
 	start := f.spec.Now()
@@ -109,6 +114,18 @@
 	return &PlainAnswer{PlainResponse: resp, Endpoint: r.ID, filter: f, room: r, cancel: cancel, progress: in.Service.Timeouts.Progress}, nil
 }
 
+// detach returns a context that keeps ctx's deadline but does not end when the caller leaves.
+func detach(ctx context.Context) context.Context {
+	out := context.WithoutCancel(ctx)
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return out
+	}
+	out, cancel := context.WithDeadline(out, deadline)
+	context.AfterFunc(out, cancel)
+	return out
+}
+
 // Read reads the body under the service's progress deadline.
 func (a *PlainAnswer) Read(p []byte) (int, error) {
 	timer := time.AfterFunc(a.progress, func() { a.cancel(errStalled) })
--- a/entry/server.go
+++ b/entry/server.go
@@ -17,6 +17,7 @@
 	"github.com/bramleytrail/bramleytrail/identify"
 	"github.com/bramleytrail/bramleytrail/object"
 	"github.com/bramleytrail/bramleytrail/pipeline"
+	"github.com/bramleytrail/bramleytrail/relay"
 	"github.com/bramleytrail/bramleytrail/result"
 )
 
@@ -26,7 +27,6 @@
 	readBufferSize = 4 << 10               // for each connection
 	keepaliveTime  = 2 * time.Minute
 	servicePrefix  = "/v1/services/"
-	claimPrefix    = "/v1/claims/"
 )
 
 // Spec configures a Server.
@@ -94,7 +94,7 @@
 		w.WriteHeader(http.StatusOK)
 	case strings.HasPrefix(path, servicePrefix):
 		s.plain(w, r)
-	case strings.HasPrefix(path, claimPrefix):
+	case strings.HasPrefix(path, relay.ClaimPrefix):
 		s.claim(w, r)
 	default:
 		replyError(w, result.Newf(result.BadRequest, "Unknown path."), http.StatusNotFound)
@@ -181,12 +181,19 @@
 	Status int         `json:"status,omitempty"`
 }
 
-// claim tells a caller what became of a non-repeatable call.
+// claim tells a caller what became of a non-repeatable call. The key is the rest of the path, or the Idempotency-Key
+// header if the path has none, for keys that a client would change in a path. No reply but a stored outcome says
+// whether the call ran: a delivery may be on its way, and old claims are removed.
 func (s *Server) claim(w http.ResponseWriter, r *http.Request) {
-	service, key, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, claimPrefix), "/")
+	service, key, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, relay.ClaimPrefix), "/")
+	if key == "" {
+		key = r.Header.Get(identify.HeaderKey)
+	}
 	_, team, err := s.authenticate(r)
 	if err != nil {
-		replyError(w, err, 0)
+		e := *result.From(err)
+		e.Ran = result.RunUnknown
+		replyError(w, &e, 0)
 		return
 	}
 	rec, err := s.spec.Pipeline.Claim.Lookup(r.Context(), service, team.Name, key)
@@ -195,7 +202,7 @@
 		return
 	}
 	if rec == nil {
-		replyError(w, result.Newf(result.BadRequest, "No claim with this key exists; the call did not run."), http.StatusNotFound)
+		replyError(w, &result.Error{Code: result.BadRequest, Ran: result.RunUnknown, Detail: "No claim with this key exists."}, http.StatusNotFound)
 		return
 	}
 	replyJSON(w, claimStatus{rec.State, rec.Owner, rec.At, rec.Status})
--- /dev/null
+++ b/local/claims_test.go
@@ -0,0 +1,384 @@
+package local
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/bramleytrail/bramleytrail/claim"
+	"github.com/bramleytrail/bramleytrail/daemon"
+	"github.com/bramleytrail/bramleytrail/engine"
+	"github.com/bramleytrail/bramleytrail/engine/httpengine"
+	"github.com/bramleytrail/bramleytrail/hostlist"
+	"github.com/bramleytrail/bramleytrail/identify"
+	"github.com/bramleytrail/bramleytrail/kv/httpkv"
+	"github.com/bramleytrail/bramleytrail/kv/memkv"
+	"github.com/bramleytrail/bramleytrail/relay"
+)
+
+// plainRuns counts what the plain services ran with an idempotency key.
+func plainRuns(d *Deployment, key string) int {
+	n := 0
+	for _, p := range d.Plains {
+		for _, r := range p.Runs() {
+			if r.Key == key {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func engineRuns(d *Deployment) int {
+	n := 0
+	for _, e := range d.Engines {
+		n += len(e.Runs())
+	}
+	return n
+}
+
+func releaseLot(ctx context.Context, d *Deployment, i int, key string, header map[string]string) (Answer, error) {
+	h := map[string]string{identify.HeaderKey: key}
+	for k, v := range header {
+		h[k] = v
+	}
+	return sampleClient(d, i).Call(ctx, http.MethodPost, "/v1/services/lots/release", []byte("lot 1"), h)
+}
+
+// expect checks an answer's status and run state.
+func expect(t *testing.T, a Answer, err error, status int, ran string) {
+	t.Helper()
+	if err != nil || a.Status != status || a.Header.Get(relay.HeaderRan) != ran {
+		t.Errorf("status %d, run state %q, %s, error %v; want %d, %q", a.Status, a.Header.Get(relay.HeaderRan), a.Text, err, status, ran)
+	}
+}
+
+func expectRuns(t *testing.T, got, want int) {
+	t.Helper()
+	if got != want {
+		t.Errorf("endpoints ran the call %d times, want %d", got, want)
+	}
+}
+
+// claimState reads the state of a claim through a daemon.
+func claimState(ctx context.Context, d *Deployment, i int, path string) string {
+	a, err := sampleClient(d, i).Call(ctx, http.MethodGet, path, nil, nil)
+	var s struct {
+		State string `json:"state"`
+	}
+	if err != nil || json.Unmarshal([]byte(a.Text), &s) != nil || a.Status != http.StatusOK {
+		return fmt.Sprintf("status %d, run state %q, error %v", a.Status, a.Header.Get(relay.HeaderRan), err)
+	}
+	return s.State
+}
+
+func expectState(ctx context.Context, t *testing.T, d *Deployment, i int, key, want string) {
+	t.Helper()
+	path := relay.ClaimPrefix + SamplePlain + "/" + url.PathEscape(key)
+	var got string
+	if err := Wait(ctx, func() bool { got = claimState(ctx, d, i, path); return got == want }); err != nil {
+		t.Errorf("claim of %q through daemon %d: %s, want %s", key, i, got, want)
+	}
+}
+
+// expectNoSecondRun repeats a call through a daemon, several times at once.
+func expectNoSecondRun(ctx context.Context, t *testing.T, d *Deployment, i int, key string, runs int) {
+	t.Helper()
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Go(func() {
+			a, err := releaseLot(ctx, d, i, key, nil)
+			expect(t, a, err, http.StatusConflict, "unknown")
+			if a.Header.Get(relay.HeaderClaim) == "" {
+				t.Error("the refusal names no address of the outcome")
+			}
+		})
+	}
+	wg.Wait()
+	expectRuns(t, plainRuns(d, key), runs)
+}
+
+// Guards against a second run when the daemon that sent the call is killed and the caller repeats it elsewhere.
+func TestOwnerKilledAfterTheCallWasSent(t *testing.T) {
+	ctx, d := startSample(t, 2, fastEngine)
+	for _, p := range d.Plains {
+		defer p.Hold()()
+	}
+	failed := make(chan error, 1)
+	go func() { _, err := releaseLot(ctx, d, 0, "lot-1", nil); failed <- err }()
+	if err := Wait(ctx, func() bool { return plainRuns(d, "lot-1") == 1 }); err != nil {
+		t.Fatal(err)
+	}
+	d.Daemons[0].Kill()
+	if err := <-failed; err == nil {
+		t.Error("the caller of a killed daemon got an answer")
+	}
+	expectNoSecondRun(ctx, t, d, 1, "lot-1", 1)
+	expectState(ctx, t, d, 1, "lot-1", "running")
+}
+
+// Guards against a takeover of the claim of a daemon that was killed before it sent the call: nobody else can tell that.
+func TestOwnerKilledBeforeTheCallWasSent(t *testing.T) {
+	ctx, d := startSample(t, 1, fastEngine)
+	s := d.Settings("entry-2", SampleDomainB)
+	s.QueueWait = time.Hour
+	owner, err := d.AddDaemon(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name := range d.Plains {
+		d.Platform.Hosts.Remove(name)
+	}
+	if err := Wait(ctx, func() bool { return owner.State().Ready && owner.State().HostList == d.Daemons[0].State().HostList }); err != nil {
+		t.Fatal(err)
+	}
+	go func() { _, _ = releaseLot(ctx, d, 1, "lot-1", nil) }() // waits for an endpoint until its daemon is killed
+	expectState(ctx, t, d, 0, "lot-1", "running")
+	owner.Kill()
+	for name, srv := range d.servers {
+		if d.Plains[name] != nil {
+			d.Platform.Hosts.Put(hostlist.Host{ID: name, Role: hostlist.RoleEndpoint, Domain: SampleDomainA, State: hostlist.StateLive, Addr: srv.Addr, Service: SamplePlain})
+		}
+	}
+	if err := Wait(ctx, func() bool {
+		a, err := releaseLot(ctx, d, 0, "lot-2", nil)
+		return err == nil && a.Status == http.StatusOK
+	}); err != nil {
+		t.Fatal("other calls are refused: ", err)
+	}
+	expectNoSecondRun(ctx, t, d, 0, "lot-1", 0)
+	expectState(ctx, t, d, 0, "lot-1", "running")
+}
+
+// pausedClient stops between the claim and the call until the gate opens.
+type pausedClient struct {
+	engine.Client
+	reached chan struct{}
+	gate    chan struct{}
+}
+
+// Call implements engine.Client.
+func (c *pausedClient) Call(ctx context.Context, addr string, r engine.PlainRequest) (*engine.PlainResponse, error) {
+	close(c.reached)
+	<-c.gate
+	return c.Client.Call(ctx, addr, r)
+}
+
+// Guards against a second run through a takeover while the owner is paused between its claim and the call. The claim is
+// made to look two days old, longer than any deadline or lease; then the owner goes on and sends its call.
+func TestOwnerPausedBetweenClaimAndCall(t *testing.T) {
+	ctx, d := startSample(t, 1, fastEngine)
+	client := &pausedClient{Client: httpengine.NewClient(), reached: make(chan struct{}), gate: make(chan struct{})}
+	s := d.Settings("entry-2", SampleDomainB)
+	owner := daemon.New(s, daemon.Platform{Store: httpkv.NewClient(s.Store), Hosts: hostlist.NewHTTPSource(s.Hosts)}, client, d.Log)
+	if err := owner.Start(); err != nil {
+		t.Fatal(err)
+	}
+	d.Daemons = append(d.Daemons, owner)
+	d.Platform.Hosts.Put(hostlist.Host{ID: s.ID, Role: hostlist.RoleEntry, Domain: s.Domain, Rack: s.Rack, State: hostlist.StateLive, Addr: owner.PeerAddr()})
+	if err := d.WaitEndpoints(ctx, 6); err != nil {
+		t.Fatal(err)
+	}
+	type outcome struct {
+		a   Answer
+		err error
+	}
+	answered := make(chan outcome, 1)
+	go func() { a, err := releaseLot(ctx, d, 1, "lot-1", nil); answered <- outcome{a, err} }()
+	<-client.reached
+	ageClaim(ctx, t, d, "lot-1", 48*time.Hour)
+	expectNoSecondRun(ctx, t, d, 0, "lot-1", 0)
+	expectState(ctx, t, d, 0, "lot-1", "unknown")
+	close(client.gate)
+	if o := <-answered; o.err == nil && o.a.Status != http.StatusGatewayTimeout && o.a.Status != http.StatusOK {
+		t.Errorf("status %d: %s", o.a.Status, o.a.Text)
+	}
+	if _, err := releaseLot(ctx, d, 0, "lot-1", nil); err != nil {
+		t.Error(err)
+	}
+	if n := plainRuns(d, "lot-1"); n > 1 {
+		t.Errorf("the call ran %d times", n)
+	}
+	drainAll(ctx, t, d)
+}
+
+func ageClaim(ctx context.Context, t *testing.T, d *Deployment, key string, age time.Duration) {
+	t.Helper()
+	name := claim.StoreKey(SamplePlain, SampleTeam, key)
+	e, err := d.Platform.KV.Get(ctx, name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var r claim.Record
+	if err := json.Unmarshal(e.Value, &r); err != nil {
+		t.Fatal(err)
+	}
+	r.At = r.At.Add(-age)
+	data, err := json.Marshal(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := d.Platform.KV.CAS(ctx, name, data, e.Revision, 0); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against a false "not run" and a second run under faults of the key-value service. In each case the first delivery
+// meets the fault, the fault ends, and the call is repeated through the other daemon until it is answered.
+func TestClaimsUnderStoreFaults(t *testing.T) {
+	ctx, d := startSample(t, 2, fastEngine)
+	faults := d.Platform.KV.Faults
+	for name, c := range map[string]struct {
+		inject func()
+		header map[string]string
+		status int
+		ran    string
+		runs   int
+	}{
+		"down before the claim": {inject: func() { faults.SetDown(true) }, status: 503, ran: "no"},
+		"reply lost":            {inject: func() { faults.LoseReplies(1) }, status: 200, runs: 1},
+		"reply lost and reading back fails": {inject: func() {
+			faults.LoseReplies(1)
+			faults.OnCall(func(c memkv.Call) { faults.SetDown(c == memkv.CallCAS || c == memkv.CallGet) }) // the write itself still takes effect
+		}, status: 503, ran: "no"},
+		"slow beyond the deadline": {inject: func() { faults.SetDelay(time.Hour) }, header: map[string]string{identify.HeaderDeadline: "200"}, status: 503, ran: "no"},
+		"slow":                     {inject: func() { faults.SetDelay(20 * time.Millisecond) }, status: 200, runs: 1},
+	} {
+		c.inject()
+		a, err := releaseLot(ctx, d, 0, name, c.header)
+		expect(t, a, err, c.status, c.ran)
+		expectRuns(t, plainRuns(d, name), c.runs)
+		faults.OnCall(nil)
+		faults.SetDown(false)
+		faults.SetDelay(0)
+		faults.LoseReplies(0)
+		if err := Wait(ctx, func() bool { a, err = releaseLot(ctx, d, 1, name, nil); return err == nil && a.Status == http.StatusOK }); err != nil {
+			t.Errorf("%s: the repeat got status %d: %s", name, a.Status, a.Text)
+		}
+		expectRuns(t, plainRuns(d, name), 1)
+		expectState(ctx, t, d, 0, name, "done")
+	}
+	drainAll(ctx, t, d)
+}
+
+// Guards against a second run when the endpoint ran the call and dropped the reply.
+func TestEndpointDropsTheReply(t *testing.T) {
+	ctx, d := startSample(t, 2, fastEngine)
+	for _, p := range d.Plains {
+		p.DropReplies(1)
+	}
+	a, err := releaseLot(ctx, d, 0, "lot-1", nil)
+	expect(t, a, err, http.StatusBadGateway, "unknown")
+	expectState(ctx, t, d, 1, "lot-1", "unknown")
+	expectNoSecondRun(ctx, t, d, 1, "lot-1", 1)
+	drainAll(ctx, t, d)
+	bills := billsOf(ctx, t, d)
+	if len(bills) != 1 || bills[0].Code != 501 || bills[0].Cost() != 0 {
+		t.Errorf("bills %+v; want one of the call that ran, without a cost", bills)
+	}
+}
+
+// Guards against an outcome that is lost because the caller left: the call goes on and a repeat gets its answer.
+func TestCallerLeavesDuringTheCall(t *testing.T) {
+	ctx, d := startSample(t, 2, fastEngine)
+	var open []func()
+	for _, p := range d.Plains {
+		open = append(open, p.Hold())
+	}
+	callCtx, leave := context.WithCancel(ctx)
+	left := make(chan struct{})
+	go func() { _, _ = releaseLot(callCtx, d, 0, "lot-1", nil); close(left) }()
+	if err := Wait(ctx, func() bool { return plainRuns(d, "lot-1") == 1 }); err != nil {
+		t.Fatal(err)
+	}
+	leave()
+	<-left
+	for _, f := range open {
+		f()
+	}
+	expectState(ctx, t, d, 1, "lot-1", "done")
+	a, err := releaseLot(ctx, d, 1, "lot-1", nil)
+	expect(t, a, err, http.StatusOK, "yes")
+	expectRuns(t, plainRuns(d, "lot-1"), 1)
+	drainAll(ctx, t, d)
+	if bills := billsOf(ctx, t, d); len(bills) != 1 {
+		t.Errorf("%d bills for one call", len(bills))
+	}
+}
+
+// Guards against a second run and a false "not run" of a chat request that must not be repeated: its deadline passes
+// before the first token, or the engine fails after it accepted the request.
+func TestChatThatMustNotBeRepeated(t *testing.T) {
+	ctx, d := startSample(t, 2, fastEngine)
+	setAll := func(f func(key string)) {
+		for name := range d.Engines {
+			f(name)
+		}
+	}
+	runs := 0
+	for _, c := range []struct {
+		key    string
+		set    func(on bool)
+		status int
+	}{
+		{"deadline", func(on bool) { setAll(func(n string) { d.Engines[n].SetSilent(on) }) }, http.StatusGatewayTimeout},
+		{"failure", func(on bool) { setAll(func(n string) { d.Engines[n].FailEvery(map[bool]int{true: 1}[on]) }) }, http.StatusBadGateway},
+	} {
+		header := map[string]string{identify.HeaderKey: c.key, identify.HeaderRepeatable: "no"}
+		first := map[string]string{identify.HeaderKey: c.key, identify.HeaderRepeatable: "no", identify.HeaderDeadline: "300"}
+		c.set(true)
+		a, err := sampleClient(d, 0).Chat(ctx, ChatBody("small", c.key, false), first)
+		expect(t, a, err, c.status, "unknown")
+		c.set(false)
+		runs++
+		for range 2 {
+			a, err = sampleClient(d, 1).Chat(ctx, ChatBody("small", c.key, false), header)
+			expect(t, a, err, http.StatusConflict, "unknown")
+		}
+		expectRuns(t, engineRuns(d), runs)
+	}
+	header := map[string]string{identify.HeaderKey: "whole", identify.HeaderRepeatable: "no"}
+	for i := range 2 {
+		if err := Wait(ctx, func() bool {
+			a, err := sampleClient(d, i).Chat(ctx, ChatBody("small", "whole", false), header)
+			return err == nil && a.Status == http.StatusOK && a.Text != ""
+		}); err != nil {
+			t.Error(err)
+		}
+	}
+	expectRuns(t, engineRuns(d), runs+1)
+	drainAll(ctx, t, d)
+	if bills := billsOf(ctx, t, d); len(bills) != 3 {
+		t.Errorf("%d bills for 3 requests that ran", len(bills))
+	}
+}
+
+// Guards against keys that are altered on the way to the store or to a lookup, or that meet another key's claim.
+func TestKeysWithSpecialCharacters(t *testing.T) {
+	ctx, d := startSample(t, 2, fastEngine)
+	keys := []string{"a/b", "a%2Fb", "a//b", "a b", "a+b", "a?b=c", "a#b", "..", "../..", `"a"`, "größe", "a&b;c,d", "%", "a\\b"}
+	for i, key := range keys {
+		a, err := releaseLot(ctx, d, i%2, key, nil)
+		expect(t, a, err, http.StatusOK, "")
+		expectRuns(t, plainRuns(d, key), 1)
+		for j := range 2 {
+			var got string
+			if err := Wait(ctx, func() bool { got = claimState(ctx, d, j, a.Header.Get(relay.HeaderClaim)); return got == "done" }); err != nil {
+				t.Errorf("key %q at the address in the answer, daemon %d: %s", key, j, got)
+			}
+			resp, err := sampleClient(d, j).Call(ctx, http.MethodGet, relay.ClaimPrefix+SamplePlain, nil, map[string]string{identify.HeaderKey: key})
+			expect(t, resp, err, http.StatusOK, "")
+		}
+		again, err := releaseLot(ctx, d, (i+1)%2, key, nil)
+		expect(t, again, err, http.StatusOK, "yes")
+		expectRuns(t, plainRuns(d, key), 1)
+	}
+	a, err := sampleClient(d, 0).Call(ctx, http.MethodGet, relay.ClaimPrefix+SamplePlain+"/other", nil, nil)
+	expect(t, a, err, http.StatusNotFound, "unknown")
+	drainAll(ctx, t, d)
+}
--- a/pipeline/chat.go
+++ b/pipeline/chat.go
@@ -50,9 +50,10 @@
 	if s.who.Repeatable != identify.No {
 		return false, nil
 	}
+	s.r.claimed(chatService, s.who.Key)
 	held, earlier, err := s.p.Claim.Do(ctx, claim.Input{
 		Service: chatService, Team: s.who.Team.Name, Key: s.who.Key,
-		Request: claim.RequestHash(s.r.Method, s.r.Path, s.r.Body),
+		Request: s.r.contentHash(),
 	})
 	if err != nil || earlier == nil {
 		s.held = held
@@ -61,7 +62,17 @@
 	if !earlier.BodyKept || s.chat.Stream {
 		return false, &result.Error{Code: result.ClaimUnknown, Ran: result.RunDone, Detail: "The request ran before; its answer can't be replayed."}
 	}
-	return true, s.caller.Reply(earlier.Status, earlier.Header, earlier.Body)
+	return true, s.r.replay(s.caller, earlier)
+}
+
+// fail bills a request that may have run although its answer never began, and settles its claim.
+func (s *chatStages) fail(ctx context.Context, err error) error {
+	if e := result.From(err); e.Ran != result.NotRun {
+		s.p.Bill.Do(ctx, bill.Input{
+			Team: s.who.Team.Name, Service: chatService, Key: s.who.Key, RequestID: s.r.ID, Content: s.r.contentHash(), Code: e.Code, Now: s.p.Now(),
+		})
+	}
+	return s.release(err)
 }
 
 // release gives the claim back if the request did not run.
@@ -118,7 +129,7 @@
 }
 
 func (s *chatStages) header() (http.Header, error) {
-	h := header(s.r.ID)
+	h := s.r.answerHeader()
 	v := s.answer.Version()
 	h.Set(relay.HeaderVersion, v.Name)
 	tok := s.who.Session
@@ -150,7 +161,7 @@
 	}
 	u := s.answer.Usage()
 	s.p.Bill.Do(ctx, bill.Input{
-		Team: s.who.Team.Name, Service: chatService, Key: s.who.Key, RequestID: s.r.ID, Code: code, Now: s.p.Now(),
+		Team: s.who.Team.Name, Service: chatService, Key: s.who.Key, RequestID: s.r.ID, Content: s.r.contentHash(), Code: code, Now: s.p.Now(),
 		Calls: []ledger.Call{bill.ModelCall(s.answer.Version(), u.InputTokens, u.OutputTokens)},
 	})
 }
@@ -183,9 +194,3 @@
 	}
 	return nil
 }
-
-func header(requestID string) http.Header {
-	h := http.Header{}
-	h.Set(relay.HeaderRequestID, requestID)
-	return h
-}
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/bramleytrail/bramleytrail/admit"
@@ -73,6 +74,9 @@
 		return err
 	}
 	defer permit.Release()
+	if p.Bill.Full() {
+		return result.Newf(result.Overloaded, "There is no room for the request's bill.").WithRetry(billRetry)
+	}
 	if e.view = p.Config.View(); e.view == nil {
 		return result.Newf(result.NoConfiguration, "").WithRetry(configRetry)
 	}
@@ -89,7 +93,10 @@
 	return rest(ctx, e)
 }
 
-const configRetry = 2 * time.Second
+const (
+	configRetry = 2 * time.Second
+	billRetry   = 5 * time.Second
+)
 
 // Chat serves a chat completion request.
 func (p *Pipeline) Chat(ctx context.Context, r *Request, c relay.Caller) error {
@@ -106,7 +113,7 @@
 			return s.release(err)
 		}
 		if err := s.dispatch(ctx); err != nil {
-			return s.release(err)
+			return s.fail(ctx, err)
 		}
 		defer s.answer.Close()
 		err = s.relay()
@@ -128,7 +135,7 @@
 			return err
 		}
 		if err := s.dispatch(ctx); err != nil {
-			return s.release(err)
+			return s.fail(ctx, err)
 		}
 		defer s.answer.Close()
 		err = s.relay()
@@ -138,6 +145,19 @@
 	return p.reportError(err, r, c)
 }
 
+// replay sends the recorded answer of an earlier delivery.
+func (r *Request) replay(c relay.Caller, earlier *claim.Record) error {
+	h := earlier.Header.Clone()
+	if h == nil {
+		h = http.Header{}
+	}
+	for name, values := range r.answerHeader() {
+		h[name] = values
+	}
+	h.Set(relay.HeaderRan, result.RunDone.String())
+	return c.Reply(earlier.Status, h, earlier.Body)
+}
+
 // reportError sends the error to the caller unless an answer has begun, in which case the stage has reported it.
 func (p *Pipeline) reportError(err error, r *Request, c relay.Caller) error {
 	if err == nil {
@@ -147,7 +167,7 @@
 	if b, ok := c.(interface{ Begun() bool }); ok && b.Begun() {
 		return e
 	}
-	h := header(r.ID)
+	h := r.answerHeader()
 	relay.ErrorHeader(h, e)
 	_ = c.Reply(e.Code.Info().Status, h, relay.ErrorBody(e)) // the caller may have left
 	return e
--- a/pipeline/plain.go
+++ b/pipeline/plain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"slices"
 
@@ -59,21 +60,31 @@
 	if s.repeatable() {
 		return false, nil
 	}
+	s.r.claimed(s.service.Name, s.who.Key)
 	held, earlier, err := s.p.Claim.Do(ctx, claim.Input{
 		Service: s.service.Name, Team: s.who.Team.Name, Key: s.who.Key,
-		Request: claim.RequestHash(s.r.Method, s.r.Path, s.r.Body),
+		Request: s.r.contentHash(),
 	})
 	if err != nil || earlier == nil {
 		s.held = held
 		return false, err
 	}
 	if !earlier.BodyKept {
-		return false, &result.Error{Code: result.ClaimUnknown, Ran: result.RunDone, Detail: "The call ran before; its answer was too large to keep."}
+		return false, &result.Error{Code: result.ClaimUnknown, Ran: result.RunDone, Detail: "The call ran before; its answer was not kept."}
 	}
-	h := earlier.Header.Clone()
-	h.Set(relay.HeaderRequestID, s.r.ID)
-	h.Set(relay.HeaderRan, result.RunDone.String())
-	return true, s.caller.Reply(earlier.Status, h, earlier.Body)
+	return true, s.r.replay(s.caller, earlier)
+}
+
+// fail bills a call that may have run although it gave no answer, and settles its claim. Its cost is not known to be
+// due, so it is 0.
+func (s *plainStages) fail(ctx context.Context, err error) error {
+	if e := result.From(err); e.Ran != result.NotRun {
+		s.p.Bill.Do(ctx, bill.Input{
+			Team: s.who.Team.Name, Service: s.service.Name, Key: s.who.Key, RequestID: s.r.ID, Content: s.r.contentHash(), Code: e.Code, Now: s.p.Now(),
+			Calls: []ledger.Call{{Version: s.service.Name}},
+		})
+	}
+	return s.release(err)
 }
 
 func (s *plainStages) release(err error) error {
@@ -100,7 +111,7 @@
 
 func (s *plainStages) dispatch(ctx context.Context) error {
 	answer, err := s.p.Dispatch.Call(ctx, dispatch.PlainInput{
-		Service: s.service,
+		Service: s.service, KeepOn: s.held != nil,
 		Request: engine.PlainRequest{
 			ID: s.r.ID, Method: s.r.Method, Path: s.r.Path, Header: s.endpointHeader(), Body: s.r.Body, Repeatable: s.repeatable(),
 		},
@@ -114,21 +125,37 @@
 }
 
 func (s *plainStages) relay() error {
-	s.header = header(s.r.ID)
+	s.header = s.r.answerHeader()
 	for name, values := range s.answer.Header {
 		if name == "Connection" || name == "Transfer-Encoding" || name == "Content-Length" || name == "Keep-Alive" {
 			continue
 		}
 		s.header[name] = values
 	}
-	if err := s.caller.Begin(s.answer.Status, s.header); err != nil {
-		return &result.Error{Code: result.CallerGone, Ran: result.RunDone, Err: err}
+	err := s.caller.Begin(s.answer.Status, s.header)
+	if err != nil {
+		err = &result.Error{Code: result.CallerGone, Ran: result.RunDone, Err: err}
+		s.kept = true
+	} else {
+		s.body, s.kept, err = relay.Copy(s.answer, s.caller, claim.MaxBody)
+	}
+	if err != nil {
+		s.keepRest(err)
 	}
-	var err error
-	s.body, s.kept, err = relay.Copy(s.answer, s.caller, claim.MaxBody)
 	return err
 }
 
+// keepRest reads the rest of a claimed call's answer after its caller has left, so that a repeat gets it.
+func (s *plainStages) keepRest(err error) {
+	if s.held == nil || !s.kept || result.From(err).Code != result.CallerGone {
+		s.kept = false
+		return
+	}
+	rest, readErr := io.ReadAll(io.LimitReader(s.answer, int64(claim.MaxBody-len(s.body)+1)))
+	s.body = append(s.body, rest...)
+	s.kept = readErr == nil && len(s.body) <= claim.MaxBody
+}
+
 func (s *plainStages) bill(ctx context.Context, err error) {
 	s.outcome.Attempts = []dispatch.Attempt{{Endpoint: s.answer.Endpoint, Version: s.service.Name}}
 	code := result.OK
@@ -136,15 +163,16 @@
 		code = result.From(err).Code
 	}
 	s.p.Bill.Do(ctx, bill.Input{
-		Team: s.who.Team.Name, Service: s.service.Name, Key: s.who.Key, RequestID: s.r.ID, Code: code, Now: s.p.Now(),
+		Team: s.who.Team.Name, Service: s.service.Name, Key: s.who.Key, RequestID: s.r.ID, Content: s.r.contentHash(), Code: code, Now: s.p.Now(),
 		Calls: []ledger.Call{bill.PlainCall(s.service)},
 	})
 }
 
-// finish records the outcome of a claimed call and ends the answer.
+// finish records the outcome of a claimed call and ends the answer. The endpoint gave a status, so the call ran; the
+// answer is kept for repeats if it is whole.
 func (s *plainStages) finish(err error) error {
 	if s.held != nil {
-		s.recordOutcome(err)
+		s.held.Finish(claim.Done, s.answer.Status, s.header, s.body, s.kept)
 	}
 	if err != nil {
 		return err
@@ -154,13 +182,3 @@
 	}
 	return nil
 }
-
-// recordOutcome keeps the answer for repeats. The endpoint gave a status, so the call ran; if the body broke off, only
-// that is recorded.
-func (s *plainStages) recordOutcome(err error) {
-	if err != nil || !s.kept {
-		s.held.Finish(claim.Done, s.answer.Status, s.header, nil, false)
-		return
-	}
-	s.held.Finish(claim.Done, s.answer.Status, s.header, s.body, true)
-}
--- a/pipeline/request.go
+++ b/pipeline/request.go
@@ -3,9 +3,12 @@
 import (
 	"encoding/json"
 	"net/http"
+	"net/url"
 
 	"github.com/bramleytrail/bramleytrail/choose"
+	"github.com/bramleytrail/bramleytrail/claim"
 	"github.com/bramleytrail/bramleytrail/object"
+	"github.com/bramleytrail/bramleytrail/relay"
 	"github.com/bramleytrail/bramleytrail/result"
 )
 
@@ -22,6 +25,25 @@
 	Path   string // for plain services: path and query at the endpoint
 	Header http.Header
 	Body   []byte
+	claim  string // path under which the outcome of a claimed call can be read; empty without a claim
+}
+
+// claimed notes that the call is claimed under a service and an idempotency key.
+func (r *Request) claimed(service, key string) {
+	r.claim = relay.ClaimPrefix + service + "/" + url.PathEscape(key)
+}
+
+// contentHash identifies the content of the request.
+func (r *Request) contentHash() uint64 { return claim.RequestHash(r.Method, r.Path, r.Body) }
+
+// answerHeader returns the headers that every answer to the request carries.
+func (r *Request) answerHeader() http.Header {
+	h := http.Header{}
+	h.Set(relay.HeaderRequestID, r.ID)
+	if r.claim != "" {
+		h.Set(relay.HeaderClaim, r.claim)
+	}
+	return h
 }
 
 // chat holds the fields of a chat completion request that the router reads. The others are passed on as they are.
--- a/relay/errors.go
+++ b/relay/errors.go
@@ -15,8 +15,12 @@
 	HeaderVersion   = "Bramley-Version"
 	HeaderCode      = "Bramley-Code"
 	HeaderRan       = "Bramley-Ran"
+	HeaderClaim     = "Bramley-Claim" // path of the outcome of a non-repeatable call, valid at every daemon
 )
 
+// ClaimPrefix is the path under which outcomes of non-repeatable calls are read, followed by service and key.
+const ClaimPrefix = "/v1/claims/"
+
 type errorBody struct {
 	Error errorDetail `json:"error"`
 }
