Check bills against callers and endpoints under failure

Cause: nothing showed that each request that ran has one merged bill when the store is down or loses replies, the owner or the copies' holder is lost, no daemon can be reached, the caller cuts a stream or repeats a key elsewhere. Change: tests on a deployment cause each case and compare bills with tokens received and runs recorded by the engines. The first test of a holder's planned stop failed: with two failure domains a copy had one remote target, and none if that one had just died. A second daemon of each domain is now a target, and handing over is repeated until the time limit.

--- a/ledger/copies.go
+++ b/ledger/copies.go
@@ -136,11 +136,20 @@
 	return c.writeAll(ctx, func(*owner) bool { return true })
 }
 
-// HandOver passes the batches that Close could not write to other daemons, which then watch over their owners.
+// HandOver passes the batches that Close could not write to other daemons, which then watch over their owners. It tries
+// again until ctx ends.
 func (c *Copies) HandOver(ctx context.Context, r Replicator) error {
 	for _, b := range c.collect(func(*owner) bool { return true }) {
-		if _, err := r.CopyBills(ctx, Copy{ID: b.id, Bills: b.bills}); err != nil {
-			return err
+		for {
+			_, err := r.CopyBills(ctx, Copy{ID: b.id, Bills: b.bills})
+			if err == nil {
+				break
+			}
+			select {
+			case <-ctx.Done():
+				return err
+			case <-time.After(retryPause):
+			}
 		}
 		c.drop(b)
 	}
--- a/local/bills_test.go
+++ b/local/bills_test.go
@@ -1,10 +1,18 @@
 package local
 
 import (
+	"bufio"
 	"context"
+	"fmt"
+	"net/http"
+	"strings"
 	"testing"
+	"time"
 
+	"github.com/bramleytrail/bramleytrail/daemon"
+	"github.com/bramleytrail/bramleytrail/identify"
 	"github.com/bramleytrail/bramleytrail/ledger"
+	"github.com/bramleytrail/bramleytrail/result"
 )
 
 // billsOf returns the merged bills.
@@ -16,3 +24,176 @@
 	}
 	return bills
 }
+
+// ask sends n chat requests to daemon i and returns the tokens that the caller received.
+func ask(ctx context.Context, t *testing.T, d *Deployment, i, n int) (tokens int64) {
+	t.Helper()
+	for k := range n {
+		prompt := fmt.Sprintf("daemon %d prompt %d", i, k)
+		a, err := sampleClient(d, i).Chat(ctx, ChatBody("small", prompt, true), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		checkAnswer(t, a, prompt, 24)
+		tokens += a.Tokens
+	}
+	return tokens
+}
+
+// waitBills waits until the store has n merged bills that add up to what the callers received and the engines ran.
+func waitBills(ctx context.Context, t *testing.T, d *Deployment, n int, tokens int64) {
+	t.Helper()
+	var bills []ledger.Bill
+	if err := Wait(ctx, func() bool { bills, _ = ledger.Read(ctx, d.Platform.KV); return len(bills) == n }); err != nil {
+		t.Fatalf("%d bills, want %d", len(bills), n)
+	}
+	var billed int64
+	for _, b := range bills {
+		for _, c := range b.Calls {
+			billed += c.Output
+		}
+	}
+	if billed != tokens || engineRuns(d) != n {
+		t.Errorf("%d tokens billed, %d received; %d bills, %d runs", billed, tokens, n, engineRuns(d))
+	}
+}
+
+func waitState(ctx context.Context, t *testing.T, dm *daemon.Daemon, what string, cond func(daemon.State) bool) {
+	t.Helper()
+	if err := Wait(ctx, func() bool { return cond(dm.State()) }); err != nil {
+		s := dm.State()
+		t.Fatalf("%s: %d bills held, %d uncopied, %d copies", what, s.BillsHeld, s.BillsUncopied, s.CopiesHeld)
+	}
+}
+
+// Guards against lost or repeated bills when the key-value service is down for a while and then loses replies.
+func TestBillsDuringAnOutage(t *testing.T) {
+	ctx, d := startSample(t, 2, fastEngine)
+	d.Platform.KV.Faults.SetDown(true)
+	tokens := ask(ctx, t, d, 0, 5) + ask(ctx, t, d, 1, 5)
+	d.Platform.KV.Faults.LoseReplies(3)
+	d.Platform.KV.Faults.SetDown(false)
+	drainAll(ctx, t, d)
+	waitBills(ctx, t, d, 10, tokens)
+}
+
+// Guards against bills that are lost with their daemon, and against a second bill if the daemon was only taken for dead:
+// its interval is longer than the holder waits, so that both write the same batch.
+func TestOwnerKilledOrSilent(t *testing.T) {
+	for _, killed := range []bool{true, false} {
+		ctx, d := startSample(t, 1, fastEngine)
+		s := d.Settings("entry-2", SampleDomainB)
+		s.BillInterval = time.Hour
+		owner, err := d.AddDaemon(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := d.WaitEndpoints(ctx, 6); err != nil {
+			t.Fatal(err)
+		}
+		tokens := ask(ctx, t, d, 1, 5)
+		if killed {
+			owner.Kill()
+		}
+		waitBills(ctx, t, d, 5, tokens)
+		if !killed {
+			tokens += ask(ctx, t, d, 1, 2)
+			drainAll(ctx, t, d)
+			waitBills(ctx, t, d, 7, tokens)
+		}
+	}
+}
+
+// Guards against the loss of the only copies during an outage: their holder is killed or stopped as planned, and the
+// owner is killed later, while the key-value service is still down.
+func TestHolderLostDuringAnOutage(t *testing.T) {
+	for _, planned := range []bool{false, true} {
+		ctx, d := startSample(t, 3, fastEngine)
+		d.Platform.KV.Faults.SetDown(true)
+		tokens := ask(ctx, t, d, 0, 5)
+		holder, other := d.Daemons[1], d.Daemons[2]
+		if other.State().CopiesHeld > 0 {
+			holder, other = other, holder
+		}
+		if planned {
+			d.Daemons[0].Kill()
+			if err := holder.Drain(ctx); err != nil {
+				t.Error(err)
+			}
+		} else {
+			holder.Kill()
+			waitState(ctx, t, other, "bills are not copied again", func(s daemon.State) bool { return s.CopiesHeld == 5 })
+			d.Daemons[0].Kill()
+		}
+		d.Platform.KV.Faults.SetDown(false)
+		waitBills(ctx, t, d, 5, tokens)
+		if err := other.Drain(ctx); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// Guards against bills that stay in one place although another daemon can be reached again.
+func TestNoOtherDaemonReachable(t *testing.T) {
+	ctx, d := startSample(t, 1, fastEngine)
+	d.Platform.KV.Faults.SetDown(true)
+	tokens := ask(ctx, t, d, 0, 3)
+	if s := d.Daemons[0].State(); s.BillsUncopied != 3 {
+		t.Errorf("%d bills reported without a copy, want 3", s.BillsUncopied)
+	}
+	other, err := d.AddDaemon(d.Settings("entry-2", SampleDomainB))
+	if err != nil {
+		t.Fatal(err)
+	}
+	waitState(ctx, t, d.Daemons[0], "bills are not copied", func(s daemon.State) bool { return s.BillsHeld == 3 && s.BillsUncopied == 0 })
+	d.Daemons[0].Kill()
+	waitState(ctx, t, other, "the holder does not adopt the bills", func(s daemon.State) bool { return s.BillsHeld == 3 && s.CopiesHeld == 0 })
+	d.Platform.KV.Faults.SetDown(false)
+	waitBills(ctx, t, d, 3, tokens)
+	if err := other.Drain(ctx); err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against a missing bill, or one for the whole answer, when the caller cuts a stream half-way.
+func TestStreamCutByItsCaller(t *testing.T) {
+	spec := fastEngine
+	spec.TokenDelay = 20 * time.Millisecond
+	ctx, d := startSample(t, 2, spec)
+	resp, err := sampleClient(d, 0).Do(ctx, http.MethodPost, "/v1/chat/completions", ChatBody("small", "long", true), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	lines := bufio.NewScanner(resp.Body)
+	for events := 0; events < 4 && lines.Scan(); {
+		if strings.HasPrefix(lines.Text(), "data: ") {
+			events++
+		}
+	}
+	resp.Body.Close()
+	drainAll(ctx, t, d)
+	bills := billsOf(ctx, t, d)
+	if len(bills) != 1 || bills[0].Code != int(result.CallerGone) || bills[0].Calls[0].Output < 4 || bills[0].Calls[0].Output >= 24 {
+		t.Errorf("bills %+v; want one for 4 to 23 tokens", bills)
+	}
+}
+
+// Guards against two bills for a request that its caller repeats through another daemon, and against one bill for
+// different requests that carry the same key.
+func TestRepeatedKeyIsOneBill(t *testing.T) {
+	ctx, d := startSample(t, 2, fastEngine)
+	header := map[string]string{identify.HeaderKey: "k"}
+	for _, prompt := range []string{"first", "second"} {
+		for i := range 2 {
+			a, err := sampleClient(d, i).Chat(ctx, ChatBody("small", prompt, true), header)
+			if err != nil {
+				t.Fatal(err)
+			}
+			checkAnswer(t, a, prompt, 24)
+		}
+	}
+	drainAll(ctx, t, d)
+	if bills := billsOf(ctx, t, d); len(bills) != 2 {
+		t.Errorf("%d bills for two requests that were sent twice each", len(bills))
+	}
+}
--- a/local/claims_test.go
+++ b/local/claims_test.go
@@ -382,3 +382,53 @@
 	expect(t, a, err, http.StatusNotFound, "unknown")
 	drainAll(ctx, t, d)
 }
+
+// Guards against more key-value calls on the whole path than two writes for a claimed call, one write for a daemon's
+// bills in an interval, and one conflicting write and one read for a repeat.
+func TestStoreCallsOfAClaimedCall(t *testing.T) {
+	ctx, d := startSample(t, 1, fastEngine)
+	s := d.Settings("entry-2", SampleDomainB)
+	s.BillInterval = time.Hour
+	dm, err := d.AddDaemon(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := d.WaitEndpoints(ctx, 6); err != nil {
+		t.Fatal(err)
+	}
+	if err := d.Daemons[0].Drain(ctx); err != nil { // no holder of copies writes in between
+		t.Fatal(err)
+	}
+	counts := func() [3]int {
+		c := d.Platform.KV.Faults.Counts()
+		return [3]int{c[memkv.CallCAS], c[memkv.CallGet], c[memkv.CallDelete] + c[memkv.CallList] + c[memkv.CallGrant]}
+	}
+	check := func(what string, before, want [3]int) {
+		t.Helper()
+		for i, n := range counts() {
+			if n -= before[i]; n != want[i] {
+				t.Errorf("%s: %d calls of kind %d (write, read, other), want %d", what, n, i, want[i])
+			}
+		}
+	}
+	const calls = 5
+	before := counts()
+	for i := range calls {
+		a, err := releaseLot(ctx, d, 1, fmt.Sprint("lot-", i), nil)
+		expect(t, a, err, http.StatusOK, "")
+	}
+	written := func() bool { return counts()[0]-before[0] >= 2*calls }
+	if err := Wait(ctx, written); err != nil {
+		t.Error(err)
+	}
+	check("claimed calls", before, [3]int{2 * calls, 0, 0})
+	before = counts()
+	a, err := releaseLot(ctx, d, 1, "lot-0", nil)
+	expect(t, a, err, http.StatusOK, "yes")
+	check("repeat", before, [3]int{1, 1, 0})
+	before = counts()
+	if err := dm.Drain(ctx); err != nil {
+		t.Error(err)
+	}
+	check("bills", before, [3]int{1, 0, 0})
+}
--- a/peer/bills.go
+++ b/peer/bills.go
@@ -99,8 +99,10 @@
 			}
 		}
 	}
-	for _, d := range domainsAfter(n.spec.Self.Domain, n.remote) {
-		add(n.remote[d], func(m member) bool { return m.State == hostlist.StateLive })
+	for range 2 { // with few other domains, a second daemon of each: the first may have just failed
+		for _, d := range domainsAfter(n.spec.Self.Domain, n.remote) {
+			add(n.remote[d], func(m member) bool { return m.State == hostlist.StateLive })
+		}
 	}
 	add(n.local, func(m member) bool { return m.Rack != n.spec.Self.Rack })
 	add(n.local, func(member) bool { return true })
