ctl: add prune for old claims and bills

Cause: claims and batches of bills stayed in the key-value service for ever. Claims without an outcome and damaged batches stay. Conclusion: the number of keys is bounded by rate and retention.

--- a/ctl/main.go
+++ b/ctl/main.go
@@ -120,6 +120,7 @@
 		{"status", "Show which daemon has which revision", &statusCommand{app: a}},
 		{"state", "Show the state of a daemon or of one request", &stateCommand{app: a}},
 		{"bills", "Show the bills that are stored, merged by request", &billsCommand{app: a}},
+		{"prune", "Remove old claims and bills from the key-value service", &pruneCommand{app: a}},
 		{"codes", "List the result codes", &codesCommand{app: a}},
 	}
 	for _, c := range commands {
--- /dev/null
+++ b/ctl/prune.go
@@ -0,0 +1,61 @@
+package ctl
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/bramleytrail/bramleytrail/claim"
+	"github.com/bramleytrail/bramleytrail/ledger"
+)
+
+type pruneCommand struct {
+	*app   `no-flag:"true"`
+	Claims time.Duration `long:"claims-older-than" description:"remove claims with an outcome that are older, at least 168h"`
+	Bills  time.Duration `long:"bills-older-than" description:"remove batches of bills that are older, at least 168h; export them first"`
+	Yes    bool          `long:"yes" description:"remove; without it the command only counts"`
+}
+
+type pruneOutput struct {
+	Claims  *claim.Pruned  `json:"claims,omitempty"`
+	Bills   *ledger.Pruned `json:"bills,omitempty"`
+	Removed bool           `json:"removed"` // false for a count only
+}
+
+// Execute implements flags.Commander.
+func (c *pruneCommand) Execute([]string) error {
+	store, err := c.store()
+	if err != nil {
+		return err
+	}
+	out := pruneOutput{Removed: c.Yes}
+	dry := !out.Removed
+	if c.Claims > 0 {
+		p, err := claim.Prune(c.ctx, store, time.Now().Add(-c.Claims), dry)
+		if err != nil {
+			return err
+		}
+		out.Claims = &p
+	}
+	if c.Bills > 0 {
+		p, err := ledger.Prune(c.ctx, store, time.Now().Add(-c.Bills), dry)
+		if err != nil {
+			return err
+		}
+		out.Bills = &p
+	}
+	return c.print(out, func(w io.Writer) {
+		if out.Claims != nil {
+			fmt.Fprintf(w, "claims: %d old with an outcome, %d others\n", out.Claims.Removed, out.Claims.Kept)
+			for _, key := range out.Claims.Unfinished {
+				fmt.Fprintf(w, "old claim without an outcome: %s\n", key)
+			}
+		}
+		if out.Bills != nil {
+			fmt.Fprintf(w, "batches of bills: %d old, %d others\n", out.Bills.Removed, out.Bills.Kept)
+		}
+		if dry {
+			fmt.Fprintln(w, "nothing was removed; add --yes")
+		}
+	})
+}
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -283,3 +283,29 @@
 		b.SetBytes(int64(len(data)))
 	}
 }
+
+// Guards against the removal of a batch that holds a recent bill or that can't be read.
+func TestPruneKeepsRecentAndDamagedBatches(t *testing.T) {
+	store := memkv.New()
+	old, recent := bill("old"), bill("recent")
+	old.At -= (60 * 24 * time.Hour).Milliseconds()
+	for seq, bills := range [][]Bill{{old}, {old, recent}, {recent}} {
+		if err := WriteBatch(t.Context(), store, BatchID{"north", "d1", uint64(seq)}, bills, "d1"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := store.CAS(t.Context(), Prefix+"north/d2/1", []byte("damaged"), 0, 0); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Prune(t.Context(), store, time.Now(), false); err == nil {
+		t.Error("recent bills may be removed")
+	}
+	for _, dry := range []bool{true, false} {
+		if p, err := Prune(t.Context(), store, time.Now().Add(-2*MinRetention), dry); err != nil || p != (Pruned{Removed: 1, Kept: 3}) {
+			t.Errorf("dry %t: %+v, %v", dry, p, err)
+		}
+	}
+	if left, err := store.List(t.Context(), Prefix); err != nil || len(left) != 3 {
+		t.Errorf("%d batches left, %v; want 3", len(left), err)
+	}
+}
