--- a/chaos/record.go
+++ b/chaos/record.go
@@ -28,7 +28,7 @@
 	Cut      bool   // a stream ended without its end and without an error event
 	Text     string
 	Version  string
-	Billing  string // identity under which a complete answer is billed
+	Billing  string // identity under which a complete answer is billed; of a release, its idempotency key
 }
 
 // Request is one caller's request with all its deliveries.
--- a/chaos/workload.go
+++ b/chaos/workload.go
@@ -165,7 +165,7 @@
 		client.HTTP.CloseIdleConnections()
 		d := delivery(addr, a, err)
 		if d.Complete && d.Status == http.StatusOK {
-			d.Billing = local.SampleTeam + "/" + local.SamplePlain + "/key/" + req.Key
+			d.Billing = req.Key
 		}
 		req.Deliveries = append(req.Deliveries, d)
 		done := d.Complete && (d.Status == http.StatusOK || d.Code == claimUnknown)
@@ -175,8 +175,11 @@
 	}
 }
 
-// claimUnknown is the result code of a call whose outcome can't become known.
-const claimUnknown = "304"
+// Result codes of calls that ran, or may have run, before.
+const (
+	claimRunning = "303"
+	claimUnknown = "304"
+)
 
 func sleep(ctx context.Context, d time.Duration) bool {
 	select {
