peer: bounded in-degree, no stalls, replaced watchers

Cause: the choice of peers linked daemons by rendezvous order, so that a failure domain with one daemon was the peer of every daemon elsewhere, and the ring was open after the successor failed. A dial held the link's and thereby the node's lock. A document that fails the check was fetched again with each digest, and one failed fetch kept the other documents from being compared. A message was delivered through a second connection that could have gone silent. The watcher rule relied on the host list alone, so that a domain had no watcher while its first two daemons were dead or paused but still listed. Change: each domain is a ring with strides, peers in other domains are assigned by rank with a fan-in of 2, and a peer that is down is replaced by the next one. Dials are shared and hold no lock; sends can't block a caller. A digest is repeated once on a new connection, the peer names what it wants, and it is sent on the connection that has just answered. Rejected documents are remembered. Daemons count watchers along the ring and take over. Seeds are used until a host list is known.

--- a/peer/message.go
+++ b/peer/message.go
@@ -31,18 +31,30 @@
 
 // DigestArgs tells a peer which documents the sender has.
 type DigestArgs struct {
-	From string // peer address of the sender
-	Docs []DocumentID
+	ID     string // sender's identity in the host list
+	Domain string // sender's failure domain
+	From   string // peer address of the sender
+	Docs   []DocumentID
+	// Watchers is the number of daemons up to the sender's rank that watch the platform's services for the domain.
+	Watchers int
 	// Starting asks for all crash records.
 	Starting bool
 }
 
 // DigestReply tells which documents the receiver has.
 type DigestReply struct {
-	Docs    []DocumentID
+	Docs []DocumentID
+	// Want names the documents that the sender should give.
+	Want    []string
 	Crashes []poison.Record
 }
 
+// GiveArgs carries a document that the receiver wants.
+type GiveArgs struct {
+	From string // peer address of the sender
+	Doc  Document
+}
+
 // FetchArgs asks for a document.
 type FetchArgs struct{ Name string }
 
--- a/peer/node.go
+++ b/peer/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/rpc"
@@ -18,12 +19,8 @@
 	"github.com/bramleytrail/bramleytrail/poison"
 )
 
-const (
-	digestInterval = time.Second
-	digestJitter   = 200 * time.Millisecond
-	// holderTTL is the time for which a daemon that received copies of bills is told that this daemon lives.
-	holderTTL = 10 * time.Minute
-)
+// holderTTL is the time for which a daemon that received copies of bills is told that this daemon lives.
+const holderTTL = 10 * time.Minute
 
 // ErrNoPeer says that no other daemon can be reached.
 var ErrNoPeer = errors.New("peer: no peer can be reached")
@@ -44,6 +41,12 @@
 	Poison  *poison.Table
 	Log     logrus.FieldLogger
 	Now     func() time.Time
+	// Seeds are peer addresses that are used as long as no daemon is known from the host list.
+	Seeds []string
+	// Rand returns a random number below its argument. Nil uses the process's source.
+	Rand func(n int64) int64
+	// Dial connects to a peer within dialTimeout. Nil dials TCP from the address on which the node listens.
+	Dial func(ctx context.Context, addr string) (net.Conn, error)
 }
 
 // Node is a daemon's part in the exchange between daemons.
@@ -54,16 +57,21 @@
 
 	mu      sync.Mutex
 	docs    map[string]Document
-	hosts   []hostlist.Host
-	local   []member
-	remote  map[string][]member
+	top     topology
+	watch   *watchers
 	links   map[string]*link
 	conns   map[net.Conn]bool
-	next    int
 	holders map[string]time.Time // addresses of daemons that hold copies of bills
 	started bool                 // the first digest was answered
 	closed  bool
 
+	version   uint64            // number of documents taken so far
+	told      map[string]uint64 // version that a peer was last told of, by address
+	exchanges map[string]*exchange
+	fetches   map[string]*fetch   // by document name
+	expected  map[string]expected // by document name
+	rejected  map[DocumentID]bool
+
 	offering sync.Mutex // serialises documents
 	wg       sync.WaitGroup
 	ctx      context.Context
@@ -72,10 +80,18 @@
 
 // New returns a node that serves peers on the listener.
 func New(spec Spec, ln net.Listener) (*Node, error) {
+	if spec.Rand == nil {
+		spec.Rand = rand.Int64N
+	}
+	if spec.Dial == nil {
+		spec.Dial = dialFrom(ln.Addr())
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
 		spec: spec, listener: ln, server: rpc.NewServer(), docs: map[string]Document{}, links: map[string]*link{},
-		conns: map[net.Conn]bool{}, holders: map[string]time.Time{}, ctx: ctx, cancel: cancel,
+		conns: map[net.Conn]bool{}, holders: map[string]time.Time{}, watch: newWatchers(spec.Self.ID, spec.Now()),
+		told: map[string]uint64{}, exchanges: map[string]*exchange{}, fetches: map[string]*fetch{},
+		expected: map[string]expected{}, rejected: map[DocumentID]bool{}, ctx: ctx, cancel: cancel,
 	}
 	if err := n.server.RegisterName(serviceName, &service{n}); err != nil {
 		cancel()
@@ -96,7 +112,7 @@
 	_ = n.listener.Close() // ends accept
 	n.mu.Lock()
 	n.closed = true
-	links := n.links
+	links := maps.Clone(n.links)
 	for c := range n.conns {
 		_ = c.Close() // ends the connection's goroutine
 	}
@@ -130,12 +146,12 @@
 	}
 }
 
-// SetHosts updates the set of daemons.
+// SetHosts updates the set of daemons and exchanges documents with peers that are new.
 func (n *Node) SetHosts(hosts []hostlist.Host) {
-	local, remote := candidates(n.spec.Self, hosts)
+	top := newTopology(n.spec.Self, hosts)
 	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.hosts, n.local, n.remote = hosts, local, remote
+	n.top = top
+	n.watch.setHosts(n.spec.Self, hosts, n.spec.Now())
 	live := map[string]bool{}
 	for _, h := range hosts {
 		live[h.Addr] = true
@@ -143,9 +159,19 @@
 	for addr, l := range n.links {
 		if !live[addr] {
 			delete(n.links, addr)
+			delete(n.told, addr)
 			go l.close()
 		}
 	}
+	n.mu.Unlock()
+	n.tellPeers("")
+}
+
+// Watching reports whether this daemon watches the platform's services for its failure domain.
+func (n *Node) Watching() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.watch.watching(n.spec.Now())
 }
 
 // Peers returns the addresses of the current peers.
@@ -153,7 +179,17 @@
 	now := n.spec.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return choosePeers(n.local, n.remote, n.spec.Self.Domain, func(addr string) bool { return n.linkLocked(addr).down(now) })
+	down := func(addr string) bool { return n.linkLocked(addr).down(now) }
+	peers := n.top.peers(n.spec.Self.Domain, down)
+	if len(peers) > 0 {
+		return peers
+	}
+	for _, addr := range n.spec.Seeds {
+		if addr != n.spec.Self.Addr && !down(addr) {
+			peers = append(peers, addr)
+		}
+	}
+	return peers
 }
 
 func (n *Node) link(addr string) *link {
@@ -165,12 +201,22 @@
 func (n *Node) linkLocked(addr string) *link {
 	l := n.links[addr]
 	if l == nil {
-		l = &link{addr: addr}
+		l = &link{addr: addr, dialer: n.spec.Dial, closed: n.closed}
 		n.links[addr] = l
 	}
 	return l
 }
 
+// dialFrom returns a function that dials from the address that this daemon listens on, so that a host with several
+// addresses uses the one in its settings.
+func dialFrom(listen net.Addr) func(context.Context, string) (net.Conn, error) {
+	var d net.Dialer
+	if a, ok := listen.(*net.TCPAddr); ok && !a.IP.IsUnspecified() {
+		d.LocalAddr = &net.TCPAddr{IP: a.IP}
+	}
+	return func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) }
+}
+
 // Documents returns the identities of the documents that the node has.
 func (n *Node) Documents() []DocumentID {
 	n.mu.Lock()
@@ -197,21 +243,27 @@
 }
 
 // Offer takes a document if it is newer than the node's and the handler accepts it, and tells all peers at once.
-func (n *Node) Offer(d Document) error {
+func (n *Node) Offer(d Document) error { return n.offer(d, "") }
+
+// offer is Offer for a document that came from a peer, which is not told of it.
+func (n *Node) offer(d Document, from string) error {
 	n.offering.Lock()
 	defer n.offering.Unlock()
-	if current, ok := n.Document(d.Name); ok && !d.Newer(current.DocumentID) {
+	if !n.wants(d.DocumentID) {
 		return nil
 	}
 	if err := n.spec.Handler.OfferDocument(d); err != nil {
+		n.reject(d.DocumentID)
 		return err
 	}
 	n.mu.Lock()
 	n.docs[d.Name] = d
-	n.mu.Unlock()
-	for _, addr := range n.Peers() {
-		n.background(func() { n.exchange(addr) })
+	n.version++
+	if from != "" {
+		n.told[from] = n.version
 	}
+	n.mu.Unlock()
+	n.tellPeers(from)
 	return nil
 }
 
@@ -223,59 +275,6 @@
 	}
 }
 
-// gossip exchanges digests with one peer in turn.
-func (n *Node) gossip() {
-	for {
-		wait := digestInterval + time.Duration(rand.Int64N(int64(2*digestJitter))) - digestJitter
-		select {
-		case <-n.ctx.Done():
-			return
-		case <-time.After(wait):
-		}
-		if peers := n.Peers(); len(peers) > 0 {
-			n.next++
-			n.exchange(peers[n.next%len(peers)])
-		}
-	}
-}
-
-// exchange sends the node's digest to a peer and fetches what the peer has newer.
-func (n *Node) exchange(addr string) {
-	n.mu.Lock()
-	starting := !n.started
-	n.mu.Unlock()
-	var reply DigestReply
-	args := DigestArgs{From: n.spec.Self.Addr, Docs: n.Documents(), Starting: starting}
-	if err := n.link(addr).call(n.ctx, "Digest", args, &reply); err != nil {
-		n.spec.Log.WithError(err).Debug("digest exchange failed")
-		return
-	}
-	n.mu.Lock()
-	n.started = true
-	n.mu.Unlock()
-	for _, r := range reply.Crashes {
-		n.spec.Poison.Add(r, n.spec.Now())
-	}
-	n.fetchNewer(addr, reply.Docs)
-}
-
-// fetchNewer fetches the documents of which the peer has a newer version.
-func (n *Node) fetchNewer(addr string, docs []DocumentID) {
-	for _, id := range docs {
-		if current, ok := n.Document(id.Name); ok && !id.Newer(current.DocumentID) {
-			continue
-		}
-		var d Document
-		if err := n.link(addr).call(n.ctx, "Fetch", FetchArgs{Name: id.Name}, &d); err != nil {
-			n.spec.Log.WithError(err).Warn("document fetch failed")
-			return
-		}
-		if err := n.Offer(d); err != nil {
-			n.spec.Log.WithError(err).WithField("document", d.Name).Warn("document rejected")
-		}
-	}
-}
-
 // ReportCrash records a crash and spreads it.
 func (n *Node) ReportCrash(r poison.Record) {
 	n.spec.Poison.Add(r, n.spec.Now())
@@ -285,7 +284,7 @@
 func (n *Node) spread(records []poison.Record) {
 	for _, addr := range n.Peers() {
 		n.background(func() {
-			if err := n.link(addr).call(n.ctx, "Crash", CrashArgs{records}, &Empty{}); err != nil {
+			if err := n.link(addr).call(n.ctx, callTimeout, "Crash", CrashArgs{records}, &Empty{}); err != nil {
 				n.spec.Log.WithError(err).Debug("crash record not delivered")
 			}
 		})
@@ -299,7 +298,7 @@
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		if err = n.link(addr).call(ctx, "CopyBills", BillsArgs{c}, &Empty{}); err == nil {
+		if err = n.link(addr).call(ctx, callTimeout, "CopyBills", BillsArgs{c}, &Empty{}); err == nil {
 			n.mu.Lock()
 			n.holders[addr] = n.spec.Now()
 			n.mu.Unlock()
@@ -323,7 +322,7 @@
 	}
 	n.mu.Unlock()
 	for _, addr := range addrs {
-		if err := n.link(addr).call(ctx, "CopyBills", BillsArgs{c}, &Empty{}); err != nil {
+		if err := n.link(addr).call(ctx, callTimeout, "CopyBills", BillsArgs{c}, &Empty{}); err != nil {
 			n.spec.Log.WithError(err).Debug("bill announcement not delivered")
 		}
 	}
@@ -345,10 +344,10 @@
 			}
 		}
 	}
-	for _, d := range domainsAfter(n.spec.Self.Domain, n.remote) {
-		add(n.remote[d], func(m member) bool { return m.State == hostlist.StateLive })
+	for _, d := range domainsAfter(n.spec.Self.Domain, n.top.remote) {
+		add(n.top.remote[d], func(m member) bool { return m.State == hostlist.StateLive })
 	}
-	add(n.local, func(m member) bool { return m.Rack != n.spec.Self.Rack })
-	add(n.local, func(member) bool { return true })
+	add(n.top.ring, func(m member) bool { return m.Rack != n.spec.Self.Rack })
+	add(n.top.ring, func(member) bool { return true })
 	return out
 }
--- a/peer/select.go
+++ b/peer/select.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -11,78 +12,99 @@
 
 const (
 	localPeers   = 3 // peers in the own failure domain
-	remotePeers  = 3 // peers in other failure domains, one in each
+	remotePeers  = 3 // other failure domains with a peer
 	watcherCount = 2 // daemons of a failure domain that watch the platform's services
+	// maxFanIn bounds the daemons of one failure domain that have the same peer in another one. Without it, a domain with
+	// one daemon would get a message from each daemon of the others.
+	maxFanIn = 2
 )
 
 // member is another daemon as seen from this one.
 type member struct {
 	hostlist.Host
-	score uint64
+	hash uint64
 }
 
-// candidates orders the other daemons for the choice of peers. The first local one is the successor on the ring of
-// hashed identities, which keeps the graph of peers connected; the rest are in rendezvous order.
-func candidates(self hostlist.Host, hosts []hostlist.Host) (local []member, remote map[string][]member) {
-	remote = map[string][]member{}
+// topology orders the other daemons for the choice of peers. Each failure domain is a ring of its daemons by hashed
+// identity. A list starts with the preferred peer and goes on around the ring, so that a peer that is down is replaced
+// by the next daemon, and the ring stays closed whichever daemons fail.
+type topology struct {
+	ring   []member            // own failure domain, from the successor on
+	remote map[string][]member // other failure domains, from the assigned peer on
+	// gateway tells for which other failure domains this daemon has the duty to keep a peer there.
+	gateway map[string]bool
+}
+
+func newTopology(self hostlist.Host, hosts []hostlist.Host) topology {
+	domains := map[string][]member{self.Domain: {{self, xxhash.Sum64String(self.ID)}}}
 	for _, h := range hosts {
-		if h.Role != hostlist.RoleEntry || h.ID == self.ID {
-			continue
-		}
-		m := member{h, xxhash.Sum64String(self.ID + "|" + h.ID)}
-		if h.Domain == self.Domain {
-			local = append(local, m)
-		} else {
-			remote[h.Domain] = append(remote[h.Domain], m)
+		if h.Role == hostlist.RoleEntry && h.ID != self.ID {
+			domains[h.Domain] = append(domains[h.Domain], member{h, xxhash.Sum64String(h.ID)})
 		}
 	}
-	byScore := func(a, b member) int { return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.ID, b.ID)) }
-	slices.SortFunc(local, byScore)
-	for _, list := range remote {
-		slices.SortFunc(list, byScore)
+	for _, list := range domains {
+		slices.SortFunc(list, func(a, b member) int { return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.ID, b.ID)) })
 	}
-	if i := successor(self.ID, local); i > 0 {
-		s := local[i]
-		local = slices.Insert(slices.Delete(local, i, i+1), 0, s)
+	own := domains[self.Domain]
+	rank := slices.IndexFunc(own, func(m member) bool { return m.ID == self.ID })
+	t := topology{ring: rotate(own, rank+1)[:len(own)-1], remote: map[string][]member{}, gateway: map[string]bool{}}
+	for d, list := range domains {
+		if d == self.Domain {
+			continue
+		}
+		slot, first := assign(rank, len(own), len(list))
+		t.remote[d], t.gateway[d] = rotate(list, slot), first
 	}
-	return local, remote
+	return t
 }
 
-// successor returns the index of the member that follows self on the ring of hashed identities, or -1.
-func successor(self string, list []member) int {
-	origin := xxhash.Sum64String(self)
-	best, bestDistance := -1, uint64(0)
-	for i, m := range list {
-		distance := xxhash.Sum64String(m.ID) - origin // wraps around the ring
-		if best < 0 || distance < bestDistance {
-			best, bestDistance = i, distance
-		}
+// assign maps the daemon with a rank among own daemons to a slot among others. If there are more than maxFanIn daemons
+// for each slot, only the first of those that share one are gateways.
+func assign(rank, own, others int) (slot int, gateway bool) {
+	if own <= maxFanIn*others {
+		return rank * others / own, true
 	}
-	return best
+	n := maxFanIn * others
+	i := rank * n / own
+	return i / maxFanIn, rank == 0 || (rank-1)*n/own != i
 }
 
-// choosePeers returns up to localPeers and remotePeers members that are not down.
-func choosePeers(local []member, remote map[string][]member, domain string, down func(addr string) bool) []string {
+func rotate(list []member, first int) []member {
+	first %= len(list)
+	return slices.Concat(list[first:], list[:first])
+}
+
+// strides are the distances on the ring at which a daemon has peers: the successor, which keeps the ring closed, and two
+// longer ones, which make a change reach a ring of n daemons in about 3 times the cube root of n steps.
+func strides(n int) [localPeers]int {
+	k := max(2, int(math.Ceil(math.Cbrt(float64(n+1)))))
+	return [localPeers]int{1, k, k * k}
+}
+
+// peers returns the addresses of up to localPeers and remotePeers members that are not down, the successor first.
+func (t topology) peers(domain string, down func(addr string) bool) []string {
 	var out []string
-	for _, m := range local {
-		if len(out) == localPeers {
-			break
-		}
-		if !down(m.Addr) {
-			out = append(out, m.Addr)
+	add := func(list []member, from int) bool {
+		for i := range list {
+			m := list[(from+i)%len(list)]
+			if !down(m.Addr) && !slices.Contains(out, m.Addr) {
+				out = append(out, m.Addr)
+				return true
+			}
 		}
+		return false
+	}
+	for _, s := range strides(len(t.ring)) {
+		add(t.ring, s-1)
 	}
 	n := 0
-	for _, d := range domainsAfter(domain, remote) {
+	for _, d := range domainsAfter(domain, t.remote) {
 		if n == remotePeers {
 			break
 		}
-		for _, m := range remote[d] {
-			if !down(m.Addr) {
-				out = append(out, m.Addr)
-				n++
-				break
-			}
+		// A domain without a live daemon is replaced by the next one.
+		if !t.gateway[d] || add(t.remote[d], 0) {
+			n++
 		}
 	}
 	return out
@@ -106,19 +128,3 @@
 	})
 	return names
 }
-
-// IsWatcher reports whether the daemon is one of those in its failure domain that watch the platform's services for the
-// others. The number of watches then depends on the number of domains only.
-func IsWatcher(self hostlist.Host, hosts []hostlist.Host) bool {
-	lower := 0
-	own := xxhash.Sum64String(self.ID)
-	for _, h := range hosts {
-		if h.Role != hostlist.RoleEntry || h.Domain != self.Domain || h.ID == self.ID || h.State != hostlist.StateLive {
-			continue
-		}
-		if xxhash.Sum64String(h.ID) < own {
-			lower++
-		}
-	}
-	return lower < watcherCount
-}
--- a/peer/service.go
+++ b/peer/service.go
@@ -9,17 +9,27 @@
 // service holds the methods that other daemons call.
 type service struct{ node *Node }
 
-// Digest compares documents with a peer. If the peer has newer ones, they are fetched in the background.
+// Digest compares documents with a peer and asks it for those that it has newer.
 func (s *service) Digest(args DigestArgs, reply *DigestReply) error {
 	n := s.node
 	reply.Docs = n.Documents()
+	if args.Domain == n.spec.Self.Domain {
+		n.mu.Lock()
+		n.watch.heard(args.ID, args.Watchers, n.spec.Now())
+		n.mu.Unlock()
+	}
 	if args.Starting {
 		reply.Crashes = n.spec.Poison.Records(n.spec.Now())
 	}
-	n.background(func() { n.fetchNewer(args.From, args.Docs) })
+	reply.Want = n.want(args.From, args.Docs)
 	return nil
 }
 
+// Give takes a document.
+func (s *service) Give(args GiveArgs, _ *Empty) error {
+	return s.node.offer(args.Doc, args.From)
+}
+
 // Fetch returns a document.
 func (s *service) Fetch(args FetchArgs, reply *Document) error {
 	d, ok := s.node.Document(args.Name)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -17,16 +17,18 @@
 
 // Settings of one daemon. They are static: everything that may change while the daemon runs is in the configuration.
 type Settings struct {
-	ID             string `long:"id" env:"BRAMLEY_ID" description:"identity of this daemon in the host list" required:"true"`
-	Domain         string `long:"domain" env:"BRAMLEY_DOMAIN" description:"failure domain of this host" required:"true"`
-	Rack           string `long:"rack" env:"BRAMLEY_RACK" description:"rack of this host"`
-	Listen         string `long:"listen" env:"BRAMLEY_LISTEN" description:"IP address and port for callers" default:"127.0.0.1:8080"`
-	PeerListen     string `long:"peer-listen" env:"BRAMLEY_PEER_LISTEN" description:"IP address and port for other daemons" default:"127.0.0.1:8081"`
-	OperatorListen string `long:"operator-listen" env:"BRAMLEY_OPERATOR_LISTEN" description:"IP address and port for operators" default:"127.0.0.1:8082"`
-	Store          string `long:"store" env:"BRAMLEY_STORE" description:"URL of the platform's key-value service" required:"true"`
-	Hosts          string `long:"hosts" env:"BRAMLEY_HOSTS" description:"URL of the platform's host list" required:"true"`
-	Ratings        string `long:"ratings" env:"BRAMLEY_RATINGS" description:"URL of the platform's rating service"`
-	SessionKeyFile string `long:"session-key-file" env:"BRAMLEY_SESSION_KEY_FILE" description:"file with the secret that signs session tokens, the same for all daemons" required:"true"`
+	ID             string   `long:"id" env:"BRAMLEY_ID" description:"identity of this daemon in the host list" required:"true"`
+	Domain         string   `long:"domain" env:"BRAMLEY_DOMAIN" description:"failure domain of this host" required:"true"`
+	Rack           string   `long:"rack" env:"BRAMLEY_RACK" description:"rack of this host"`
+	Listen         string   `long:"listen" env:"BRAMLEY_LISTEN" description:"IP address and port for callers" default:"127.0.0.1:8080"`
+	PeerListen     string   `long:"peer-listen" env:"BRAMLEY_PEER_LISTEN" description:"IP address and port for other daemons" default:"127.0.0.1:8081"`
+	PeerAdvertise  string   `long:"peer-advertise" env:"BRAMLEY_PEER_ADVERTISE" description:"IP address and port that other daemons dial (default: the one of --peer-listen)"`
+	Seeds          []string `long:"seed" env:"BRAMLEY_SEEDS" env-delim:"," description:"peer address of another daemon, used while no host list is known; may be repeated"`
+	OperatorListen string   `long:"operator-listen" env:"BRAMLEY_OPERATOR_LISTEN" description:"IP address and port for operators" default:"127.0.0.1:8082"`
+	Store          string   `long:"store" env:"BRAMLEY_STORE" description:"URL of the platform's key-value service" required:"true"`
+	Hosts          string   `long:"hosts" env:"BRAMLEY_HOSTS" description:"URL of the platform's host list" required:"true"`
+	Ratings        string   `long:"ratings" env:"BRAMLEY_RATINGS" description:"URL of the platform's rating service"`
+	SessionKeyFile string   `long:"session-key-file" env:"BRAMLEY_SESSION_KEY_FILE" description:"file with the secret that signs session tokens, the same for all daemons" required:"true"`
 
 	MaxInFlight    int           `long:"max-in-flight" env:"BRAMLEY_MAX_IN_FLIGHT" description:"requests in flight in this daemon" default:"2000"`
 	MaxConnections int           `long:"max-connections" env:"BRAMLEY_MAX_CONNECTIONS" description:"open connections of callers" default:"8000"`
@@ -97,6 +99,14 @@
 			bad(flag, "%q is not an IP address and port", v)
 		}
 	}
+	if _, err := netip.ParseAddrPort(s.PeerAdvertise); s.PeerAdvertise != "" && err != nil {
+		bad("peer-advertise", "%q is not an IP address and port", s.PeerAdvertise)
+	}
+	for _, v := range s.Seeds {
+		if _, err := netip.ParseAddrPort(v); err != nil {
+			bad("seed", "%q is not an IP address and port", v)
+		}
+	}
 	for flag, v := range map[string]string{"store": s.Store, "hosts": s.Hosts} {
 		if u, err := url.Parse(v); err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
 			bad(flag, "%q is not an http or https URL", v)
