daemon: configuration and host list that survive lost writes and restarts

Cause: a watch position that a restored service had passed again hid its older data; a deleted or missing key was ignored; a host list that had started anew with lower revisions was refused for good; a document offered under a wrong number hid later ones; an empty list removed every endpoint. Change: after a failure, a reset and a quiet watch the value itself is read. A missing or older revision is replaced by the one in force, and the replaced one is kept under config-replaced/. Host list documents carry an epoch above the list's revision. The identity of a document is checked against its body. A list without an entry host is refused. Package local can place relays between daemons and before the platform.

--- a/config/revision.go
+++ b/config/revision.go
@@ -11,6 +11,14 @@
 // Key is the key of the published revision in the key-value service.
 const Key = "config/current"
 
+// replacedPrefix is the prefix of keys that keep revisions which daemons replaced by a newer one.
+const replacedPrefix = "config-replaced/"
+
+// ReplacedKey returns the key that keeps r after daemons replaced it. It names the number and the start of the digest.
+func ReplacedKey(r Revision) string {
+	return fmt.Sprintf("%s%012d-%.12s", replacedPrefix, r.Number, r.Digest)
+}
+
 // Revision is a published set of objects.
 type Revision struct {
 	Number    uint64    `json:"number"`
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -66,15 +66,13 @@
 	copies  *ledger.Copies
 	claims  *claim.Filter
 	admit   *admit.Filter
+	docs    *documents
 	node    *peer.Node
 	entry   *entry.Server
 	ops     *operatorServer
 	metrics *observe.Metrics
 	recent  *observe.Recent
 
-	members  atomic.Int64 // live entry hosts
-	watcher  atomic.Bool
-	list     atomic.Pointer[hostlist.List]
 	leaving  atomic.Bool
 	peerAddr string
 
@@ -100,6 +98,11 @@
 	}
 	d.platform = Platform{Store: observe.Store{Store: p.Store, Metrics: d.metrics}, Hosts: p.Hosts}
 	d.pool = pool.New(pool.Spec{Self: s.ID, Domain: s.Domain, Settle: s.Settle, Rand: mathrand.Uint64})
+	d.docs = &documents{ctx: ctx, spec: documentsSpec{
+		Platform: d.platform, Config: d.config, Metrics: d.metrics, Log: d.log,
+		OnHosts:   func(list hostlist.List) { d.pool.SetHosts(list, time.Now()) },
+		KeepBills: func(c ledger.Copy) { d.copies.Keep(c, time.Now()) },
+	}}
 	d.config.OnChange(func(v *config.View) { d.pool.SetView(v, time.Now()) })
 	return d
 }
@@ -116,11 +119,11 @@
 		return fmt.Errorf("listen for peers: %w", err)
 	}
 	d.peerAddr = ln.Addr().String()
-	self := hostlist.Host{ID: d.settings.ID, Role: hostlist.RoleEntry, Domain: d.settings.Domain, Rack: d.settings.Rack, Addr: d.peerAddr}
-	d.node, err = peer.New(peer.Spec{Self: self, Handler: d, Poison: d.poison, Log: d.log, Now: time.Now}, ln)
+	d.node, err = peer.New(peer.Spec{Self: d.self(), Handler: d.docs, Poison: d.poison, Log: d.log, Now: time.Now, Seeds: d.settings.Seeds}, ln)
 	if err != nil {
 		return err
 	}
+	d.docs.node = d.node
 	d.buildLedger()
 	d.node.Start()
 	d.entry = d.buildEntry()
@@ -130,8 +133,7 @@
 	d.registerGauges()
 	d.wg.Go(func() { d.ledger.Run(d.ctx) })
 	d.wg.Go(d.writeSilentCopies)
-	d.wg.Go(d.followHosts)
-	d.wg.Go(d.followConfig)
+	d.wg.Go(d.docs.run)
 	d.wg.Go(d.pollLoads)
 	d.log.WithFields(logrus.Fields{"listen": d.entry.Addr(), "peers": d.peerAddr, "operators": d.ops.addr}).Info("daemon started")
 	return nil
@@ -160,7 +162,7 @@
 	p := &pipeline.Pipeline{
 		Config:   d.config,
 		Admit:    d.admit,
-		Identify: identify.New(identify.Spec{Signer: signer, Members: func() int { return int(d.members.Load()) }}),
+		Identify: identify.New(identify.Spec{Signer: signer, Members: func() int { return int(d.docs.members.Load()) }}),
 		Claim:    d.claims,
 		Choose:   choose.New(choose.Declared{}),
 		Dispatch: dispatch.New(dispatch.Spec{
@@ -185,7 +187,7 @@
 // Addr returns the callers' address.
 func (d *Daemon) Addr() string { return d.entry.Addr() }
 
-// PeerAddr returns the address for other daemons.
+// PeerAddr returns the address at which the daemon listens for other daemons.
 func (d *Daemon) PeerAddr() string { return d.peerAddr }
 
 // OperatorAddr returns the operators' address.
@@ -194,7 +196,7 @@
 // Ready reports whether the balancer may send requests: the daemon has a configuration and a host list and is not
 // leaving.
 func (d *Daemon) Ready() bool {
-	return d.config.View() != nil && d.list.Load() != nil && !d.leaving.Load()
+	return d.config.View() != nil && d.docs.list.Load() != nil && !d.leaving.Load()
 }
 
 // Run serves until ctx ends, then stops gracefully.
@@ -245,3 +247,23 @@
 	d.wg.Wait()
 	d.log.Info("daemon stopped")
 }
+
+func (d *Daemon) self() hostlist.Host {
+	addr := d.settings.PeerAdvertise
+	if addr == "" {
+		addr = d.peerAddr
+	}
+	return hostlist.Host{ID: d.settings.ID, Role: hostlist.RoleEntry, Domain: d.settings.Domain, Rack: d.settings.Rack, Addr: addr}
+}
+
+// writeSilentCopies writes the bills of daemons that have fallen silent.
+func (d *Daemon) writeSilentCopies() {
+	for d.ctx.Err() == nil {
+		d.docs.sleep(d.settings.BillInterval)
+		ctx, cancel := context.WithTimeout(d.ctx, stopTimeout)
+		if err := d.copies.WriteSilent(ctx, time.Now()); err != nil && d.ctx.Err() == nil {
+			d.log.WithError(err).Warn("copies of bills not written")
+		}
+		cancel()
+	}
+}
--- a/daemon/documents.go
+++ b/daemon/documents.go
@@ -1,20 +1,21 @@
 package daemon
 
 import (
-	"bytes"
-	"compress/gzip"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
+	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/bramleytrail/bramleytrail/config"
 	"github.com/bramleytrail/bramleytrail/declare"
 	"github.com/bramleytrail/bramleytrail/hostlist"
 	"github.com/bramleytrail/bramleytrail/kv"
 	"github.com/bramleytrail/bramleytrail/ledger"
+	"github.com/bramleytrail/bramleytrail/observe"
 	"github.com/bramleytrail/bramleytrail/peer"
 )
 
@@ -27,49 +28,100 @@
 const (
 	followPause = time.Second // after a failed call to the platform
 	roleCheck   = time.Second // interval at which a daemon checks whether it is a watcher
-	// maxHostListBytes bounds a host list; 1,210 hosts have about 200 KB.
-	maxHostListBytes = 16 << 20
 )
 
+var (
+	errIdentity = errors.New("document does not have the identity under which it was offered")
+	errNoEntry  = errors.New("host list has no entry host")
+)
+
+// documentsSpec configures documents.
+type documentsSpec struct {
+	Platform Platform
+	Config   *config.Holder
+	// OnHosts is called with each host list that comes into force, before the peers change.
+	OnHosts   func(hostlist.List)
+	KeepBills func(ledger.Copy)
+	Metrics   *observe.Metrics
+	Log       logrus.FieldLogger
+}
+
+// documents keeps the configuration and the host list in force: it reads them from the platform's services, takes them
+// from peers and gives them to peers.
+type documents struct {
+	spec    documentsSpec
+	node    *peer.Node
+	ctx     context.Context
+	list    atomic.Pointer[hostlist.List]
+	members atomic.Int64 // live entry hosts
+}
+
+// run follows the platform's services until ctx ends.
+func (d *documents) run() {
+	var wg sync.WaitGroup
+	wg.Go(d.followHosts)
+	wg.Go(d.followConfig)
+	wg.Wait()
+}
+
 // OfferDocument implements peer.Handler.
-func (d *Daemon) OfferDocument(doc peer.Document) error {
+func (d *documents) OfferDocument(doc peer.Document) error {
 	switch doc.Name {
 	case docConfig:
-		rev, err := config.UnmarshalRevision(doc.Body)
+		rev, err := readConfigDocument(doc)
 		if err != nil {
 			return err
 		}
 		return d.applyConfig(rev)
 	case docHosts:
-		list, err := decodeHosts(doc.Body)
+		list, err := readHostsDocument(doc)
 		if err != nil {
 			return err
 		}
-		d.applyHosts(list)
-		return nil
+		return d.applyHosts(list)
 	default:
 		return fmt.Errorf("unknown document %q", doc.Name)
 	}
 }
 
+// readConfigDocument decodes a configuration. A wrong identity is refused: the node compares identities, so it would hide
+// later revisions.
+func readConfigDocument(doc peer.Document) (config.Revision, error) {
+	rev, err := config.UnmarshalRevision(doc.Body)
+	if err == nil && (rev.Number != doc.Number || rev.Digest != doc.Digest) {
+		err = fmt.Errorf("revision %d offered as %d: %w", rev.Number, doc.Number, errIdentity)
+	}
+	return rev, err
+}
+
+// readHostsDocument decodes a host list and checks its identity.
+func readHostsDocument(doc peer.Document) (hostlist.List, error) {
+	list, err := decodeHosts(doc.Body)
+	if err == nil && (list.Revision != doc.Number&maxListRevision || declare.Digest(doc.Body) != doc.Digest) {
+		err = fmt.Errorf("host list %d offered as %d: %w", list.Revision, doc.Number, errIdentity)
+	}
+	return list, err
+}
+
 // KeepBills implements peer.Handler.
-func (d *Daemon) KeepBills(c ledger.Copy) { d.copies.Keep(c, time.Now()) }
+func (d *documents) KeepBills(c ledger.Copy) { d.spec.KeepBills(c) }
 
-func (d *Daemon) applyConfig(rev config.Revision) error {
-	changed, err := d.config.Offer(rev)
+func (d *documents) applyConfig(rev config.Revision) error {
+	changed, err := d.spec.Config.Offer(rev)
 	if err != nil {
-		d.metrics.Counter("bramley_config_rejected_total").Inc()
-		d.log.WithError(err).WithField("revision", rev.Number).Error("revision rejected; the one in force stays")
+		d.spec.Metrics.Counter("bramley_config_rejected_total").Inc()
+		d.spec.Log.WithError(err).WithField("revision", rev.Number).Error("revision rejected; the one in force stays")
 		return err
 	}
 	if changed {
-		d.log.WithField("revision", rev.Number).Info("configuration in force")
+		d.spec.Log.WithField("revision", rev.Number).Info("configuration in force")
 	}
 	return nil
 }
 
-func (d *Daemon) applyHosts(list hostlist.List) {
-	d.list.Store(&list)
+// applyHosts puts a host list in force. A list without any entry host is that of a list service that is still filling
+// up, since the reader itself is an entry host; it is refused.
+func (d *documents) applyHosts(list hostlist.List) error {
 	var entries []hostlist.Host
 	live := 0
 	for _, h := range list.Hosts {
@@ -81,144 +133,190 @@
 			live++
 		}
 	}
+	if len(entries) == 0 {
+		return errNoEntry
+	}
+	d.list.Store(&list)
 	d.members.Store(int64(live))
-	d.watcher.Store(peer.IsWatcher(d.self(), entries))
+	d.spec.OnHosts(list)
 	d.node.SetHosts(entries)
-	d.pool.SetHosts(list, time.Now())
+	return nil
 }
 
-func (d *Daemon) self() hostlist.Host {
-	return hostlist.Host{ID: d.settings.ID, Role: hostlist.RoleEntry, Domain: d.settings.Domain, Rack: d.settings.Rack, Addr: d.peerAddr}
+// following waits while another daemon watches the platform's services for this one. It returns false at the end.
+func (d *documents) following(have func() bool) bool {
+	for d.ctx.Err() == nil {
+		if !have() || d.node.Watching() {
+			return true
+		}
+		d.sleep(roleCheck)
+	}
+	return false
 }
 
 // followHosts reads the host list from the platform at start, and goes on as long as this daemon is a watcher.
-func (d *Daemon) followHosts() {
+func (d *documents) followHosts() {
 	known := uint64(0)
-	for d.ctx.Err() == nil {
-		if d.list.Load() != nil && !d.watcher.Load() {
-			d.sleep(roleCheck)
-			continue
-		}
-		list, err := d.platform.Hosts.List(d.ctx, known)
-		if err != nil {
-			d.log.WithError(err).Debug("host list not read")
-			d.sleep(followPause)
-			continue
+	for d.following(func() bool { return d.list.Load() != nil }) {
+		list, err := d.spec.Platform.Hosts.List(d.ctx, known)
+		if err == nil {
+			known = list.Revision
+			err = d.offerHosts(list)
 		}
-		known = list.Revision
-		if err := d.offerHosts(list); err != nil {
-			d.log.WithError(err).Error("host list rejected")
+		if err != nil && d.ctx.Err() == nil {
+			known = 0 // a list that has started anew may have reached the same revision
+			d.spec.Log.WithError(err).Warn("host list not applied; the last one stays")
 			d.sleep(followPause)
 		}
 	}
 }
 
-func (d *Daemon) offerHosts(list hostlist.List) error {
+// The number of a host list document has the list's own revision in its low bits. The rest is increased when the
+// platform's list has started anew with lower revisions, so that daemons accept the new list.
+const (
+	listRevisionBits = 40
+	maxListRevision  = 1<<listRevisionBits - 1
+)
+
+func (d *documents) offerHosts(list hostlist.List) error {
+	if list.Revision > maxListRevision {
+		return fmt.Errorf("host list revision %d exceeds %d", list.Revision, uint64(maxListRevision))
+	}
+	current, _ := d.node.Document(docHosts)
+	if d.precedes(list, current.Number&maxListRevision) {
+		return d.offerRestartedHosts(current.Number)
+	}
+	return d.offerHostsAs(list, current.Number&^maxListRevision|list.Revision)
+}
+
+// precedes reports whether list can't follow the one in force in the same sequence of revisions.
+func (d *documents) precedes(list hostlist.List, inForce uint64) bool {
+	if list.Revision != inForce {
+		return list.Revision < inForce
+	}
+	current := d.list.Load()
+	return current != nil && current.Revision == inForce && !sameHosts(current.Hosts, list.Hosts)
+}
+
+// offerRestartedHosts handles a list that is older than the one in force. If another watcher was faster, a second read
+// gives at least that revision. Otherwise the list has started anew.
+func (d *documents) offerRestartedHosts(inForce uint64) error {
+	list, err := d.spec.Platform.Hosts.List(d.ctx, 0)
+	if err != nil {
+		return err
+	}
+	epoch := inForce >> listRevisionBits
+	if d.precedes(list, inForce&maxListRevision) {
+		epoch++
+		d.spec.Log.WithField("revision", list.Revision).Warn("the platform's host list has started anew")
+	}
+	return d.offerHostsAs(list, epoch<<listRevisionBits|list.Revision)
+}
+
+func (d *documents) offerHostsAs(list hostlist.List, number uint64) error {
 	body, err := encodeHosts(list)
 	if err != nil {
 		return err
 	}
-	return d.node.Offer(peer.Document{DocumentID: peer.DocumentID{Name: docHosts, Number: list.Revision, Digest: declare.Digest(body)}, Body: body})
+	return d.node.Offer(peer.Document{DocumentID: peer.DocumentID{Name: docHosts, Number: number, Digest: declare.Digest(body)}, Body: body})
 }
 
 // followConfig reads the configuration from the key-value service at start, and watches it as long as this daemon is a
-// watcher.
-func (d *Daemon) followConfig() {
-	after := uint64(0)
-	for d.ctx.Err() == nil {
-		if d.config.View() != nil && !d.watcher.Load() {
-			d.sleep(roleCheck)
-			continue
-		}
-		changes, err := d.platform.Store.Watch(d.ctx, config.Key, after)
-		if err != nil {
-			d.log.WithError(err).Debug("configuration not read")
+// watcher. After a failure, and whenever a watch ends without a change, it reads the value itself instead of relying on
+// the watch position: a service that lost writes may have passed that position again with other data.
+func (d *documents) followConfig() {
+	for d.following(func() bool { return d.spec.Config.View() != nil }) {
+		if err := d.readConfig(); err != nil {
+			d.spec.Log.WithError(err).Debug("configuration not read")
 			d.sleep(followPause)
-			continue
 		}
-		after = changes.Revision
-		d.takeConfig(changes)
 	}
 }
 
-func (d *Daemon) takeConfig(changes kv.Changes) {
-	for _, e := range changes.Entries {
-		if e.Key != config.Key || e.Deleted {
-			continue
-		}
-		rev, err := config.UnmarshalRevision(e.Value)
+// readConfig takes the stored revision and then those that follow, until a watch fails or ends without a change.
+func (d *documents) readConfig() error {
+	entry, err := d.spec.Platform.Store.Get(d.ctx, config.Key)
+	if errors.Is(err, kv.ErrNotFound) {
+		entry, err = kv.Entry{Key: config.Key, Deleted: true}, nil
+	}
+	if err != nil {
+		return err
+	}
+	after := entry.Revision
+	d.takeConfig(entry)
+	for {
+		changes, err := d.spec.Platform.Store.Watch(d.ctx, config.Key, after)
 		if err != nil {
-			d.log.WithError(err).Error("stored configuration can't be read")
-			continue
+			return err
+		}
+		if changes.Reset || len(changes.Entries) == 0 || !d.node.Watching() {
+			return nil
 		}
-		if err := d.offerConfig(rev, e.Value); err != nil {
-			continue // logged by applyConfig
+		after = changes.Revision
+		for _, e := range changes.Entries {
+			if e.Key == config.Key {
+				d.takeConfig(e)
+			}
 		}
-		if mine := d.config.Revision(); mine.Newer(rev) {
-			d.restoreConfig(mine, e)
+	}
+}
+
+// takeConfig offers a stored revision to this daemon and its peers. If the daemons have a newer one, the service has lost
+// writes, and the newer one is written back.
+func (d *documents) takeConfig(e kv.Entry) {
+	mine := d.spec.Config.Revision()
+	if e.Deleted {
+		if mine.Number > 0 {
+			d.restoreConfig(mine, kv.Entry{}, config.Revision{})
 		}
+		return
+	}
+	rev, err := config.UnmarshalRevision(e.Value)
+	if err != nil {
+		d.spec.Log.WithError(err).Error("stored configuration can't be read")
+		return
+	}
+	if err := d.offerConfig(rev, e.Value); err != nil {
+		return // logged by applyConfig
+	}
+	if mine = d.spec.Config.Revision(); mine.Newer(rev) {
+		d.restoreConfig(mine, e, rev)
 	}
 }
 
-func (d *Daemon) offerConfig(rev config.Revision, body []byte) error {
+func (d *documents) offerConfig(rev config.Revision, body []byte) error {
 	return d.node.Offer(peer.Document{DocumentID: peer.DocumentID{Name: docConfig, Number: rev.Number, Digest: rev.Digest}, Body: body})
 }
 
-// restoreConfig writes the revision in force back to a key-value service that came back with an older one.
-func (d *Daemon) restoreConfig(mine config.Revision, stored kv.Entry) {
+// restoreConfig writes the revision in force back to a key-value service that came back with an older one or with none.
+// The replaced one is kept under another key, as an operator may have published it on top of the older data.
+func (d *documents) restoreConfig(mine config.Revision, stored kv.Entry, replaced config.Revision) {
 	data, err := mine.Marshal()
 	if err != nil {
-		d.log.WithError(err).Error("revision in force can't be encoded")
+		d.spec.Log.WithError(err).Error("revision in force can't be encoded")
 		return
 	}
-	_, err = d.platform.Store.CAS(d.ctx, config.Key, data, stored.Revision, 0)
+	if stored.Revision > 0 {
+		_, err := d.spec.Platform.Store.CAS(d.ctx, config.ReplacedKey(replaced), stored.Value, 0, 0)
+		if err != nil && !errors.Is(err, kv.ErrConflict) {
+			d.spec.Log.WithError(err).Warn("replaced revision not kept")
+			return // tried again with the next read
+		}
+	}
+	_, err = d.spec.Platform.Store.CAS(d.ctx, config.Key, data, stored.Revision, 0)
 	switch {
 	case err == nil:
-		d.log.WithField("revision", mine.Number).Warn("key-value service held an older revision; the one in force was written back")
+		d.spec.Metrics.Counter("bramley_config_restored_total").Inc()
+		d.spec.Log.WithFields(logrus.Fields{"revision": mine.Number, "replaced": replaced.Number, "publisher": replaced.Publisher}).
+			Warn("key-value service held an older revision; the one in force was written back")
 	case !errors.Is(err, kv.ErrConflict): // another watcher was faster
-		d.log.WithError(err).Warn("revision in force not written back")
+		d.spec.Log.WithError(err).Warn("revision in force not written back")
 	}
 }
 
-func (d *Daemon) sleep(t time.Duration) {
+func (d *documents) sleep(t time.Duration) {
 	select {
 	case <-time.After(t):
 	case <-d.ctx.Done():
 	}
 }
-
-// writeSilentCopies writes the bills of daemons that have fallen silent.
-func (d *Daemon) writeSilentCopies() {
-	for d.ctx.Err() == nil {
-		d.sleep(d.settings.BillInterval)
-		ctx, cancel := context.WithTimeout(d.ctx, stopTimeout)
-		if err := d.copies.WriteSilent(ctx, time.Now()); err != nil && d.ctx.Err() == nil {
-			d.log.WithError(err).Warn("copies of bills not written")
-		}
-		cancel()
-	}
-}
-
-func encodeHosts(list hostlist.List) ([]byte, error) {
-	var buf bytes.Buffer
-	zw := gzip.NewWriter(&buf)
-	if err := json.NewEncoder(zw).Encode(list); err != nil {
-		return nil, fmt.Errorf("encode host list: %w", err)
-	}
-	if err := zw.Close(); err != nil {
-		return nil, fmt.Errorf("encode host list: %w", err)
-	}
-	return buf.Bytes(), nil
-}
-
-func decodeHosts(body []byte) (hostlist.List, error) {
-	var list hostlist.List
-	zr, err := gzip.NewReader(bytes.NewReader(body))
-	if err != nil {
-		return list, fmt.Errorf("decode host list: %w", err)
-	}
-	if err := json.NewDecoder(io.LimitReader(zr, maxHostListBytes)).Decode(&list); err != nil {
-		return list, fmt.Errorf("decode host list: %w", err)
-	}
-	return list, nil
-}
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -32,6 +32,7 @@
 	Revision    uint64            `json:"revision"`
 	Digest      string            `json:"digest"`
 	HostList    uint64            `json:"hostListRevision"`
+	Members     int               `json:"members"` // live entry hosts in the host list
 	Watcher     bool              `json:"watcher"`
 	Peers       []string          `json:"peers"`
 	Documents   []peer.DocumentID `json:"documents"`
@@ -48,12 +49,13 @@
 	rev := d.config.Revision()
 	s := State{
 		ID: d.settings.ID, Domain: d.settings.Domain, Incarnation: d.incarnation, Ready: d.Ready(), Leaving: d.leaving.Load(),
-		Revision: rev.Number, Digest: rev.Digest, Watcher: d.watcher.Load(), Peers: d.node.Peers(), Documents: d.node.Documents(),
+		Revision: rev.Number, Digest: rev.Digest, Watcher: d.node.Watching(), Peers: d.node.Peers(), Documents: d.node.Documents(),
 		InFlight: d.admit.InFlight(), BillsHeld: d.ledger.Held(), CopiesHeld: d.copies.Held(),
 		Endpoints: d.pool.Dump(now, maxDumpEndpoints), Requests: d.recent.Last(maxDumpRequests),
 	}
-	if l := d.list.Load(); l != nil {
+	if l := d.docs.list.Load(); l != nil {
 		s.HostList = l.Revision
+		s.Members = int(d.docs.members.Load())
 	}
 	return s
 }
--- a/local/deployment.go
+++ b/local/deployment.go
@@ -31,6 +31,7 @@
 	Engines     map[string]*standin.Engine
 	Plains      map[string]*standin.Plain
 	Log         *logrus.Logger
+	Network     *Network // nil unless UseNetwork was called
 
 	platform *standin.Server
 	servers  map[string]*standin.Server
@@ -92,15 +93,41 @@
 
 // AddDaemon starts a daemon and lists it.
 func (d *Deployment) AddDaemon(s *settings.Settings) (*daemon.Daemon, error) {
+	dm, err := d.StartDaemon(s)
+	if err != nil {
+		return nil, err
+	}
+	d.ListDaemon(s, dm)
+	return dm, nil
+}
+
+// StartDaemon starts a daemon that is not in the host list yet.
+func (d *Deployment) StartDaemon(s *settings.Settings) (*daemon.Daemon, error) {
+	if d.Network != nil {
+		if err := d.Network.place(s, d.platform.Addr); err != nil {
+			return nil, err
+		}
+	}
 	dm := daemon.FromSettings(s, d.Log)
 	if err := dm.Start(); err != nil {
 		return nil, err
 	}
+	if d.Network != nil {
+		d.Network.Peer(s.ID).SetTarget(dm.PeerAddr())
+	}
 	d.Daemons = append(d.Daemons, dm)
+	return dm, nil
+}
+
+// ListDaemon adds a daemon to the host list.
+func (d *Deployment) ListDaemon(s *settings.Settings, dm *daemon.Daemon) {
+	addr := dm.PeerAddr()
+	if s.PeerAdvertise != "" {
+		addr = s.PeerAdvertise
+	}
 	d.Platform.Hosts.Put(hostlist.Host{
-		ID: s.ID, Role: hostlist.RoleEntry, Domain: s.Domain, Rack: s.Rack, State: hostlist.StateLive, Addr: dm.PeerAddr(),
+		ID: s.ID, Role: hostlist.RoleEntry, Domain: s.Domain, Rack: s.Rack, State: hostlist.StateLive, Addr: addr,
 	})
-	return dm, nil
 }
 
 // Publish stores a set as the next revision.
@@ -190,4 +217,7 @@
 		s.Close()
 	}
 	d.platform.Close()
+	if d.Network != nil {
+		d.Network.close()
+	}
 }
