dispatch: apply the newest configuration to waiting and repeated requests

Cause: candidates were chosen once, so that a request that waited for room or was repeated could start on a version withdrawn in the meantime. Change: the choice is renewed before each attempt and while a request waits, with the caller's key, team, models and services as they are now. A begun answer is not continued at another endpoint on a withdrawn version, as that is new work.

--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -125,12 +125,11 @@
 	if err := a.mayAttempt(); err != nil {
 		return err
 	}
-	candidates := a.in.Candidates
+	var begun *choose.Candidate
 	if a.served != nil && a.seq > 0 {
-		// Text of one version is continued by the same version only.
-		candidates = []choose.Candidate{a.room.candidate}
+		begun = &a.room.candidate
 	}
-	r, err := a.filter.reserve(a.ctx, &a.in, candidates, a.exclude, a.suspect)
+	r, err := a.filter.reserve(a.ctx, &a.in, begun, a.exclude, a.suspect)
 	if err != nil {
 		return a.withRan(err)
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -11,6 +11,7 @@
 	"github.com/bramleytrail/bramleytrail/choose"
 	"github.com/bramleytrail/bramleytrail/config"
 	"github.com/bramleytrail/bramleytrail/engine"
+	"github.com/bramleytrail/bramleytrail/object"
 	"github.com/bramleytrail/bramleytrail/poison"
 	"github.com/bramleytrail/bramleytrail/pool"
 	"github.com/bramleytrail/bramleytrail/result"
@@ -58,6 +59,33 @@
 	Fingerprint uint64
 	// Once forbids another attempt after one that may have run.
 	Once bool
+	// Renew returns the newest configuration and the candidates under it, or an error if it no longer allows the request.
+	// It is called before each attempt and while the request waits, if View is not the newest one. Nil keeps the input.
+	Renew func(*config.View) (*config.View, []choose.Candidate, error)
+}
+
+// renew applies the newest configuration to a request that has not been sent yet.
+func (in *Input) renew() error {
+	if in.Renew == nil {
+		return nil
+	}
+	view, candidates, err := in.Renew(in.View)
+	if err != nil {
+		return err
+	}
+	in.View, in.Candidates = view, candidates
+	return nil
+}
+
+// continued returns the only candidate that can continue an answer: the version that gave its beginning. Under the newest
+// configuration the version may have been withdrawn; a continuation would be new work for it.
+func (in *Input) continued(c choose.Candidate) ([]choose.Candidate, error) {
+	v := in.View.Versions[c.Version.Name]
+	if v == nil || v.State != object.VersionActive {
+		return nil, &result.Error{Code: result.StreamBroken, RetryAfter: fullRetry,
+			Detail: fmt.Sprintf("Version %q was withdrawn while it answered.", c.Version.Name)}
+	}
+	return []choose.Candidate{{Service: c.Service, Version: v}}, nil
 }
 
 // Do sends the request and waits for the first part of the answer. Cancelling ctx ends the answer.
@@ -80,20 +108,18 @@
 
 type timeouts struct{ firstByte, progress time.Duration }
 
-// reserve waits for room at an endpoint of one of the candidates, the preferred one first.
-func (f *Filter) reserve(ctx context.Context, in *Input, candidates []choose.Candidate, exclude []string, suspect bool) (room, error) {
+// reserve waits for room at an endpoint of one of the candidates, the preferred one first. Each try uses the newest
+// configuration. A begun answer is continued by its own version only.
+func (f *Filter) reserve(ctx context.Context, in *Input, begun *choose.Candidate, exclude []string, suspect bool) (room, error) {
 	deadline := f.spec.Now().Add(f.spec.QueueWait)
-	var short pool.Shortage
 	for {
-		for _, c := range candidates {
-			q := pool.Query{Service: c.Service, Version: c.Version.Name, Tokens: in.Tokens + in.MaxTokens, Exclude: exclude, Suspect: suspect}
-			q.OnlyRankZero = suspect && f.spec.Pool.HasRankZero(c.Service, c.Version.Name)
-			r, s, ok := f.spec.Pool.Pick(q, f.spec.Now())
-			if ok {
-				t := in.View.Services[c.Service].Timeouts
-				return room{r, c, timeouts{t.FirstByte, t.Progress}}, nil
-			}
-			short = s
+		candidates, err := in.newest(begun)
+		if err != nil {
+			return room{}, err
+		}
+		r, short, ok := f.pick(in, candidates, exclude, suspect)
+		if ok {
+			return r, nil
 		}
 		if !f.spec.Now().Before(deadline) {
 			return room{}, noEndpoint(short)
@@ -104,6 +130,32 @@
 	}
 }
 
+// newest returns the candidates under the newest configuration.
+func (in *Input) newest(begun *choose.Candidate) ([]choose.Candidate, error) {
+	if err := in.renew(); err != nil {
+		return nil, err
+	}
+	if begun != nil {
+		return in.continued(*begun)
+	}
+	return in.Candidates, nil
+}
+
+func (f *Filter) pick(in *Input, candidates []choose.Candidate, exclude []string, suspect bool) (room, pool.Shortage, bool) {
+	var short pool.Shortage
+	for _, c := range candidates {
+		q := pool.Query{Service: c.Service, Version: c.Version.Name, Tokens: in.Tokens + in.MaxTokens, Exclude: exclude, Suspect: suspect}
+		q.OnlyRankZero = suspect && f.spec.Pool.HasRankZero(c.Service, c.Version.Name)
+		r, s, ok := f.spec.Pool.Pick(q, f.spec.Now())
+		if ok {
+			t := in.View.Services[c.Service].Timeouts
+			return room{r, c, timeouts{t.FirstByte, t.Progress}}, s, true
+		}
+		short = s
+	}
+	return room{}, short, false
+}
+
 func noEndpoint(s pool.Shortage) error {
 	return result.Newf(result.NoEndpoint, "Of %d endpoints, %d are out of service, %d failed, %d are full, %d lack memory, %d gave no report.",
 		s.Listed, s.DomainOut, s.Ejected, s.Full, s.TokensFull, s.Stale).WithRetry(fullRetry)
--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -16,6 +16,9 @@
 type PlainInput struct {
 	Service *object.Service
 	Request engine.PlainRequest
+	// Renew returns the service as the newest configuration declares it, or an error if it no longer allows the call. It
+	// is called before each attempt and while the call waits. Nil keeps Service.
+	Renew func() (*object.Service, error)
 }
 
 // PlainAnswer is the response of a plain service. Close must be called.
@@ -36,7 +39,7 @@
 	var exclude []string
 	ran := result.NotRun
 	for attempt := 1; ; attempt++ {
-		r, err := f.reservePlain(ctx, in.Service.Name, exclude)
+		r, err := f.reservePlain(ctx, &in, exclude)
 		if err != nil {
 			e := *result.From(err)
 			e.Ran = max(e.Ran, ran)
@@ -69,10 +72,17 @@
 	return &result.Error{Code: code, Ran: ran, Err: err, RetryAfter: fullRetry}
 }
 
-func (f *Filter) reservePlain(ctx context.Context, service string, exclude []string) (pool.Reservation, error) {
+func (f *Filter) reservePlain(ctx context.Context, in *PlainInput, exclude []string) (pool.Reservation, error) {
 	deadline := f.spec.Now().Add(f.spec.QueueWait)
 	for {
-		r, short, ok := f.spec.Pool.Pick(pool.Query{Service: service, Exclude: exclude}, f.spec.Now())
+		if in.Renew != nil {
+			s, err := in.Renew()
+			if err != nil {
+				return pool.Reservation{}, err
+			}
+			in.Service = s
+		}
+		r, short, ok := f.spec.Pool.Pick(pool.Query{Service: in.Service.Name, Exclude: exclude}, f.spec.Now())
 		if ok {
 			return r, nil
 		}
--- a/pipeline/chat.go
+++ b/pipeline/chat.go
@@ -8,9 +8,11 @@
 	"github.com/bramleytrail/bramleytrail/bill"
 	"github.com/bramleytrail/bramleytrail/choose"
 	"github.com/bramleytrail/bramleytrail/claim"
+	"github.com/bramleytrail/bramleytrail/config"
 	"github.com/bramleytrail/bramleytrail/dispatch"
 	"github.com/bramleytrail/bramleytrail/identify"
 	"github.com/bramleytrail/bramleytrail/ledger"
+	"github.com/bramleytrail/bramleytrail/object"
 	"github.com/bramleytrail/bramleytrail/poison"
 	"github.com/bramleytrail/bramleytrail/relay"
 	"github.com/bramleytrail/bramleytrail/result"
@@ -79,16 +81,39 @@
 
 func (s *chatStages) choose() error {
 	var err error
-	s.candidates, err = s.p.Choose.Do(choose.Input{
-		View: s.view, Team: s.who.Team, Model: s.chat.Model, Kind: s.who.Kind, Session: s.who.Session, RequestID: s.r.ID, Now: s.start,
-	})
+	s.candidates, err = s.candidatesUnder(s.view, s.who.Team)
 	return err
 }
 
+func (s *chatStages) candidatesUnder(view *config.View, team *object.Team) ([]choose.Candidate, error) {
+	return s.p.Choose.Do(choose.Input{
+		View: view, Team: team, Model: s.chat.Model, Kind: s.who.Kind, Session: s.who.Session, RequestID: s.r.ID, Now: s.start,
+	})
+}
+
+// renew chooses again if the configuration has changed since the last choice.
+func (s *chatStages) renew(used *config.View) (*config.View, []choose.Candidate, error) {
+	view := s.p.Config.View()
+	if view == used {
+		return used, s.candidates, nil
+	}
+	team, err := s.teamUnder(view)
+	if err != nil {
+		return nil, nil, err
+	}
+	candidates, err := s.candidatesUnder(view, team)
+	if err != nil {
+		return nil, nil, err
+	}
+	s.view, s.candidates = view, candidates
+	return view, candidates, nil
+}
+
 func (s *chatStages) dispatch(ctx context.Context) error {
 	answer, err := s.p.Dispatch.Do(ctx, dispatch.Input{
 		View: s.view, RequestID: s.r.ID, Team: s.who.Team.Name, Candidates: s.candidates, Body: s.r.Body, Priority: s.who.Priority,
 		Tokens: s.prompt, MaxTokens: s.maxTokens, Fingerprint: poison.Fingerprint(s.who.Team.Name, s.r.Body), Once: s.held != nil,
+		Renew: s.renew,
 	})
 	if err != nil {
 		return err
@@ -125,8 +150,8 @@
 	if tok.ID == "" {
 		tok.ID = s.r.ID
 	}
-	if tok.Issued.IsZero() {
-		tok.Issued = s.start
+	if tok.Issued.IsZero() || choose.Expired(s.view, s.who.Team, tok, s.start) {
+		tok.Issued, tok.Versions = s.start, nil
 	}
 	tok.Team = s.who.Team.Name
 	tok.Versions = slices.DeleteFunc(slices.Clone(tok.Versions), func(name string) bool {
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/bramleytrail/bramleytrail/admit"
@@ -11,6 +12,7 @@
 	"github.com/bramleytrail/bramleytrail/config"
 	"github.com/bramleytrail/bramleytrail/dispatch"
 	"github.com/bramleytrail/bramleytrail/identify"
+	"github.com/bramleytrail/bramleytrail/object"
 	"github.com/bramleytrail/bramleytrail/relay"
 	"github.com/bramleytrail/bramleytrail/result"
 	"github.com/bramleytrail/bramleytrail/session"
@@ -49,14 +51,20 @@
 // entered holds what the first two stages give to the later ones.
 type entered struct {
 	view    *config.View
+	header  http.Header
 	who     *identify.Output
 	start   time.Time
 	outcome *Outcome
 }
 
+// teamUnder returns the caller's team as a newer configuration declares it. A key that was removed is refused.
+func (e *entered) teamUnder(view *config.View) (*object.Team, error) {
+	return identify.Team(view, e.header)
+}
+
 // run passes a request through admit and identify, then through the given stages, and reports the outcome.
 func (p *Pipeline) run(ctx context.Context, r *Request, kind string, rest func(context.Context, *entered) error) error {
-	e := &entered{start: p.Now(), outcome: &Outcome{RequestID: r.ID, Kind: kind}}
+	e := &entered{header: r.Header, start: p.Now(), outcome: &Outcome{RequestID: r.ID, Kind: kind}}
 	err := p.enter(ctx, r, e, rest)
 	e.outcome.Err = err
 	if err != nil {
--- a/pipeline/plain.go
+++ b/pipeline/plain.go
@@ -7,6 +7,7 @@
 
 	"github.com/bramleytrail/bramleytrail/bill"
 	"github.com/bramleytrail/bramleytrail/claim"
+	"github.com/bramleytrail/bramleytrail/config"
 	"github.com/bramleytrail/bramleytrail/dispatch"
 	"github.com/bramleytrail/bramleytrail/engine"
 	"github.com/bramleytrail/bramleytrail/identify"
@@ -32,17 +33,43 @@
 }
 
 func (p *Pipeline) newPlainStages(service string, r *Request, c relay.Caller, e *entered) (*plainStages, error) {
-	svc := e.view.Services[service]
-	if svc == nil || svc.Type != object.ServicePlain {
-		return nil, result.Newf(result.UnknownService, "Service %q.", service)
-	}
-	if !slices.Contains(e.who.Team.Services, service) {
-		return nil, result.Newf(result.ModelNotAllowed, "Service %q.", service)
+	svc, err := allowedService(e.view, e.who.Team, service)
+	if err != nil {
+		return nil, err
 	}
 	e.outcome.Version = service
 	return &plainStages{entered: e, p: p, r: r, caller: c, service: svc}, nil
 }
 
+func allowedService(view *config.View, team *object.Team, name string) (*object.Service, error) {
+	svc := view.Services[name]
+	if svc == nil || svc.Type != object.ServicePlain {
+		return nil, result.Newf(result.UnknownService, "Service %q.", name)
+	}
+	if !slices.Contains(team.Services, name) {
+		return nil, result.Newf(result.ModelNotAllowed, "Service %q.", name)
+	}
+	return svc, nil
+}
+
+// renew returns the service under the newest configuration.
+func (s *plainStages) renew() (*object.Service, error) {
+	view := s.p.Config.View()
+	if view == s.view {
+		return s.service, nil
+	}
+	team, err := s.teamUnder(view)
+	if err != nil {
+		return nil, err
+	}
+	svc, err := allowedService(view, team, s.service.Name)
+	if err != nil {
+		return nil, err
+	}
+	s.view, s.service = view, svc
+	return svc, nil
+}
+
 // repeatable says whether the call may be sent more than once.
 func (s *plainStages) repeatable() bool {
 	switch s.who.Repeatable {
@@ -101,6 +128,7 @@
 func (s *plainStages) dispatch(ctx context.Context) error {
 	answer, err := s.p.Dispatch.Call(ctx, dispatch.PlainInput{
 		Service: s.service,
+		Renew:   s.renew,
 		Request: engine.PlainRequest{
 			ID: s.r.ID, Method: s.r.Method, Path: s.r.Path, Header: s.endpointHeader(), Body: s.r.Body, Repeatable: s.repeatable(),
 		},
