choose: sessions stay on their version

Cause: a session known only by the caller's own identifier moved at each roll-out step; a session that leaves the model to the router moved when prices or quality changed; a session past its policy's age was never pinned again; a token with many versions exceeded the parser's limit. Change: such sessions stay on the version that a roll-out starts from; the last used version of a token goes before the order by price; an expired session begins anew; tokens may have 4 KB.

--- a/choose/choose.go
+++ b/choose/choose.go
@@ -58,6 +58,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if in.Model == AutoModel {
+		if c, err := lastUsed(in); c != nil || err != nil {
+			return c, err
+		}
+	}
 	var list []Candidate
 	for _, m := range models {
 		v, err := resolve(in, m)
@@ -115,6 +120,30 @@
 	return newest(in.View.ByModel[model]), nil
 }
 
+// Expired reports whether a session has reached its policy's age. It then begins anew.
+func Expired(view *config.View, team *object.Team, t session.Token, now time.Time) bool {
+	policy := view.Policies[team.SessionPolicy]
+	return policy != nil && !t.Issued.IsZero() && now.Sub(t.Issued) > policy.MaxAge
+}
+
+// lastUsed keeps a session that leaves the choice of the model to the router on the version that it used last, also when
+// prices or quality estimates change. It returns nil if the session has none or may leave it.
+func lastUsed(in Input) ([]Candidate, error) {
+	n := len(in.Session.Versions)
+	if n == 0 {
+		return nil, nil
+	}
+	last := in.View.Versions[in.Session.Versions[n-1]]
+	if last == nil || !slices.Contains(in.Team.Models, last.Model) {
+		return nil, nil
+	}
+	v, err := pinned(in, last.Model)
+	if v == nil || err != nil {
+		return nil, err
+	}
+	return []Candidate{{Service: in.View.Models[v.Model].Service, Version: v}}, nil
+}
+
 // pinned returns the version that the session's token names for the model.
 func pinned(in Input, model string) (*object.Version, error) {
 	policy := in.View.Policies[in.Team.SessionPolicy]
@@ -123,7 +152,7 @@
 		if v == nil || v.Model != model {
 			continue
 		}
-		if policy != nil && in.Now.Sub(in.Session.Issued) > policy.MaxAge {
+		if Expired(in.View, in.Team, in.Session, in.Now) {
 			return nil, nil
 		}
 		if v.State == object.VersionActive {
@@ -136,14 +165,16 @@
 	return nil, nil
 }
 
-// rolledOut places the request by its session, or by its own identity without one.
+// rolledOut places the request by its session, or by its own identity without one. A session that is known only by the
+// caller's own identifier has no record of its version, and a step in either direction would move it. It stays on the
+// version that the roll-out starts from.
 func rolledOut(in Input, r *object.Rollout) *object.Version {
 	id := in.Session.ID
 	if id == "" {
 		id = in.RequestID
 	}
 	from, to := in.View.Versions[r.From], in.View.Versions[r.To]
-	if r.Step >= 0 && session.Point(r.Name+"/"+id) < r.Steps[r.Step] {
+	if r.Step >= 0 && !in.Session.Unsigned() && session.Point(r.Name+"/"+id) < r.Steps[r.Step] {
 		from, to = to, from
 	}
 	if from.State == object.VersionActive {
--- a/session/session.go
+++ b/session/session.go
@@ -18,8 +18,9 @@
 var ErrBadToken = errors.New("session: bad token")
 
 const (
-	tokenPrefix   = "bt1."
-	maxTokenBytes = 512
+	tokenPrefix = "bt1."
+	// maxTokenBytes admits a token with 18 versions, an identifier and names of the greatest length.
+	maxTokenBytes = 4096
 	maxIDBytes    = 128
 )
 
@@ -31,6 +32,9 @@
 	Versions []string  `json:"v"` // one version for each model that the session has used
 }
 
+// Unsigned reports whether t is the caller's own identifier, which says nothing about the session's version.
+func (t Token) Unsigned() bool { return t.ID != "" && t.Issued.IsZero() }
+
 // Signer issues and verifies tokens. All daemons of a deployment share its key.
 type Signer struct{ key []byte }
 
