ctl: publish waits until the given daemons have the revision

Cause: a publication on top of data that the key-value service had restored was reported as published although the daemons held a newer revision and replaced it. Conclusion: an accepted publication is one that the daemons have.

--- a/ctl/config.go
+++ b/ctl/config.go
@@ -151,7 +151,7 @@
 type publishCommand struct {
 	*app    `no-flag:"true"`
 	Base    *uint64  `long:"base" description:"last seen revision; the publication fails if another is in force (default: the one in force)"`
-	Daemons []string `long:"daemon" description:"URL of a daemon's operator port; guards against a key-value service that holds an older revision than the daemons"`
+	Daemons []string `long:"daemon" description:"URL of a daemon's operator port; the publication is refused if the daemon has a newer revision than the key-value service, and succeeds once the daemon has the new one; may be repeated"`
 	Args    dirArg   `positional-args:"yes" required:"yes"`
 }
 
@@ -207,6 +207,9 @@
 		}
 		return err
 	}
+	if err := c.confirm(next); err != nil {
+		return err
+	}
 	out := publishOutput{next.Number, next.Digest, declare.Diff(inForce, set), nil}
 	return c.print(out, func(w io.Writer) {
 		printChanges(w, out.Changes)
@@ -305,9 +308,38 @@
 		if err != nil {
 			return err
 		}
-		if s.Revision > stored.Number {
-			return result.Newf(result.ConfigBehind, "Daemon %s has revision %d, the service has %d.", s.ID, s.Revision, stored.Number)
+		if s.Revision > stored.Number || s.Revision == stored.Number && s.Digest != stored.Digest {
+			return result.Newf(result.ConfigBehind, "Daemon %s has revision %d, the service has %d or other content.", s.ID, s.Revision, stored.Number)
 		}
 	}
 	return nil
 }
+
+// confirm waits until the daemons have the published revision. One that has a newer one instead did not accept it: the
+// key-value service had lost writes, or another operator has published since.
+func (c *publishCommand) confirm(published config.Revision) error {
+	for _, url := range c.Daemons {
+		for {
+			s, err := fetchState(c.ctx, url)
+			if err != nil {
+				return err
+			}
+			if s.Revision == published.Number && s.Digest == published.Digest {
+				break
+			}
+			if (config.Revision{Number: s.Revision, Digest: s.Digest}).Newer(published) {
+				return result.Newf(result.ConfigConflict, "Daemon %s has revision %d %.12s instead of %d %.12s.", s.ID, s.Revision, s.Digest,
+					published.Number, published.Digest)
+			}
+			select {
+			case <-c.ctx.Done():
+				return fmt.Errorf("daemon %s has revision %d, not yet %d: %w", s.ID, s.Revision, published.Number, c.ctx.Err())
+			case <-time.After(confirmPause):
+			}
+		}
+	}
+	return nil
+}
+
+// confirmPause is the time between reads of a daemon's state.
+const confirmPause = 100 * time.Millisecond
