session: an empty session header starts no session

Cause: the HTTP engine gives a blank for an empty header, which was taken for a caller's own identifier shared by all such callers. The test that sent an empty Bramley-Session header saw 24 of 24 new sessions on one version at a roll-out share of 0.5. Change: the value is trimmed.

--- a/session/session.go
+++ b/session/session.go
@@ -60,6 +60,7 @@
 // Parse reads a Bramley-Session header. A value without the token prefix is the caller's own identifier: the result
 // then has only ID. An empty value gives the zero token.
 func (s *Signer) Parse(value string) (Token, error) {
+	value = strings.TrimSpace(value) // the HTTP engine gives a blank for an empty header
 	if !strings.HasPrefix(value, tokenPrefix) {
 		if len(value) > maxIDBytes {
 			return Token{}, fmt.Errorf("%w: identifier has more than %d bytes", ErrBadToken, maxIDBytes)
