--- /dev/null
+++ b/daemon/fuzz_test.go
@@ -0,0 +1,78 @@
+package daemon
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/bramleytrail/bramleytrail/config"
+	"github.com/bramleytrail/bramleytrail/declare"
+	"github.com/bramleytrail/bramleytrail/hostlist"
+	"github.com/bramleytrail/bramleytrail/object"
+	"github.com/bramleytrail/bramleytrail/peer"
+)
+
+// Guards against a stored revision or a peer's document that stops a daemon, that is taken under another number than its
+// own, or that is in force without having passed the check.
+func FuzzConfigDocument(f *testing.F) {
+	rev := config.Revision{Number: 3, Digest: declare.Digest([]byte("x")), Body: []byte("x")}
+	data, err := rev.Marshal()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(uint64(3), data)
+	f.Add(uint64(4), data)
+	f.Add(uint64(0), []byte(`{"number":18446744073709551615,"body":null}`))
+	f.Add(uint64(1), []byte("\x1f\x8b"))
+	valid, _, err := declare.Encode(object.Set{FailureDomains: []object.FailureDomain{{Name: "a", Region: "r", State: object.DomainIn}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(uint64(2), valid)
+	f.Fuzz(func(t *testing.T, number uint64, body []byte) {
+		h := &config.Holder{}
+		changed, err := h.Offer(config.Revision{Number: number, Digest: declare.Digest(body), Body: body})
+		if changed && (err != nil || len(declare.Check(h.View().Set, nil)) > 0) {
+			t.Fatal("a set with findings is in force")
+		}
+		doc := peer.Document{DocumentID: peer.DocumentID{Name: docConfig, Number: number, Digest: rev.Digest}, Body: body}
+		r, err := readConfigDocument(doc)
+		if err != nil {
+			return
+		}
+		if r.Number != number || declare.Digest(r.Body) != doc.Digest {
+			t.Fatalf("revision %d %s taken as %d %s", r.Number, r.Digest, number, doc.Digest)
+		}
+	})
+}
+
+// Guards against a host list that stops a daemon or changes when it is passed on.
+func FuzzHostsDocument(f *testing.F) {
+	body, err := encodeHosts(hostlist.List{Revision: 7, Hosts: []hostlist.Host{{ID: "b"}, {ID: "a", Role: hostlist.RoleEntry, Versions: []string{"v"}}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(uint64(7), body)
+	f.Add(uint64(1)<<listRevisionBits|7, body)
+	f.Add(uint64(8), body)
+	f.Add(uint64(0), []byte("\x1f\x8b\x08\x00"))
+	f.Fuzz(func(t *testing.T, number uint64, body []byte) {
+		list, err := readHostsDocument(peer.Document{DocumentID: peer.DocumentID{Name: docHosts, Number: number, Digest: declare.Digest(body)}, Body: body})
+		if err != nil {
+			return
+		}
+		if list.Revision != number&maxListRevision {
+			t.Fatalf("list %d taken as %d", list.Revision, number)
+		}
+		once, err := encodeHosts(list)
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, err := decodeHosts(once)
+		if err != nil || !sameHosts(list.Hosts, again.Hosts) {
+			t.Fatalf("the list changed when it was passed on: %v", err)
+		}
+		if twice, err := encodeHosts(again); err != nil || !bytes.Equal(once, twice) {
+			t.Fatalf("equal lists have different encodings: %v", err)
+		}
+	})
+}
