--- a/daemon/documents_test.go
+++ b/daemon/documents_test.go
@@ -77,6 +77,13 @@
 	inFleet(t, func(t *testing.T, f *fleet) {
 		f.cut(map[string]bool{"d1": true}, nil)
 		f.wantEverywhere(3*time.Second, f.mustPublish("second"))
+		f.list.Put(hostlist.Host{ID: "endpoint", Role: hostlist.RoleEndpoint, State: hostlist.StateLeaving})
+		time.Sleep(3 * time.Second)
+		for _, p := range f.parts {
+			if h := p.docs.list.Load().Hosts; h[0].ID != "endpoint" || h[0].State != hostlist.StateLeaving {
+				t.Errorf("%s does not know that the endpoint is leaving", p.host.ID)
+			}
+		}
 		f.cut(map[string]bool{"d1": true}, map[string]bool{"d1": true})
 		third := f.mustPublish("third")
 		time.Sleep(settleTime)
@@ -220,3 +227,26 @@
 	}
 	f.hosts = s
 }
+
+// Guards against a number of calls to the platform that grows with the number of daemons: two daemons of each failure
+// domain have a pending watch, and read the value once when it ends without a change after the service's 30 s.
+func TestPlatformCallsDependOnDomainsOnly(t *testing.T) {
+	for _, daemons := range []int{10, 20, 40} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t)
+			defer f.stop()
+			f.grow(daemons, 5)
+			f.mustPublish("first")
+			time.Sleep(2 * settleTime)
+			before := f.store.Faults.Counts()
+			time.Sleep(300 * time.Second)
+			after := f.store.Faults.Counts()
+			const want = 2 * 5 * 300 / 30
+			for _, c := range []memkv.Call{memkv.CallWatch, memkv.CallGet} {
+				if n := after[c] - before[c]; n != want {
+					t.Errorf("%d daemons: %d calls of %s in 300 s; want %d", daemons, n, c, want)
+				}
+			}
+		})
+	}
+}
--- a/local/outofservice_test.go
+++ b/local/outofservice_test.go
@@ -294,3 +294,35 @@
 	d.Network.Platform(SampleDomainB).Set(standin.Pass)
 	drainAll(ctx, t, d)
 }
+
+// Guards against a failure domain that stops serving when it is cut off from the platform and from all other domains, and
+// against one that does not catch up after it is connected again.
+func TestIsolatedDomainServes(t *testing.T) {
+	ctx, d := startCut(t, fastEngine)
+	before := d.Daemons[1].State()
+	d.Network.Isolate(SampleDomainB, true)
+	rev, err := d.Publish(ctx, nextSet(func(s *object.Set) { s.Versions[2].State = object.VersionWithdrawn }))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := Wait(ctx, func() bool { return d.Daemons[0].State().Revision == rev.Number }); err != nil {
+		t.Fatal(err)
+	}
+	for i := range 20 {
+		prompt := fmt.Sprintf("prompt %d", i)
+		a, err := sampleClient(d, 1).Chat(ctx, ChatBody("small", prompt, true), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		checkAnswer(t, a, prompt, 24)
+	}
+	if s := d.Daemons[1].State(); s.Revision != before.Revision || !s.Ready {
+		t.Errorf("revision %d, ready %t in the domain that is cut off; want %d and ready", s.Revision, s.Ready, before.Revision)
+	}
+	d.Network.Isolate(SampleDomainB, false)
+	if err := d.WaitRevision(ctx, rev.Number); err != nil {
+		t.Fatal(err)
+	}
+	d.Network.Platform(SampleDomainB).Set(standin.Pass)
+	drainAll(ctx, t, d)
+}
