peer: deliver a crash record before the request is repeated

Cause: a crash record was sent in the background, so that a caller that repeated its request at once through another host met a daemon that did not know of the crash, and the request crashed a fourth endpoint. Change: the report waits until the peers have the record, for at most 200 ms.

--- a/peer/node.go
+++ b/peer/node.go
@@ -267,28 +267,49 @@
 	return nil
 }
 
-func (n *Node) background(f func()) {
+// background runs f and reports whether it does; a closed node runs nothing.
+func (n *Node) background(f func()) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if !n.closed {
 		n.wg.Go(f)
 	}
+	return !n.closed
 }
 
-// ReportCrash records a crash and spreads it.
+// crashWait bounds the wait for peers to take a crash record.
+const crashWait = 200 * time.Millisecond
+
+// ReportCrash records a crash and spreads it. It waits until the peers have the record, or for crashWait, so that a caller
+// that repeats its request through another host meets a daemon that knows of the crash.
 func (n *Node) ReportCrash(r poison.Record) {
 	n.spec.Poison.Add(r, n.spec.Now())
-	n.spread([]poison.Record{r})
+	told := n.spread([]poison.Record{r})
+	select {
+	case <-told:
+	case <-time.After(crashWait):
+	case <-n.ctx.Done():
+	}
 }
 
-func (n *Node) spread(records []poison.Record) {
+// spread sends crash records to all peers. The channel is closed when each has them or can't be reached.
+func (n *Node) spread(records []poison.Record) <-chan struct{} {
+	var wg sync.WaitGroup
 	for _, addr := range n.Peers() {
-		n.background(func() {
+		wg.Add(1)
+		started := n.background(func() {
+			defer wg.Done()
 			if err := n.link(addr).call(n.ctx, callTimeout, "Crash", CrashArgs{records}, &Empty{}); err != nil {
 				n.spec.Log.WithError(err).Debug("crash record not delivered")
 			}
 		})
+		if !started {
+			wg.Done()
+		}
 	}
+	told := make(chan struct{})
+	go func() { wg.Wait(); close(told) }()
+	return told
 }
 
 // CopyBills implements ledger.Replicator. It prefers daemons of other failure domains, then those of other racks.
