local: silent sockets and continuation on a withdrawn version

Change: on real sockets, every open connection between daemons goes silent before each of three publications; and an answer whose endpoint crashes after its version was withdrawn starts no new run there.

--- a/local/outofservice_test.go
+++ b/local/outofservice_test.go
@@ -326,3 +326,47 @@
 	d.Network.Platform(SampleDomainB).Set(standin.Pass)
 	drainAll(ctx, t, d)
 }
+
+// Guards against an answer that is continued on a withdrawn version at another endpoint, which is new work for it.
+func TestAnswerIsNotContinuedOnWithdrawnVersion(t *testing.T) {
+	spec := fastEngine
+	spec.TokenDelay, spec.Answer = 10*time.Millisecond, 1000
+	ctx, d := startCut(t, spec)
+	withNext := func(r standin.Run) bool { return r.Version == sampleNext }
+	done := make(chan error, 1)
+	go func() {
+		_, err := sampleClient(d, 0).Chat(ctx, ChatBody("small", "long", true), nil)
+		done <- err
+	}()
+	if err := Wait(ctx, func() bool {
+		return runs(d, func(r standin.Run) bool { return withNext(r) && r.Tokens > 3 }) == 1
+	}); err != nil {
+		t.Fatal(err)
+	}
+	publishAll(ctx, t, d, func(s *object.Set) { s.Versions[2].State = object.VersionWithdrawn })
+	for _, e := range d.Engines {
+		e.Crash()
+	}
+	if err := <-done; err == nil {
+		t.Error("the answer ended without an error")
+	}
+	if n := runs(d, withNext); n != 1 {
+		t.Errorf("the withdrawn version started %d requests; want the one before the withdrawal", n)
+	}
+	d.Network.Platform(SampleDomainB).Set(standin.Pass)
+	drainAll(ctx, t, d)
+}
+
+// Guards against daemons that wait on connections to peers that have gone silent for good while new ones work, on real
+// sockets: half of the daemons learn of changes from peers only.
+func TestSilentSocketsAreReplaced(t *testing.T) {
+	ctx, d := startCut(t, fastEngine)
+	for range 3 {
+		for i := range d.Daemons {
+			d.Network.Peer(fmt.Sprintf("entry-%d", i+1)).Silence()
+		}
+		publishAll(ctx, t, d, nil)
+	}
+	d.Network.Platform(SampleDomainB).Set(standin.Pass)
+	drainAll(ctx, t, d)
+}
