--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -67,16 +67,14 @@
 	copies  *ledger.Copies
 	claims  *claim.Filter
 	admit   *admit.Filter
+	docs    *documents
 	node    *peer.Node
 	entry   *entry.Server
 	ops     *operatorServer
 	metrics *observe.Metrics
 	recent  *observe.Recent
 
-	members   atomic.Int64 // live entry hosts
-	watcher   atomic.Bool
 	callerTLS *tls.Config // nil for plain HTTP
-	list      atomic.Pointer[hostlist.List]
 	leaving   atomic.Bool
 	peerAddr  string
 
@@ -102,6 +100,11 @@
 	}
 	d.platform = Platform{Store: observe.Store{Store: p.Store, Metrics: d.metrics}, Hosts: p.Hosts}
 	d.pool = pool.New(pool.Spec{Self: s.ID, Domain: s.Domain, Settle: s.Settle, Rand: mathrand.Uint64})
+	d.docs = &documents{ctx: ctx, spec: documentsSpec{
+		Platform: d.platform, Config: d.config, Metrics: d.metrics, Log: d.log,
+		OnHosts:   func(list hostlist.List) { d.pool.SetHosts(list, time.Now()) },
+		KeepBills: func(c ledger.Copy) (string, error) { return d.incarnation, d.copies.Keep(c, time.Now()) },
+	}}
 	d.config.OnChange(func(v *config.View) { d.pool.SetView(v, time.Now()) })
 	return d
 }
@@ -121,11 +124,11 @@
 		return fmt.Errorf("listen for peers: %w", err)
 	}
 	d.peerAddr = ln.Addr().String()
-	self := hostlist.Host{ID: d.settings.ID, Role: hostlist.RoleEntry, Domain: d.settings.Domain, Rack: d.settings.Rack, Addr: d.peerAddr}
-	d.node, err = peer.New(peer.Spec{Self: self, Handler: d, Poison: d.poison, Log: d.log, Now: time.Now}, ln)
+	d.node, err = peer.New(peer.Spec{Self: d.self(), Handler: d.docs, Poison: d.poison, Log: d.log, Now: time.Now, Seeds: d.settings.Seeds}, ln)
 	if err != nil {
 		return err
 	}
+	d.docs.node = d.node
 	d.buildLedger()
 	d.node.Start()
 	d.entry = d.buildEntry()
@@ -135,8 +138,7 @@
 	d.registerGauges()
 	d.wg.Go(func() { d.ledger.Run(d.ctx) })
 	d.wg.Go(d.writeSilentCopies)
-	d.wg.Go(d.followHosts)
-	d.wg.Go(d.followConfig)
+	d.wg.Go(d.docs.run)
 	d.wg.Go(d.pollLoads)
 	d.log.WithFields(logrus.Fields{"listen": d.entry.Addr(), "peers": d.peerAddr, "operators": d.ops.addr}).Info("daemon started")
 	return nil
@@ -165,7 +167,7 @@
 	p := &pipeline.Pipeline{
 		Config:   d.config,
 		Admit:    d.admit,
-		Identify: identify.New(identify.Spec{Signer: signer, Members: func() int { return int(d.members.Load()) }}),
+		Identify: identify.New(identify.Spec{Signer: signer, Members: func() int { return int(d.docs.members.Load()) }}),
 		Claim:    d.claims,
 		Choose:   choose.New(choose.Declared{}),
 		Dispatch: dispatch.New(dispatch.Spec{
@@ -190,7 +192,7 @@
 // Addr returns the callers' address.
 func (d *Daemon) Addr() string { return d.entry.Addr() }
 
-// PeerAddr returns the address for other daemons.
+// PeerAddr returns the address at which the daemon listens for other daemons.
 func (d *Daemon) PeerAddr() string { return d.peerAddr }
 
 // OperatorAddr returns the operators' address.
@@ -202,7 +204,7 @@
 // Ready reports whether the balancer may send requests: the daemon has a configuration and a host list and is not
 // leaving.
 func (d *Daemon) Ready() bool {
-	return d.config.View() != nil && d.list.Load() != nil && !d.leaving.Load()
+	return d.config.View() != nil && d.docs.list.Load() != nil && !d.leaving.Load()
 }
 
 // Run serves until ctx ends, then stops gracefully.
@@ -276,3 +278,23 @@
 	d.wg.Wait()
 	d.log.Info("daemon stopped")
 }
+
+func (d *Daemon) self() hostlist.Host {
+	addr := d.settings.PeerAdvertise
+	if addr == "" {
+		addr = d.peerAddr
+	}
+	return hostlist.Host{ID: d.settings.ID, Role: hostlist.RoleEntry, Domain: d.settings.Domain, Rack: d.settings.Rack, Addr: addr}
+}
+
+// writeSilentCopies writes the bills of daemons that have fallen silent.
+func (d *Daemon) writeSilentCopies() {
+	for d.ctx.Err() == nil {
+		d.docs.sleep(d.settings.BillInterval)
+		ctx, cancel := context.WithTimeout(d.ctx, stopTimeout)
+		if err := d.copies.WriteSilent(ctx, time.Now(), d.ledger.Adopt); err != nil && d.ctx.Err() == nil {
+			d.log.WithError(err).Warn("copies of bills not written; this daemon keeps them as its own")
+		}
+		cancel()
+	}
+}
--- a/peer/bills.go
+++ b/peer/bills.go
@@ -32,7 +32,7 @@
 			return "", err
 		}
 		var reply BillsReply
-		if err = n.link(addr).call(ctx, "CopyBills", BillsArgs{c}, &reply); err != nil {
+		if err = n.link(addr).call(ctx, callTimeout, "CopyBills", BillsArgs{c}, &reply); err != nil {
 			continue
 		}
 		n.mu.Lock()
@@ -66,7 +66,7 @@
 // told once and then forgotten.
 func (n *Node) announceTo(ctx context.Context, addr string, c ledger.Copy) string {
 	var reply BillsReply
-	err := n.link(addr).call(ctx, "CopyBills", BillsArgs{c}, &reply)
+	err := n.link(addr).call(ctx, callTimeout, "CopyBills", BillsArgs{c}, &reply)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	h, ok := n.holders[addr]
@@ -103,11 +103,11 @@
 		}
 	}
 	for range 2 { // with few other domains, a second daemon of each: the first may have just failed
-		for _, d := range domainsAfter(n.spec.Self.Domain, n.remote) {
-			add(n.remote[d], func(m member) bool { return m.State == hostlist.StateLive })
+		for _, d := range domainsAfter(n.spec.Self.Domain, n.top.remote) {
+			add(n.top.remote[d], func(m member) bool { return m.State == hostlist.StateLive })
 		}
 	}
-	add(n.local, func(m member) bool { return m.Rack != n.spec.Self.Rack })
-	add(n.local, func(member) bool { return true })
+	add(n.top.ring, func(m member) bool { return m.Rack != n.spec.Self.Rack })
+	add(n.top.ring, func(member) bool { return true })
 	return out
 }
