--- /dev/null
+++ b/quality/summary.go
@@ -0,0 +1,218 @@
+package quality
+
+import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"strings"
+	"time"
+
+	"github.com/bramleytrail/bramleytrail/rating"
+)
+
+const (
+	// memory is the number of ratings after which an older rating of the same cell counts 1/e. A change of quality
+	// therefore shows after about as many ratings, whatever their rate.
+	memory = 400
+	// halfLife fades cells that get no ratings, so that a version that was found bad is tried again.
+	halfLife = 7 * 24 * time.Hour
+	// maxKinds bounds the summary, because callers name the kinds. Ratings of further kinds share one.
+	maxKinds  = 32
+	otherKind = "other"
+	// poorScore is the score below which a rating counts as poor in the comparison of versions under roll-out.
+	poorScore = 0.5
+	// maxBodyBytes bounds a decoded summary: 32 kinds of 40 labels with 100 bytes each have 128 KB.
+	maxBodyBytes = 1 << 20
+	// minWeight is the weight below which a cell is dropped.
+	minWeight = 0.01
+)
+
+// Cell holds the discounted moments of the ratings of one kind and label.
+type Cell struct {
+	N    float64 `json:"n"` // effective number of ratings
+	Sum  float64 `json:"s"`
+	Sum2 float64 `json:"q"` // sum of squares
+}
+
+// Total counts ratings of a version without discount.
+type Total struct {
+	Rated uint64 `json:"r"`
+	Poor  uint64 `json:"p"` // score below 0.5
+}
+
+// Summary is the state of all estimates. The cursor of the rating service is saved with it, so that a rating is counted
+// once whoever reads it.
+type Summary struct {
+	Cursor  uint64                     `json:"cursor"`
+	Updated time.Time                  `json:"updated"` // time to which the cells are discounted
+	Cells   map[string]map[string]Cell `json:"cells"`   // by kind and label
+	Totals  map[string]Total           `json:"totals"`  // by version
+}
+
+// NewSummary returns an empty summary.
+func NewSummary() *Summary {
+	return &Summary{Cells: map[string]map[string]Cell{}, Totals: map[string]Total{}}
+}
+
+// CascadeLabel returns the label of a cascade's answers. The version that answered follows it in the response header;
+// the answers of all steps count for the cascade, because only doubtful requests reach the later steps, which would
+// bias the estimates of single versions.
+func CascadeLabel(name string) string { return name + "/" }
+
+// label returns the cell's label and the version of a rating's version field.
+func label(field string) (cell, version string) {
+	name, version, ok := strings.Cut(field, "/")
+	if !ok {
+		return field, field
+	}
+	return CascadeLabel(name), version
+}
+
+// Add counts a rating. Scores outside 0 to 1 are ignored.
+func (s *Summary) Add(r rating.Rating) {
+	if !(r.Score >= 0 && r.Score <= 1) {
+		return
+	}
+	cell, version := label(r.Version)
+	kind := s.kind(r.Kind)
+	if s.Cells[kind] == nil {
+		s.Cells[kind] = map[string]Cell{}
+	}
+	const keep = 1 - 1.0/memory
+	c := s.Cells[kind][cell]
+	s.Cells[kind][cell] = Cell{N: c.N*keep + 1, Sum: c.Sum*keep + r.Score, Sum2: c.Sum2*keep + r.Score*r.Score}
+	t := s.Totals[version]
+	t.Rated++
+	if r.Score < poorScore {
+		t.Poor++
+	}
+	s.Totals[version] = t
+}
+
+func (s *Summary) kind(name string) string {
+	if _, ok := s.Cells[name]; !ok && len(s.Cells) >= maxKinds {
+		return otherKind
+	}
+	return name
+}
+
+// Age discounts all cells to the time now and drops those that have faded.
+func (s *Summary) Age(now time.Time) {
+	if s.Updated.IsZero() || !now.After(s.Updated) {
+		if s.Updated.IsZero() {
+			s.Updated = now
+		}
+		return
+	}
+	f := math.Exp2(-float64(now.Sub(s.Updated)) / float64(halfLife))
+	s.Updated = now
+	for kind, cells := range s.Cells {
+		for l, c := range cells {
+			c = Cell{N: c.N * f, Sum: c.Sum * f, Sum2: c.Sum2 * f}
+			if c.N < minWeight {
+				delete(cells, l)
+				continue
+			}
+			cells[l] = c
+		}
+		if len(cells) == 0 {
+			delete(s.Cells, kind)
+		}
+	}
+}
+
+// Prune drops labels for which keep returns false.
+func (s *Summary) Prune(keep func(label string) bool) {
+	for kind, cells := range s.Cells {
+		for l := range cells {
+			if !keep(l) {
+				delete(cells, l)
+			}
+		}
+		if len(cells) == 0 {
+			delete(s.Cells, kind)
+		}
+	}
+	for v := range s.Totals {
+		if !keep(v) {
+			delete(s.Totals, v)
+		}
+	}
+}
+
+// Merge adds the ratings of other, which must be disjoint, after both are discounted to the later time.
+func (s *Summary) Merge(other *Summary) {
+	o := other.clone()
+	later := s.Updated
+	if o.Updated.After(later) {
+		later = o.Updated
+	}
+	s.Age(later)
+	o.Age(later)
+	for kind, cells := range o.Cells {
+		kind = s.kind(kind)
+		if s.Cells[kind] == nil {
+			s.Cells[kind] = map[string]Cell{}
+		}
+		for l, c := range cells {
+			m := s.Cells[kind][l]
+			m = Cell{N: m.N + c.N, Sum: m.Sum + c.Sum, Sum2: m.Sum2 + c.Sum2}
+			if m.N > memory {
+				f := memory / m.N
+				m = Cell{N: memory, Sum: m.Sum * f, Sum2: m.Sum2 * f}
+			}
+			s.Cells[kind][l] = m
+		}
+	}
+	for v, t := range o.Totals {
+		m := s.Totals[v]
+		s.Totals[v] = Total{Rated: m.Rated + t.Rated, Poor: m.Poor + t.Poor}
+	}
+}
+
+func (s *Summary) clone() *Summary {
+	c := NewSummary()
+	c.Cursor, c.Updated = s.Cursor, s.Updated
+	for kind, cells := range s.Cells {
+		c.Cells[kind] = make(map[string]Cell, len(cells))
+		for l, cell := range cells {
+			c.Cells[kind][l] = cell
+		}
+	}
+	for v, t := range s.Totals {
+		c.Totals[v] = t
+	}
+	return c
+}
+
+// Encode returns the compressed form that is stored and spread.
+func (s *Summary) Encode() ([]byte, error) {
+	var buf bytes.Buffer
+	zw := gzip.NewWriter(&buf)
+	if err := json.NewEncoder(zw).Encode(s); err != nil {
+		return nil, fmt.Errorf("encode quality summary: %w", err)
+	}
+	if err := zw.Close(); err != nil {
+		return nil, fmt.Errorf("encode quality summary: %w", err)
+	}
+	return buf.Bytes(), nil
+}
+
+// Decode reads the form that Encode returns.
+func Decode(body []byte) (*Summary, error) {
+	zr, err := gzip.NewReader(bytes.NewReader(body))
+	if err != nil {
+		return nil, fmt.Errorf("decode quality summary: %w", err)
+	}
+	s := NewSummary()
+	if err := json.NewDecoder(io.LimitReader(zr, maxBodyBytes)).Decode(s); err != nil {
+		return nil, fmt.Errorf("decode quality summary: %w", err)
+	}
+	if s.Cells == nil || s.Totals == nil {
+		return nil, fmt.Errorf("decode quality summary: fields are missing")
+	}
+	return s, nil
+}
