choose, cascade: choice by confidence bounds, exploration and cascades

Cause: the choice took the declared quality for the truth, never tried a cheaper version again, and ignored the team's cascade. Change: the cheapest candidate whose lower bound meets the target answers; thin evidence counts only until some candidate is proven. A session that leaves the choice to the router stays on its version. The choice honours halted roll-outs. Conclusion: behaviour without ratings is as before.

--- a/choose/choose.go
+++ b/choose/choose.go
@@ -3,7 +3,6 @@
 package choose
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -16,17 +15,17 @@
 // AutoModel is the model name with which a caller leaves the choice to the router.
 const AutoModel = "auto"
 
-// Estimator gives the quality of a version for a kind of request.
-type Estimator interface {
-	// LowerBound returns the lower confidence bound of the expected rating, 0 to 1.
-	LowerBound(kind string, v *object.Version) float64
+// Steps gives the step of a roll-out that is in force.
+type Steps interface {
+	// Step returns the index of the step, -1 for none, and whether the roll-out's new version is out of service.
+	Step(r *object.Rollout) (step int, halted bool)
 }
 
-// Declared is the Estimator that returns the declared quality.
-type Declared struct{}
+// DeclaredSteps is the Steps that returns the declared step.
+type DeclaredSteps struct{}
 
-// LowerBound implements Estimator.
-func (Declared) LowerBound(_ string, v *object.Version) float64 { return v.Quality }
+// Step implements Steps.
+func (DeclaredSteps) Step(r *object.Rollout) (int, bool) { return r.Step, false }
 
 // Input of the choice.
 type Input struct {
@@ -38,95 +37,175 @@
 	// RequestID places a request without a session in a roll-out.
 	RequestID string
 	Now       time.Time
+	// Once excludes cascades, which may run several models for one request.
+	Once bool
 }
 
 // Candidate is a version that may answer.
 type Candidate struct {
 	Service string
 	Version *object.Version
+
+	estimate Estimate
+	price    float64
+	good     bool
+}
+
+// Choice is the result.
+type Choice struct {
+	// Candidates are alternatives, the preferred one first, or the steps of Cascade in their order.
+	Candidates []Candidate
+	Cascade    *object.Cascade // nil if one version answers
+	Explored   bool            // the first choice was made to learn about it
+}
+
+// Spec configures a Filter.
+type Spec struct {
+	Estimator Estimator
+	Steps     Steps
+	// ClimbRate returns the part of a cascade's requests that reach its next step; nil for an assumed rate.
+	ClimbRate func(cascade string) float64
+	// Explore bounds exploration; the zero value allows none.
+	Explore Budget
 }
 
 // Filter chooses versions.
-type Filter struct{ estimator Estimator }
+type Filter struct {
+	spec    Spec
+	explore explorer
+}
 
-// New returns a filter.
-func New(e Estimator) *Filter { return &Filter{estimator: e} }
+// New returns a filter. Steps may be nil for the declared ones.
+func New(s Spec) *Filter {
+	if s.Steps == nil {
+		s.Steps = DeclaredSteps{}
+	}
+	if s.ClimbRate == nil {
+		s.ClimbRate = func(string) float64 { return AssumedClimbRate }
+	}
+	f := &Filter{spec: s}
+	f.explore.init(s.Explore)
+	return f
+}
 
-// Do returns the candidates, the preferred one first.
-func (f *Filter) Do(in Input) ([]Candidate, error) {
-	models, err := models(in)
-	if err != nil {
-		return nil, err
+// Do returns the choice. Apart from the list of candidates, it allocates nothing.
+func (f *Filter) Do(in Input) (Choice, error) {
+	if in.Model != AutoModel {
+		return f.named(in)
+	}
+	if c, ok := f.sessionVersion(in); ok {
+		return Choice{Candidates: []Candidate{c}}, nil
 	}
-	var list []Candidate
-	for _, m := range models {
-		v, err := resolve(in, m)
+	list := make([]Candidate, 0, len(in.Team.Models))
+	for _, m := range in.Team.Models {
+		v, err := f.resolve(in, m)
 		if err != nil {
-			return nil, err
+			return Choice{}, err
 		}
 		if v != nil {
 			list = append(list, Candidate{Service: in.View.Models[m].Service, Version: v})
 		}
 	}
 	if len(list) == 0 {
-		return nil, result.Newf(result.NoVersion, "")
+		return Choice{}, result.Newf(result.NoVersion, "")
 	}
-	if in.Model == AutoModel {
-		list = f.order(in, list)
-	}
-	if in.Session.ID != "" {
-		// A session stays with one version, so it doesn't fall back to another model.
-		list = list[:1]
-	}
-	return list, nil
+	return f.order(in, list), nil
 }
 
-// models returns the names of the models that the request may use.
-func models(in Input) ([]string, error) {
-	if in.Model == AutoModel {
-		return in.Team.Models, nil
-	}
+// named resolves a model or version that the request names.
+func (f *Filter) named(in Input) (Choice, error) {
 	name := in.Model
 	if v := in.View.Versions[name]; v != nil {
 		name = v.Model
 	}
-	if in.View.Models[name] == nil || !slices.Contains(in.Team.Models, name) {
-		return nil, result.Newf(result.ModelNotAllowed, "Model %q.", in.Model)
+	m := in.View.Models[name]
+	if m == nil || !slices.Contains(in.Team.Models, name) {
+		return Choice{}, result.Newf(result.ModelNotAllowed, "Model %q.", in.Model)
+	}
+	v, err := f.resolve(in, name)
+	if err != nil {
+		return Choice{}, err
+	}
+	if v == nil {
+		return Choice{}, result.Newf(result.NoVersion, "")
 	}
-	return []string{name}, nil
+	return Choice{Candidates: []Candidate{{Service: m.Service, Version: v}}}, nil
+}
+
+// sessionVersion returns the version that the session used last. A session that leaves the choice to the router would
+// otherwise move whenever the estimates change.
+func (f *Filter) sessionVersion(in Input) (Candidate, bool) {
+	if f.expired(in) {
+		return Candidate{}, false
+	}
+	for _, name := range slices.Backward(in.Session.Versions) {
+		v := in.View.Versions[name]
+		if v != nil && f.inService(in, v) && slices.Contains(in.Team.Models, v.Model) {
+			f.countSession(in, v)
+			return Candidate{Service: in.View.Models[v.Model].Service, Version: v}, true
+		}
+		if v != nil {
+			return Candidate{}, false // resolve applies the session policy
+		}
+	}
+	return Candidate{}, false
+}
+
+// countSession charges the requests of a session that stays on a version below the target to the budget of exploration,
+// whose first request may have been chosen to explore.
+func (f *Filter) countSession(in Input, v *object.Version) {
+	e := f.spec.Estimator.Estimate(in.Kind, v.Name, v.Quality)
+	f.explore.count(in.Team.Name, price(v), e.Lower < in.Team.QualityTarget)
+}
+
+func (f *Filter) expired(in Input) bool {
+	policy := in.View.Policies[in.Team.SessionPolicy]
+	return policy != nil && in.Now.Sub(in.Session.Issued) > policy.MaxAge
+}
+
+// inService reports whether a version is active and not halted in a roll-out.
+func (f *Filter) inService(in Input, v *object.Version) bool {
+	if v.State != object.VersionActive {
+		return false
+	}
+	if r := in.View.Rollouts[v.Model]; r != nil && r.To == v.Name {
+		_, halted := f.spec.Steps.Step(r)
+		return !halted
+	}
+	return true
 }
 
 // resolve returns the version of a model that serves the request, or nil if the model has no active one.
-func resolve(in Input, model string) (*object.Version, error) {
+func (f *Filter) resolve(in Input, model string) (*object.Version, error) {
 	if v := in.View.Versions[in.Model]; v != nil {
-		if v.State != object.VersionActive {
-			return nil, result.Newf(result.VersionWithdrawn, "Version %q is %s.", v.Name, v.State)
+		if !f.inService(in, v) {
+			return nil, result.Newf(result.VersionWithdrawn, "Version %q is not in service.", v.Name)
 		}
 		return v, nil
 	}
-	if v, err := pinned(in, model); v != nil || err != nil {
+	if v, err := f.pinned(in, model); v != nil || err != nil {
 		return v, err
 	}
 	if r := in.View.Rollouts[model]; r != nil {
-		if v := rolledOut(in, r); v != nil {
+		if v := f.rolledOut(in, r); v != nil {
 			return v, nil
 		}
 	}
-	return newest(in.View.ByModel[model]), nil
+	return f.newest(in, in.View.ByModel[model]), nil
 }
 
 // pinned returns the version that the session's token names for the model.
-func pinned(in Input, model string) (*object.Version, error) {
+func (f *Filter) pinned(in Input, model string) (*object.Version, error) {
 	policy := in.View.Policies[in.Team.SessionPolicy]
 	for _, name := range in.Session.Versions {
 		v := in.View.Versions[name]
 		if v == nil || v.Model != model {
 			continue
 		}
-		if policy != nil && in.Now.Sub(in.Session.Issued) > policy.MaxAge {
+		if f.expired(in) {
 			return nil, nil
 		}
-		if v.State == object.VersionActive {
+		if f.inService(in, v) {
 			return v, nil
 		}
 		if policy != nil && policy.OnWithdrawn == object.WithdrawnRefuse {
@@ -137,57 +216,33 @@
 }
 
 // rolledOut places the request by its session, or by its own identity without one.
-func rolledOut(in Input, r *object.Rollout) *object.Version {
+func (f *Filter) rolledOut(in Input, r *object.Rollout) *object.Version {
 	id := in.Session.ID
 	if id == "" {
 		id = in.RequestID
 	}
+	step, halted := f.spec.Steps.Step(r)
+	started := step >= 0 && !halted
 	from, to := in.View.Versions[r.From], in.View.Versions[r.To]
-	if r.Step >= 0 && session.Point(r.Name+"/"+id) < r.Steps[r.Step] {
+	if started && session.PointIn(r.Name, id) < r.Steps[min(step, len(r.Steps)-1)] {
 		from, to = to, from
 	}
 	if from.State == object.VersionActive {
 		return from
 	}
-	if to.State == object.VersionActive && r.Step >= 0 {
+	if to.State == object.VersionActive && started {
 		return to
 	}
 	return nil
 }
 
-// newest returns the active version with the best declared quality, the last by name among equals.
-func newest(versions []*object.Version) *object.Version {
+// newest returns the version in service with the best declared quality, the last by name among equals.
+func (f *Filter) newest(in Input, versions []*object.Version) *object.Version {
 	var best *object.Version
 	for _, v := range versions {
-		if v.State == object.VersionActive && (best == nil || v.Quality >= best.Quality) {
+		if f.inService(in, v) && (best == nil || v.Quality >= best.Quality) {
 			best = v
 		}
 	}
 	return best
 }
-
-// order puts the cheapest candidate that meets the team's quality target first. If none meets it, the best one is the
-// only candidate.
-func (f *Filter) order(in Input, list []Candidate) []Candidate {
-	good := list[:0:0]
-	best, bestBound := list[0], -1.0
-	for _, c := range list {
-		bound := f.estimator.LowerBound(in.Kind, c.Version)
-		if bound >= in.Team.QualityTarget {
-			good = append(good, c)
-		}
-		if bound > bestBound {
-			best, bestBound = c, bound
-		}
-	}
-	if len(good) == 0 {
-		return []Candidate{best}
-	}
-	slices.SortStableFunc(good, func(a, b Candidate) int {
-		return cmp.Or(cmp.Compare(price(a.Version), price(b.Version)), cmp.Compare(a.Version.Name, b.Version.Name))
-	})
-	return good
-}
-
-// price compares versions by the cost of as many input as output tokens.
-func price(v *object.Version) int64 { return v.Prices.Input + v.Prices.Output }
--- /dev/null
+++ b/choose/choose_test.go
@@ -0,0 +1,140 @@
+package choose
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/bramleytrail/bramleytrail/config"
+	"github.com/bramleytrail/bramleytrail/object"
+	"github.com/bramleytrail/bramleytrail/session"
+)
+
+// known is an Estimator with fixed estimates; others are the declared quality.
+type known map[string]Estimate
+
+func (k known) Estimate(_, label string, declared float64) Estimate {
+	if e, ok := k[label]; ok {
+		return e
+	}
+	return Declared{}.Estimate("", "", declared)
+}
+
+// halted is a Steps that has taken every roll-out's new version out of service.
+type halted struct{}
+
+func (halted) Step(*object.Rollout) (int, bool) { return -1, true }
+
+// input returns a request to n models, the dearer the better, with a cascade of the first two.
+func input(n int) Input {
+	v := &config.View{
+		Models: map[string]*object.Model{}, Versions: map[string]*object.Version{}, ByModel: map[string][]*object.Version{},
+		Rollouts: map[string]*object.Rollout{}, Policies: map[string]*object.SessionPolicy{}, Cascades: map[string]*object.Cascade{},
+	}
+	team := &object.Team{Name: "t", QualityTarget: 0.8}
+	for i := range n {
+		m, name := fmt.Sprintf("m%02d", i), fmt.Sprintf("m%02d-1", i)
+		ver := &object.Version{Name: name, Model: m, State: object.VersionActive, Quality: 0.7 + 0.25*float64(i)/float64(n-1), Prices: object.Prices{Output: int64(100 * (i + 1))}}
+		v.Models[m], v.Versions[name], v.ByModel[m] = &object.Model{Name: m, Service: "s"}, ver, []*object.Version{ver}
+		team.Models = append(team.Models, m)
+	}
+	v.Cascades["c"] = &object.Cascade{Name: "c", Steps: []string{"m00", "m01"}, RatingLabel: "c/"}
+	return Input{View: v, Team: team, Model: AutoModel, Kind: "k", RequestID: "r", Now: time.Unix(0, 0)}
+}
+
+func firm(lower float64) Estimate {
+	return Estimate{Mean: lower, Lower: lower, Upper: lower + 0.02, N: 100, Firm: true}
+}
+
+func first(t *testing.T, f *Filter, in Input) string {
+	t.Helper()
+	c, err := f.Do(in)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Cascade != nil {
+		return c.Cascade.Label()
+	}
+	return c.Candidates[0].Version.Name
+}
+
+// Guards against a choice that ignores the evidence, the price, the cascade or the rule for thin evidence.
+func TestOrder(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		known   known
+		cascade string
+		want    string
+		list    int // candidates
+	}{
+		{"declared quality before any rating", known{}, "", "m02-1", 2},
+		{"cheapest proven version", known{"m01-1": firm(0.85)}, "", "m01-1", 1},
+		{"a proven version bars cheaper ones with thin evidence", known{"m03-1": firm(0.9)}, "", "m03-1", 1},
+		{"ratings refute the declared quality", known{"m02-1": firm(0.6)}, "", "m03-1", 1},
+		{"none meets the target", known{"m02-1": firm(0.6), "m03-1": firm(0.7)}, "", "m01-1", 1},
+		{"proven cascade cheaper than the cheapest version", known{"m01-1": firm(0.85), "c/": firm(0.9)}, "c", "c/", 2},
+		{"cascade that falls short", known{"m01-1": firm(0.85), "c/": firm(0.7)}, "c", "m01-1", 1},
+	} {
+		in := input(4)
+		in.Team.Cascade = tc.cascade
+		f := New(Spec{Estimator: tc.known})
+		if got := first(t, f, in); got != tc.want {
+			t.Errorf("%s: %s; want %s", tc.name, got, tc.want)
+		}
+		if c, _ := f.Do(in); len(c.Candidates) != tc.list {
+			t.Errorf("%s: %d candidates; want %d", tc.name, len(c.Candidates), tc.list)
+		}
+	}
+}
+
+// Guards against exploration beyond its budget, of hopeless or dearer versions, or within a session.
+func TestExploration(t *testing.T) {
+	in := input(4)
+	f := New(Spec{
+		Estimator: known{"m03-1": firm(0.9), "m02-1": {Upper: 0.9}, "m01-1": {Upper: 0.95, N: 10}, "m00-1": firm(0.3)},
+		Explore:   DefaultBudget,
+	})
+	counts := map[string]int{}
+	const requests = 1000
+	for range requests {
+		counts[first(t, f, in)]++
+	}
+	explored := counts["m02-1"] + counts["m01-1"]
+	if explored == 0 || float64(explored) > DefaultBudget.Requests*requests {
+		t.Errorf("%d of %d requests explored; the budget is %g", explored, requests, DefaultBudget.Requests)
+	}
+	if counts["m01-1"] > 0 || counts["m00-1"] > 0 || explored+counts["m03-1"] != requests {
+		t.Errorf("answers %v; only m02-1, which has the fewest ratings and may meet the target, is worth exploring", counts)
+	}
+	in.Session = session.Token{ID: "s", Issued: in.Now, Versions: []string{"m01-1"}}
+	for range requests {
+		if got := first(t, f, in); got != "m01-1" {
+			t.Fatalf("the session moved to %s", got)
+		}
+	}
+	in.Session = session.Token{}
+	if got := first(t, f, in); got != "m03-1" {
+		t.Errorf("explored %s although a session below the target has spent the budget", got)
+	}
+}
+
+// Guards against work at a version that a roll-out has halted, for new requests, pinned sessions and named versions.
+func TestHaltedVersionIsOutOfService(t *testing.T) {
+	in := input(2)
+	to := &object.Version{Name: "m01-2", Model: "m01", State: object.VersionActive, Quality: 1, Prices: object.Prices{Output: 200}}
+	in.View.Versions[to.Name] = to
+	in.View.ByModel["m01"] = append(in.View.ByModel["m01"], to)
+	in.View.Rollouts["m01"] = &object.Rollout{Name: "r", Model: "m01", From: "m01-1", To: to.Name, Steps: []float64{1}, Step: 0}
+	if got := first(t, New(Spec{Estimator: Declared{}}), in); got != to.Name {
+		t.Fatalf("%s answers at share 1", got)
+	}
+	f := New(Spec{Estimator: Declared{}, Steps: halted{}})
+	in.Session = session.Token{ID: "s", Issued: in.Now, Versions: []string{to.Name}}
+	if got := first(t, f, in); got != "m01-1" {
+		t.Errorf("%s answers a session after the halt", got)
+	}
+	in.Model = to.Name
+	if _, err := f.Do(in); err == nil {
+		t.Error("a halted version answers a request that names it")
+	}
+}
--- a/config/view.go
+++ b/config/view.go
@@ -51,6 +51,9 @@
 		ver := &set.Versions[i]
 		v.ByModel[ver.Model] = append(v.ByModel[ver.Model], ver)
 	}
+	for _, c := range v.Cascades {
+		c.RatingLabel = c.Label() // once, so that the choice allocates nothing
+	}
 	v.teamByKey = map[string]*object.Team{}
 	for _, t := range v.Teams {
 		for _, h := range t.KeyHashes {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -15,6 +15,7 @@
 
 	"github.com/bramleytrail/bramleytrail/admit"
 	"github.com/bramleytrail/bramleytrail/bill"
+	"github.com/bramleytrail/bramleytrail/cascade"
 	"github.com/bramleytrail/bramleytrail/choose"
 	"github.com/bramleytrail/bramleytrail/claim"
 	"github.com/bramleytrail/bramleytrail/config"
@@ -162,7 +163,8 @@
 		Admit:    d.admit,
 		Identify: identify.New(identify.Spec{Signer: signer, Members: func() int { return int(d.members.Load()) }}),
 		Claim:    d.claims,
-		Choose:   choose.New(choose.Declared{}),
+		Choose:   choose.New(choose.Spec{Estimator: choose.Declared{}}),
+		Climbs:   cascade.NewRates(),
 		Dispatch: dispatch.New(dispatch.Spec{
 			Pool: d.pool, Client: d.engines, Poison: d.poison, OnCrash: d.node.ReportCrash, QueueWait: s.QueueWait, Now: time.Now,
 		}),
--- a/declare/check.go
+++ b/declare/check.go
@@ -19,6 +19,8 @@
 	maxTimeout     = time.Hour
 	maxSessionAge  = 30 * 24 * time.Hour
 	sha256HexChars = 64
+	maxAnswers     = 1_000_000_000
+	maxStepTime    = 30 * 24 * time.Hour
 )
 
 // Check validates the whole set and returns every finding. Sources may be nil.
@@ -197,6 +199,8 @@
 		if len(cs.Steps) == 0 {
 			c.report(ref, "steps", "is empty", "at least one model")
 		}
+		c.fraction(ref, "minConfidence", cs.MinConfidence)
+		c.inRange(ref, "minTokens", cs.MinTokens, 0, maxTokens)
 		seen := map[string]bool{}
 		for i, step := range cs.Steps {
 			field := fmt.Sprintf("steps[%d]", i)
@@ -374,4 +378,8 @@
 		last = s
 	}
 	c.inRange(ref, "step", int64(r.Step), -1, int64(len(r.Steps)-1))
+	c.inRange(ref, "minAnswers", r.MinAnswers, 0, maxAnswers)
+	c.inRange(ref, "minTime", int64(r.MinTime), 0, int64(maxStepTime))
+	c.inRange(ref, "slowAfter", int64(r.SlowAfter), 0, int64(maxTimeout))
+	c.inRange(ref, "attempt", int64(r.Attempt), 0, maxAnswers)
 }
--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -30,6 +30,10 @@
 	callID   string
 	first    *engine.Event // read by start and not delivered yet
 
+	opened    time.Time     // of the call in progress
+	firstByte time.Duration // of the call in progress
+	crashed   bool          // the call in progress ended in a crash
+
 	attempts int
 	exclude  []string
 	suspect  bool
@@ -110,6 +114,9 @@
 }
 
 func (a *Answer) accept(ev engine.Event) {
+	if a.firstByte == 0 {
+		a.firstByte = max(1, a.filter.spec.Now().Sub(a.opened))
+	}
 	a.seq = ev.Seq
 	a.ran = result.RunDone
 	a.text.WriteString(ev.Text)
@@ -136,6 +143,7 @@
 	}
 	a.room, a.reserved, a.served = r, true, r.candidate.Version
 	a.attempts++
+	a.opened, a.firstByte, a.crashed = a.filter.spec.Now(), 0, false
 	a.callID = callID(a.in.RequestID, a.attempts)
 	a.trace = append(a.trace, Attempt{Endpoint: r.ID, Version: r.candidate.Version.Name})
 	req := engine.Request{
@@ -283,6 +291,7 @@
 	if a.room.BesideSuspect() {
 		return
 	}
+	a.crashed = true
 	r := poison.Record{Fingerprint: a.in.Fingerprint, Crash: a.room.ID + "/" + boot, Isolated: a.room.Isolated()}
 	if a.filter.spec.Poison.Add(r, a.filter.spec.Now()) {
 		a.filter.spec.OnCrash(r)
@@ -301,6 +310,9 @@
 	if a.reserved {
 		a.reserved = false
 		a.room.Release(outcomeOf(err), a.filter.spec.Now())
+		if a.filter.spec.OnCall != nil {
+			a.filter.spec.OnCall(CallResult{Version: a.served.Name, Outcome: outcomeOf(err), Crashed: a.crashed, FirstByte: a.firstByte})
+		}
 	}
 }
 
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -34,6 +34,16 @@
 	// QueueWait bounds the time for which a request waits for room at an endpoint.
 	QueueWait time.Duration
 	Now       func() time.Time
+	// OnCall is called at the end of each model call; it may be nil.
+	OnCall func(CallResult)
+}
+
+// CallResult describes a finished model call.
+type CallResult struct {
+	Version   string
+	Outcome   pool.Outcome
+	Crashed   bool
+	FirstByte time.Duration // time to the first token, 0 if there was none
 }
 
 // Filter dispatches requests.
--- a/object/object.go
+++ b/object/object.go
@@ -166,6 +166,21 @@
 type Cascade struct {
 	Name  string   `json:"name" yaml:"-"`
 	Steps []string `json:"steps" yaml:"steps"` // model names
+	// MinConfidence is the mean token probability below which an answer is doubtful; 0 for no check.
+	MinConfidence float64 `json:"minConfidence,omitempty" yaml:"minConfidence"`
+	// MinTokens is the length below which a finished answer is doubtful; 0 for no check.
+	MinTokens int64 `json:"minTokens,omitempty" yaml:"minTokens"`
+	// RatingLabel names the cascade in estimates. It is set when the configuration is indexed.
+	RatingLabel string `json:"-" yaml:"-"`
+}
+
+// Label returns the name under which the ratings of the cascade's answers are kept, whichever step gave the answer.
+// Names of versions have no slash.
+func (c *Cascade) Label() string {
+	if c.RatingLabel != "" {
+		return c.RatingLabel
+	}
+	return c.Name + "/"
 }
 
 // Rollout moves a model's sessions from one version to another in steps.
@@ -178,4 +193,13 @@
 	Steps []float64 `json:"steps" yaml:"steps"`
 	// Step is the index of the step in force; -1 before the first.
 	Step int `json:"step" yaml:"step"`
+	// MinAnswers is the number of answers of the new version in a step before the roll-out advances by itself; 0 leaves
+	// each step to operators.
+	MinAnswers int64 `json:"minAnswers,omitempty" yaml:"minAnswers"`
+	// MinTime is the shortest time in a step before the roll-out advances by itself.
+	MinTime time.Duration `json:"minTime,omitempty" yaml:"minTime"`
+	// SlowAfter is the time to the first token from which an answer counts as slow; 0 for 690 ms.
+	SlowAfter time.Duration `json:"slowAfter,omitempty" yaml:"slowAfter"`
+	// Attempt has no effect of its own. A changed one restarts a roll-out that was halted.
+	Attempt int `json:"attempt,omitempty" yaml:"attempt"`
 }
--- a/pipeline/chat.go
+++ b/pipeline/chat.go
@@ -26,13 +26,15 @@
 	r      *Request
 	caller relay.Caller
 
-	chat       chat
-	prompt     int64
-	maxTokens  int64
-	held       *claim.Claim
-	candidates []choose.Candidate
-	answer     *dispatch.Answer
-	whole      []byte // answer of a request without streaming
+	chat      chat
+	prompt    int64
+	maxTokens int64
+	held      *claim.Claim
+	choice    choose.Choice
+	answer    *dispatch.Answer
+	source    relay.Source  // the answer, or what a cascade held back and the rest
+	calls     []ledger.Call // of earlier steps of a cascade
+	whole     []byte        // answer of a request without streaming
 }
 
 func (p *Pipeline) newChatStages(r *Request, c relay.Caller, e *entered) (*chatStages, error) {
@@ -79,32 +81,44 @@
 
 func (s *chatStages) choose() error {
 	var err error
-	s.candidates, err = s.p.Choose.Do(choose.Input{
+	s.choice, err = s.p.Choose.Do(choose.Input{
 		View: s.view, Team: s.who.Team, Model: s.chat.Model, Kind: s.who.Kind, Session: s.who.Session, RequestID: s.r.ID, Now: s.start,
+		Once: s.held != nil,
 	})
+	s.outcome.Explored, s.outcome.Cascade = s.choice.Explored, s.choice.Cascade != nil
 	return err
 }
 
 func (s *chatStages) dispatch(ctx context.Context) error {
-	answer, err := s.p.Dispatch.Do(ctx, dispatch.Input{
-		View: s.view, RequestID: s.r.ID, Team: s.who.Team.Name, Candidates: s.candidates, Body: s.r.Body, Priority: s.who.Priority,
-		Tokens: s.prompt, MaxTokens: s.maxTokens, Fingerprint: poison.Fingerprint(s.who.Team.Name, s.r.Body), Once: s.held != nil,
-	})
-	if err != nil {
-		return err
+	if s.choice.Cascade != nil {
+		if err := s.climb(ctx); err != nil {
+			return err
+		}
+	} else {
+		answer, err := s.p.Dispatch.Do(ctx, s.call(s.r.ID, s.choice.Candidates))
+		if err != nil {
+			return err
+		}
+		s.answer, s.source = answer, answer
 	}
-	s.answer = answer
 	s.outcome.FirstByte = s.p.Now().Sub(s.start)
-	s.outcome.Version = answer.Version().Name
+	s.outcome.Version = s.answer.Version().Name
 	return nil
 }
 
+func (s *chatStages) call(id string, candidates []choose.Candidate) dispatch.Input {
+	return dispatch.Input{
+		View: s.view, RequestID: id, Team: s.who.Team.Name, Candidates: candidates, Body: s.r.Body, Priority: s.who.Priority,
+		Tokens: s.prompt, MaxTokens: s.maxTokens, Fingerprint: poison.Fingerprint(s.who.Team.Name, s.r.Body), Once: s.held != nil,
+	}
+}
+
 // relay sends the answer, except for the end that the caller sees only after the bill is kept.
 func (s *chatStages) relay() error {
 	meta := relay.Meta{ID: "chatcmpl-" + s.r.ID, Model: s.answer.Version().Name, Created: s.start.Unix()}
 	if !s.chat.Stream {
 		var err error
-		s.whole, err = relay.Collect(s.answer, meta)
+		s.whole, err = relay.Collect(s.source, meta)
 		return err
 	}
 	h, err := s.header()
@@ -114,13 +128,13 @@
 	if err := s.caller.Begin(http.StatusOK, relay.StreamHeader(h)); err != nil {
 		return &result.Error{Code: result.CallerGone, Ran: result.RunDone, Err: err}
 	}
-	return relay.Stream(s.answer, s.caller, meta)
+	return relay.Stream(s.source, s.caller, meta)
 }
 
 func (s *chatStages) header() (http.Header, error) {
 	h := header(s.r.ID)
 	v := s.answer.Version()
-	h.Set(relay.HeaderVersion, v.Name)
+	h.Set(relay.HeaderVersion, s.ratedVersion(v.Name))
 	tok := s.who.Session
 	if tok.ID == "" {
 		tok.ID = s.r.ID
@@ -142,16 +156,30 @@
 	return h, nil
 }
 
+// ratedVersion returns the version under which the answer is rated. A cascade's answers are rated apart from those of
+// the version alone, see quality.Summary.
+func (s *chatStages) ratedVersion(name string) string {
+	if s.choice.Cascade != nil {
+		return s.choice.Cascade.Label() + name
+	}
+	return name
+}
+
 func (s *chatStages) bill(ctx context.Context, err error) {
-	s.outcome.Attempts = s.answer.Attempts()
+	s.outcome.Attempts = append(s.outcome.Attempts, s.answer.Attempts()...)
 	code := result.OK
 	if err != nil {
 		code = result.From(err).Code
 	}
 	u := s.answer.Usage()
+	s.calls = append(s.calls, bill.ModelCall(s.answer.Version(), u.InputTokens, u.OutputTokens))
+	s.writeBill(ctx, code)
+}
+
+// writeBill writes one bill with all model calls.
+func (s *chatStages) writeBill(ctx context.Context, code result.Code) {
 	s.p.Bill.Do(ctx, bill.Input{
-		Team: s.who.Team.Name, Service: chatService, Key: s.who.Key, RequestID: s.r.ID, Code: code, Now: s.p.Now(),
-		Calls: []ledger.Call{bill.ModelCall(s.answer.Version(), u.InputTokens, u.OutputTokens)},
+		Team: s.who.Team.Name, Service: chatService, Key: s.who.Key, RequestID: s.r.ID, Code: code, Now: s.p.Now(), Calls: s.calls,
 	})
 }
 
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -6,6 +6,7 @@
 
 	"github.com/bramleytrail/bramleytrail/admit"
 	"github.com/bramleytrail/bramleytrail/bill"
+	"github.com/bramleytrail/bramleytrail/cascade"
 	"github.com/bramleytrail/bramleytrail/choose"
 	"github.com/bramleytrail/bramleytrail/claim"
 	"github.com/bramleytrail/bramleytrail/config"
@@ -27,6 +28,7 @@
 	Dispatch *dispatch.Filter
 	Bill     *bill.Filter
 
+	Climbs *cascade.Rates
 	Signer *session.Signer
 	Now    func() time.Time
 	// Observe is called at the end of each request.
@@ -43,6 +45,8 @@
 	FirstByte time.Duration // 0 if no answer began
 	Total     time.Duration
 	Attempts  []dispatch.Attempt
+	Explored  bool // answered to learn about the version or cascade
+	Cascade   bool
 	Err       error
 }
 
@@ -108,7 +112,7 @@
 		if err := s.dispatch(ctx); err != nil {
 			return s.release(err)
 		}
-		defer s.answer.Close()
+		defer func() { s.answer.Close() }()
 		err = s.relay()
 		s.bill(ctx, err)
 		return s.finish(err)
--- a/quality/summary.go
+++ b/quality/summary.go
@@ -57,18 +57,15 @@
 	return &Summary{Cells: map[string]map[string]Cell{}, Totals: map[string]Total{}}
 }
 
-// CascadeLabel returns the label of a cascade's answers. The version that answered follows it in the response header;
-// the answers of all steps count for the cascade, because only doubtful requests reach the later steps, which would
-// bias the estimates of single versions.
-func CascadeLabel(name string) string { return name + "/" }
-
-// label returns the cell's label and the version of a rating's version field.
+// label returns the cell's label and the version of a rating's version field. For a cascade's answer, the field is the
+// cascade's label followed by the version. The answers of all steps count for the cascade, because only doubtful
+// requests reach the later steps, which would bias the estimates of single versions.
 func label(field string) (cell, version string) {
 	name, version, ok := strings.Cut(field, "/")
 	if !ok {
 		return field, field
 	}
-	return CascadeLabel(name), version
+	return name + "/", version
 }
 
 // Add counts a rating. Scores outside 0 to 1 are ignored.
--- a/quality/summary_test.go
+++ b/quality/summary_test.go
@@ -84,7 +84,7 @@
 		t.Fatal(err)
 	}
 	back, err := Decode(body)
-	if err != nil || back.Cells["k"][CascadeLabel("c")] != a.Cells["k"][CascadeLabel("c")] {
+	if err != nil || back.Cells["k"]["c/"] != a.Cells["k"]["c/"] {
 		t.Errorf("decoded %+v, %v; want %+v", back, err, a)
 	}
 }
--- a/session/session.go
+++ b/session/session.go
@@ -81,7 +81,19 @@
 }
 
 // Point maps a session identifier to [0, 1). A roll-out step with share s takes the sessions below s.
-func Point(id string) float64 {
+func Point(id string) float64 { return point(xxhash.Sum64String(id)) }
+
+// PointIn is Point of scope, a slash and id. It doesn't allocate.
+func PointIn(scope, id string) float64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(scope) // never fails
+	_, _ = d.WriteString("/")
+	_, _ = d.WriteString(id)
+	return point(d.Sum64())
+}
+
+func point(hash uint64) float64 {
 	const bits = 53
-	return float64(xxhash.Sum64String(id)>>(64-bits)) / (1 << bits)
+	return float64(hash>>(64-bits)) / (1 << bits)
 }
