--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -32,7 +32,7 @@
 
 	opened    time.Time     // of the call in progress
 	firstByte time.Duration // of the call in progress
-	crashed   bool          // the call in progress ended in a crash
+	crash     string        // the endpoint's crash that ended the call in progress
 
 	attempts int
 	exclude  []string
@@ -143,7 +143,7 @@
 	}
 	a.room, a.reserved, a.served = r, true, r.candidate.Version
 	a.attempts++
-	a.opened, a.firstByte, a.crashed = a.filter.spec.Now(), 0, false
+	a.opened, a.firstByte, a.crash = a.filter.spec.Now(), 0, ""
 	a.callID = callID(a.in.RequestID, a.attempts)
 	a.trace = append(a.trace, Attempt{Endpoint: r.ID, Version: r.candidate.Version.Name})
 	req := engine.Request{
@@ -291,8 +291,8 @@
 	if a.room.BesideSuspect() {
 		return
 	}
-	a.crashed = true
 	r := poison.Record{Fingerprint: a.in.Fingerprint, Crash: a.room.ID + "/" + boot, Isolated: a.room.Isolated()}
+	a.crash = r.Crash
 	if a.filter.spec.Poison.Add(r, a.filter.spec.Now()) {
 		a.filter.spec.OnCrash(r)
 	}
@@ -310,10 +310,19 @@
 	if a.reserved {
 		a.reserved = false
 		a.room.Release(outcomeOf(err), a.filter.spec.Now())
-		if a.filter.spec.OnCall != nil {
-			a.filter.spec.OnCall(CallResult{Version: a.served.Name, Outcome: outcomeOf(err), Crashed: a.crashed, FirstByte: a.firstByte})
-		}
+		a.reportCall(err)
+	}
+}
+
+// reportCall reports the attempt, unless its outcome says nothing about the version.
+func (a *Answer) reportCall(err error) {
+	failed := errors.Is(err, engine.ErrFailed) || errors.Is(err, engine.ErrBroken) || errors.Is(err, errStalled)
+	if a.filter.spec.OnCall == nil || err != nil && !failed {
+		return
 	}
+	a.filter.spec.OnCall(CallResult{
+		RequestID: a.in.RequestID, Version: a.served.Name, Failed: failed, Crash: a.crash, FirstByte: a.firstByte,
+	})
 }
 
 // withRan sets the run state of the attempts so far on an error of a later one.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -34,15 +34,16 @@
 	// QueueWait bounds the time for which a request waits for room at an endpoint.
 	QueueWait time.Duration
 	Now       func() time.Time
-	// OnCall is called at the end of each model call; it may be nil.
+	// OnCall is called at the end of each model call that an endpoint ran, unless the caller ended it; it may be nil.
 	OnCall func(CallResult)
 }
 
 // CallResult describes a finished model call.
 type CallResult struct {
+	RequestID string
 	Version   string
-	Outcome   pool.Outcome
-	Crashed   bool
+	Failed    bool
+	Crash     string        // identity of the endpoint's crash that ended the call, or empty
 	FirstByte time.Duration // time to the first token, 0 if there was none
 }
 
