dispatch: try the next endpoint when one fails before its answer begins

Cause: an endpoint that answered a request with a server error left the answer without a stream; the next read used its timer, which was nil, and the panic closed the caller's connection without an answer. Change: the answer opens the next attempt before it reads.

--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -94,6 +94,9 @@
 			if err := a.open(); err != nil {
 				return engine.Event{}, err
 			}
+			if a.stream == nil {
+				continue // the endpoint failed before the answer began; open tries the next one
+			}
 		}
 		ev, err := a.read()
 		switch {
