daemon: duties, estimates and roll-outs wired into the daemon

Cause: the decision packages had no inputs from the deployment. Change: watchers compete for the duties rating and rollout. State dump, metrics and settings follow.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -15,8 +15,6 @@
 
 	"github.com/bramleytrail/bramleytrail/admit"
 	"github.com/bramleytrail/bramleytrail/bill"
-	"github.com/bramleytrail/bramleytrail/cascade"
-	"github.com/bramleytrail/bramleytrail/choose"
 	"github.com/bramleytrail/bramleytrail/claim"
 	"github.com/bramleytrail/bramleytrail/config"
 	"github.com/bramleytrail/bramleytrail/dispatch"
@@ -33,6 +31,7 @@
 	"github.com/bramleytrail/bramleytrail/pipeline"
 	"github.com/bramleytrail/bramleytrail/poison"
 	"github.com/bramleytrail/bramleytrail/pool"
+	"github.com/bramleytrail/bramleytrail/rating"
 	"github.com/bramleytrail/bramleytrail/session"
 	"github.com/bramleytrail/bramleytrail/settings"
 )
@@ -48,8 +47,9 @@
 
 // Platform gives access to the platform's services.
 type Platform struct {
-	Store kv.Store
-	Hosts hostlist.Source
+	Store   kv.Store
+	Hosts   hostlist.Source
+	Ratings rating.Source // nil if there is no rating service
 }
 
 // Daemon is one entry process.
@@ -73,6 +73,8 @@
 	metrics *observe.Metrics
 	recent  *observe.Recent
 
+	decisions *decisions
+
 	members  atomic.Int64 // live entry hosts
 	watcher  atomic.Bool
 	list     atomic.Pointer[hostlist.List]
@@ -87,6 +89,9 @@
 // FromSettings returns a daemon that reaches the platform and the endpoints over the network.
 func FromSettings(s *settings.Settings, log *logrus.Logger) *Daemon {
 	p := Platform{Store: httpkv.NewClient(s.Store), Hosts: hostlist.NewHTTPSource(s.Hosts)}
+	if s.Ratings != "" {
+		p.Ratings = rating.NewHTTPSource(s.Ratings)
+	}
 	return New(s, p, httpengine.NewClient(), log)
 }
 
@@ -97,11 +102,15 @@
 		settings: s, engines: engines, incarnation: s.ID + "-" + rand.Text()[:10],
 		log:    log.WithFields(logrus.Fields{"daemon": s.ID, "domain": s.Domain}),
 		config: &config.Holder{}, poison: poison.NewTable(), metrics: observe.NewMetrics(), recent: observe.NewRecent(),
-		ctx: ctx, cancel: cancel,
+		decisions: newDecisions(),
+		ctx:       ctx, cancel: cancel,
 	}
-	d.platform = Platform{Store: observe.Store{Store: p.Store, Metrics: d.metrics}, Hosts: p.Hosts}
+	d.platform = Platform{Store: observe.Store{Store: p.Store, Metrics: d.metrics}, Hosts: p.Hosts, Ratings: p.Ratings}
 	d.pool = pool.New(pool.Spec{Self: s.ID, Domain: s.Domain, Settle: s.Settle, Rand: mathrand.Uint64})
-	d.config.OnChange(func(v *config.View) { d.pool.SetView(v, time.Now()) })
+	d.config.OnChange(func(v *config.View) {
+		d.pool.SetView(v, time.Now())
+		d.decisions.setView(v)
+	})
 	return d
 }
 
@@ -134,6 +143,7 @@
 	d.wg.Go(d.followHosts)
 	d.wg.Go(d.followConfig)
 	d.wg.Go(d.pollLoads)
+	d.startDecisions()
 	d.log.WithFields(logrus.Fields{"listen": d.entry.Addr(), "peers": d.peerAddr, "operators": d.ops.addr}).Info("daemon started")
 	return nil
 }
@@ -163,16 +173,18 @@
 		Admit:    d.admit,
 		Identify: identify.New(identify.Spec{Signer: signer, Members: func() int { return int(d.members.Load()) }}),
 		Claim:    d.claims,
-		Choose:   choose.New(choose.Spec{Estimator: choose.Declared{}}),
-		Climbs:   cascade.NewRates(),
+		Choose:   d.buildChoice(),
+		Climbs:   d.decisions.climbs,
 		Dispatch: dispatch.New(dispatch.Spec{
 			Pool: d.pool, Client: d.engines, Poison: d.poison, OnCrash: d.node.ReportCrash, QueueWait: s.QueueWait, Now: time.Now,
+			OnCall: d.decisions.count,
 		}),
 		Bill:   bill.New(d.ledger, d.incarnation),
 		Signer: signer,
 		Now:    time.Now,
 		Observe: func(o pipeline.Outcome) {
 			d.metrics.Request(o)
+			d.countChoice(o)
 			d.recent.Add(o)
 			if o.Err != nil {
 				d.log.WithFields(logrus.Fields{"request": o.RequestID, "team": o.Team, "code": int(o.Code)}).WithError(o.Err).Info("request failed")
--- /dev/null
+++ b/daemon/decisions.go
@@ -0,0 +1,258 @@
+package daemon
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bramleytrail/bramleytrail/cascade"
+	"github.com/bramleytrail/bramleytrail/choose"
+	"github.com/bramleytrail/bramleytrail/config"
+	"github.com/bramleytrail/bramleytrail/declare"
+	"github.com/bramleytrail/bramleytrail/dispatch"
+	"github.com/bramleytrail/bramleytrail/duty"
+	"github.com/bramleytrail/bramleytrail/kv"
+	"github.com/bramleytrail/bramleytrail/peer"
+	"github.com/bramleytrail/bramleytrail/pipeline"
+	"github.com/bramleytrail/bramleytrail/quality"
+	"github.com/bramleytrail/bramleytrail/rollout"
+)
+
+// Names of the duties and keys of their states.
+const (
+	dutyRating  = "rating"
+	dutyRollout = "rollout"
+	keyQuality  = "state/quality"
+	keyRollout  = "state/rollout"
+)
+
+// errNotHolder answers evidence that arrives at a daemon without the duty.
+var errNotHolder = errors.New("this daemon does not hold the roll-out duty")
+
+// decisions holds what the choice of versions depends on.
+type decisions struct {
+	estimates quality.Estimates
+	rollouts  rollout.Table
+	counter   *rollout.Counter
+	climbs    *cascade.Rates
+
+	mu    sync.Mutex
+	held  map[string]uint64           // fencing numbers of the duties that this daemon holds
+	inbox map[string]rollout.Evidence // newest by sender; nil without the roll-out duty
+}
+
+func newDecisions() *decisions {
+	return &decisions{counter: rollout.NewCounter(), climbs: cascade.NewRates(), held: map[string]uint64{}}
+}
+
+func (c *decisions) setView(v *config.View) {
+	c.rollouts.SetView(v)
+	c.counter.SetRollouts(v.Set.Rollouts)
+}
+
+func (c *decisions) count(r dispatch.CallResult) {
+	c.counter.Add(xxhash.Sum64String(r.RequestID), rollout.Call{Version: r.Version, Failed: r.Failed, Crash: r.Crash, FirstByte: r.FirstByte})
+}
+
+func (c *decisions) setHeld(name string, fence uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if fence == 0 {
+		delete(c.held, name)
+		return
+	}
+	c.held[name] = fence
+}
+
+// openInbox begins to take evidence; closeInbox ends it.
+func (c *decisions) openInbox() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inbox = map[string]rollout.Evidence{}
+}
+
+func (c *decisions) closeInbox() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inbox = nil
+}
+
+// takeInbox returns the evidence that has arrived since the last call.
+func (c *decisions) takeInbox() []rollout.Evidence {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []rollout.Evidence
+	for _, e := range c.inbox {
+		out = append(out, e)
+	}
+	clear(c.inbox)
+	return out
+}
+
+// TakeEvidence implements peer.Handler.
+func (d *Daemon) TakeEvidence(e rollout.Evidence) error {
+	c := d.decisions
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.inbox == nil {
+		return errNotHolder
+	}
+	c.inbox[e.Sender] = e
+	return nil
+}
+
+func (d *Daemon) buildChoice() *choose.Filter {
+	return choose.New(choose.Spec{
+		Estimator: &d.decisions.estimates, Steps: &d.decisions.rollouts, ClimbRate: d.decisions.climbs.Rate,
+		Explore: choose.Budget{Requests: d.settings.ExploreShare, Cost: d.settings.ExploreCost},
+	})
+}
+
+func (d *Daemon) startDecisions() {
+	d.registerDecisionGauges()
+	d.wg.Go(func() { d.learn(docRollout, keyRollout, rollout.State{}.Encode) })
+	d.wg.Go(func() { d.learn(docQuality, keyQuality, quality.NewSummary().Encode) })
+	if d.platform.Ratings != nil {
+		d.wg.Go(func() { d.holdDuty(dutyRating, d.startRating) })
+	}
+	d.wg.Go(func() { d.holdDuty(dutyRollout, d.startRollout) })
+	d.wg.Go(d.sendEvidence)
+}
+
+// learn reads a document from the key-value service at start, unless a peer is faster. If there is none yet, it starts
+// with an empty one, which any other replaces.
+func (d *Daemon) learn(name, key string, empty func() ([]byte, error)) {
+	for d.ctx.Err() == nil {
+		if _, ok := d.node.Document(name); ok {
+			return
+		}
+		number, body, err := duty.Read(d.ctx, d.platform.Store, key)
+		if errors.Is(err, kv.ErrNotFound) || err == nil && len(body) == 0 {
+			number = 0
+			body, err = empty()
+		}
+		if err == nil {
+			err = d.offerState(name, number, body)
+		}
+		if err == nil {
+			return
+		}
+		d.log.WithError(err).WithField("document", name).Debug("document not read")
+		d.sleep(followPause)
+	}
+}
+
+func (d *Daemon) offerState(name string, number uint64, body []byte) error {
+	return d.node.Offer(peer.Document{DocumentID: peer.DocumentID{Name: name, Number: number, Digest: declare.Digest(body)}, Body: body})
+}
+
+func (d *Daemon) applyQuality(body []byte) error {
+	s, err := quality.Decode(body)
+	if err != nil {
+		return err
+	}
+	d.decisions.estimates.Set(s)
+	return nil
+}
+
+func (d *Daemon) applyRollout(body []byte) error {
+	s, err := rollout.DecodeState(body)
+	if err != nil {
+		return err
+	}
+	d.decisions.rollouts.Apply(s)
+	return nil
+}
+
+// sendEvidence reports the counts of versions under roll-out to the holder of the duty. Without new counts, it sends
+// nothing.
+func (d *Daemon) sendEvidence() {
+	var sentTo string
+	var sent uint64
+	for d.ctx.Err() == nil {
+		d.sleep(d.settings.EvidenceEvery)
+		holder := d.decisions.rollouts.State().Holder
+		e := d.evidence()
+		calls := callsIn(e)
+		if holder == "" || holder == d.peerAddr || len(e.Pairs) == 0 || holder == sentTo && calls == sent {
+			continue
+		}
+		if err := d.node.SendEvidence(d.ctx, holder, e); err != nil {
+			d.log.WithError(err).Debug("evidence not delivered")
+			continue
+		}
+		sentTo, sent = holder, calls
+	}
+}
+
+func (d *Daemon) evidence() rollout.Evidence {
+	return rollout.Evidence{Sender: d.incarnation, Pairs: d.decisions.counter.Pairs()}
+}
+
+func callsIn(e rollout.Evidence) (n uint64) {
+	for _, p := range e.Pairs {
+		n += p.From.Answers + p.To.Answers
+	}
+	return n
+}
+
+// DecisionState is the part of the state dump that shows what the choice of versions depends on.
+type DecisionState struct {
+	Duties   map[string]uint64         `json:"duties"` // held by this daemon, with fencing numbers
+	Rollouts map[string]rollout.Record `json:"rollouts"`
+	Holder   string                    `json:"rolloutHolder"`
+	Counts   []rollout.Pair            `json:"rolloutCounts"` // of this daemon
+	Quality  *quality.Summary          `json:"quality"`
+}
+
+func (c *decisions) state() DecisionState {
+	s := c.rollouts.State()
+	out := DecisionState{Duties: map[string]uint64{}, Rollouts: s.Records, Holder: s.Holder, Counts: c.counter.Pairs(), Quality: c.estimates.Summary()}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for name, fence := range c.held {
+		out.Duties[name] = fence
+	}
+	return out
+}
+
+func (d *Daemon) countChoice(o pipeline.Outcome) {
+	if o.Explored {
+		d.metrics.Counter(fmt.Sprintf(`bramley_explored_total{team=%q}`, o.Team)).Inc()
+	}
+	if o.Cascade {
+		d.metrics.Counter(fmt.Sprintf(`bramley_cascade_answers_total{team=%q,version=%q}`, o.Team, o.Version)).Inc()
+	}
+}
+
+func (d *Daemon) registerDecisionGauges() {
+	for _, name := range []string{dutyRating, dutyRollout} {
+		d.metrics.Gauge(fmt.Sprintf(`bramley_duty_held{duty=%q}`, name), func() float64 {
+			d.decisions.mu.Lock()
+			defer d.decisions.mu.Unlock()
+			if d.decisions.held[name] != 0 {
+				return 1
+			}
+			return 0
+		})
+	}
+	d.metrics.Gauge("bramley_rollouts_halted", func() float64 {
+		n := 0
+		for _, r := range d.decisions.rollouts.State().Records {
+			if r.Halted {
+				n++
+			}
+		}
+		return float64(n)
+	})
+	d.metrics.Gauge("bramley_quality_age_seconds", func() float64 {
+		s := d.decisions.estimates.Summary()
+		if s == nil || s.Updated.IsZero() {
+			return 0
+		}
+		return time.Since(s.Updated).Seconds()
+	})
+}
--- a/daemon/documents.go
+++ b/daemon/documents.go
@@ -20,8 +20,10 @@
 
 // Names of the documents that daemons spread.
 const (
-	docConfig = "config"
-	docHosts  = "hosts"
+	docConfig  = "config"
+	docHosts   = "hosts"
+	docQuality = "quality"
+	docRollout = "rollout"
 )
 
 const (
@@ -47,6 +49,10 @@
 		}
 		d.applyHosts(list)
 		return nil
+	case docQuality:
+		return d.applyQuality(doc.Body)
+	case docRollout:
+		return d.applyRollout(doc.Body)
 	default:
 		return fmt.Errorf("unknown document %q", doc.Name)
 	}
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -40,6 +40,7 @@
 	CopiesHeld  int               `json:"copiesHeld"`
 	Endpoints   []pool.State      `json:"endpoints"`
 	Requests    []observe.Request `json:"requests"`
+	Decisions   DecisionState     `json:"decisions"`
 }
 
 // State returns the daemon's state. Its size is bounded.
@@ -51,6 +52,7 @@
 		Revision: rev.Number, Digest: rev.Digest, Watcher: d.watcher.Load(), Peers: d.node.Peers(), Documents: d.node.Documents(),
 		InFlight: d.admit.InFlight(), BillsHeld: d.ledger.Held(), CopiesHeld: d.copies.Held(),
 		Endpoints: d.pool.Dump(now, maxDumpEndpoints), Requests: d.recent.Last(maxDumpRequests),
+		Decisions: d.decisions.state(),
 	}
 	if l := d.list.Load(); l != nil {
 		s.HostList = l.Revision
--- a/duty/state.go
+++ b/duty/state.go
@@ -44,6 +44,19 @@
 	return s, old.Body, nil
 }
 
+// Read returns the number and body of a state without a claim to it. It returns kv.ErrNotFound if there is none.
+func Read(ctx context.Context, store kv.Store, key string) (number uint64, body []byte, err error) {
+	e, err := store.Get(ctx, key)
+	if err != nil {
+		return 0, nil, fmt.Errorf("read %s: %w", key, err)
+	}
+	var s stored
+	if err := json.Unmarshal(e.Value, &s); err != nil {
+		return 0, nil, fmt.Errorf("read %s: %w", key, err)
+	}
+	return s.Number, s.Body, nil
+}
+
 // Number returns the number of the last write. It serves as the version of a document that is spread.
 func (s *State) Number() uint64 { return s.number }
 
--- a/identify/identify.go
+++ b/identify/identify.go
@@ -28,13 +28,15 @@
 	HeaderKind       = "Bramley-Kind" // kind of request, for quality estimates
 )
 
+// DefaultKind is the kind of requests that name none.
+const DefaultKind = "default"
+
 const (
 	shardCount   = 16
 	maxKeyBytes  = 128
 	maxKindBytes = 64
 	maxDeadline  = 24 * time.Hour
 	maxPriority  = 9
-	defaultKind  = "default"
 	rateRetry    = time.Second
 )
 
@@ -139,7 +141,7 @@
 		return result.Newf(result.BadRequest, "%s has more than %d bytes.", HeaderKey, maxKeyBytes)
 	}
 	if out.Kind = h.Get(HeaderKind); out.Kind == "" {
-		out.Kind = defaultKind
+		out.Kind = DefaultKind
 	}
 	if len(out.Kind) > maxKindBytes {
 		return result.Newf(result.BadRequest, "%s has more than %d bytes.", HeaderKind, maxKindBytes)
--- a/local/deployment.go
+++ b/local/deployment.go
@@ -86,7 +86,8 @@
 		ID: id, Domain: domain, Rack: id, Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", OperatorListen: "127.0.0.1:0",
 		Store: d.PlatformURL, Hosts: d.PlatformURL, MaxInFlight: 1000, MaxConnections: 1000, QueueWait: 2 * time.Second,
 		StallTimeout: 30 * time.Second, Settle: 0, BillInterval: 500 * time.Millisecond, CopyTimeout: 500 * time.Millisecond,
-		ClaimWrites: 1000, PollsPerSecond: 50, LogLevel: "info", SessionKey: []byte(SessionKey),
+		ClaimWrites: 1000, PollsPerSecond: 50, Ratings: d.PlatformURL, DutyTTL: 900 * time.Millisecond,
+		EvidenceEvery: 100 * time.Millisecond, RatingEvery: 100 * time.Millisecond, ExploreShare: 0.05, ExploreCost: 0.05, LogLevel: "info", SessionKey: []byte(SessionKey),
 	}
 }
 
--- a/peer/message.go
+++ b/peer/message.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/bramleytrail/bramleytrail/ledger"
 	"github.com/bramleytrail/bramleytrail/poison"
+	"github.com/bramleytrail/bramleytrail/rollout"
 )
 
 // serviceName is the net/rpc service of every daemon.
@@ -52,5 +53,8 @@
 // BillsArgs carries copies of bills.
 type BillsArgs struct{ Copy ledger.Copy }
 
+// EvidenceArgs carries what a daemon has counted of versions under roll-out.
+type EvidenceArgs struct{ Evidence rollout.Evidence }
+
 // Empty is a reply without content.
 type Empty struct{}
--- a/peer/node.go
+++ b/peer/node.go
@@ -16,6 +16,7 @@
 	"github.com/bramleytrail/bramleytrail/hostlist"
 	"github.com/bramleytrail/bramleytrail/ledger"
 	"github.com/bramleytrail/bramleytrail/poison"
+	"github.com/bramleytrail/bramleytrail/rollout"
 )
 
 const (
@@ -35,6 +36,8 @@
 	OfferDocument(Document) error
 	// KeepBills stores copies of another daemon's bills.
 	KeepBills(ledger.Copy)
+	// TakeEvidence takes another daemon's counts. It returns an error if this daemon does not evaluate roll-outs.
+	TakeEvidence(rollout.Evidence) error
 }
 
 // Spec configures a Node.
--- a/peer/service.go
+++ b/peer/service.go
@@ -50,3 +50,8 @@
 	s.node.spec.Handler.KeepBills(args.Copy)
 	return nil
 }
+
+// Evidence takes a daemon's counts of versions under roll-out. It fails if this daemon does not hold the duty.
+func (s *service) Evidence(args EvidenceArgs, _ *Empty) error {
+	return s.node.spec.Handler.TakeEvidence(args.Evidence)
+}
--- a/quality/summary.go
+++ b/quality/summary.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/bramleytrail/bramleytrail/identify"
 	"github.com/bramleytrail/bramleytrail/rating"
 )
 
@@ -90,6 +91,9 @@
 }
 
 func (s *Summary) kind(name string) string {
+	if name == "" {
+		name = identify.DefaultKind
+	}
 	if _, ok := s.Cells[name]; !ok && len(s.Cells) >= maxKinds {
 		return otherKind
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -37,6 +37,11 @@
 	CopyTimeout    time.Duration `long:"copy-timeout" env:"BRAMLEY_COPY_TIMEOUT" description:"longest wait for the copy of a bill" default:"100ms"`
 	ClaimWrites    float64       `long:"claim-writes" env:"BRAMLEY_CLAIM_WRITES" description:"claim writes a second of this daemon" default:"20"`
 	PollsPerSecond int           `long:"polls-per-second" env:"BRAMLEY_POLLS_PER_SECOND" description:"load reports that this daemon reads a second" default:"8"`
+	DutyTTL        time.Duration `long:"duty-ttl" env:"BRAMLEY_DUTY_TTL" description:"time after which a silent holder of a duty is replaced" default:"9s"`
+	EvidenceEvery  time.Duration `long:"evidence-interval" env:"BRAMLEY_EVIDENCE_INTERVAL" description:"time between reports on versions under roll-out" default:"10s"`
+	RatingEvery    time.Duration `long:"rating-interval" env:"BRAMLEY_RATING_INTERVAL" description:"time between reads of the rating service" default:"10s"`
+	ExploreShare   float64       `long:"explore-requests" env:"BRAMLEY_EXPLORE_REQUESTS" description:"part of a team's requests that may explore cheaper versions" default:"0.05"`
+	ExploreCost    float64       `long:"explore-cost" env:"BRAMLEY_EXPLORE_COST" description:"part of a team's cost that may explore cheaper versions" default:"0.05"`
 	LogLevel       string        `long:"log-level" env:"BRAMLEY_LOG_LEVEL" description:"error, warn, info or debug" default:"info"`
 
 	SessionKey []byte `no-flag:"true"`
@@ -109,11 +114,20 @@
 	}
 	for flag, v := range map[string]time.Duration{
 		"queue-wait": s.QueueWait, "stall-timeout": s.StallTimeout, "bill-interval": s.BillInterval, "copy-timeout": s.CopyTimeout,
+		"duty-ttl": s.DutyTTL, "evidence-interval": s.EvidenceEvery, "rating-interval": s.RatingEvery,
 	} {
 		if v <= 0 {
 			bad(flag, "%s is not positive", v)
 		}
 	}
+	for flag, v := range map[string]float64{"explore-requests": s.ExploreShare, "explore-cost": s.ExploreCost} {
+		if !(v >= 0 && v <= 1) {
+			bad(flag, "%g is not between 0 and 1", v)
+		}
+	}
+	if u, err := url.Parse(s.Ratings); s.Ratings != "" && (err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "") {
+		bad("ratings", "%q is not an http or https URL", s.Ratings)
+	}
 	if s.Settle < 0 {
 		bad("settle", "%s is negative", s.Settle)
 	}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -32,6 +32,7 @@
 	Answer     int64         // tokens of an answer unless the request's limit is smaller; 0 for defaultAnswer
 	TokenDelay time.Duration // time between tokens
 	FirstDelay time.Duration // time to the first token
+	Confidence float64       // reported with each token; 0 for none
 }
 
 // Run is the record of one request that an engine started.
@@ -311,6 +312,9 @@
 
 func (e *Engine) sendToken(w http.ResponseWriter, g *generation, seq int64) error {
 	chunk := httpengine.Chunk{Choices: []httpengine.ChunkChoice{{Delta: httpengine.Delta{Content: Token(g.run.Version, g.prompt, seq)}}}}
+	if e.spec.Confidence > 0 {
+		chunk.Choices[0].Confidence = &e.spec.Confidence
+	}
 	if seq == g.limit {
 		stop := "stop"
 		chunk.Choices[0].FinishReason = &stop
