choose, quality: mixes of two options, exploration by promise, longer memory

Cause: one version per kind overshot the target, and 5 % exploration spread over all cheaper options gave each too few ratings. Change: a mix of a good and a cheaper option answers if its lower bound meets the target and it costs less; an option with few ratings counts with the whole width of its bounds, so that it gets a small part at once. Firm ratings stand without the declared quality. Cells remember 2,000 ratings and drop older ones when the last 100 differ by four standard errors. Bounds are one-sided 97.5 %.

--- a/choose/choose.go
+++ b/choose/choose.go
@@ -46,9 +46,7 @@
 	Service string
 	Version *object.Version
 
-	estimate Estimate
-	price    float64
-	good     bool
+	option
 }
 
 // Choice is the result.
--- a/choose/order.go
+++ b/choose/order.go
@@ -5,59 +5,114 @@
 	"slices"
 
 	"github.com/bramleytrail/bramleytrail/object"
+	"github.com/bramleytrail/bramleytrail/session"
 )
 
 // AssumedClimbRate is the part of a cascade's requests that reach the next step before any is counted.
 const AssumedClimbRate = 0.4
 
-// order puts the cheapest candidate whose lower bound meets the team's target first, with the dearer ones that meet it
-// as alternatives. If none meets it, the best one is the only candidate.
-//
-// Once the ratings show that some candidate meets the target, only such candidates count: one with few ratings is tried
-// within the budget of exploration until its own ratings suffice. Before that, the declared quality decides.
-func (f *Filter) order(in Input, list []Candidate) Choice {
-	proven := f.assess(in, list)
-	cascade := f.cascade(in, list)
-	if cascade.estimate.Firm && cascade.estimate.Lower >= in.Team.QualityTarget {
-		proven = true
+// worthwhile is the part of the usual cost that a candidate must promise to undercut to be explored.
+const worthwhile = 0.98
+
+// enoughRatings is the effective number of ratings from which an option is no longer explored. Its estimate fades in time,
+// so that it is explored again later.
+const enoughRatings = 60
+
+// option is a candidate or the team's cascade, which has an object then. The zero value can't be chosen.
+type option struct {
+	object   *object.Cascade
+	estimate Estimate
+	price    float64
+	good     bool // meets the target by itself
+}
+
+// scored is the list of candidates, with the team's cascade as one more option after them.
+type scored struct {
+	list    []Candidate
+	cascade option
+	target  float64
+}
+
+func (s *scored) len() int {
+	if s.cascade.object != nil {
+		return len(s.list) + 1
 	}
-	n := 0
-	for i := range list {
-		c := &list[i]
-		c.good = c.estimate.Lower >= in.Team.QualityTarget && (c.estimate.Firm || !proven)
-		if c.good {
-			n++
-		}
+	return len(s.list)
+}
+
+func (s *scored) at(i int) *option {
+	if i == len(s.list) {
+		return &s.cascade
 	}
+	return &s.list[i].option
+}
+
+// order makes the choice. An option is good if its lower bound meets the team's target. The cheapest good one answers,
+// or a mix of a good and a cheaper one whose lower bound meets the target, if that costs less. If none is good, the best
+// one answers.
+//
+// The target is raised by what exploration costs the team on average, so that exploring does not take it below.
+//
+// Once the ratings show that some option is good, only an option with firm evidence answers by itself: one with few
+// ratings is tried within the budget of exploration, and in a mix that is safe, until its own ratings suffice. Before
+// that, the declared quality decides.
+func (f *Filter) order(in Input, list []Candidate) Choice {
+	s := scored{list: list, target: in.Team.QualityTarget + f.explore.loss(in.Team.Name)}
+	f.assess(in, &s)
+	n := s.markGood()
 	slices.SortFunc(list, compare)
-	usual := list[0].price
-	if n == 0 {
-		best(list)
-		usual = list[0].price
-	}
-	cascadeGood := cascade.object != nil && cascade.estimate.Lower >= in.Team.QualityTarget && (cascade.estimate.Firm || !proven)
-	byCascade := cascadeGood && (n == 0 || cascade.price < usual)
-	if byCascade {
-		usual = cascade.price
-	}
-	if choice, ok := f.tryOther(in, list, n, cascade, byCascade, usual); ok {
-		return choice
+	high := s.usual()
+	m := s.mix(-1)
+	cost := s.at(high).price
+	if m.part > 0 && m.price < cost {
+		cost = m.price
+	}
+	pick, explored := high, false
+	other := s.promising(high, cost)
+	if f.explore.take(in.Team.Name, s.tried(other, cost)) {
+		pick, explored = other, true
+	} else if cost < s.at(high).price {
+		pick = m.high
+		if session.PointIn("mix", identity(in)) < m.part {
+			pick = m.low
+		}
 	}
-	if byCascade {
-		return cascade.choice(list, false)
+	return s.choice(in, pick, n, explored)
+}
+
+// identity places a request among the requests of a mix, all requests of a session at the same point.
+func identity(in Input) string {
+	if in.Session.ID != "" {
+		return in.Session.ID
 	}
-	return Choice{Candidates: f.limit(in, list[:max(n, 1)])}
+	return in.RequestID
 }
 
-// assess fills in estimates and prices. It reports whether the ratings show that a candidate meets the target.
-func (f *Filter) assess(in Input, list []Candidate) (proven bool) {
-	for i := range list {
-		c := &list[i]
+// assess fills in estimates and prices.
+func (f *Filter) assess(in Input, s *scored) {
+	for i := range s.list {
+		c := &s.list[i]
 		c.estimate = f.spec.Estimator.Estimate(in.Kind, c.Version.Name, c.Version.Quality)
 		c.price = price(c.Version)
-		proven = proven || c.estimate.Firm && c.estimate.Lower >= in.Team.QualityTarget
 	}
-	return proven
+	s.cascade = f.cascade(in, s.list)
+}
+
+// markGood marks the good options and returns the number of those in the list.
+func (s *scored) markGood() (n int) {
+	proven := false
+	for i := range s.len() {
+		e := s.at(i).estimate
+		proven = proven || e.Firm && e.Lower >= s.target
+	}
+	for i := range s.len() {
+		o := s.at(i)
+		o.good = o.estimate.Lower >= s.target && (o.estimate.Firm || !proven)
+		if o.good && i < len(s.list) {
+			n++
+		}
+	}
+	return n
 }
 
 // compare orders candidates that meet the target first, then by price and name.
@@ -71,65 +126,75 @@
 	return cmp.Or(cmp.Compare(a.price, b.price), cmp.Compare(a.Version.Name, b.Version.Name))
 }
 
-// best moves the candidate with the highest lower bound to the front.
-func best(list []Candidate) {
-	at := 0
-	for i := range list {
-		if list[i].estimate.Lower > list[at].estimate.Lower {
-			at = i
+// usual returns the cheapest good option, or the one with the highest lower bound if none is good.
+func (s *scored) usual() int {
+	pick := 0
+	for i := 1; i < s.len(); i++ {
+		a, b := s.at(i), s.at(pick)
+		switch {
+		case a.good != b.good:
+			if a.good {
+				pick = i
+			}
+		case a.good && a.price < b.price, !a.good && a.estimate.Lower > b.estimate.Lower:
+			pick = i
 		}
 	}
-	toFront(list, at)
+	return pick
 }
 
-func toFront(list []Candidate, at int) {
-	c := list[at]
-	copy(list[1:at+1], list[:at])
-	list[0] = c
+// tried describes option i, -1 for none, instead of a choice of the given cost that meets the target.
+func (s *scored) tried(i int, cost float64) tried {
+	if i < 0 {
+		return tried{usual: cost}
+	}
+	return tried{wanted: true, cost: s.at(i).price, usual: cost, loss: s.target - s.at(i).estimate.Mean}
 }
 
-// limit removes the alternatives of a session, which stays with one version and does not fall back to another model.
-func (f *Filter) limit(in Input, list []Candidate) []Candidate {
-	if in.Session.ID != "" {
-		return list[:1]
+// promising returns the option that would lower the cost most if its quality were at its upper bound, alone or in a mix;
+// -1 if none would lower it by much.
+func (s *scored) promising(high int, cost float64) int {
+	pick, best := -1, worthwhile*cost
+	for i := range s.len() {
+		o := s.at(i)
+		if i == high || o.price >= cost || o.estimate.N >= enoughRatings {
+			continue
+		}
+		hope := s.mix(i).price
+		if o.estimate.Upper >= s.target {
+			hope = o.price
+		}
+		if hope < best {
+			pick, best = i, hope
+		}
 	}
-	return list
+	return pick
 }
 
-// tryOther chooses a cheaper version, or the team's cascade, to learn about it, if one may meet the target and the budget
-// allows. The one with the fewest ratings is tried first.
-func (f *Filter) tryOther(in Input, list []Candidate, n int, cascade option, byCascade bool, usual float64) (Choice, bool) {
-	at, ratings := -1, 0.0
-	for i := n; i < len(list); i++ {
-		c := &list[i]
-		if c.price < usual && c.estimate.Upper >= in.Team.QualityTarget && (at < 0 || c.estimate.N < ratings) {
-			at, ratings = i, c.estimate.N
+// choice returns the list with the picked option first. For a version, the good ones that it does not contain follow as
+// alternatives; a session has none, because it stays with one version.
+func (s *scored) choice(in Input, pick, n int, explored bool) Choice {
+	if pick == len(s.list) {
+		for i, model := range s.cascade.object.Steps {
+			toFront(s.list[i:], indexOf(s.list[i:], model))
 		}
+		return Choice{Candidates: s.list[:len(s.cascade.object.Steps)], Cascade: s.cascade.object, Explored: explored}
 	}
-	useCascade := cascade.object != nil && !byCascade && cascade.price < usual &&
-		cascade.estimate.Upper >= in.Team.QualityTarget && (at < 0 || cascade.estimate.N < ratings)
-	cost := usual
-	switch {
-	case useCascade:
-		cost = cascade.price
-	case at >= 0:
-		cost = list[at].price
-	}
-	if !f.explore.take(in.Team.Name, cost, usual, useCascade || at >= 0) {
-		return Choice{}, false
+	length := n
+	if pick >= n {
+		length++
 	}
-	if useCascade {
-		return cascade.choice(list, true), true
+	if in.Session.ID != "" {
+		length = 1
 	}
-	toFront(list, at)
-	return Choice{Candidates: f.limit(in, list[:max(n, 1)+1]), Explored: true}, true
+	toFront(s.list, pick)
+	return Choice{Candidates: s.list[:length], Explored: explored}
 }
 
-// option is the team's cascade as one of the candidates. Its object is nil if it can't be used.
-type option struct {
-	object   *object.Cascade
-	estimate Estimate
-	price    float64
+func toFront(list []Candidate, at int) {
+	c := list[at]
+	copy(list[1:at+1], list[:at])
+	list[0] = c
 }
 
 // cascade assesses the team's cascade. A session stays on one version, so it runs no cascade. Before ratings of the
@@ -170,14 +235,5 @@
 	return -1
 }
 
-// choice orders the list as the cascade's steps.
-func (o option) choice(list []Candidate, explored bool) Choice {
-	for i, model := range o.object.Steps {
-		at := indexOf(list[i:], model)
-		toFront(list[i:], at)
-	}
-	return Choice{Candidates: list[:len(o.object.Steps)], Cascade: o.object, Explored: explored}
-}
-
 // price compares versions by the cost of as many input as output tokens.
 func price(v *object.Version) float64 { return float64(v.Prices.Input + v.Prices.Output) }
--- a/quality/estimates.go
+++ b/quality/estimates.go
@@ -12,8 +12,9 @@
 	priorWeight = 10
 	// priorVariance is the variance of a rating before any is seen: a standard deviation of 0.2.
 	priorVariance = 0.04
-	// deviations is the half-width of the bounds in standard errors: one-sided 95 %.
-	deviations = 1.645
+	// deviations is the half-width of the bounds in standard errors: one-sided 97.5 %. With 95 %, the choice of the best of
+	// several options missed the target in one of 170 windows of the benchmark.
+	deviations = 1.96
 	// firmRatings is the effective number of ratings from which an estimate counts as evidence of its own.
 	firmRatings = 20
 )
@@ -40,22 +41,21 @@
 	return c.estimate(declared)
 }
 
-// estimate shrinks the mean rating towards the declared quality. The lower bound leaves room for the noise of the
-// ratings only, so that a version without ratings is taken at its declared quality. The upper bound leaves room for the
-// unknown quality too, so that a version with few ratings is worth exploring.
+// estimate returns the bounds. Firm ratings stand for themselves, because the declared quality may be wrong. Fewer are
+// shrunk towards the declared quality; the lower bound then leaves room for the noise of the ratings only, so that a
+// version without ratings is taken at its declared quality, and the upper bound for the unknown quality too, so that a
+// version with few ratings is worth exploring.
 func (c Cell) estimate(declared float64) choose.Estimate {
-	n := c.N + priorWeight
-	mean := (c.Sum + priorWeight*declared) / n
 	spread := priorWeight * priorVariance
 	if c.N > 0 {
 		spread += max(0, c.Sum2-c.Sum*c.Sum/c.N)
 	}
-	deviation := math.Sqrt(spread / n)
-	return choose.Estimate{
-		Mean:  mean,
-		Lower: mean - deviations*deviation*math.Sqrt(c.N)/n,
-		Upper: mean + deviations*deviation/math.Sqrt(c.N+1),
-		N:     c.N,
-		Firm:  c.N >= firmRatings,
+	deviation := deviations * math.Sqrt(spread/(c.N+priorWeight))
+	if c.N >= firmRatings {
+		mean, margin := c.Sum/c.N, deviation/math.Sqrt(c.N)
+		return choose.Estimate{Mean: mean, Lower: mean - margin, Upper: mean + margin, N: c.N, Firm: true}
 	}
+	n := c.N + priorWeight
+	mean := (c.Sum + priorWeight*declared) / n
+	return choose.Estimate{Mean: mean, Lower: mean - deviation*math.Sqrt(c.N)/n, Upper: mean + deviation/math.Sqrt(c.N+1), N: c.N}
 }
--- a/quality/summary.go
+++ b/quality/summary.go
@@ -15,9 +15,12 @@
 )
 
 const (
-	// memory is the number of ratings after which an older rating of the same cell counts 1/e. A change of quality
-	// therefore shows after about as many ratings, whatever their rate.
-	memory = 400
+	// memory is the number of ratings after which an older rating of the same cell counts 1/e.
+	memory = 2000
+	// recent is the same for the recent mean. If that differs from the cell's mean by more than changeDeviations standard
+	// errors, the quality has changed, and only the recent ratings are kept.
+	recent           = 100
+	changeDeviations = 4
 	// halfLife fades cells that get no ratings, so that a version that was found bad is tried again.
 	halfLife = 7 * 24 * time.Hour
 	// maxKinds bounds the summary, because callers name the kinds. Ratings of further kinds share one.
@@ -36,6 +39,40 @@
 	N    float64 `json:"n"` // effective number of ratings
 	Sum  float64 `json:"s"`
 	Sum2 float64 `json:"q"` // sum of squares
+	// RecentN and RecentSum are the same with a shorter memory.
+	RecentN   float64 `json:"rn"`
+	RecentSum float64 `json:"rs"`
+}
+
+// scale multiplies the weight of all ratings.
+func (c Cell) scale(f float64) Cell {
+	return Cell{N: c.N * f, Sum: c.Sum * f, Sum2: c.Sum2 * f, RecentN: c.RecentN * f, RecentSum: c.RecentSum * f}
+}
+
+// add counts one score.
+func (c Cell) add(score float64) Cell {
+	const keep, keepRecent = 1 - 1.0/memory, 1 - 1.0/recent
+	c.N, c.Sum, c.Sum2 = c.N*keep+1, c.Sum*keep+score, c.Sum2*keep+score*score
+	c.RecentN, c.RecentSum = c.RecentN*keepRecent+1, c.RecentSum*keepRecent+score
+	if c.RecentN < recent/2 || c.N < 2*c.RecentN {
+		return c
+	}
+	mean := c.Sum / c.N
+	variance := max(priorVariance/4, c.Sum2/c.N-mean*mean)
+	// A discounted mean of effective weight n has the variance of one of 2n equal ratings.
+	if d := c.RecentSum/c.RecentN - mean; d*d > changeDeviations*changeDeviations*variance/(2*c.RecentN) {
+		return c.scale(c.RecentN / c.N).replaceMean(c.RecentSum / c.RecentN)
+	}
+	return c
+}
+
+// replaceMean moves the mean and keeps weight and variance.
+func (c Cell) replaceMean(mean float64) Cell {
+	old := c.Sum / c.N
+	c.Sum2 += c.N * (mean*mean - old*old)
+	c.Sum = c.N * mean
+	c.RecentN, c.RecentSum = c.N, c.Sum
+	return c
 }
 
 // Total counts ratings of a version without discount.
@@ -79,9 +116,7 @@
 	if s.Cells[kind] == nil {
 		s.Cells[kind] = map[string]Cell{}
 	}
-	const keep = 1 - 1.0/memory
-	c := s.Cells[kind][cell]
-	s.Cells[kind][cell] = Cell{N: c.N*keep + 1, Sum: c.Sum*keep + r.Score, Sum2: c.Sum2*keep + r.Score*r.Score}
+	s.Cells[kind][cell] = s.Cells[kind][cell].add(r.Score)
 	t := s.Totals[version]
 	t.Rated++
 	if r.Score < poorScore {
@@ -112,7 +147,7 @@
 	s.Updated = now
 	for kind, cells := range s.Cells {
 		for l, c := range cells {
-			c = Cell{N: c.N * f, Sum: c.Sum * f, Sum2: c.Sum2 * f}
+			c = c.scale(f)
 			if c.N < minWeight {
 				delete(cells, l)
 				continue
@@ -146,7 +181,7 @@
 
 // Merge adds the ratings of other, which must be disjoint, after both are discounted to the later time.
 func (s *Summary) Merge(other *Summary) {
-	o := other.clone()
+	o := other.Clone()
 	later := s.Updated
 	if o.Updated.After(later) {
 		later = o.Updated
@@ -160,12 +195,8 @@
 		}
 		for l, c := range cells {
 			m := s.Cells[kind][l]
-			m = Cell{N: m.N + c.N, Sum: m.Sum + c.Sum, Sum2: m.Sum2 + c.Sum2}
-			if m.N > memory {
-				f := memory / m.N
-				m = Cell{N: memory, Sum: m.Sum * f, Sum2: m.Sum2 * f}
-			}
-			s.Cells[kind][l] = m
+			m = Cell{m.N + c.N, m.Sum + c.Sum, m.Sum2 + c.Sum2, m.RecentN + c.RecentN, m.RecentSum + c.RecentSum}
+			s.Cells[kind][l] = m.scale(min(1, memory/m.N))
 		}
 	}
 	for v, t := range o.Totals {
@@ -174,7 +205,8 @@
 	}
 }
 
-func (s *Summary) clone() *Summary {
+// Clone returns a copy that shares nothing with s.
+func (s *Summary) Clone() *Summary {
 	c := NewSummary()
 	c.Cursor, c.Updated = s.Cursor, s.Updated
 	for kind, cells := range s.Cells {
