rollout: compare versions in blocks that show the old version's rate

Cause: at one request a second, blocks of one evaluation hold a handful of calls, in which a failure of the new version says little. Change: a block is evaluated once it has 50 calls of the old version and one of the new one, or enough of the new one alone; the rule looks at numbers of calls only. With fewer than one call of the old version for 20 of the new one, the ceiling applies.

--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -199,23 +199,30 @@
 	return true, halted
 }
 
-// include adds the block of calls and the new ratings to the comparisons.
+// include adds the block of calls and the new ratings to the comparisons, once they are large enough.
 func (t *test) include(base, current [2]Ratings) {
-	b := t.block
-	t.block = versions{}
-	t.compare(metricErrors, outcome{b.from.Answers, b.from.Errors}, outcome{b.to.Answers, b.to.Errors})
-	t.compare(metricCrashes, outcome{b.from.Answers, b.fromCrashes}, outcome{b.to.Answers, b.toCrashes})
-	t.compare(metricSlow, outcome{b.from.Answers, b.from.Slow}, outcome{b.to.Answers, b.to.Slow})
+	if b := t.block; large(b.from.Answers, b.to.Answers) {
+		t.block = versions{}
+		t.compare(metricErrors, outcome{b.from.Answers, b.from.Errors}, outcome{b.to.Answers, b.to.Errors})
+		t.compare(metricCrashes, outcome{b.from.Answers, b.fromCrashes}, outcome{b.to.Answers, b.toCrashes})
+		t.compare(metricSlow, outcome{b.from.Answers, b.from.Slow}, outcome{b.to.Answers, b.to.Slow})
+	}
 	if !t.included {
 		t.ratings, t.included = base, true
 	}
-	from, to := growth(current[0], t.ratings[0]), growth(current[1], t.ratings[1])
-	if from.calls > 0 && to.calls > 0 { // otherwise they wait for ratings of the other version
+	if from, to := growth(current[0], t.ratings[0]), growth(current[1], t.ratings[1]); large(from.calls, to.calls) {
 		t.compare(metricPoor, from, to)
 		t.ratings = current
 	}
 }
 
+// large reports whether a block of calls shows the old version's rate of failures well enough to judge the new one by
+// it. In smaller blocks, a failure of the new version could as well be the common rate. The rule looks at the numbers of
+// calls only, never at their outcomes, which keeps the test valid.
+func large(old, new uint64) bool {
+	return old >= 50 && new >= 1 || old == 0 && new >= 20 || new >= 500
+}
+
 func (t *test) compare(m int, old, new outcome) {
 	old.failed, new.failed = min(old.failed, old.calls), min(new.failed, new.calls)
 	t.metrics[m].add(&metrics[m].hypothesis, old, new)
--- a/rollout/test.go
+++ b/rollout/test.go
@@ -7,6 +7,9 @@
 	FalseAlarmRate = 0.01
 	// ceiling is the failure rate up to which a new version counts as sound when no old version answers beside it.
 	ceiling = 0.1
+	// fewOld is the number of calls of the new version for each call of the old one beyond which the new version is held
+	// to ceiling instead.
+	fewOld = 20
 )
 
 // hypothesis is what the test holds a new version to.
@@ -37,14 +40,15 @@
 
 // add takes a block of calls that both versions answered within the same time.
 func (c *comparison) add(h *hypothesis, old, new outcome) {
+	few := old.calls < new.calls/fewOld // too few calls of the old version to compare with
 	switch {
 	case new.calls == 0:
-	case old.calls > 0 && old.failed+new.failed > 0:
+	case !few && old.failed+new.failed > 0:
 		base := logNormaliser(old, new, h.tolerance)
 		for i, a := range h.alternatives {
 			c.odds[i] += float64(new.failed)*math.Log(a/h.tolerance) - logNormaliser(old, new, a) + base
 		}
-	case old.calls == 0 && h.alone:
+	case few && h.alone:
 		for i, p := range ceilingAlternatives {
 			failed, fine := float64(new.failed), float64(new.calls-min(new.calls, new.failed))
 			c.ceiling[i] += failed*math.Log(p/ceiling) + fine*math.Log((1-p)/(1-ceiling))
