--- a/bench/oracle.go
+++ b/bench/oracle.go
@@ -61,6 +61,20 @@
 	return best
 }
 
+// singleCost returns the cost of the cheapest option whose expected score meets the target by itself, or of the best one.
+func singleCost(options []truth, target float64) float64 {
+	best := math.Inf(1)
+	for _, o := range options {
+		if o.score >= target {
+			best = min(best, o.cost)
+		}
+	}
+	if math.IsInf(best, 1) {
+		return slices.MaxFunc(options, func(a, b truth) int { return cmp.Compare(a.score, b.score) }).cost
+	}
+	return best
+}
+
 // hindsightCost returns the cost of a policy that knows each answer's rating before it is given: the cheapest choice of a
 // model for each request whose mean score meets the target, by bisection over the price of a score. No policy that must
 // choose before the answer can reach it; it is reported, not used as a bound.
--- /dev/null
+++ b/bench/rollout.go
@@ -0,0 +1,193 @@
+package bench
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/bramleytrail/bramleytrail/object"
+	"github.com/bramleytrail/bramleytrail/rollout"
+)
+
+const (
+	rolloutDaemons   = 8
+	evidenceInterval = 10 * time.Second // of a daemon's reports
+	tickInterval     = 3 * time.Second  // of the holder's evaluation
+	day              = 24 * time.Hour
+	goodFailureRate  = 0.01
+)
+
+// MaxHaltDelay is the time within which a bad version must be out of service after the evidence suffices.
+const MaxHaltDelay = 20 * time.Second
+
+// RolloutResult is one simulated day of a roll-out.
+type RolloutResult struct {
+	Seed     uint64  `json:"seed"`
+	Requests int     `json:"requests"` // of the day
+	Halted   bool    `json:"halted"`
+	Exposed  float64 `json:"exposed"` // part of the day's requests that reached the new version
+	Failed   int     `json:"failed"`  // answers of the new version that failed
+	// Delay is the time from the moment at which the same test, applied to every call at once, would halt, until the halt.
+	Delay time.Duration `json:"delay"`
+	Step  int           `json:"step"` // at the end
+}
+
+// RolloutSpec describes simulated roll-outs.
+type RolloutSpec struct {
+	Requests    int     // a day
+	FailureRate float64 // of the new version; the old one fails 1 %
+	PoorRate    float64 // of the new version's ratings; of the old version's, 10 % are poor
+}
+
+// BadVersion is a version that fails a fifth of its answers.
+var BadVersion = RolloutSpec{Requests: 100_000, FailureRate: 0.2, PoorRate: 0.1}
+
+// SoundVersion is as good as the old one.
+var SoundVersion = RolloutSpec{Requests: 100_000, FailureRate: goodFailureRate, PoorRate: 0.1}
+
+// simulation is the state of one simulated roll-out.
+type simulation struct {
+	spec       RolloutSpec
+	rng        *rand.Rand
+	declared   object.Rollout
+	controller *rollout.Controller
+	pairs      [rolloutDaemons]rollout.Pair
+	ratings    map[string]rollout.Ratings
+	shadow     *rollout.Controller // learns every call at once, without reports
+	suffices   time.Duration       // when the evidence sufficed, -1 before
+	step       int
+	result     RolloutResult
+}
+
+// RunRollout simulates one day of a roll-out in steps of one second.
+func RunRollout(spec RolloutSpec, seed uint64) RolloutResult {
+	s := &simulation{
+		spec: spec, rng: rand.New(rand.NewPCG(seed, 0x5011)), ratings: map[string]rollout.Ratings{}, suffices: -1,
+		declared: object.Rollout{Name: "r", Model: "m", From: "m-1", To: "m-2", Steps: []float64{0.01, 0.1, 0.5, 1}, MinAnswers: 300, MinTime: time.Hour},
+		result:   RolloutResult{Seed: seed, Requests: spec.Requests},
+	}
+	id := rollout.IDOf(&s.declared)
+	for i := range s.pairs {
+		s.pairs[i].ID = id
+	}
+	s.controller = rollout.NewController(rollout.State{}, "self")
+	s.shadow = rollout.NewController(rollout.State{}, "shadow")
+	exposed := 0
+	for at := time.Duration(0); at < day; at += time.Second {
+		exposed += s.traffic(at)
+		if s.evaluate(at) {
+			break
+		}
+	}
+	s.result.Exposed = float64(exposed) / float64(spec.Requests)
+	s.result.Step = s.step
+	return s.result
+}
+
+// traffic answers the requests of one second, densest at noon, and returns the number that reached the new version.
+func (s *simulation) traffic(at time.Duration) (exposed int) {
+	mean := float64(s.spec.Requests) / day.Seconds() * (1 - math.Cos(2*math.Pi*at.Hours()/24))
+	n := int(mean)
+	if s.rng.Float64() < mean-float64(n) {
+		n++
+	}
+	share := s.declared.Steps[s.step]
+	for range n {
+		p := &s.pairs[s.rng.IntN(rolloutDaemons)]
+		counts, version, fails, poor := &p.From, "m-1", goodFailureRate, 0.1
+		if s.rng.Float64() < share {
+			counts, version, fails, poor = &p.To, "m-2", s.spec.FailureRate, s.spec.PoorRate
+			exposed++
+		}
+		counts.Answers++
+		if s.rng.Float64() < fails {
+			counts.Errors++
+			if version == "m-2" {
+				s.result.Failed++
+			}
+		}
+		if s.rng.Float64() < 0.25 {
+			r := s.ratings[version]
+			r.Rated++
+			if s.rng.Float64() < poor {
+				r.Poor++
+			}
+			s.ratings[version] = r
+		}
+	}
+	return exposed
+}
+
+// evaluate reports the evidence that is due and evaluates it. It reports whether the roll-out was halted.
+func (s *simulation) evaluate(at time.Duration) bool {
+	now := time.Unix(0, 0).Add(at)
+	if s.suffices < 0 && s.enough(now) {
+		s.suffices = at
+	}
+	for i := range s.pairs {
+		offset := time.Duration(i) * evidenceInterval / rolloutDaemons
+		if (at-offset.Truncate(time.Second))%evidenceInterval == 0 {
+			s.controller.Report(rollout.Evidence{Sender: fmt.Sprint(i), Pairs: s.pairs[i : i+1]}, now)
+		}
+	}
+	if at%tickInterval != 0 {
+		return false
+	}
+	changed, halted := s.controller.Tick([]object.Rollout{s.declared}, s.ratingsOf, now)
+	if changed {
+		s.step = s.controller.State().Records["r"].Step
+	}
+	if halted {
+		s.result.Halted = true
+		if s.suffices >= 0 {
+			s.result.Delay = at - s.suffices
+		}
+	}
+	return halted
+}
+
+func (s *simulation) ratingsOf(version string) rollout.Ratings { return s.ratings[version] }
+
+// enough reports whether the calls so far suffice for a halt. It is asked only when the version fails.
+func (s *simulation) enough(now time.Time) bool {
+	if s.spec.FailureRate <= goodFailureRate {
+		return false
+	}
+	for i := range s.pairs {
+		s.shadow.Report(rollout.Evidence{Sender: fmt.Sprint(i), Pairs: s.pairs[i : i+1]}, now)
+	}
+	_, halted := s.shadow.Tick([]object.Rollout{s.declared}, s.ratingsOf, now)
+	return halted
+}
+
+// RolloutSummary sums up many roll-outs with seeds 1 to Runs.
+type RolloutSummary struct {
+	Name       string        `json:"name"`
+	Runs       int           `json:"runs"`
+	Halted     int           `json:"halted"`
+	Completed  int           `json:"completed"`  // reached the last step within the day
+	MaxExposed float64       `json:"maxExposed"` // part of the day's requests
+	MaxDelay   time.Duration `json:"maxDelayNanoseconds"`
+	Late       int           `json:"late"` // halts later than MaxHaltDelay
+}
+
+// RunRollouts runs roll-outs with seeds from first on.
+func RunRollouts(name string, spec RolloutSpec, first uint64, runs int) RolloutSummary {
+	sum := RolloutSummary{Name: name, Runs: runs}
+	results := parallel(runs, func(i int) RolloutResult { return RunRollout(spec, first+uint64(i)) })
+	for _, r := range results {
+		if r.Halted {
+			sum.Halted++
+		}
+		if r.Step == 3 {
+			sum.Completed++
+		}
+		sum.MaxExposed = max(sum.MaxExposed, r.Exposed)
+		sum.MaxDelay = max(sum.MaxDelay, r.Delay)
+		if r.Delay > MaxHaltDelay {
+			sum.Late++
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/cmd/bramleybench/main.go
@@ -0,0 +1,10 @@
+// Command bramleybench measures the decisions about models on simulated loads.
+package main
+
+import (
+	"os"
+
+	"github.com/bramleytrail/bramleytrail/bench"
+)
+
+func main() { os.Exit(bench.Main(os.Args[1:])) }
