choose: a new version under roll-out keeps the requests of its step

Cause: once the old version was proven, a new one without ratings was not good, so that the requests of its step went to a dearer model and the roll-out gathered no evidence. Change: until its own ratings suffice, a version under roll-out has the estimate of the old one. Conclusion: the step decides who gets the new version.

--- a/choose/choose.go
+++ b/choose/choose.go
@@ -152,7 +152,7 @@
 // countSession charges the requests of a session that stays on a version below the target to the budget of exploration,
 // whose first request may have been chosen to explore.
 func (f *Filter) countSession(in Input, v *object.Version) {
-	e := f.spec.Estimator.Estimate(in.Kind, v.Name, v.Quality)
+	e := f.estimate(in, v)
 	f.explore.count(in.Team.Name, price(v), e.Lower < in.Team.QualityTarget)
 }
 
--- a/choose/choose_test.go
+++ b/choose/choose_test.go
@@ -166,3 +166,26 @@
 		t.Error("a halted version answers a request that names it")
 	}
 }
+
+// Guards against a new version that gets no requests of its step, because it has no ratings, and against one that keeps
+// them although its own ratings are bad.
+func TestNewVersionGetsItsShare(t *testing.T) {
+	for _, tc := range []struct {
+		to   Estimate
+		want string
+	}{
+		{Estimate{Mean: 0.7, Lower: 0.6, Upper: 0.8, N: 2}, "m01-2"},
+		{firm(0.3), "m02-1"},
+	} {
+		in := input(3)
+		in.View.Versions["m01-2"] = &object.Version{Name: "m01-2", Model: "m01", State: object.VersionActive, Prices: object.Prices{Output: 200}}
+		in.View.Rollouts["m01"] = &object.Rollout{Name: "r", Model: "m01", From: "m01-1", To: "m01-2", Steps: []float64{1}}
+		f := New(Spec{Estimator: known{"m00-1": firm(0.1), "m01-1": firm(0.85), "m01-2": tc.to, "m02-1": firm(0.9)}})
+		for i := 0; session.PointIn("mix", in.RequestID) < 0.9; i++ {
+			in.RequestID = fmt.Sprint(i)
+		}
+		if got := first(t, f, in); got != tc.want {
+			t.Errorf("new version with %+v: %s answers; want %s", tc.to, got, tc.want)
+		}
+	}
+}
--- a/choose/order.go
+++ b/choose/order.go
@@ -92,12 +92,23 @@
 func (f *Filter) assess(in Input, s *scored) {
 	for i := range s.list {
 		c := &s.list[i]
-		c.estimate = f.spec.Estimator.Estimate(in.Kind, c.Version.Name, c.Version.Quality)
+		c.estimate = f.estimate(in, c.Version)
 		c.price = price(c.Version)
 	}
 	s.cascade = f.cascade(in, s.list)
 }
 
+// estimate returns the estimate of a version. A new version under roll-out is taken to be as good as the old one until
+// its own ratings suffice: the step says how many sessions it gets, and the roll-out's test watches them.
+func (f *Filter) estimate(in Input, v *object.Version) Estimate {
+	e := f.spec.Estimator.Estimate(in.Kind, v.Name, v.Quality)
+	if r := in.View.Rollouts[v.Model]; r != nil && r.To == v.Name && !e.Firm {
+		from := in.View.Versions[r.From]
+		return f.spec.Estimator.Estimate(in.Kind, from.Name, from.Quality)
+	}
+	return e
+}
+
 // markGood marks the good options and returns the number of those in the list.
 func (s *scored) markGood() (n int) {
 	proven := false
