daemon: evaluate evidence as often as it may arrive, test a halt in an outage

Cause: the holder's work was tied to a third of the lease, and no test showed that a halt does not wait for the key-value service. A local deployment can set the lease. Conclusion: a halt reaches every daemon during an outage and is stored after it.

--- a/daemon/duties.go
+++ b/daemon/duties.go
@@ -38,7 +38,8 @@
 			d.decisions.setHeld(name, 0)
 		}
 	}
-	for ; d.ctx.Err() == nil; d.sleep(job.Interval()) {
+	pause := min(job.Interval(), d.settings.EvidenceEvery, d.settings.RatingEvery)
+	for ; d.ctx.Err() == nil; d.sleep(pause) {
 		fence, held := job.Fence()
 		if !held && (!d.watcher.Load() || d.leaving.Load()) {
 			leave()
--- a/local/decisions_test.go
+++ b/local/decisions_test.go
@@ -6,12 +6,15 @@
 	"net/http"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/bramleytrail/bramleytrail/daemon"
+	"github.com/bramleytrail/bramleytrail/duty"
 	"github.com/bramleytrail/bramleytrail/ledger"
 	"github.com/bramleytrail/bramleytrail/object"
 	"github.com/bramleytrail/bramleytrail/rating"
 	"github.com/bramleytrail/bramleytrail/relay"
+	"github.com/bramleytrail/bramleytrail/rollout"
 	"github.com/bramleytrail/bramleytrail/standin"
 )
 
@@ -82,10 +85,9 @@
 	return set
 }
 
-// Guards against a bad version that stays in service at some daemon, evidence that is lost with the holder of the duty,
-// a halt that is undone by a further holder or a restart, and an operator who can't start the roll-out again.
-func TestBadVersionIsHaltedEverywhere(t *testing.T) {
-	ctx, d := startSample(t, 3, fastEngine)
+// addBadVersion starts engines of the version under roll-out, which fail every second request.
+func addBadVersion(t *testing.T, d *Deployment) (runs func() int, mend func()) {
+	t.Helper()
 	var bad []*standin.Engine
 	for _, domain := range []string{SampleDomainA, SampleDomainB} {
 		spec := fastEngine
@@ -97,33 +99,49 @@
 		e.FailEvery(2)
 		bad = append(bad, e)
 	}
-	publish := func(attempt int) {
-		rev, err := d.Publish(ctx, rolloutSet(attempt))
-		if err != nil {
-			t.Fatal(err)
-		}
-		if err := d.WaitRevision(ctx, rev.Number); err != nil {
-			t.Fatal(err)
-		}
-	}
-	runs := func() int { return len(bad[0].Runs()) + len(bad[1].Runs()) }
+	runs = func() int { return len(bad[0].Runs()) + len(bad[1].Runs()) }
+	return runs, func() { bad[0].FailEvery(0); bad[1].FailEvery(0) }
+}
+
+func isHalted(s daemon.DecisionState) bool { return s.Rollouts["small"].Halted }
+
+// asker returns a function that sends one request, to the daemons in turn.
+func asker(ctx context.Context, t *testing.T, d *Deployment) func() {
 	asked := 0
-	ask := func() {
+	return func() {
 		asked++
 		a, err := sampleClient(d, asked%len(d.Daemons)).Chat(ctx, ChatBody("auto", fmt.Sprint(asked), true), nil)
 		if err != nil || a.Status != http.StatusOK {
 			t.Fatalf("request %d: status %d, %v", asked, a.Status, err)
 		}
 	}
-	publish(0)
+}
+
+func publishRollout(ctx context.Context, t *testing.T, d *Deployment, attempt int) {
+	t.Helper()
+	rev, err := d.Publish(ctx, rolloutSet(attempt))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := d.WaitRevision(ctx, rev.Number); err != nil {
+		t.Fatal(err)
+	}
 	if err := d.WaitEndpoints(ctx, 8); err != nil {
 		t.Fatal(err)
 	}
+}
+
+// Guards against a bad version that stays in service at some daemon, evidence that is lost with the holder of the duty,
+// a halt that is undone by a further holder or a restart, and an operator who can't start the roll-out again.
+func TestBadVersionIsHaltedEverywhere(t *testing.T) {
+	ctx, d := startSample(t, 3, fastEngine)
+	runs, mend := addBadVersion(t, d)
+	ask := asker(ctx, t, d)
+	publishRollout(ctx, t, d, 0)
 	if err := Wait(ctx, func() bool { ask(); return runs() >= 4 }); err != nil {
 		t.Fatal("the roll-out did not begin: ", err)
 	}
 	killHolder(ctx, t, d, "rollout")
-	isHalted := func(s daemon.DecisionState) bool { return s.Rollouts["small"].Halted }
 	if err := Wait(ctx, func() bool { ask(); return isHalted(d.Daemons[0].State().Decisions) }); err != nil {
 		t.Fatal("not halted: ", err)
 	}
@@ -145,16 +163,49 @@
 	if n := runs() - before; n > 0 {
 		t.Errorf("%d requests ran on the halted version after two holders were lost", n)
 	}
-	for _, e := range bad {
-		e.FailEvery(0)
-	}
-	publish(1)
+	mend()
+	publishRollout(ctx, t, d, 1)
 	if err := Wait(ctx, func() bool { ask(); return runs() > before }); err != nil {
 		t.Error("the operator's new attempt did not start: ", err)
 	}
 	drainAll(ctx, t, d)
 }
 
+// Guards against a halt that waits for the key-value service, or is not stored once that is back.
+func TestHaltDuringStoreOutage(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	t.Cleanup(cancel)
+	d, err := New(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Stop)
+	d.DutyTTL = time.Minute // the lease outlives the outage
+	if err := Sample(ctx, d, 2, fastEngine); err != nil {
+		t.Fatal(err)
+	}
+	runs, _ := addBadVersion(t, d)
+	ask := asker(ctx, t, d)
+	publishRollout(ctx, t, d, 0)
+	if err := Wait(ctx, func() bool { ask(); return runs() > 0 && d.Daemons[0].State().Decisions.Holder != "" }); err != nil {
+		t.Fatal(err)
+	}
+	d.Platform.KV.Faults.SetDown(true)
+	if err := Wait(ctx, func() bool { ask(); return isHalted(d.Daemons[0].State().Decisions) }); err != nil {
+		t.Fatal("not halted: ", err)
+	}
+	everywhere(ctx, t, d, "halt during the outage", isHalted)
+	d.Platform.KV.Faults.SetDown(false)
+	if err := Wait(ctx, func() bool {
+		_, body, err := duty.Read(ctx, d.Platform.KV, "state/rollout")
+		s, decodeErr := rollout.DecodeState(body)
+		return err == nil && decodeErr == nil && s.Records["small"].Halted
+	}); err != nil {
+		t.Error("the halt was not stored after the outage: ", err)
+	}
+	drainAll(ctx, t, d)
+}
+
 // Guards against a doubtful answer that is delivered, in whole or in part, and against a bill that leaves out a call.
 func TestCascadeClimbsAndBillsOnce(t *testing.T) {
 	spec := fastEngine
--- a/local/deployment.go
+++ b/local/deployment.go
@@ -31,6 +31,7 @@
 	Engines     map[string]*standin.Engine
 	Plains      map[string]*standin.Plain
 	Log         *logrus.Logger
+	DutyTTL     time.Duration // of daemons that are added from now on
 
 	platform *standin.Server
 	servers  map[string]*standin.Server
@@ -49,7 +50,7 @@
 		return nil, err
 	}
 	return &Deployment{
-		Platform: p, PlatformURL: "http://" + srv.Addr, Engines: map[string]*standin.Engine{}, Plains: map[string]*standin.Plain{}, Log: log,
+		Platform: p, PlatformURL: "http://" + srv.Addr, Engines: map[string]*standin.Engine{}, Plains: map[string]*standin.Plain{}, Log: log, DutyTTL: 900 * time.Millisecond,
 		platform: srv, servers: map[string]*standin.Server{},
 	}, nil
 }
@@ -86,7 +87,7 @@
 		ID: id, Domain: domain, Rack: id, Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", OperatorListen: "127.0.0.1:0",
 		Store: d.PlatformURL, Hosts: d.PlatformURL, MaxInFlight: 1000, MaxConnections: 1000, QueueWait: 2 * time.Second,
 		StallTimeout: 30 * time.Second, Settle: 0, BillInterval: 500 * time.Millisecond, CopyTimeout: 500 * time.Millisecond,
-		ClaimWrites: 1000, PollsPerSecond: 50, Ratings: d.PlatformURL, DutyTTL: 900 * time.Millisecond,
+		ClaimWrites: 1000, PollsPerSecond: 50, Ratings: d.PlatformURL, DutyTTL: d.DutyTTL,
 		EvidenceEvery: 100 * time.Millisecond, RatingEvery: 100 * time.Millisecond, ExploreShare: 0.05, ExploreCost: 0.05, LogLevel: "info", SessionKey: []byte(SessionKey),
 	}
 }
