ledger: overlapping writes lose no batch

Change: Flush runs one call at a time. Measured: ledger.TestOverlappingFlushesKeepAllBills fails without the change and passes with it.

--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -55,7 +55,8 @@
 	sealed  []batch
 	pending *group // bills that wait to be copied
 
-	copying sync.Mutex // held while a copy is sent
+	copying  sync.Mutex    // held while a copy is sent
+	flushing chan struct{} // holds an element while Flush writes
 }
 
 type batch struct {
@@ -71,7 +72,7 @@
 }
 
 // New returns a ledger.
-func New(spec Spec) *Ledger { return &Ledger{spec: spec, seq: 1} }
+func New(spec Spec) *Ledger { return &Ledger{spec: spec, seq: 1, flushing: make(chan struct{}, 1)} }
 
 // Add puts a bill into the open batch and copies it to another daemon. It returns when the copy is acknowledged or the
 // copy timeout has passed; the bill is kept in both cases.
@@ -170,8 +171,15 @@
 	return true
 }
 
-// Flush seals the open batch and writes all sealed ones in order. It reports whether none is left.
+// Flush seals the open batch and writes all sealed ones in order. It reports whether none is left. Calls run one after
+// the other, because each removes the first sealed batch after it has written it.
 func (l *Ledger) Flush(ctx context.Context) bool {
+	select {
+	case l.flushing <- struct{}{}:
+		defer func() { <-l.flushing }()
+	case <-ctx.Done():
+		return false
+	}
 	l.mu.Lock()
 	l.seal()
 	l.mu.Unlock()
