--- a/choose/choose.go
+++ b/choose/choose.go
@@ -3,7 +3,6 @@
 package choose
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -16,17 +15,17 @@
 // AutoModel is the model name with which a caller leaves the choice to the router.
 const AutoModel = "auto"
 
-// Estimator gives the quality of a version for a kind of request.
-type Estimator interface {
-	// LowerBound returns the lower confidence bound of the expected rating, 0 to 1.
-	LowerBound(kind string, v *object.Version) float64
+// Steps gives the step of a roll-out that is in force.
+type Steps interface {
+	// Step returns the index of the step, -1 for none, and whether the roll-out's new version is out of service.
+	Step(r *object.Rollout) (step int, halted bool)
 }
 
-// Declared is the Estimator that returns the declared quality.
-type Declared struct{}
+// DeclaredSteps is the Steps that returns the declared step.
+type DeclaredSteps struct{}
 
-// LowerBound implements Estimator.
-func (Declared) LowerBound(_ string, v *object.Version) float64 { return v.Quality }
+// Step implements Steps.
+func (DeclaredSteps) Step(r *object.Rollout) (int, bool) { return r.Step, false }
 
 // Input of the choice.
 type Input struct {
@@ -38,106 +37,135 @@
 	// RequestID places a request without a session in a roll-out.
 	RequestID string
 	Now       time.Time
+	// Once excludes cascades, which may run several models for one request.
+	Once bool
 }
 
 // Candidate is a version that may answer.
 type Candidate struct {
 	Service string
 	Version *object.Version
+
+	option
 }
 
-// Filter chooses versions.
-type Filter struct{ estimator Estimator }
+// Choice is the result.
+type Choice struct {
+	// Candidates are alternatives, the preferred one first, or the steps of Cascade in their order.
+	Candidates []Candidate
+	Cascade    *object.Cascade // nil if one version answers
+	Explored   bool            // the first choice was made to learn about it
+}
+
+// Spec configures a Filter.
+type Spec struct {
+	Estimator Estimator
+	Steps     Steps
+	// ClimbRate returns the part of a cascade's requests that reach its next step; nil for an assumed rate.
+	ClimbRate func(cascade string) float64
+	// Explore bounds exploration; the zero value allows none.
+	Explore Budget
+}
 
-// New returns a filter.
-func New(e Estimator) *Filter { return &Filter{estimator: e} }
+// Filter chooses versions.
+type Filter struct {
+	spec    Spec
+	explore explorer
+}
 
-// Do returns the candidates, the preferred one first.
-func (f *Filter) Do(in Input) ([]Candidate, error) {
-	if c, err := continued(in); c != nil || err != nil {
-		return c, err
+// New returns a filter. Steps may be nil for the declared ones.
+func New(s Spec) *Filter {
+	if s.Steps == nil {
+		s.Steps = DeclaredSteps{}
 	}
-	models, err := models(in)
-	if err != nil {
-		return nil, err
+	if s.ClimbRate == nil {
+		s.ClimbRate = func(string) float64 { return AssumedClimbRate }
 	}
-	if in.Model == AutoModel {
-		if c, err := lastUsed(in); c != nil || err != nil {
-			return c, err
-		}
+	f := &Filter{spec: s}
+	f.explore.init(s.Explore)
+	return f
+}
+
+// Do returns the choice. Apart from the list of candidates, it allocates nothing.
+func (f *Filter) Do(in Input) (Choice, error) {
+	if in.Model != AutoModel {
+		return f.named(in)
+	}
+	if c, err := f.lastUsed(in); c != nil || err != nil {
+		return Choice{Candidates: c}, err
 	}
-	var list []Candidate
-	for _, m := range models {
-		v, err := resolve(in, m)
+	list := make([]Candidate, 0, len(in.Team.Models))
+	for _, m := range in.Team.Models {
+		v, err := f.resolve(in, m)
 		if err != nil {
-			return nil, err
+			return Choice{}, err
 		}
 		if v != nil {
 			list = append(list, Candidate{Service: in.View.Models[m].Service, Version: v})
 		}
 	}
 	if len(list) == 0 {
-		return nil, result.Newf(result.NoVersion, "")
-	}
-	if in.Model == AutoModel {
-		list = f.order(in, list)
-	}
-	if in.Session.ID != "" {
-		// A session stays with one version, so it doesn't fall back to another model.
-		list = list[:1]
+		return Choice{}, result.Newf(result.NoVersion, "")
 	}
-	return list, nil
+	return f.order(in, list), nil
 }
 
-// continued returns the version that answered the session last, if the caller leaves the model open. Earlier versions of
-// the session don't count: it would go back to one of them when a withdrawal is undone.
-func continued(in Input) ([]Candidate, error) {
-	if in.Model != AutoModel || len(in.Session.Versions) == 0 {
-		return nil, nil
+// named resolves a model or version that the request names.
+func (f *Filter) named(in Input) (Choice, error) {
+	name := in.Model
+	if v := in.View.Versions[name]; v != nil {
+		name = v.Model
 	}
-	last := in.View.Versions[in.Session.Versions[len(in.Session.Versions)-1]]
-	if last == nil || !slices.Contains(in.Team.Models, last.Model) {
-		return nil, nil
+	m := in.View.Models[name]
+	if m == nil || !slices.Contains(in.Team.Models, name) {
+		return Choice{}, result.Newf(result.ModelNotAllowed, "Model %q.", in.Model)
 	}
-	v, err := pinned(in, last.Model)
-	if v == nil || err != nil {
-		return nil, err
+	v, err := f.resolve(in, name)
+	if err != nil {
+		return Choice{}, err
 	}
-	return []Candidate{{Service: in.View.Models[v.Model].Service, Version: v}}, nil
+	if v == nil {
+		return Choice{}, result.Newf(result.NoVersion, "")
+	}
+	return Choice{Candidates: []Candidate{{Service: m.Service, Version: v}}}, nil
 }
 
-// models returns the names of the models that the request may use.
-func models(in Input) ([]string, error) {
-	if in.Model == AutoModel {
-		return in.Team.Models, nil
-	}
-	name := in.Model
-	if v := in.View.Versions[name]; v != nil {
-		name = v.Model
+// countSession charges the requests of a session that stays on a version below the target to the budget of exploration,
+// whose first request may have been chosen to explore.
+func (f *Filter) countSession(in Input, v *object.Version) {
+	e := f.estimate(in, v)
+	f.explore.count(in.Team.Name, price(v), e.Lower < in.Team.QualityTarget)
+}
+
+// inService reports whether a version is active and not halted in a roll-out.
+func (f *Filter) inService(in Input, v *object.Version) bool {
+	if v.State != object.VersionActive {
+		return false
 	}
-	if in.View.Models[name] == nil || !slices.Contains(in.Team.Models, name) {
-		return nil, result.Newf(result.ModelNotAllowed, "Model %q.", in.Model)
+	if r := in.View.Rollouts[v.Model]; r != nil && r.To == v.Name {
+		_, halted := f.spec.Steps.Step(r)
+		return !halted
 	}
-	return []string{name}, nil
+	return true
 }
 
 // resolve returns the version of a model that serves the request, or nil if the model has no active one.
-func resolve(in Input, model string) (*object.Version, error) {
+func (f *Filter) resolve(in Input, model string) (*object.Version, error) {
 	if v := in.View.Versions[in.Model]; v != nil {
-		if v.State != object.VersionActive {
-			return nil, result.Newf(result.VersionWithdrawn, "Version %q is %s.", v.Name, v.State)
+		if !f.inService(in, v) {
+			return nil, result.Newf(result.VersionWithdrawn, "Version %q is not in service.", v.Name)
 		}
 		return v, nil
 	}
-	if v, err := pinned(in, model); v != nil || err != nil {
+	if v, err := f.pinned(in, model); v != nil || err != nil {
 		return v, err
 	}
 	if r := in.View.Rollouts[model]; r != nil {
-		if v := rolledOut(in, r); v != nil {
+		if v := f.rolledOut(in, r); v != nil {
 			return v, nil
 		}
 	}
-	return newest(in.View.ByModel[model]), nil
+	return f.newest(in, in.View.ByModel[model]), nil
 }
 
 // Expired reports whether a session has reached its policy's age. It then begins anew.
@@ -148,7 +176,7 @@
 
 // lastUsed keeps a session that leaves the choice of the model to the router on the version that it used last, also when
 // prices or quality estimates change. It returns nil if the session has none or may leave it.
-func lastUsed(in Input) ([]Candidate, error) {
+func (f *Filter) lastUsed(in Input) ([]Candidate, error) {
 	n := len(in.Session.Versions)
 	if n == 0 {
 		return nil, nil
@@ -157,15 +185,16 @@
 	if last == nil || !slices.Contains(in.Team.Models, last.Model) {
 		return nil, nil
 	}
-	v, err := pinned(in, last.Model)
+	v, err := f.pinned(in, last.Model)
 	if v == nil || err != nil {
 		return nil, err
 	}
+	f.countSession(in, v)
 	return []Candidate{{Service: in.View.Models[v.Model].Service, Version: v}}, nil
 }
 
 // pinned returns the version that the session's token names for the model.
-func pinned(in Input, model string) (*object.Version, error) {
+func (f *Filter) pinned(in Input, model string) (*object.Version, error) {
 	policy := in.View.Policies[in.Team.SessionPolicy]
 	for _, name := range in.Session.Versions {
 		v := in.View.Versions[name]
@@ -175,7 +204,7 @@
 		if Expired(in.View, in.Team, in.Session, in.Now) {
 			return nil, nil
 		}
-		if v.State == object.VersionActive {
+		if f.inService(in, v) {
 			return v, nil
 		}
 		if policy != nil && policy.OnWithdrawn == object.WithdrawnRefuse {
@@ -188,57 +217,33 @@
 // rolledOut places the request by its session, or by its own identity without one. A session that is known only by the
 // caller's own identifier has no record of its version, and a step in either direction would move it. It stays on the
 // version that the roll-out starts from.
-func rolledOut(in Input, r *object.Rollout) *object.Version {
+func (f *Filter) rolledOut(in Input, r *object.Rollout) *object.Version {
 	id := in.Session.ID
 	if id == "" {
 		id = in.RequestID
 	}
+	step, halted := f.spec.Steps.Step(r)
+	started := step >= 0 && !halted
 	from, to := in.View.Versions[r.From], in.View.Versions[r.To]
-	if r.Step >= 0 && !in.Session.Unsigned() && session.Point(r.Name+"/"+id) < r.Steps[r.Step] {
+	if started && !in.Session.Unsigned() && session.PointIn(r.Name, id) < r.Steps[min(step, len(r.Steps)-1)] {
 		from, to = to, from
 	}
 	if from.State == object.VersionActive {
 		return from
 	}
-	if to.State == object.VersionActive && r.Step >= 0 {
+	if to.State == object.VersionActive && started {
 		return to
 	}
 	return nil
 }
 
-// newest returns the active version with the best declared quality, the last by name among equals.
-func newest(versions []*object.Version) *object.Version {
+// newest returns the version in service with the best declared quality, the last by name among equals.
+func (f *Filter) newest(in Input, versions []*object.Version) *object.Version {
 	var best *object.Version
 	for _, v := range versions {
-		if v.State == object.VersionActive && (best == nil || v.Quality >= best.Quality) {
+		if f.inService(in, v) && (best == nil || v.Quality >= best.Quality) {
 			best = v
 		}
 	}
 	return best
 }
-
-// order puts the cheapest candidate that meets the team's quality target first. If none meets it, the best one is the
-// only candidate.
-func (f *Filter) order(in Input, list []Candidate) []Candidate {
-	good := list[:0:0]
-	best, bestBound := list[0], -1.0
-	for _, c := range list {
-		bound := f.estimator.LowerBound(in.Kind, c.Version)
-		if bound >= in.Team.QualityTarget {
-			good = append(good, c)
-		}
-		if bound > bestBound {
-			best, bestBound = c, bound
-		}
-	}
-	if len(good) == 0 {
-		return []Candidate{best}
-	}
-	slices.SortStableFunc(good, func(a, b Candidate) int {
-		return cmp.Or(cmp.Compare(price(a.Version), price(b.Version)), cmp.Compare(a.Version.Name, b.Version.Name))
-	})
-	return good
-}
-
-// price compares versions by the cost of as many input as output tokens.
-func price(v *object.Version) int64 { return v.Prices.Input + v.Prices.Output }
--- /dev/null
+++ b/choose/order.go
@@ -0,0 +1,279 @@
+package choose
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/bramleytrail/bramleytrail/object"
+	"github.com/bramleytrail/bramleytrail/session"
+)
+
+// AssumedClimbRate is the part of a cascade's requests that reach the next step before any is counted.
+const AssumedClimbRate = 0.4
+
+// worthwhile is the part of the usual cost that a candidate must promise to undercut to be explored.
+const worthwhile = 0.98
+
+// enoughRatings is the effective number of ratings from which an option is no longer explored. Its estimate fades in time,
+// so that it is explored again later.
+const enoughRatings = 60
+
+// option is a candidate or the team's cascade, which has an object then. The zero value can't be chosen.
+type option struct {
+	object   *object.Cascade
+	estimate Estimate
+	price    float64
+	good     bool // meets the target by itself
+}
+
+// scored is the list of candidates, with the team's cascade as one more option after them.
+type scored struct {
+	list    []Candidate
+	cascade option
+	target  float64
+}
+
+func (s *scored) len() int {
+	if s.cascade.object != nil {
+		return len(s.list) + 1
+	}
+	return len(s.list)
+}
+
+func (s *scored) at(i int) *option {
+	if i == len(s.list) {
+		return &s.cascade
+	}
+	return &s.list[i].option
+}
+
+// order makes the choice. An option is good if its lower bound meets the team's target. The cheapest good one answers,
+// or a mix of a good and a cheaper one whose lower bound meets the target, if that costs less. If none is good, the best
+// one answers.
+//
+// The target is raised by what exploration costs the team on average, so that exploring does not take it below.
+//
+// Once the ratings show that some option is good, only an option with firm evidence answers by itself: one with few
+// ratings is tried within the budget of exploration, and in a mix that is safe, until its own ratings suffice. Before
+// that, the declared quality decides.
+func (f *Filter) order(in Input, list []Candidate) Choice {
+	if in.Session.Unsigned() {
+		return fixed(in, list)
+	}
+	s := scored{list: list, target: in.Team.QualityTarget + f.explore.loss(in.Team.Name)}
+	f.assess(in, &s)
+	n := s.markGood()
+	slices.SortFunc(list, compare)
+	high := s.usual()
+	m := s.mix(-1)
+	cost := s.at(high).price
+	if m.part > 0 && m.price < cost {
+		cost = m.price
+	}
+	pick, explored := high, false
+	other := s.promising(high, cost)
+	if f.explore.take(in.Team.Name, s.tried(other, cost)) {
+		pick, explored = other, true
+	} else if cost < s.at(high).price {
+		pick = m.high
+		if session.PointIn("mix", identity(in)) < m.part {
+			pick = m.low
+		}
+	}
+	return s.choice(in, pick, n, explored)
+}
+
+// fixed makes the choice for a session that is known only by the caller's own identifier. It has no record of its version,
+// so that only the declared qualities and prices may decide: they change with a publication, estimates at any time.
+func fixed(in Input, list []Candidate) Choice {
+	best := 0
+	for i := range list {
+		if preferred(list[i].Version, list[best].Version, in.Team.QualityTarget) {
+			best = i
+		}
+	}
+	return Choice{Candidates: list[best : best+1]}
+}
+
+// preferred reports whether a goes before b: a version that meets the target before one that does not, then the cheaper,
+// or the better if neither meets it.
+func preferred(a, b *object.Version, target float64) bool {
+	goodA, goodB := a.Quality >= target, b.Quality >= target
+	switch {
+	case goodA != goodB:
+		return goodA
+	case !goodA:
+		return a.Quality > b.Quality
+	default:
+		return price(a) < price(b)
+	}
+}
+
+// identity places a request among the requests of a mix, all requests of a session at the same point.
+func identity(in Input) string {
+	if in.Session.ID != "" {
+		return in.Session.ID
+	}
+	return in.RequestID
+}
+
+// assess fills in estimates and prices.
+func (f *Filter) assess(in Input, s *scored) {
+	for i := range s.list {
+		c := &s.list[i]
+		c.estimate = f.estimate(in, c.Version)
+		c.price = price(c.Version)
+	}
+	s.cascade = f.cascade(in, s.list)
+}
+
+// estimate returns the estimate of a version. A new version under roll-out is taken to be as good as the old one until
+// its own ratings suffice: the step says how many sessions it gets, and the roll-out's test watches them.
+func (f *Filter) estimate(in Input, v *object.Version) Estimate {
+	e := f.spec.Estimator.Estimate(in.Kind, v.Name, v.Quality)
+	if r := in.View.Rollouts[v.Model]; r != nil && r.To == v.Name && !e.Firm {
+		from := in.View.Versions[r.From]
+		return f.spec.Estimator.Estimate(in.Kind, from.Name, from.Quality)
+	}
+	return e
+}
+
+// markGood marks the good options and returns the number of those in the list.
+func (s *scored) markGood() (n int) {
+	proven := false
+	for i := range s.len() {
+		e := s.at(i).estimate
+		proven = proven || e.Firm && e.Lower >= s.target
+	}
+	for i := range s.len() {
+		o := s.at(i)
+		o.good = o.estimate.Lower >= s.target && (o.estimate.Firm || !proven)
+		if o.good && i < len(s.list) {
+			n++
+		}
+	}
+	return n
+}
+
+// compare orders candidates that meet the target first, then by price and name.
+func compare(a, b Candidate) int {
+	if a.good != b.good {
+		if a.good {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(a.price, b.price), cmp.Compare(a.Version.Name, b.Version.Name))
+}
+
+// usual returns the cheapest good option, or the one with the highest lower bound if none is good.
+func (s *scored) usual() int {
+	pick := 0
+	for i := 1; i < s.len(); i++ {
+		a, b := s.at(i), s.at(pick)
+		switch {
+		case a.good != b.good:
+			if a.good {
+				pick = i
+			}
+		case a.good && a.price < b.price, !a.good && a.estimate.Lower > b.estimate.Lower:
+			pick = i
+		}
+	}
+	return pick
+}
+
+// tried describes option i, -1 for none, instead of a choice of the given cost that meets the target.
+func (s *scored) tried(i int, cost float64) tried {
+	if i < 0 {
+		return tried{usual: cost}
+	}
+	return tried{wanted: true, cost: s.at(i).price, usual: cost, loss: s.target - s.at(i).estimate.Mean}
+}
+
+// promising returns the option that would lower the cost most if its quality were at its upper bound, alone or in a mix;
+// -1 if none would lower it by much.
+func (s *scored) promising(high int, cost float64) int {
+	pick, best := -1, worthwhile*cost
+	for i := range s.len() {
+		o := s.at(i)
+		if i == high || o.price >= cost || o.estimate.N >= enoughRatings {
+			continue
+		}
+		hope := s.mix(i).price
+		if o.estimate.Upper >= s.target {
+			hope = o.price
+		}
+		if hope < best {
+			pick, best = i, hope
+		}
+	}
+	return pick
+}
+
+// choice returns the list with the picked option first. For a version, the good ones that it does not contain follow as
+// alternatives; a session has none, because it stays with one version.
+func (s *scored) choice(in Input, pick, n int, explored bool) Choice {
+	if pick == len(s.list) {
+		for i, model := range s.cascade.object.Steps {
+			toFront(s.list[i:], indexOf(s.list[i:], model))
+		}
+		return Choice{Candidates: s.list[:len(s.cascade.object.Steps)], Cascade: s.cascade.object, Explored: explored}
+	}
+	length := n
+	if pick >= n {
+		length++
+	}
+	if in.Session.ID != "" {
+		length = 1
+	}
+	toFront(s.list, pick)
+	return Choice{Candidates: s.list[:length], Explored: explored}
+}
+
+func toFront(list []Candidate, at int) {
+	c := list[at]
+	copy(list[1:at+1], list[:at])
+	list[0] = c
+}
+
+// cascade assesses the team's cascade. A session stays on one version, so it runs no cascade. Before ratings of the
+// cascade's answers arrive, its quality is taken as that of the steps without any skill in telling doubtful answers.
+func (f *Filter) cascade(in Input, list []Candidate) option {
+	if in.Team.Cascade == "" || in.Once || in.Session.ID != "" {
+		return option{}
+	}
+	c := in.View.Cascades[in.Team.Cascade]
+	if c == nil || len(c.Steps) < 2 {
+		return option{}
+	}
+	o := option{object: c}
+	climb, reach, quality := f.spec.ClimbRate(c.Name), 1.0, 0.0
+	for i, model := range c.Steps {
+		at := indexOf(list, model)
+		if at < 0 {
+			return option{}
+		}
+		stop := reach
+		if i < len(c.Steps)-1 {
+			stop = reach * (1 - climb)
+		}
+		quality += stop * list[at].estimate.Mean
+		o.price += reach * list[at].price
+		reach *= climb
+	}
+	o.estimate = f.spec.Estimator.Estimate(in.Kind, c.Label(), quality)
+	return o
+}
+
+func indexOf(list []Candidate, model string) int {
+	for i := range list {
+		if list[i].Version.Model == model {
+			return i
+		}
+	}
+	return -1
+}
+
+// price compares versions by the cost of as many input as output tokens.
+func price(v *object.Version) float64 { return float64(v.Prices.Input + v.Prices.Output) }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -16,7 +16,6 @@
 
 	"github.com/bramleytrail/bramleytrail/admit"
 	"github.com/bramleytrail/bramleytrail/bill"
-	"github.com/bramleytrail/bramleytrail/choose"
 	"github.com/bramleytrail/bramleytrail/claim"
 	"github.com/bramleytrail/bramleytrail/config"
 	"github.com/bramleytrail/bramleytrail/dispatch"
@@ -33,6 +32,7 @@
 	"github.com/bramleytrail/bramleytrail/pipeline"
 	"github.com/bramleytrail/bramleytrail/poison"
 	"github.com/bramleytrail/bramleytrail/pool"
+	"github.com/bramleytrail/bramleytrail/rating"
 	"github.com/bramleytrail/bramleytrail/session"
 	"github.com/bramleytrail/bramleytrail/settings"
 )
@@ -48,8 +48,9 @@
 
 // Platform gives access to the platform's services.
 type Platform struct {
-	Store kv.Store
-	Hosts hostlist.Source
+	Store   kv.Store
+	Hosts   hostlist.Source
+	Ratings rating.Source // nil if there is no rating service
 }
 
 // Daemon is one entry process.
@@ -75,6 +76,7 @@
 	recent  *observe.Recent
 
 	callerTLS *tls.Config // nil for plain HTTP
+	decisions *decisions
 	leaving   atomic.Bool
 	peerAddr  string
 
@@ -86,6 +88,9 @@
 // FromSettings returns a daemon that reaches the platform and the endpoints over the network.
 func FromSettings(s *settings.Settings, log *logrus.Logger) *Daemon {
 	p := Platform{Store: httpkv.NewClient(s.Store), Hosts: hostlist.NewHTTPSource(s.Hosts)}
+	if s.Ratings != "" {
+		p.Ratings = rating.NewHTTPSource(s.Ratings)
+	}
 	return New(s, p, httpengine.NewClient(), log)
 }
 
@@ -96,16 +101,19 @@
 		settings: s, engines: engines, incarnation: s.ID + "-" + rand.Text()[:10],
 		log:    log.WithFields(logrus.Fields{"daemon": s.ID, "domain": s.Domain}),
 		config: &config.Holder{}, poison: poison.NewTable(), metrics: observe.NewMetrics(), recent: observe.NewRecent(),
-		ctx: ctx, cancel: cancel,
+		decisions: newDecisions(),
+		ctx:       ctx, cancel: cancel,
 	}
-	d.platform = Platform{Store: observe.Store{Store: p.Store, Metrics: d.metrics}, Hosts: p.Hosts}
+	d.platform = Platform{Store: observe.Store{Store: p.Store, Metrics: d.metrics}, Hosts: p.Hosts, Ratings: p.Ratings}
 	d.pool = pool.New(pool.Spec{Self: s.ID, Domain: s.Domain, Settle: s.Settle, Rand: mathrand.Uint64})
 	d.docs = &documents{ctx: ctx, spec: documentsSpec{
 		Platform: d.platform, Config: d.config, Metrics: d.metrics, Log: d.log,
-		OnHosts:   func(list hostlist.List) { d.pool.SetHosts(list, time.Now()) },
-		KeepBills: func(c ledger.Copy) (string, error) { return d.incarnation, d.copies.Keep(c, time.Now()) },
+		OnHosts: func(list hostlist.List) { d.pool.SetHosts(list, time.Now()) },
 	}}
-	d.config.OnChange(func(v *config.View) { d.pool.SetView(v, time.Now()) })
+	d.config.OnChange(func(v *config.View) {
+		d.pool.SetView(v, time.Now())
+		d.decisions.setView(v)
+	})
 	return d
 }
 
@@ -124,7 +132,7 @@
 		return fmt.Errorf("listen for peers: %w", err)
 	}
 	d.peerAddr = ln.Addr().String()
-	d.node, err = peer.New(peer.Spec{Self: d.self(), Handler: d.docs, Poison: d.poison, Log: d.log, Now: time.Now, Seeds: d.settings.Seeds}, ln)
+	d.node, err = peer.New(peer.Spec{Self: d.self(), Handler: handler{d}, Poison: d.poison, Log: d.log, Now: time.Now, Seeds: d.settings.Seeds}, ln)
 	if err != nil {
 		return err
 	}
@@ -140,6 +148,7 @@
 	d.wg.Go(d.writeSilentCopies)
 	d.wg.Go(d.docs.run)
 	d.wg.Go(d.pollLoads)
+	d.startDecisions()
 	d.log.WithFields(logrus.Fields{"listen": d.entry.Addr(), "peers": d.peerAddr, "operators": d.ops.addr}).Info("daemon started")
 	return nil
 }
@@ -169,15 +178,18 @@
 		Admit:    d.admit,
 		Identify: identify.New(identify.Spec{Signer: signer, Members: func() int { return int(d.docs.members.Load()) }}),
 		Claim:    d.claims,
-		Choose:   choose.New(choose.Declared{}),
+		Choose:   d.buildChoice(),
+		Climbs:   d.decisions.climbs,
 		Dispatch: dispatch.New(dispatch.Spec{
 			Pool: d.pool, Client: d.engines, Poison: d.poison, OnCrash: d.node.ReportCrash, QueueWait: s.QueueWait, Now: time.Now,
+			OnCall: d.decisions.count,
 		}),
 		Bill:   bill.New(d.ledger, d.incarnation),
 		Signer: signer,
 		Now:    time.Now,
 		Observe: func(o pipeline.Outcome) {
 			d.metrics.Request(o)
+			d.countChoice(o)
 			d.recent.Add(o)
 			if o.Err != nil {
 				d.log.WithFields(logrus.Fields{"request": o.RequestID, "team": o.Team, "code": int(o.Code)}).WithError(o.Err).Info("request failed")
@@ -287,10 +299,12 @@
 	return hostlist.Host{ID: d.settings.ID, Role: hostlist.RoleEntry, Domain: d.settings.Domain, Rack: d.settings.Rack, Addr: addr}
 }
 
+func (d *Daemon) sleep(t time.Duration) { sleep(d.ctx, t) }
+
 // writeSilentCopies writes the bills of daemons that have fallen silent.
 func (d *Daemon) writeSilentCopies() {
 	for d.ctx.Err() == nil {
-		d.docs.sleep(d.settings.BillInterval)
+		d.sleep(d.settings.BillInterval)
 		ctx, cancel := context.WithTimeout(d.ctx, stopTimeout)
 		if err := d.copies.WriteSilent(ctx, time.Now(), d.ledger.Adopt); err != nil && d.ctx.Err() == nil {
 			d.log.WithError(err).Warn("copies of bills not written; this daemon keeps them as its own")
--- a/daemon/documents.go
+++ b/daemon/documents.go
@@ -14,15 +14,16 @@
 	"github.com/bramleytrail/bramleytrail/declare"
 	"github.com/bramleytrail/bramleytrail/hostlist"
 	"github.com/bramleytrail/bramleytrail/kv"
-	"github.com/bramleytrail/bramleytrail/ledger"
 	"github.com/bramleytrail/bramleytrail/observe"
 	"github.com/bramleytrail/bramleytrail/peer"
 )
 
 // Names of the documents that daemons spread.
 const (
-	docConfig = "config"
-	docHosts  = "hosts"
+	docConfig  = "config"
+	docHosts   = "hosts"
+	docQuality = "quality"
+	docRollout = "rollout"
 )
 
 const (
@@ -40,10 +41,9 @@
 	Platform Platform
 	Config   *config.Holder
 	// OnHosts is called with each host list that comes into force, before the peers change.
-	OnHosts   func(hostlist.List)
-	KeepBills func(ledger.Copy) (holder string, err error)
-	Metrics   *observe.Metrics
-	Log       logrus.FieldLogger
+	OnHosts func(hostlist.List)
+	Metrics *observe.Metrics
+	Log     logrus.FieldLogger
 }
 
 // documents keeps the configuration and the host list in force: it reads them from the platform's services, takes them
@@ -64,7 +64,7 @@
 	wg.Wait()
 }
 
-// OfferDocument implements peer.Handler.
+// OfferDocument takes a document into force.
 func (d *documents) OfferDocument(doc peer.Document) error {
 	switch doc.Name {
 	case docConfig:
@@ -103,9 +103,6 @@
 	return list, err
 }
 
-// KeepBills implements peer.Handler.
-func (d *documents) KeepBills(c ledger.Copy) (string, error) { return d.spec.KeepBills(c) }
-
 func (d *documents) applyConfig(rev config.Revision) error {
 	changed, err := d.spec.Config.Offer(rev)
 	if err != nil {
@@ -314,9 +311,12 @@
 	}
 }
 
-func (d *documents) sleep(t time.Duration) {
+func (d *documents) sleep(t time.Duration) { sleep(d.ctx, t) }
+
+// sleep waits for t, or until ctx ends.
+func sleep(ctx context.Context, t time.Duration) {
 	select {
 	case <-time.After(t):
-	case <-d.ctx.Done():
+	case <-ctx.Done():
 	}
 }
--- /dev/null
+++ b/daemon/handler.go
@@ -0,0 +1,32 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/bramleytrail/bramleytrail/ledger"
+	"github.com/bramleytrail/bramleytrail/peer"
+	"github.com/bramleytrail/bramleytrail/rollout"
+)
+
+// handler implements peer.Handler for a daemon.
+type handler struct{ daemon *Daemon }
+
+// OfferDocument implements peer.Handler.
+func (h handler) OfferDocument(doc peer.Document) error {
+	switch doc.Name {
+	case docQuality:
+		return h.daemon.applyQuality(doc.Body)
+	case docRollout:
+		return h.daemon.applyRollout(doc.Body)
+	default:
+		return h.daemon.docs.OfferDocument(doc)
+	}
+}
+
+// KeepBills implements peer.Handler.
+func (h handler) KeepBills(c ledger.Copy) (string, error) {
+	return h.daemon.incarnation, h.daemon.copies.Keep(c, time.Now())
+}
+
+// TakeEvidence implements peer.Handler.
+func (h handler) TakeEvidence(e rollout.Evidence) error { return h.daemon.decisions.takeEvidence(e) }
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -43,6 +43,7 @@
 	CopiesHeld    int               `json:"copiesHeld"`
 	Endpoints     []pool.State      `json:"endpoints"`
 	Requests      []observe.Request `json:"requests"`
+	Decisions     DecisionState     `json:"decisions"`
 }
 
 // State returns the daemon's state. Its size is bounded.
@@ -55,6 +56,7 @@
 		Revision: rev.Number, Digest: rev.Digest, Watcher: d.node.Watching(), Peers: d.node.Peers(), Documents: d.node.Documents(),
 		InFlight: d.admit.InFlight(), BillsHeld: held, BillsUncopied: uncopied, CopiesHeld: d.copies.Held(),
 		Endpoints: d.pool.Dump(now, maxDumpEndpoints), Requests: d.recent.Last(maxDumpRequests),
+		Decisions: d.decisions.state(),
 	}
 	if l := d.docs.list.Load(); l != nil {
 		s.HostList = l.Revision
--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -31,6 +31,10 @@
 	callID   string
 	first    *engine.Event // read by start and not delivered yet
 
+	opened    time.Time     // of the call in progress
+	firstByte time.Duration // of the call in progress
+	crash     string        // the endpoint's crash that ended the call in progress
+
 	attempts int
 	exclude  []string
 	suspect  bool
@@ -91,7 +95,7 @@
 			if err := a.open(); err != nil {
 				return engine.Event{}, err
 			}
-			continue // a failed attempt that may be repeated leaves no stream
+			continue // the endpoint failed before the answer began; open tries the next one
 		}
 		ev, err := a.read()
 		switch {
@@ -112,6 +116,9 @@
 }
 
 func (a *Answer) accept(ev engine.Event) {
+	if a.firstByte == 0 {
+		a.firstByte = max(1, a.filter.spec.Now().Sub(a.opened))
+	}
 	a.seq = ev.Seq
 	a.ran = result.RunDone
 	a.text.WriteString(ev.Text)
@@ -138,6 +145,7 @@
 	a.room, a.reserved, a.served = r, true, r.candidate.Version
 	a.boot = r.Boot()
 	a.attempts++
+	a.opened, a.firstByte, a.crash = a.filter.spec.Now(), 0, ""
 	a.callID = callID(a.in.RequestID, a.attempts)
 	a.trace = append(a.trace, Attempt{Endpoint: r.ID, Version: r.candidate.Version.Name})
 	req := engine.Request{
@@ -282,6 +290,7 @@
 
 func (a *Answer) recordCrash() {
 	r := poison.Record{Fingerprint: a.in.Fingerprint, Crash: a.room.ID + "/" + a.boot}
+	a.crash = r.Crash
 	if a.filter.spec.Poison.Add(r, a.filter.spec.Now()) {
 		a.filter.spec.OnCrash(r)
 	}
@@ -299,9 +308,21 @@
 	if a.reserved {
 		a.reserved = false
 		a.room.Release(outcomeOf(err), a.filter.spec.Now())
+		a.reportCall(err)
 	}
 }
 
+// reportCall reports the attempt, unless its outcome says nothing about the version.
+func (a *Answer) reportCall(err error) {
+	failed := errors.Is(err, engine.ErrFailed) || errors.Is(err, engine.ErrBroken) || errors.Is(err, errStalled)
+	if a.filter.spec.OnCall == nil || err != nil && !failed {
+		return
+	}
+	a.filter.spec.OnCall(CallResult{
+		RequestID: a.in.RequestID, Version: a.served.Name, Failed: failed, Crash: a.crash, FirstByte: a.firstByte,
+	})
+}
+
 // withRan sets the run state of the attempts so far on an error of a later one.
 func (a *Answer) withRan(err error) error {
 	e := *result.From(err)
--- a/kv/memkv/faults.go
+++ b/kv/memkv/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -28,7 +29,8 @@
 	mu          sync.Mutex
 	down        bool
 	delay       time.Duration
-	loseReplies int
+	loseReplies int    // writes
+	losePrefix  string // of their keys
 	onCall      func(Call)
 	counts      map[Call]int
 	broken      chan struct{} // closed when the store goes down
@@ -59,10 +61,13 @@
 }
 
 // LoseReplies makes the next n writes take effect and then report kv.ErrUnavailable.
-func (f *Faults) LoseReplies(n int) {
+func (f *Faults) LoseReplies(n int) { f.LoseRepliesOf("", n) }
+
+// LoseRepliesOf is LoseReplies for writes of keys with a prefix.
+func (f *Faults) LoseRepliesOf(prefix string, n int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.loseReplies = n
+	f.losePrefix, f.loseReplies = prefix, n
 }
 
 // OnCall registers a function that runs before each call takes effect.
@@ -104,10 +109,10 @@
 	return ctx.Err()
 }
 
-func (f *Faults) after(ctx context.Context) error {
+func (f *Faults) after(ctx context.Context, key string) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.loseReplies > 0 {
+	if f.loseReplies > 0 && strings.HasPrefix(key, f.losePrefix) {
 		f.loseReplies--
 		return kv.ErrUnavailable
 	}
--- a/kv/memkv/store.go
+++ b/kv/memkv/store.go
@@ -70,7 +70,7 @@
 	if err != nil {
 		return 0, err
 	}
-	return rev, s.Faults.after(ctx)
+	return rev, s.Faults.after(ctx, key)
 }
 
 func (s *Store) cas(key string, value []byte, prev uint64, id kv.LeaseID) (uint64, error) {
@@ -130,7 +130,7 @@
 	}
 	s.remove(key)
 	s.mu.Unlock()
-	return s.Faults.after(ctx)
+	return s.Faults.after(ctx, key)
 }
 
 func (s *Store) remove(key string) {
@@ -214,7 +214,7 @@
 	id := s.lastID
 	s.leases[id] = &lease{ttl: ttl, expires: time.Now().Add(ttl), keys: map[string]bool{}}
 	s.mu.Unlock()
-	return id, s.Faults.after(ctx)
+	return id, s.Faults.after(ctx, "")
 }
 
 // KeepAlive implements kv.Store.
--- a/peer/message.go
+++ b/peer/message.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/bramleytrail/bramleytrail/ledger"
 	"github.com/bramleytrail/bramleytrail/poison"
+	"github.com/bramleytrail/bramleytrail/rollout"
 )
 
 // serviceName is the net/rpc service of every daemon.
@@ -67,5 +68,8 @@
 // BillsReply names the incarnation that keeps the copies. A daemon that was started again has lost them and has another.
 type BillsReply struct{ Holder string }
 
+// EvidenceArgs carries what a daemon has counted of versions under roll-out.
+type EvidenceArgs struct{ Evidence rollout.Evidence }
+
 // Empty is a reply without content.
 type Empty struct{}
--- a/peer/node.go
+++ b/peer/node.go
@@ -17,6 +17,7 @@
 	"github.com/bramleytrail/bramleytrail/hostlist"
 	"github.com/bramleytrail/bramleytrail/ledger"
 	"github.com/bramleytrail/bramleytrail/poison"
+	"github.com/bramleytrail/bramleytrail/rollout"
 )
 
 // ErrNoPeer says that no other daemon can be reached.
@@ -30,6 +31,8 @@
 	// KeepBills stores copies of another daemon's bills and returns this daemon's incarnation, or an error if it keeps
 	// no copies.
 	KeepBills(ledger.Copy) (string, error)
+	// TakeEvidence takes another daemon's counts. It returns an error if this daemon does not evaluate roll-outs.
+	TakeEvidence(rollout.Evidence) error
 }
 
 // Spec configures a Node.
--- a/peer/service.go
+++ b/peer/service.go
@@ -61,3 +61,8 @@
 	reply.Holder = holder
 	return err
 }
+
+// Evidence takes a daemon's counts of versions under roll-out. It fails if this daemon does not hold the duty.
+func (s *service) Evidence(args EvidenceArgs, _ *Empty) error {
+	return s.node.spec.Handler.TakeEvidence(args.Evidence)
+}
--- a/pipeline/chat.go
+++ b/pipeline/chat.go
@@ -28,13 +28,15 @@
 	r      *Request
 	caller relay.Caller
 
-	chat       chat
-	prompt     int64
-	maxTokens  int64
-	held       *claim.Claim
-	candidates []choose.Candidate
-	answer     *dispatch.Answer
-	whole      []byte // answer of a request without streaming
+	chat      chat
+	prompt    int64
+	maxTokens int64
+	held      *claim.Claim
+	choice    choose.Choice
+	answer    *dispatch.Answer
+	source    relay.Source  // the answer, or what a cascade held back and the rest
+	calls     []ledger.Call // of earlier steps of a cascade
+	whole     []byte        // answer of a request without streaming
 }
 
 func (p *Pipeline) newChatStages(r *Request, c relay.Caller, e *entered) (*chatStages, error) {
@@ -92,55 +94,84 @@
 
 func (s *chatStages) choose() error {
 	var err error
-	s.candidates, err = s.candidatesUnder(s.view, s.who.Team)
+	s.choice, err = s.choiceUnder(s.view, s.who.Team)
+	s.outcome.Explored, s.outcome.Cascade = s.choice.Explored, s.choice.Cascade != nil
 	return err
 }
 
-func (s *chatStages) candidatesUnder(view *config.View, team *object.Team) ([]choose.Candidate, error) {
+func (s *chatStages) choiceUnder(view *config.View, team *object.Team) (choose.Choice, error) {
 	return s.p.Choose.Do(choose.Input{
 		View: view, Team: team, Model: s.chat.Model, Kind: s.who.Kind, Session: s.who.Session, RequestID: s.r.ID, Now: s.start,
+		Once: s.held != nil,
 	})
 }
 
-// renew chooses again if the configuration has changed since the last choice.
-func (s *chatStages) renew(used *config.View) (*config.View, []choose.Candidate, error) {
+// renew chooses again if the configuration has changed since the last choice. A step of a cascade keeps to its model.
+func (s *chatStages) renew(used *config.View, candidates []choose.Candidate) (*config.View, []choose.Candidate, error) {
 	view := s.p.Config.View()
 	if view == used {
-		return used, s.candidates, nil
+		return used, candidates, nil
 	}
 	team, err := s.teamUnder(view)
 	if err != nil {
 		return nil, nil, err
 	}
-	candidates, err := s.candidatesUnder(view, team)
+	choice, err := s.choiceUnder(view, team)
 	if err != nil {
 		return nil, nil, err
 	}
-	s.view, s.candidates = view, candidates
-	return view, candidates, nil
+	s.view = view
+	if s.choice.Cascade == nil {
+		return view, choice.Candidates, nil
+	}
+	model := candidates[0].Version.Model
+	for i, c := range choice.Candidates {
+		if c.Version.Model == model {
+			return view, choice.Candidates[i : i+1], nil
+		}
+	}
+	return nil, nil, result.Newf(result.NoVersion, "Model %q.", model)
 }
 
 func (s *chatStages) dispatch(ctx context.Context) error {
-	answer, err := s.p.Dispatch.Do(ctx, dispatch.Input{
-		View: s.view, RequestID: s.r.ID, Team: s.who.Team.Name, Candidates: s.candidates, Body: s.r.Body, Priority: s.who.Priority,
-		Tokens: s.prompt, MaxTokens: s.maxTokens, Fingerprint: poison.Fingerprint(s.who.Team.Name, s.r.Body), Once: s.held != nil,
-		Renew: s.renew,
-	})
-	if err != nil {
-		return err
+	if s.choice.Cascade != nil {
+		if err := s.climb(ctx); err != nil {
+			return err
+		}
+	} else {
+		answer, err := s.p.Dispatch.Do(ctx, s.call(s.r.ID, s.choice.Candidates))
+		if err != nil {
+			return err
+		}
+		s.answer, s.source = answer, answer
 	}
-	s.answer = answer
 	s.outcome.FirstByte = s.p.Now().Sub(s.start)
-	s.outcome.Version = answer.Version().Name
+	s.outcome.Version = s.answer.Version().Name
 	return nil
 }
 
+func (s *chatStages) call(id string, candidates []choose.Candidate) dispatch.Input {
+	current := candidates
+	renew := func(used *config.View) (*config.View, []choose.Candidate, error) {
+		view, list, err := s.renew(used, current)
+		if err == nil {
+			current = list
+		}
+		return view, list, err
+	}
+	return dispatch.Input{
+		View: s.view, RequestID: id, Team: s.who.Team.Name, Candidates: candidates, Body: s.r.Body, Priority: s.who.Priority,
+		Tokens: s.prompt, MaxTokens: s.maxTokens, Fingerprint: poison.Fingerprint(s.who.Team.Name, s.r.Body), Once: s.held != nil,
+		Renew: renew,
+	}
+}
+
 // relay sends the answer, except for the end that the caller sees only after the bill is kept.
 func (s *chatStages) relay() error {
 	meta := relay.Meta{ID: "chatcmpl-" + s.r.ID, Model: s.answer.Version().Name, Created: s.start.Unix()}
 	if !s.chat.Stream {
 		var err error
-		s.whole, err = relay.Collect(s.answer, meta)
+		s.whole, err = relay.Collect(s.source, meta)
 		return err
 	}
 	h, err := s.header()
@@ -150,13 +181,13 @@
 	if err := s.caller.Begin(http.StatusOK, relay.StreamHeader(h)); err != nil {
 		return &result.Error{Code: result.CallerGone, Ran: result.RunDone, Err: err}
 	}
-	return relay.Stream(s.answer, s.caller, meta)
+	return relay.Stream(s.source, s.caller, meta)
 }
 
 func (s *chatStages) header() (http.Header, error) {
 	h := s.r.answerHeader()
 	v := s.answer.Version()
-	h.Set(relay.HeaderVersion, v.Name)
+	h.Set(relay.HeaderVersion, s.ratedVersion(v.Name))
 	tok := s.who.Session
 	if tok.ID == "" {
 		tok.ID = s.r.ID
@@ -178,16 +209,31 @@
 	return h, nil
 }
 
+// ratedVersion returns the version under which the answer is rated. A cascade's answers are rated apart from those of
+// the version alone, see quality.Summary.
+func (s *chatStages) ratedVersion(name string) string {
+	if s.choice.Cascade != nil {
+		return s.choice.Cascade.Label() + name
+	}
+	return name
+}
+
 func (s *chatStages) bill(ctx context.Context, err error) {
-	s.outcome.Attempts = s.answer.Attempts()
+	s.outcome.Attempts = append(s.outcome.Attempts, s.answer.Attempts()...)
 	code := result.OK
 	if err != nil {
 		code = result.From(err).Code
 	}
 	u := s.answer.Usage()
+	s.calls = append(s.calls, bill.ModelCall(s.answer.Version(), u.InputTokens, u.OutputTokens))
+	s.writeBill(ctx, code)
+}
+
+// writeBill writes one bill with all model calls.
+func (s *chatStages) writeBill(ctx context.Context, code result.Code) {
 	s.p.Bill.Do(ctx, bill.Input{
 		Team: s.who.Team.Name, Service: chatService, Key: s.who.Key, RequestID: s.r.ID, Content: s.r.contentHash(), Code: code, Now: s.p.Now(),
-		Calls: []ledger.Call{bill.ModelCall(s.answer.Version(), u.InputTokens, u.OutputTokens)},
+		Calls: s.calls,
 	})
 }
 
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -7,6 +7,7 @@
 
 	"github.com/bramleytrail/bramleytrail/admit"
 	"github.com/bramleytrail/bramleytrail/bill"
+	"github.com/bramleytrail/bramleytrail/cascade"
 	"github.com/bramleytrail/bramleytrail/choose"
 	"github.com/bramleytrail/bramleytrail/claim"
 	"github.com/bramleytrail/bramleytrail/config"
@@ -29,6 +30,7 @@
 	Dispatch *dispatch.Filter
 	Bill     *bill.Filter
 
+	Climbs *cascade.Rates
 	Signer *session.Signer
 	Now    func() time.Time
 	// Observe is called at the end of each request.
@@ -45,6 +47,8 @@
 	FirstByte time.Duration // 0 if no answer began
 	Total     time.Duration
 	Attempts  []dispatch.Attempt
+	Explored  bool // answered to learn about the version or cascade
+	Cascade   bool
 	Err       error
 }
 
@@ -122,7 +126,7 @@
 		if err := s.dispatch(ctx); err != nil {
 			return s.fail(ctx, err)
 		}
-		defer s.answer.Close()
+		defer func() { s.answer.Close() }()
 		err = s.relay()
 		s.bill(ctx, err)
 		return s.finish(err)
