--- a/settings/settings.go
+++ b/settings/settings.go
@@ -39,7 +39,7 @@
 	PollsPerSecond int           `long:"polls-per-second" env:"BRAMLEY_POLLS_PER_SECOND" description:"load reports that this daemon reads a second" default:"8"`
 	DutyTTL        time.Duration `long:"duty-ttl" env:"BRAMLEY_DUTY_TTL" description:"time after which a silent holder of a duty is replaced" default:"9s"`
 	EvidenceEvery  time.Duration `long:"evidence-interval" env:"BRAMLEY_EVIDENCE_INTERVAL" description:"time between reports on versions under roll-out" default:"10s"`
-	RatingEvery    time.Duration `long:"rating-interval" env:"BRAMLEY_RATING_INTERVAL" description:"time between reads of the rating service" default:"10s"`
+	RatingEvery    time.Duration `long:"rating-interval" env:"BRAMLEY_RATING_INTERVAL" description:"time between reads of the rating service" default:"30s"`
 	ExploreShare   float64       `long:"explore-requests" env:"BRAMLEY_EXPLORE_REQUESTS" description:"part of a team's requests that may explore cheaper versions" default:"0.05"`
 	ExploreCost    float64       `long:"explore-cost" env:"BRAMLEY_EXPLORE_COST" description:"part of a team's cost that may explore cheaper versions" default:"0.05"`
 	LogLevel       string        `long:"log-level" env:"BRAMLEY_LOG_LEVEL" description:"error, warn, info or debug" default:"info"`
