Make tests of claims and bills independent of timing

Cause: a pending watch could end the outage that a test had injected; a cut stream could end before its caller left on a slow machine; a copy that timed out would have left a bill in one place before its owner was killed. Change: the outage starts once; engines fall silent before the caller leaves; tests wait for the copies. Histories of claims run 700 seeds.

--- a/claim/history_test.go
+++ b/claim/history_test.go
@@ -19,7 +19,7 @@
 
 // The longer run is: go test ./claim -run TestHistories -seeds 20000
 var (
-	seedCount = flag.Int("seeds", 200, "number of histories that TestHistories checks")
+	seedCount = flag.Int("seeds", 700, "number of histories that TestHistories checks")
 	firstSeed = flag.Uint64("first-seed", 1, "seed of the first one")
 )
 
--- a/local/bills_test.go
+++ b/local/bills_test.go
@@ -83,7 +83,7 @@
 	for _, killed := range []bool{true, false} {
 		ctx, d := startSample(t, 1, fastEngine)
 		s := d.Settings("entry-2", SampleDomainB)
-		s.BillInterval = time.Hour
+		s.BillInterval, s.CopyTimeout = time.Hour, 10*time.Second
 		owner, err := d.AddDaemon(s)
 		if err != nil {
 			t.Fatal(err)
@@ -112,6 +112,9 @@
 		d.Platform.KV.Faults.SetDown(true)
 		tokens := ask(ctx, t, d, 0, 5)
 		holder, other := d.Daemons[1], d.Daemons[2]
+		if err := Wait(ctx, func() bool { return holder.State().CopiesHeld+other.State().CopiesHeld >= 5 }); err != nil {
+			t.Fatal(err)
+		}
 		if other.State().CopiesHeld > 0 {
 			holder, other = other, holder
 		}
@@ -158,7 +161,7 @@
 // Guards against a missing bill, or one for the whole answer, when the caller cuts a stream half-way.
 func TestStreamCutByItsCaller(t *testing.T) {
 	spec := fastEngine
-	spec.TokenDelay = 20 * time.Millisecond
+	spec.TokenDelay = 50 * time.Millisecond
 	ctx, d := startSample(t, 2, spec)
 	resp, err := sampleClient(d, 0).Do(ctx, http.MethodPost, "/v1/chat/completions", ChatBody("small", "long", true), nil)
 	if err != nil {
@@ -170,6 +173,9 @@
 			events++
 		}
 	}
+	for _, e := range d.Engines {
+		e.SetSilent(true) // the answer can't end before the caller leaves
+	}
 	resp.Body.Close()
 	drainAll(ctx, t, d)
 	bills := billsOf(ctx, t, d)
--- a/local/claims_test.go
+++ b/local/claims_test.go
@@ -244,7 +244,12 @@
 		"reply lost":            {inject: func() { faults.LoseReplies(1) }, status: 200, runs: 1},
 		"reply lost and reading back fails": {inject: func() {
 			faults.LoseReplies(1)
-			faults.OnCall(func(c memkv.Call) { faults.SetDown(c == memkv.CallCAS || c == memkv.CallGet) }) // the write itself still takes effect
+			down := sync.OnceFunc(func() { faults.SetDown(true) })
+			faults.OnCall(func(c memkv.Call) {
+				if c == memkv.CallCAS { // this write itself still takes effect
+					down()
+				}
+			})
 		}, status: 503, ran: "no"},
 		"slow beyond the deadline": {inject: func() { faults.SetDelay(time.Hour) }, header: map[string]string{identify.HeaderDeadline: "200"}, status: 503, ran: "no"},
 		"slow":                     {inject: func() { faults.SetDelay(20 * time.Millisecond) }, status: 200, runs: 1},
@@ -330,7 +335,7 @@
 		{"failure", func(on bool) { setAll(func(n string) { d.Engines[n].FailEvery(map[bool]int{true: 1}[on]) }) }, http.StatusBadGateway},
 	} {
 		header := map[string]string{identify.HeaderKey: c.key, identify.HeaderRepeatable: "no"}
-		first := map[string]string{identify.HeaderKey: c.key, identify.HeaderRepeatable: "no", identify.HeaderDeadline: "300"}
+		first := map[string]string{identify.HeaderKey: c.key, identify.HeaderRepeatable: "no", identify.HeaderDeadline: "1000"}
 		c.set(true)
 		a, err := sampleClient(d, 0).Chat(ctx, ChatBody("small", c.key, false), first)
 		expect(t, a, err, c.status, "unknown")
