daemon: log bills that a planned stop leaves with other daemons

Cause: a stop during an outage ended without a word about unwritten bills when all of them had copies. Change: a warning with their number. Conclusion: an error is returned only if bills are in this process alone.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -248,6 +248,8 @@
 	}
 	if bills, uncopied := d.ledger.Held(); !stored && uncopied > 0 {
 		copyErr = errors.Join(copyErr, fmt.Errorf("%d of %d unwritten bills have no copy", uncopied, bills))
+	} else if !stored {
+		d.log.WithField("bills", bills).Warn("bills not written; other daemons keep them")
 	}
 	return copyErr
 }
