pool, dispatch: shares that hold under any order of changes; wait in the queue

Cause: the shares of an endpoint's limits added up to more than the limit if a daemon missed a state of the host list, and a published change of limits was not covered at all. Signs of life were dated when they were read, which may be long after they were sent. An endpoint without a report took every turn of the load polls. A request above a daemon's equal token share could run nowhere. Change: the rank of a daemon never falls when daemons are added, so a share computed from a superset of the users is safe; daemons that left count for two settle times, and a daemon uses its shares two settle times after it is listed and is not ready before. Evidence is dated when the call was sent, or when a read that had to wait began. Half of the token limit serves requests up to the largest that a team may send, at as many first ranks as it lifts to that size, if equal shares are smaller. Polls go by the time of asking. dispatch waits in package queue instead of polling. Conclusion: the sum of shares holds as long as the listing of one daemon does not change three times within two settle times.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -59,18 +59,19 @@
 	engines     engine.Client
 	incarnation string
 
-	config  *config.Holder
-	pool    *pool.Pool
-	poison  *poison.Table
-	ledger  *ledger.Ledger
-	copies  *ledger.Copies
-	claims  *claim.Filter
-	admit   *admit.Filter
-	node    *peer.Node
-	entry   *entry.Server
-	ops     *operatorServer
-	metrics *observe.Metrics
-	recent  *observe.Recent
+	config   *config.Holder
+	pool     *pool.Pool
+	poison   *poison.Table
+	dispatch atomic.Pointer[dispatch.Filter] // nil until Start
+	ledger   *ledger.Ledger
+	copies   *ledger.Copies
+	claims   *claim.Filter
+	admit    *admit.Filter
+	node     *peer.Node
+	entry    *entry.Server
+	ops      *operatorServer
+	metrics  *observe.Metrics
+	recent   *observe.Recent
 
 	members  atomic.Int64 // live entry hosts
 	watcher  atomic.Bool
@@ -99,7 +100,7 @@
 		ctx: ctx, cancel: cancel,
 	}
 	d.platform = Platform{Store: observe.Store{Store: p.Store, Metrics: d.metrics}, Hosts: p.Hosts}
-	d.pool = pool.New(pool.Spec{Self: s.ID, Domain: s.Domain, Settle: s.Settle, Rand: mathrand.Uint64})
+	d.pool = pool.New(pool.Spec{Self: s.ID, Domain: s.Domain, Settle: s.Settle, Rand: mathrand.Uint64, OnRoom: d.signalRoom})
 	d.config.OnChange(func(v *config.View) { d.pool.SetView(v, time.Now()) })
 	return d
 }
@@ -157,18 +158,19 @@
 	signer := session.NewSigner(s.SessionKey)
 	d.admit = admit.New(admit.Spec{MaxInFlight: s.MaxInFlight})
 	d.claims = claim.New(claim.Spec{Store: d.platform.Store, Owner: d.incarnation, WritesPerSecond: s.ClaimWrites, Now: time.Now})
+	d.dispatch.Store(dispatch.New(dispatch.Spec{
+		Pool: d.pool, Client: d.engines, Poison: d.poison, OnCrash: d.node.ReportCrash, QueueWait: s.QueueWait, Now: time.Now,
+	}))
 	p := &pipeline.Pipeline{
 		Config:   d.config,
 		Admit:    d.admit,
 		Identify: identify.New(identify.Spec{Signer: signer, Members: func() int { return int(d.members.Load()) }}),
 		Claim:    d.claims,
 		Choose:   choose.New(choose.Declared{}),
-		Dispatch: dispatch.New(dispatch.Spec{
-			Pool: d.pool, Client: d.engines, Poison: d.poison, OnCrash: d.node.ReportCrash, QueueWait: s.QueueWait, Now: time.Now,
-		}),
-		Bill:   bill.New(d.ledger, d.incarnation),
-		Signer: signer,
-		Now:    time.Now,
+		Dispatch: d.dispatch.Load(),
+		Bill:     bill.New(d.ledger, d.incarnation),
+		Signer:   signer,
+		Now:      time.Now,
 		Observe: func(o pipeline.Outcome) {
 			d.metrics.Request(o)
 			d.recent.Add(o)
@@ -182,6 +184,13 @@
 	})
 }
 
+// signalRoom passes news of the pool to the requests that wait for room.
+func (d *Daemon) signalRoom(service string, versions []string) {
+	if f := d.dispatch.Load(); f != nil {
+		f.Signal(service, versions)
+	}
+}
+
 // Addr returns the callers' address.
 func (d *Daemon) Addr() string { return d.entry.Addr() }
 
@@ -191,10 +200,10 @@
 // OperatorAddr returns the operators' address.
 func (d *Daemon) OperatorAddr() string { return d.ops.addr }
 
-// Ready reports whether the balancer may send requests: the daemon has a configuration and a host list and is not
-// leaving.
+// Ready reports whether the balancer may send requests: the daemon has a configuration and a host list,
+// may use its shares of the endpoints and is not leaving.
 func (d *Daemon) Ready() bool {
-	return d.config.View() != nil && d.list.Load() != nil && !d.leaving.Load()
+	return d.config.View() != nil && d.list.Load() != nil && d.pool.Joined(time.Now()) && !d.leaving.Load()
 }
 
 // Run serves until ctx ends, then stops gracefully.
--- a/daemon/poll.go
+++ b/daemon/poll.go
@@ -20,7 +20,7 @@
 			return
 		case <-t.C:
 		}
-		for _, target := range d.pool.Due(1) {
+		for _, target := range d.pool.Due(1, time.Now()) {
 			select {
 			case busy <- struct{}{}:
 				d.wg.Go(func() {
@@ -36,6 +36,7 @@
 func (d *Daemon) pollLoad(target pool.Target) {
 	ctx, cancel := context.WithTimeout(d.ctx, engine.LoadTimeout)
 	defer cancel()
+	asked := time.Now()
 	load, err := d.engines.Load(ctx, target.Addr)
 	if err != nil {
 		if d.ctx.Err() == nil {
@@ -43,5 +44,5 @@
 		}
 		return
 	}
-	d.pool.Report(target.ID, load, time.Now())
+	d.pool.Report(target.ID, load, asked)
 }
--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -29,6 +29,7 @@
 	timer    *time.Timer // cancels stream when it makes no progress
 	callID   string
 	first    *engine.Event // read by start and not delivered yet
+	heard    time.Time     // the endpoint sent the newest event after this time
 
 	attempts int
 	exclude  []string
@@ -42,6 +43,10 @@
 	trace    []Attempt
 }
 
+// waited is the duration of a read from which the event was not in a buffer before the read began. Engines send a token
+// every few tens of milliseconds, and reading a buffered one takes microseconds.
+const waited = 5 * time.Millisecond
+
 // Attempt records one endpoint that a request was sent to.
 type Attempt struct {
 	Endpoint string `json:"endpoint"`
@@ -117,7 +122,7 @@
 	if ev.Usage != nil {
 		a.usage = *ev.Usage
 	}
-	a.room.Progress(a.filter.spec.Now())
+	a.room.Progress(a.stream.Boot(), a.heard)
 }
 
 // open reserves room and sends the request, or its continuation, to an endpoint.
@@ -129,6 +134,7 @@
 	if a.served != nil && a.seq > 0 {
 		// Text of one version is continued by the same version only.
 		candidates = []choose.Candidate{a.room.candidate}
+		a.in.Priority = continuePriority
 	}
 	r, err := a.filter.reserve(a.ctx, &a.in, candidates, a.exclude, a.suspect)
 	if err != nil {
@@ -193,7 +199,8 @@
 	}
 	a.stream, a.ctxCall, a.cancel, a.timer = s, ctx, cancel, timer
 	now := a.filter.spec.Now()
-	a.room.Opened(s.Boot(), now.Sub(start), now)
+	a.room.Opened(s.Boot(), now.Sub(start), start)
+	a.heard = start
 	return nil
 }
 
@@ -204,8 +211,12 @@
 		limit = a.room.timeouts.firstByte
 	}
 	a.timer.Reset(limit)
+	start := a.filter.spec.Now()
 	ev, err := a.stream.Next()
 	a.timer.Stop()
+	if a.filter.spec.Now().Sub(start) >= waited {
+		a.heard = start
+	}
 	if err != nil && err != io.EOF {
 		err = a.cause(a.ctxCall, err)
 	}
@@ -280,11 +291,12 @@
 
 // recordCrash blames this request for a crash unless a request that ran in isolation is the cause.
 func (a *Answer) recordCrash(boot string) {
-	if a.room.BesideSuspect() {
+	now := a.filter.spec.Now()
+	if a.room.BesideSuspect(now) {
 		return
 	}
-	r := poison.Record{Fingerprint: a.in.Fingerprint, Crash: a.room.ID + "/" + boot, Isolated: a.room.Isolated()}
-	if a.filter.spec.Poison.Add(r, a.filter.spec.Now()) {
+	r := poison.Record{Fingerprint: a.in.Fingerprint, Crash: a.room.ID + "/" + boot, Isolated: a.room.Isolated(now)}
+	if a.filter.spec.Poison.Add(r, now) {
 		a.filter.spec.OnCrash(r)
 	}
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -13,15 +13,18 @@
 	"github.com/bramleytrail/bramleytrail/engine"
 	"github.com/bramleytrail/bramleytrail/poison"
 	"github.com/bramleytrail/bramleytrail/pool"
+	"github.com/bramleytrail/bramleytrail/queue"
 	"github.com/bramleytrail/bramleytrail/result"
 )
 
 const (
 	// maxAttempts bounds the endpoints that one request is sent to.
 	maxAttempts = 4
-	pickPause   = 5 * time.Millisecond
-	probeLimit  = time.Second
-	fullRetry   = time.Second
+	// queueLimit bounds the requests that wait for one version in a daemon. At the target a daemon serves 18 requests a
+	// second, so that 256 are more than its endpoints release within the longest wait.
+	queueLimit = 256
+	probeLimit = time.Second
+	fullRetry  = time.Second
 )
 
 // Spec configures a Filter.
@@ -40,10 +43,19 @@
 type Filter struct {
 	spec   Spec
 	budget *budget
+	queue  *queue.Queue
 }
 
 // New returns a filter.
-func New(spec Spec) *Filter { return &Filter{spec: spec, budget: newBudget()} }
+func New(spec Spec) *Filter {
+	return &Filter{spec: spec, budget: newBudget(), queue: queue.New(queue.Spec{Limit: queueLimit, Now: spec.Now})}
+}
+
+// Signal tells the requests that wait that endpoints of a service may have room. It suits pool.Spec.OnRoom.
+func (f *Filter) Signal(service string, versions []string) { f.queue.Signal(service, versions) }
+
+// Waiting returns the number of requests that wait for room.
+func (f *Filter) Waiting() int { return f.queue.Waiting() }
 
 // Input is a model request.
 type Input struct {
@@ -80,47 +92,6 @@
 
 type timeouts struct{ firstByte, progress time.Duration }
 
-// reserve waits for room at an endpoint of one of the candidates, the preferred one first.
-func (f *Filter) reserve(ctx context.Context, in *Input, candidates []choose.Candidate, exclude []string, suspect bool) (room, error) {
-	deadline := f.spec.Now().Add(f.spec.QueueWait)
-	var short pool.Shortage
-	for {
-		for _, c := range candidates {
-			q := pool.Query{Service: c.Service, Version: c.Version.Name, Tokens: in.Tokens + in.MaxTokens, Exclude: exclude, Suspect: suspect}
-			q.OnlyRankZero = suspect && f.spec.Pool.HasRankZero(c.Service, c.Version.Name)
-			r, s, ok := f.spec.Pool.Pick(q, f.spec.Now())
-			if ok {
-				t := in.View.Services[c.Service].Timeouts
-				return room{r, c, timeouts{t.FirstByte, t.Progress}}, nil
-			}
-			short = s
-		}
-		if !f.spec.Now().Before(deadline) {
-			return room{}, noEndpoint(short)
-		}
-		if err := pause(ctx, pickPause); err != nil {
-			return room{}, err
-		}
-	}
-}
-
-func noEndpoint(s pool.Shortage) error {
-	return result.Newf(result.NoEndpoint, "Of %d endpoints, %d are out of service, %d failed, %d are full, %d lack memory, %d gave no report.",
-		s.Listed, s.DomainOut, s.Ejected, s.Full, s.TokensFull, s.Stale).WithRetry(fullRetry)
-}
-
-// pause waits, or returns the reason why ctx ended.
-func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return contextError(ctx, result.NotRun)
-	}
-}
-
 // contextError maps the end of a request's context to a result.
 func contextError(ctx context.Context, ran result.Ran) error {
 	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -6,6 +6,7 @@
 	"io"
 	"time"
 
+	"github.com/bramleytrail/bramleytrail/config"
 	"github.com/bramleytrail/bramleytrail/engine"
 	"github.com/bramleytrail/bramleytrail/object"
 	"github.com/bramleytrail/bramleytrail/pool"
@@ -14,8 +15,11 @@
 
 // PlainInput is a call of a plain service.
 type PlainInput struct {
-	Service *object.Service
-	Request engine.PlainRequest
+	View     *config.View
+	Team     string
+	Priority int
+	Service  *object.Service
+	Request  engine.PlainRequest
 }
 
 // PlainAnswer is the response of a plain service. Close must be called.
@@ -36,7 +40,7 @@
 	var exclude []string
 	ran := result.NotRun
 	for attempt := 1; ; attempt++ {
-		r, err := f.reservePlain(ctx, in.Service.Name, exclude)
+		r, err := f.reservePlain(ctx, &in, exclude)
 		if err != nil {
 			e := *result.From(err)
 			e.Ran = max(e.Ran, ran)
@@ -69,20 +73,10 @@
 	return &result.Error{Code: code, Ran: ran, Err: err, RetryAfter: fullRetry}
 }
 
-func (f *Filter) reservePlain(ctx context.Context, service string, exclude []string) (pool.Reservation, error) {
-	deadline := f.spec.Now().Add(f.spec.QueueWait)
-	for {
-		r, short, ok := f.spec.Pool.Pick(pool.Query{Service: service, Exclude: exclude}, f.spec.Now())
-		if ok {
-			return r, nil
-		}
-		if !f.spec.Now().Before(deadline) {
-			return r, noEndpoint(short)
-		}
-		if err := pause(ctx, pickPause); err != nil {
-			return r, err
-		}
-	}
+func (f *Filter) reservePlain(ctx context.Context, in *PlainInput, exclude []string) (pool.Reservation, error) {
+	w := want{view: in.View, team: in.Team, priority: in.Priority, queries: []pool.Query{{Service: in.Service.Name, Exclude: exclude}}}
+	err := f.wait(ctx, &w)
+	return w.got, err
 }
 
 func (f *Filter) callOnce(ctx context.Context, in PlainInput, r pool.Reservation) (*PlainAnswer, error) {
@@ -105,7 +99,7 @@
 		return nil, err
 	}
 	now := f.spec.Now()
-	r.Opened("", now.Sub(start), now)
+	r.Opened("", now.Sub(start), start)
 	return &PlainAnswer{PlainResponse: resp, Endpoint: r.ID, filter: f, room: r, cancel: cancel, progress: in.Service.Timeouts.Progress}, nil
 }
 
--- a/pipeline/plain.go
+++ b/pipeline/plain.go
@@ -100,7 +100,7 @@
 
 func (s *plainStages) dispatch(ctx context.Context) error {
 	answer, err := s.p.Dispatch.Call(ctx, dispatch.PlainInput{
-		Service: s.service,
+		View: s.view, Team: s.who.Team.Name, Priority: s.who.Priority, Service: s.service,
 		Request: engine.PlainRequest{
 			ID: s.r.ID, Method: s.r.Method, Path: s.r.Path, Header: s.endpointHeader(), Body: s.r.Body, Repeatable: s.repeatable(),
 		},
--- a/pool/endpoint.go
+++ b/pool/endpoint.go
@@ -6,7 +6,6 @@
 
 	"github.com/bramleytrail/bramleytrail/engine"
 	"github.com/bramleytrail/bramleytrail/hostlist"
-	"github.com/bramleytrail/bramleytrail/object"
 )
 
 const (
@@ -28,25 +27,28 @@
 	local bool
 	mu    *sync.Mutex // lock of the endpoint's shard
 
-	pos       positions
+	settled   place // among the daemons in the list
+	counted   place // among those and the ones that left a short time ago
 	inFlight  int64
 	tokens    int64
 	suspects  int
 	boot      string
 	completed int64
-	evidence  time.Time
+	evidence  time.Time // at which the endpoint was surely running as boot
+	failedAt  time.Time // signs of life from before do not count
 	load      engine.Load
 	loadAt    time.Time
 	failures  int
 	ejected   time.Time // no work before this time
 	latency   time.Duration
-	wanted    bool // a request found the evidence too old
+	askedAt   time.Time // when a load report was last asked for
+	wanted    bool      // a request found the evidence too old
 }
 
-// slots returns the number of requests that the endpoint can bear now, over all daemons.
-func (e *endpoint) slots(lim object.EndpointLimits, now time.Time) int64 {
+// capacity returns the number of requests that the endpoint can bear now, over all daemons.
+func (e *endpoint) capacity(lim *limits, now time.Time) int64 {
 	cold, warm := int64(lim.ColdSlots), int64(lim.Slots)
-	if now.Sub(e.evidence) > evidenceTTL {
+	if e.stale(now) {
 		return cold
 	}
 	if lim.WarmAfter == 0 || e.completed >= int64(lim.WarmAfter) {
@@ -55,6 +57,54 @@
 	return cold + (warm-cold)*e.completed/int64(lim.WarmAfter)
 }
 
+func (e *endpoint) stale(now time.Time) bool { return now.Sub(e.evidence) > evidenceTTL }
+
+// rule is what applies to all endpoints of a service at one time: the limits in force, and those in force before for
+// as long as other daemons may still use them.
+type rule struct {
+	limits  limits
+	earlier []expiringLimits
+	joined  time.Time // this daemon has no share before; if it is not listed, its places have none
+	until   time.Time // departed daemons count until then
+}
+
+func (e *endpoint) place(r *rule, now time.Time) place {
+	if now.Before(r.until) {
+		return e.counted
+	}
+	return e.settled
+}
+
+// slotShare returns the number of requests that this daemon may have at the endpoint now.
+func (e *endpoint) slotShare(r *rule, now time.Time) int64 {
+	if now.Before(r.joined) {
+		return 0
+	}
+	p := e.place(r, now)
+	n := p.share(e.capacity(&r.limits, now), r.limits.Slots)
+	for i := range r.earlier {
+		if l := &r.earlier[i]; now.Before(l.until) {
+			n = min(n, p.share(e.capacity(&l.limits, now), l.Slots))
+		}
+	}
+	return n
+}
+
+// tokenShare returns the number of tokens that this daemon's requests may hold at the endpoint now.
+func (e *endpoint) tokenShare(r *rule, now time.Time) int64 {
+	if now.Before(r.joined) {
+		return 0
+	}
+	p := e.place(r, now)
+	n := p.tokens(&r.limits)
+	for i := range r.earlier {
+		if l := &r.earlier[i]; l.Tokens > 0 && now.Before(l.until) {
+			n = min(n, p.tokens(&l.limits))
+		}
+	}
+	return n
+}
+
 // refusal says why an endpoint can't take a request.
 type refusal int
 
@@ -63,37 +113,49 @@
 	refusedEjected
 	refusedSlots
 	refusedTokens
+	refusedTooLarge
 	refusedStale
 	refusedSuspect
 )
 
-func (e *endpoint) admits(q *Query, lim object.EndpointLimits, now time.Time) refusal {
+func (e *endpoint) admits(q *Query, r *rule, now time.Time) refusal {
 	if now.Before(e.ejected) {
 		return refusedEjected
 	}
-	if q.Suspect && (e.suspects > 0 || q.OnlyRankZero && e.pos.current.rank != 0) {
+	if q.Suspect && (e.suspects > 0 || q.OnlyRankZero && !e.first(r, now)) {
 		return refusedSuspect
 	}
-	if e.inFlight >= e.pos.share(e.slots(lim, now), now) {
-		if now.Sub(e.evidence) > evidenceTTL {
+	if e.inFlight >= e.slotShare(r, now) {
+		if e.stale(now) && r.limits.ColdSlots < r.limits.Slots {
 			e.wanted = true
 			return refusedStale
 		}
 		return refusedSlots
 	}
-	if lim.Tokens > 0 && e.tokens+q.Tokens > e.pos.share(lim.Tokens, now) {
-		return refusedTokens
+	if r.limits.Tokens > 0 {
+		share := e.tokenShare(r, now)
+		switch {
+		case q.Tokens > share:
+			return refusedTooLarge
+		case e.tokens+q.Tokens > share:
+			return refusedTokens
+		}
 	}
 	return accepted
 }
 
+// first reports whether this daemon is the only one with the first rank.
+func (e *endpoint) first(r *rule, now time.Time) bool {
+	return e.place(r, now).rank == 0 && !now.Before(r.joined)
+}
+
 // score estimates the cost of choosing the endpoint; lower is better.
-func (e *endpoint) score(lim object.EndpointLimits, now time.Time) float64 {
-	share := max(1, e.pos.share(int64(lim.Slots), now))
+func (e *endpoint) score(r *rule, now time.Time) float64 {
+	share := max(1, e.place(r, now).share(int64(r.limits.Slots), r.limits.Slots))
 	s := float64(e.inFlight+1) / float64(share)
-	if age := now.Sub(e.loadAt); age < loadTTL && lim.Slots > 0 {
+	if age := now.Sub(e.loadAt); age < loadTTL && r.limits.Slots > 0 {
 		fresh := 1 - float64(age)/float64(loadTTL)
-		s += fresh * float64(e.load.Running+e.load.Queued) / float64(lim.Slots)
+		s += fresh * float64(e.load.Running+e.load.Queued) / float64(r.limits.Slots)
 	}
 	if !e.local {
 		s += remoteCost
@@ -101,15 +163,26 @@
 	return s + e.latency.Seconds()
 }
 
-// confirm records a sign of life. An endpoint that has a new boot identity has started anew and is cold.
-func (e *endpoint) confirm(boot string, now time.Time) {
+// confirm records that the endpoint ran as boot at a time. An endpoint with a new boot identity has started anew and is
+// cold. A sign that is older than the newest one, or than a failure, says nothing about the present; confirm then
+// returns false.
+func (e *endpoint) confirm(boot string, at time.Time) bool {
+	if !at.After(e.failedAt) {
+		return false
+	}
 	if boot != "" && boot != e.boot {
+		if at.Before(e.evidence) {
+			return false
+		}
 		e.boot = boot
 		e.completed = 0
 		e.load = engine.Load{}
 		e.loadAt = time.Time{}
 	}
-	e.evidence = now
+	if at.After(e.evidence) {
+		e.evidence = at
+	}
+	return true
 }
 
 func (e *endpoint) fail(now time.Time) {
@@ -120,4 +193,5 @@
 	}
 	e.ejected = now.Add(wait)
 	e.evidence = time.Time{}
+	e.failedAt = now
 }
--- /dev/null
+++ b/pool/pick.go
@@ -0,0 +1,266 @@
+package pool
+
+import (
+	"slices"
+	"time"
+
+	"github.com/bramleytrail/bramleytrail/config"
+	"github.com/bramleytrail/bramleytrail/engine"
+)
+
+// pickTries bounds the choices of one Pick. A choice fails if another request takes the room between the comparison of
+// two endpoints and the reservation.
+const pickTries = 3
+
+// Query describes the work for which an endpoint is wanted.
+type Query struct {
+	Service string
+	Version string   // empty for plain services
+	Tokens  int64    // estimated tokens that the endpoint holds for the request
+	Exclude []string // endpoint identities
+	// Suspect marks a request that was present at several crashes. It gets an endpoint on which it is this daemon's only
+	// suspect. With OnlyRankZero the daemon must have the first rank there, so that it is the only one of all daemons.
+	Suspect      bool
+	OnlyRankZero bool
+	// Dry asks whether there is room without reserving it.
+	Dry bool
+}
+
+// Shortage says why no endpoint was chosen. It counts the endpoints refused for each reason.
+type Shortage struct {
+	Listed, DomainOut, Ejected, Full, TokensFull, TooLarge, Stale, Suspect, Excluded int
+	// Returns is the earliest time at which an ejected endpoint may be used again, zero if none is ejected.
+	Returns time.Time
+}
+
+// Hopeless reports whether no release of work in flight and no load report can make room for the request.
+func (s *Shortage) Hopeless() bool {
+	return s.Ejected == 0 && s.Full == 0 && s.TokensFull == 0 && s.Stale == 0 && s.Suspect == 0
+}
+
+// Reservation holds an endpoint's slot and tokens for one request.
+type Reservation struct {
+	ID      string
+	Addr    string
+	Domain  string
+	service string
+	tokens  int64
+	suspect bool
+	alone   bool // no other daemon may run a suspect at the endpoint
+	e       *endpoint
+	pool    *Pool
+}
+
+// Pick chooses an endpoint and reserves room on it. It takes the better of two random endpoints that admit the request,
+// since choosing the best of all with lagging reports sends every daemon to the same one.
+func (p *Pool) Pick(q Query, now time.Time) (Reservation, Shortage, bool) {
+	t := p.table.Load()
+	group := t.groups[groupKey{q.Service, q.Version}]
+	short := Shortage{Listed: len(group)}
+	for try := 0; try < pickTries && len(group) > 0; try++ {
+		short = Shortage{Listed: len(group)}
+		best := p.best(group, &q, t, now, &short)
+		if best == nil {
+			break
+		}
+		if q.Dry {
+			return Reservation{}, short, true
+		}
+		if r, ok := best.reserve(&q, t.rules[q.Service], now); ok {
+			r.pool = p
+			return r, short, true
+		}
+	}
+	return Reservation{}, short, false
+}
+
+func (p *Pool) best(group []*endpoint, q *Query, t *table, now time.Time, short *Shortage) *endpoint {
+	start := int(p.spec.Rand() % uint64(len(group)))
+	var best *endpoint
+	var bestScore float64
+	found := 0
+	for i := 0; i < len(group) && found < 2; i++ {
+		e := group[(start+i)%len(group)]
+		score, ok := e.consider(q, t.view, t.rules[q.Service], now, short)
+		if !ok {
+			continue
+		}
+		found++
+		if best == nil || score < bestScore {
+			best, bestScore = e, score
+		}
+	}
+	return best
+}
+
+func (e *endpoint) consider(q *Query, view *config.View, rule *rule, now time.Time, short *Shortage) (float64, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !view.DomainIn(e.host.Domain) {
+		short.DomainOut++
+		return 0, false
+	}
+	if slices.Contains(q.Exclude, e.host.ID) {
+		short.Excluded++
+		return 0, false
+	}
+	if r := e.admits(q, rule, now); r != accepted {
+		short.count(r, e.ejected)
+		return 0, false
+	}
+	return e.score(rule, now), true
+}
+
+// reserve checks the limits again, since another request may have taken the room in the meantime.
+func (e *endpoint) reserve(q *Query, rule *rule, now time.Time) (Reservation, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.admits(q, rule, now) != accepted {
+		return Reservation{}, false
+	}
+	e.inFlight++
+	e.tokens += q.Tokens
+	if q.Suspect {
+		e.suspects++
+	}
+	return Reservation{
+		ID: e.host.ID, Addr: e.host.Addr, Domain: e.host.Domain, service: q.Service, tokens: q.Tokens,
+		suspect: q.Suspect, alone: q.Suspect && e.first(rule, now), e: e,
+	}, true
+}
+
+func (s *Shortage) count(r refusal, returns time.Time) {
+	switch r {
+	case refusedEjected:
+		s.Ejected++
+		if s.Returns.IsZero() || returns.Before(s.Returns) {
+			s.Returns = returns
+		}
+	case refusedSlots:
+		s.Full++
+	case refusedTokens:
+		s.TokensFull++
+	case refusedTooLarge:
+		s.TooLarge++
+	case refusedStale:
+		s.Stale++
+	case refusedSuspect:
+		s.Suspect++
+	}
+}
+
+// Outcome is how a request ended at an endpoint.
+type Outcome int
+
+// Outcomes.
+const (
+	Succeeded Outcome = iota
+	Rejected          // the endpoint found the request invalid
+	Busy              // the endpoint turned it down without running it
+	Broken            // the connection broke or could not be made
+	TimedOut          // no progress in time
+	Cancelled         // the caller left
+)
+
+// Opened records that the endpoint answered a request that was sent at a time, with the latency of the answer's header.
+func (r *Reservation) Opened(boot string, latency time.Duration, sent time.Time) {
+	r.e.mu.Lock()
+	defer r.e.mu.Unlock()
+	r.e.confirm(boot, sent)
+	r.e.latency += time.Duration(latencyAlpha * float64(latency-r.e.latency))
+}
+
+// Progress records that the endpoint, running as boot, sent a part of an answer at or after a time. The time at which
+// the part was read is not enough: it may have waited in a buffer for a slow caller.
+func (r *Reservation) Progress(boot string, at time.Time) {
+	r.e.mu.Lock()
+	defer r.e.mu.Unlock()
+	if boot == r.e.boot {
+		r.e.confirm(boot, at)
+	}
+}
+
+// Boot returns the endpoint's last known boot identity.
+func (r *Reservation) Boot() string {
+	r.e.mu.Lock()
+	defer r.e.mu.Unlock()
+	return r.e.boot
+}
+
+// Isolated reports whether the request is the only suspect of all daemons at its endpoint.
+func (r *Reservation) Isolated(now time.Time) bool {
+	rule := r.pool.table.Load().rules[r.service]
+	r.e.mu.Lock()
+	defer r.e.mu.Unlock()
+	return r.alone && rule != nil && r.e.first(rule, now)
+}
+
+// BesideSuspect reports whether another request at the endpoint is the only suspect there.
+func (r *Reservation) BesideSuspect(now time.Time) bool {
+	rule := r.pool.table.Load().rules[r.service]
+	r.e.mu.Lock()
+	defer r.e.mu.Unlock()
+	return !r.suspect && r.e.suspects > 0 && rule != nil && r.e.first(rule, now)
+}
+
+// HasRankZero reports whether this daemon has the first rank at an endpoint that serves the version.
+func (p *Pool) HasRankZero(service, version string, now time.Time) bool {
+	t := p.table.Load()
+	for _, e := range t.groups[groupKey{service, version}] {
+		e.mu.Lock()
+		first := e.first(t.rules[service], now)
+		e.mu.Unlock()
+		if first {
+			return true
+		}
+	}
+	return false
+}
+
+// Release ends the reservation. It must be called exactly once.
+func (r *Reservation) Release(o Outcome, now time.Time) {
+	e := r.e
+	e.mu.Lock()
+	e.inFlight--
+	e.tokens -= r.tokens
+	if r.suspect {
+		e.suspects--
+	}
+	switch o {
+	case Succeeded:
+		e.failures = 0
+	case Busy:
+		e.ejected = now.Add(busyBackoff)
+	case Broken, TimedOut:
+		e.fail(now)
+	}
+	versions := e.host.Versions
+	e.mu.Unlock()
+	r.pool.signal(r.service, versions)
+}
+
+// Report applies a load report that was asked for at a time.
+func (p *Pool) Report(id string, l engine.Load, asked time.Time) {
+	e := p.table.Load().byID[id]
+	if e == nil {
+		return
+	}
+	e.mu.Lock()
+	if e.confirm(l.Boot, asked) {
+		e.completed = l.Completed
+		e.load = l
+		e.loadAt = asked
+	}
+	service, versions := e.host.Service, e.host.Versions
+	e.mu.Unlock()
+	p.signal(service, versions)
+}
+
+// ReportFailed records that an endpoint gave no load report.
+func (p *Pool) ReportFailed(id string, now time.Time) {
+	if e := p.table.Load().byID[id]; e != nil {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.fail(now)
+	}
+}
--- a/pool/poll.go
+++ b/pool/poll.go
@@ -14,17 +14,20 @@
 	Addr string
 }
 
-// Due returns up to n endpoints whose reports are most needed: first those that a request wanted, then the oldest.
-func (p *Pool) Due(n int) []Target {
+// Due returns up to n endpoints whose reports are most needed: first those that a request wanted, then those that were
+// asked the longest time ago. It goes by the time of asking, since endpoints that give no report would otherwise take
+// every turn.
+func (p *Pool) Due(n int, now time.Time) []Target {
 	type candidate struct {
 		Target
 		wanted bool
 		at     time.Time
+		e      *endpoint
 	}
 	var list []candidate
 	for _, e := range p.table.Load().all {
 		e.mu.Lock()
-		list = append(list, candidate{Target{e.host.ID, e.host.Addr}, e.wanted, e.loadAt})
+		list = append(list, candidate{Target{e.host.ID, e.host.Addr}, e.wanted, e.askedAt, e})
 		e.mu.Unlock()
 	}
 	slices.SortFunc(list, func(a, b candidate) int {
@@ -38,6 +41,9 @@
 	})
 	out := make([]Target, 0, n)
 	for _, c := range list[:min(n, len(list))] {
+		c.e.mu.Lock()
+		c.e.wanted, c.e.askedAt = false, now
+		c.e.mu.Unlock()
 		out = append(out, c.Target)
 	}
 	return out
@@ -68,14 +74,13 @@
 	out := []State{}
 	for _, e := range t.all[:min(limit, len(t.all))] {
 		e.mu.Lock()
+		r := t.rules[e.host.Service]
+		place := e.place(r, now)
 		s := State{
 			ID: e.host.ID, Addr: e.host.Addr, Domain: e.host.Domain, Service: e.host.Service, Versions: e.host.Versions,
-			Rank: e.pos.current.rank, Members: e.pos.current.members, InFlight: e.inFlight, Tokens: e.tokens,
+			Rank: place.rank, Members: place.members(r.limits.Slots), Slots: e.slotShare(r, now), InFlight: e.inFlight, Tokens: e.tokens,
 			Boot: e.boot, Completed: e.completed, Failures: e.failures, Ejected: now.Before(e.ejected), Load: e.load,
 		}
-		if svc := t.view.Services[e.host.Service]; svc != nil {
-			s.Slots = e.pos.share(e.slots(svc.Limits, now), now)
-		}
 		e.mu.Unlock()
 		out = append(out, s)
 	}
--- a/pool/share.go
+++ b/pool/share.go
@@ -1,130 +1,114 @@
 package pool
 
 import (
-	"cmp"
-	"slices"
-	"time"
-
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/bramleytrail/bramleytrail/hostlist"
+	"github.com/bramleytrail/bramleytrail/object"
 )
 
-// minShare is the number of slots for which a daemon is assigned to an endpoint. A smaller share makes a daemon's part
-// too small to absorb bursts; a larger one leaves a daemon too few endpoints.
-const minShare = 4
+// minShare is the number of slots for which a daemon is assigned to an endpoint. With 4, a daemon of the target fleet
+// has no endpoint for 1 in 50 versions at 128 slots; with 1, it polls twice as many endpoints.
+const minShare = 2
 
 // notAssigned is the rank of a daemon that may not use an endpoint.
 const notAssigned = -1
 
-// position is a daemon's place among the daemons assigned to an endpoint.
-type position struct {
+// place is a daemon's place among all daemons for one endpoint. Neither the rank nor the number of daemons falls when a
+// daemon is added to the set, so no share computed from a place grows when the set does. A daemon that computes its
+// share from a superset of the daemons that use the endpoint therefore uses at most its part.
+type place struct {
 	rank    int
-	members int
+	daemons int
 }
 
-// share returns the part of limit that belongs to the position. The shares of all ranks add up to limit.
-func (p position) share(limit int64) int64 {
-	if p.rank == notAssigned || p.members == 0 {
+// members returns the number of daemons that have a share of an endpoint with the given slots.
+func (p place) members(slots int) int { return min(p.daemons, max(1, slots/minShare)) }
+
+func (p place) assigned(slots int) bool { return p.rank != notAssigned && p.rank < p.members(slots) }
+
+// share returns the part of limit that belongs to the place. The shares of all ranks add up to limit.
+func (p place) share(limit int64, slots int) int64 {
+	if !p.assigned(slots) {
 		return 0
 	}
-	n := limit / int64(p.members)
-	if int64(p.rank) < limit%int64(p.members) {
-		n++
-	}
-	return n
+	n := int64(p.members(slots))
+	return max(0, (limit-int64(p.rank)+n-1)/n)
 }
 
-// assignmentSize returns the number of daemons assigned to an endpoint with the given slots.
-func assignmentSize(daemons, slots int) int {
-	return min(daemons, max(1, slots/minShare))
+// limits are a service's limits and the size of the largest request that a team may send.
+type limits struct {
+	object.EndpointLimits
+	largest int64 // tokens
 }
 
-type ranked struct {
-	id    string
-	local bool
-	score uint64
+// tokens returns the place's part of the token limit. If an equal share is smaller than the largest request, half of
+// the limit is shared equally and the other half goes to the first ranks, as many as it lifts to the largest request.
+// Otherwise such a request could run nowhere, although the endpoint can hold it. The largest request counts as at most
+// half of the limit.
+func (p place) tokens(lim *limits) int64 {
+	if !p.assigned(lim.Slots) {
+		return 0
+	}
+	n := int64(p.members(lim.Slots))
+	half := lim.Tokens / 2
+	largest := min(lim.largest, half)
+	if lim.Tokens/n >= largest {
+		return lim.Tokens / n
+	}
+	common := half / n
+	if int64(p.rank) < half/(largest-common) {
+		return largest
+	}
+	return common
 }
 
-// locate computes self's position for an endpoint. Half of the assigned daemons come from the endpoint's own failure
-// domain, so that a domain that is cut off can use its endpoints; they have the lowest ranks, which get the slots of a
-// cold endpoint.
-func locate(self string, endpoint hostlist.Host, daemons []hostlist.Host, slots int, buf []ranked) (position, []ranked) {
-	buf = buf[:0]
-	for _, d := range daemons {
-		buf = append(buf, ranked{id: d.ID, local: d.Domain == endpoint.Domain, score: rendezvous(d.ID, endpoint.ID)})
-	}
-	slices.SortFunc(buf, func(a, b ranked) int {
-		if a.local != b.local {
-			if a.local {
-				return -1
-			}
-			return 1
-		}
-		if c := cmp.Compare(b.score, a.score); c != 0 {
-			return c
+// locate computes self's place for an endpoint. The daemons of the endpoint's own failure domain and the others
+// alternate, each in the order of their rendezvous hash, and a daemon of the own domain is first. So about half of the
+// members are in the own domain, and a domain that is cut off can use its endpoints.
+func locate(self string, endpoint hostlist.Host, daemons []ranked) place {
+	key := xxhash.Sum64String(endpoint.ID)
+	mine := notAssigned
+	for i := range daemons {
+		if daemons[i].id == self {
+			mine = i
 		}
-		return cmp.Compare(a.id, b.id)
-	})
-	locals := 0
-	for locals < len(buf) && buf[locals].local {
-		locals++
 	}
-	size := assignmentSize(len(buf), slots)
-	fromLocal := min(locals, (size+1)/2)
-	fromRemote := min(len(buf)-locals, size-fromLocal)
-	fromLocal = min(locals, size-fromRemote)
-	pos := position{rank: notAssigned, members: fromLocal + fromRemote}
-	for i, r := range buf {
-		if r.id != self {
+	if mine == notAssigned {
+		return place{notAssigned, len(daemons)}
+	}
+	me := &daemons[mine]
+	local, score := me.domain == endpoint.Domain, rendezvous(me.hash, key)
+	before, same := 0, 0
+	for i := range daemons {
+		d := &daemons[i]
+		if (d.domain == endpoint.Domain) != local {
 			continue
 		}
-		switch {
-		case i < fromLocal:
-			pos.rank = i
-		case i >= locals && i-locals < fromRemote:
-			pos.rank = fromLocal + i - locals
+		same++
+		if s := rendezvous(d.hash, key); s > score || s == score && d.id < self {
+			before++
 		}
 	}
-	return pos, buf
-}
-
-func rendezvous(daemon, endpoint string) uint64 {
-	d := xxhash.New()
-	_, _ = d.WriteString(daemon) // never fails
-	_, _ = d.WriteString("|")
-	_, _ = d.WriteString(endpoint)
-	return d.Sum64()
-}
-
-// positions is a daemon's current position for an endpoint and the earlier ones that other daemons may still assume.
-type positions struct {
-	current position
-	earlier []expiring
+	others := len(daemons) - same
+	if local {
+		return place{before + min(before, others), len(daemons)}
+	}
+	return place{before + min(before+1, others), len(daemons)}
 }
 
-type expiring struct {
-	position
-	until time.Time
+// ranked is a daemon with the hash of its identity.
+type ranked struct {
+	id, domain string
+	hash       uint64
 }
 
-// change sets a new position. Until settle has passed, the smaller share of the old and new position applies, so that
-// the shares in use add up to at most the limit while daemons learn of the change at different times.
-func (p *positions) change(next position, now time.Time, settle time.Duration) {
-	if next == p.current {
-		return
-	}
-	p.earlier = slices.DeleteFunc(p.earlier, func(e expiring) bool { return !now.Before(e.until) })
-	p.earlier = append(p.earlier, expiring{p.current, now.Add(settle)})
-	p.current = next
-}
+// rendezvous mixes the hashes of a daemon and an endpoint with the finalizer of SplitMix64.
+func rendezvous(daemon, endpoint uint64) uint64 { return mix(daemon + mix(endpoint)) }
 
-func (p *positions) share(limit int64, now time.Time) int64 {
-	n := p.current.share(limit)
-	for _, e := range p.earlier {
-		if now.Before(e.until) {
-			n = min(n, e.share(limit))
-		}
-	}
-	return n
+func mix(z uint64) uint64 {
+	z += 0x9e3779b97f4a7c15
+	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
+	z = (z ^ z>>27) * 0x94d049bb133111eb
+	return z ^ z>>31
 }
