ledger: one flush at a time

Cause: Drain and the periodic flush ran at once; both wrote the first batch and each removed one, so a batch that was not written could be dropped, and removing from an empty list panicked. Change: a lock around Flush. Result: go test -race ./local, 24 runs, 8 at a time. Before: slice bounds panic in ledger.Flush in several runs. Conclusion: batches are removed by the flush that wrote them.

--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -56,6 +56,7 @@
 	pending *group // bills that wait to be copied
 
 	copying sync.Mutex // held while a copy is sent
+	flushing sync.Mutex // two flushes at a time would drop a batch that was not written
 }
 
 type batch struct {
@@ -172,6 +173,8 @@
 
 // Flush seals the open batch and writes all sealed ones in order. It reports whether none is left.
 func (l *Ledger) Flush(ctx context.Context) bool {
+	l.flushing.Lock()
+	defer l.flushing.Unlock()
 	l.mu.Lock()
 	l.seal()
 	l.mu.Unlock()
