standin: silent connections, broken streams, refused resumption

Cause: SetSilent stopped all streams, also those on new connections; streams could not be cut without a crash; a resumed stream counted twice while the old one was still open. Change: SilenceConnections, BreakStreams and RefuseResume; a generation holds one slot however many streams serve it. Conclusion: each fault of the request path can be caused on its own.

--- a/standin/engine.go
+++ b/standin/engine.go
@@ -58,6 +58,9 @@
 	streams   map[string]*generation
 	crashOn   string
 	silent    bool
+	epoch     int           // connections opened in an earlier one are silent
+	broken    chan struct{} // closed when all open streams are cut
+	noResume  bool
 	down      bool
 	noFence   bool
 	fence     uint64
@@ -73,13 +76,14 @@
 
 // generation is the state of one answer, kept so that its stream can be resumed.
 type generation struct {
-	run    *Run
-	prompt string
-	first  int64 // sequence number before the first token generated here
-	limit  int64
-	input  int64
-	boot   int             // number of the start that this generation belongs to
-	reset  <-chan struct{} // closed when that start ends
+	run     *Run
+	prompt  string
+	first   int64 // sequence number before the first token generated here
+	limit   int64
+	input   int64
+	serving int             // streams that are open for it; its slot and tokens are held while there is one
+	boot    int             // number of the start that this generation belongs to
+	reset   <-chan struct{} // closed when that start ends
 }
 
 // NewEngine returns a started, cold engine.
@@ -93,6 +97,7 @@
 		sessions: map[string][]byte{},
 		reset:    make(chan struct{}),
 		changed:  make(chan struct{}),
+		broken:   make(chan struct{}),
 	}
 }
 
@@ -119,6 +124,18 @@
 		if down {
 			panic(http.ErrAbortHandler)
 		}
+		c := connOf(r)
+		e.mu.Lock()
+		if c.engine == nil {
+			c.engine, c.epoch = e, e.epoch
+		}
+		muted := c.epoch < e.epoch
+		e.mu.Unlock()
+		if muted {
+			_, _ = io.Copy(io.Discard, r.Body) // the context ends with the connection only after the body was read
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
 		w.Header().Set(httpengine.HeaderBoot, boot)
 		h(w, r)
 	}
@@ -167,8 +184,7 @@
 		g.first = req.Continuation.Tokens
 	}
 	e.runs = append(e.runs, g.run)
-	e.running++
-	e.held += g.input + g.limit
+	e.hold(g)
 	e.streams[id] = g
 	e.cachePrefix(prompt)
 	cold := e.completed < int64(e.spec.WarmAfter)
@@ -205,9 +221,19 @@
 	e.events = append(e.events, engine.CacheEvent{Seq: e.eventSeq, Prefix: Fingerprint(prompt), Tokens: int64(len(prompt)) / bytesPerToken})
 }
 
+// hold counts a stream of a generation.
+func (e *Engine) hold(g *generation) {
+	if g.serving++; g.serving == 1 {
+		e.running++
+		e.held += g.input + g.limit
+	}
+}
+
 func (e *Engine) release(g *generation) {
-	e.running--
-	e.held -= g.input + g.limit
+	if g.serving--; g.serving == 0 {
+		e.running--
+		e.held -= g.input + g.limit
+	}
 }
 
 // crash drops every connection and starts the engine anew, cold. The caller holds the lock.
@@ -231,9 +257,11 @@
 	}
 	e.mu.Lock()
 	g := e.streams[r.PathValue("id")]
+	if e.noResume {
+		g = nil
+	}
 	if g != nil {
-		e.running++
-		e.held += g.input + g.limit
+		e.hold(g)
 	}
 	e.mu.Unlock()
 	if g == nil {
@@ -255,9 +283,12 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
 	flush(w)
+	e.mu.Lock()
+	broken := e.broken
+	e.mu.Unlock()
 	wait := firstDelay
 	for seq := after + 1; seq <= g.limit; seq++ {
-		if !e.pause(r, g.reset, wait) {
+		if !e.pause(r, g.reset, broken, wait) {
 			panic(http.ErrAbortHandler)
 		}
 		wait = e.spec.TokenDelay
@@ -274,14 +305,14 @@
 }
 
 // pause waits before the next token. It returns false if the engine crashed or the client left.
-func (e *Engine) pause(r *http.Request, reset <-chan struct{}, d time.Duration) bool {
+func (e *Engine) pause(r *http.Request, reset, broken <-chan struct{}, d time.Duration) bool {
 	var timer <-chan time.Time
 	if d > 0 {
 		timer = time.After(d)
 	}
 	for {
 		e.mu.Lock()
-		silent, changed := e.silent, e.changed
+		silent, changed := e.silent || connOf(r).epoch < e.epoch, e.changed
 		e.mu.Unlock()
 		ready := timer
 		if d <= 0 {
@@ -295,11 +326,15 @@
 		select {
 		case <-reset:
 			return false
+		case <-broken:
+			return false
 		default:
 		}
 		select {
 		case <-reset:
 			return false
+		case <-broken:
+			return false
 		case <-r.Context().Done():
 			return false
 		case <-changed:
--- a/standin/enginecontrol.go
+++ b/standin/enginecontrol.go
@@ -104,9 +104,24 @@
 // CrashOn makes each request whose prompt contains text crash the engine.
 func (e *Engine) CrashOn(text string) { e.set(func() { e.crashOn = text }) }
 
-// SetSilent stops open streams from sending anything while new connections work.
+// SetSilent stops all streams from sending anything while other requests work.
 func (e *Engine) SetSilent(silent bool) { e.set(func() { e.silent = silent }) }
 
+// SilenceConnections makes every connection that has carried a request silent for good, while new ones work. It needs a
+// Server.
+func (e *Engine) SilenceConnections() { e.set(func() { e.epoch++ }) }
+
+// BreakStreams cuts all open streams. They can be resumed.
+func (e *Engine) BreakStreams() {
+	e.set(func() {
+		close(e.broken)
+		e.broken = make(chan struct{})
+	})
+}
+
+// RefuseResume makes the engine answer that it knows no stream to resume.
+func (e *Engine) RefuseResume(refuse bool) { e.set(func() { e.noResume = refuse }) }
+
 // SetDown makes the engine drop every connection.
 func (e *Engine) SetDown(down bool) {
 	e.set(func() {
--- a/standin/server.go
+++ b/standin/server.go
@@ -1,7 +1,9 @@
 package standin
 
 import (
+	"context"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"time"
@@ -23,9 +25,28 @@
 		return nil, fmt.Errorf("stand-in: %w", err)
 	}
 	s := &Server{Addr: ln.Addr().String(), http: &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}}
+	s.http.ConnContext = func(ctx context.Context, _ net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, &connState{})
+	}
 	go func() { _ = s.http.Serve(ln) }() // returns http.ErrServerClosed after Close
 	return s, nil
 }
 
+// connState is what an engine knows of a connection. It is guarded by the engine's lock.
+type connState struct {
+	engine *Engine // nil until the first request
+	epoch  int
+}
+
+type connKey struct{}
+
+// connOf returns the state of a request's connection; without a Server, that of a new one.
+func connOf(r *http.Request) *connState {
+	if c, ok := r.Context().Value(connKey{}).(*connState); ok {
+		return c
+	}
+	return &connState{epoch: math.MaxInt, engine: &Engine{}}
+}
+
 // Close stops the server and drops its connections.
 func (s *Server) Close() { _ = s.http.Close() }
