httpengine: no probe or resumption on a kept connection

Cause: a connection that has gone silent stays among the kept ones, so the probe of an endpoint in order could hang on it, and the next request as well. Conclusion: silence costs one progress deadline, not one for each kept connection.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -24,6 +24,9 @@
 	ErrStaleFence = errors.New("engine: stale fencing number")
 	// ErrFailed says that the endpoint answered with a failure of its own after it accepted the request.
 	ErrFailed = errors.New("engine: endpoint failed")
+	// ErrStalled is the cause with which a caller cancels a call that makes no progress. Connections to the endpoint that
+	// are idle may have gone silent as well; a Client uses none of them afterwards.
+	ErrStalled = errors.New("engine: no progress in time")
 	// ErrBroken says that the connection broke after the request was sent; it may have run.
 	ErrBroken = errors.New("engine: connection broken")
 )
--- a/engine/httpengine/client.go
+++ b/engine/httpengine/client.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/bramleytrail/bramleytrail/engine"
@@ -26,16 +27,58 @@
 	transportBufSize = 4 << 10 // read and write buffer of one connection
 )
 
+// maxAddresses bounds the addresses with kept connections; endpoints come and go under new addresses.
+const maxAddresses = 4096
+
 // Client implements engine.Client over HTTP.
 type Client struct {
-	shared *http.Client // keeps connections
 	single *http.Client // one connection for each call
+
+	mu     sync.Mutex
+	shared map[string]*http.Client // by address; each keeps connections
 }
 
 // NewClient returns a client. Each non-repeatable call uses a connection of its own: net/http sends a request with an
-// Idempotency-Key header again if a kept connection turns out to be closed, which could run the call twice.
+// Idempotency-Key header again if a kept connection turns out to be closed, which could run the call twice. So does each
+// load report and each resumed stream: a kept connection may have gone silent while new ones work.
 func NewClient() *Client {
-	return &Client{shared: &http.Client{Transport: transport(false)}, single: &http.Client{Transport: transport(true)}}
+	return &Client{single: &http.Client{Transport: transport(true)}, shared: map[string]*http.Client{}}
+}
+
+// kept returns the client that keeps connections to an address.
+func (c *Client) kept(addr string) *http.Client {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h := c.shared[addr]
+	if h == nil {
+		if len(c.shared) >= maxAddresses {
+			c.closeIdle()
+		}
+		h = &http.Client{Transport: transport(false)}
+		c.shared[addr] = h
+	}
+	return h
+}
+
+// closeIdle forgets all kept connections. Those in use stay open until their calls end.
+func (c *Client) closeIdle() {
+	for addr, h := range c.shared {
+		h.CloseIdleConnections()
+		delete(c.shared, addr)
+	}
+}
+
+// forget drops the kept connections to an address after a call that was cancelled because it made no progress.
+func (c *Client) forget(ctx context.Context, addr string) {
+	if !errors.Is(context.Cause(ctx), engine.ErrStalled) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if h := c.shared[addr]; h != nil {
+		h.CloseIdleConnections()
+		delete(c.shared, addr)
+	}
 }
 
 func transport(single bool) *http.Transport {
@@ -53,7 +96,9 @@
 
 // Close drops idle connections.
 func (c *Client) Close() {
-	c.shared.CloseIdleConnections()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closeIdle()
 	c.single.CloseIdleConnections()
 }
 
@@ -70,7 +115,7 @@
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(HeaderRequestID, r.ID)
 	req.Header.Set(HeaderPriority, strconv.Itoa(r.Priority))
-	return c.open(req)
+	return c.open(c.kept(addr), req)
 }
 
 // streamBody merges the caller's request with the fields that the router sets.
@@ -101,19 +146,20 @@
 		return nil, fmt.Errorf("%w: %w", engine.ErrRejected, err)
 	}
 	req.Header.Set("Last-Event-ID", strconv.FormatInt(after, 10))
-	return c.open(req)
+	return c.open(c.single, req)
 }
 
-func (c *Client) open(req *http.Request) (engine.Stream, error) {
-	resp, err := c.shared.Do(req)
+func (c *Client) open(h *http.Client, req *http.Request) (engine.Stream, error) {
+	resp, err := h.Do(req)
 	if err != nil {
+		c.forget(req.Context(), req.URL.Host)
 		return nil, transportError(err)
 	}
 	if err := statusError(resp.StatusCode); err != nil {
 		resp.Body.Close()
 		return nil, err
 	}
-	return newStream(resp), nil
+	return newStream(resp, func() { c.forget(req.Context(), req.URL.Host) }), nil
 }
 
 // transportError tells failures before the request was sent from later ones.
@@ -167,7 +213,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", engine.ErrRejected, err)
 	}
-	resp, err := c.shared.Do(req)
+	resp, err := c.kept(addr).Do(req)
 	if err != nil {
 		return nil, transportError(err)
 	}
@@ -201,7 +247,7 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", engine.ErrRejected, err)
 	}
-	resp, err := c.shared.Do(req)
+	resp, err := c.single.Do(req)
 	if err != nil {
 		return transportError(err)
 	}
@@ -238,10 +284,11 @@
 	req.Header.Set(HeaderRequestID, r.ID)
 	client := c.single
 	if r.Repeatable {
-		client = c.shared
+		client = c.kept(addr)
 	}
 	resp, err := client.Do(req)
 	if err != nil {
+		c.forget(ctx, addr)
 		return nil, transportError(err)
 	}
 	return &engine.PlainResponse{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body}, nil
--- a/engine/httpengine/stream.go
+++ b/engine/httpengine/stream.go
@@ -24,10 +24,12 @@
 	lines *bufio.Reader
 	boot  string
 	done  bool
+	// failed is called when the stream can't be read.
+	failed func()
 }
 
-func newStream(resp *http.Response) *stream {
-	return &stream{body: resp.Body, lines: bufio.NewReaderSize(resp.Body, transportBufSize), boot: resp.Header.Get(HeaderBoot)}
+func newStream(resp *http.Response, failed func()) *stream {
+	return &stream{failed: failed, body: resp.Body, lines: bufio.NewReaderSize(resp.Body, transportBufSize), boot: resp.Header.Get(HeaderBoot)}
 }
 
 // Boot implements engine.Stream.
@@ -82,6 +84,7 @@
 		case err == nil:
 			return bytes.TrimRight(line, "\r\n"), nil
 		case !errors.Is(err, bufio.ErrBufferFull):
+			s.failed()
 			return nil, fmt.Errorf("%w: %w", engine.ErrBroken, err)
 		case len(line) > maxLineBytes:
 			return nil, fmt.Errorf("%w: line exceeds %d bytes", engine.ErrBroken, maxLineBytes)
