dispatch, poison, pool: answers survive several faults; crashes are told apart

Cause: a stream that failed while it was being reopened was read although there was none (nil dereference); attempts, excluded endpoints and the retry budget counted over a whole answer, so a few faults in a row ended it; a crash that another stream noticed first was taken for a refused resumption; the failures of 50 streams in one crash kept the endpoint away for 10 s; crash records reached other daemons after the caller's repeat did. Change: limits count since the last part of the answer, with one resumption and one continuation free of the budget; streams resume before the first token as well; the boot identity is that of the stream; a crash counts once in the endpoint's back-off and a load report ends it; continuations wait up to 30 s for room. A request that gets further than at its crashes is cleared of them, one without any part of its answer pauses 250 to 500 ms after a crash, and the crash is known to the nearest daemons before it runs again.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -159,7 +159,8 @@
 	d.admit = admit.New(admit.Spec{MaxInFlight: s.MaxInFlight})
 	d.claims = claim.New(claim.Spec{Store: d.platform.Store, Owner: d.incarnation, WritesPerSecond: s.ClaimWrites, Now: time.Now})
 	d.dispatch.Store(dispatch.New(dispatch.Spec{
-		Pool: d.pool, Client: d.engines, Poison: d.poison, OnCrash: d.node.ReportCrash, QueueWait: s.QueueWait, Now: time.Now,
+		Pool: d.pool, Client: d.engines, Poison: d.poison, OnCrash: d.reportCrash, QueueWait: s.QueueWait,
+		Now: time.Now, Rand: mathrand.Uint64,
 	}))
 	p := &pipeline.Pipeline{
 		Config:   d.config,
@@ -184,6 +185,15 @@
 	})
 }
 
+// crashNotice bounds the wait until the nearest daemons know of a crash.
+const crashNotice = 200 * time.Millisecond
+
+func (d *Daemon) reportCrash(r poison.Record) {
+	ctx, cancel := context.WithTimeout(d.ctx, crashNotice)
+	defer cancel()
+	d.node.NotifyCrash(ctx, r)
+}
+
 // signalRoom passes news of the pool to the requests that wait for room.
 func (d *Daemon) signalRoom(service string, versions []string) {
 	if f := d.dispatch.Load(); f != nil {
--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -31,16 +31,19 @@
 	first    *engine.Event // read by start and not delivered yet
 	heard    time.Time     // the endpoint sent the newest event after this time
 
-	attempts int
-	exclude  []string
-	suspect  bool
-	text     strings.Builder // answer so far, to continue it at another endpoint
-	seq      int64
-	usage    engine.Usage
-	done     bool
-	ran      result.Ran
-	served   *object.Version
-	trace    []Attempt
+	calls     int             // at endpoints
+	fruitless int             // calls since the last part of the answer
+	exclude   []string        // endpoints that failed since the last part of the answer
+	boot      string          // boot identity of the endpoint when the call began
+	failedAt  time.Time       // when the last call failed
+	blamed    bool            // a crash was recorded since the last part of the answer
+	text      strings.Builder // answer so far, to continue it at another endpoint
+	seq       int64
+	usage     engine.Usage
+	done      bool
+	ran       result.Ran
+	served    *object.Version
+	trace     []Attempt
 }
 
 // waited is the duration of a read from which the event was not in a buffer before the read began. Engines send a token
@@ -95,6 +98,7 @@
 			if err := a.open(); err != nil {
 				return engine.Event{}, err
 			}
+			continue // the attempt may have failed
 		}
 		ev, err := a.read()
 		switch {
@@ -116,6 +120,11 @@
 
 func (a *Answer) accept(ev engine.Event) {
 	a.seq = ev.Seq
+	a.fruitless, a.exclude = 0, nil
+	if a.blamed { // a request that crashes endpoints gets no further at the next one
+		a.blamed = false
+		a.filter.spec.Poison.Clear(a.in.Fingerprint, a.filter.spec.Now())
+	}
 	a.ran = result.RunDone
 	a.text.WriteString(ev.Text)
 	a.usage = engine.Usage{InputTokens: a.in.Tokens, OutputTokens: ev.Seq}
@@ -134,15 +143,16 @@
 	if a.served != nil && a.seq > 0 {
 		// Text of one version is continued by the same version only.
 		candidates = []choose.Candidate{a.room.candidate}
-		a.in.Priority = continuePriority
+		a.in.continued = true
 	}
-	r, err := a.filter.reserve(a.ctx, &a.in, candidates, a.exclude, a.suspect)
+	r, err := a.filter.reserve(a.ctx, &a.in, candidates, a.exclude)
 	if err != nil {
 		return a.withRan(err)
 	}
 	a.room, a.reserved, a.served = r, true, r.candidate.Version
-	a.attempts++
-	a.callID = callID(a.in.RequestID, a.attempts)
+	a.boot = r.Boot()
+	a.count()
+	a.callID = callID(a.in.RequestID, a.calls)
 	a.trace = append(a.trace, Attempt{Endpoint: r.ID, Version: r.candidate.Version.Name})
 	req := engine.Request{
 		ID: a.callID, Version: r.candidate.Version.Name, Body: a.in.Body, Priority: a.in.Priority,
@@ -157,23 +167,31 @@
 	return nil
 }
 
+func (a *Answer) count() {
+	a.calls++
+	a.fruitless++
+}
+
 // mayAttempt checks the limits on attempts, crashes and retries.
 func (a *Answer) mayAttempt() error {
-	now := a.filter.spec.Now()
-	crashes := a.filter.spec.Poison.Crashes(a.in.Fingerprint, now)
-	if crashes >= poison.MaxCrashes {
+	if a.filter.spec.Poison.Refused(a.in.Fingerprint, a.filter.spec.Now()) {
 		return &result.Error{Code: result.PoisonRequest, Ran: a.ran}
 	}
-	a.suspect = crashes >= poison.IsolateAfter
-	if a.attempts == 0 {
-		return nil
-	}
-	if a.attempts >= maxAttempts || !a.filter.budget.withdraw() {
+	if a.calls > 0 && !a.mayCall() {
 		return a.exhausted()
 	}
 	return nil
 }
 
+// mayCall reports whether another call is allowed. The first calls after a part of the answer are free: an outage can't
+// multiply them, since they follow progress, and the parts that the caller has would be worthless without the rest.
+func (a *Answer) mayCall() bool {
+	if a.calls >= maxCalls || a.fruitless >= maxAttempts {
+		return false
+	}
+	return a.seq > 0 && a.fruitless < freeCalls || a.filter.budget.withdraw()
+}
+
 func (a *Answer) exhausted() error {
 	code := result.EndpointFailed
 	if a.seq > 0 {
@@ -185,12 +203,12 @@
 // connect opens a stream under a deadline for its response header.
 func (a *Answer) connect(limit time.Duration, open func(context.Context) (engine.Stream, error)) error {
 	ctx, cancel := context.WithCancelCause(a.ctx)
-	timer := time.AfterFunc(limit, func() { cancel(errStalled) })
+	timer := time.AfterFunc(limit, func() { cancel(engine.ErrStalled) })
 	start := a.filter.spec.Now()
 	s, err := open(ctx)
 	if !timer.Stop() && err == nil {
 		s.Close()
-		err = errStalled
+		err = engine.ErrStalled
 	}
 	if err != nil {
 		err = a.cause(ctx, err)
@@ -200,7 +218,7 @@
 	a.stream, a.ctxCall, a.cancel, a.timer = s, ctx, cancel, timer
 	now := a.filter.spec.Now()
 	a.room.Opened(s.Boot(), now.Sub(start), start)
-	a.heard = start
+	a.heard, a.boot = start, s.Boot()
 	return nil
 }
 
@@ -228,8 +246,8 @@
 	if a.ctx.Err() != nil {
 		return errCancelled
 	}
-	if c := context.Cause(ctx); errors.Is(c, errStalled) {
-		return errStalled
+	if c := context.Cause(ctx); errors.Is(c, engine.ErrStalled) {
+		return engine.ErrStalled
 	}
 	return err
 }
@@ -237,6 +255,7 @@
 // recover handles a failed attempt. It returns nil if the answer can go on.
 func (a *Answer) recover(err error) error {
 	a.note(err)
+	a.failedAt = a.filter.spec.Now()
 	if errors.Is(err, errCancelled) {
 		a.closeStream(err)
 		return contextError(a.ctx, a.ran)
@@ -245,10 +264,20 @@
 		a.closeStream(err)
 		return result.Wrap(result.EndpointRejected, a.ran, err)
 	}
-	notRun := errors.Is(err, engine.ErrUnreachable) || errors.Is(err, engine.ErrBusy)
-	if !notRun {
+	if !errors.Is(err, engine.ErrUnreachable) && !errors.Is(err, engine.ErrBusy) {
 		a.ran = max(a.ran, result.RunUnknown)
-		if a.resume(err) {
+		switch a.resume(err) {
+		case resumed:
+			return nil
+		case refused:
+			err = errCancelled // the endpoint is in order; only this stream is lost
+		case crashed:
+			if err := a.afterCrash(err); err != nil {
+				return err
+			}
+			if a.in.Once {
+				return a.exhausted()
+			}
 			return nil
 		}
 		if a.in.Once {
@@ -261,24 +290,40 @@
 	return nil
 }
 
-// resume asks the same endpoint for the rest of the stream on a new connection. If the endpoint has started anew or
-// can't be reached, the crash is recorded and resume returns false.
-func (a *Answer) resume(cause error) bool {
-	boot := a.room.Boot()
+// resumption is the result of an attempt to resume a stream.
+type resumption int
+
+const (
+	resumed resumption = iota
+	refused            // the endpoint is in order and doesn't give the rest
+	crashed            // the endpoint has started anew or is down since the connection broke
+	unknown            // the endpoint doesn't respond
+)
+
+// resume asks the same endpoint for the rest of the stream on a new connection, after a probe that tells a lost
+// connection from a lost endpoint.
+func (a *Answer) resume(cause error) resumption {
 	ctx, cancel := context.WithTimeout(a.ctx, probeLimit)
 	defer cancel()
+	asked := a.filter.spec.Now()
 	load, err := a.filter.spec.Client.Load(ctx, a.room.Addr)
-	if err != nil || load.Boot != boot {
-		if errors.Is(cause, engine.ErrBroken) {
-			a.recordCrash(boot)
-		}
-		return false
-	}
-	if a.attempts >= maxAttempts || a.seq == 0 {
-		return false
-	}
-	a.attempts++
-	if a.cancel != nil {
+	if err == nil {
+		defer a.filter.spec.Pool.Report(a.room.ID, load, asked)
+	}
+	switch {
+	case err == nil && load.Boot == a.boot:
+	case errors.Is(cause, engine.ErrBroken):
+		return crashed
+	case err == nil:
+		return crashed // it went silent and started anew
+	default:
+		return unknown
+	}
+	if !a.mayCall() {
+		return refused
+	}
+	a.count()
+	if a.stream != nil {
 		a.cancel(nil)
 		a.stream.Close()
 		a.stream = nil
@@ -286,16 +331,34 @@
 	err = a.connect(probeLimit, func(ctx context.Context) (engine.Stream, error) {
 		return a.filter.spec.Client.Resume(ctx, a.room.Addr, a.callID, a.seq)
 	})
-	return err == nil
+	if err != nil {
+		return refused
+	}
+	return resumed
+}
+
+// afterCrash records the crash and gives the room back. A request without any part of its answer then waits, so that the
+// answers in progress that the crash interrupted go on elsewhere before it runs again: if it is the cause of the crash,
+// they are not there when it causes the next one.
+func (a *Answer) afterCrash(err error) error {
+	a.recordCrash()
+	a.exclude = append(a.exclude, a.room.ID)
+	a.closeStream(err)
+	if a.seq > 0 {
+		return nil
+	}
+	pause := crashPause + time.Duration(a.filter.spec.Rand()%uint64(crashPause))
+	return sleep(a.ctx, pause, a.ran)
 }
 
 // recordCrash blames this request for a crash unless a request that ran in isolation is the cause.
-func (a *Answer) recordCrash(boot string) {
+func (a *Answer) recordCrash() {
 	now := a.filter.spec.Now()
 	if a.room.BesideSuspect(now) {
 		return
 	}
-	r := poison.Record{Fingerprint: a.in.Fingerprint, Crash: a.room.ID + "/" + boot, Isolated: a.room.Isolated(now)}
+	r := poison.Record{Fingerprint: a.in.Fingerprint, Crash: a.room.ID + "/" + a.boot, Isolated: a.room.Isolated(now)}
+	a.blamed = true
 	if a.filter.spec.Poison.Add(r, now) {
 		a.filter.spec.OnCrash(r)
 	}
@@ -312,7 +375,7 @@
 	}
 	if a.reserved {
 		a.reserved = false
-		a.room.Release(outcomeOf(err), a.filter.spec.Now())
+		a.room.Release(outcomeOf(err), a.failedAt)
 	}
 }
 
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -18,8 +18,16 @@
 )
 
 const (
-	// maxAttempts bounds the endpoints that one request is sent to.
+	// maxAttempts bounds the calls in a row that bring no part of an answer.
 	maxAttempts = 4
+	// maxCalls bounds the calls for one request.
+	maxCalls = 16
+	// freeCalls is the number of calls after a part of an answer that take nothing from the retry budget: one to resume
+	// the stream and one to continue it elsewhere.
+	freeCalls = 2
+	// crashPause is the least pause after a crash before a request without any part of its answer is sent again. A
+	// stream makes progress at another endpoint within it, at 61 ms between tokens; the pause is at most doubled.
+	crashPause = 250 * time.Millisecond
 	// queueLimit bounds the requests that wait for one version in a daemon. At the target a daemon serves 18 requests a
 	// second, so that 256 are more than its endpoints release within the longest wait.
 	queueLimit = 256
@@ -32,8 +40,10 @@
 	Pool   *pool.Pool
 	Client engine.Client
 	Poison *poison.Table
-	// OnCrash tells the other daemons of a crash.
+	// OnCrash tells the other daemons of a crash. It returns when the nearest ones know of it, or after a short time, so
+	// that a caller that repeats the request through another daemon finds the crash counted there.
 	OnCrash func(poison.Record)
+	Rand    func() uint64
 	// QueueWait bounds the time for which a request waits for room at an endpoint.
 	QueueWait time.Duration
 	Now       func() time.Time
@@ -70,6 +80,8 @@
 	Fingerprint uint64
 	// Once forbids another attempt after one that may have run.
 	Once bool
+
+	continued bool // part of the answer was delivered
 }
 
 // Do sends the request and waits for the first part of the answer. Cancelling ctx ends the answer.
@@ -109,7 +121,7 @@
 		return pool.Busy
 	case errors.Is(err, engine.ErrRejected):
 		return pool.Rejected
-	case errors.Is(err, errStalled):
+	case errors.Is(err, engine.ErrStalled):
 		return pool.TimedOut
 	case errors.Is(err, errCancelled):
 		return pool.Cancelled
@@ -118,10 +130,19 @@
 	}
 }
 
-var (
-	errStalled   = errors.New("no progress in time")
-	errCancelled = errors.New("request cancelled")
-)
+var errCancelled = errors.New("request cancelled")
+
+// sleep waits, or returns the reason why ctx ended.
+func sleep(ctx context.Context, d time.Duration, ran result.Ran) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return contextError(ctx, ran)
+	}
+}
 
 // callID names one model call of a request at an endpoint.
 func callID(request string, attempt int) string { return fmt.Sprintf("%s-%d", request, attempt) }
--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -67,33 +67,33 @@
 
 func plainError(err error, ran result.Ran) error {
 	code := result.EndpointFailed
-	if errors.Is(err, errStalled) {
+	if errors.Is(err, engine.ErrStalled) {
 		code = result.EndpointTimeout
 	}
 	return &result.Error{Code: code, Ran: ran, Err: err, RetryAfter: fullRetry}
 }
 
 func (f *Filter) reservePlain(ctx context.Context, in *PlainInput, exclude []string) (pool.Reservation, error) {
-	w := want{view: in.View, team: in.Team, priority: in.Priority, queries: []pool.Query{{Service: in.Service.Name, Exclude: exclude}}}
+	w := want{view: in.View, team: in.Team, priority: in.Priority, longest: f.spec.QueueWait, queries: []pool.Query{{Service: in.Service.Name, Exclude: exclude}}}
 	err := f.wait(ctx, &w)
 	return w.got, err
 }
 
 func (f *Filter) callOnce(ctx context.Context, in PlainInput, r pool.Reservation) (*PlainAnswer, error) {
 	callCtx, cancel := context.WithCancelCause(ctx)
-	timer := time.AfterFunc(in.Service.Timeouts.FirstByte, func() { cancel(errStalled) })
+	timer := time.AfterFunc(in.Service.Timeouts.FirstByte, func() { cancel(engine.ErrStalled) })
 	start := f.spec.Now()
 	resp, err := f.spec.Client.Call(callCtx, r.Addr, in.Request)
 	if !timer.Stop() && err == nil {
 		resp.Body.Close()
-		err = errStalled
+		err = engine.ErrStalled
 	}
 	if err != nil {
 		switch {
 		case ctx.Err() != nil:
 			err = errCancelled
-		case errors.Is(context.Cause(callCtx), errStalled):
-			err = errStalled
+		case errors.Is(context.Cause(callCtx), engine.ErrStalled):
+			err = engine.ErrStalled
 		}
 		cancel(nil)
 		return nil, err
@@ -105,7 +105,7 @@
 
 // Read reads the body under the service's progress deadline.
 func (a *PlainAnswer) Read(p []byte) (int, error) {
-	timer := time.AfterFunc(a.progress, func() { a.cancel(errStalled) })
+	timer := time.AfterFunc(a.progress, func() { a.cancel(engine.ErrStalled) })
 	n, err := a.Body.Read(p)
 	timer.Stop()
 	if err != nil && !errors.Is(err, io.EOF) {
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -8,6 +8,7 @@
 
 	"github.com/bramleytrail/bramleytrail/choose"
 	"github.com/bramleytrail/bramleytrail/config"
+	"github.com/bramleytrail/bramleytrail/poison"
 	"github.com/bramleytrail/bramleytrail/pool"
 	"github.com/bramleytrail/bramleytrail/queue"
 	"github.com/bramleytrail/bramleytrail/result"
@@ -16,6 +17,11 @@
 const (
 	// continuePriority is the priority of a request whose answer has begun: its caller waits in mid-stream.
 	continuePriority = 9
+	// continueWait is the longest wait for room to continue an answer that has begun: its caller can't use the rest of the
+	// answer of another request, and endpoints that failed together come back within it.
+	continueWait = 30 * time.Second
+	// suspectPause is the time after which a request that has to run in isolation looks again.
+	suspectPause = 50 * time.Millisecond
 	// maxRetryAfter bounds the time after which a caller is told to retry, since predictions beyond it are worthless.
 	maxRetryAfter = 30 * time.Second
 )
@@ -28,17 +34,21 @@
 	queries  []pool.Query // the preferred one first
 	got      pool.Reservation
 	index    int // of the query that got room
-	short    pool.Shortage
-	deadline time.Time
+	// fingerprint identifies the request to the table of crashes; 0 for plain services.
+	fingerprint uint64
+	short       pool.Shortage
+	longest     time.Duration // wait
+	deadline    time.Time
 }
 
 // reserve waits for room at an endpoint of one of the candidates, the preferred one first.
-func (f *Filter) reserve(ctx context.Context, in *Input, candidates []choose.Candidate, exclude []string, suspect bool) (room, error) {
-	w := want{view: in.View, team: in.Team, priority: in.Priority}
+func (f *Filter) reserve(ctx context.Context, in *Input, candidates []choose.Candidate, exclude []string) (room, error) {
+	w := want{view: in.View, team: in.Team, priority: in.Priority, longest: f.spec.QueueWait, fingerprint: in.Fingerprint}
+	if in.continued {
+		w.priority, w.longest = continuePriority, max(continueWait, f.spec.QueueWait)
+	}
 	for _, c := range candidates {
-		q := pool.Query{Service: c.Service, Version: c.Version.Name, Tokens: in.Tokens + in.MaxTokens, Exclude: exclude, Suspect: suspect}
-		q.OnlyRankZero = suspect && f.spec.Pool.HasRankZero(c.Service, c.Version.Name, f.spec.Now())
-		w.queries = append(w.queries, q)
+		w.queries = append(w.queries, pool.Query{Service: c.Service, Version: c.Version.Name, Tokens: in.Tokens + in.MaxTokens, Exclude: exclude})
 	}
 	if err := f.wait(ctx, &w); err != nil {
 		return room{}, err
@@ -53,7 +63,7 @@
 	if ctx.Err() != nil {
 		return contextError(ctx, result.NotRun)
 	}
-	w.deadline = f.spec.Now().Add(f.spec.QueueWait)
+	w.deadline = f.spec.Now().Add(w.longest)
 	if d, ok := ctx.Deadline(); ok && d.Before(w.deadline) {
 		w.deadline = d
 	}
@@ -87,9 +97,15 @@
 // try reserves room at an endpoint of the first candidate that has some, or only finds out whether there is any.
 func (f *Filter) try(w *want, now time.Time, dry bool) queue.Verdict {
 	v := queue.Verdict{Hopeless: true, Common: true}
+	suspect := w.fingerprint != 0 && f.spec.Poison.Crashes(w.fingerprint, now) >= poison.IsolateAfter
 	for i, q := range w.queries {
-		q.Dry = dry
+		q.Dry, q.Suspect = dry, suspect
+		q.OnlyRankZero = suspect && f.spec.Pool.HasRankZero(q.Service, q.Version, now)
 		r, s, ok := f.spec.Pool.Pick(q, now)
+		if !ok && s.Excluded > 0 && s.Hopeless() { // every endpoint failed; the first one that comes back has to do
+			q.Exclude = nil
+			r, s, ok = f.spec.Pool.Pick(q, now)
+		}
 		if ok {
 			w.got, w.index = r, i
 			return queue.Verdict{OK: true}
@@ -100,6 +116,9 @@
 		v.Hopeless = v.Hopeless && s.Hopeless() && !returnsInTime
 		v.Memory = v.Memory || s.TokensFull > 0
 		v.Common = v.Common && s.TokensFull+s.TooLarge+s.Suspect+s.Excluded == 0
+		if s.Suspect > 0 { // it may be cleared without any release
+			s.Returns = now.Add(suspectPause)
+		}
 		if v.Returns.IsZero() || !s.Returns.IsZero() && s.Returns.Before(v.Returns) {
 			v.Returns = s.Returns
 		}
--- a/peer/node.go
+++ b/peer/node.go
@@ -215,12 +215,14 @@
 	return nil
 }
 
-func (n *Node) background(f func()) {
+// background runs f and reports true, or false if the node is closed.
+func (n *Node) background(f func()) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if !n.closed {
 		n.wg.Go(f)
 	}
+	return !n.closed
 }
 
 // gossip exchanges digests with one peer in turn.
@@ -282,6 +284,32 @@
 	n.spread([]poison.Record{r})
 }
 
+// NotifyCrash records a crash and returns when all peers that respond have it, or when ctx ends.
+func (n *Node) NotifyCrash(ctx context.Context, r poison.Record) {
+	n.spec.Poison.Add(r, n.spec.Now())
+	var told sync.WaitGroup
+	for _, addr := range n.Peers() {
+		told.Add(1)
+		if !n.background(func() {
+			defer told.Done()
+			if err := n.link(addr).call(n.ctx, "Crash", CrashArgs{[]poison.Record{r}}, &Empty{}); err != nil {
+				n.spec.Log.WithError(err).Debug("crash record not delivered")
+			}
+		}) {
+			told.Done()
+		}
+	}
+	all := make(chan struct{})
+	go func() {
+		told.Wait()
+		close(all)
+	}()
+	select {
+	case <-all:
+	case <-ctx.Done():
+	}
+}
+
 func (n *Node) spread(records []poison.Record) {
 	for _, addr := range n.Peers() {
 		n.background(func() {
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -17,6 +17,9 @@
 const (
 	// MaxCrashes is the number of crashes after which a request is not run again.
 	MaxCrashes = 3
+	// maxCleared is the number of crashes, cleared ones included, after which a request is not run again: one that crashes
+	// an endpoint only after some of its answer is cleared each time.
+	maxCleared = 2 * MaxCrashes
 	// IsolateAfter is the number of crashes after which a request runs only where no other such request runs.
 	IsolateAfter = 2
 	// recordTTL is the time for which a crash counts after the last one.
@@ -59,6 +62,7 @@
 // history holds the crashes at which a request was present.
 type history struct {
 	crashes []Record
+	cleared []Record // crashes of which the request was not the cause
 	expires time.Time
 }
 
@@ -88,7 +92,8 @@
 		s.records[r.Fingerprint] = h
 	}
 	h.expires = now.Add(recordTTL)
-	if slices.ContainsFunc(h.crashes, func(c Record) bool { return c.Crash == r.Crash }) {
+	same := func(c Record) bool { return c.Crash == r.Crash }
+	if slices.ContainsFunc(h.crashes, same) || slices.ContainsFunc(h.cleared, same) {
 		return false
 	}
 	h.crashes = append(h.crashes, r)
@@ -113,7 +118,7 @@
 				continue
 			}
 			h.crashes = slices.DeleteFunc(h.crashes, func(c Record) bool { return c.Crash == r.Crash })
-			if len(h.crashes) == 0 {
+			if len(h.crashes)+len(h.cleared) == 0 {
 				delete(s.records, fp)
 			}
 		}
@@ -149,6 +154,29 @@
 	return len(h.crashes)
 }
 
+// Clear records that the request got further than at its crashes, so that it was not their cause.
+func (t *Table) Clear(fingerprint uint64, now time.Time) {
+	s := &t.shards[fingerprint%shardCount]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if h := s.records[fingerprint]; h != nil && !now.After(h.expires) {
+		h.cleared = append(h.cleared, h.crashes...)
+		h.crashes = nil
+	}
+}
+
+// Refused reports whether the request has crashed too many endpoints to be run again.
+func (t *Table) Refused(fingerprint uint64, now time.Time) bool {
+	s := &t.shards[fingerprint%shardCount]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := s.records[fingerprint]
+	if h == nil || now.After(h.expires) {
+		return false
+	}
+	return len(h.crashes) >= MaxCrashes || len(h.crashes)+len(h.cleared) >= maxCleared
+}
+
 // Records returns all crashes that still count, for daemons that start.
 func (t *Table) Records(now time.Time) []Record {
 	var out []Record
--- a/pool/endpoint.go
+++ b/pool/endpoint.go
@@ -185,13 +185,24 @@
 	return true
 }
 
-func (e *endpoint) fail(now time.Time) {
+// fail keeps work away from the endpoint for a time that grows with each failure. All requests that one crash interrupts
+// fail together and count once. The time is short if a sign of life from after the failure is known already.
+func (e *endpoint) fail(at time.Time) {
+	back := e.evidence.After(at)
+	if !back {
+		e.evidence = time.Time{}
+		e.failedAt = at
+	}
+	if at.Before(e.ejected) {
+		return
+	}
 	e.failures++
 	wait := ejectMax
 	if e.failures < 7 {
 		wait = min(ejectMax, ejectBase<<(e.failures-1))
 	}
-	e.ejected = now.Add(wait)
-	e.evidence = time.Time{}
-	e.failedAt = now
+	if back {
+		wait = ejectBase
+	}
+	e.ejected = at.Add(wait)
 }
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -230,7 +230,9 @@
 	case Succeeded:
 		e.failures = 0
 	case Busy:
-		e.ejected = now.Add(busyBackoff)
+		if until := now.Add(busyBackoff); until.After(e.ejected) {
+			e.ejected = until
+		}
 	case Broken, TimedOut:
 		e.fail(now)
 	}
@@ -250,6 +252,9 @@
 		e.completed = l.Completed
 		e.load = l
 		e.loadAt = asked
+		if soon := asked.Add(ejectBase); soon.Before(e.ejected) { // it is back
+			e.ejected = soon
+		}
 	}
 	service, versions := e.host.Service, e.host.Versions
 	e.mu.Unlock()
--- a/queue/line.go
+++ b/queue/line.go
@@ -110,9 +110,9 @@
 }
 
 // predict returns the time until the nth request in order gets room, or 0 if too few grants were seen.
-func (l *line) predict(n int, now time.Time) time.Duration {
+func (l *line) predict(n int) time.Duration {
 	if l.samples < minSamples {
 		return 0
 	}
-	return time.Duration(n) * max(l.interval, now.Sub(l.last))
+	return time.Duration(n) * l.interval
 }
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -130,6 +130,7 @@
 	now := q.spec.Now()
 	q.seq++
 	w := &waiter{Ticket: t, seq: q.seq, done: make(chan struct{})}
+	fits := false       // there is room, or was a moment ago
 	if q.idle(t.Keys) { // nothing to overtake
 		if v := q.attempt(w, now); v.OK || w.ended {
 			return w
@@ -137,6 +138,8 @@
 	} else if v := t.Check(now); v.Hopeless {
 		q.end(w, Result{Hopeless, max(0, v.Returns.Sub(now))})
 		return w
+	} else {
+		fits = v.OK
 	}
 	for _, k := range t.Keys {
 		l := q.lines[k]
@@ -147,7 +150,7 @@
 		l.add(w, now)
 	}
 	q.waiting.Add(1)
-	q.bound(w, now)
+	q.bound(w, fits, now)
 	if !w.ended {
 		q.scanAll(t.Keys, now)
 	}
@@ -160,25 +163,25 @@
 
 // bound keeps the ticket's first line within its limit and turns the ticket away if its wait would be too long. In a
 // full line the request that would be served last has to go, so that one team can't fill the line against the others.
-func (q *Queue) bound(w *waiter, now time.Time) {
+func (q *Queue) bound(w *waiter, fits bool, now time.Time) {
 	l := q.lines[w.Keys[0]]
 	order := l.order()
 	if l.count > q.spec.Limit {
 		last := order[len(order)-1].w
-		q.end(last, Result{Full, l.predict(l.count, now)})
+		q.end(last, Result{Full, l.predict(l.count)})
 	}
-	if wait := q.predict(w, now); !w.ended && now.Add(wait).After(w.Deadline) {
+	if wait := q.predict(w); !fits && !w.ended && now.Add(wait).After(w.Deadline) {
 		q.end(w, Result{TooLong, wait})
 	}
 }
 
 // predict returns the wait of a request in the line that serves it first, or 0 if that is not known.
-func (q *Queue) predict(w *waiter, now time.Time) time.Duration {
+func (q *Queue) predict(w *waiter) time.Duration {
 	var least time.Duration
 	for _, k := range w.Keys {
 		l := q.lines[k]
 		ahead := slices.IndexFunc(l.order(), func(e entry) bool { return e.w == w })
-		wait := l.predict(ahead+1, now)
+		wait := l.predict(ahead + 1)
 		if wait == 0 {
 			return 0
 		}
@@ -291,7 +294,7 @@
 	defer q.mu.Unlock()
 	now := q.spec.Now()
 	if !now.Before(w.Deadline) {
-		q.end(w, Result{TimedOut, q.lines[w.Keys[0]].predict(1, now)})
+		q.end(w, Result{TimedOut, q.lines[w.Keys[0]].predict(1)})
 	}
 	w.returns = time.Time{}
 	q.scanAll(w.Keys, now)
