entry, httpengine: bounded memory of slow callers; departures and idle limits

Cause: the kernel's buffers of a stalled stream grew to megabytes, so an engine generated whole answers that nobody read; a write to a caller that left stayed blocked until the stall timeout; in blocking mode nbhttp stops reading an idle connection but leaves it open, so idle connections stayed for ever. Change: 32 KiB are asked for the send buffer of a stream and for the receive buffer of a connection to an endpoint; a departure ends the pending write; the engine's close hook closes the connection; a smaller read buffer for each stream.

--- a/engine/httpengine/client.go
+++ b/engine/httpengine/client.go
@@ -81,9 +81,21 @@
 	}
 }
 
+// socketBuffer is the size that is asked for the receive buffer of a connection. The kernel would let it grow to
+// megabytes while a slow caller holds an answer back.
+const socketBuffer = 32 << 10
+
+func dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	conn, err := (&net.Dialer{Timeout: connectTimeout}).DialContext(ctx, network, addr)
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetReadBuffer(socketBuffer) // without it the connection works as well
+	}
+	return conn, err
+}
+
 func transport(single bool) *http.Transport {
 	return &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: connectTimeout}).DialContext,
+		DialContext:            dial,
 		MaxIdleConnsPerHost:    maxIdlePerHost,
 		IdleConnTimeout:        idleTimeout,
 		DisableKeepAlives:      single,
--- a/engine/httpengine/stream.go
+++ b/engine/httpengine/stream.go
@@ -13,6 +13,9 @@
 	"github.com/bramleytrail/bramleytrail/engine"
 )
 
+// lineBufSize is the read buffer of a stream; an event has about 200 bytes.
+const lineBufSize = 1 << 10
+
 // maxLineBytes bounds one line of an event stream.
 const maxLineBytes = 64 << 10
 
@@ -29,7 +32,7 @@
 }
 
 func newStream(resp *http.Response, failed func()) *stream {
-	return &stream{failed: failed, body: resp.Body, lines: bufio.NewReaderSize(resp.Body, transportBufSize), boot: resp.Header.Get(HeaderBoot)}
+	return &stream{failed: failed, body: resp.Body, lines: bufio.NewReaderSize(resp.Body, lineBufSize), boot: resp.Header.Get(HeaderBoot)}
 }
 
 // Boot implements engine.Stream.
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -12,8 +12,11 @@
 	"net/http/httputil"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/lesismal/nbio/nbhttp"
+
 	"github.com/bramleytrail/bramleytrail/relay"
 	"github.com/bramleytrail/bramleytrail/result"
 )
@@ -63,6 +66,13 @@
 	_ = replyWhole(w, http.StatusOK, http.Header{"Content-Type": {"application/json"}}, data) // the caller may have left
 }
 
+// socketBuffer is the size that is asked for the send buffer of a streamed answer. The kernel would let it grow to
+// megabytes for a caller that reads slowly.
+const socketBuffer = 32 << 10
+
+// errGone is returned for a write after the caller closed its connection.
+var errGone = errors.New("caller closed the connection")
+
 // streamCaller writes to the caller's connection directly. The engine's response writer reports neither a failed write
 // nor a caller that has left; the connection does both.
 type streamCaller struct {
@@ -70,6 +80,7 @@
 	stall time.Duration
 	body  io.WriteCloser // chunked framing; nil until Begin
 	begun bool
+	gone  atomic.Bool
 	once  sync.Once
 }
 
@@ -84,9 +95,25 @@
 		return nil, nil, result.Wrap(result.Internal, result.NotRun, err)
 	}
 	_ = conn.SetReadDeadline(time.Time{}) // the engine's deadline for the next request
+	limitSendBuffer(conn)
 	ctx, cancel := context.WithCancel(r.Context())
-	go watch(conn, cancel)
-	return &streamCaller{conn: conn, stall: s.spec.StallTimeout}, ctx, nil
+	c := &streamCaller{conn: conn, stall: s.spec.StallTimeout}
+	go watch(conn, func() {
+		c.gone.Store(true)
+		_ = conn.SetWriteDeadline(time.Now()) // ends a pending write; the connection may be closed already
+		cancel()
+	})
+	return c, ctx, nil
+}
+
+// limitSendBuffer bounds the kernel's part of the memory of a stalled stream.
+func limitSendBuffer(conn net.Conn) {
+	if wrapped, ok := conn.(*nbhttp.Conn); ok {
+		conn = wrapped.Conn
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetWriteBuffer(socketBuffer) // without it the stream works as well
+	}
 }
 
 // watch waits until the caller closes the connection. What a caller sends during an answer is ignored, since the answer
@@ -158,5 +185,8 @@
 	if err := w.c.conn.SetWriteDeadline(time.Now().Add(w.c.stall)); err != nil {
 		return 0, err
 	}
+	if w.c.gone.Load() { // after SetWriteDeadline, which may have replaced the deadline of a caller that left
+		return 0, errGone
+	}
 	return w.c.conn.Write(p)
 }
--- a/entry/server.go
+++ b/entry/server.go
@@ -35,8 +35,10 @@
 	MaxConnections int
 	// StallTimeout bounds the time for which a caller may read nothing.
 	StallTimeout time.Duration
-	Pipeline     *pipeline.Pipeline
-	Config       *config.Holder
+	// IdleTimeout bounds the time between two requests on a connection; 0 for two minutes.
+	IdleTimeout time.Duration
+	Pipeline    *pipeline.Pipeline
+	Config      *config.Holder
 	// Ready reports whether the balancer may send requests to this daemon.
 	Ready func() bool
 }
@@ -49,7 +51,12 @@
 }
 
 // New returns a server. It opens no port.
-func New(spec Spec) *Server { return &Server{spec: spec} }
+func New(spec Spec) *Server {
+	if spec.IdleTimeout == 0 {
+		spec.IdleTimeout = keepaliveTime
+	}
+	return &Server{spec: spec}
+}
 
 // Start opens the port and serves callers.
 //
@@ -59,7 +66,7 @@
 	conf := nbhttp.Config{
 		Name: "entry", Network: "tcp", Addrs: []string{s.spec.Addr}, IOMod: nbhttp.IOModBlocking, MaxBlockingOnline: s.spec.MaxConnections,
 		MaxLoad: s.spec.MaxConnections, ReadLimit: maxReadBytes, MaxHTTPBodySize: maxBodyBytes,
-		BlockingReadBufferSize: readBufferSize, KeepaliveTime: keepaliveTime, Handler: s,
+		BlockingReadBufferSize: readBufferSize, KeepaliveTime: s.spec.IdleTimeout, Handler: s,
 		Listen: func(network, addr string) (net.Listener, error) {
 			ln, err := net.Listen(network, addr)
 			if err == nil {
@@ -69,6 +76,8 @@
 		},
 	}
 	s.engine = nbhttp.NewEngine(conf)
+	// In blocking mode the engine stops reading a connection that is idle for too long, but does not close it.
+	s.engine.OnClose(func(c net.Conn, _ error) { _ = c.Close() })
 	if err := s.engine.Start(); err != nil {
 		return fmt.Errorf("listen for callers on %s: %w", s.spec.Addr, err)
 	}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -55,7 +55,7 @@
 	sealed  []batch
 	pending *group // bills that wait to be copied
 
-	copying sync.Mutex // held while a copy is sent
+	copying  sync.Mutex // held while a copy is sent
 	flushing sync.Mutex // two flushes at a time would drop a batch that was not written
 }
 
--- /dev/null
+++ b/local/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package local
+
+const raceEnabled = true
--- a/local/sample.go
+++ b/local/sample.go
@@ -54,6 +54,11 @@
 // Sample starts a deployment with the sample configuration: daemons in two failure domains and, in each domain, one
 // endpoint of each model and of the plain service.
 func Sample(ctx context.Context, d *Deployment, daemons int, engine standin.EngineSpec) error {
+	return SampleWith(ctx, d, daemons, engine, SampleSet())
+}
+
+// SampleWith is Sample with a changed sample configuration.
+func SampleWith(ctx context.Context, d *Deployment, daemons int, engine standin.EngineSpec, set object.Set) error {
 	domains := []string{SampleDomainA, SampleDomainB}
 	for _, domain := range domains {
 		for _, version := range []string{SampleSmall, SampleLarge} {
@@ -73,7 +78,7 @@
 			return err
 		}
 	}
-	rev, err := d.Publish(ctx, SampleSet())
+	rev, err := d.Publish(ctx, set)
 	if err != nil {
 		return err
 	}
--- a/standin/enginecontrol.go
+++ b/standin/enginecontrol.go
@@ -170,6 +170,13 @@
 	return slices.Clone(e.orders)
 }
 
+// Running returns the number of requests that hold a slot.
+func (e *Engine) Running() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.running
+}
+
 // Boots returns the number of starts.
 func (e *Engine) Boots() int {
 	e.mu.Lock()
--- a/standin/server.go
+++ b/standin/server.go
@@ -12,6 +12,10 @@
 // headerTimeout bounds the time in which a client must send its header.
 const headerTimeout = 5 * time.Second
 
+// socketBuffer is the size that is asked for the send buffer of a connection, so that a client that doesn't read stops
+// the server soon.
+const socketBuffer = 16 << 10
+
 // Server is an HTTP server on a loopback address.
 type Server struct {
 	Addr string
@@ -25,7 +29,10 @@
 		return nil, fmt.Errorf("stand-in: %w", err)
 	}
 	s := &Server{Addr: ln.Addr().String(), http: &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}}
-	s.http.ConnContext = func(ctx context.Context, _ net.Conn) context.Context {
+	s.http.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetWriteBuffer(socketBuffer) // without it, a test of slow callers only takes longer
+		}
 		return context.WithValue(ctx, connKey{}, &connState{})
 	}
 	go func() { _ = s.http.Serve(ln) }() // returns http.ErrServerClosed after Close
