--- a/relay/relay.go
+++ b/relay/relay.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -79,6 +80,9 @@
 // see the end of the answer only after the request is billed. See Finish.
 func Stream(src Source, c Caller, m Meta) error {
 	first := true
+	w := newEventWriter(c)
+	d := &delta{}
+	out := &completion{ID: m.ID, Object: "chat.completion.chunk", Created: m.Created, Model: m.Model, Choices: []choice{{Delta: d}}}
 	for {
 		ev, err := src.Next()
 		if err == io.EOF {
@@ -87,29 +91,39 @@
 		if err != nil {
 			return err
 		}
-		d := &delta{Content: ev.Text}
+		d.Role, d.Content = "", ev.Text
 		if first {
 			d.Role = "assistant"
 			first = false
 		}
-		out := completion{ID: m.ID, Object: "chat.completion.chunk", Created: m.Created, Model: m.Model,
-			Choices: []choice{{Delta: d, FinishReason: finish(ev)}}, Usage: usageOf(ev.Usage)}
-		if err := sendEvent(c, out); err != nil {
+		out.Choices[0].FinishReason, out.Usage = finish(&ev), usageOf(ev.Usage)
+		if err := w.send(out); err != nil {
 			return err
 		}
 	}
 }
 
-func sendEvent(c Caller, v any) error {
-	data, err := json.Marshal(v)
-	if err != nil {
+// eventWriter encodes server-sent events in one buffer, which is used again for the next event.
+type eventWriter struct {
+	c   Caller
+	buf bytes.Buffer
+	enc *json.Encoder
+}
+
+func newEventWriter(c Caller) *eventWriter {
+	w := &eventWriter{c: c}
+	w.enc = json.NewEncoder(&w.buf)
+	return w
+}
+
+func (w *eventWriter) send(v any) error {
+	w.buf.Reset()
+	w.buf.WriteString("data: ")
+	if err := w.enc.Encode(v); err != nil { // ends with a line break
 		return fmt.Errorf("encode event: %w", err)
 	}
-	buf := make([]byte, 0, len(data)+8)
-	buf = append(buf, "data: "...)
-	buf = append(buf, data...)
-	buf = append(buf, "\n\n"...)
-	if _, err := c.Write(buf); err != nil {
+	w.buf.WriteByte('\n')
+	if _, err := w.c.Write(w.buf.Bytes()); err != nil {
 		return gone(err)
 	}
 	return nil
@@ -132,7 +146,7 @@
 
 // Fail ends a streamed answer with an error event.
 func Fail(c Caller, e *result.Error) error {
-	if err := sendEvent(c, json.RawMessage(ErrorBody(e))); err != nil {
+	if err := newEventWriter(c).send(json.RawMessage(ErrorBody(e))); err != nil {
 		return err
 	}
 	return c.End()
@@ -157,7 +171,7 @@
 		last = ev
 	}
 	out := completion{ID: m.ID, Object: "chat.completion", Created: m.Created, Model: m.Model,
-		Choices: []choice{{Message: &delta{Role: "assistant", Content: text.String()}, FinishReason: finish(last)}}, Usage: usageOf(last.Usage)}
+		Choices: []choice{{Message: &delta{Role: "assistant", Content: text.String()}, FinishReason: finish(&last)}}, Usage: usageOf(last.Usage)}
 	data, err := json.Marshal(out)
 	if err != nil {
 		return nil, fmt.Errorf("encode answer: %w", err)
@@ -165,11 +179,12 @@
 	return data, nil
 }
 
-func finish(ev engine.Event) *string {
+func finish(ev *engine.Event) *string {
 	if ev.FinishReason == "" {
 		return nil
 	}
-	return &ev.FinishReason
+	reason := ev.FinishReason // a pointer into ev would put each event on the heap
+	return &reason
 }
 
 func usageOf(u *engine.Usage) *usage {
