admit: bound the bodies of requests in flight, per process and team

Cause: a body of up to 4 MiB is kept until the end of its answer, so the limit of 2000 requests in flight allowed 8 GB. Change: bodies in flight are charged after the team is known, 64 MiB for the process and half of that for one team; beyond it a request is turned away as not run. Conclusion: bounded after identification; the engine still reads one body for each open connection before that.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -40,6 +40,8 @@
 	// silentIntervals is the number of bill intervals after which a daemon that sent nothing is taken for dead.
 	silentIntervals = 3
 	stopTimeout     = 10 * time.Second // for writing bills and outcomes at the end
+	// maxBodies bounds the request bodies in flight; a quarter of the memory that a daemon may use.
+	maxBodies = 64 << 20
 	// leaveNotice is the time for which a stopping daemon still admits requests after it reports that it is not ready,
 	// so that the balancer stops sending it new ones first.
 	leaveNotice = 2 * time.Second
@@ -156,7 +158,7 @@
 func (d *Daemon) buildEntry() *entry.Server {
 	s := d.settings
 	signer := session.NewSigner(s.SessionKey)
-	d.admit = admit.New(admit.Spec{MaxInFlight: s.MaxInFlight})
+	d.admit = admit.New(admit.Spec{MaxInFlight: s.MaxInFlight, MaxBytes: maxBodies})
 	d.claims = claim.New(claim.Spec{Store: d.platform.Store, Owner: d.incarnation, WritesPerSecond: s.ClaimWrites, Now: time.Now})
 	d.dispatch.Store(dispatch.New(dispatch.Spec{
 		Pool: d.pool, Client: d.engines, Poison: d.poison, OnCrash: d.reportCrash, QueueWait: s.QueueWait,
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -81,6 +81,9 @@
 	}
 	defer e.who.Release()
 	e.outcome.Team = e.who.Team.Name
+	if err := permit.Charge(e.who.Team.Name, int64(len(r.Body))); err != nil {
+		return err
+	}
 	if !e.who.Deadline.IsZero() {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, e.who.Deadline)
