--- a/pool/pick_test.go
+++ b/pool/pick_test.go
@@ -65,3 +65,67 @@
 		})
 	}
 }
+
+// Guards against a request that a team may send and an endpoint can hold, but that fits into no daemon's share.
+func TestLargestRequestFitsSomewhere(t *testing.T) {
+	const daemons, largest = 10, 300
+	now := time.Unix(1e9, 0)
+	list := hostlist.List{Hosts: []hostlist.Host{endpointHost(0, 1, 1)}}
+	for i := range daemons {
+		list.Hosts = append(list.Hosts, entryHost(i, 1))
+	}
+	fits, held := 0, int64(0)
+	for i := range daemons {
+		p := newTestPool(entryHost(i, 1).ID, 1)
+		p.SetView(testView(object.EndpointLimits{Slots: 20, ColdSlots: 20, Tokens: 1000}, largest, 1), now)
+		p.SetHosts(list, now)
+		now := now.Add(joinSettles * testSettle)
+		size := int64(largest)
+		_, short, ok := p.Pick(Query{Service: testService, Version: "v0", Tokens: size}, now)
+		if ok {
+			fits++
+		} else {
+			if !short.Hopeless() {
+				t.Errorf("%+v: the request would wait for room that can't become free", short)
+			}
+			size = 50
+			if _, _, ok := p.Pick(Query{Service: testService, Version: "v0", Tokens: size}, now); !ok {
+				t.Error("a daemon has no room for an ordinary request")
+			}
+		}
+		held += size
+	}
+	if fits == 0 || held > 1000 {
+		t.Errorf("%d daemons took the largest request; %d tokens are held at a limit of 1000", fits, held)
+	}
+}
+
+// Guards against an endpoint that leaves the list and returns with its requests in flight forgotten, and against one that
+// gives no reports and takes every turn of the polls.
+func TestEndpointKeepsItsState(t *testing.T) {
+	p, now := warmPool(2, 0)
+	if _, _, ok := p.Pick(Query{Service: testService, Version: "v0", Exclude: []string{"llm-1"}}, now); !ok {
+		t.Fatal("no room")
+	}
+	list := p.list
+	p.SetHosts(hostlist.List{Hosts: list.Hosts[:1]}, now)
+	p.SetHosts(list, now)
+	if s := p.Dump(now, 1); s[0].InFlight != 1 {
+		t.Errorf("%d in flight after the endpoint returned; want 1", s[0].InFlight)
+	}
+	asked := map[string]int{}
+	for range 10 {
+		for _, target := range p.Due(1, now) {
+			asked[target.ID]++
+			if target.ID == "llm-0" {
+				p.ReportFailed(target.ID, now)
+			} else {
+				p.Report(target.ID, engine.Load{Boot: "a"}, now)
+			}
+		}
+		now = now.Add(100 * time.Millisecond)
+	}
+	if asked["llm-0"] != 5 || asked["llm-1"] != 5 {
+		t.Errorf("polls %v; want 5 each", asked)
+	}
+}
