relay, dispatch: a stalled answer gives up its endpoint

Cause: a caller that read nothing held a slot and tokens at an endpoint for up to 2 min, and others were refused for it. Change: after 10 s (--pause-after) in one write, the stream is cancelled and the room given back; the answer is continued when the caller reads on. Answers that may run only once keep their endpoint. An answer whose last event was read is not reopened. Conclusion: the slot serves others; the cost is one timer reset for each event.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -165,15 +165,16 @@
 		Now: time.Now, Rand: mathrand.Uint64,
 	}))
 	p := &pipeline.Pipeline{
-		Config:   d.config,
-		Admit:    d.admit,
-		Identify: identify.New(identify.Spec{Signer: signer, Members: func() int { return int(d.members.Load()) }}),
-		Claim:    d.claims,
-		Choose:   choose.New(choose.Declared{}),
-		Dispatch: d.dispatch.Load(),
-		Bill:     bill.New(d.ledger, d.incarnation),
-		Signer:   signer,
-		Now:      time.Now,
+		Config:     d.config,
+		Admit:      d.admit,
+		Identify:   identify.New(identify.Spec{Signer: signer, Members: func() int { return int(d.members.Load()) }}),
+		Claim:      d.claims,
+		Choose:     choose.New(choose.Declared{}),
+		Dispatch:   d.dispatch.Load(),
+		Bill:       bill.New(d.ledger, d.incarnation),
+		Signer:     signer,
+		PauseAfter: s.PauseAfter,
+		Now:        time.Now,
 		Observe: func(o pipeline.Outcome) {
 			d.metrics.Request(o)
 			d.recent.Add(o)
--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -40,6 +40,7 @@
 	text      strings.Builder // answer so far, to continue it at another endpoint
 	seq       int64
 	usage     engine.Usage
+	finished  bool // the last event of the answer was read, but perhaps not the end of the stream
 	done      bool
 	ran       result.Ran
 	served    *object.Version
@@ -91,7 +92,8 @@
 
 func (a *Answer) advance() (engine.Event, error) {
 	for {
-		if a.done {
+		if a.done || a.finished && a.stream == nil { // nothing is left to continue
+			a.done = true
 			return engine.Event{}, io.EOF
 		}
 		if a.stream == nil {
@@ -126,6 +128,7 @@
 		a.filter.spec.Poison.Clear(a.in.Fingerprint, a.filter.spec.Now())
 	}
 	a.ran = result.RunDone
+	a.finished = ev.FinishReason != ""
 	a.text.WriteString(ev.Text)
 	a.usage = engine.Usage{InputTokens: a.in.Tokens, OutputTokens: ev.Seq}
 	if ev.Usage != nil {
@@ -386,12 +389,26 @@
 	return &e
 }
 
+// Pause cancels the stream at the endpoint and gives its room back. Next continues the answer. An answer that may run
+// only once is not paused.
+func (a *Answer) Pause() {
+	if a.stream == nil || a.in.Once {
+		return
+	}
+	a.note(errPaused)
+	a.cancelStream()
+}
+
 // Close ends the answer. An unfinished stream is cancelled at the endpoint.
 func (a *Answer) Close() {
 	if a.stream == nil {
 		a.closeStream(errCancelled)
 		return
 	}
+	a.cancelStream()
+}
+
+func (a *Answer) cancelStream() {
 	addr, id := a.room.Addr, a.callID
 	a.closeStream(errCancelled)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(a.ctx), probeLimit)
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -130,7 +130,10 @@
 	}
 }
 
-var errCancelled = errors.New("request cancelled")
+var (
+	errCancelled = errors.New("request cancelled")
+	errPaused    = errors.New("paused: the caller reads nothing")
+)
 
 // sleep waits, or returns the reason why ctx ended.
 func sleep(ctx context.Context, d time.Duration, ran result.Ran) error {
--- a/local/slow_test.go
+++ b/local/slow_test.go
@@ -12,6 +12,7 @@
 	"sync"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/bramleytrail/bramleytrail/result"
 	"github.com/bramleytrail/bramleytrail/standin"
@@ -252,3 +253,52 @@
 		t.Errorf("%d requests ran that were told that they did not", after-runs)
 	}
 }
+
+// Guards against callers that read nothing and keep the slots of an endpoint from others, and against an answer that is
+// not whole after its endpoint was given up.
+func TestStalledAnswersGiveUpTheirEndpoint(t *testing.T) {
+	ctx, d := startSlow(t)
+	s := d.Settings("entry-pausing", SampleDomainA)
+	s.PauseAfter = 200 * time.Millisecond
+	dm, err := d.AddDaemon(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := Wait(ctx, dm.Ready); err != nil {
+		t.Fatal(err)
+	}
+	var callers []*slowCaller
+	for i := range 10 {
+		c, err := newSlowCaller(dm.Addr(), "small", fmt.Sprintf("slow %d", i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		callers = append(callers, c)
+	}
+	if err := Wait(ctx, func() bool { return generated(d) > 0 && running(d) == 0 }); err != nil {
+		t.Fatal(err)
+	}
+	if n := generated(d); n >= int64(len(callers))*slowTokens {
+		t.Errorf("%d tokens were generated for callers that read nothing", n)
+	}
+	for _, e := range dm.State().Endpoints {
+		if e.InFlight != 0 || e.Tokens != 0 {
+			t.Errorf("%s: %d in flight, %d tokens for callers that read nothing", e.ID, e.InFlight, e.Tokens)
+		}
+	}
+	var wg sync.WaitGroup
+	for _, c := range callers {
+		wg.Go(func() {
+			text, err := c.read()
+			if want := standin.Answer(SampleSmall, Messages(c.prompt), slowTokens); err != nil || text != want {
+				t.Errorf("%s: %d of %d bytes, %v", c.prompt, len(text), len(want), err)
+			}
+		})
+	}
+	wg.Wait()
+	d.Daemons = d.Daemons[:1]
+	drainAll(ctx, t, d)
+	if err := dm.Drain(ctx); err != nil {
+		t.Error(err)
+	}
+}
--- a/pipeline/chat.go
+++ b/pipeline/chat.go
@@ -101,7 +101,7 @@
 
 // relay sends the answer, except for the end that the caller sees only after the bill is kept.
 func (s *chatStages) relay() error {
-	meta := relay.Meta{ID: "chatcmpl-" + s.r.ID, Model: s.answer.Version().Name, Created: s.start.Unix()}
+	meta := relay.Meta{ID: "chatcmpl-" + s.r.ID, Model: s.answer.Version().Name, Created: s.start.Unix(), PauseAfter: s.p.PauseAfter}
 	if !s.chat.Stream {
 		var err error
 		s.whole, err = relay.Collect(s.answer, meta)
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -28,7 +28,9 @@
 	Bill     *bill.Filter
 
 	Signer *session.Signer
-	Now    func() time.Time
+	// PauseAfter is the time after which a streamed answer that its caller doesn't read gives up its endpoint; 0 for never.
+	PauseAfter time.Duration
+	Now        func() time.Time
 	// Observe is called at the end of each request.
 	Observe func(Outcome)
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -8,6 +8,8 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
+	"time"
 
 	"github.com/bramleytrail/bramleytrail/engine"
 	"github.com/bramleytrail/bramleytrail/result"
@@ -41,6 +43,55 @@
 	ID      string
 	Model   string
 	Created int64 // Unix seconds
+	// PauseAfter is the time after which a write that the caller doesn't read pauses the source; 0 for never.
+	PauseAfter time.Duration
+}
+
+// Pauser is a Source that can give up its endpoint. Next continues the answer later. Pause is not called during Next.
+type Pauser interface{ Pause() }
+
+// pauser pauses a source during a long write.
+type pauser struct {
+	after  time.Duration
+	source Pauser
+	timer  *time.Timer
+
+	mu      sync.Mutex
+	writing bool
+}
+
+func newPauser(src Source, after time.Duration) *pauser {
+	source, ok := src.(Pauser)
+	if !ok || after == 0 {
+		return nil
+	}
+	p := &pauser{after: after, source: source}
+	p.timer = time.AfterFunc(after, p.expire)
+	p.timer.Stop()
+	return p
+}
+
+func (p *pauser) expire() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.writing {
+		p.source.Pause()
+	}
+}
+
+// set says whether a write is in progress. It waits for a pause that has begun.
+func (p *pauser) set(writing bool) {
+	if p == nil {
+		return
+	}
+	p.mu.Lock()
+	p.writing = writing
+	p.mu.Unlock()
+	if writing {
+		p.timer.Reset(p.after)
+	} else {
+		p.timer.Stop()
+	}
 }
 
 type choice struct {
@@ -81,6 +132,7 @@
 func Stream(src Source, c Caller, m Meta) error {
 	first := true
 	w := newEventWriter(c)
+	p := newPauser(src, m.PauseAfter)
 	d := &delta{}
 	out := &completion{ID: m.ID, Object: "chat.completion.chunk", Created: m.Created, Model: m.Model, Choices: []choice{{Delta: d}}}
 	for {
@@ -97,7 +149,10 @@
 			first = false
 		}
 		out.Choices[0].FinishReason, out.Usage = finish(&ev), usageOf(ev.Usage)
-		if err := w.send(out); err != nil {
+		p.set(true)
+		err = w.send(out)
+		p.set(false)
+		if err != nil {
 			return err
 		}
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -32,6 +32,7 @@
 	MaxConnections int           `long:"max-connections" env:"BRAMLEY_MAX_CONNECTIONS" description:"open connections of callers" default:"8000"`
 	QueueWait      time.Duration `long:"queue-wait" env:"BRAMLEY_QUEUE_WAIT" description:"longest wait for room at an endpoint" default:"5s"`
 	StallTimeout   time.Duration `long:"stall-timeout" env:"BRAMLEY_STALL_TIMEOUT" description:"longest time for which a caller may read nothing" default:"2m"`
+	PauseAfter     time.Duration `long:"pause-after" env:"BRAMLEY_PAUSE_AFTER" description:"time after which a streamed answer that its caller does not read gives up its endpoint; 0 for never" default:"10s"`
 	Settle         time.Duration `long:"settle" env:"BRAMLEY_SETTLE" description:"time within which every daemon sees a change of the host list" default:"3s"`
 	BillInterval   time.Duration `long:"bill-interval" env:"BRAMLEY_BILL_INTERVAL" description:"time between writes of bills" default:"10s"`
 	CopyTimeout    time.Duration `long:"copy-timeout" env:"BRAMLEY_COPY_TIMEOUT" description:"longest wait for the copy of a bill" default:"100ms"`
