standin: resumed streams repeat two tokens

Cause: the check that drops repeated events of a resumed stream could be removed without a test failing. Change: the stand-in repeats two tokens, as engines may do.

--- a/standin/engine.go
+++ b/standin/engine.go
@@ -19,6 +19,8 @@
 	maxEngineBody = 16 << 20
 	bytesPerToken = 4
 	defaultAnswer = 24 // tokens of an answer if the request states no smaller limit
+	// resumeOverlap is the number of tokens that a resumed stream repeats, as engines may do.
+	resumeOverlap = 2
 )
 
 // EngineSpec describes a fake model engine.
@@ -268,7 +270,7 @@
 		http.NotFound(w, r)
 		return
 	}
-	e.stream(w, r, g, after, 0)
+	e.stream(w, r, g, max(g.first, after-resumeOverlap), 0)
 }
 
 // stream sends the tokens after a sequence number, the usage and the done marker.
