dispatch: test that buffered tokens are no sign of life

Cause: nothing failed if tokens that waited for a slow caller counted as evidence that an endpoint is warm. Change: a test with buffered and with prompt events under a fake clock. Conclusion: the dating of evidence is covered.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -29,6 +29,8 @@
 	calls int
 	fail  func(r *rand.Rand) error // error of a call, or nil
 	cut   func(r *rand.Rand) error // error in the middle of a stream, or nil
+	// buffered makes events available at once, as if they had waited for the reader.
+	buffered bool
 }
 
 func (c *scripted) call() error {
@@ -73,10 +75,12 @@
 	if s.seq >= scriptedTokens {
 		return engine.Event{}, io.EOF
 	}
-	select {
-	case <-time.After(10 * time.Millisecond):
-	case <-s.ctx.Done():
-		return engine.Event{}, s.ctx.Err()
+	if !s.c.buffered {
+		select {
+		case <-time.After(10 * time.Millisecond):
+		case <-s.ctx.Done():
+			return engine.Event{}, s.ctx.Err()
+		}
 	}
 	s.c.mu.Lock()
 	defer s.c.mu.Unlock()
@@ -223,3 +227,34 @@
 		}
 	})
 }
+
+// Guards against work above the cold share on the strength of tokens that waited in a buffer for a slow caller: the
+// endpoint may have started anew since it sent them.
+func TestBufferedTokensAreNoSignOfLife(t *testing.T) {
+	for _, buffered := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			never := func(*rand.Rand) error { return nil }
+			c := &scripted{rnd: rand.New(rand.NewPCG(1, 1)), fail: never, cut: never, buffered: buffered}
+			f, p, in := newFixture(c, 1, object.EndpointLimits{Slots: 12, ColdSlots: 2, WarmAfter: 1})
+			p.Report("llm-0", engine.Load{Boot: "b", Completed: 100}, time.Now())
+			a, err := f.Do(t.Context(), in)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer a.Close()
+			<-time.After(2 * time.Second) // the caller reads nothing
+			for range 2 {
+				if _, err := a.Next(); err != nil {
+					t.Fatal(err)
+				}
+			}
+			want := int64(12)
+			if buffered {
+				want = 2
+			}
+			if s := p.Dump(time.Now(), 1); s[0].Slots != want {
+				t.Errorf("buffered %v: share of %d slots; want %d", buffered, s[0].Slots, want)
+			}
+		})
+	}
+}
