--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -41,6 +41,8 @@
 	// silentIntervals is the number of bill intervals after which a daemon that sent nothing is taken for dead.
 	silentIntervals = 3
 	stopTimeout     = 10 * time.Second // for writing bills and outcomes at the end
+	// maxBodies bounds the request bodies in flight; a quarter of the memory that a daemon may use.
+	maxBodies = 64 << 20
 	// leaveNotice is the time for which a stopping daemon still admits requests after it reports that it is not ready,
 	// so that the balancer stops sending it new ones first.
 	leaveNotice = 2 * time.Second
@@ -61,19 +63,20 @@
 	engines     engine.Client
 	incarnation string
 
-	config  *config.Holder
-	pool    *pool.Pool
-	poison  *poison.Table
-	ledger  *ledger.Ledger
-	copies  *ledger.Copies
-	claims  *claim.Filter
-	admit   *admit.Filter
-	docs    *documents
-	node    *peer.Node
-	entry   *entry.Server
-	ops     *operatorServer
-	metrics *observe.Metrics
-	recent  *observe.Recent
+	config   *config.Holder
+	pool     *pool.Pool
+	poison   *poison.Table
+	dispatch atomic.Pointer[dispatch.Filter] // nil until Start
+	ledger   *ledger.Ledger
+	copies   *ledger.Copies
+	claims   *claim.Filter
+	admit    *admit.Filter
+	docs     *documents
+	node     *peer.Node
+	entry    *entry.Server
+	ops      *operatorServer
+	metrics  *observe.Metrics
+	recent   *observe.Recent
 
 	callerTLS *tls.Config // nil for plain HTTP
 	decisions *decisions
@@ -105,7 +108,7 @@
 		ctx:       ctx, cancel: cancel,
 	}
 	d.platform = Platform{Store: observe.Store{Store: p.Store, Metrics: d.metrics}, Hosts: p.Hosts, Ratings: p.Ratings}
-	d.pool = pool.New(pool.Spec{Self: s.ID, Domain: s.Domain, Settle: s.Settle, Rand: mathrand.Uint64})
+	d.pool = pool.New(pool.Spec{Self: s.ID, Domain: s.Domain, Settle: s.Settle, Rand: mathrand.Uint64, OnRoom: d.signalRoom})
 	d.docs = &documents{ctx: ctx, spec: documentsSpec{
 		Platform: d.platform, Config: d.config, Metrics: d.metrics, Log: d.log,
 		OnHosts: func(list hostlist.List) { d.pool.SetHosts(list, time.Now()) },
@@ -171,22 +174,24 @@
 func (d *Daemon) buildEntry() *entry.Server {
 	s := d.settings
 	signer := session.NewSigner(s.SessionKey)
-	d.admit = admit.New(admit.Spec{MaxInFlight: s.MaxInFlight})
+	d.admit = admit.New(admit.Spec{MaxInFlight: s.MaxInFlight, MaxBytes: maxBodies})
 	d.claims = claim.New(claim.Spec{Store: d.platform.Store, Owner: d.incarnation, WritesPerSecond: s.ClaimWrites, Now: time.Now})
+	d.dispatch.Store(dispatch.New(dispatch.Spec{
+		Pool: d.pool, Client: d.engines, Poison: d.poison, OnCrash: d.node.ReportCrash, QueueWait: s.QueueWait, OnCall: d.decisions.count,
+		Now: time.Now, Rand: mathrand.Uint64,
+	}))
 	p := &pipeline.Pipeline{
-		Config:   d.config,
-		Admit:    d.admit,
-		Identify: identify.New(identify.Spec{Signer: signer, Members: func() int { return int(d.docs.members.Load()) }}),
-		Claim:    d.claims,
-		Choose:   d.buildChoice(),
-		Climbs:   d.decisions.climbs,
-		Dispatch: dispatch.New(dispatch.Spec{
-			Pool: d.pool, Client: d.engines, Poison: d.poison, OnCrash: d.node.ReportCrash, QueueWait: s.QueueWait, Now: time.Now,
-			OnCall: d.decisions.count,
-		}),
-		Bill:   bill.New(d.ledger, d.incarnation),
-		Signer: signer,
-		Now:    time.Now,
+		Config:     d.config,
+		Admit:      d.admit,
+		Identify:   identify.New(identify.Spec{Signer: signer, Members: func() int { return int(d.docs.members.Load()) }}),
+		Claim:      d.claims,
+		Choose:     d.buildChoice(),
+		Climbs:     d.decisions.climbs,
+		Dispatch:   d.dispatch.Load(),
+		Bill:       bill.New(d.ledger, d.incarnation),
+		Signer:     signer,
+		PauseAfter: s.PauseAfter,
+		Now:        time.Now,
 		Observe: func(o pipeline.Outcome) {
 			d.metrics.Request(o)
 			d.countChoice(o)
@@ -201,6 +206,13 @@
 	})
 }
 
+// signalRoom passes news of the pool to the requests that wait for room.
+func (d *Daemon) signalRoom(service string, versions []string) {
+	if f := d.dispatch.Load(); f != nil {
+		f.Signal(service, versions)
+	}
+}
+
 // Addr returns the callers' address.
 func (d *Daemon) Addr() string { return d.entry.Addr() }
 
@@ -213,10 +225,10 @@
 // Revision returns the configuration revision in force.
 func (d *Daemon) Revision() config.Revision { return d.config.Revision() }
 
-// Ready reports whether the balancer may send requests: the daemon has a configuration and a host list and is not
-// leaving.
+// Ready reports whether the balancer may send requests: the daemon has a configuration and a host list,
+// may use its shares of the endpoints and is not leaving.
 func (d *Daemon) Ready() bool {
-	return d.config.View() != nil && d.docs.list.Load() != nil && !d.leaving.Load()
+	return d.config.View() != nil && d.docs.list.Load() != nil && d.pool.Joined(time.Now()) && !d.leaving.Load()
 }
 
 // Run serves until ctx ends, then stops gracefully.
--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -23,30 +23,37 @@
 
 	room     room
 	reserved bool
-	boot     string // endpoint's boot identity when the attempt began
 	stream   engine.Stream
 	ctxCall  context.Context // context of stream
 	cancel   context.CancelCauseFunc
 	timer    *time.Timer // cancels stream when it makes no progress
 	callID   string
 	first    *engine.Event // read by start and not delivered yet
+	heard    time.Time     // the endpoint sent the newest event after this time
 
-	opened    time.Time     // of the call in progress
-	firstByte time.Duration // of the call in progress
-	crash     string        // the endpoint's crash that ended the call in progress
-
-	attempts int
-	exclude  []string
-	suspect  bool
-	text     strings.Builder // answer so far, to continue it at another endpoint
-	seq      int64
-	usage    engine.Usage
-	done     bool
-	ran      result.Ran
-	served   *object.Version
-	trace    []Attempt
+	calls     int             // at endpoints
+	fruitless int             // calls since the last part of the answer
+	exclude   []string        // endpoints that failed since the last part of the answer
+	boot      string          // boot identity of the endpoint when the call began
+	failedAt  time.Time       // when the last call failed
+	opened    time.Time       // when the call in progress began
+	firstByte time.Duration   // of the call in progress
+	crash     string          // the endpoint's crash that ended the call in progress
+	blamed    bool            // a crash was recorded since the last part of the answer
+	text      strings.Builder // answer so far, to continue it at another endpoint
+	seq       int64
+	usage     engine.Usage
+	finished  bool // the last event of the answer was read, but perhaps not the end of the stream
+	done      bool
+	ran       result.Ran
+	served    *object.Version
+	trace     []Attempt
 }
 
+// waited is the duration of a read from which the event was not in a buffer before the read began. Engines send a token
+// every few tens of milliseconds, and reading a buffered one takes microseconds.
+const waited = 5 * time.Millisecond
+
 // Attempt records one endpoint that a request was sent to.
 type Attempt struct {
 	Endpoint string `json:"endpoint"`
@@ -88,14 +95,15 @@
 
 func (a *Answer) advance() (engine.Event, error) {
 	for {
-		if a.done {
+		if a.done || a.finished && a.stream == nil { // nothing is left to continue
+			a.done = true
 			return engine.Event{}, io.EOF
 		}
 		if a.stream == nil {
 			if err := a.open(); err != nil {
 				return engine.Event{}, err
 			}
-			continue // the endpoint failed before the answer began; open tries the next one
+			continue // the attempt may have failed
 		}
 		ev, err := a.read()
 		switch {
@@ -120,13 +128,19 @@
 		a.firstByte = max(1, a.filter.spec.Now().Sub(a.opened))
 	}
 	a.seq = ev.Seq
+	a.fruitless, a.exclude = 0, nil
+	if a.blamed { // a request that crashes endpoints gets no further at the next one
+		a.blamed = false
+		a.filter.spec.Poison.Clear(a.in.Fingerprint, a.filter.spec.Now())
+	}
 	a.ran = result.RunDone
+	a.finished = ev.FinishReason != ""
 	a.text.WriteString(ev.Text)
 	a.usage = engine.Usage{InputTokens: a.in.Tokens, OutputTokens: ev.Seq}
 	if ev.Usage != nil {
 		a.usage = *ev.Usage
 	}
-	a.room.Progress(a.filter.spec.Now())
+	a.room.Progress(a.stream.Boot(), a.heard)
 }
 
 // open reserves room and sends the request, or its continuation, to an endpoint.
@@ -138,15 +152,15 @@
 	if a.served != nil && a.seq > 0 {
 		begun = &a.room.candidate
 	}
-	r, err := a.filter.reserve(a.ctx, &a.in, begun, a.exclude, a.suspect)
+	r, err := a.filter.reserve(a.ctx, &a.in, begun, a.exclude)
 	if err != nil {
 		return a.withRan(err)
 	}
 	a.room, a.reserved, a.served = r, true, r.candidate.Version
 	a.boot = r.Boot()
-	a.attempts++
 	a.opened, a.firstByte, a.crash = a.filter.spec.Now(), 0, ""
-	a.callID = callID(a.in.RequestID, a.attempts)
+	a.count()
+	a.callID = callID(a.in.RequestID, a.calls)
 	a.trace = append(a.trace, Attempt{Endpoint: r.ID, Version: r.candidate.Version.Name})
 	req := engine.Request{
 		ID: a.callID, Version: r.candidate.Version.Name, Body: a.in.Body, Priority: a.in.Priority,
@@ -161,23 +175,31 @@
 	return nil
 }
 
+func (a *Answer) count() {
+	a.calls++
+	a.fruitless++
+}
+
 // mayAttempt checks the limits on attempts, crashes and retries.
 func (a *Answer) mayAttempt() error {
-	now := a.filter.spec.Now()
-	crashes := a.filter.spec.Poison.Crashes(a.in.Fingerprint, now)
-	if crashes >= poison.MaxCrashes {
+	if a.filter.spec.Poison.Refused(a.in.Fingerprint, a.filter.spec.Now()) {
 		return &result.Error{Code: result.PoisonRequest, Ran: a.ran}
 	}
-	a.suspect = crashes >= poison.IsolateAfter
-	if a.attempts == 0 {
-		return nil
-	}
-	if a.attempts >= maxAttempts || !a.filter.budget.withdraw() {
+	if a.calls > 0 && !a.mayCall() {
 		return a.exhausted()
 	}
 	return nil
 }
 
+// mayCall reports whether another call is allowed. The first calls after a part of the answer are free: an outage can't
+// multiply them, since they follow progress, and the parts that the caller has would be worthless without the rest.
+func (a *Answer) mayCall() bool {
+	if a.calls >= maxCalls || a.fruitless >= maxAttempts {
+		return false
+	}
+	return a.seq > 0 && a.fruitless < freeCalls || a.filter.budget.withdraw()
+}
+
 func (a *Answer) exhausted() error {
 	code := result.EndpointFailed
 	if a.seq > 0 {
@@ -189,12 +211,12 @@
 // connect opens a stream under a deadline for its response header.
 func (a *Answer) connect(limit time.Duration, open func(context.Context) (engine.Stream, error)) error {
 	ctx, cancel := context.WithCancelCause(a.ctx)
-	timer := time.AfterFunc(limit, func() { cancel(errStalled) })
+	timer := time.AfterFunc(limit, func() { cancel(engine.ErrStalled) })
 	start := a.filter.spec.Now()
 	s, err := open(ctx)
 	if !timer.Stop() && err == nil {
 		s.Close()
-		err = errStalled
+		err = engine.ErrStalled
 	}
 	if err != nil {
 		err = a.cause(ctx, err)
@@ -202,9 +224,9 @@
 		return err
 	}
 	a.stream, a.ctxCall, a.cancel, a.timer = s, ctx, cancel, timer
-	a.boot = s.Boot()
 	now := a.filter.spec.Now()
-	a.room.Opened(s.Boot(), now.Sub(start), now)
+	a.room.Opened(s.Boot(), now.Sub(start), start)
+	a.heard, a.boot = start, s.Boot()
 	return nil
 }
 
@@ -215,8 +237,12 @@
 		limit = a.room.timeouts.firstByte
 	}
 	a.timer.Reset(limit)
+	start := a.filter.spec.Now()
 	ev, err := a.stream.Next()
 	a.timer.Stop()
+	if a.filter.spec.Now().Sub(start) >= waited {
+		a.heard = start
+	}
 	if err != nil && err != io.EOF {
 		err = a.cause(a.ctxCall, err)
 	}
@@ -228,8 +254,8 @@
 	if a.ctx.Err() != nil {
 		return errCancelled
 	}
-	if c := context.Cause(ctx); errors.Is(c, errStalled) {
-		return errStalled
+	if c := context.Cause(ctx); errors.Is(c, engine.ErrStalled) {
+		return engine.ErrStalled
 	}
 	return err
 }
@@ -237,6 +263,7 @@
 // recover handles a failed attempt. It returns nil if the answer can go on.
 func (a *Answer) recover(err error) error {
 	a.note(err)
+	a.failedAt = a.filter.spec.Now()
 	if errors.Is(err, errCancelled) {
 		a.closeStream(err)
 		return contextError(a.ctx, max(a.ran, result.RunUnknown)) // the endpoint may have the request
@@ -245,10 +272,20 @@
 		a.closeStream(err)
 		return result.Wrap(result.EndpointRejected, a.ran, err)
 	}
-	notRun := errors.Is(err, engine.ErrUnreachable) || errors.Is(err, engine.ErrBusy)
-	if !notRun {
+	if !errors.Is(err, engine.ErrUnreachable) && !errors.Is(err, engine.ErrBusy) {
 		a.ran = max(a.ran, result.RunUnknown)
-		if a.resume(err) {
+		switch a.rescue(err) {
+		case resumed:
+			return nil
+		case refused:
+			err = errCancelled // the endpoint is in order; only this stream is lost
+		case crashed:
+			if err := a.afterCrash(err); err != nil {
+				return err
+			}
+			if a.in.Once {
+				return a.exhausted()
+			}
 			return nil
 		}
 		if a.in.Once {
@@ -261,23 +298,48 @@
 	return nil
 }
 
-// resume asks the same endpoint for the rest of the stream on a new connection. If the endpoint has started anew or
-// can't be reached, the crash is recorded and resume returns false.
-func (a *Answer) resume(cause error) bool {
+// resumption is the result of an attempt to resume a stream.
+type resumption int
+
+const (
+	resumed resumption = iota
+	refused            // the endpoint is in order and doesn't give the rest
+	crashed            // the endpoint has started anew or is down since the connection broke
+	unknown            // the endpoint does not respond, or reported a failure
+)
+
+// rescue resumes the stream unless the endpoint itself reported a failure.
+func (a *Answer) rescue(cause error) resumption {
+	if errors.Is(cause, engine.ErrFailed) {
+		return unknown
+	}
+	return a.resume(cause)
+}
+
+// resume asks the same endpoint for the rest of the stream on a new connection, after a probe that tells a lost
+// connection from a lost endpoint.
+func (a *Answer) resume(cause error) resumption {
 	ctx, cancel := context.WithTimeout(a.ctx, probeLimit)
 	defer cancel()
+	asked := a.filter.spec.Now()
 	load, err := a.filter.spec.Client.Load(ctx, a.room.Addr)
-	if err != nil || load.Boot != a.boot {
-		if errors.Is(cause, engine.ErrBroken) {
-			a.recordCrash()
-		}
-		return false
-	}
-	if a.attempts >= maxAttempts || a.seq == 0 {
-		return false
-	}
-	a.attempts++
-	if a.cancel != nil {
+	if err == nil {
+		defer a.filter.spec.Pool.Report(a.room.ID, load, asked)
+	}
+	switch {
+	case err == nil && load.Boot == a.boot:
+	case errors.Is(cause, engine.ErrBroken):
+		return crashed
+	case err == nil:
+		return crashed // it went silent and started anew
+	default:
+		return unknown
+	}
+	if !a.mayCall() {
+		return refused
+	}
+	a.count()
+	if a.stream != nil {
 		a.cancel(nil)
 		a.stream.Close()
 		a.stream = nil
@@ -285,13 +347,35 @@
 	err = a.connect(probeLimit, func(ctx context.Context) (engine.Stream, error) {
 		return a.filter.spec.Client.Resume(ctx, a.room.Addr, a.callID, a.seq)
 	})
-	return err == nil
+	if err != nil {
+		return refused
+	}
+	return resumed
 }
 
+// afterCrash records the crash and gives the room back. A request without any part of its answer then waits, so that the
+// answers in progress that the crash interrupted go on elsewhere before it runs again: if it is the cause of the crash,
+// they are not there when it causes the next one.
+func (a *Answer) afterCrash(err error) error {
+	a.recordCrash()
+	a.exclude = append(a.exclude, a.room.ID)
+	a.closeStream(err)
+	if a.seq > 0 {
+		return nil
+	}
+	pause := crashPause + time.Duration(a.filter.spec.Rand()%uint64(crashPause))
+	return sleep(a.ctx, pause, a.ran)
+}
+
+// recordCrash blames this request for a crash unless a request that ran in isolation is the cause.
 func (a *Answer) recordCrash() {
-	r := poison.Record{Fingerprint: a.in.Fingerprint, Crash: a.room.ID + "/" + a.boot}
-	a.crash = r.Crash
-	if a.filter.spec.Poison.Add(r, a.filter.spec.Now()) {
+	now := a.filter.spec.Now()
+	if a.room.BesideSuspect(now) {
+		return
+	}
+	r := poison.Record{Fingerprint: a.in.Fingerprint, Crash: a.room.ID + "/" + a.boot, Isolated: a.room.Isolated(now)}
+	a.blamed, a.crash = true, r.Crash
+	if a.filter.spec.Poison.Add(r, now) {
 		a.filter.spec.OnCrash(r)
 	}
 }
@@ -307,14 +391,14 @@
 	}
 	if a.reserved {
 		a.reserved = false
-		a.room.Release(outcomeOf(err), a.filter.spec.Now())
+		a.room.Release(outcomeOf(err), a.failedAt)
 		a.reportCall(err)
 	}
 }
 
 // reportCall reports the attempt, unless its outcome says nothing about the version.
 func (a *Answer) reportCall(err error) {
-	failed := errors.Is(err, engine.ErrFailed) || errors.Is(err, engine.ErrBroken) || errors.Is(err, errStalled)
+	failed := errors.Is(err, engine.ErrFailed) || errors.Is(err, engine.ErrBroken) || errors.Is(err, engine.ErrStalled)
 	if a.filter.spec.OnCall == nil || err != nil && !failed {
 		return
 	}
@@ -330,12 +414,26 @@
 	return &e
 }
 
+// Pause cancels the stream at the endpoint and gives its room back. Next continues the answer. An answer that may run
+// only once is not paused.
+func (a *Answer) Pause() {
+	if a.stream == nil || a.in.Once {
+		return
+	}
+	a.note(errPaused)
+	a.cancelStream()
+}
+
 // Close ends the answer. An unfinished stream is cancelled at the endpoint.
 func (a *Answer) Close() {
 	if a.stream == nil {
 		a.closeStream(errCancelled)
 		return
 	}
+	a.cancelStream()
+}
+
+func (a *Answer) cancelStream() {
 	addr, id := a.room.Addr, a.callID
 	a.closeStream(errCancelled)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(a.ctx), probeLimit)
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -14,15 +14,26 @@
 	"github.com/bramleytrail/bramleytrail/object"
 	"github.com/bramleytrail/bramleytrail/poison"
 	"github.com/bramleytrail/bramleytrail/pool"
+	"github.com/bramleytrail/bramleytrail/queue"
 	"github.com/bramleytrail/bramleytrail/result"
 )
 
 const (
-	// maxAttempts bounds the endpoints that one request is sent to.
+	// maxAttempts bounds the calls in a row that bring no part of an answer.
 	maxAttempts = 4
-	pickPause   = 5 * time.Millisecond
-	probeLimit  = time.Second
-	fullRetry   = time.Second
+	// maxCalls bounds the calls for one request.
+	maxCalls = 16
+	// freeCalls is the number of calls after a part of an answer that take nothing from the retry budget: one to resume
+	// the stream and one to continue it elsewhere.
+	freeCalls = 2
+	// crashPause is the least pause after a crash before a request without any part of its answer is sent again. A
+	// stream makes progress at another endpoint within it, at 61 ms between tokens; the pause is at most doubled.
+	crashPause = 250 * time.Millisecond
+	// queueLimit bounds the requests that wait for one version in a daemon. At the target a daemon serves 18 requests a
+	// second, so that 256 are more than its endpoints release within the longest wait.
+	queueLimit = 256
+	probeLimit = time.Second
+	fullRetry  = time.Second
 )
 
 // Spec configures a Filter.
@@ -30,8 +41,10 @@
 	Pool   *pool.Pool
 	Client engine.Client
 	Poison *poison.Table
-	// OnCrash tells the other daemons of a crash.
+	// OnCrash tells the other daemons of a crash. It returns when the nearest ones know of it, or after a short time, so
+	// that a caller that repeats the request through another daemon finds the crash counted there.
 	OnCrash func(poison.Record)
+	Rand    func() uint64
 	// QueueWait bounds the time for which a request waits for room at an endpoint.
 	QueueWait time.Duration
 	Now       func() time.Time
@@ -52,10 +65,19 @@
 type Filter struct {
 	spec   Spec
 	budget *budget
+	queue  *queue.Queue
 }
 
 // New returns a filter.
-func New(spec Spec) *Filter { return &Filter{spec: spec, budget: newBudget()} }
+func New(spec Spec) *Filter {
+	return &Filter{spec: spec, budget: newBudget(), queue: queue.New(queue.Spec{Limit: queueLimit, Now: spec.Now})}
+}
+
+// Signal tells the requests that wait that endpoints of a service may have room. It suits pool.Spec.OnRoom.
+func (f *Filter) Signal(service string, versions []string) { f.queue.Signal(service, versions) }
+
+// Waiting returns the number of requests that wait for room.
+func (f *Filter) Waiting() int { return f.queue.Waiting() }
 
 // Input is a model request.
 type Input struct {
@@ -75,17 +97,20 @@
 	Renew func(*config.View) (*config.View, []choose.Candidate, error)
 }
 
-// renew applies the newest configuration to a request that has not been sent yet.
-func (in *Input) renew() error {
-	if in.Renew == nil {
-		return nil
+// newest returns the candidates under the newest configuration. Text of one version is continued by the same version
+// only: begun is the candidate that gave the beginning of the answer, or nil.
+func (in *Input) newest(begun *choose.Candidate) ([]choose.Candidate, error) {
+	if in.Renew != nil {
+		view, candidates, err := in.Renew(in.View)
+		if err != nil {
+			return nil, err
+		}
+		in.View, in.Candidates = view, candidates
 	}
-	view, candidates, err := in.Renew(in.View)
-	if err != nil {
-		return err
+	if begun != nil {
+		return in.continued(*begun)
 	}
-	in.View, in.Candidates = view, candidates
-	return nil
+	return in.Candidates, nil
 }
 
 // continued returns the only candidate that can continue an answer: the version that gave its beginning. Under the newest
@@ -119,71 +144,6 @@
 
 type timeouts struct{ firstByte, progress time.Duration }
 
-// reserve waits for room at an endpoint of one of the candidates, the preferred one first. Each try uses the newest
-// configuration. A begun answer is continued by its own version only.
-func (f *Filter) reserve(ctx context.Context, in *Input, begun *choose.Candidate, exclude []string, suspect bool) (room, error) {
-	deadline := f.spec.Now().Add(f.spec.QueueWait)
-	for {
-		candidates, err := in.newest(begun)
-		if err != nil {
-			return room{}, err
-		}
-		r, short, ok := f.pick(in, candidates, exclude, suspect)
-		if ok {
-			return r, nil
-		}
-		if !f.spec.Now().Before(deadline) {
-			return room{}, noEndpoint(short)
-		}
-		if err := pause(ctx, pickPause); err != nil {
-			return room{}, err
-		}
-	}
-}
-
-// newest returns the candidates under the newest configuration.
-func (in *Input) newest(begun *choose.Candidate) ([]choose.Candidate, error) {
-	if err := in.renew(); err != nil {
-		return nil, err
-	}
-	if begun != nil {
-		return in.continued(*begun)
-	}
-	return in.Candidates, nil
-}
-
-func (f *Filter) pick(in *Input, candidates []choose.Candidate, exclude []string, suspect bool) (room, pool.Shortage, bool) {
-	var short pool.Shortage
-	for _, c := range candidates {
-		q := pool.Query{Service: c.Service, Version: c.Version.Name, Tokens: in.Tokens + in.MaxTokens, Exclude: exclude, Suspect: suspect}
-		q.OnlyRankZero = suspect && f.spec.Pool.HasRankZero(c.Service, c.Version.Name)
-		r, s, ok := f.spec.Pool.Pick(q, f.spec.Now())
-		if ok {
-			t := in.View.Services[c.Service].Timeouts
-			return room{r, c, timeouts{t.FirstByte, t.Progress}}, s, true
-		}
-		short = s
-	}
-	return room{}, short, false
-}
-
-func noEndpoint(s pool.Shortage) error {
-	return result.Newf(result.NoEndpoint, "Of %d endpoints, %d are out of service, %d failed, %d are full, %d lack memory, %d gave no report.",
-		s.Listed, s.DomainOut, s.Ejected, s.Full, s.TokensFull, s.Stale).WithRetry(fullRetry)
-}
-
-// pause waits, or returns the reason why ctx ended.
-func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return contextError(ctx, result.NotRun)
-	}
-}
-
 // contextError maps the end of a request's context to a result.
 func contextError(ctx context.Context, ran result.Ran) error {
 	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
@@ -201,7 +161,7 @@
 		return pool.Busy
 	case errors.Is(err, engine.ErrRejected):
 		return pool.Rejected
-	case errors.Is(err, errStalled):
+	case errors.Is(err, engine.ErrStalled):
 		return pool.TimedOut
 	case errors.Is(err, errCancelled):
 		return pool.Cancelled
@@ -211,9 +171,21 @@
 }
 
 var (
-	errStalled   = errors.New("no progress in time")
 	errCancelled = errors.New("request cancelled")
+	errPaused    = errors.New("paused: the caller reads nothing")
 )
 
+// sleep waits, or returns the reason why ctx ended.
+func sleep(ctx context.Context, d time.Duration, ran result.Ran) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return contextError(ctx, ran)
+	}
+}
+
 // callID names one model call of a request at an endpoint.
 func callID(request string, attempt int) string { return fmt.Sprintf("%s-%d", request, attempt) }
--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -6,6 +6,7 @@
 	"io"
 	"time"
 
+	"github.com/bramleytrail/bramleytrail/config"
 	"github.com/bramleytrail/bramleytrail/engine"
 	"github.com/bramleytrail/bramleytrail/object"
 	"github.com/bramleytrail/bramleytrail/pool"
@@ -14,13 +15,16 @@
 
 // PlainInput is a call of a plain service.
 type PlainInput struct {
-	Service *object.Service
-	Request engine.PlainRequest
+	View     *config.View
+	Team     string
+	Priority int
+	Service  *object.Service
+	Request  engine.PlainRequest
 	// KeepOn lets a call that was sent go on when its caller leaves, so that its outcome is known to a repeat.
 	KeepOn bool
-	// Renew returns the service as the newest configuration declares it, or an error if it no longer allows the call. It
-	// is called before each attempt and while the call waits. Nil keeps Service.
-	Renew func() (*object.Service, error)
+	// Renew returns the newest configuration and the service as it declares it, or an error if it no longer allows the
+	// call. It is called before each attempt and while the call waits. Nil keeps View and Service.
+	Renew func() (*config.View, *object.Service, error)
 }
 
 // PlainAnswer is the response of a plain service. Close must be called.
@@ -68,33 +72,26 @@
 
 func plainError(err error, ran result.Ran) error {
 	code := result.EndpointFailed
-	if errors.Is(err, errStalled) {
+	if errors.Is(err, engine.ErrStalled) {
 		code = result.EndpointTimeout
 	}
 	return &result.Error{Code: code, Ran: ran, Err: err, RetryAfter: fullRetry}
 }
 
 func (f *Filter) reservePlain(ctx context.Context, in *PlainInput, exclude []string) (pool.Reservation, error) {
-	deadline := f.spec.Now().Add(f.spec.QueueWait)
-	for {
-		if in.Renew != nil {
-			s, err := in.Renew()
-			if err != nil {
-				return pool.Reservation{}, err
-			}
-			in.Service = s
+	w := want{view: in.View, team: in.Team, priority: in.Priority, longest: f.spec.QueueWait, queries: []pool.Query{{Service: in.Service.Name, Exclude: exclude}}}
+	w.renew = func(w *want) error {
+		if in.Renew == nil {
+			return nil
 		}
-		r, short, ok := f.spec.Pool.Pick(pool.Query{Service: in.Service.Name, Exclude: exclude}, f.spec.Now())
-		if ok {
-			return r, nil
-		}
-		if !f.spec.Now().Before(deadline) {
-			return r, noEndpoint(short)
-		}
-		if err := pause(ctx, pickPause); err != nil {
-			return r, err
+		view, service, err := in.Renew()
+		if err == nil {
+			w.view, in.Service = view, service
 		}
+		return err
 	}
+	err := f.wait(ctx, &w)
+	return w.got, err
 }
 
 func (f *Filter) callOnce(ctx context.Context, in PlainInput, r pool.Reservation) (*PlainAnswer, error) {
@@ -102,25 +99,25 @@
 		ctx = detach(ctx)
 	}
 	callCtx, cancel := context.WithCancelCause(ctx)
-	timer := time.AfterFunc(in.Service.Timeouts.FirstByte, func() { cancel(errStalled) })
+	timer := time.AfterFunc(in.Service.Timeouts.FirstByte, func() { cancel(engine.ErrStalled) })
 	start := f.spec.Now()
 	resp, err := f.spec.Client.Call(callCtx, r.Addr, in.Request)
 	if !timer.Stop() && err == nil {
 		resp.Body.Close()
-		err = errStalled
+		err = engine.ErrStalled
 	}
 	if err != nil {
 		switch {
 		case ctx.Err() != nil:
 			err = errCancelled
-		case errors.Is(context.Cause(callCtx), errStalled):
-			err = errStalled
+		case errors.Is(context.Cause(callCtx), engine.ErrStalled):
+			err = engine.ErrStalled
 		}
 		cancel(nil)
 		return nil, err
 	}
 	now := f.spec.Now()
-	r.Opened("", now.Sub(start), now)
+	r.Opened("", now.Sub(start), start)
 	return &PlainAnswer{PlainResponse: resp, Endpoint: r.ID, filter: f, room: r, cancel: cancel, progress: in.Service.Timeouts.Progress}, nil
 }
 
@@ -138,7 +135,7 @@
 
 // Read reads the body under the service's progress deadline.
 func (a *PlainAnswer) Read(p []byte) (int, error) {
-	timer := time.AfterFunc(a.progress, func() { a.cancel(errStalled) })
+	timer := time.AfterFunc(a.progress, func() { a.cancel(engine.ErrStalled) })
 	n, err := a.Body.Read(p)
 	timer.Stop()
 	if err != nil && !errors.Is(err, io.EOF) {
--- a/engine/httpengine/stream.go
+++ b/engine/httpengine/stream.go
@@ -13,6 +13,9 @@
 	"github.com/bramleytrail/bramleytrail/engine"
 )
 
+// lineBufSize is the read buffer of a stream; an event has about 200 bytes.
+const lineBufSize = 1 << 10
+
 // maxLineBytes bounds one line of an event stream.
 const maxLineBytes = 64 << 10
 
@@ -24,11 +27,13 @@
 	lines *bufio.Reader
 	boot  string
 	done  bool
+	// failed is called when the stream can't be read.
+	failed func()
 }
 
-// NewStream reads the event stream of a response.
-func NewStream(resp *http.Response) engine.Stream {
-	return &stream{body: resp.Body, lines: bufio.NewReaderSize(resp.Body, transportBufSize), boot: resp.Header.Get(HeaderBoot)}
+// NewStream reads the event stream of a response. Failed is called when it can't be read.
+func NewStream(resp *http.Response, failed func()) engine.Stream {
+	return &stream{failed: failed, body: resp.Body, lines: bufio.NewReaderSize(resp.Body, lineBufSize), boot: resp.Header.Get(HeaderBoot)}
 }
 
 // Boot implements engine.Stream.
@@ -83,6 +88,7 @@
 		case err == nil:
 			return bytes.TrimRight(line, "\r\n"), nil
 		case !errors.Is(err, bufio.ErrBufferFull):
+			s.failed()
 			return nil, fmt.Errorf("%w: %w", engine.ErrBroken, err)
 		case len(line) > maxLineBytes:
 			return nil, fmt.Errorf("%w: line exceeds %d bytes", engine.ErrBroken, maxLineBytes)
--- a/kv/memkv/faults.go
+++ b/kv/memkv/faults.go
@@ -31,6 +31,8 @@
 	delay       time.Duration
 	loseReplies int    // writes
 	losePrefix  string // of their keys
+	holdPrefix  string
+	hold        chan struct{} // replies of writes wait until it is closed
 	onCall      func(Call)
 	counts      map[Call]int
 	broken      chan struct{} // closed when the store goes down
@@ -70,6 +72,15 @@
 	f.losePrefix, f.loseReplies = prefix, n
 }
 
+// HoldReplies makes writes of keys with a prefix take effect and then wait for release before they reply.
+func (f *Faults) HoldReplies(prefix string) (release func()) {
+	hold := make(chan struct{})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.holdPrefix, f.hold = prefix, hold
+	return sync.OnceFunc(func() { close(hold) })
+}
+
 // OnCall registers a function that runs before each call takes effect.
 func (f *Faults) OnCall(fn func(Call)) {
 	f.mu.Lock()
@@ -110,6 +121,18 @@
 }
 
 func (f *Faults) after(ctx context.Context, key string) error {
+	f.mu.Lock()
+	hold := f.hold
+	if !strings.HasPrefix(key, f.holdPrefix) {
+		hold = nil
+	}
+	f.mu.Unlock()
+	if hold != nil {
+		select {
+		case <-hold:
+		case <-ctx.Done():
+		}
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.loseReplies > 0 && strings.HasPrefix(key, f.losePrefix) {
--- a/local/claims_test.go
+++ b/local/claims_test.go
@@ -124,32 +124,15 @@
 
 // Guards against a takeover of the claim of a daemon that was killed before it sent the call: nobody else can tell that.
 func TestOwnerKilledBeforeTheCallWasSent(t *testing.T) {
-	ctx, d := startSample(t, 1, fastEngine)
-	s := d.Settings("entry-2", SampleDomainB)
-	s.QueueWait = time.Hour
-	owner, err := d.AddDaemon(s)
-	if err != nil {
-		t.Fatal(err)
-	}
-	for name := range d.Plains {
-		d.Platform.Hosts.Remove(name)
-	}
-	if err := Wait(ctx, func() bool { return owner.State().Ready && owner.State().HostList == d.Daemons[0].State().HostList }); err != nil {
-		t.Fatal(err)
-	}
-	go func() { _, _ = releaseLot(ctx, d, 1, "lot-1", nil) }() // waits for an endpoint until its daemon is killed
+	ctx, d := startSample(t, 2, fastEngine)
+	release := d.Platform.KV.Faults.HoldReplies(claim.Prefix)
+	defer release()
+	go func() { _, _ = releaseLot(ctx, d, 1, "lot-1", nil) }() // waits for the store's reply until its daemon is killed
 	expectState(ctx, t, d, 0, "lot-1", "running")
-	owner.Kill()
-	for name, srv := range d.servers {
-		if d.Plains[name] != nil {
-			d.Platform.Hosts.Put(hostlist.Host{ID: name, Role: hostlist.RoleEndpoint, Domain: SampleDomainA, State: hostlist.StateLive, Addr: srv.Addr, Service: SamplePlain})
-		}
-	}
-	if err := Wait(ctx, func() bool {
-		a, err := releaseLot(ctx, d, 0, "lot-2", nil)
-		return err == nil && a.Status == http.StatusOK
-	}); err != nil {
-		t.Fatal("other calls are refused: ", err)
+	d.Daemons[1].Kill()
+	release()
+	if a, err := releaseLot(ctx, d, 0, "lot-2", nil); err != nil || a.Status != http.StatusOK {
+		t.Errorf("another call is refused: %+v, %v", a, err)
 	}
 	expectNoSecondRun(ctx, t, d, 0, "lot-1", 0)
 	expectState(ctx, t, d, 0, "lot-1", "running")
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -32,7 +32,9 @@
 
 	Climbs *cascade.Rates
 	Signer *session.Signer
-	Now    func() time.Time
+	// PauseAfter is the time after which a streamed answer that its caller doesn't read gives up its endpoint; 0 for never.
+	PauseAfter time.Duration
+	Now        func() time.Time
 	// Observe is called at the end of each request.
 	Observe func(Outcome)
 }
@@ -96,6 +98,9 @@
 	}
 	defer e.who.Release()
 	e.outcome.Team = e.who.Team.Name
+	if err := permit.Charge(e.who.Team.Name, int64(len(r.Body))); err != nil {
+		return err
+	}
 	if !e.who.Deadline.IsZero() {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, e.who.Deadline)
--- a/pipeline/plain.go
+++ b/pipeline/plain.go
@@ -54,21 +54,21 @@
 }
 
 // renew returns the service under the newest configuration.
-func (s *plainStages) renew() (*object.Service, error) {
+func (s *plainStages) renew() (*config.View, *object.Service, error) {
 	view := s.p.Config.View()
 	if view == s.view {
-		return s.service, nil
+		return view, s.service, nil
 	}
 	team, err := s.teamUnder(view)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	svc, err := allowedService(view, team, s.service.Name)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	s.view, s.service = view, svc
-	return svc, nil
+	return view, svc, nil
 }
 
 // repeatable says whether the call may be sent more than once.
@@ -138,7 +138,7 @@
 
 func (s *plainStages) dispatch(ctx context.Context) error {
 	answer, err := s.p.Dispatch.Call(ctx, dispatch.PlainInput{
-		Service: s.service, KeepOn: s.held != nil, Renew: s.renew,
+		View: s.view, Team: s.who.Team.Name, Priority: s.who.Priority, Service: s.service, KeepOn: s.held != nil, Renew: s.renew,
 		Request: engine.PlainRequest{
 			ID: s.r.ID, Method: s.r.Method, Path: s.r.Path, Header: s.endpointHeader(), Body: s.r.Body, Repeatable: s.repeatable(),
 		},
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -2,8 +2,8 @@
 // of endpoints across all daemons.
 //
 // A crash interrupts every request at the endpoint, and only one of them may be the cause. A request that was present at
-// one crash is sent elsewhere like any other; after two it runs only where no other such request runs, so that one
-// request that crashes endpoints can't take a harmless one with it to its third crash.
+// one crash is sent elsewhere like any other; after two it runs only where no other such request runs, so that a third
+// crash has one possible cause and clears the other requests that were interrupted by it.
 package poison
 
 import (
@@ -17,6 +17,9 @@
 const (
 	// MaxCrashes is the number of crashes after which a request is not run again.
 	MaxCrashes = 3
+	// maxCleared is the number of crashes, cleared ones included, after which a request is not run again: one that crashes
+	// an endpoint only after some of its answer is cleared each time.
+	maxCleared = 2 * MaxCrashes
 	// IsolateAfter is the number of crashes after which a request runs only where no other such request runs.
 	IsolateAfter = 2
 	// recordTTL is the time for which a crash counts after the last one.
@@ -30,6 +33,8 @@
 type Record struct {
 	Fingerprint uint64
 	Crash       string // endpoint and its boot identity
+	// Isolated says that the request was the only one that could have caused the crash.
+	Isolated bool
 }
 
 // Fingerprint identifies a request's content, so that a repeat through another host has the same one.
@@ -44,6 +49,9 @@
 // Table holds the known crashes.
 type Table struct {
 	shards [shardCount]shard
+
+	mu       sync.Mutex
+	resolved map[string]time.Time // crashes whose cause is known, with their expiry
 }
 
 type shard struct {
@@ -54,12 +62,13 @@
 // history holds the crashes at which a request was present.
 type history struct {
 	crashes []Record
+	cleared []Record // crashes of which the request was not the cause
 	expires time.Time
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	t := &Table{}
+	t := &Table{resolved: map[string]time.Time{}}
 	for i := range t.shards {
 		t.shards[i].records = map[uint64]*history{}
 	}
@@ -68,6 +77,11 @@
 
 // Add records a crash and reports whether that was new.
 func (t *Table) Add(r Record, now time.Time) bool {
+	if r.Isolated {
+		t.resolve(r, now)
+	} else if t.isResolved(r.Crash, now) {
+		return false
+	}
 	s := &t.shards[r.Fingerprint%shardCount]
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -78,13 +92,47 @@
 		s.records[r.Fingerprint] = h
 	}
 	h.expires = now.Add(recordTTL)
-	if slices.Contains(h.crashes, r) {
+	same := func(c Record) bool { return c.Crash == r.Crash }
+	if slices.ContainsFunc(h.crashes, same) || slices.ContainsFunc(h.cleared, same) {
 		return false
 	}
 	h.crashes = append(h.crashes, r)
 	return true
 }
 
+// resolve clears the other requests that were present at a crash whose cause is known.
+func (t *Table) resolve(r Record, now time.Time) {
+	t.mu.Lock()
+	for crash, expires := range t.resolved {
+		if now.After(expires) {
+			delete(t.resolved, crash)
+		}
+	}
+	t.resolved[r.Crash] = now.Add(recordTTL)
+	t.mu.Unlock()
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		for fp, h := range s.records {
+			if fp == r.Fingerprint {
+				continue
+			}
+			h.crashes = slices.DeleteFunc(h.crashes, func(c Record) bool { return c.Crash == r.Crash })
+			if len(h.crashes)+len(h.cleared) == 0 {
+				delete(s.records, fp)
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
+func (t *Table) isResolved(crash string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	expires, ok := t.resolved[crash]
+	return ok && !now.After(expires)
+}
+
 // trim drops expired records, and any record if the shard is full.
 func (s *shard) trim(now time.Time) {
 	for fp, h := range s.records {
@@ -106,6 +154,29 @@
 	return len(h.crashes)
 }
 
+// Clear records that the request got further than at its crashes, so that it was not their cause.
+func (t *Table) Clear(fingerprint uint64, now time.Time) {
+	s := &t.shards[fingerprint%shardCount]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if h := s.records[fingerprint]; h != nil && !now.After(h.expires) {
+		h.cleared = append(h.cleared, h.crashes...)
+		h.crashes = nil
+	}
+}
+
+// Refused reports whether the request has crashed too many endpoints to be run again.
+func (t *Table) Refused(fingerprint uint64, now time.Time) bool {
+	s := &t.shards[fingerprint%shardCount]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := s.records[fingerprint]
+	if h == nil || now.After(h.expires) {
+		return false
+	}
+	return len(h.crashes) >= MaxCrashes || len(h.crashes)+len(h.cleared) >= maxCleared
+}
+
 // Records returns all crashes that still count, for daemons that start.
 func (t *Table) Records(now time.Time) []Record {
 	var out []Record
--- /dev/null
+++ b/pool/pick_test.go
@@ -0,0 +1,131 @@
+package pool
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/bramleytrail/bramleytrail/engine"
+	"github.com/bramleytrail/bramleytrail/hostlist"
+	"github.com/bramleytrail/bramleytrail/object"
+)
+
+// warmPool returns a pool with warm endpoints of one version, and other endpoints that it has no use for.
+func warmPool(subset, others int) (*Pool, time.Time) {
+	now := time.Unix(1e9, 0)
+	p := newTestPool("entry-0", 1)
+	p.SetView(testView(object.EndpointLimits{Slots: 64, ColdSlots: 8, Tokens: 1e6, WarmAfter: 4}, 100, 1), now)
+	list := hostlist.List{Hosts: []hostlist.Host{entryHost(0, 1)}}
+	for i := range subset + others {
+		h := endpointHost(i, 1, 1)
+		if i >= subset {
+			h.Versions = []string{fmt.Sprint("other-", i%17)}
+		}
+		list.Hosts = append(list.Hosts, h)
+	}
+	p.SetHosts(list, now)
+	now = now.Add(joinSettles * testSettle)
+	for i := range subset {
+		p.Report(endpointHost(i, 1, 1).ID, engine.Load{Boot: "a", Completed: 100}, now)
+	}
+	return p, now
+}
+
+// Guards against garbage for each request in the choice of an endpoint, whether it succeeds or not.
+func TestPickDoesNotAllocate(t *testing.T) {
+	p, now := warmPool(8, 0)
+	exclude := []string{"llm-3"}
+	for name, q := range map[string]Query{
+		"room":    {Service: testService, Version: "v0", Tokens: 100, Exclude: exclude},
+		"no room": {Service: testService, Version: "v0", Tokens: 1e9},
+	} {
+		if n := testing.AllocsPerRun(1000, func() {
+			if r, _, ok := p.Pick(q, now); ok {
+				r.Release(Succeeded, now)
+			}
+		}); n != 0 {
+			t.Errorf("%s: %v allocations", name, n)
+		}
+	}
+}
+
+// BenchmarkPick shows that the cost depends neither on the size of the fleet nor, with room, on that of the subset.
+func BenchmarkPick(b *testing.B) {
+	for _, size := range []struct{ subset, others int }{{8, 0}, {8, 800}, {64, 0}} {
+		b.Run(fmt.Sprintf("subset=%d/others=%d", size.subset, size.others), func(b *testing.B) {
+			p, now := warmPool(size.subset, size.others)
+			b.ReportAllocs()
+			for b.Loop() {
+				if r, _, ok := p.Pick(Query{Service: testService, Version: "v0", Tokens: 100}, now); ok {
+					r.Release(Succeeded, now)
+				} else {
+					b.Fatal("no room")
+				}
+			}
+		})
+	}
+}
+
+// Guards against a request that a team may send and an endpoint can hold, but that fits into no daemon's share.
+func TestLargestRequestFitsSomewhere(t *testing.T) {
+	const daemons, largest = 10, 300
+	now := time.Unix(1e9, 0)
+	list := hostlist.List{Hosts: []hostlist.Host{endpointHost(0, 1, 1)}}
+	for i := range daemons {
+		list.Hosts = append(list.Hosts, entryHost(i, 1))
+	}
+	fits, held := 0, int64(0)
+	for i := range daemons {
+		p := newTestPool(entryHost(i, 1).ID, 1)
+		p.SetView(testView(object.EndpointLimits{Slots: 20, ColdSlots: 20, Tokens: 1000}, largest, 1), now)
+		p.SetHosts(list, now)
+		now := now.Add(joinSettles * testSettle)
+		size := int64(largest)
+		_, short, ok := p.Pick(Query{Service: testService, Version: "v0", Tokens: size}, now)
+		if ok {
+			fits++
+		} else {
+			if !short.Hopeless() {
+				t.Errorf("%+v: the request would wait for room that can't become free", short)
+			}
+			size = 50
+			if _, _, ok := p.Pick(Query{Service: testService, Version: "v0", Tokens: size}, now); !ok {
+				t.Error("a daemon has no room for an ordinary request")
+			}
+		}
+		held += size
+	}
+	if fits == 0 || held > 1000 {
+		t.Errorf("%d daemons took the largest request; %d tokens are held at a limit of 1000", fits, held)
+	}
+}
+
+// Guards against an endpoint that leaves the list and returns with its requests in flight forgotten, and against one that
+// gives no reports and takes every turn of the polls.
+func TestEndpointKeepsItsState(t *testing.T) {
+	p, now := warmPool(2, 0)
+	if _, _, ok := p.Pick(Query{Service: testService, Version: "v0", Exclude: []string{"llm-1"}}, now); !ok {
+		t.Fatal("no room")
+	}
+	list := p.list
+	p.SetHosts(hostlist.List{Hosts: list.Hosts[:1]}, now)
+	p.SetHosts(list, now)
+	if s := p.Dump(now, 1); s[0].InFlight != 1 {
+		t.Errorf("%d in flight after the endpoint returned; want 1", s[0].InFlight)
+	}
+	asked := map[string]int{}
+	for range 10 {
+		for _, target := range p.Due(1, now) {
+			asked[target.ID]++
+			if target.ID == "llm-0" {
+				p.ReportFailed(target.ID, now)
+			} else {
+				p.Report(target.ID, engine.Load{Boot: "a"}, now)
+			}
+		}
+		now = now.Add(100 * time.Millisecond)
+	}
+	if asked["llm-0"] != 5 || asked["llm-1"] != 5 {
+		t.Errorf("polls %v; want 5 each", asked)
+	}
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -1,12 +1,15 @@
 package relay
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"strings"
+	"sync"
+	"time"
 
 	"github.com/bramleytrail/bramleytrail/engine"
 	"github.com/bramleytrail/bramleytrail/result"
@@ -40,6 +43,55 @@
 	ID      string
 	Model   string
 	Created int64 // Unix seconds
+	// PauseAfter is the time after which a write that the caller doesn't read pauses the source; 0 for never.
+	PauseAfter time.Duration
+}
+
+// Pauser is a Source that can give up its endpoint. Next continues the answer later. Pause is not called during Next.
+type Pauser interface{ Pause() }
+
+// pauser pauses a source during a long write.
+type pauser struct {
+	after  time.Duration
+	source Pauser
+	timer  *time.Timer
+
+	mu      sync.Mutex
+	writing bool
+}
+
+func newPauser(src Source, after time.Duration) *pauser {
+	source, ok := src.(Pauser)
+	if !ok || after == 0 {
+		return nil
+	}
+	p := &pauser{after: after, source: source}
+	p.timer = time.AfterFunc(after, p.expire)
+	p.timer.Stop()
+	return p
+}
+
+func (p *pauser) expire() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.writing {
+		p.source.Pause()
+	}
+}
+
+// set says whether a write is in progress. It waits for a pause that has begun.
+func (p *pauser) set(writing bool) {
+	if p == nil {
+		return
+	}
+	p.mu.Lock()
+	p.writing = writing
+	p.mu.Unlock()
+	if writing {
+		p.timer.Reset(p.after)
+	} else {
+		p.timer.Stop()
+	}
 }
 
 type choice struct {
@@ -79,6 +131,10 @@
 // see the end of the answer only after the request is billed. See Finish.
 func Stream(src Source, c Caller, m Meta) error {
 	first := true
+	w := newEventWriter(c)
+	p := newPauser(src, m.PauseAfter)
+	d := &delta{}
+	out := &completion{ID: m.ID, Object: "chat.completion.chunk", Created: m.Created, Model: m.Model, Choices: []choice{{Delta: d}}}
 	for {
 		ev, err := src.Next()
 		if err == io.EOF {
@@ -87,29 +143,42 @@
 		if err != nil {
 			return err
 		}
-		d := &delta{Content: ev.Text}
+		d.Role, d.Content = "", ev.Text
 		if first {
 			d.Role = "assistant"
 			first = false
 		}
-		out := completion{ID: m.ID, Object: "chat.completion.chunk", Created: m.Created, Model: m.Model,
-			Choices: []choice{{Delta: d, FinishReason: finish(ev)}}, Usage: usageOf(ev.Usage)}
-		if err := sendEvent(c, out); err != nil {
+		out.Choices[0].FinishReason, out.Usage = finish(&ev), usageOf(ev.Usage)
+		p.set(true)
+		err = w.send(out)
+		p.set(false)
+		if err != nil {
 			return err
 		}
 	}
 }
 
-func sendEvent(c Caller, v any) error {
-	data, err := json.Marshal(v)
-	if err != nil {
+// eventWriter encodes server-sent events in one buffer, which is used again for the next event.
+type eventWriter struct {
+	c   Caller
+	buf bytes.Buffer
+	enc *json.Encoder
+}
+
+func newEventWriter(c Caller) *eventWriter {
+	w := &eventWriter{c: c}
+	w.enc = json.NewEncoder(&w.buf)
+	return w
+}
+
+func (w *eventWriter) send(v any) error {
+	w.buf.Reset()
+	w.buf.WriteString("data: ")
+	if err := w.enc.Encode(v); err != nil { // ends with a line break
 		return fmt.Errorf("encode event: %w", err)
 	}
-	buf := make([]byte, 0, len(data)+8)
-	buf = append(buf, "data: "...)
-	buf = append(buf, data...)
-	buf = append(buf, "\n\n"...)
-	if _, err := c.Write(buf); err != nil {
+	w.buf.WriteByte('\n')
+	if _, err := w.c.Write(w.buf.Bytes()); err != nil {
 		return gone(err)
 	}
 	return nil
@@ -132,7 +201,7 @@
 
 // Fail ends a streamed answer with an error event.
 func Fail(c Caller, e *result.Error) error {
-	if err := sendEvent(c, json.RawMessage(ErrorBody(e))); err != nil {
+	if err := newEventWriter(c).send(json.RawMessage(ErrorBody(e))); err != nil {
 		return err
 	}
 	return c.End()
@@ -157,7 +226,7 @@
 		last = ev
 	}
 	out := completion{ID: m.ID, Object: "chat.completion", Created: m.Created, Model: m.Model,
-		Choices: []choice{{Message: &delta{Role: "assistant", Content: text.String()}, FinishReason: finish(last)}}, Usage: usageOf(last.Usage)}
+		Choices: []choice{{Message: &delta{Role: "assistant", Content: text.String()}, FinishReason: finish(&last)}}, Usage: usageOf(last.Usage)}
 	data, err := json.Marshal(out)
 	if err != nil {
 		return nil, fmt.Errorf("encode answer: %w", err)
@@ -165,11 +234,12 @@
 	return data, nil
 }
 
-func finish(ev engine.Event) *string {
+func finish(ev *engine.Event) *string {
 	if ev.FinishReason == "" {
 		return nil
 	}
-	return &ev.FinishReason
+	reason := ev.FinishReason // a pointer into ev would put each event on the heap
+	return &reason
 }
 
 func usageOf(u *engine.Usage) *usage {
--- a/standin/contract_test.go
+++ b/standin/contract_test.go
@@ -192,7 +192,7 @@
 	f.Add([]byte("data: {}\n\n"))
 	f.Add([]byte("id: 9999999999999999999999\r\ndata: null\r\n\r\n"))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		s := httpengine.NewStream(&http.Response{Header: http.Header{}, Body: io.NopCloser(strings.NewReader(string(data)))})
+		s := httpengine.NewStream(&http.Response{Header: http.Header{}, Body: io.NopCloser(strings.NewReader(string(data)))}, func() {})
 		for range len(data) + 2 {
 			if _, err := s.Next(); err != nil {
 				return
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -19,6 +19,8 @@
 	maxEngineBody = 16 << 20
 	bytesPerToken = 4
 	defaultAnswer = 24 // tokens of an answer if the request states no smaller limit
+	// resumeOverlap is the number of tokens that a resumed stream repeats, as engines may do.
+	resumeOverlap = 2
 )
 
 // EngineSpec describes a fake model engine.
@@ -72,6 +74,9 @@
 	streams   map[string]*generation
 	crashOn   string
 	silent    bool
+	epoch     int           // connections opened in an earlier one are silent
+	broken    chan struct{} // closed when all open streams are cut
+	noResume  bool
 	down      bool
 	noFence   bool
 	fence     uint64
@@ -88,13 +93,14 @@
 
 // generation is the state of one answer, kept so that its stream can be resumed.
 type generation struct {
-	run    *Run
-	prompt string
-	first  int64 // sequence number before the first token generated here
-	limit  int64
-	input  int64
-	boot   int             // number of the start that this generation belongs to
-	reset  <-chan struct{} // closed when that start ends
+	run     *Run
+	prompt  string
+	first   int64 // sequence number before the first token generated here
+	limit   int64
+	input   int64
+	serving int             // streams that are open for it; its slot and tokens are held while there is one
+	boot    int             // number of the start that this generation belongs to
+	reset   <-chan struct{} // closed when that start ends
 }
 
 // NewEngine returns a started, cold engine.
@@ -109,6 +115,7 @@
 		causes:   map[Cause]int{},
 		reset:    make(chan struct{}),
 		changed:  make(chan struct{}),
+		broken:   make(chan struct{}),
 	}
 }
 
@@ -135,6 +142,18 @@
 		if down {
 			panic(http.ErrAbortHandler)
 		}
+		c := connOf(r)
+		e.mu.Lock()
+		if c.engine == nil {
+			c.engine, c.epoch = e, e.epoch
+		}
+		muted := c.epoch < e.epoch
+		e.mu.Unlock()
+		if muted {
+			_, _ = io.Copy(io.Discard, r.Body) // the context ends with the connection only after the body was read
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
 		w.Header().Set(httpengine.HeaderBoot, boot)
 		h(w, r)
 	}
@@ -183,8 +202,7 @@
 		g.first = req.Continuation.Tokens
 	}
 	e.runs = append(e.runs, g.run)
-	e.running++
-	e.held += g.input + g.limit
+	e.hold(g)
 	e.streams[id] = g
 	e.cachePrefix(prompt)
 	cold := e.completed < int64(e.spec.WarmAfter)
@@ -223,9 +241,19 @@
 	e.events = append(e.events, engine.CacheEvent{Seq: e.eventSeq, Prefix: Fingerprint(prompt), Tokens: int64(len(prompt)) / bytesPerToken})
 }
 
+// hold counts a stream of a generation.
+func (e *Engine) hold(g *generation) {
+	if g.serving++; g.serving == 1 {
+		e.running++
+		e.held += g.input + g.limit
+	}
+}
+
 func (e *Engine) release(g *generation) {
-	e.running--
-	e.held -= g.input + g.limit
+	if g.serving--; g.serving == 0 {
+		e.running--
+		e.held -= g.input + g.limit
+	}
 }
 
 // crash drops every connection and starts the engine anew, cold. The caller holds the lock.
@@ -250,16 +278,18 @@
 	}
 	e.mu.Lock()
 	g := e.streams[r.PathValue("id")]
+	if e.noResume {
+		g = nil
+	}
 	if g != nil {
-		e.running++
-		e.held += g.input + g.limit
+		e.hold(g)
 	}
 	e.mu.Unlock()
 	if g == nil {
 		http.NotFound(w, r)
 		return
 	}
-	e.stream(w, r, g, after, 0)
+	e.stream(w, r, g, max(g.first, after-resumeOverlap), 0)
 }
 
 // stream sends the tokens after a sequence number, the usage and the done marker.
@@ -274,9 +304,12 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
 	flush(w)
+	e.mu.Lock()
+	broken := e.broken
+	e.mu.Unlock()
 	wait := firstDelay
 	for seq := after + 1; seq <= g.limit; seq++ {
-		if !e.pause(r, g.reset, wait) {
+		if !e.pause(r, g.reset, broken, wait) {
 			panic(http.ErrAbortHandler)
 		}
 		wait = e.spec.TokenDelay
@@ -293,14 +326,14 @@
 }
 
 // pause waits before the next token. It returns false if the engine crashed or the client left.
-func (e *Engine) pause(r *http.Request, reset <-chan struct{}, d time.Duration) bool {
+func (e *Engine) pause(r *http.Request, reset, broken <-chan struct{}, d time.Duration) bool {
 	var timer <-chan time.Time
 	if d > 0 {
 		timer = time.After(d)
 	}
 	for {
 		e.mu.Lock()
-		silent, changed := e.silent, e.changed
+		silent, changed := e.silent || connOf(r).epoch < e.epoch, e.changed
 		e.mu.Unlock()
 		ready := timer
 		if d <= 0 {
@@ -314,11 +347,15 @@
 		select {
 		case <-reset:
 			return false
+		case <-broken:
+			return false
 		default:
 		}
 		select {
 		case <-reset:
 			return false
+		case <-broken:
+			return false
 		case <-r.Context().Done():
 			return false
 		case <-changed:
