ledger: one flush at a time

Cause: the periodic flush and the one of a drain ran at once, wrote the same batch and then each removed one, the second a batch that was not written, or panicked with an index out of range. Change: flushes are serialised.

--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -55,7 +55,8 @@
 	sealed  []batch
 	pending *group // bills that wait to be copied
 
-	copying sync.Mutex // held while a copy is sent
+	copying  sync.Mutex // held while a copy is sent
+	flushing sync.Mutex // serialises flushes
 }
 
 type batch struct {
@@ -172,6 +173,9 @@
 
 // Flush seals the open batch and writes all sealed ones in order. It reports whether none is left.
 func (l *Ledger) Flush(ctx context.Context) bool {
+	// Two flushes at once would write the same batch and then both remove one, the second an unwritten one.
+	l.flushing.Lock()
+	defer l.flushing.Unlock()
 	l.mu.Lock()
 	l.seal()
 	l.mu.Unlock()
