daemon: judge histories when what was read is in force

Cause: the check at the end of a history took the newest revision while a daemon had read a newer one from the service and not yet put it in force; the service was restored to older data in the same instant. Change: the check waits until all goroutines are blocked. The same conditions are checked.

--- a/daemon/history_test.go
+++ b/daemon/history_test.go
@@ -161,6 +161,7 @@
 func (h *history) finish() {
 	h.store.Faults.LoseReplies(0)
 	h.store.Faults.SetDown(false)
+	synctest.Wait() // what a daemon has just read is in force there
 	want := h.stored()
 	if mine := h.newest(); mine.Newer(want) {
 		want = mine
