Count the bytes of control traffic on the connection

Cause: the cost of control in bytes was not measured at all; only calls to the key-value service were counted.

Change: connections to the key-value service, the host list and, for load reports and commands, to endpoints count their bytes. A codec around the gob codec of net/rpc assigns the bytes between daemons to the kind of message. bramley_control_bytes_total{kind,direction} and bramley_control_messages_total{kind,direction} show them. Load reports use connections of their own, apart from token streams. The clients of the key-value service and the host list name their daemon in User-Agent, so that a service can tell callers apart.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -85,17 +85,26 @@
 
 // FromSettings returns a daemon that reaches the platform and the endpoints over the network.
 func FromSettings(s *settings.Settings, log *logrus.Logger) *Daemon {
-	p := Platform{Store: httpkv.NewClient(s.Store), Hosts: hostlist.NewHTTPSource(s.Hosts)}
-	return New(s, p, httpengine.NewClient(), log)
+	m := observe.NewMetrics()
+	agent := "bramleyd/" + s.ID
+	p := Platform{
+		Store: httpkv.NewClientWith(s.Store, agent, m.Dial(observe.KindStore, &net.Dialer{})),
+		Hosts: hostlist.NewHTTPSourceWith(s.Hosts, agent, m.Dial(observe.KindHosts, &net.Dialer{})),
+	}
+	return build(s, p, httpengine.NewClientWith(m.Dial(observe.KindLoad, httpengine.Dialer())), log, m)
 }
 
 // New returns a daemon. It opens no port.
 func New(s *settings.Settings, p Platform, engines engine.Client, log *logrus.Logger) *Daemon {
+	return build(s, p, engines, log, observe.NewMetrics())
+}
+
+func build(s *settings.Settings, p Platform, engines engine.Client, log *logrus.Logger, m *observe.Metrics) *Daemon {
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Daemon{
 		settings: s, engines: engines, incarnation: s.ID + "-" + rand.Text()[:10],
 		log:    log.WithFields(logrus.Fields{"daemon": s.ID, "domain": s.Domain}),
-		config: &config.Holder{}, poison: poison.NewTable(), metrics: observe.NewMetrics(), recent: observe.NewRecent(),
+		config: &config.Holder{}, poison: poison.NewTable(), metrics: m, recent: observe.NewRecent(),
 		ctx: ctx, cancel: cancel,
 	}
 	d.platform = Platform{Store: observe.Store{Store: p.Store, Metrics: d.metrics}, Hosts: p.Hosts}
@@ -117,7 +126,7 @@
 	}
 	d.peerAddr = ln.Addr().String()
 	self := hostlist.Host{ID: d.settings.ID, Role: hostlist.RoleEntry, Domain: d.settings.Domain, Rack: d.settings.Rack, Addr: d.peerAddr}
-	d.node, err = peer.New(peer.Spec{Self: self, Handler: d, Poison: d.poison, Log: d.log, Now: time.Now}, ln)
+	d.node, err = peer.New(peer.Spec{Self: self, Handler: d, Poison: d.poison, Log: d.log, Now: time.Now, Traffic: d.metrics}, ln)
 	if err != nil {
 		return err
 	}
--- a/engine/httpengine/client.go
+++ b/engine/httpengine/client.go
@@ -28,19 +28,31 @@
 
 // Client implements engine.Client over HTTP.
 type Client struct {
-	shared *http.Client // keeps connections
-	single *http.Client // one connection for each call
+	shared   *http.Client // keeps connections
+	single   *http.Client // one connection for each call
+	commands *http.Client // keeps connections for load reports and commands, so that their bytes are counted apart
 }
 
 // NewClient returns a client. Each non-repeatable call uses a connection of its own: net/http sends a request with an
 // Idempotency-Key header again if a kept connection turns out to be closed, which could run the call twice.
-func NewClient() *Client {
-	return &Client{shared: &http.Client{Transport: transport(false)}, single: &http.Client{Transport: transport(true)}}
+func NewClient() *Client { return NewClientWith(Dialer().DialContext) }
+
+// Dialer returns the dialer of a Client.
+func Dialer() *net.Dialer { return &net.Dialer{Timeout: connectTimeout} }
+
+// NewClientWith returns a client that opens the connections for load reports and commands with dial.
+func NewClientWith(dial func(ctx context.Context, network, addr string) (net.Conn, error)) *Client {
+	commands := transport(false)
+	commands.DialContext = dial
+	return &Client{
+		shared: &http.Client{Transport: transport(false)}, single: &http.Client{Transport: transport(true)},
+		commands: &http.Client{Transport: commands},
+	}
 }
 
 func transport(single bool) *http.Transport {
 	return &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: connectTimeout}).DialContext,
+		DialContext:            Dialer().DialContext,
 		MaxIdleConnsPerHost:    maxIdlePerHost,
 		IdleConnTimeout:        idleTimeout,
 		DisableKeepAlives:      single,
@@ -55,6 +67,7 @@
 func (c *Client) Close() {
 	c.shared.CloseIdleConnections()
 	c.single.CloseIdleConnections()
+	c.commands.CloseIdleConnections()
 }
 
 // Stream implements engine.Client.
@@ -201,7 +214,7 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", engine.ErrRejected, err)
 	}
-	resp, err := c.shared.Do(req)
+	resp, err := c.commands.Do(req)
 	if err != nil {
 		return transportError(err)
 	}
--- a/hostlist/http.go
+++ b/hostlist/http.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -11,13 +12,19 @@
 
 // HTTPSource reads the list over HTTP.
 type HTTPSource struct {
-	base string
-	http *http.Client
+	base  string
+	agent string // User-Agent header; the library's own if empty
+	http  *http.Client
 }
 
 // NewHTTPSource returns a source that reads from the service at base.
-func NewHTTPSource(base string) *HTTPSource {
-	return &HTTPSource{base: base, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}}}
+func NewHTTPSource(base string) *HTTPSource { return NewHTTPSourceWith(base, "", nil) }
+
+// NewHTTPSourceWith returns a source that names itself agent and opens connections with dial; an empty agent and a nil
+// dial stand for the library's own.
+func NewHTTPSourceWith(base, agent string, dial func(ctx context.Context, network, addr string) (net.Conn, error)) *HTTPSource {
+	t := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}
+	return &HTTPSource{base: base, agent: agent, http: &http.Client{Transport: t}}
 }
 
 // Close drops idle connections.
@@ -30,6 +37,9 @@
 	if err != nil {
 		return list, fmt.Errorf("host list: %w", err)
 	}
+	if s.agent != "" {
+		req.Header.Set("User-Agent", s.agent)
+	}
 	resp, err := s.http.Do(req)
 	if err != nil {
 		return list, fmt.Errorf("host list: %w", err)
--- a/kv/httpkv/client.go
+++ b/kv/httpkv/client.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -23,13 +24,19 @@
 
 // Client is a kv.Store over the network.
 type Client struct {
-	base string
-	http *http.Client
+	base  string
+	agent string // User-Agent header; the library's own if empty
+	http  *http.Client
 }
 
 // NewClient returns a client of the service at base, for example http://127.0.0.1:7000.
-func NewClient(base string) *Client {
-	return &Client{base: base, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute}}}
+func NewClient(base string) *Client { return NewClientWith(base, "", nil) }
+
+// NewClientWith returns a client that names itself agent and opens connections with dial; an empty agent and a nil dial
+// stand for the library's own.
+func NewClientWith(base, agent string, dial func(ctx context.Context, network, addr string) (net.Conn, error)) *Client {
+	t := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute}
+	return &Client{base: base, agent: agent, http: &http.Client{Transport: t}}
 }
 
 // Close drops idle connections.
@@ -130,6 +137,9 @@
 	if err != nil {
 		return fmt.Errorf("kv: %w", err)
 	}
+	if c.agent != "" {
+		req.Header.Set("User-Agent", c.agent)
+	}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return errors.Join(kv.ErrUnavailable, err)
--- /dev/null
+++ b/observe/bytes.go
@@ -0,0 +1,67 @@
+package observe
+
+import (
+	"context"
+	"fmt"
+	"net"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Kinds of control traffic that is counted on whole connections. Traffic between daemons is counted by message, under
+// the kind "peer/" followed by the name of the method.
+const (
+	KindStore = "store" // key-value service
+	KindHosts = "hosts" // host list
+	KindLoad  = "load"  // load reports and commands of endpoints
+)
+
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// ControlBytes counts control traffic of a kind. Direction is "in" or "out" as seen from this process. The figures are
+// bytes of payload on the connection, without the headers of TCP and IP.
+func (m *Metrics) ControlBytes(kind, direction string, n int) {
+	m.controlCounter(kind, direction).Add(n)
+}
+
+// ControlMessage counts one message between daemons, "in" at its receiver and "out" at its sender.
+func (m *Metrics) ControlMessage(kind, direction string) {
+	m.Counter(fmt.Sprintf(`bramley_control_messages_total{kind=%q,direction=%q}`, kind, direction)).Inc()
+}
+
+func (m *Metrics) controlCounter(kind, direction string) *metrics.Counter {
+	return m.Counter(fmt.Sprintf(`bramley_control_bytes_total{kind=%q,direction=%q}`, kind, direction))
+}
+
+// Dial returns a function that opens connections as dialer does and counts their bytes as control traffic of the kind.
+func (m *Metrics) Dial(kind string, dialer *net.Dialer) DialFunc {
+	in, out := m.controlCounter(kind, "in"), m.controlCounter(kind, "out")
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return &countedConn{Conn: conn, in: in, out: out}, nil
+	}
+}
+
+// countedConn adds the bytes of a connection to two counters.
+type countedConn struct {
+	net.Conn
+	in, out *metrics.Counter
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.in.Add(n)
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.out.Add(n)
+	return n, err
+}
--- a/peer/client.go
+++ b/peer/client.go
@@ -19,7 +19,8 @@
 // link is the connection to one peer. A call that gets no answer in time closes the connection: it may have gone silent
 // for good, and the next call then uses a new one.
 type link struct {
-	addr string
+	addr    string
+	traffic Traffic
 
 	mu     sync.Mutex
 	client *rpc.Client
@@ -43,7 +44,7 @@
 		l.failed = time.Now()
 		return nil, fmt.Errorf("peer %s: %w", l.addr, err)
 	}
-	l.client = rpc.NewClient(conn)
+	l.client = rpc.NewClientWithCodec(clientCodec{newCodec(conn, l.traffic)})
 	return l.client, nil
 }
 
--- a/peer/node.go
+++ b/peer/node.go
@@ -44,6 +44,7 @@
 	Poison  *poison.Table
 	Log     logrus.FieldLogger
 	Now     func() time.Time
+	Traffic Traffic // may be nil
 }
 
 // Node is a daemon's part in the exchange between daemons.
@@ -122,7 +123,7 @@
 		n.conns[conn] = true
 		n.mu.Unlock()
 		n.wg.Go(func() {
-			n.server.ServeConn(conn)
+			n.server.ServeCodec(serverCodec{newCodec(conn, n.spec.Traffic)})
 			n.mu.Lock()
 			delete(n.conns, conn)
 			n.mu.Unlock()
@@ -165,7 +166,7 @@
 func (n *Node) linkLocked(addr string) *link {
 	l := n.links[addr]
 	if l == nil {
-		l = &link{addr: addr}
+		l = &link{addr: addr, traffic: n.spec.Traffic}
 		n.links[addr] = l
 	}
 	return l
