Add bramleystandin: the fakes as a process with an admin interface

Cause: measurements and tests of whole processes need the platform and many endpoints outside the process under test.

Conclusion: daemons can be measured as processes on loopback.

--- a/standin/engine.go
+++ b/standin/engine.go
@@ -78,6 +78,7 @@
 	first  int64 // sequence number before the first token generated here
 	limit  int64
 	input  int64
+	delay  time.Duration   // between tokens
 	boot   int             // number of the start that this generation belongs to
 	reset  <-chan struct{} // closed when that start ends
 }
@@ -161,7 +162,7 @@
 	g := &generation{
 		run:    &Run{ID: id, Engine: e.spec.Name, Version: req.Model},
 		prompt: prompt, limit: e.answerTokens(req.MaxTokens), input: int64(len(prompt)) / bytesPerToken,
-		boot: e.boot, reset: e.reset,
+		delay: e.spec.TokenDelay, boot: e.boot, reset: e.reset,
 	}
 	if req.Continuation != nil {
 		g.first = req.Continuation.Tokens
@@ -260,7 +261,7 @@
 		if !e.pause(r, g.reset, wait) {
 			panic(http.ErrAbortHandler)
 		}
-		wait = e.spec.TokenDelay
+		wait = g.delay
 		if err := e.sendToken(w, g, seq); err != nil {
 			return
 		}
--- /dev/null
+++ b/standin/process.go
@@ -0,0 +1,172 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/bramleytrail/bramleytrail/hostlist"
+)
+
+// Exit codes of the stand-in process.
+const (
+	exitOK       = 0
+	exitFailure  = 1
+	exitSettings = 2
+)
+
+// Options are the settings of a stand-in process.
+type Options struct {
+	Listen       string        `long:"listen" description:"loopback IP address and port of the platform's services" default:"127.0.0.1:7000"`
+	Admin        string        `long:"admin-listen" description:"loopback IP address and port of the administrative interface" default:"127.0.0.1:7001"`
+	Endpoints    int           `long:"endpoints" description:"number of model endpoints, each on a free port" default:"6"`
+	Service      string        `long:"service" description:"service of the model endpoints" default:"llm"`
+	Versions     []string      `long:"version" description:"version that the endpoints serve in turn; may be repeated" default:"small-1"`
+	Domains      []string      `long:"domain" description:"failure domain of the endpoints in turn; may be repeated" default:"north"`
+	Plain        int           `long:"plain-endpoints" description:"number of endpoints of the plain service" default:"0"`
+	PlainService string        `long:"plain-service" description:"service of the plain endpoints" default:"lots"`
+	Slots        int           `long:"slots" description:"concurrent requests of a model endpoint" default:"64"`
+	Answer       int64         `long:"answer" description:"tokens of an answer" default:"24"`
+	TokenDelay   time.Duration `long:"token-delay" description:"time between tokens" default:"0s"`
+	FirstDelay   time.Duration `long:"first-delay" description:"time to the first token" default:"0s"`
+	Unlisted     bool          `long:"unlisted" description:"do not add the endpoints to the host list at start"`
+}
+
+// maxEndpoints bounds the listeners of one process.
+const maxEndpoints = 2000
+
+// Check reports all problems of the options.
+func (o *Options) Check() error {
+	var errs []error
+	for flag, v := range map[string]string{"listen": o.Listen, "admin-listen": o.Admin} {
+		ap, err := netip.ParseAddrPort(v)
+		if err != nil || !ap.Addr().IsLoopback() {
+			errs = append(errs, fmt.Errorf("--%s: %q is not a loopback IP address and port", flag, v))
+		}
+	}
+	if o.Endpoints < 0 || o.Plain < 0 || o.Endpoints+o.Plain > maxEndpoints {
+		errs = append(errs, fmt.Errorf("--endpoints: want 0 to %d endpoints in all", maxEndpoints))
+	}
+	if o.Slots < 0 || o.Answer < 0 || o.TokenDelay < 0 || o.FirstDelay < 0 {
+		errs = append(errs, errors.New("--slots, --answer, --token-delay and --first-delay must not be negative"))
+	}
+	return errors.Join(errs...)
+}
+
+// Process is a running set of fakes.
+type Process struct {
+	PlatformAddr string
+	AdminAddr    string
+
+	servers []*Server
+	admin   *Admin
+	options Options
+}
+
+// Main runs the fakes until SIGTERM or SIGINT and returns the exit code.
+func Main(args []string) int {
+	o := Options{}
+	_, err := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash).ParseArgs(args)
+	var fe *flags.Error
+	if errors.As(err, &fe) && fe.Type == flags.ErrHelp {
+		fmt.Println(fe.Message)
+		return exitOK
+	}
+	if err = errors.Join(err, o.Check()); err != nil {
+		fmt.Fprintf(os.Stderr, "bramleystandin: %v\n", err)
+		return exitSettings
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	p, err := Start(o)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "bramleystandin: %v\n", err)
+		return exitFailure
+	}
+	defer p.Close()
+	fmt.Printf("platform http://%s\nadmin http://%s\n", p.PlatformAddr, p.AdminAddr)
+	<-ctx.Done()
+	return exitOK
+}
+
+// Start starts the fakes.
+func Start(o Options) (*Process, error) {
+	p := &Process{options: o, admin: &Admin{Platform: NewPlatform(), Calls: NewCalls()}}
+	if err := p.start(); err != nil {
+		p.Close()
+		return nil, err
+	}
+	if !o.Unlisted {
+		p.admin.Platform.Hosts.Change(p.admin.Listed, nil)
+	}
+	return p, nil
+}
+
+func (p *Process) start() error {
+	for i := range p.options.Endpoints {
+		if err := p.addEngine(i); err != nil {
+			return err
+		}
+	}
+	for i := range p.options.Plain {
+		name := fmt.Sprintf("%s-%04d", p.options.PlainService, i)
+		if err := p.addEndpoint(i, hostlist.Host{ID: name, Service: p.options.PlainService}, NewPlain(name).Handler()); err != nil {
+			return err
+		}
+	}
+	var err error
+	if p.PlatformAddr, err = p.serve(p.options.Listen, p.admin.Calls.Count(p.admin.Platform.Handler())); err != nil {
+		return err
+	}
+	p.AdminAddr, err = p.serve(p.options.Admin, p.admin.Handler())
+	return err
+}
+
+func (p *Process) addEngine(i int) error {
+	o := p.options
+	versions := []string{o.Versions[i%len(o.Versions)]}
+	e := NewEngine(EngineSpec{
+		Name: fmt.Sprintf("%s-%04d", o.Service, i), Versions: versions, Slots: o.Slots, Answer: o.Answer, TokenDelay: o.TokenDelay, FirstDelay: o.FirstDelay,
+	})
+	p.admin.Engines = append(p.admin.Engines, e)
+	return p.addEndpoint(i, hostlist.Host{ID: e.spec.Name, Service: o.Service, Versions: versions}, e.Handler())
+}
+
+// addEndpoint serves an endpoint on a free port. A rack holds eight endpoints of a failure domain.
+func (p *Process) addEndpoint(i int, h hostlist.Host, handler http.Handler) error {
+	const endpointsPerRack = 8
+	domains := p.options.Domains
+	addr, err := p.serve("127.0.0.1:0", handler)
+	if err != nil {
+		return err
+	}
+	h.Role, h.State, h.Addr, h.Domain = hostlist.RoleEndpoint, hostlist.StateLive, addr, domains[i%len(domains)]
+	h.Rack = fmt.Sprintf("%s-rack-%d", strings.ToLower(h.Domain), i/len(domains)/endpointsPerRack)
+	p.admin.Listed = append(p.admin.Listed, h)
+	return nil
+}
+
+func (p *Process) serve(addr string, handler http.Handler) (string, error) {
+	s, err := Serve(addr, handler)
+	if err != nil {
+		return "", err
+	}
+	p.servers = append(p.servers, s)
+	return s.Addr, nil
+}
+
+// Close stops the fakes.
+func (p *Process) Close() {
+	for _, s := range p.servers {
+		s.Close()
+	}
+}
