Add bramleycap, which measures the cost of a daemon over the size of a deployment

Cause: the cost of each role at the scale target was not known.

Change: cmd/bramleycap with its logic in package capacity starts daemons and bramleystandin as processes, reads processor time from the threads' schedstat files, memory, counted bytes and calls, and fits lines to at least four points.

Conclusion: slopes can be measured with one command.

--- /dev/null
+++ b/capacity/load.go
@@ -0,0 +1,169 @@
+package capacity
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/bramleytrail/bramleytrail/local"
+)
+
+const (
+	callers        = 8    // concurrent callers of the data path
+	requestsPerRun = 400  // requests of one point
+	warmUp         = 100  // requests before the first point
+	billTimeout    = "1h" // bills stay in memory during the measurement of bills
+)
+
+// chat sends n requests to a daemon from concurrent callers and reads all answers.
+func chat(ctx context.Context, m *member, n, concurrent int) error {
+	work := make(chan int)
+	errs := make([]error, concurrent)
+	var wg sync.WaitGroup
+	for c := range concurrent {
+		wg.Go(func() {
+			client := local.NewClient(m.caller, callerKey)
+			defer client.HTTP.CloseIdleConnections()
+			for i := range work {
+				a, err := client.Chat(ctx, local.ChatBody("auto", fmt.Sprintf("prompt %d", i), true), nil)
+				if err == nil && a.Status != http.StatusOK {
+					err = fmt.Errorf("status %d: %s", a.Status, a.Text)
+				}
+				if err != nil && errs[c] == nil {
+					errs[c] = err
+				}
+			}
+		})
+	}
+	for i := range n {
+		work <- i
+	}
+	close(work)
+	wg.Wait()
+	return errors.Join(errs...)
+}
+
+// measureData measures processor time for a request and for a token.
+func (r *runner) measureData(ctx context.Context) error {
+	f, err := startFleet(ctx, r.binaries, fleetSpec{Daemons: 5, Endpoints: 30, Versions: 2, Teams: 1})
+	if err != nil {
+		return err
+	}
+	defer f.abort()
+	if err := sleep(ctx, settleTime); err != nil {
+		return err
+	}
+	m := f.members[0]
+	if err := chat(ctx, m, warmUp, callers); err != nil {
+		return err
+	}
+	for _, tokens := range []int64{1, 64, 128, 256} {
+		if err := f.timing(ctx, tokens, 0); err != nil {
+			return err
+		}
+		before, err := m.processorTime()
+		if err != nil {
+			return err
+		}
+		if err := chat(ctx, m, requestsPerRun, callers); err != nil {
+			return err
+		}
+		after, err := m.processorTime()
+		if err != nil {
+			return err
+		}
+		perRequest := (after - before).Seconds() * 1e6 / requestsPerRun
+		r.point("data path, processor time of a request", "tokens of its answer", "µs", float64(tokens), perRequest)
+	}
+	return f.stop()
+}
+
+// measureStreams measures memory over the number of streams in flight.
+func (r *runner) measureStreams(ctx context.Context) error {
+	f, err := startFleet(ctx, r.binaries, fleetSpec{Daemons: 1, Endpoints: 40, Versions: 2, Teams: 1})
+	if err != nil {
+		return err
+	}
+	defer f.abort()
+	if err := sleep(ctx, settleTime); err != nil {
+		return err
+	}
+	m := f.members[0]
+	if err := chat(ctx, m, warmUp, callers); err != nil {
+		return err
+	}
+	const delay = 500 * time.Millisecond
+	if err := f.timing(ctx, 10_000, delay); err != nil {
+		return err
+	}
+	streams, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var wg sync.WaitGroup
+	running := 0
+	for _, n := range []int{50, 100, 200, 400} {
+		for ; running < n; running++ {
+			wg.Go(func() { _ = chat(streams, m, 1, 1) }) // ends when streams is cancelled
+		}
+		wait, stop := context.WithTimeout(ctx, readyTimeout)
+		err := local.Wait(wait, func() bool {
+			values, err := metrics(ctx, m.operator)
+			return err == nil && values["bramley_requests_in_flight"] == float64(n)
+		})
+		stop()
+		if err != nil {
+			return err
+		}
+		if err := sleep(ctx, 2*delay); err != nil { // each stream has sent a token
+			return err
+		}
+		if err := r.memoryPoints(ctx, f, f.members, "streams,", "streams in flight", float64(n)); err != nil {
+			return err
+		}
+	}
+	cancel()
+	wg.Wait()
+	return f.stop()
+}
+
+// measureBills measures memory over the number of bills held, by their owner and by the holder of their copies.
+func (r *runner) measureBills(ctx context.Context) error {
+	f, err := startFleet(ctx, r.binaries, fleetSpec{
+		Daemons: 2, Endpoints: 10, Versions: 2, Teams: 1, Flags: []string{"--bill-interval", billTimeout},
+	})
+	if err != nil {
+		return err
+	}
+	defer f.abort()
+	if err := sleep(ctx, settleTime); err != nil {
+		return err
+	}
+	if err := f.timing(ctx, 1, 0); err != nil {
+		return err
+	}
+	sent := 0
+	for _, n := range []int{1000, 2000, 4000, 8000} {
+		if err := chat(ctx, f.members[0], n-sent, callers); err != nil {
+			return err
+		}
+		sent = n
+		samples, err := f.sample(ctx, f.members)
+		if err != nil {
+			return err
+		}
+		for i, name := range []string{"bills, owner", "bills, holder of copies"} {
+			held := samples[i].values["bramley_bills_held"] + samples[i].values["bramley_bill_copies_held"]
+			if held != float64(n) {
+				return fmt.Errorf("%s: %g bills are held after %d requests", name, held, n)
+			}
+			if err := r.memoryPoints(ctx, f, f.members[i:i+1], name+",", "bills held", held); err != nil {
+				return err
+			}
+		}
+		copied := prefixSum(samples[0].values, `bramley_control_bytes_total{kind="peer/copybills"`)
+		r.point("bills, bytes of copies", "bills", "bytes sent and received", float64(n), copied)
+	}
+	return f.stop()
+}
--- /dev/null
+++ b/capacity/process_test.go
@@ -0,0 +1,102 @@
+package capacity
+
+import (
+	"context"
+	"errors"
+	"math"
+	"net"
+	"os/exec"
+	"testing"
+	"time"
+
+	"github.com/bramleytrail/bramleytrail/local"
+	"github.com/bramleytrail/bramleytrail/relay"
+	"github.com/bramleytrail/bramleytrail/standin"
+)
+
+const testTimeout = 2 * time.Minute
+
+func testBinaries(ctx context.Context, t *testing.T) Binaries {
+	t.Helper()
+	b, err := Build(ctx, t.TempDir(), Binaries{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+// Guards against a break between whole processes: settings, ports, platform adapters, a streamed answer and the exit code
+// after SIGTERM.
+func TestProcessesServeAndStop(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	f, err := startFleet(ctx, testBinaries(ctx, t), fleetSpec{Daemons: 2, Endpoints: 2, Versions: 2, Teams: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.abort()
+	var a local.Answer
+	if err := local.Wait(ctx, func() bool {
+		a, err = local.NewClient(f.members[1].caller, callerKey).Chat(ctx, local.ChatBody("auto", "one", true), nil)
+		return err == nil && a.Status == 200
+	}); err != nil {
+		t.Fatalf("no answer: status %d, %v", a.Status, err)
+	}
+	if want := standin.Answer(a.Header.Get(relay.HeaderVersion), local.Messages("one"), 24); a.Text != want {
+		t.Errorf("answer %q; want %q", a.Text, want)
+	}
+	values, err := metrics(ctx, f.members[0].operator)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, kind := range []string{"store", "hosts", "load"} {
+		if bytesOfKind(kind)(sample{values: values}) == 0 {
+			t.Errorf("no bytes of kind %s are counted", kind)
+		}
+	}
+	if err := f.stop(); err != nil {
+		t.Error("a process did not end with exit code 0: ", err)
+	}
+}
+
+// Guards against a daemon that opens a port before it has checked its settings, and against another exit code than 2.
+func TestBadSettingsOpenNoPort(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	b := testBinaries(ctx, t)
+	// Every port is taken, so a daemon that listens before it checks its settings fails with another code.
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	addr := ln.Addr().String()
+	for name, path := range map[string]string{"daemon": b.Daemon, "stand-in": b.StandIn} {
+		args := []string{"--listen", addr, "--admin-listen", addr, "--endpoints", "-1"}
+		if name == "daemon" {
+			args = []string{
+				"--id", "a", "--domain", "north", "--listen", addr, "--peer-listen", addr, "--operator-listen", addr,
+				"--store", "http://" + addr, "--hosts", "http://" + addr, "--session-key-file", t.TempDir(), "--polls-per-second", "0",
+			}
+		}
+		var exit *exec.ExitError
+		if out, err := exec.CommandContext(ctx, path, args...).CombinedOutput(); !errors.As(err, &exit) || exit.ExitCode() != 2 {
+			t.Errorf("%s: %v; want exit code 2: %s", name, err, out)
+		}
+	}
+}
+
+// Guards against a wrong fit, on which every figure of the capacity page depends.
+func TestFit(t *testing.T) {
+	f, err := NewFit("line", "x", "y", []Point{{0, 1}, {1, 5}, {2, 5}, {3, 9}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	// Worked out by hand: slope 12/5, intercept 1.4, distances -0.4, 1.2, -1.2, 0.4.
+	if math.Abs(f.Slope-2.4) > 1e-9 || math.Abs(f.Intercept-1.4) > 1e-9 || math.Abs(f.Residual-math.Sqrt(0.8)) > 1e-9 {
+		t.Errorf("slope %g, intercept %g, residual %g; want 2.4, 1.4 and the root of 0.8", f.Slope, f.Intercept, f.Residual)
+	}
+	if _, err := NewFit("few", "x", "y", []Point{{0, 0}, {1, 1}, {2, 2}}); err == nil {
+		t.Error("three points were accepted; a line through them shows no residual worth stating")
+	}
+}
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -124,5 +124,11 @@
 	d.metrics.Gauge("bramley_bills_held", func() float64 { return float64(d.ledger.Held()) })
 	d.metrics.Gauge("bramley_bill_copies_held", func() float64 { return float64(d.copies.Held()) })
 	d.metrics.Gauge("bramley_config_revision", func() float64 { return float64(d.config.Revision().Number) })
+	d.metrics.Gauge("bramley_host_list_revision", func() float64 {
+		if l := d.list.Load(); l != nil {
+			return float64(l.Revision)
+		}
+		return 0
+	})
 	d.metrics.Gauge("bramley_peers", func() float64 { return float64(len(d.node.Peers())) })
 }
