bramleycap: say which daemon is late or has ended

Cause: a run stopped with a plain time-out and gave no hint of the daemon. Change: the error names the daemon that lacks the host list or has ended. Conclusion: a port taken by another program is told apart from a slow daemon.

--- a/capacity/fleet.go
+++ b/capacity/fleet.go
@@ -264,7 +264,24 @@
 func (f *fleet) waitReady(ctx context.Context, members []*member) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
-	return local.Wait(ctx, func() bool { return f.haveRevision(ctx, members, f.revision) })
+	var ended error
+	err := local.Wait(ctx, func() bool {
+		ended = firstEnded(members)
+		return ended != nil || f.haveRevision(ctx, members, f.revision)
+	})
+	return errors.Join(ended, err)
+}
+
+// firstEnded returns an error if a member has ended, for example because another program took its port.
+func firstEnded(members []*member) error {
+	for _, m := range members {
+		select {
+		case <-m.done:
+			return fmt.Errorf("%s ended: %s", m.host.ID, lastLine(m.log.String()))
+		default:
+		}
+	}
+	return nil
 }
 
 func (f *fleet) haveRevision(ctx context.Context, members []*member, number uint64) bool {
--- a/capacity/idle.go
+++ b/capacity/idle.go
@@ -22,7 +22,7 @@
 
 // measureDaemons measures idle daemons, calls to the platform and the time of a publish over the number of daemons.
 func (r *runner) measureDaemons(ctx context.Context) error {
-	for _, n := range []int{5, 10, 20, 40} {
+	for _, n := range []int{5, 10, 15, 20, 30, 40} { // all daemons of the first two are watchers
 		if err := r.measureFleet(ctx, n); err != nil {
 			return fmt.Errorf("%d daemons: %w", n, err)
 		}
--- a/capacity/measure.go
+++ b/capacity/measure.go
@@ -152,15 +152,21 @@
 	if err != nil {
 		return err
 	}
-	return local.Wait(ctx, func() bool {
+	late := ""
+	err = local.Wait(ctx, func() bool {
 		for _, m := range f.members {
 			values, err := metrics(ctx, m.operator)
-			if err != nil || values["bramley_host_list_revision"] < float64(list) {
+			if have := values["bramley_host_list_revision"]; err != nil || have < float64(list) {
+				late = fmt.Sprintf("%s has revision %g", m.host.ID, have)
 				return false
 			}
 		}
 		return true
 	})
+	if err != nil {
+		return fmt.Errorf("host list %d: %s: %w", list, late, err)
+	}
+	return nil
 }
 
 // callCounts adds up platform calls by role and kind.
