peer: fetch a new document once when several peers announce it

Cause: each peer that takes a new document announces it to its peers at once, and a daemon fetched it from every peer that was faster than its own fetch.

--- a/peer/node.go
+++ b/peer/node.go
@@ -59,6 +59,7 @@
 	local   []member
 	remote  map[string][]member
 	links   map[string]*link
+	fetches map[string]*flight // by document
 	conns   map[net.Conn]bool
 	next    int
 	holders map[string]time.Time // addresses of daemons that hold copies of bills
@@ -76,7 +77,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
 		spec: spec, listener: ln, server: rpc.NewServer(), docs: map[string]Document{}, links: map[string]*link{},
-		conns: map[net.Conn]bool{}, holders: map[string]time.Time{}, ctx: ctx, cancel: cancel,
+		fetches: map[string]*flight{},
+		conns:   map[net.Conn]bool{}, holders: map[string]time.Time{}, ctx: ctx, cancel: cancel,
 	}
 	if err := n.server.RegisterName(serviceName, &service{n}); err != nil {
 		cancel()
@@ -263,20 +265,32 @@
 // fetchNewer fetches the documents of which the peer has a newer version.
 func (n *Node) fetchNewer(addr string, docs []DocumentID) {
 	for _, id := range docs {
-		if current, ok := n.Document(id.Name); ok && !id.Newer(current.DocumentID) {
+		if !n.needs(id) {
 			continue
 		}
-		var d Document
-		if err := n.link(addr).call(n.ctx, "Fetch", FetchArgs{Name: id.Name}, &d); err != nil {
+		if err := n.fetch(addr, id); err != nil {
 			n.spec.Log.WithError(err).Warn("document fetch failed")
 			return
 		}
-		if err := n.Offer(d); err != nil {
-			n.spec.Log.WithError(err).WithField("document", d.Name).Warn("document rejected")
-		}
 	}
 }
 
+// fetch gets a document from a peer unless another fetch brings it in the meantime.
+func (n *Node) fetch(addr string, id DocumentID) error {
+	defer n.joinFetch(id)()
+	if !n.needs(id) {
+		return nil
+	}
+	var d Document
+	if err := n.link(addr).call(n.ctx, "Fetch", FetchArgs{Name: id.Name}, &d); err != nil {
+		return err
+	}
+	if err := n.Offer(d); err != nil {
+		n.spec.Log.WithError(err).WithField("document", d.Name).Warn("document rejected")
+	}
+	return nil
+}
+
 // ReportCrash records a crash and spreads it.
 func (n *Node) ReportCrash(r poison.Record) {
 	n.spec.Poison.Add(r, n.spec.Now())
