--- a/peer/message.go
+++ b/peer/message.go
@@ -8,11 +8,21 @@
 // serviceName is the net/rpc service of every daemon.
 const serviceName = "Peer"
 
+// digestLength is the number of hex digits of a digest in a message. It only tells versions with the same number apart; content is
+// verified by its own full digest. A full one made each digest message twice as long as its stated size.
+const digestLength = 16
+
 // DocumentID identifies one version of a document.
 type DocumentID struct {
 	Name   string
 	Number uint64
-	Digest string
+	Digest string // hex digest of the content; Node keeps its first digestLength digits
+}
+
+// short returns id with a shortened digest.
+func (id DocumentID) short() DocumentID {
+	id.Digest = id.Digest[:min(len(id.Digest), digestLength)]
+	return id
 }
 
 // Newer reports whether id replaces other.
@@ -20,7 +30,7 @@
 	if id.Number != other.Number {
 		return id.Number > other.Number
 	}
-	return id.Digest > other.Digest
+	return id.short().Digest > other.short().Digest
 }
 
 // Document is one version of a document.
--- a/peer/node.go
+++ b/peer/node.go
@@ -203,6 +203,7 @@
 func (n *Node) Offer(d Document) error {
 	n.offering.Lock()
 	defer n.offering.Unlock()
+	d.DocumentID = d.short()
 	if current, ok := n.Document(d.Name); ok && !d.Newer(current.DocumentID) {
 		return nil
 	}
