--- a/engine/httpengine/client.go
+++ b/engine/httpengine/client.go
@@ -214,6 +214,7 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", engine.ErrRejected, err)
 	}
+	req.Header.Set("User-Agent", "") // leaves the header out; load reports are the largest part of control traffic
 	resp, err := c.commands.Do(req)
 	if err != nil {
 		return transportError(err)
