--- a/capacity/fleet.go
+++ b/capacity/fleet.go
@@ -7,13 +7,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"maps"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -75,7 +73,24 @@
 	return out
 }
 
-func startFleet(ctx context.Context, b Binaries, spec fleetSpec) (f *fleet, err error) {
+// startTries is the number of attempts to start a fleet.
+const startTries = 3
+
+// errEnded says that a process has ended too early.
+var errEnded = errors.New("process ended")
+
+// startFleet starts a deployment and waits until its daemons are ready. It tries again with other ports if a process
+// ends, since another program can take a free port before the process opens it.
+func startFleet(ctx context.Context, b Binaries, spec fleetSpec) (*fleet, error) {
+	for try := 1; ; try++ {
+		f, err := tryFleet(ctx, b, spec)
+		if err == nil || try == startTries || !errors.Is(err, errEnded) {
+			return f, err
+		}
+	}
+}
+
+func tryFleet(ctx context.Context, b Binaries, spec fleetSpec) (f *fleet, err error) {
 	f = &fleet{spec: spec, binaries: b}
 	defer func() {
 		if err != nil {
@@ -142,10 +157,15 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
-	return local.Wait(ctx, func() bool {
+	var ended error
+	err = local.Wait(ctx, func() bool {
+		if ended = f.standIn.ended(); ended != nil {
+			return true
+		}
 		data, err := get(ctx, f.admin+"/admin/endpoints")
 		return err == nil && json.Unmarshal(data, &f.endpoints) == nil
 	})
+	return errors.Join(ended, err)
 }
 
 func (f *fleet) startMember(m *member) (err error) {
@@ -275,10 +295,8 @@
 // firstEnded returns an error if a member has ended, for example because another program took its port.
 func firstEnded(members []*member) error {
 	for _, m := range members {
-		select {
-		case <-m.done:
-			return fmt.Errorf("%s ended: %s", m.host.ID, lastLine(m.log.String()))
-		default:
+		if err := m.ended(); err != nil {
+			return fmt.Errorf("%s: %w", m.host.ID, err)
 		}
 	}
 	return nil
@@ -336,82 +354,6 @@
 	_ = os.RemoveAll(f.dir) // the first error is reported
 }
 
-// sample holds the figures of one daemon, or their differences over a window.
-type sample struct {
-	cpu    time.Duration
-	values map[string]float64
-}
-
-func (f *fleet) sample(ctx context.Context, members []*member) ([]sample, error) {
-	out := make([]sample, len(members))
-	for i, m := range members {
-		var err error
-		if out[i].values, err = metrics(ctx, m.operator); err != nil {
-			return nil, err
-		}
-	}
-	for i, m := range members { // after the reads, whose cost does not belong to the window
-		var err error
-		if out[i].cpu, err = m.processorTime(); err != nil {
-			return nil, err
-		}
-	}
-	return out, nil
-}
-
-// window measures the members over d while during runs.
-func (f *fleet) window(ctx context.Context, d time.Duration, during func(context.Context) error) ([]sample, error) {
-	before, err := f.sample(ctx, f.members)
-	if err != nil {
-		return nil, err
-	}
-	start := time.Now()
-	if during != nil {
-		if err := during(ctx); err != nil {
-			return nil, err
-		}
-	}
-	if err := sleep(ctx, d-time.Since(start)); err != nil {
-		return nil, err
-	}
-	cpu := make([]time.Duration, len(f.members))
-	for i, m := range f.members {
-		if cpu[i], err = m.processorTime(); err != nil {
-			return nil, err
-		}
-	}
-	elapsed := time.Since(start)
-	after, err := f.sample(ctx, f.members)
-	if err != nil {
-		return nil, err
-	}
-	for i := range after {
-		after[i].cpu = time.Duration(float64(cpu[i]-before[i].cpu) * float64(time.Second) / float64(elapsed))
-		for name, v := range after[i].values {
-			if strings.HasSuffix(metricBase(name), "_total") {
-				after[i].values[name] = (v - before[i].values[name]) / elapsed.Seconds()
-			}
-		}
-	}
-	return after, nil
-}
-
-func metricBase(name string) string {
-	base, _, _ := strings.Cut(name, "{")
-	return base
-}
-
-// prefixSum adds up the values whose names begin with a prefix.
-func prefixSum(values map[string]float64, prefix string) float64 {
-	sum := 0.0
-	for _, name := range slices.Sorted(maps.Keys(values)) {
-		if strings.HasPrefix(name, prefix) {
-			sum += values[name]
-		}
-	}
-	return sum
-}
-
 // hostRevision returns the revision of the platform's host list.
 func (f *fleet) hostRevision(ctx context.Context) (uint64, error) {
 	data, err := get(ctx, f.admin+"/admin/hosts")
--- a/capacity/process.go
+++ b/capacity/process.go
@@ -62,6 +62,16 @@
 	}
 }
 
+// ended returns errEnded and the last line of output if the process has ended.
+func (p *process) ended() error {
+	select {
+	case <-p.done:
+		return fmt.Errorf("%w: %s", errEnded, lastLine(p.log.String()))
+	default:
+		return nil
+	}
+}
+
 func (p *process) kill() {
 	_ = p.cmd.Process.Kill() // the process may have ended already
 	<-p.done
