--- a/capacity/fleet.go
+++ b/capacity/fleet.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -76,6 +75,9 @@
 // startTries is the number of attempts to start a fleet.
 const startTries = 3
 
+// errLate says that a daemon lacks a revision.
+var errLate = errors.New("late")
+
 // errEnded says that a process has ended too early.
 var errEnded = errors.New("process ended")
 
@@ -177,20 +179,6 @@
 	return err
 }
 
-// freePorts returns loopback addresses that were free a moment ago.
-func freePorts(n int) ([]string, error) {
-	var out []string
-	for range n {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		defer ln.Close()
-		out = append(out, ln.Addr().String())
-	}
-	return out, nil
-}
-
 func (f *fleet) hosts(members []*member) []hostlist.Host {
 	var out []hostlist.Host
 	for _, m := range members {
@@ -284,11 +272,15 @@
 func (f *fleet) waitReady(ctx context.Context, members []*member) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
-	var ended error
+	var ended, late error
 	err := local.Wait(ctx, func() bool {
 		ended = firstEnded(members)
-		return ended != nil || f.haveRevision(ctx, members, f.revision)
+		late = f.lacksRevision(ctx, members, f.revision)
+		return ended != nil || late == nil
 	})
+	if err != nil {
+		err = errors.Join(late, err)
+	}
 	return errors.Join(ended, err)
 }
 
@@ -302,19 +294,20 @@
 	return nil
 }
 
-func (f *fleet) haveRevision(ctx context.Context, members []*member, number uint64) bool {
+// lacksRevision returns an error that names the members without the revision.
+func (f *fleet) lacksRevision(ctx context.Context, members []*member, number uint64) error {
 	var wg sync.WaitGroup
-	missing := make(chan struct{}, len(members))
-	for _, m := range members {
+	errs := make([]error, len(members))
+	for i, m := range members {
 		wg.Go(func() {
 			values, err := metrics(ctx, m.operator)
-			if err != nil || values["bramley_config_revision"] < float64(number) {
-				missing <- struct{}{}
+			if have := values["bramley_config_revision"]; err != nil || have < float64(number) {
+				errs[i] = fmt.Errorf("%s has revision %g of %d, %w", m.host.ID, have, number, cmp.Or(err, errLate))
 			}
 		})
 	}
 	wg.Wait()
-	return len(missing) == 0
+	return errors.Join(errs...)
 }
 
 // watchers returns the members that watch the platform's services.
--- a/capacity/idle.go
+++ b/capacity/idle.go
@@ -78,7 +78,7 @@
 			return err
 		}
 		wait, cancel := context.WithTimeout(ctx, readyTimeout)
-		err = local.Wait(wait, func() bool { return f.haveRevision(ctx, f.members, number) })
+		err = local.Wait(wait, func() bool { return f.lacksRevision(ctx, f.members, number) == nil })
 		cancel()
 		if err != nil {
 			return err
--- a/capacity/process.go
+++ b/capacity/process.go
@@ -157,8 +157,11 @@
 	return send(req)
 }
 
+// client bounds each request, so that one silent process does not stop a measurement.
+var client = &http.Client{Timeout: 10 * time.Second}
+
 func send(req *http.Request) ([]byte, error) {
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return nil, err
 	}
