bramleycap: stop the started processes when the output is closed

Cause: a run whose output was cut off by its reader died from SIGPIPE and left its processes running: 80 daemons after two runs piped into head. Change: SIGPIPE and SIGHUP end the run in order. Conclusion: a run cleans up however it ends, SIGKILL excepted.

--- a/capacity/main.go
+++ b/capacity/main.go
@@ -81,7 +81,8 @@
 		fmt.Fprintf(os.Stderr, "bramleycap: %v\n", err)
 		return exitUsage
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	// A closed terminal or pipe also ends the run in order; otherwise the started processes would stay.
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGPIPE)
 	defer stop()
 	if err := Run(ctx, o, os.Stdout, os.Stderr); err != nil {
 		fmt.Fprintf(os.Stderr, "bramleycap: %v\n", err)
