ledger: compress stored batches of bills

Cause: at the target a daemon writes 176 bills every 10 s, and each had 135 bytes as MessagePack and 180 in the key-value service's protocol, most of them the same in every bill.

Change: a batch is compressed with gzip before it is stored. Batches that were stored without compression are still read.

--- a/ledger/bill.go
+++ b/ledger/bill.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"slices"
 	"time"
-
-	"github.com/vmihailenco/msgpack/v5"
 )
 
 // Prefix of batch keys in the key-value service.
@@ -55,22 +53,6 @@
 	return fmt.Sprintf("%s%s/%s/%012d", Prefix, id.Domain, id.Incarnation, id.Seq)
 }
 
-func encodeBills(bills []Bill) ([]byte, error) {
-	data, err := msgpack.Marshal(bills)
-	if err != nil {
-		return nil, fmt.Errorf("encode bills: %w", err)
-	}
-	return data, nil
-}
-
-func decodeBills(data []byte) ([]Bill, error) {
-	var bills []Bill
-	if err := msgpack.Unmarshal(data, &bills); err != nil {
-		return nil, fmt.Errorf("decode bills: %w", err)
-	}
-	return bills, nil
-}
-
 // Merge returns one bill for each identity, ordered by identity. Among bills of the same request, a completed answer
 // goes before a failed one, then the earliest counts.
 func Merge(bills []Bill) []Bill {
--- /dev/null
+++ b/ledger/encoding.go
@@ -0,0 +1,47 @@
+package ledger
+
+import (
+	"bytes"
+	"compress/gzip"
+	"fmt"
+	"io"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// gzipMagic begins a compressed batch. No MessagePack array begins with it, so batches stored without compression can
+// still be read.
+var gzipMagic = []byte{0x1f, 0x8b}
+
+// maxDecodedBytes bounds the decompression of a batch of maxBatchBills bills.
+const maxDecodedBytes = 64 << 20
+
+// encodeBills returns the stored form of a batch: MessagePack, compressed, since the bills of a batch share most of their
+// content. Uncompressed batches took most of a daemon's bytes to the key-value service.
+func encodeBills(bills []Bill) ([]byte, error) {
+	var buf bytes.Buffer
+	zw := gzip.NewWriter(&buf)
+	if err := msgpack.NewEncoder(zw).Encode(bills); err != nil {
+		return nil, fmt.Errorf("encode bills: %w", err)
+	}
+	if err := zw.Close(); err != nil {
+		return nil, fmt.Errorf("encode bills: %w", err)
+	}
+	return buf.Bytes(), nil
+}
+
+func decodeBills(data []byte) ([]Bill, error) {
+	var bills []Bill
+	var r io.Reader = bytes.NewReader(data)
+	if bytes.HasPrefix(data, gzipMagic) {
+		zr, err := gzip.NewReader(r)
+		if err != nil {
+			return nil, fmt.Errorf("decode bills: %w", err)
+		}
+		r = io.LimitReader(zr, maxDecodedBytes)
+	}
+	if err := msgpack.NewDecoder(r).Decode(&bills); err != nil {
+		return nil, fmt.Errorf("decode bills: %w", err)
+	}
+	return bills, nil
+}
