ledger: write batches in one call at a time

Cause: a run of the checks ended in a panic (slice bounds out of range) in Flush: the last write of a stopping daemon met the periodic one, and both wrote and dropped the first batch. Otherwise the next batch is dropped unwritten. Change: a mutex around Flush. Conclusion: the fault is seen and mended, but not yet guarded by a test.

--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -55,7 +55,8 @@
 	sealed  []batch
 	pending *group // bills that wait to be copied
 
-	copying sync.Mutex // held while a copy is sent
+	copying  sync.Mutex // held while a copy is sent
+	flushing sync.Mutex // held while batches are written
 }
 
 type batch struct {
@@ -170,8 +171,11 @@
 	return true
 }
 
-// Flush seals the open batch and writes all sealed ones in order. It reports whether none is left.
+// Flush seals the open batch and writes all sealed ones in order. It reports whether none is left. One call runs at a
+// time: two would write the same batch, and the second would then drop the next one unwritten.
 func (l *Ledger) Flush(ctx context.Context) bool {
+	l.flushing.Lock()
+	defer l.flushing.Unlock()
 	l.mu.Lock()
 	l.seal()
 	l.mu.Unlock()
