--- a/engine/httpengine/client.go
+++ b/engine/httpengine/client.go
@@ -32,7 +32,8 @@
 
 // Client implements engine.Client over HTTP.
 type Client struct {
-	single *http.Client // one connection for each call
+	single   *http.Client // one connection for each call
+	commands *http.Client // one connection for each load report or command, so that their bytes are counted apart
 
 	mu     sync.Mutex
 	shared map[string]*http.Client // by address; each keeps connections
@@ -41,8 +42,16 @@
 // NewClient returns a client. Each non-repeatable call uses a connection of its own: net/http sends a request with an
 // Idempotency-Key header again if a kept connection turns out to be closed, which could run the call twice. So does each
 // load report and each resumed stream: a kept connection may have gone silent while new ones work.
-func NewClient() *Client {
-	return &Client{single: client(true), shared: map[string]*http.Client{}}
+func NewClient() *Client { return NewClientWith(dial) }
+
+// Dialer returns the dialer of a Client.
+func Dialer() *net.Dialer { return &net.Dialer{Timeout: connectTimeout} }
+
+// NewClientWith returns a client that opens the connections for load reports and commands with dial.
+func NewClientWith(dial func(ctx context.Context, network, addr string) (net.Conn, error)) *Client {
+	commands := transport(true)
+	commands.DialContext = dial
+	return &Client{single: client(true), commands: &http.Client{Transport: commands}, shared: map[string]*http.Client{}}
 }
 
 // client follows no redirect: it would send the request again, possibly to a host that is no endpoint. The caller gets
@@ -121,6 +130,7 @@
 	defer c.mu.Unlock()
 	c.closeIdle()
 	c.single.CloseIdleConnections()
+	c.commands.CloseIdleConnections()
 }
 
 // Stream implements engine.Client.
@@ -270,7 +280,8 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", engine.ErrRejected, err)
 	}
-	resp, err := c.single.Do(req)
+	req.Header.Set("User-Agent", "") // leaves the header out; load reports are the largest part of control traffic
+	resp, err := c.commands.Do(req)
 	if err != nil {
 		return transportError(err)
 	}
--- a/hostlist/http.go
+++ b/hostlist/http.go
@@ -1,23 +1,32 @@
 package hostlist
 
 import (
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 )
 
 // HTTPSource reads the list over HTTP.
 type HTTPSource struct {
-	base string
-	http *http.Client
+	base  string
+	agent string // User-Agent header; the library's own if empty
+	http  *http.Client
 }
 
 // NewHTTPSource returns a source that reads from the service at base.
-func NewHTTPSource(base string) *HTTPSource {
-	return &HTTPSource{base: base, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}}}
+func NewHTTPSource(base string) *HTTPSource { return NewHTTPSourceWith(base, "", nil) }
+
+// NewHTTPSourceWith returns a source that names itself agent and opens connections with dial; an empty agent and a nil
+// dial stand for the library's own.
+func NewHTTPSourceWith(base, agent string, dial func(ctx context.Context, network, addr string) (net.Conn, error)) *HTTPSource {
+	t := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}
+	return &HTTPSource{base: base, agent: agent, http: &http.Client{Transport: t}}
 }
 
 // Close drops idle connections.
@@ -30,6 +39,9 @@
 	if err != nil {
 		return list, fmt.Errorf("host list: %w", err)
 	}
+	if s.agent != "" {
+		req.Header.Set("User-Agent", s.agent)
+	}
 	resp, err := s.http.Do(req)
 	if err != nil {
 		return list, fmt.Errorf("host list: %w", err)
@@ -44,7 +56,8 @@
 	return list, nil
 }
 
-// Handler serves source in the protocol that HTTPSource reads.
+// Handler serves source in the protocol that HTTPSource reads. The list is compressed for clients that accept gzip, as
+// those of this package do.
 func Handler(source Source) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		known, err := strconv.ParseUint(r.FormValue("known"), 10, 64)
@@ -58,6 +71,18 @@
 			return
 		}
 		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(list) // a failed write means that the client has left
+		writeList(w, r, list)
 	})
 }
+
+// writeList ignores failed writes: they mean that the client has left.
+func writeList(w http.ResponseWriter, r *http.Request, list List) {
+	if !strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+		_ = json.NewEncoder(w).Encode(list)
+		return
+	}
+	w.Header().Set("Content-Encoding", "gzip")
+	zw := gzip.NewWriter(w)
+	_ = json.NewEncoder(zw).Encode(list)
+	_ = zw.Close()
+}
--- a/peer/client.go
+++ b/peer/client.go
@@ -25,8 +25,9 @@
 // link is the connection to one peer. A call that gets no answer in time closes the connection: it may have gone silent
 // for good, and the next call then uses a new one.
 type link struct {
-	addr   string
-	dialer func(ctx context.Context, addr string) (net.Conn, error)
+	addr    string
+	dialer  func(ctx context.Context, addr string) (net.Conn, error)
+	traffic Traffic
 
 	mu      sync.Mutex
 	client  *rpc.Client
@@ -88,7 +89,7 @@
 	case l.closed:
 		_ = conn.Close() // the host has left
 	default:
-		l.client = rpc.NewClient(conn)
+		l.client = rpc.NewClientWithCodec(clientCodec{newCodec(conn, l.traffic)})
 	}
 }
 
--- a/peer/node.go
+++ b/peer/node.go
@@ -47,7 +47,8 @@
 	// Rand returns a random number below its argument. Nil uses the process's source.
 	Rand func(n int64) int64
 	// Dial connects to a peer within dialTimeout. Nil dials TCP from the address on which the node listens.
-	Dial func(ctx context.Context, addr string) (net.Conn, error)
+	Dial    func(ctx context.Context, addr string) (net.Conn, error)
+	Traffic Traffic // may be nil
 }
 
 // Node is a daemon's part in the exchange between daemons.
@@ -139,7 +140,7 @@
 		n.conns[conn] = true
 		n.mu.Unlock()
 		n.wg.Go(func() {
-			n.server.ServeConn(conn)
+			n.server.ServeCodec(serverCodec{newCodec(conn, n.spec.Traffic)})
 			n.mu.Lock()
 			delete(n.conns, conn)
 			n.mu.Unlock()
@@ -202,7 +203,7 @@
 func (n *Node) linkLocked(addr string) *link {
 	l := n.links[addr]
 	if l == nil {
-		l = &link{addr: addr, dialer: n.spec.Dial, closed: n.closed}
+		l = &link{addr: addr, dialer: n.spec.Dial, traffic: n.spec.Traffic, closed: n.closed}
 		n.links[addr] = l
 	}
 	return l
