entry: a killed daemon sends nothing more to callers

Cause: three pairs of failures with a killed daemon reported an answered request without a bill. The fake loss of a host closed the connections to other daemons before those to callers, so a request could still be answered after its bill could no longer be copied, which a lost host can't do. Change: Kill first forbids every write to callers.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -301,6 +301,7 @@
 
 // Kill closes the ports without waiting for anything, as the loss of the host does. It is for tests.
 func (d *Daemon) Kill() {
+	d.entry.Abort()
 	d.cancel()
 	d.node.Close()
 	d.claims.Close(d.ctx) // ended, so that outcomes are given up
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -28,12 +28,18 @@
 var errUnsupported = errors.New("caller takes whole answers only")
 
 // wholeCaller sends an answer in one piece through the engine, which keeps the connection for the next request.
-type wholeCaller struct{ w http.ResponseWriter }
+type wholeCaller struct {
+	w       http.ResponseWriter
+	aborted *atomic.Bool
+}
 
 func (c *wholeCaller) Begin(int, http.Header) error { return errUnsupported }
 func (c *wholeCaller) Write([]byte) (int, error)    { return 0, errUnsupported }
 func (c *wholeCaller) End() error                   { return errUnsupported }
 func (c *wholeCaller) Reply(status int, h http.Header, body []byte) error {
+	if c.aborted.Load() {
+		return errGone
+	}
 	return replyWhole(c.w, status, h, body)
 }
 
@@ -76,12 +82,13 @@
 // streamCaller writes to the caller's connection directly. The engine's response writer reports neither a failed write
 // nor a caller that has left; the connection does both.
 type streamCaller struct {
-	conn  net.Conn
-	stall time.Duration
-	body  io.WriteCloser // chunked framing; nil until Begin
-	begun bool
-	gone  atomic.Bool
-	once  sync.Once
+	conn    net.Conn
+	stall   time.Duration
+	body    io.WriteCloser // chunked framing; nil until Begin
+	begun   bool
+	gone    atomic.Bool
+	aborted *atomic.Bool
+	once    sync.Once
 }
 
 // hijack takes over the connection. The returned context ends when the caller closes it.
@@ -97,7 +104,7 @@
 	_ = conn.SetReadDeadline(time.Time{}) // the engine's deadline for the next request
 	limitSendBuffer(conn)
 	ctx, cancel := context.WithCancel(r.Context())
-	c := &streamCaller{conn: conn, stall: s.spec.StallTimeout}
+	c := &streamCaller{conn: conn, stall: s.spec.StallTimeout, aborted: &s.aborted}
 	go watch(conn, func() {
 		c.gone.Store(true)
 		_ = conn.SetWriteDeadline(time.Now()) // ends a pending write; the connection may be closed already
@@ -182,7 +189,7 @@
 	if err := w.c.conn.SetWriteDeadline(time.Now().Add(w.c.stall)); err != nil {
 		return 0, err
 	}
-	if w.c.gone.Load() { // after SetWriteDeadline, which may have replaced the deadline of a caller that left
+	if w.c.gone.Load() || w.c.aborted.Load() { // after SetWriteDeadline, which may have replaced the deadline of a caller that left
 		return 0, errGone
 	}
 	return w.c.conn.Write(p)
--- a/entry/server.go
+++ b/entry/server.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/lesismal/nbio/nbhttp"
@@ -54,6 +55,8 @@
 	engine *nbhttp.Engine // nil with TLS
 	secure *http.Server   // nil without TLS
 	addr   string
+	// aborted is set by Abort. Nothing is sent to callers from then on.
+	aborted atomic.Bool
 }
 
 // New returns a server. It opens no port.
@@ -122,6 +125,9 @@
 	return s.engine.Shutdown(ctx)
 }
 
+// Abort sends nothing to callers from now on, as the loss of the host does. It is for tests.
+func (s *Server) Abort() { s.aborted.Store(true) }
+
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch path := r.URL.Path; {
@@ -173,7 +179,7 @@
 		return
 	}
 	if !pipeline.WantsStream(req.Body) {
-		_ = s.spec.Pipeline.Chat(r.Context(), req, &wholeCaller{w: w}) // reported to the caller and to Observe
+		_ = s.spec.Pipeline.Chat(r.Context(), req, &wholeCaller{w: w, aborted: &s.aborted}) // reported to the caller and to Observe
 		return
 	}
 	c, ctx, err := s.hijack(w, r)
