pool: no ramp between the cold and the warm limit; free a slot when the endpoint has ended the stream

The pool raised the limit in proportion to the completed requests, but the declaration says that the cold limit holds until warmAfter of them; and a cancelled stream's slot was given back before the endpoint knew of it. Change: the cold limit holds until warmAfter requests are completed; the slot of a cancelled stream is given back after the endpoint has confirmed. The fake engine frees a slot before it sends the end of an answer, and at a cancellation. The chaos runs use a cold limit of 4 for 6 callers and a settle time of 200 ms.

--- a/chaos/run.go
+++ b/chaos/run.go
@@ -20,6 +20,7 @@
 
 const (
 	daemons      = 3
+	settle       = 200 * time.Millisecond
 	settleAfter  = 300 * time.Millisecond // load before and after the failures
 	revisionPoll = 5 * time.Millisecond
 	runTimeout   = 2 * time.Minute
@@ -75,6 +76,7 @@
 		r.poison = r.poison || f.Name == "poison-request"
 		r.storeFaulty = r.storeFaulty || f.Name == "store-down" || f.Name == "store-slow" || f.Name == "store-replies-lost"
 	}
+	dep.Settle = settle
 	if err := r.start(ctx); err != nil {
 		return Report{}, err
 	}
@@ -96,7 +98,7 @@
 }
 
 func (r *run) start(ctx context.Context) error {
-	spec := standin.EngineSpec{Slots: 64, ColdSlots: 12, WarmAfter: 8, TokenDelay: 4 * time.Millisecond}
+	spec := standin.EngineSpec{Slots: 64, ColdSlots: 4, WarmAfter: 8, TokenDelay: 4 * time.Millisecond}
 	if err := local.Sample(ctx, r.dep, daemons, spec); err != nil {
 		return err
 	}
--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -434,9 +434,10 @@
 }
 
 func (a *Answer) cancelStream() {
-	addr, id := a.room.Addr, a.callID
-	a.closeStream(errCancelled)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(a.ctx), probeLimit)
 	defer cancel()
-	_ = a.filter.spec.Client.Cancel(ctx, addr, id) // the closed connection ends the stream too
+	// The room is given back after the endpoint has ended the stream: until then the endpoint bears it, and a cold one
+	// may not bear another request beside it. The closed connection ends the stream if the call fails.
+	_ = a.filter.spec.Client.Cancel(ctx, a.room.Addr, a.callID)
+	a.closeStream(errCancelled)
 }
--- a/local/deployment.go
+++ b/local/deployment.go
@@ -34,6 +34,7 @@
 	Log         *logrus.Logger
 	Network     *Network      // nil unless UseNetwork was called
 	DutyTTL     time.Duration // of daemons that are added from now on
+	Settle      time.Duration // of daemons that are added from now on
 
 	platform *standin.Server
 	servers  map[string]*standin.Server
@@ -87,7 +88,7 @@
 	return &settings.Settings{
 		ID: id, Domain: domain, Rack: id, Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", OperatorListen: "127.0.0.1:0",
 		Store: d.PlatformURL, Hosts: d.PlatformURL, MaxInFlight: 1000, MaxConnections: 1000, QueueWait: 2 * time.Second,
-		StallTimeout: 30 * time.Second, Settle: 0, BillInterval: 500 * time.Millisecond, CopyTimeout: 500 * time.Millisecond,
+		StallTimeout: 30 * time.Second, Settle: d.Settle, BillInterval: 500 * time.Millisecond, CopyTimeout: 500 * time.Millisecond,
 		ClaimWrites: 1000, PollsPerSecond: 50, Ratings: d.PlatformURL, DutyTTL: d.DutyTTL,
 		EvidenceEvery: 100 * time.Millisecond, RatingEvery: 100 * time.Millisecond, ExploreShare: 0.05, ExploreCost: 0.05, LogLevel: "info", SessionKey: []byte(SessionKey),
 	}
--- a/pool/endpoint.go
+++ b/pool/endpoint.go
@@ -45,16 +45,13 @@
 	wanted    bool      // a request found the evidence too old
 }
 
-// capacity returns the number of requests that the endpoint can bear now, over all daemons.
+// capacity returns the number of requests that the endpoint can bear now, over all daemons. There is no ramp between the
+// cold and the warm limit: what a partly warm endpoint bears is not declared.
 func (e *endpoint) capacity(lim *limits, now time.Time) int64 {
-	cold, warm := int64(lim.ColdSlots), int64(lim.Slots)
-	if e.stale(now) {
-		return cold
+	if e.stale(now) || e.completed < int64(lim.WarmAfter) {
+		return int64(lim.ColdSlots)
 	}
-	if lim.WarmAfter == 0 || e.completed >= int64(lim.WarmAfter) {
-		return warm
-	}
-	return cold + (warm-cold)*e.completed/int64(lim.WarmAfter)
+	return int64(lim.Slots)
 }
 
 func (e *endpoint) stale(now time.Time) bool { return now.Sub(e.evidence) > evidenceTTL }
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -102,6 +102,8 @@
 	serving int             // streams that are open for it; its slot and tokens are held while there is one
 	boot    int             // number of the start that this generation belongs to
 	reset   <-chan struct{} // closed when that start ends
+	stopped chan struct{}   // closed when it is cancelled
+	freed   bool            // it is done or cancelled and holds nothing any more
 }
 
 // NewEngine returns a started, cold engine.
@@ -197,7 +199,7 @@
 	g := &generation{
 		run:    &Run{ID: id, Engine: e.spec.Name, Version: req.Model, Started: time.Now(), Prompt: prompt},
 		prompt: prompt, limit: e.answerTokens(req.MaxTokens), input: int64(len(prompt)) / bytesPerToken,
-		delay: e.spec.TokenDelay, boot: e.boot, reset: e.reset,
+		delay: e.spec.TokenDelay, boot: e.boot, reset: e.reset, stopped: make(chan struct{}),
 	}
 	if req.Continuation != nil {
 		g.first = req.Continuation.Tokens
@@ -244,14 +246,26 @@
 
 // hold counts a stream of a generation.
 func (e *Engine) hold(g *generation) {
-	if g.serving++; g.serving == 1 {
+	if g.serving++; g.serving == 1 && !g.freed {
 		e.running++
 		e.held += g.input + g.limit
 	}
 }
 
+// free gives back what a generation holds before its last stream has ended. The caller holds the lock.
+func (e *Engine) free(g *generation) {
+	if e.boot != g.boot || g.freed {
+		return
+	}
+	g.freed = true
+	if g.serving > 0 {
+		e.running--
+		e.held -= g.input + g.limit
+	}
+}
+
 func (e *Engine) release(g *generation) {
-	if g.serving--; g.serving == 0 {
+	if g.serving--; g.serving == 0 && !g.freed {
 		e.running--
 		e.held -= g.input + g.limit
 	}
@@ -310,7 +324,7 @@
 	e.mu.Unlock()
 	wait := firstDelay
 	for seq := after + 1; seq <= g.limit; seq++ {
-		if !e.pause(r, g.reset, broken, wait) {
+		if !e.pause(r, g, broken, wait) {
 			panic(http.ErrAbortHandler)
 		}
 		wait = g.delay
@@ -320,14 +334,17 @@
 	}
 	e.mu.Lock()
 	g.run.Done = true
-	e.completed++
+	if e.boot == g.boot {
+		e.completed++
+	}
+	e.free(g) // before the client can see the end and send the next request
 	e.mu.Unlock()
 	_, _ = io.WriteString(w, "data: [DONE]\n\n") // a failed write means that the client has left
 	flush(w)
 }
 
 // pause waits before the next token. It returns false if the engine crashed or the client left.
-func (e *Engine) pause(r *http.Request, reset, broken <-chan struct{}, d time.Duration) bool {
+func (e *Engine) pause(r *http.Request, g *generation, broken <-chan struct{}, d time.Duration) bool {
 	var timer <-chan time.Time
 	if d > 0 {
 		timer = time.After(d)
@@ -346,14 +363,18 @@
 			ready = nil
 		}
 		select {
-		case <-reset:
+		case <-g.reset:
+			return false
+		case <-g.stopped:
 			return false
 		case <-broken:
 			return false
 		default:
 		}
 		select {
-		case <-reset:
+		case <-g.reset:
+			return false
+		case <-g.stopped:
 			return false
 		case <-broken:
 			return false
--- a/standin/enginecontrol.go
+++ b/standin/enginecontrol.go
@@ -17,7 +17,11 @@
 
 func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
-	delete(e.streams, r.PathValue("id"))
+	if g := e.streams[r.PathValue("id")]; g != nil {
+		delete(e.streams, r.PathValue("id"))
+		close(g.stopped)
+		e.free(g)
+	}
 	e.mu.Unlock()
 	w.WriteHeader(http.StatusNoContent)
 }
