daemon: mutual TLS between daemons

Cause: the settings for certificates towards other daemons were checked but not used, so bills and configurations crossed the network in the clear and any process could offer a document. Change: the peer listener and its dialer use the certificates if they are set. Result: TestDaemonsOverTLS: of three daemons with TLS, one with a certificate of another authority receives no copy of a bill and the second receives it. Conclusion: the three settings are in use.

--- a/daemon/certificates.go
+++ b/daemon/certificates.go
@@ -1,8 +1,12 @@
 package daemon
 
 import (
+	"context"
+	"crypto/tls"
 	"fmt"
+	"net"
 
+	"github.com/bramleytrail/bramleytrail/peer"
 	"github.com/bramleytrail/bramleytrail/secure"
 )
 
@@ -17,9 +21,39 @@
 		src.OnError = d.certificateError
 		d.callerTLS = src.Server()
 	}
+	if s.PeerTLSCert != "" {
+		src, err := secure.Load(secure.Files{Cert: s.PeerTLSCert, Key: s.PeerTLSKey, CA: s.PeerTLSCA})
+		if err != nil {
+			return fmt.Errorf("certificate towards other daemons: %w", err)
+		}
+		src.OnError = d.certificateError
+		d.peerTLS = src
+	}
 	return nil
 }
 
+// securePeers returns the listener for other daemons and the function that dials them, both with mutual TLS if the
+// settings name certificates.
+func (d *Daemon) securePeers(ln net.Listener) (net.Listener, func(context.Context, string) (net.Conn, error)) {
+	dial := peer.DialFrom(ln.Addr())
+	if d.peerTLS == nil {
+		return ln, dial
+	}
+	secured := func(ctx context.Context, addr string) (net.Conn, error) {
+		conn, err := dial(ctx, addr)
+		if err != nil {
+			return nil, err
+		}
+		c := tls.Client(conn, d.peerTLS.Client())
+		if err := c.HandshakeContext(ctx); err != nil {
+			_ = conn.Close() // the handshake's error says more
+			return nil, err
+		}
+		return c, nil
+	}
+	return tls.NewListener(ln, d.peerTLS.Server()), secured
+}
+
 func (d *Daemon) certificateError(err error) {
 	d.log.WithError(err).Warn("changed certificate not used; the last valid one stays")
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -33,6 +33,7 @@
 	"github.com/bramleytrail/bramleytrail/poison"
 	"github.com/bramleytrail/bramleytrail/pool"
 	"github.com/bramleytrail/bramleytrail/rating"
+	"github.com/bramleytrail/bramleytrail/secure"
 	"github.com/bramleytrail/bramleytrail/session"
 	"github.com/bramleytrail/bramleytrail/settings"
 )
@@ -78,7 +79,8 @@
 	metrics  *observe.Metrics
 	recent   *observe.Recent
 
-	callerTLS *tls.Config // nil for plain HTTP
+	callerTLS *tls.Config    // nil for plain HTTP
+	peerTLS   *secure.Source // nil for plain TCP
 	decisions *decisions
 	leaving   atomic.Bool
 	peerAddr  string
@@ -144,7 +146,9 @@
 		return fmt.Errorf("listen for peers: %w", err)
 	}
 	d.peerAddr = ln.Addr().String()
+	ln, dial := d.securePeers(ln)
 	d.node, err = peer.New(peer.Spec{
+		Dial: dial,
 		Self: d.self(), Handler: handler{d}, Poison: d.poison, Log: d.log, Now: time.Now, Seeds: d.settings.Seeds, Traffic: d.metrics,
 	}, ln)
 	if err != nil {
--- a/local/tls_test.go
+++ b/local/tls_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/bramleytrail/bramleytrail/daemon"
 	"github.com/bramleytrail/bramleytrail/standin"
 )
 
@@ -40,13 +41,7 @@
 	spec := fastEngine
 	spec.TokenDelay, spec.Answer = 5*time.Millisecond, 2000
 	ctx, d := startSample(t, 1, spec)
-	a, err := standin.NewAuthority(t.TempDir())
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := a.Issue("entry"); err != nil {
-		t.Fatal(err)
-	}
+	a := newAuthority(t, "entry")
 	s := d.Settings("entry-tls", SampleDomainA)
 	s.TLSCert, s.TLSKey = a.Path("entry.crt"), a.Path("entry.key")
 	dm, err := d.AddDaemon(s)
@@ -84,3 +79,51 @@
 	}
 	drainAll(ctx, t, d)
 }
+
+// Guards against daemons that exchange documents with a process that has no certificate of the deployment.
+func TestDaemonsOverTLS(t *testing.T) {
+	ctx, d := startSample(t, 0, fastEngine)
+	own, foreign := newAuthority(t, "entry"), newAuthority(t, "entry")
+	add := func(id string, a *standin.Authority) *daemon.Daemon {
+		s := d.Settings(id, SampleDomainA)
+		s.PeerTLSCert, s.PeerTLSKey, s.PeerTLSCA = a.Path("entry.crt"), a.Path("entry.key"), a.Path("ca.crt")
+		dm, err := d.AddDaemon(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return dm
+	}
+	first, second, stranger := add("entry-1", own), add("entry-2", own), add("entry-3", foreign)
+	if err := d.WaitRevision(ctx, 1); err != nil {
+		t.Fatal(err)
+	}
+	c := NewClient(first.Addr(), SampleKey)
+	if a, err := c.Chat(ctx, ChatBody("auto", "hello", true), nil); err != nil || a.Status != http.StatusOK {
+		t.Fatalf("status %d, %v", a.Status, err)
+	}
+	if n := second.State().CopiesHeld; n != 1 {
+		t.Errorf("the second daemon holds %d copies of bills; want the first one's", n)
+	}
+	if n := stranger.State().CopiesHeld; n != 0 {
+		t.Errorf("a daemon with a foreign certificate holds %d copies of bills", n)
+	}
+	for _, dm := range []*daemon.Daemon{first, second, stranger} {
+		if err := dm.Drain(ctx); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+func newAuthority(t *testing.T, names ...string) *standin.Authority {
+	t.Helper()
+	a, err := standin.NewAuthority(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range names {
+		if err := a.Issue(name); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return a
+}
--- a/peer/node.go
+++ b/peer/node.go
@@ -86,7 +86,7 @@
 		spec.Rand = rand.Int64N
 	}
 	if spec.Dial == nil {
-		spec.Dial = dialFrom(ln.Addr())
+		spec.Dial = DialFrom(ln.Addr())
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
@@ -209,9 +209,9 @@
 	return l
 }
 
-// dialFrom returns a function that dials from the address that this daemon listens on, so that a host with several
+// DialFrom returns a function that dials from the address that this daemon listens on, so that a host with several
 // addresses uses the one in its settings.
-func dialFrom(listen net.Addr) func(context.Context, string) (net.Conn, error) {
+func DialFrom(listen net.Addr) func(context.Context, string) (net.Conn, error) {
 	var d net.Dialer
 	if a, ok := listen.(*net.TCPAddr); ok && !a.IP.IsUnspecified() {
 		d.LocalAddr = &net.TCPAddr{IP: a.IP}
