object: remove timeouts.connect, which nothing used

Cause: the field was declared, required and checked, but connections are opened under the limit of 1 s of the adapter. Conclusion: every declared timeout is in force.

--- a/bench/world.go
+++ b/bench/world.go
@@ -107,7 +107,7 @@
 
 // view returns the load's configuration. Teams have a cascade of all models if cascades is set.
 func (l *Load) view(cascades bool) (*config.View, error) {
-	timeouts := object.Timeouts{FirstByte: time.Second, Progress: time.Second, Connect: time.Second}
+	timeouts := object.Timeouts{FirstByte: time.Second, Progress: time.Second}
 	set := object.Set{
 		FailureDomains: []object.FailureDomain{{Name: "domain", Region: "region", State: object.DomainIn}},
 		Services: []object.Service{{Name: "llm", Type: object.ServiceModel, FailureDomains: []string{"domain"}, Repeatable: true, Timeouts: timeouts,
--- a/capacity/set.go
+++ b/capacity/set.go
@@ -32,7 +32,7 @@
 
 // newSet returns a valid configuration with two versions of each model. The note makes each set different.
 func newSet(versions, teams int, note string) object.Set {
-	timeouts := object.Timeouts{FirstByte: 5 * time.Second, Progress: 5 * time.Second, Connect: time.Second}
+	timeouts := object.Timeouts{FirstByte: 5 * time.Second, Progress: 5 * time.Second}
 	s := object.Set{
 		Services: []object.Service{{
 			Name: service, Type: object.ServiceModel, FailureDomains: domainNames(), Repeatable: true, Timeouts: timeouts,
--- a/declare/check.go
+++ b/declare/check.go
@@ -139,7 +139,6 @@
 		}
 		c.duration(ref, "timeouts.firstByte", s.Timeouts.FirstByte, maxTimeout)
 		c.duration(ref, "timeouts.progress", s.Timeouts.Progress, maxTimeout)
-		c.duration(ref, "timeouts.connect", s.Timeouts.Connect, maxTimeout)
 		c.inRange(ref, "callPrice", s.CallPrice, 0, maxPrice)
 	}
 }
--- a/local/sample.go
+++ b/local/sample.go
@@ -25,7 +25,7 @@
 // SampleSet returns a small valid configuration: two failure domains, two models, a plain service and one team.
 func SampleSet() object.Set {
 	domains := []string{SampleDomainA, SampleDomainB}
-	timeouts := object.Timeouts{FirstByte: 2 * time.Second, Progress: time.Second, Connect: time.Second}
+	timeouts := object.Timeouts{FirstByte: 2 * time.Second, Progress: time.Second}
 	return object.Set{
 		FailureDomains: []object.FailureDomain{
 			{Name: SampleDomainA, Region: "andes", State: object.DomainIn},
--- a/object/object.go
+++ b/object/object.go
@@ -86,7 +86,6 @@
 type Timeouts struct {
 	FirstByte time.Duration `json:"firstByte" yaml:"firstByte"` // until the first part of an answer
 	Progress  time.Duration `json:"progress" yaml:"progress"`   // between two parts of an answer
-	Connect   time.Duration `json:"connect" yaml:"connect"`     // until a connection is open
 }
 
 // Model is a family of versions of one service.
