Remove twins: pruning, settling a claim, reading the revision in force

Cause: the listing of repeated code showed the same loops in claim and ledger, the same function in two stages and the same preparation in diff and publish. Change: kv.Prune, settleClaim and app.prepare, one of each.

--- a/claim/prune.go
+++ b/claim/prune.go
@@ -2,21 +2,14 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"github.com/bramleytrail/bramleytrail/kv"
 )
 
-const (
-	// MinRetention is the shortest time for which an outcome is kept. A repeat after its removal runs again.
-	MinRetention = 7 * 24 * time.Hour
-	// pruneRate bounds the deletions a second; the key-value service takes several hundred writes.
-	pruneRate = 50
-)
+// MinRetention is the shortest time for which an outcome is kept. A repeat after its removal runs again.
+const MinRetention = 7 * 24 * time.Hour
 
 // Pruned describes a removal of old claims.
 type Pruned struct {
@@ -32,34 +25,18 @@
 	if time.Since(before) < MinRetention {
 		return p, fmt.Errorf("claims must be kept for at least %s", MinRetention)
 	}
-	entries, err := store.List(ctx, Prefix)
-	if err != nil {
-		return p, err
-	}
-	limiter := rate.NewLimiter(pruneRate, pruneRate)
-	for _, e := range entries {
+	due := func(e kv.Entry) bool {
 		r, err := decode(e.Value)
-		if err != nil || !r.At.Before(before) || r.State == Running {
-			if err == nil && r.At.Before(before) {
-				p.Unfinished = append(p.Unfinished, e.Key)
-			}
-			p.Kept++
-			continue
+		if err != nil || !r.At.Before(before) {
+			return false
 		}
-		if !dry {
-			if err := limiter.Wait(ctx); err != nil {
-				return p, err
-			}
-			err := store.Delete(ctx, e.Key, e.Revision)
-			if errors.Is(err, kv.ErrConflict) { // a repeat has replaced a released claim
-				p.Kept++
-				continue
-			}
-			if err != nil && !errors.Is(err, kv.ErrNotFound) {
-				return p, err
-			}
+		if r.State == Running {
+			p.Unfinished = append(p.Unfinished, e.Key)
+			return false
 		}
-		p.Removed++
+		return true
 	}
-	return p, nil
+	var err error
+	p.Removed, p.Kept, err = kv.Prune(ctx, store, Prefix, due, dry)
+	return p, err
 }
--- a/ctl/config.go
+++ b/ctl/config.go
@@ -110,6 +110,27 @@
 	return rev, set, e.Revision, err
 }
 
+// prepared is a valid set beside the revision in force.
+type prepared struct {
+	set      object.Set
+	store    kv.Store
+	revision config.Revision // in force; zero if there is none
+	inForce  object.Set
+	stored   uint64 // the key-value service's own revision of it
+}
+
+// prepare loads a directory and reads the revision in force.
+func (a *app) prepare(dir string) (p prepared, err error) {
+	if p.set, err = a.loadValid(dir); err != nil {
+		return p, err
+	}
+	if p.store, err = a.store(); err != nil {
+		return p, err
+	}
+	p.revision, p.inForce, p.stored, err = current(a.ctx, p.store)
+	return p, err
+}
+
 type diffCommand struct {
 	*app `no-flag:"true"`
 	Args dirArg `positional-args:"yes" required:"yes"`
@@ -122,19 +143,12 @@
 
 // Execute implements flags.Commander.
 func (c *diffCommand) Execute([]string) error {
-	set, err := c.loadValid(c.Args.Dir)
-	if err != nil {
-		return err
-	}
-	store, err := c.store()
+	p, err := c.prepare(c.Args.Dir)
 	if err != nil {
 		return err
 	}
-	rev, inForce, _, err := current(c.ctx, store)
-	if err != nil {
-		return err
-	}
-	out := diffOutput{rev.Number, declare.Diff(inForce, set)}
+	rev := p.revision
+	out := diffOutput{rev.Number, declare.Diff(p.inForce, p.set)}
 	return c.print(out, func(w io.Writer) {
 		fmt.Fprintf(w, "against revision %d:\n", rev.Number)
 		printChanges(w, out.Changes)
@@ -175,18 +189,11 @@
 
 // Execute implements flags.Commander.
 func (c *publishCommand) Execute([]string) error {
-	set, err := c.loadValid(c.Args.Dir)
-	if err != nil {
-		return err
-	}
-	store, err := c.store()
-	if err != nil {
-		return err
-	}
-	rev, inForce, stored, err := current(c.ctx, store)
+	p, err := c.prepare(c.Args.Dir)
 	if err != nil {
 		return err
 	}
+	set, store, rev, inForce, stored := p.set, p.store, p.revision, p.inForce, p.stored
 	if err := c.checkDaemons(rev); err != nil {
 		return err
 	}
--- a/ledger/prune.go
+++ b/ledger/prune.go
@@ -2,22 +2,15 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"github.com/bramleytrail/bramleytrail/kv"
 )
 
-const (
-	// MinRetention is the shortest time for which bills are kept. A daemon that was cut off may still hold copies of a
-	// batch and would write it again after its removal.
-	MinRetention = 7 * 24 * time.Hour
-	// pruneRate bounds the deletions a second; the key-value service takes several hundred writes.
-	pruneRate = 50
-)
+// MinRetention is the shortest time for which bills are kept. A daemon that was cut off may still hold copies of a
+// batch and would write it again after its removal.
+const MinRetention = 7 * 24 * time.Hour
 
 // Pruned describes a removal of old batches.
 type Pruned struct {
@@ -31,28 +24,13 @@
 	if time.Since(before) < MinRetention {
 		return p, fmt.Errorf("bills must be kept for at least %s", MinRetention)
 	}
-	entries, err := store.List(ctx, Prefix)
-	if err != nil {
-		return p, err
-	}
-	limiter := rate.NewLimiter(pruneRate, pruneRate)
-	for _, e := range entries {
-		if bills, err := decodeBills(e.Value); err != nil || !allBefore(bills, before) {
-			p.Kept++
-			continue
-		}
-		p.Removed++
-		if dry {
-			continue
-		}
-		if err := limiter.Wait(ctx); err != nil {
-			return p, err
-		}
-		if err := store.Delete(ctx, e.Key, e.Revision); err != nil && !errors.Is(err, kv.ErrNotFound) {
-			return p, err
-		}
+	due := func(e kv.Entry) bool {
+		bills, err := decodeBills(e.Value)
+		return err == nil && allBefore(bills, before)
 	}
-	return p, nil
+	var err error
+	p.Removed, p.Kept, err = kv.Prune(ctx, store, Prefix, due, dry)
+	return p, err
 }
 
 func allBefore(bills []Bill, before time.Time) bool {
--- a/pipeline/chat.go
+++ b/pipeline/chat.go
@@ -76,20 +76,7 @@
 			Team: s.who.Team.Name, Service: chatService, Key: s.who.Key, RequestID: s.r.ID, Content: s.r.contentHash(), Code: e.Code, Now: s.p.Now(),
 		})
 	}
-	return s.release(err)
-}
-
-// release gives the claim back if the request did not run.
-func (s *chatStages) release(err error) error {
-	if s.held == nil {
-		return err
-	}
-	if result.From(err).Ran == result.NotRun {
-		s.held.Release()
-	} else {
-		s.held.Finish(claim.Unknown, 0, nil, nil, false)
-	}
-	return err
+	return settleClaim(s.held, err)
 }
 
 func (s *chatStages) choose() error {
@@ -240,7 +227,7 @@
 // finish sends the end of the answer, or the error that ended it.
 func (s *chatStages) finish(err error) error {
 	if err != nil {
-		s.release(err)
+		settleClaim(s.held, err)
 		if s.chat.Stream {
 			_ = relay.Fail(s.caller, result.From(err)) // the caller may have left
 		}
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -126,7 +126,7 @@
 			return err
 		}
 		if err := s.choose(); err != nil {
-			return s.release(err)
+			return settleClaim(s.held, err)
 		}
 		if err := s.dispatch(ctx); err != nil {
 			return s.fail(ctx, err)
@@ -174,6 +174,19 @@
 	return c.Reply(earlier.Status, h, earlier.Body)
 }
 
+// settleClaim gives the claim of a failed request back if the request did not run, and returns err. The claim may be nil.
+func settleClaim(held *claim.Claim, err error) error {
+	if held == nil {
+		return err
+	}
+	if result.From(err).Ran == result.NotRun {
+		held.Release()
+	} else {
+		held.Finish(claim.Unknown, 0, nil, nil, false)
+	}
+	return err
+}
+
 // reportError sends the error to the caller unless an answer has begun, in which case the stage has reported it.
 func (p *Pipeline) reportError(err error, r *Request, c relay.Caller) error {
 	if err == nil {
--- a/pipeline/plain.go
+++ b/pipeline/plain.go
@@ -111,19 +111,7 @@
 			Calls: []ledger.Call{{Version: s.service.Name}},
 		})
 	}
-	return s.release(err)
-}
-
-func (s *plainStages) release(err error) error {
-	if s.held == nil {
-		return err
-	}
-	if result.From(err).Ran == result.NotRun {
-		s.held.Release()
-	} else {
-		s.held.Finish(claim.Unknown, 0, nil, nil, false)
-	}
-	return err
+	return settleClaim(s.held, err)
 }
 
 // endpointHeader returns the caller's headers without those that are meant for the router.
