dispatch: usual names for the state of an answer

Cause: fruitless, blamed, heard and waited need an explanation. Change: callsSinceProgress, crashRecorded, lastSign and bufferedRead. Conclusion: names only.

--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -29,30 +29,30 @@
 	timer    *time.Timer // cancels stream when it makes no progress
 	callID   string
 	first    *engine.Event // read by start and not delivered yet
-	heard    time.Time     // the endpoint sent the newest event after this time
-
-	calls     int             // at endpoints
-	fruitless int             // calls since the last part of the answer
-	exclude   []string        // endpoints that failed since the last part of the answer
-	boot      string          // boot identity of the endpoint when the call began
-	failedAt  time.Time       // when the last call failed
-	opened    time.Time       // when the call in progress began
-	firstByte time.Duration   // of the call in progress
-	crash     string          // the endpoint's crash that ended the call in progress
-	blamed    bool            // a crash was recorded since the last part of the answer
-	text      strings.Builder // answer so far, to continue it at another endpoint
-	seq       int64
-	usage     engine.Usage
-	finished  bool // the last event of the answer was read, but perhaps not the end of the stream
-	done      bool
-	ran       result.Ran
-	served    *object.Version
-	trace     []Attempt
+	lastSign time.Time     // the endpoint sent the newest event after this time
+
+	calls              int             // at endpoints
+	callsSinceProgress int             // calls since the last part of the answer
+	exclude            []string        // endpoints that failed since the last part of the answer
+	boot               string          // boot identity of the endpoint when the call began
+	failedAt           time.Time       // when the last call failed
+	opened             time.Time       // when the call in progress began
+	firstByte          time.Duration   // of the call in progress
+	crash              string          // the endpoint's crash that ended the call in progress
+	crashRecorded      bool            // a crash was recorded since the last part of the answer
+	text               strings.Builder // answer so far, to continue it at another endpoint
+	seq                int64
+	usage              engine.Usage
+	finished           bool // the last event of the answer was read, but perhaps not the end of the stream
+	done               bool
+	ran                result.Ran
+	served             *object.Version
+	trace              []Attempt
 }
 
-// waited is the duration of a read from which the event was not in a buffer before the read began. Engines send a token
+// bufferedRead is the duration of a read from which the event was not in a buffer before the read began. Engines send a token
 // every few tens of milliseconds, and reading a buffered one takes microseconds.
-const waited = 5 * time.Millisecond
+const bufferedRead = 5 * time.Millisecond
 
 // Attempt records one endpoint that a request was sent to.
 type Attempt struct {
@@ -128,9 +128,9 @@
 		a.firstByte = max(1, a.filter.spec.Now().Sub(a.opened))
 	}
 	a.seq = ev.Seq
-	a.fruitless, a.exclude = 0, nil
-	if a.blamed { // a request that crashes endpoints gets no further at the next one
-		a.blamed = false
+	a.callsSinceProgress, a.exclude = 0, nil
+	if a.crashRecorded { // a request that crashes endpoints gets no further at the next one
+		a.crashRecorded = false
 		a.filter.spec.Poison.Clear(a.in.Fingerprint, a.filter.spec.Now())
 	}
 	a.ran = result.RunDone
@@ -140,7 +140,7 @@
 	if ev.Usage != nil {
 		a.usage = *ev.Usage
 	}
-	a.room.Progress(a.stream.Boot(), a.heard)
+	a.room.Progress(a.stream.Boot(), a.lastSign)
 }
 
 // open reserves room and sends the request, or its continuation, to an endpoint.
@@ -177,7 +177,7 @@
 
 func (a *Answer) count() {
 	a.calls++
-	a.fruitless++
+	a.callsSinceProgress++
 }
 
 // mayAttempt checks the limits on attempts, crashes and retries.
@@ -194,10 +194,10 @@
 // mayCall reports whether another call is allowed. The first calls after a part of the answer are free: an outage can't
 // multiply them, since they follow progress, and the parts that the caller has would be worthless without the rest.
 func (a *Answer) mayCall() bool {
-	if a.calls >= maxCalls || a.fruitless >= maxAttempts {
+	if a.calls >= maxCalls || a.callsSinceProgress >= maxAttempts {
 		return false
 	}
-	return a.seq > 0 && a.fruitless < freeCalls || a.filter.budget.withdraw()
+	return a.seq > 0 && a.callsSinceProgress < freeCalls || a.filter.budget.withdraw()
 }
 
 func (a *Answer) exhausted() error {
@@ -226,7 +226,7 @@
 	a.stream, a.ctxCall, a.cancel, a.timer = s, ctx, cancel, timer
 	now := a.filter.spec.Now()
 	a.room.Opened(s.Boot(), now.Sub(start), start)
-	a.heard, a.boot = start, s.Boot()
+	a.lastSign, a.boot = start, s.Boot()
 	return nil
 }
 
@@ -240,8 +240,8 @@
 	start := a.filter.spec.Now()
 	ev, err := a.stream.Next()
 	a.timer.Stop()
-	if a.filter.spec.Now().Sub(start) >= waited {
-		a.heard = start
+	if a.filter.spec.Now().Sub(start) >= bufferedRead {
+		a.lastSign = start
 	}
 	if err != nil && err != io.EOF {
 		err = a.cause(a.ctxCall, err)
@@ -374,7 +374,7 @@
 		return
 	}
 	r := poison.Record{Fingerprint: a.in.Fingerprint, Crash: a.room.ID + "/" + a.boot, Isolated: a.room.Isolated(now)}
-	a.blamed, a.crash = true, r.Crash
+	a.crashRecorded, a.crash = true, r.Crash
 	if a.filter.spec.Poison.Add(r, now) {
 		a.filter.spec.OnCrash(r)
 	}
