--- a/standin/contract_test.go
+++ b/standin/contract_test.go
@@ -182,6 +182,10 @@
 	if err != nil || len(events) != 1 || events[0].Seq != 2 {
 		t.Errorf("cache events %+v, %v; want sequence number 2 after a gap", events, err)
 	}
+	e.SetEventLag(time.Hour)
+	if late, err := c.CacheEvents(ctx, addr, 0); err != nil || len(late) != 0 {
+		t.Errorf("cache events %+v, %v; want none before the lag has passed", late, err)
+	}
 	if l, err := c.Load(ctx, addr); err != nil || l.Completed != 2 || l.Boot == "" {
 		t.Errorf("load %+v, %v", l, err)
 	}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -83,7 +83,8 @@
 	orders    []engine.Order
 	failEvery int
 	failCount int
-	events    []engine.CacheEvent
+	events    []cacheEvent
+	eventLag  time.Duration
 	eventSeq  uint64
 	sessions  map[string][]byte
 	causes    map[Cause]int
@@ -91,6 +92,12 @@
 	changed   chan struct{} // closed when a fault setting changes
 }
 
+// cacheEvent is a cache event with the time at which it happened.
+type cacheEvent struct {
+	engine.CacheEvent
+	at time.Time
+}
+
 // generation is the state of one answer, kept so that its stream can be resumed.
 type generation struct {
 	run     *Run
@@ -241,7 +248,8 @@
 
 func (e *Engine) cachePrefix(prompt string) {
 	e.eventSeq++
-	e.events = append(e.events, engine.CacheEvent{Seq: e.eventSeq, Prefix: Fingerprint(prompt), Tokens: int64(len(prompt)) / bytesPerToken})
+	ev := engine.CacheEvent{Seq: e.eventSeq, Prefix: Fingerprint(prompt), Tokens: int64(len(prompt)) / bytesPerToken}
+	e.events = append(e.events, cacheEvent{ev, time.Now()})
 }
 
 // hold counts a stream of a generation.
--- a/standin/enginecontrol.go
+++ b/standin/enginecontrol.go
@@ -45,8 +45,8 @@
 	e.mu.Lock()
 	events := []engine.CacheEvent{}
 	for _, ev := range e.events {
-		if ev.Seq > after {
-			events = append(events, ev)
+		if ev.Seq > after && time.Since(ev.at) >= e.eventLag {
+			events = append(events, ev.CacheEvent)
 		}
 	}
 	e.mu.Unlock()
@@ -146,6 +146,9 @@
 // Crash restarts the engine, cold.
 func (e *Engine) Crash() { e.set(func() { e.crash(CauseForced) }) }
 
+// SetEventLag publishes cache events only when they are older than d.
+func (e *Engine) SetEventLag(d time.Duration) { e.set(func() { e.eventLag = d }) }
+
 // DropEvents removes the cache events that no reader has fetched yet, so that their sequence numbers have a gap.
 func (e *Engine) DropEvents() { e.set(func() { e.events = nil }) }
 
