chaos: declare the strict cold limit there only

Change: the sample has its cold limit of 16 again; the chaos runs publish the limit of 4 that their engines have. Result: go test -race ./chaos ./local: before, 2 tests of local failed; after, both packages pass. Conclusion: the strict limit is tested where it is meant.

--- a/chaos/run.go
+++ b/chaos/run.go
@@ -102,6 +102,9 @@
 	if err := local.Sample(ctx, r.dep, daemons, spec); err != nil {
 		return err
 	}
+	if err := r.limitColdEndpoints(ctx, spec); err != nil {
+		return err
+	}
 	for i, dm := range r.dep.Daemons {
 		r.live = append(r.live, liveDaemon{fmt.Sprintf("entry-%d", i+1), dm})
 	}
@@ -117,6 +120,21 @@
 	return nil
 }
 
+// limitColdEndpoints declares the limits that the engines have, so that the load exceeds what a cold one bears.
+func (r *run) limitColdEndpoints(ctx context.Context, spec standin.EngineSpec) error {
+	err := r.publish(ctx, func(s *object.Set) {
+		for i := range s.Services {
+			if s.Services[i].Type == object.ServiceModel {
+				s.Services[i].Limits.ColdSlots, s.Services[i].Limits.WarmAfter = spec.ColdSlots, spec.WarmAfter
+			}
+		}
+	})
+	if err != nil {
+		return err
+	}
+	return r.dep.WaitRevision(ctx, 2)
+}
+
 // inject causes all failures of the run at the same time, round after round.
 func (r *run) inject(ctx context.Context) error {
 	sleep(ctx, settleAfter)
--- a/local/sample.go
+++ b/local/sample.go
@@ -33,7 +33,7 @@
 		},
 		Services: []object.Service{
 			{Name: SampleLLM, Type: object.ServiceModel, FailureDomains: domains, Repeatable: true, Timeouts: timeouts,
-				Limits: object.EndpointLimits{Slots: 64, ColdSlots: 4, Tokens: 200_000, WarmAfter: 8}},
+				Limits: object.EndpointLimits{Slots: 64, ColdSlots: 16, Tokens: 200_000, WarmAfter: 4}},
 			{Name: SamplePlain, Type: object.ServicePlain, FailureDomains: domains, Timeouts: timeouts, CallPrice: 500,
 				Limits: object.EndpointLimits{Slots: 64, ColdSlots: 64}},
 		},
