pipeline: parse a chat request once

Cause: the body was parsed to learn whether the answer is streamed and again in the first stage, up to 4 MiB each time. Change: the request keeps the parsed form. Result: one parse a request instead of two; go test ./pipeline ./entry and the tests of bad requests, the whole path, TLS and slow callers of ./local pass. Conclusion: behaviour is as before.

--- a/entry/server.go
+++ b/entry/server.go
@@ -178,7 +178,7 @@
 		replyError(w, err, 0)
 		return
 	}
-	if !pipeline.WantsStream(req.Body) {
+	if !req.WantsStream() {
 		_ = s.spec.Pipeline.Chat(r.Context(), req, &wholeCaller{w: w, aborted: &s.aborted}) // reported to the caller and to Observe
 		return
 	}
--- a/pipeline/chat.go
+++ b/pipeline/chat.go
@@ -42,7 +42,7 @@
 func (p *Pipeline) newChatStages(r *Request, c relay.Caller, e *entered) (*chatStages, error) {
 	s := &chatStages{entered: e, p: p, r: r, caller: c}
 	var err error
-	if s.chat, err = parseChat(r.Body); err != nil {
+	if s.chat, err = r.parse(); err != nil {
 		return nil, err
 	}
 	s.prompt, s.maxTokens, err = limitTokens(s.chat, r.Body, e.who.Team)
--- a/pipeline/request.go
+++ b/pipeline/request.go
@@ -26,7 +26,11 @@
 	Path   string // for plain services: path and query at the endpoint
 	Header http.Header
 	Body   []byte
-	claim  string // path under which the outcome of a claimed call can be read; empty without a claim
+
+	parsed   bool // chat and parseErr are set
+	chat     chat
+	parseErr error
+	claim    string // path under which the outcome of a claimed call can be read; empty without a claim
 }
 
 // claimed notes that the call is claimed under a service and an idempotency key.
@@ -57,11 +61,18 @@
 
 // WantsStream reports whether a chat completion request asks for a streamed answer. A body that can't be parsed does
 // not.
-func WantsStream(body []byte) bool {
-	var c struct {
-		Stream bool `json:"stream"`
+func (r *Request) WantsStream() bool {
+	c, _ := r.parse() // the pipeline reports the error
+	return c.Stream
+}
+
+// parse parses the body of a chat completion request once.
+func (r *Request) parse() (chat, error) {
+	if !r.parsed {
+		r.chat, r.parseErr = parseChat(r.Body)
+		r.parsed = true
 	}
-	return json.Unmarshal(body, &c) == nil && c.Stream
+	return r.chat, r.parseErr
 }
 
 func parseChat(body []byte) (chat, error) {
