--- a/capacity/bills.go
+++ b/capacity/bills.go
@@ -15,16 +15,13 @@
 
 // measureBillWrites measures the bytes to and from the key-value service over the bills of one batch.
 func (r *runner) measureBillWrites(ctx context.Context) error {
-	f, err := startFleet(ctx, r.binaries, fleetSpec{
+	f, err := r.settledFleet(ctx, fleetSpec{
 		Daemons: 2, Endpoints: 10, Versions: 2, Teams: 1, Flags: []string{"--bill-interval", billInterval},
 	})
 	if err != nil {
 		return err
 	}
 	defer f.abort()
-	if err := sleep(ctx, settleTime); err != nil {
-		return err
-	}
 	if err := f.timing(ctx, 1, 0); err != nil {
 		return err
 	}
@@ -69,16 +66,13 @@
 }
 
 func (r *runner) measureBillsHeld(ctx context.Context) error {
-	f, err := startFleet(ctx, r.binaries, fleetSpec{
+	f, err := r.settledFleet(ctx, fleetSpec{
 		Daemons: 2, Endpoints: 10, Versions: 2, Teams: 1, Flags: []string{"--bill-interval", billTimeout},
 	})
 	if err != nil {
 		return err
 	}
 	defer f.abort()
-	if err := sleep(ctx, settleTime); err != nil {
-		return err
-	}
 	if err := f.timing(ctx, 1, 0); err != nil {
 		return err
 	}
--- a/capacity/idle.go
+++ b/capacity/idle.go
@@ -31,14 +31,11 @@
 }
 
 func (r *runner) measureFleet(ctx context.Context, n int) error {
-	f, err := startFleet(ctx, r.binaries, fleetSpec{Daemons: n, Endpoints: 60, Versions: targetVersions, Teams: sampleTeams})
+	f, err := r.settledFleet(ctx, fleetSpec{Daemons: n, Endpoints: 60, Versions: targetVersions, Teams: sampleTeams})
 	if err != nil {
 		return err
 	}
 	defer f.abort()
-	if err := sleep(ctx, settleTime); err != nil {
-		return err
-	}
 	var samples []sample
 	calls, err := f.countCalls(ctx, func() (err error) {
 		samples, err = f.window(ctx, r.window, nil)
--- a/capacity/load.go
+++ b/capacity/load.go
@@ -45,16 +45,26 @@
 	return errors.Join(errs...)
 }
 
+// settledFleet starts a fleet and waits until its daemons have settled.
+func (r *runner) settledFleet(ctx context.Context, spec fleetSpec) (*fleet, error) {
+	f, err := startFleet(ctx, r.binaries, spec)
+	if err != nil {
+		return nil, err
+	}
+	if err := sleep(ctx, settleTime); err != nil {
+		f.abort()
+		return nil, err
+	}
+	return f, nil
+}
+
 // measureData measures processor time for a request and for a token.
 func (r *runner) measureData(ctx context.Context) error {
-	f, err := startFleet(ctx, r.binaries, fleetSpec{Daemons: 5, Endpoints: 30, Versions: 2, Teams: 1})
+	f, err := r.settledFleet(ctx, fleetSpec{Daemons: 5, Endpoints: 30, Versions: 2, Teams: 1})
 	if err != nil {
 		return err
 	}
 	defer f.abort()
-	if err := sleep(ctx, settleTime); err != nil {
-		return err
-	}
 	m := f.members[0]
 	if err := chat(ctx, m, warmUp, callers); err != nil {
 		return err
@@ -82,14 +92,11 @@
 
 // measureStreams measures memory over the number of streams in flight.
 func (r *runner) measureStreams(ctx context.Context) error {
-	f, err := startFleet(ctx, r.binaries, fleetSpec{Daemons: 1, Endpoints: 40, Versions: 2, Teams: 1})
+	f, err := r.settledFleet(ctx, fleetSpec{Daemons: 1, Endpoints: 40, Versions: 2, Teams: 1})
 	if err != nil {
 		return err
 	}
 	defer f.abort()
-	if err := sleep(ctx, settleTime); err != nil {
-		return err
-	}
 	m := f.members[0]
 	if err := chat(ctx, m, warmUp, callers); err != nil {
 		return err
