ledger: count the gzip frame in the bound of a batch

Cause: the bound of an encoded bill was stated for MessagePack, but a batch is stored compressed. Content that can't be compressed grows by the frame and the block headers, so a bill without calls took up to 109 bytes where the bound was 108.

--- a/ledger/bill.go
+++ b/ledger/bill.go
@@ -76,7 +76,7 @@
 	structOfCall = 40
 )
 
-// encodedBound returns an upper bound of the encoded size, in bytes.
+// encodedBound returns an upper bound of the encoded size before compression, in bytes.
 func (b *Bill) encodedBound() int { return b.size(boundOfBill, boundOfCall) }
 
 // memory returns the size in memory, in bytes.
--- a/ledger/encoding.go
+++ b/ledger/encoding.go
@@ -17,6 +17,21 @@
 // maxDecodedBytes bounds the decompression of a batch of maxBatchBills bills.
 const maxDecodedBytes = 64 << 20
 
+const (
+	// gzipFrameBytes is the size of header, trailer and final block of a gzip stream.
+	gzipFrameBytes = 28
+	// gzipBlockBytes is the least content of a block that compress/flate stores without compression, and
+	// gzipBlockHeaderBytes is what it adds to it.
+	gzipBlockBytes       = 16 << 10
+	gzipBlockHeaderBytes = 5
+)
+
+// compressedBound returns an upper bound of the compressed size of n bytes that can't be compressed.
+func compressedBound(n int) int {
+	blocks := n/gzipBlockBytes + 1
+	return n + gzipFrameBytes + blocks*gzipBlockHeaderBytes
+}
+
 // writers keeps compressors, whose tables take most of the time of a small batch.
 var writers = sync.Pool{New: func() any { return gzip.NewWriter(nil) }}
 
