observe: show requests in flight and who claimed a call

Change: the pipeline notes the stage, team, target and claim of each request.

The dump does not say yet why other versions were not chosen.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -144,6 +144,9 @@
 	closed bool
 }
 
+// Owner returns the identity of the daemon that made the claim.
+func (c *Claim) Owner() string { return c.record.Owner }
+
 // Do makes a claim. If the call already ran, it returns the recorded outcome instead and no claim. An error with
 // result.NotRun says that this delivery was not sent; an earlier one with the same key may have run.
 func (f *Filter) Do(ctx context.Context, in Input) (*Claim, *Record, error) {
@@ -231,14 +234,15 @@
 		return nil, nil, result.Newf(result.ClaimKeyReused, "")
 	}
 	age := f.spec.Now().Sub(r.At)
+	holder := fmt.Errorf("claim %s is held by %s since %s", c.key, r.Owner, r.At.UTC().Format(time.RFC3339))
 	switch {
 	case r.State == Done:
 		return nil, &r, nil
 	case r.State == Running && age <= runningLimit:
 		retry := min(max(age/4, minRunningRetry), maxRunningRetry)
-		return nil, nil, &result.Error{Code: result.ClaimRunning, Ran: result.RunUnknown, RetryAfter: retry}
+		return nil, nil, &result.Error{Code: result.ClaimRunning, Ran: result.RunUnknown, RetryAfter: retry, Err: holder}
 	default:
-		return nil, nil, &result.Error{Code: result.ClaimUnknown, Ran: result.RunUnknown}
+		return nil, nil, &result.Error{Code: result.ClaimUnknown, Ran: result.RunUnknown, Err: holder}
 	}
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -77,6 +77,7 @@
 	entry    *entry.Server
 	ops      *operatorServer
 	metrics  *observe.Metrics
+	inFlight *observe.InFlight
 	recent   *observe.Recent
 
 	callerTLS *tls.Config    // nil for plain HTTP
@@ -114,7 +115,7 @@
 	d := &Daemon{
 		settings: s, engines: engines, incarnation: s.ID + "-" + rand.Text()[:10],
 		log:    log.WithFields(logrus.Fields{"daemon": s.ID, "domain": s.Domain}),
-		config: &config.Holder{}, poison: poison.NewTable(), metrics: m, recent: observe.NewRecent(),
+		config: &config.Holder{}, poison: poison.NewTable(), metrics: m, inFlight: observe.NewInFlight(), recent: observe.NewRecent(),
 		decisions: newDecisions(),
 		ctx:       ctx, cancel: cancel,
 	}
@@ -207,10 +208,12 @@
 		Signer:     signer,
 		PauseAfter: s.PauseAfter,
 		Now:        time.Now,
+		Begin:      d.inFlight.Add,
 		Observe: func(o pipeline.Outcome) {
 			d.metrics.Request(o)
 			d.countChoice(o)
 			d.recent.Add(o)
+			d.inFlight.Remove(o.RequestID)
 			if o.Err != nil {
 				d.log.WithFields(logrus.Fields{"request": o.RequestID, "team": o.Team, "code": int(o.Code)}).WithError(o.Err).Info("request failed")
 			}
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -39,11 +39,13 @@
 	InFlight    int               `json:"inFlight"`
 	BillsHeld   int               `json:"billsHeld"`
 	// BillsUncopied counts the held bills that would be lost with this daemon.
-	BillsUncopied int               `json:"billsUncopied"`
-	CopiesHeld    int               `json:"copiesHeld"`
-	Endpoints     []pool.State      `json:"endpoints"`
-	Requests      []observe.Request `json:"requests"`
-	Decisions     DecisionState     `json:"decisions"`
+	BillsUncopied int          `json:"billsUncopied"`
+	CopiesHeld    int          `json:"copiesHeld"`
+	Endpoints     []pool.State `json:"endpoints"`
+	// Running are the requests in flight, the oldest first, and Requests the last ones that have ended.
+	Running   []observe.RequestInFlight `json:"running"`
+	Requests  []observe.Request         `json:"requests"`
+	Decisions DecisionState             `json:"decisions"`
 }
 
 // State returns the daemon's state. Its size is bounded.
@@ -55,7 +57,7 @@
 		ID: d.settings.ID, Domain: d.settings.Domain, Incarnation: d.incarnation, Ready: d.Ready(), Leaving: d.leaving.Load(),
 		Revision: rev.Number, Digest: rev.Digest, Watcher: d.node.Watching(), Peers: d.node.Peers(), Documents: d.node.Documents(),
 		InFlight: d.admit.InFlight(), BillsHeld: held, BillsUncopied: uncopied, CopiesHeld: d.copies.Held(),
-		Endpoints: d.pool.Dump(now, maxDumpEndpoints), Requests: d.recent.Last(maxDumpRequests),
+		Endpoints: d.pool.Dump(now, maxDumpEndpoints), Running: d.inFlight.Oldest(maxDumpRequests, now), Requests: d.recent.Last(maxDumpRequests),
 		Decisions: d.decisions.state(),
 	}
 	if l := d.docs.list.Load(); l != nil {
@@ -111,12 +113,14 @@
 }
 
 func (o *operatorServer) request(w http.ResponseWriter, r *http.Request) {
-	req, ok := o.daemon.recent.Find(r.PathValue("id"))
-	if !ok {
+	id := r.PathValue("id")
+	if req, ok := o.daemon.inFlight.Find(id, time.Now()); ok {
+		replyState(w, req)
+	} else if req, ok := o.daemon.recent.Find(id); ok {
+		replyState(w, req)
+	} else {
 		http.NotFound(w, r)
-		return
 	}
-	replyState(w, req)
 }
 
 func replyState(w http.ResponseWriter, v any) {
--- a/observe/recent.go
+++ b/observe/recent.go
@@ -22,6 +22,7 @@
 	FirstByte time.Duration      `json:"firstByteNs"`
 	Total     time.Duration      `json:"totalNs"`
 	Attempts  []dispatch.Attempt `json:"attempts,omitempty"`
+	pipeline.ClaimHolder
 }
 
 // Recent is a ring of the last finished requests.
@@ -39,7 +40,7 @@
 func (r *Recent) Add(o pipeline.Outcome) {
 	req := Request{
 		ID: o.RequestID, Team: o.Team, Kind: o.Kind, Target: o.Version, Code: int(o.Code), FirstByte: o.FirstByte, Total: o.Total,
-		Attempts: o.Attempts,
+		Attempts: o.Attempts, ClaimHolder: o.ClaimHolder,
 	}
 	if o.Err != nil {
 		req.Detail = o.Err.Error()
--- a/pipeline/chat.go
+++ b/pipeline/chat.go
@@ -55,10 +55,12 @@
 		return false, nil
 	}
 	s.r.claimed(chatService, s.who.Key)
+	s.at(StageClaim)
 	held, earlier, err := s.p.Claim.Do(ctx, claim.Input{
 		Service: chatService, Team: s.who.Team.Name, Key: s.who.Key,
 		Request: s.r.contentHash(),
 	})
+	s.noteClaim(chatService, held, earlier)
 	if err != nil || earlier == nil {
 		s.held = held
 		return false, err
@@ -80,6 +82,7 @@
 }
 
 func (s *chatStages) choose() error {
+	s.at(StageChoose)
 	var err error
 	s.choice, err = s.choiceUnder(s.view, s.who.Team)
 	s.outcome.Explored, s.outcome.Cascade = s.choice.Explored, s.choice.Cascade != nil
@@ -121,6 +124,7 @@
 }
 
 func (s *chatStages) dispatch(ctx context.Context) error {
+	s.at(StageDispatch)
 	if s.choice.Cascade != nil {
 		if err := s.climb(ctx); err != nil {
 			return err
@@ -134,6 +138,7 @@
 	}
 	s.outcome.FirstByte = s.p.Now().Sub(s.start)
 	s.outcome.Version = s.answer.Version().Name
+	s.update(func(p *Position) { p.Target = s.outcome.Version })
 	return nil
 }
 
@@ -155,6 +160,7 @@
 
 // relay sends the answer, except for the end that the caller sees only after the bill is kept.
 func (s *chatStages) relay() error {
+	s.at(StageRelay)
 	meta := relay.Meta{ID: "chatcmpl-" + s.r.ID, Model: s.answer.Version().Name, Created: s.start.Unix(), PauseAfter: s.p.PauseAfter}
 	if !s.chat.Stream {
 		var err error
@@ -206,6 +212,7 @@
 }
 
 func (s *chatStages) bill(ctx context.Context, err error) {
+	s.at(StageBill)
 	s.outcome.Attempts = append(s.outcome.Attempts, s.answer.Attempts()...)
 	code := result.OK
 	if err != nil {
@@ -226,6 +233,7 @@
 
 // finish sends the end of the answer, or the error that ended it.
 func (s *chatStages) finish(err error) error {
+	s.at(StageFinish)
 	if err != nil {
 		settleClaim(s.held, err)
 		if s.chat.Stream {
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -35,7 +35,8 @@
 	// PauseAfter is the time after which a streamed answer that its caller doesn't read gives up its endpoint; 0 for never.
 	PauseAfter time.Duration
 	Now        func() time.Time
-	// Observe is called at the end of each request.
+	// Begin is called at the start of each request, Observe at its end.
+	Begin   func(*Progress)
 	Observe func(Outcome)
 }
 
@@ -51,7 +52,8 @@
 	Attempts  []dispatch.Attempt
 	Explored  bool // answered to learn about the version or cascade
 	Cascade   bool
-	Err       error
+	ClaimHolder
+	Err error
 }
 
 // entered holds what the first two stages give to the later ones.
@@ -61,6 +63,8 @@
 	who     *identify.Output
 	start   time.Time
 	outcome *Outcome
+
+	progress *Progress
 }
 
 // teamUnder returns the caller's team as a newer configuration declares it. A key that was removed is refused.
@@ -71,6 +75,8 @@
 // run passes a request through admit and identify, then through the given stages, and reports the outcome.
 func (p *Pipeline) run(ctx context.Context, r *Request, kind string, rest func(context.Context, *entered) error) error {
 	e := &entered{header: r.Header, start: p.Now(), outcome: &Outcome{RequestID: r.ID, Kind: kind}}
+	e.progress = &Progress{ID: r.ID, Kind: kind, Start: e.start, where: Position{Stage: StageAdmit}}
+	p.Begin(e.progress)
 	err := p.enter(ctx, r, e, rest)
 	e.outcome.Err = err
 	if err != nil {
@@ -93,11 +99,13 @@
 	if e.view = p.Config.View(); e.view == nil {
 		return result.Newf(result.NoConfiguration, "").WithRetry(configRetry)
 	}
+	e.at(StageIdentify)
 	if e.who, err = p.Identify.Do(e.view, r.Header, e.start); err != nil {
 		return err
 	}
 	defer e.who.Release()
 	e.outcome.Team = e.who.Team.Name
+	e.update(func(p *Position) { p.Team = e.who.Team.Name })
 	if err := permit.Charge(e.who.Team.Name, int64(len(r.Body))); err != nil {
 		return err
 	}
--- a/pipeline/plain.go
+++ b/pipeline/plain.go
@@ -39,6 +39,7 @@
 		return nil, err
 	}
 	e.outcome.Version = service
+	e.update(func(p *Position) { p.Target = service })
 	return &plainStages{entered: e, p: p, r: r, caller: c, service: svc}, nil
 }
 
@@ -88,10 +89,12 @@
 		return false, nil
 	}
 	s.r.claimed(s.service.Name, s.who.Key)
+	s.at(StageClaim)
 	held, earlier, err := s.p.Claim.Do(ctx, claim.Input{
 		Service: s.service.Name, Team: s.who.Team.Name, Key: s.who.Key,
 		Request: s.r.contentHash(),
 	})
+	s.noteClaim(s.service.Name, held, earlier)
 	if err != nil || earlier == nil {
 		s.held = held
 		return false, err
@@ -125,6 +128,7 @@
 }
 
 func (s *plainStages) dispatch(ctx context.Context) error {
+	s.at(StageDispatch)
 	answer, err := s.p.Dispatch.Call(ctx, dispatch.PlainInput{
 		View: s.view, Team: s.who.Team.Name, Priority: s.who.Priority, Service: s.service, KeepOn: s.held != nil, Renew: s.renew,
 		Request: engine.PlainRequest{
@@ -140,6 +144,7 @@
 }
 
 func (s *plainStages) relay() error {
+	s.at(StageRelay)
 	s.header = s.r.answerHeader()
 	for name, values := range s.answer.Header {
 		if name == "Connection" || name == "Transfer-Encoding" || name == "Content-Length" || name == "Keep-Alive" {
@@ -172,6 +177,7 @@
 }
 
 func (s *plainStages) bill(ctx context.Context, err error) {
+	s.at(StageBill)
 	s.outcome.Attempts = []dispatch.Attempt{{Endpoint: s.answer.Endpoint, Version: s.service.Name}}
 	code := result.OK
 	if err != nil {
@@ -186,6 +192,7 @@
 // finish records the outcome of a claimed call and ends the answer. The endpoint gave a status, so the call ran; the
 // answer is kept for repeats if it is whole.
 func (s *plainStages) finish(err error) error {
+	s.at(StageFinish)
 	if s.held != nil {
 		s.held.Finish(claim.Done, s.answer.Status, s.header, s.body, s.kept)
 	}
