engine: refuse load reports and cache events that can't be true

Cause: a load report with a negative count lowered the score of its endpoint without limit and drew every request of a daemon to it, up to its share; two large counts overflowed; the names of a report were kept with up to a megabyte for each endpoint.

Change: the adapter checks counts, sizes and names and treats a report that fails as none.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -128,3 +129,38 @@
 
 // LoadTimeout bounds a load report.
 const LoadTimeout = 2 * time.Second
+
+const (
+	// maxNameBytes bounds the names that a load report carries. They stay in memory for each endpoint.
+	maxNameBytes = 256
+	// maxVersions bounds the versions of a load report.
+	maxVersions = 256
+	// maxCount bounds the counts of a load report, so that sums of them can't overflow.
+	maxCount = 1 << 40
+)
+
+// Check reports an error if the load report states what no endpoint can have.
+func (l *Load) Check() error {
+	for _, n := range []int64{int64(l.Running), int64(l.Queued), l.TokensHeld, l.TokensMax, l.Completed} {
+		if n < 0 || n > maxCount {
+			return fmt.Errorf("%w: load report with the count %d", ErrBroken, n)
+		}
+	}
+	if len(l.Boot) > maxNameBytes || len(l.Versions) > maxVersions {
+		return fmt.Errorf("%w: load report too large", ErrBroken)
+	}
+	for _, v := range l.Versions {
+		if len(v) > maxNameBytes {
+			return fmt.Errorf("%w: load report too large", ErrBroken)
+		}
+	}
+	return nil
+}
+
+// Check reports an error if the event states what no endpoint can have.
+func (e *CacheEvent) Check() error {
+	if e.Tokens < 0 || e.Tokens > maxCount {
+		return fmt.Errorf("%w: cache event with %d tokens", ErrBroken, e.Tokens)
+	}
+	return nil
+}
--- a/engine/httpengine/client.go
+++ b/engine/httpengine/client.go
@@ -229,15 +229,27 @@
 // Load implements engine.Client.
 func (c *Client) Load(ctx context.Context, addr string) (engine.Load, error) {
 	var l engine.Load
-	err := c.control(ctx, http.MethodGet, addr, "/v1/load", nil, &l)
-	return l, err
+	if err := c.control(ctx, http.MethodGet, addr, "/v1/load", nil, &l); err != nil {
+		return engine.Load{}, err
+	}
+	if err := l.Check(); err != nil {
+		return engine.Load{}, err
+	}
+	return l, nil
 }
 
 // CacheEvents implements engine.Client.
 func (c *Client) CacheEvents(ctx context.Context, addr string, after uint64) ([]engine.CacheEvent, error) {
 	var events []engine.CacheEvent
-	err := c.control(ctx, http.MethodGet, addr, "/v1/cache/events?after="+strconv.FormatUint(after, 10), nil, &events)
-	return events, err
+	if err := c.control(ctx, http.MethodGet, addr, "/v1/cache/events?after="+strconv.FormatUint(after, 10), nil, &events); err != nil {
+		return nil, err
+	}
+	for i := range events {
+		if err := events[i].Check(); err != nil {
+			return nil, err
+		}
+	}
+	return events, nil
 }
 
 // ExportCache implements engine.Client.
