chaos: cut-off domains, silent connections and the loss of a failure domain

Cause: the combined failures left out partitions, connections that go silent between daemons and to the platform, and the loss of a whole failure domain with its daemons and endpoints.

--- a/chaos/record.go
+++ b/chaos/record.go
@@ -74,6 +74,8 @@
 	windows  []Window
 	revision []string        // violations of the order of revisions
 	killed   map[string]bool // addresses of daemons that were killed
+	lost     map[string]bool // addresses of daemons that were lost with their failure domain
+	cuts     []Window        // times in which a failure domain was cut off from the others or from the platform
 }
 
 func (r *Record) add(req *Request) {
@@ -93,3 +95,17 @@
 	defer r.mu.Unlock()
 	r.killed[addr] = true
 }
+
+// addLost notes a daemon that was lost with its failure domain.
+func (r *Record) addLost(addr string) {
+	r.addKilled(addr)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lost[addr] = true
+}
+
+func (r *Record) addCut(w Window) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cuts = append(r.cuts, w)
+}
--- a/local/network.go
+++ b/local/network.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"strings"
+	"sync"
 
 	"github.com/bramleytrail/bramleytrail/settings"
 	"github.com/bramleytrail/bramleytrail/standin"
@@ -12,6 +13,7 @@
 // Network puts relays between daemons and before the platform. Each failure domain has a loopback subnet and each daemon
 // an address in it, so that a relay knows from which domain a connection comes.
 type Network struct {
+	mu        sync.Mutex
 	domains   []string                  // index gives the subnet
 	hosts     map[string]int            // daemons added, by domain
 	peers     map[string]*standin.Relay // by daemon identity
@@ -32,6 +34,8 @@
 
 // place changes the settings of a daemon so that its connections pass through relays.
 func (n *Network) place(s *settings.Settings, platformAddr string) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	if n.platform[s.Domain] == nil {
 		r, err := standin.NewRelay("127.0.0.1:0")
 		if err != nil {
@@ -69,13 +73,35 @@
 }
 
 // Peer returns the relay before a daemon's peer address.
-func (n *Network) Peer(id string) *standin.Relay { return n.peers[id] }
+func (n *Network) Peer(id string) *standin.Relay {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.peers[id]
+}
 
 // Platform returns the relay between a failure domain and the platform.
-func (n *Network) Platform(domain string) *standin.Relay { return n.platform[domain] }
+func (n *Network) Platform(domain string) *standin.Relay {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.platform[domain]
+}
+
+// Silence makes the open connections between daemons and to the platform go silent for good, while new ones work.
+func (n *Network) Silence() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, r := range n.peers {
+		r.Silence()
+	}
+	for _, r := range n.platform {
+		r.Silence()
+	}
+}
 
 // Isolate cuts the daemons of a failure domain off from those of others, or connects them again.
 func (n *Network) Isolate(domain string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	n.isolated[domain] = cut
 	n.applyPeers()
 }
