chaos: publish on the revision that was read

Cause: an edit in the failure runs read the stored set, changed it and published it on whatever revision was stored by then. With two operators at work the later one could undo the change of the other, and the check then found new work in a failure domain that the stored configuration no longer declared out.

Change: Deployment.Edit reads, changes and stores by compare-and-swap on the revision that it read.

Conclusion: the fault was in the runs, not in the daemons.

--- a/chaos/run.go
+++ b/chaos/run.go
@@ -10,7 +10,6 @@
 
 	"github.com/bramleytrail/bramleytrail/config"
 	"github.com/bramleytrail/bramleytrail/daemon"
-	"github.com/bramleytrail/bramleytrail/declare"
 	"github.com/bramleytrail/bramleytrail/kv"
 	"github.com/bramleytrail/bramleytrail/ledger"
 	"github.com/bramleytrail/bramleytrail/local"
@@ -249,11 +248,7 @@
 // merges and repeats it after a conflict.
 func (r *run) publish(ctx context.Context, change func(*object.Set)) error {
 	for {
-		set, err := r.stored(ctx)
-		if err == nil {
-			change(&set)
-			_, err = r.dep.Publish(ctx, set)
-		}
+		_, err := r.dep.Edit(ctx, change)
 		if err == nil || !errors.Is(err, kv.ErrUnavailable) && !errors.Is(err, kv.ErrConflict) {
 			return err
 		}
@@ -263,18 +258,6 @@
 	}
 }
 
-func (r *run) stored(ctx context.Context) (object.Set, error) {
-	e, err := r.dep.Platform.KV.Get(ctx, config.Key)
-	if err != nil {
-		return object.Set{}, err
-	}
-	rev, err := config.UnmarshalRevision(e.Value)
-	if err != nil {
-		return object.Set{}, err
-	}
-	return declare.Decode(rev.Body)
-}
-
 // watchRevisions records each daemon whose revision goes back.
 func (r *run) watchRevisions() (stop func()) {
 	done, ended := make(chan struct{}), make(chan struct{})
--- a/local/deployment.go
+++ b/local/deployment.go
@@ -135,19 +135,30 @@
 
 // Publish stores a set as the next revision. It fails with kv.ErrConflict if another revision is stored at the same time.
 func (d *Deployment) Publish(ctx context.Context, set object.Set) (config.Revision, error) {
-	body, digest, err := declare.Encode(set)
-	if err != nil {
-		return config.Revision{}, err
-	}
+	return d.Edit(ctx, func(s *object.Set) { *s = set })
+}
+
+// Edit changes the stored set, which may be none, and stores it as the next revision. It fails with kv.ErrConflict if
+// another revision was stored since it read the set.
+func (d *Deployment) Edit(ctx context.Context, change func(*object.Set)) (config.Revision, error) {
 	stored, err := d.Platform.KV.Get(ctx, config.Key)
 	if err != nil && !errors.Is(err, kv.ErrNotFound) {
 		return config.Revision{}, err
 	}
 	var last config.Revision
+	var set object.Set
 	if err == nil {
 		if last, err = config.UnmarshalRevision(stored.Value); err != nil {
 			return config.Revision{}, err
 		}
+		if set, err = declare.Decode(last.Body); err != nil {
+			return config.Revision{}, err
+		}
+	}
+	change(&set)
+	body, digest, err := declare.Encode(set)
+	if err != nil {
+		return config.Revision{}, err
 	}
 	rev := config.Revision{Number: last.Number + 1, Digest: digest, Publisher: "local", Published: time.Now().UTC(), Body: body}
 	data, err := rev.Marshal()
