daemon: renew pending watches so that a silent connection hides no change

Cause: a watch of the configuration and a pending read of the host list waited without a limit of their own. When their connections went silent, watchers learned of nothing until the operating system closed the connection; when all did, no daemon had a withdrawn version, a domain declared out or a leaving endpoint within 3 s.

Ruled out: a heartbeat in the answer, which needs support by the platform; a shorter limit at the service, which answers a quiet read of the host list with the whole list.

Change: a watcher gives a pending call up after 1.5 s and makes it again on a new connection; the configuration itself is read every 30 s as before.

Ten watchers make 2,000 watches and 100 reads in 300 s instead of 100 and 100, for 10, 20 and 40 daemons.

--- a/chaos/chaos_test.go
+++ b/chaos/chaos_test.go
@@ -47,3 +47,20 @@
 		}
 	}
 }
+
+// Guards against new work at what is out, withdrawn or leaving, 3 s after the change, at daemons that are cut off from other
+// daemons or from the platform, or whose connections have gone silent.
+func TestChangesReachDisturbedDaemons(t *testing.T) {
+	named := map[string]Fault{}
+	for _, f := range Faults() {
+		named[f.Name] = f
+	}
+	for i, change := range []string{"domain-out", "version-withdrawn", "endpoint-leaving"} {
+		for j, cut := range []string{faultPeersCut, faultPlatformCut, "connections-silent"} {
+			t.Run(change+"+"+cut, func(t *testing.T) {
+				t.Parallel()
+				runFaults(t, uint64(3000+10*i+j), noNewWorkAfter+time.Second, named[change], named[cut])
+			})
+		}
+	}
+}
--- a/daemon/documents.go
+++ b/daemon/documents.go
@@ -29,6 +29,11 @@
 const (
 	followPause = time.Second // after a failed call to the platform
 	roleCheck   = time.Second // interval at which a daemon checks whether it is a watcher
+	// renewWatch is the time after which a pending call for changes is given up and made again on a new connection. The
+	// established one may have gone silent, and a change has to be in force within 3 s all the same.
+	renewWatch = 1500 * time.Millisecond
+	// rereadConfig is the time after which a watcher reads the configuration itself, see followConfig.
+	rereadConfig = 30 * time.Second
 )
 
 var (
@@ -155,7 +160,14 @@
 func (d *documents) followHosts() {
 	known := uint64(0)
 	for d.following(func() bool { return d.list.Load() != nil }) {
-		list, err := d.spec.Platform.Hosts.List(d.ctx, known)
+		var list hostlist.List
+		renew, err := d.pending(func(ctx context.Context) (err error) {
+			list, err = d.spec.Platform.Hosts.List(ctx, known)
+			return err
+		})
+		if renew {
+			continue
+		}
 		if err == nil {
 			known = list.Revision
 			err = d.offerHosts(list)
@@ -168,6 +180,17 @@
 	}
 }
 
+// pending makes a call that waits for a change. It reports renew if the call brought none within renewWatch.
+func (d *documents) pending(call func(context.Context) error) (renew bool, err error) {
+	ctx, cancel := context.WithTimeout(d.ctx, renewWatch)
+	defer cancel()
+	err = call(ctx)
+	if err != nil && ctx.Err() != nil && d.ctx.Err() == nil {
+		return true, nil
+	}
+	return false, err
+}
+
 // The number of a host list document has the list's own revision in its low bits. The rest is increased when the
 // platform's list has started anew with lower revisions, so that daemons accept the new list.
 const (
@@ -239,13 +262,20 @@
 	if err != nil {
 		return err
 	}
-	after := entry.Revision
+	after, read := entry.Revision, time.Now()
 	d.takeConfig(entry)
 	for {
-		changes, err := d.spec.Platform.Store.Watch(d.ctx, config.Key, after)
+		var changes kv.Changes
+		renew, err := d.pending(func(ctx context.Context) (err error) {
+			changes, err = d.spec.Platform.Store.Watch(ctx, config.Key, after)
+			return err
+		})
 		if err != nil {
 			return err
 		}
+		if renew && d.node.Watching() && time.Since(read) < rereadConfig {
+			continue
+		}
 		if changes.Reset || len(changes.Entries) == 0 || !d.node.Watching() {
 			return nil
 		}
--- a/daemon/documents_test.go
+++ b/daemon/documents_test.go
@@ -228,8 +228,34 @@
 	f.hosts = s
 }
 
+// Guards against a pending watch, or a pending read of the host list, whose connection goes silent: its daemon would learn of
+// no change, and if the connections of all watchers do, no daemon would.
+func TestSilentWatches(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.stop()
+		f.grow(10, 5)
+		f.mustPublish("first")
+		time.Sleep(2 * settleTime)
+		for _, p := range f.parts {
+			p.gate.silence()
+		}
+		n := f.mustPublish("second")
+		f.list.Put(hostlist.Host{ID: "e", Role: hostlist.RoleEndpoint, State: hostlist.StateLive})
+		time.Sleep(3 * time.Second)
+		for _, p := range f.parts {
+			if got := p.docs.spec.Config.Revision(); got.Number != n.Number {
+				t.Errorf("%s has revision %d, want %d", p.host.ID, got.Number, n.Number)
+			}
+			if hosts := p.docs.list.Load().Hosts; len(hosts) != 11 {
+				t.Errorf("%s has %d hosts, want 11", p.host.ID, len(hosts))
+			}
+		}
+	})
+}
+
 // Guards against a number of calls to the platform that grows with the number of daemons: two daemons of each failure
-// domain have a pending watch, and read the value once when it ends without a change after the service's 30 s.
+// domain have a pending watch, which they make anew each 1.5 s, and read the value once each 30 s.
 func TestPlatformCallsDependOnDomainsOnly(t *testing.T) {
 	for _, daemons := range []int{10, 20, 40} {
 		synctest.Test(t, func(t *testing.T) {
@@ -241,8 +267,8 @@
 			before := f.store.Faults.Counts()
 			time.Sleep(300 * time.Second)
 			after := f.store.Faults.Counts()
-			const want = 2 * 5 * 300 / 30
-			for _, c := range []memkv.Call{memkv.CallWatch, memkv.CallGet} {
+			const watchers = 2 * 5
+			for c, want := range map[memkv.Call]int{memkv.CallWatch: watchers * 200, memkv.CallGet: watchers * 10} {
 				if n := after[c] - before[c]; n != want {
 					t.Errorf("%d daemons: %d calls of %s in 300 s; want %d", daemons, n, c, want)
 				}
--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -40,14 +40,47 @@
 	mu  sync.Mutex
 	cut context.Context // ends pending calls; done while cut off
 	end context.CancelFunc
+
+	open     context.Context // done when the connections of pending calls go silent
+	closeAll context.CancelFunc
 }
 
 func newGate(f *fleet) *gate {
 	g := &gate{store: f.store, hosts: f.hosts}
 	g.set(false)
+	g.open, g.closeAll = context.WithCancel(context.Background())
 	return g
 }
 
+// silence makes the connections of pending calls go silent for good, while new calls work.
+func (g *gate) silence() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closeAll()
+	g.open, g.closeAll = context.WithCancel(context.Background())
+}
+
+// pending makes a call that waits for a change. Its answer does not arrive if its connection goes silent.
+func (g *gate) pending(ctx context.Context, call func(context.Context) error) error {
+	ctx, cancel, err := g.enter(ctx)
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	g.mu.Lock()
+	open := g.open
+	g.mu.Unlock()
+	callCtx, end := context.WithCancel(ctx)
+	defer end()
+	defer context.AfterFunc(open, end)()
+	err = call(callCtx)
+	if open.Err() != nil {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return err
+}
+
 func (g *gate) set(cut bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -94,25 +127,23 @@
 	return s.Store.CAS(ctx, key, v, prev, l)
 }
 
-func (s gatedStore) Watch(ctx context.Context, prefix string, after uint64) (kv.Changes, error) {
-	ctx, cancel, err := s.gate.enter(ctx)
-	if err != nil {
-		return kv.Changes{}, err
-	}
-	defer cancel()
-	return s.Store.Watch(ctx, prefix, after)
+func (s gatedStore) Watch(ctx context.Context, prefix string, after uint64) (c kv.Changes, err error) {
+	err = s.gate.pending(ctx, func(ctx context.Context) (err error) {
+		c, err = s.Store.Watch(ctx, prefix, after)
+		return err
+	})
+	return c, err
 }
 
-func (g *gate) List(ctx context.Context, known uint64) (hostlist.List, error) {
-	ctx, cancel, err := g.enter(ctx)
-	if err != nil {
-		return hostlist.List{}, err
-	}
-	defer cancel()
-	g.mu.Lock()
-	hosts := g.hosts
-	g.mu.Unlock()
-	return hosts.List(ctx, known)
+func (g *gate) List(ctx context.Context, known uint64) (l hostlist.List, err error) {
+	err = g.pending(ctx, func(ctx context.Context) (err error) {
+		g.mu.Lock()
+		hosts := g.hosts
+		g.mu.Unlock()
+		l, err = hosts.List(ctx, known)
+		return err
+	})
+	return l, err
 }
 
 // part is the part of a daemon that keeps documents in force.
--- a/observe/store.go
+++ b/observe/store.go
@@ -43,6 +43,12 @@
 
 // Watch implements kv.Store.
 func (s Store) Watch(ctx context.Context, prefix string, after uint64) (c kv.Changes, err error) {
-	defer func(t time.Time) { s.observe("watch", t, err) }(time.Now())
+	defer func(t time.Time) {
+		if ctx.Err() != nil {
+			s.observe("watch", t, nil) // ended by the watcher, which is how a watch without a change ends
+			return
+		}
+		s.observe("watch", t, err)
+	}(time.Now())
 	return s.Store.Watch(ctx, prefix, after)
 }
