kv: list in pages bounded in entries and bytes

Cause: List returned a whole prefix in one answer. The client accepts 64 MiB, so bills and prune failed beyond about 400,000 bills.

Change: kv.Store.List takes a kv.Range (prefix, first key, limits in entries and bytes) and returns a kv.Page. kv.All reads page after page; Prune and Inspect use it. A page always holds an entry if there is one, and a server applies the largest limits whatever it is asked for.

--- a/kv/httpkv/client.go
+++ b/kv/httpkv/client.go
@@ -19,7 +19,7 @@
 // callTimeout bounds every call except a watch. The service answers in milliseconds when it is up.
 const callTimeout = 2 * time.Second
 
-// maxResponseBytes bounds a response; a list returns at most a few hundred values.
+// maxResponseBytes bounds a response. A page of a list is far smaller; a watch that starts anew returns a whole prefix.
 const maxResponseBytes = 64 << 20
 
 // Client is a kv.Store over the network.
@@ -87,9 +87,11 @@
 }
 
 // List implements kv.Store.
-func (c *Client) List(ctx context.Context, prefix string) ([]kv.Entry, error) {
-	var out []kv.Entry
-	err := c.call(ctx, http.MethodGet, "/v1/list?prefix="+url.QueryEscape(prefix), nil, &out)
+func (c *Client) List(ctx context.Context, r kv.Range) (kv.Page, error) {
+	var out kv.Page
+	limit, size := r.Bounds()
+	query := url.Values{"prefix": {r.Prefix}, "from": {r.From}, "limit": {strconv.Itoa(limit)}, "bytes": {strconv.Itoa(size)}}
+	err := c.call(ctx, http.MethodGet, "/v1/list?"+query.Encode(), nil, &out)
 	return out, err
 }
 
--- a/kv/httpkv/contract_test.go
+++ b/kv/httpkv/contract_test.go
@@ -77,7 +77,7 @@
 			t.Errorf("a write whose reply was lost did not take effect: %v", err)
 		}
 		fake.Faults.SetDown(true)
-		_, err = s.List(ctx, "")
+		_, err = s.List(ctx, kv.Range{})
 		check("list while down", err, kv.ErrUnavailable)
 	})
 }
--- a/kv/httpkv/server.go
+++ b/kv/httpkv/server.go
@@ -53,8 +53,14 @@
 }
 
 func (s server) list(w http.ResponseWriter, r *http.Request) {
-	entries, err := s.store.List(r.Context(), r.FormValue("prefix"))
-	reply(w, entries, err)
+	limit, limitErr := strconv.Atoi(r.FormValue("limit"))
+	size, sizeErr := strconv.Atoi(r.FormValue("bytes"))
+	if limitErr != nil || sizeErr != nil {
+		http.Error(w, "bad limit", http.StatusBadRequest)
+		return
+	}
+	page, err := s.store.List(r.Context(), kv.Range{Prefix: r.FormValue("prefix"), From: r.FormValue("from"), Limit: limit, Bytes: size})
+	reply(w, page, err)
 }
 
 func (s server) watch(w http.ResponseWriter, r *http.Request) {
--- a/kv/kv.go
+++ b/kv/kv.go
@@ -49,8 +49,9 @@
 	CAS(ctx context.Context, key string, value []byte, prev uint64, lease LeaseID) (uint64, error)
 	// Delete removes the entry if its revision is prev.
 	Delete(ctx context.Context, key string, prev uint64) error
-	// List returns all entries whose key has the prefix, ordered by key.
-	List(ctx context.Context, prefix string) ([]Entry, error)
+	// List returns one page of a range, ordered by key. Pages are read at different times: an entry that is written or
+	// deleted between two of them may be seen or not.
+	List(ctx context.Context, r Range) (Page, error)
 	// Watch waits for changes after a revision. It may return without entries after a server-side time limit.
 	Watch(ctx context.Context, prefix string, after uint64) (Changes, error)
 	// Grant creates a lease.
--- a/kv/memkv/store.go
+++ b/kv/memkv/store.go
@@ -142,14 +142,37 @@
 }
 
 // List implements kv.Store.
-func (s *Store) List(ctx context.Context, prefix string) ([]kv.Entry, error) {
+func (s *Store) List(ctx context.Context, r kv.Range) (kv.Page, error) {
 	if err := s.Faults.before(ctx, CallList); err != nil {
-		return nil, err
+		return kv.Page{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
-	return s.list(prefix, 0), nil
+	return s.page(r), nil
+}
+
+func (s *Store) page(r kv.Range) kv.Page {
+	var keys []string
+	for k := range s.entries {
+		if strings.HasPrefix(k, r.Prefix) && k >= r.From {
+			keys = append(keys, k)
+		}
+	}
+	slices.Sort(keys)
+	var page kv.Page
+	limit, room := r.Bounds()
+	for i, k := range keys {
+		e := s.entries[k]
+		room -= len(k) + len(e.Value)
+		if i == limit || i > 0 && room < 0 {
+			page.Next = k
+			break
+		}
+		e.Value = slices.Clone(e.Value)
+		page.Entries = append(page.Entries, e)
+	}
+	return page
 }
 
 func (s *Store) list(prefix string, after uint64) []kv.Entry {
--- a/kv/memkv/unreliable.go
+++ b/kv/memkv/unreliable.go
@@ -141,9 +141,9 @@
 }
 
 // List implements kv.Store.
-func (u *Unreliable) List(ctx context.Context, prefix string) (out []kv.Entry, err error) {
+func (u *Unreliable) List(ctx context.Context, r kv.Range) (out kv.Page, err error) {
 	err = u.call(ctx, false, func(ctx context.Context) error {
-		out, err = u.Store.List(ctx, prefix)
+		out, err = u.Store.List(ctx, r)
 		return err
 	})
 	return out, err
--- a/kv/prune.go
+++ b/kv/prune.go
@@ -13,12 +13,11 @@
 // Prune deletes the entries below prefix that are due, and returns the number of deleted and of kept entries. An entry
 // that changes in the meantime is kept. With dry, nothing is deleted and the due entries are counted.
 func Prune(ctx context.Context, store Store, prefix string, due func(Entry) bool, dry bool) (removed, kept int, err error) {
-	entries, err := store.List(ctx, prefix)
-	if err != nil {
-		return 0, 0, err
-	}
 	limiter := rate.NewLimiter(pruneRate, pruneRate)
-	for _, e := range entries {
+	for e, err := range All(ctx, store, prefix) {
+		if err != nil {
+			return removed, kept, err
+		}
 		if !due(e) {
 			kept++
 			continue
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -312,7 +312,7 @@
 			t.Errorf("dry %t: %+v, %v", dry, p, err)
 		}
 	}
-	if left, err := store.List(t.Context(), Prefix); err != nil || len(left) != 3 {
-		t.Errorf("%d batches left, %v; want 3", len(left), err)
+	if left, err := store.List(t.Context(), kv.Range{Prefix: Prefix}); err != nil || len(left.Entries) != 3 {
+		t.Errorf("%d batches left, %v; want 3", len(left.Entries), err)
 	}
 }
--- /dev/null
+++ b/ledger/pages_test.go
@@ -0,0 +1,68 @@
+package ledger
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/bramleytrail/bramleytrail/kv"
+	"github.com/bramleytrail/bramleytrail/kv/memkv"
+)
+
+// billsPerBatch is the number of bills of one daemon in an interval at the target: 6,500 a second over 370 daemons.
+const billsPerBatch = 176
+
+// typicalBills returns bills whose identities, times and numbers differ as those of requests do.
+func typicalBills(r *rand.Rand, n int, end time.Time) []Bill {
+	const letters = "ABCDEFGHIJKLMNOPQRSTUVWXYZ234567"
+	teams := []string{"growers", "intake", "contracts", "scale-house", "moisture"}
+	bills := make([]Bill, n)
+	for i := range bills {
+		id := make([]byte, 26)
+		for j := range id {
+			id[j] = letters[r.IntN(len(letters))]
+		}
+		team := teams[r.IntN(len(teams))]
+		bills[i] = Bill{
+			ID: fmt.Sprintf("%s/chat/id/%s", team, id), Team: team, Daemon: "entry-17-ABCDEFGHIJ", At: end.UnixMilli() - r.Int64N(10_000),
+			Calls: []Call{{Version: fmt.Sprint("nogal-v", r.IntN(18)), Input: r.Int64N(4000), Output: r.Int64N(800), Cost: r.Int64N(9000)}},
+		}
+	}
+	return bills
+}
+
+// storeBatches stores n batches as 370 daemons do.
+func storeBatches(tb testing.TB, store kv.Store, n int, end time.Time) {
+	tb.Helper()
+	r := rand.New(rand.NewPCG(1, 1))
+	for i := range n {
+		id := BatchID{Domain: "north", Incarnation: fmt.Sprintf("entry-%d-ABCDEFGHIJ", i%370), Seq: uint64(i / 370)}
+		if err := WriteBatch(tb.Context(), store, id, typicalBills(r, billsPerBatch, end), id.Incarnation); err != nil {
+			tb.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkInspect counts calls and bytes over the number of batches. The bytes are those of values and keys.
+func BenchmarkInspect(b *testing.B) {
+	for _, n := range []int{1000, 2000, 4000, 8000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			store := memkv.New()
+			storeBatches(b, store, n, time.Now())
+			size := 0
+			for e := range kv.All(b.Context(), store, Prefix) {
+				size += len(e.Key) + len(e.Value)
+			}
+			for b.Loop() {
+				before := store.Faults.Counts()[memkv.CallList]
+				if _, err := Inspect(b.Context(), store); err != nil {
+					b.Fatal(err)
+				}
+				b.ReportMetric(float64(store.Faults.Counts()[memkv.CallList]-before), "calls")
+			}
+			b.ReportMetric(float64(size), "bytes")
+			b.ReportMetric(float64(n*billsPerBatch), "bills")
+		})
+	}
+}
--- a/ledger/store.go
+++ b/ledger/store.go
@@ -102,12 +102,11 @@
 // Inspect reads all stored bills.
 func Inspect(ctx context.Context, store kv.Store) (Stored, error) {
 	var out Stored
-	entries, err := store.List(ctx, Prefix)
-	if err != nil {
-		return out, err
-	}
 	var all []Bill
-	for _, e := range entries {
+	for e, err := range kv.All(ctx, store, Prefix) {
+		if err != nil {
+			return out, err
+		}
 		bills, err := decodeBills(e.Value)
 		if err != nil {
 			out.Damaged = append(out.Damaged, e.Key)
--- a/observe/store.go
+++ b/observe/store.go
@@ -36,9 +36,9 @@
 }
 
 // List implements kv.Store.
-func (s Store) List(ctx context.Context, prefix string) (out []kv.Entry, err error) {
+func (s Store) List(ctx context.Context, r kv.Range) (out kv.Page, err error) {
 	defer func(t time.Time) { s.observe("list", t, err) }(time.Now())
-	return s.Store.List(ctx, prefix)
+	return s.Store.List(ctx, r)
 }
 
 // Watch implements kv.Store.
