--- a/daemon/decisions.go
+++ b/daemon/decisions.go
@@ -118,6 +118,7 @@
 		d.wg.Go(func() { d.holdDuty(dutyRating, d.startRating) })
 	}
 	d.wg.Go(func() { d.holdDuty(dutyRollout, d.startRollout) })
+	d.wg.Go(func() { d.holdDuty(dutyBills+d.settings.Domain, d.startCompaction) })
 	d.wg.Go(d.sendEvidence)
 }
 
@@ -228,7 +229,7 @@
 }
 
 func (d *Daemon) registerDecisionGauges() {
-	for _, name := range []string{dutyRating, dutyRollout} {
+	for _, name := range []string{dutyRating, dutyRollout, dutyBills + d.settings.Domain} {
 		d.metrics.Gauge(fmt.Sprintf(`bramley_duty_held{duty=%q}`, name), func() float64 {
 			d.decisions.mu.Lock()
 			defer d.decisions.mu.Unlock()
--- a/ledger/encoding.go
+++ b/ledger/encoding.go
@@ -14,7 +14,7 @@
 // still be read.
 var gzipMagic = []byte{0x1f, 0x8b}
 
-// maxDecodedBytes bounds the decompression of a batch of maxBatchBills bills.
+// maxDecodedBytes bounds the decompression of a batch or a merged value.
 const maxDecodedBytes = 64 << 20
 
 const (
@@ -60,7 +60,7 @@
 		}
 		r = io.LimitReader(zr, maxDecodedBytes)
 	}
-	bills, err := decodeList[Bill](msgpack.NewDecoder(r), maxBatchBytes/boundOfBill)
+	bills, err := decodeList[Bill](msgpack.NewDecoder(r), maxDecodedBytes/boundOfBill)
 	if err != nil {
 		return nil, fmt.Errorf("decode bills: %w", err)
 	}
--- a/ledger/pages_test.go
+++ b/ledger/pages_test.go
@@ -33,12 +33,12 @@
 }
 
 // storeBatches stores n batches as 370 daemons do.
-func storeBatches(tb testing.TB, store kv.Store, n int, end time.Time) {
+func storeBatches(tb testing.TB, store kv.Store, n, bills int, end time.Time) {
 	tb.Helper()
 	r := rand.New(rand.NewPCG(1, 1))
 	for i := range n {
 		id := BatchID{Domain: "north", Incarnation: fmt.Sprintf("entry-%d-ABCDEFGHIJ", i%370), Seq: uint64(i / 370)}
-		if err := WriteBatch(tb.Context(), store, id, typicalBills(r, billsPerBatch, end), id.Incarnation); err != nil {
+		if err := WriteBatch(tb.Context(), store, id, typicalBills(r, bills, end), id.Incarnation); err != nil {
 			tb.Fatal(err)
 		}
 	}
@@ -49,7 +49,7 @@
 	for _, n := range []int{1000, 2000, 4000, 8000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			store := memkv.New()
-			storeBatches(b, store, n, time.Now())
+			storeBatches(b, store, n, billsPerBatch, time.Now())
 			size := 0
 			for e := range kv.All(b.Context(), store, Prefix) {
 				size += len(e.Key) + len(e.Value)
--- a/ledger/prune.go
+++ b/ledger/prune.go
@@ -18,7 +18,7 @@
 	Kept    int `json:"kept"`
 }
 
-// Prune removes batches all of whose bills are from before a time. Damaged batches stay. With dry, nothing is removed.
+// Prune removes batches and merged values all of whose bills are from before a time. Damaged batches stay. With dry, nothing is removed.
 func Prune(ctx context.Context, store kv.Store, before time.Time, dry bool) (Pruned, error) {
 	var p Pruned
 	if time.Since(before) < MinRetention {
@@ -28,9 +28,14 @@
 		bills, err := decodeBills(e.Value)
 		return err == nil && allBefore(bills, before)
 	}
-	var err error
-	p.Removed, p.Kept, err = kv.Prune(ctx, store, Prefix, due, dry)
-	return p, err
+	for _, prefix := range []string{Prefix, MergedPrefix} {
+		removed, kept, err := kv.Prune(ctx, store, prefix, due, dry)
+		p.Removed, p.Kept = p.Removed+removed, p.Kept+kept
+		if err != nil {
+			return p, err
+		}
+	}
+	return p, nil
 }
 
 func allBefore(bills []Bill, before time.Time) bool {
--- a/ledger/store.go
+++ b/ledger/store.go
@@ -103,17 +103,19 @@
 func Inspect(ctx context.Context, store kv.Store) (Stored, error) {
 	var out Stored
 	var all []Bill
-	for e, err := range kv.All(ctx, store, Prefix) {
-		if err != nil {
-			return out, err
-		}
-		bills, err := decodeBills(e.Value)
-		if err != nil {
-			out.Damaged = append(out.Damaged, e.Key)
-			continue
+	for _, prefix := range []string{Prefix, MergedPrefix} { // in this order, see MergedPrefix
+		for e, err := range kv.All(ctx, store, prefix) {
+			if err != nil {
+				return out, err
+			}
+			bills, err := decodeBills(e.Value)
+			if err != nil {
+				out.Damaged = append(out.Damaged, e.Key)
+				continue
+			}
+			out.Batches++
+			all = append(all, bills...)
 		}
-		out.Batches++
-		all = append(all, bills...)
 	}
 	out.Bills = Merge(all)
 	return out, nil
