declare: decode objects in one place

Cause: the loader repeated decode and append for each of eight kinds.

Change: one generic function decodes an object over its defaults and appends it.

Conclusion: no change of behaviour.

--- a/declare/load.go
+++ b/declare/load.go
@@ -132,37 +132,21 @@
 	var err error
 	switch ref.Kind {
 	case object.KindFailureDomain:
-		v := object.FailureDomain{Name: ref.Name, State: object.DomainIn}
-		err = decode(spec, &v)
-		l.set.FailureDomains = append(l.set.FailureDomains, v)
+		err = decode(spec, &l.set.FailureDomains, object.FailureDomain{Name: ref.Name, State: object.DomainIn})
 	case object.KindService:
-		v := object.Service{Name: ref.Name}
-		err = decode(spec, &v)
-		l.set.Services = append(l.set.Services, v)
+		err = decode(spec, &l.set.Services, object.Service{Name: ref.Name})
 	case object.KindModel:
-		v := object.Model{Name: ref.Name}
-		err = decode(spec, &v)
-		l.set.Models = append(l.set.Models, v)
+		err = decode(spec, &l.set.Models, object.Model{Name: ref.Name})
 	case object.KindVersion:
-		v := object.Version{Name: ref.Name, State: object.VersionActive}
-		err = decode(spec, &v)
-		l.set.Versions = append(l.set.Versions, v)
+		err = decode(spec, &l.set.Versions, object.Version{Name: ref.Name, State: object.VersionActive})
 	case object.KindTeam:
-		v := object.Team{Name: ref.Name, Share: 1}
-		err = decode(spec, &v)
-		l.set.Teams = append(l.set.Teams, v)
+		err = decode(spec, &l.set.Teams, object.Team{Name: ref.Name, Share: 1})
 	case object.KindSessionPolicy:
-		v := object.SessionPolicy{Name: ref.Name, OnWithdrawn: object.WithdrawnMove}
-		err = decode(spec, &v)
-		l.set.SessionPolicies = append(l.set.SessionPolicies, v)
+		err = decode(spec, &l.set.SessionPolicies, object.SessionPolicy{Name: ref.Name, OnWithdrawn: object.WithdrawnMove})
 	case object.KindCascade:
-		v := object.Cascade{Name: ref.Name}
-		err = decode(spec, &v)
-		l.set.Cascades = append(l.set.Cascades, v)
+		err = decode(spec, &l.set.Cascades, object.Cascade{Name: ref.Name})
 	case object.KindRollout:
-		v := object.Rollout{Name: ref.Name, Step: -1}
-		err = decode(spec, &v)
-		l.set.Rollouts = append(l.set.Rollouts, v)
+		err = decode(spec, &l.set.Rollouts, object.Rollout{Name: ref.Name, Step: -1})
 	default:
 		l.report(file, ref, "kind", fmt.Sprintf("%q is unknown", ref.Kind), "one of "+kindList())
 		return
@@ -172,8 +156,12 @@
 	}
 }
 
-func decode(node ast.Node, v any) error {
-	return yaml.NodeToValue(node, v, yaml.Strict())
+// decode reads the fields of an object over its defaults and appends it to list, also if a field is wrong, so that
+// references to it are not reported too.
+func decode[T any](node ast.Node, list *[]T, v T) error {
+	err := yaml.NodeToValue(node, &v, yaml.Strict())
+	*list = append(*list, v)
+	return err
 }
 
 func kindList() string {
