--- a/capacity/main.go
+++ b/capacity/main.go
@@ -16,14 +16,13 @@
 	"text/tabwriter"
 	"time"
 
-	"github.com/jessevdk/go-flags"
+	"github.com/bramleytrail/bramleytrail/settings"
 )
 
 // Exit codes of the command.
 const (
 	exitOK      = 0
 	exitFailure = 1
-	exitUsage   = 2
 )
 
 // Options are the settings of the command.
@@ -71,15 +70,8 @@
 // Main runs the measurements and returns the exit code.
 func Main(args []string) int {
 	o := Options{}
-	_, err := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash).ParseArgs(args)
-	var fe *flags.Error
-	if errors.As(err, &fe) && fe.Type == flags.ErrHelp {
-		fmt.Println(fe.Message)
-		return exitOK
-	}
-	if err = errors.Join(err, o.Check()); err != nil {
-		fmt.Fprintf(os.Stderr, "bramleycap: %v\n", err)
-		return exitUsage
+	if code, done := settings.ParseOptions("bramleycap", args, &o); done {
+		return code
 	}
 	// A closed terminal or pipe also ends the run in order; otherwise the started processes would stay.
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGPIPE)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -65,24 +65,59 @@
 // Parse reads and checks the settings. All problems are reported in one error.
 func Parse(program string, args []string) (*Settings, error) {
 	s := &Settings{}
+	if err := parse(program, args, s); err != nil {
+		return nil, err
+	}
+	var err error
+	s.SessionKey, err = readKey(s.SessionKeyFile)
+	return s, errors.Join(err, s.Check())
+}
+
+// Options are the settings of a program other than the daemon.
+type Options interface {
+	// Check reports all problems of the options.
+	Check() error
+}
+
+// ParseOptions reads options from flags and environment variables, checks them and prints help or errors. If done is true,
+// the program ends with the exit code: 0 after help, 2 after errors.
+func ParseOptions(program string, args []string, o Options) (code int, done bool) {
+	err := parse(program, args, o)
+	if err == nil {
+		err = o.Check()
+	}
+	switch {
+	case err == nil:
+		return 0, false
+	case errors.Is(err, ErrHelp):
+		return 0, true
+	default:
+		fmt.Fprintf(os.Stderr, "%s: %v\n", program, err)
+		return exitUsage, true
+	}
+}
+
+// exitUsage is the exit code of a program that was called with wrong arguments.
+const exitUsage = 2
+
+func parse(program string, args []string, fields any) error {
 	p := flags.NewNamedParser(program, flags.HelpFlag|flags.PassDoubleDash)
-	if _, err := p.AddGroup("Settings", "", s); err != nil {
-		return nil, fmt.Errorf("settings: %w", err)
+	if _, err := p.AddGroup("Settings", "", fields); err != nil {
+		return fmt.Errorf("settings: %w", err)
 	}
 	rest, err := p.ParseArgs(args)
 	var fe *flags.Error
 	if errors.As(err, &fe) && fe.Type == flags.ErrHelp {
 		fmt.Fprintln(os.Stdout, fe.Message)
-		return nil, ErrHelp
+		return ErrHelp
 	}
 	if err != nil {
-		return nil, fmt.Errorf("settings: %w", err)
+		return fmt.Errorf("settings: %w", err)
 	}
 	if len(rest) > 0 {
-		return nil, fmt.Errorf("settings: unexpected argument %q", rest[0])
+		return fmt.Errorf("settings: unexpected argument %q", rest[0])
 	}
-	s.SessionKey, err = readKey(s.SessionKeyFile)
-	return s, errors.Join(err, s.Check())
+	return nil
 }
 
 func countSet(values ...string) int {
--- a/standin/process.go
+++ b/standin/process.go
@@ -12,16 +12,15 @@
 	"syscall"
 	"time"
 
-	"github.com/jessevdk/go-flags"
+	"github.com/bramleytrail/bramleytrail/settings"
 
 	"github.com/bramleytrail/bramleytrail/hostlist"
 )
 
 // Exit codes of the stand-in process.
 const (
-	exitOK       = 0
-	exitFailure  = 1
-	exitSettings = 2
+	exitOK      = 0
+	exitFailure = 1
 )
 
 // Options are the settings of a stand-in process.
@@ -75,15 +74,8 @@
 // Main runs the fakes until SIGTERM or SIGINT and returns the exit code.
 func Main(args []string) int {
 	o := Options{}
-	_, err := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash).ParseArgs(args)
-	var fe *flags.Error
-	if errors.As(err, &fe) && fe.Type == flags.ErrHelp {
-		fmt.Println(fe.Message)
-		return exitOK
-	}
-	if err = errors.Join(err, o.Check()); err != nil {
-		fmt.Fprintf(os.Stderr, "bramleystandin: %v\n", err)
-		return exitSettings
+	if code, done := settings.ParseOptions("bramleystandin", args, &o); done {
+		return code
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
