--- a/bench/choice.go
+++ b/bench/choice.go
@@ -46,6 +46,7 @@
 	Windows  int     `json:"windows"`
 	Missed   int     `json:"missed"`   // windows below the target
 	Explored float64 `json:"explored"` // part of all requests
+	Split    Split   `json:"split"`
 	// Series is the cost divided by the oracle's in each twentieth of the run, warm-up included.
 	Series []float64 `json:"series"`
 }
@@ -134,6 +135,7 @@
 	windows := make([]tally, len(w.load.teams))
 	cost, oracle, single, explored := 0.0, 0.0, 0.0, 0
 	parts := newSeries(len(w.requests))
+	causes := newSplitter(w, warm)
 	for i := range w.requests {
 		r := &w.requests[i]
 		now := start.Add(r.at)
@@ -156,6 +158,7 @@
 		if i < warm {
 			continue
 		}
+		causes.add(i, ex, out.cost, fair, truths[o].score)
 		cost += out.cost
 		oracle += fair
 		single += size * singleCost(truths, t.target)
@@ -169,6 +172,7 @@
 	}
 	res.Cost, res.OfOracle, res.OfSingle = cost/float64(res.Requests), cost/oracle, cost/single
 	res.Explored, res.Series = float64(explored)/float64(len(w.requests)), parts.ratios()
+	res.Split = causes.split()
 	return res
 }
 
--- a/bench/main.go
+++ b/bench/main.go
@@ -97,10 +97,11 @@
 
 func (r *Report) table(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "load\tpolicy\tseed\tof oracle\tof single\tof hindsight\tof best\tmargin\tmissed windows\texplored\t")
+	fmt.Fprintln(t, "load\tpolicy\tseed\tof oracle\tof single\tof hindsight\tof best\tmargin\tmissed windows\texplored\texcess: margin\twrong\texplore\tearly\tlate\t")
 	for _, c := range r.Choices {
-		fmt.Fprintf(t, "%s\t%s\t%d\t%.3f\t%.3f\t%.2f\t%.3f\t%+.4f\t%d/%d\t%.3f\t\n",
-			c.Load, c.Policy, c.Seed, c.OfOracle, c.OfSingle, c.OfHindsight, c.OfBest, c.Margin, c.Missed, c.Windows, c.Explored)
+		fmt.Fprintf(t, "%s\t%s\t%d\t%.3f\t%.3f\t%.2f\t%.3f\t%+.4f\t%d/%d\t%.3f\t%+.3f\t%+.3f\t%+.3f\t%.3f\t%.3f\t\n",
+			c.Load, c.Policy, c.Seed, c.OfOracle, c.OfSingle, c.OfHindsight, c.OfBest, c.Margin, c.Missed, c.Windows, c.Explored,
+			c.Split.Margin, c.Split.Wrong, c.Split.Explore, c.Split.Early, c.Split.Late)
 	}
 	if err := t.Flush(); err != nil {
 		return err
