--- a/choose/order.go
+++ b/choose/order.go
@@ -11,8 +11,9 @@
 // AssumedClimbRate is the part of a cascade's requests that reach the next step before any is counted.
 const AssumedClimbRate = 0.4
 
-// worthwhile is the part of the usual cost that a candidate must promise to undercut to be explored.
-const worthwhile = 0.98
+// worthwhile is the part of the usual cost that a candidate must promise to undercut to be explored. With 0.98, options with
+// few ratings were explored in bursts for a saving of 2 %, because their bounds are wide.
+const worthwhile = 0.9
 
 // enoughRatings is the effective number of ratings from which an option is no longer explored. Its estimate fades in time,
 // so that it is explored again later.
