choose: space explored requests evenly

Cause: an unused budget was saved up over 10,000 requests and spent on one option at once. Its ratings arrive late, so that far more answers than needed were bad, which widened no estimate in time. Change: an explored request is followed by at least 1/budget others.

--- a/choose/choose_test.go
+++ b/choose/choose_test.go
@@ -146,6 +146,27 @@
 	}
 }
 
+// Guards against a budget that is saved up and then spent in a burst, before the first ratings of its answers arrive.
+func TestExplorationIsSpaced(t *testing.T) {
+	in := input(4)
+	estimates := known{"m03-1": firm(0.9), "m02-1": firm(0.3), "m01-1": firm(0.3), "m00-1": firm(0.3)}
+	f := New(Spec{Estimator: estimates, Explore: DefaultBudget})
+	for range 1000 {
+		first(t, f, in)
+	}
+	estimates["m01-1"] = Estimate{Mean: 0.5, Upper: 0.95}
+	explored := 0
+	const requests = 100
+	for range requests {
+		if first(t, f, in) == "m01-1" {
+			explored++
+		}
+	}
+	if explored == 0 || float64(explored) > DefaultBudget.Requests*requests+1 {
+		t.Errorf("%d of %d requests explored in a row; the budget is %g", explored, requests, DefaultBudget.Requests)
+	}
+}
+
 // Guards against work at a version that a roll-out has halted, for new requests, pinned sessions and named versions.
 func TestHaltedVersionIsOutOfService(t *testing.T) {
 	in := input(2)
--- a/choose/explore.go
+++ b/choose/explore.go
@@ -37,6 +37,7 @@
 	requests, explored  float64
 	cost, exploringCost float64
 	loss                float64 // expected score lost by exploring
+	sinceExplored       float64 // requests since the last one that was chosen to explore
 }
 
 // tried describes a request that may be used to explore.
@@ -53,7 +54,8 @@
 	}
 }
 
-// take counts a request with its usual cost and reports whether it may be used to explore.
+// take counts a request with its usual cost and reports whether it may be used to explore. Explored requests are evenly
+// spaced: a budget that was saved up would be spent in a burst before the first ratings arrive.
 func (e *explorer) take(team string, x tried) bool {
 	if e.budget.Requests <= 0 {
 		return false
@@ -63,11 +65,14 @@
 	defer s.mu.Unlock()
 	t := s.team(team)
 	t.add(x.usual)
-	ok := x.wanted && t.explored+1 <= e.budget.Requests*t.requests && t.exploringCost+x.cost <= e.budget.Cost*t.cost
+	t.sinceExplored++
+	due := t.sinceExplored*e.budget.Requests >= 1
+	ok := x.wanted && due && t.explored+1 <= e.budget.Requests*t.requests && t.exploringCost+x.cost <= e.budget.Cost*t.cost
 	if ok {
 		t.explored++
 		t.exploringCost += x.cost
 		t.loss += max(0, x.loss)
+		t.sinceExplored = 0
 	}
 	return ok
 }
@@ -112,7 +117,8 @@
 
 func (t *spent) add(cost float64) {
 	if t.requests >= exploreWindow {
-		*t = spent{t.requests / 2, t.explored / 2, t.cost / 2, t.exploringCost / 2, t.loss / 2}
+		t.requests, t.explored, t.loss = t.requests/2, t.explored/2, t.loss/2
+		t.cost, t.exploringCost = t.cost/2, t.exploringCost/2
 	}
 	t.requests++
 	t.cost += cost
