choose: hold the quality target with confidence for the team's mean

The target belongs to the team, and the errors of its kinds are independent. Change: the estimated mean of each kind's mix meets the target; the lower bound of the team's mean over its kinds does too, and what it needs beyond the means is bought where a score costs least. The mix is chosen on the frontier of price and quality instead of among all pairs.

--- a/choose/order.go
+++ b/choose/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/bramleytrail/bramleytrail/object"
@@ -32,6 +33,7 @@
 	list    []Candidate
 	cascade option
 	target  float64
+	proven  bool // an option with firm evidence meets the target
 }
 
 func (s *scored) len() int {
@@ -48,9 +50,9 @@
 	return &s.list[i].option
 }
 
-// order makes the choice. An option is good if its lower bound meets the team's target. The cheapest good one answers,
-// or a mix of a good and a cheaper one whose lower bound meets the target, if that costs less. If none is good, the best
-// one answers.
+// order makes the choice. If some option's ratings show that it meets the team's target, the cheapest mix of two options
+// answers whose mean meets the target, raised where a score is cheapest until the lower bound of the team's mean over all
+// its kinds meets it too. Otherwise, the cheapest option that is good by its declared quality answers, or the best one.
 //
 // The target is raised by what exploration costs the team on average, so that exploring does not take it below.
 //
@@ -61,25 +63,22 @@
 	if in.Session.Unsigned() {
 		return fixed(in, list)
 	}
-	s := scored{list: list, target: in.Team.QualityTarget + f.explore.loss(in.Team.Name)}
+	s := scored{list: list, target: in.Team.QualityTarget}
 	f.assess(in, &s)
 	n := s.markGood()
 	slices.SortFunc(list, compare)
-	high := s.usual()
-	m := s.mix(-1)
-	cost := s.at(high).price
-	if m.part > 0 && m.price < cost {
-		cost = m.price
+	pick := s.usual()
+	mean, cost := s.target, s.at(pick).price
+	front := s.frontier()
+	position := f.explore.position(in.Team.Name, in.Kind, &front, s.target)
+	if front.n > 0 {
+		mean, _, cost = front.at(position)
+		pick = front.pick(position, session.PointIn("mix", identity(in)))
 	}
-	pick, explored := high, false
-	other := s.promising(high, cost)
-	if f.explore.take(in.Team.Name, s.tried(other, cost)) {
-		pick, explored = other, true
-	} else if cost < s.at(high).price {
-		pick = m.high
-		if session.PointIn("mix", identity(in)) < m.part {
-			pick = m.low
-		}
+	other := s.promising(pick, mean, cost)
+	explored := f.explore.take(in.Team.Name, s.tried(other, mean, cost))
+	if explored {
+		pick = other
 	}
 	return s.choice(in, pick, n, explored)
 }
@@ -141,14 +140,13 @@
 
 // markGood marks the good options and returns the number of those in the list.
 func (s *scored) markGood() (n int) {
-	proven := false
 	for i := range s.len() {
 		e := s.at(i).estimate
-		proven = proven || e.Firm && e.Lower >= s.target
+		s.proven = s.proven || e.Firm && e.Lower >= s.target
 	}
 	for i := range s.len() {
 		o := s.at(i)
-		o.good = o.estimate.Lower >= s.target && (o.estimate.Firm || !proven)
+		o.good = o.estimate.Lower >= s.target && (o.estimate.Firm || !s.proven)
 		if o.good && i < len(s.list) {
 			n++
 		}
@@ -184,34 +182,47 @@
 	return pick
 }
 
-// tried describes option i, -1 for none, instead of a choice of the given cost that meets the target.
-func (s *scored) tried(i int, cost float64) tried {
+// tried describes option i, -1 for none, instead of a choice of the given mean and cost.
+func (s *scored) tried(i int, mean, cost float64) tried {
 	if i < 0 {
 		return tried{usual: cost}
 	}
-	return tried{wanted: true, cost: s.at(i).price, usual: cost, loss: s.target - s.at(i).estimate.Mean}
+	return tried{wanted: true, cost: s.at(i).price, usual: cost, loss: mean - s.at(i).estimate.Mean}
 }
 
-// promising returns the option that would lower the cost most if its quality were at its upper bound, alone or in a mix;
-// -1 if none would lower it by much.
-func (s *scored) promising(high int, cost float64) int {
+// promising returns the option that would lower the cost of a mean most if its quality were at its upper bound, alone or
+// in a mix; -1 if none would lower it by much.
+func (s *scored) promising(usual int, mean, cost float64) int {
 	pick, best := -1, worthwhile*cost
 	for i := range s.len() {
 		o := s.at(i)
-		if i == high || o.price >= cost || o.estimate.N >= enoughRatings {
+		if i == usual || o.price >= cost || o.estimate.N >= enoughRatings {
 			continue
 		}
-		hope := s.mix(i).price
-		if o.estimate.Upper >= s.target {
-			hope = o.price
-		}
-		if hope < best {
+		if hope := s.hope(o, mean); hope < best {
 			pick, best = i, hope
 		}
 	}
 	return pick
 }
 
+// hope returns the lowest price of a mean if the quality of an option were at its upper bound.
+func (s *scored) hope(o *option, mean float64) float64 {
+	best := math.Inf(1)
+	if o.estimate.Upper >= mean {
+		return o.price
+	}
+	for i := range s.len() {
+		high := s.at(i)
+		if !high.estimate.Firm || high.estimate.Mean < mean || high.price <= o.price {
+			continue
+		}
+		part := (high.estimate.Mean - mean) / (high.estimate.Mean - o.estimate.Upper)
+		best = min(best, part*o.price+(1-part)*high.price)
+	}
+	return best
+}
+
 // choice returns the list with the picked option first. For a version, the good ones that it does not contain follow as
 // alternatives; a session has none, because it stays with one version.
 func (s *scored) choice(in Input, pick, n int, explored bool) Choice {
