choose: rank options to explore by saving for their ratings

Cause: the option with the largest promised saving was explored until it had 60 ratings, which is the cheapest; the cascade, which is in the best mix, came last. Change: the promised saving is divided by 1 + ratings/10.

--- a/choose/order.go
+++ b/choose/order.go
@@ -20,6 +20,10 @@
 // so that it is explored again later.
 const enoughRatings = 60
 
+// fewRatings is the number of ratings that halves the claim of an option to be explored. Without it, the cascade was
+// explored only after all cheaper options had enoughRatings.
+const fewRatings = 10
+
 // option is a candidate or the team's cascade, which has an object then. The zero value can't be chosen.
 type option struct {
 	object   *object.Cascade
@@ -190,17 +194,21 @@
 	return tried{wanted: true, cost: s.at(i).price, usual: cost, loss: mean - s.at(i).estimate.Mean}
 }
 
-// promising returns the option that would lower the cost of a mean most if its quality were at its upper bound, alone or
-// in a mix; -1 if none would lower it by much.
+// promising returns the option that would lower the cost of a mean most for its number of ratings if its quality were at
+// its upper bound, alone or in a mix; -1 if none would lower it by much.
 func (s *scored) promising(usual int, mean, cost float64) int {
-	pick, best := -1, worthwhile*cost
+	pick, best := -1, 0.0
 	for i := range s.len() {
 		o := s.at(i)
 		if i == usual || o.price >= cost || o.estimate.N >= enoughRatings {
 			continue
 		}
-		if hope := s.hope(o, mean); hope < best {
-			pick, best = i, hope
+		hope := s.hope(o, mean)
+		if hope >= worthwhile*cost {
+			continue
+		}
+		if value := (cost - hope) / (1 + o.estimate.N/fewRatings); value > best {
+			pick, best = i, value
 		}
 	}
 	return pick
