choose: hope for half the width of the bound in exploration

Change: exploration takes an option halfway between its mean and its upper bound; a cascade at the bound, because its expected quality is that without skill in telling doubtful answers.

--- a/choose/order.go
+++ b/choose/order.go
@@ -24,6 +24,10 @@
 // explored only after all cheaper options had enoughRatings.
 const fewRatings = 10
 
+// hopefulPart is the part of the distance from an option's mean to its upper bound that exploration hopes for. With the
+// whole distance, options were explored until enoughRatings although a few ratings had shown that they are bad.
+const hopefulPart = 0.5
+
 // option is a candidate or the team's cascade, which has an object then. The zero value can't be chosen.
 type option struct {
 	object   *object.Cascade
@@ -194,7 +198,7 @@
 	return tried{wanted: true, cost: s.at(i).price, usual: cost, loss: mean - s.at(i).estimate.Mean}
 }
 
-// promising returns the option that would lower the cost of a mean most for its number of ratings if its quality were at
+// promising returns the option that would lower the cost of a mean most for its number of ratings if its quality were near
 // its upper bound, alone or in a mix; -1 if none would lower it by much.
 func (s *scored) promising(usual int, mean, cost float64) int {
 	pick, best := -1, 0.0
@@ -214,18 +218,24 @@
 	return pick
 }
 
-// hope returns the lowest price of a mean if the quality of an option were at its upper bound.
+// hope returns the lowest price of a mean if the quality of an option were near its upper bound; at that of a cascade,
+// because its expected quality assumes no skill in telling doubtful answers.
 func (s *scored) hope(o *option, mean float64) float64 {
-	best := math.Inf(1)
-	if o.estimate.Upper >= mean {
+	reach := hopefulPart
+	if o.object != nil {
+		reach = 1
+	}
+	hoped := o.estimate.Mean + reach*(o.estimate.Upper-o.estimate.Mean)
+	if hoped >= mean {
 		return o.price
 	}
+	best := math.Inf(1)
 	for i := range s.len() {
 		high := s.at(i)
 		if !high.estimate.Firm || high.estimate.Mean < mean || high.price <= o.price {
 			continue
 		}
-		part := (high.estimate.Mean - mean) / (high.estimate.Mean - o.estimate.Upper)
+		part := (high.estimate.Mean - mean) / (high.estimate.Mean - hoped)
 		best = min(best, part*o.price+(1-part)*high.price)
 	}
 	return best
