choose: make up for the cost of exploration within 500 requests

Cause: the target was raised by the average loss since the start, which raised it long after exploration had ended, and by too little while it lasted. Change: the loss is averaged over about the last 500 requests of a team.

--- a/choose/explore.go
+++ b/choose/explore.go
@@ -11,6 +11,9 @@
 	// exploreWindow is the number of a team's requests after which its counts are halved, so that an unused budget is
 	// not saved up without limit.
 	exploreWindow = 10_000
+	// lossWindow is the number of a team's requests over which the score that an explored request loses is made up for.
+	// The average since the start went on raising the target long after exploration had ended.
+	lossWindow = 500
 )
 
 // Budget bounds exploration at each daemon, and so in the deployment, as fractions of a team's requests and of its cost.
@@ -36,7 +39,7 @@
 type spent struct {
 	requests, explored  float64
 	cost, exploringCost float64
-	loss                float64 // expected score lost by exploring
+	loss                float64 // expected score lost by exploring a request, over about the last lossWindow requests
 	sinceExplored       float64 // requests since the last one that was chosen to explore
 	plan                plan
 }
@@ -72,20 +75,21 @@
 	if ok {
 		t.explored++
 		t.exploringCost += x.cost
-		t.loss += max(0, x.loss)
+		t.loss += max(0, x.loss) / lossWindow
 		t.sinceExplored = 0
 	}
 	return ok
 }
 
 // position returns the position of a request on the frontier of its kind, see plan.divide. The target is raised by the
-// score that exploring costs the team's average request.
+// score that exploring has lately cost the team's average request.
 func (e *explorer) position(team, kind string, f *frontier, target float64) float64 {
 	s := e.shard(team)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.team(team)
-	return t.plan.divide(kind, f, target, t.loss/max(1, t.requests))
+	t.loss *= 1 - 1.0/lossWindow
+	return t.plan.divide(kind, f, target, t.loss)
 }
 
 // count counts a request that had no choice.
@@ -116,8 +120,7 @@
 
 func (t *spent) add(cost float64) {
 	if t.requests >= exploreWindow {
-		t.requests, t.explored, t.loss = t.requests/2, t.explored/2, t.loss/2
-		t.cost, t.exploringCost = t.cost/2, t.exploringCost/2
+		t.requests, t.explored, t.cost, t.exploringCost = t.requests/2, t.explored/2, t.cost/2, t.exploringCost/2
 	}
 	t.requests++
 	t.cost += cost
