--- a/choose/explore.go
+++ b/choose/explore.go
@@ -11,6 +11,9 @@
 	// exploreWindow is the number of a team's requests after which its counts are halved, so that an unused budget is
 	// not saved up without limit.
 	exploreWindow = 10_000
+	// lossWindow is the number of a team's requests over which the score that an explored request loses is made up for.
+	// The average since the start went on raising the target long after exploration had ended.
+	lossWindow = 500
 )
 
 // Budget bounds exploration at each daemon, and so in the deployment, as fractions of a team's requests and of its cost.
@@ -36,7 +39,9 @@
 type spent struct {
 	requests, explored  float64
 	cost, exploringCost float64
-	loss                float64 // expected score lost by exploring
+	loss                float64 // expected score lost by exploring a request, over about the last lossWindow requests
+	sinceExplored       float64 // requests since the last one that was chosen to explore
+	plan                plan
 }
 
 // tried describes a request that may be used to explore.
@@ -53,7 +58,8 @@
 	}
 }
 
-// take counts a request with its usual cost and reports whether it may be used to explore.
+// take counts a request with its usual cost and reports whether it may be used to explore. Explored requests are evenly
+// spaced: a budget that was saved up would be spent in a burst before the first ratings arrive.
 func (e *explorer) take(team string, x tried) bool {
 	if e.budget.Requests <= 0 {
 		return false
@@ -63,25 +69,27 @@
 	defer s.mu.Unlock()
 	t := s.team(team)
 	t.add(x.usual)
-	ok := x.wanted && t.explored+1 <= e.budget.Requests*t.requests && t.exploringCost+x.cost <= e.budget.Cost*t.cost
+	t.sinceExplored++
+	due := t.sinceExplored*e.budget.Requests >= 1
+	ok := x.wanted && due && t.explored+1 <= e.budget.Requests*t.requests && t.exploringCost+x.cost <= e.budget.Cost*t.cost
 	if ok {
 		t.explored++
 		t.exploringCost += x.cost
-		t.loss += max(0, x.loss)
+		t.loss += max(0, x.loss) / lossWindow
+		t.sinceExplored = 0
 	}
 	return ok
 }
 
-// loss returns the expected score that exploring costs a team's average request.
-func (e *explorer) loss(team string) float64 {
+// position returns the position of a request on the frontier of its kind, see plan.divide. The target is raised by the
+// score that exploring has lately cost the team's average request.
+func (e *explorer) position(team, kind string, f *frontier, target float64) float64 {
 	s := e.shard(team)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t := s.teams[team]
-	if t == nil || t.requests == 0 {
-		return 0
-	}
-	return t.loss / t.requests
+	t := s.team(team)
+	t.loss *= 1 - 1.0/lossWindow
+	return t.plan.divide(kind, f, target, t.loss)
 }
 
 // count counts a request that had no choice.
@@ -112,7 +120,7 @@
 
 func (t *spent) add(cost float64) {
 	if t.requests >= exploreWindow {
-		*t = spent{t.requests / 2, t.explored / 2, t.cost / 2, t.exploringCost / 2, t.loss / 2}
+		t.requests, t.explored, t.cost, t.exploringCost = t.requests/2, t.explored/2, t.cost/2, t.exploringCost/2
 	}
 	t.requests++
 	t.cost += cost
