choose: explain each choice in the state dump

Cause: the dump showed which version answered a request, not under which rule it was chosen nor why the others were not.

Change: a choice keeps what it was made from, in the array that it allocates anyway; Explain turns that into a rule and a verdict for each option. The dump of a request shows it, in flight and after its end.

The choice still allocates only its list of candidates.

--- a/choose/choose.go
+++ b/choose/choose.go
@@ -55,6 +55,8 @@
 	Candidates []Candidate
 	Cascade    *object.Cascade // nil if one version answers
 	Explored   bool            // the first choice was made to learn about it
+
+	grounds
 }
 
 // Spec configures a Filter.
@@ -92,7 +94,7 @@
 		return f.named(in)
 	}
 	if c, err := f.lastUsed(in); c != nil || err != nil {
-		return Choice{Candidates: c}, err
+		return Choice{Candidates: c, grounds: grounds{rule: RuleSession}}, err
 	}
 	list := make([]Candidate, 0, len(in.Team.Models))
 	for _, m := range in.Team.Models {
@@ -127,7 +129,7 @@
 	if v == nil {
 		return Choice{}, result.Newf(result.NoVersion, "")
 	}
-	return Choice{Candidates: []Candidate{{Service: m.Service, Version: v}}}, nil
+	return Choice{Candidates: []Candidate{{Service: m.Service, Version: v}}, grounds: grounds{rule: RuleNamed}}, nil
 }
 
 // countSession charges the requests of a session that stays on a version below the target to the budget of exploration,
--- a/choose/order.go
+++ b/choose/order.go
@@ -88,7 +88,9 @@
 	if explored {
 		pick = other
 	}
-	return s.choice(in, pick, n, explored)
+	c := s.choice(in, pick, n, explored)
+	c.grounds = grounds{rule: s.rule(explored), target: s.target, considered: s.list, cascade: s.cascade}
+	return c
 }
 
 // fixed makes the choice for a session that is known only by the caller's own identifier. It has no record of its version,
@@ -100,7 +102,8 @@
 			best = i
 		}
 	}
-	return Choice{Candidates: list[best : best+1]}
+	g := grounds{rule: RuleDeclared, target: in.Team.QualityTarget, considered: list}
+	return Choice{Candidates: list[best : best+1], grounds: g}
 }
 
 // preferred reports whether a goes before b: a version that meets the target before one that does not, then the cheaper,
--- a/local/dump_test.go
+++ b/local/dump_test.go
@@ -114,6 +114,10 @@
 			t.Errorf("a dump holds %q", secret)
 		}
 	}
+	var explained observe.Request
+	if err := json.Unmarshal([]byte(request), &explained); err != nil || explained.Decision == nil || len(explained.Decision.Options) != 2 {
+		t.Errorf("%s, %v; want the decision between two versions", request, err)
+	}
 	if len(state) > dumpBound {
 		t.Errorf("the dump takes %d bytes", len(state))
 	}
--- a/observe/recent.go
+++ b/observe/recent.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/bramleytrail/bramleytrail/choose"
 	"github.com/bramleytrail/bramleytrail/dispatch"
 	"github.com/bramleytrail/bramleytrail/pipeline"
 )
@@ -23,6 +24,8 @@
 	Total     time.Duration      `json:"totalNs"`
 	Attempts  []dispatch.Attempt `json:"attempts,omitempty"`
 	pipeline.ClaimHolder
+	// Decision says why the versions were chosen; nil for calls of plain services and requests that ended before the choice.
+	Decision *choose.Decision `json:"decision,omitempty"`
 }
 
 // Recent is a ring of the last finished requests.
@@ -42,6 +45,9 @@
 		ID: o.RequestID, Team: o.Team, Kind: o.Kind, Target: o.Version, Code: int(o.Code), FirstByte: o.FirstByte, Total: o.Total,
 		Attempts: o.Attempts, ClaimHolder: o.ClaimHolder,
 	}
+	if o.Decision.Rule != "" {
+		req.Decision = &o.Decision
+	}
 	if o.Err != nil {
 		req.Detail = o.Err.Error()
 	}
--- a/pipeline/chat.go
+++ b/pipeline/chat.go
@@ -85,8 +85,13 @@
 	s.at(StageChoose)
 	var err error
 	s.choice, err = s.choiceUnder(s.view, s.who.Team)
+	if err != nil {
+		return err
+	}
 	s.outcome.Explored, s.outcome.Cascade = s.choice.Explored, s.choice.Cascade != nil
-	return err
+	s.outcome.Decision = s.choice.Explain()
+	s.update(func(p *Position) { p.Decision = &s.outcome.Decision })
+	return nil
 }
 
 func (s *chatStages) choiceUnder(view *config.View, team *object.Team) (choose.Choice, error) {
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -52,6 +52,7 @@
 	Attempts  []dispatch.Attempt
 	Explored  bool // answered to learn about the version or cascade
 	Cascade   bool
+	Decision  choose.Decision // of chat requests
 	ClaimHolder
 	Err error
 }
--- a/pipeline/progress.go
+++ b/pipeline/progress.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/bramleytrail/bramleytrail/choose"
 	"github.com/bramleytrail/bramleytrail/claim"
 )
 
@@ -38,6 +39,8 @@
 	Team   string `json:"team,omitempty"`
 	Target string `json:"target,omitempty"` // version or service
 	ClaimHolder
+	// Decision says why the versions were chosen, nil before the choice. It does not change any more.
+	Decision *choose.Decision `json:"decision,omitempty"`
 }
 
 // ClaimHolder tells who claimed a call.
