--- a/choose/order.go
+++ b/choose/order.go
@@ -62,7 +62,7 @@
 // answers whose mean meets the target, raised where a score is cheapest until the lower bound of the team's mean over all
 // its kinds meets it too. Otherwise, the cheapest option that is good by its declared quality answers, or the best one.
 //
-// The target is raised by what exploration costs the team on average, so that exploring does not take it below.
+// The target is raised by what exploration has lately cost the team, so that exploring does not take it below.
 //
 // Once the ratings show that some option is good, only an option with firm evidence answers by itself: one with few
 // ratings is tried within the budget of exploration, and in a mix that is safe, until its own ratings suffice. Before
