bench: latency of pool and dispatch with one replica in ten cold or silent

Cause: the design has bounds for the first token and the time between tokens, and nothing measured them.

Change: the real pool and dispatch of two daemons before ten fake engines with continuous batching, under the fake clock of testing/synctest. The choice of an endpoint becomes a policy of the pool, so that round robin and least requests are measured under the same limits.

--- /dev/null
+++ b/bench/latency.go
@@ -0,0 +1,236 @@
+package bench
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/bramleytrail/bramleytrail/dispatch"
+	"github.com/bramleytrail/bramleytrail/pool"
+)
+
+// Bounds of the 95th percentiles, from the scale target of the design.
+const (
+	MaxFirstToken   = 690 * time.Millisecond
+	MaxBetweenToken = 61 * time.Millisecond
+)
+
+// The load: daemons before replicas with the limits of a declared service of the examples.
+const (
+	latencyDaemons  = 2
+	latencyReplicas = 10
+	slots           = 32
+	coldSlots       = 4
+	warmAfter       = 16
+	tokenLimit      = 400_000
+	pollsPerSecond  = 8
+
+	promptMin, promptMax = 100, 500 // tokens
+	answerMin, answerMax = 16, 112  // tokens
+	// utilisation is the part of capacity that is offered. Capacity counts all replicas, the failed one included.
+	utilisation = 0.8
+
+	latencyRun = 50 * time.Second
+	// firstFault is the time of the first failure, from which on requests count. It is no multiple of any other interval,
+	// so that no event coincides with it.
+	firstFault = 5*time.Second + 333*time.Nanosecond
+	// faultEvery is the time after which another replica fails. A cold replica has finished warmAfter requests by then, so
+	// that no more than one in ten is cold.
+	faultEvery = 15 * time.Second
+)
+
+// Fault is what happens to one replica in ten, another one after each faultEvery.
+type Fault string
+
+// Faults.
+const (
+	NoFault Fault = "none"
+	Cold    Fault = "cold"   // it starts anew without notice
+	Silent  Fault = "silent" // it answers nothing until the next one fails
+)
+
+// Faults lists all faults.
+var Faults = []Fault{NoFault, Cold, Silent}
+
+// LatencyVariant is a way to route that is measured.
+type LatencyVariant struct {
+	Name   string
+	Policy pool.Policy
+}
+
+// LatencyVariants are the variants that are compared.
+var LatencyVariants = []LatencyVariant{
+	{"current", pool.TwoChoices},
+	{"round robin", pool.RoundRobin},
+	{"least requests", pool.LeastRequests},
+}
+
+// LatencyResult is the result of one run. Requests count from the first fault on.
+type LatencyResult struct {
+	Variant   string
+	Fault     Fault
+	Seed      uint64
+	Requests  int
+	Failed    int
+	First95   time.Duration // time to the first token
+	First99   time.Duration
+	Between95 time.Duration // time between tokens
+	Overloads int           // crashes of cold engines by too many requests
+	Balance   float64       // largest number of first tokens of a replica over the mean
+}
+
+// latencyRunner is one run.
+type latencyRunner struct {
+	variant LatencyVariant
+	seed    uint64
+	fleet   *fleet
+	nodes   []*latencyNode
+	start   time.Time
+
+	mu      sync.Mutex
+	first   []time.Duration
+	between []time.Duration
+	failed  int
+}
+
+// capacityPerReplica returns the requests a second at which an engine with all slots taken does nothing but its work.
+func capacityPerReplica() float64 {
+	step := (stepBase + slots*stepPerRequest).Seconds()
+	answer, prompt := float64(answerMin+answerMax)/2, float64(promptMin+promptMax)/2
+	return 1 / (answer/slots*step + prompt*stepPerToken.Seconds())
+}
+
+// RunLatency runs one variant under the clock of package time; tests run it under a fake one.
+func RunLatency(ctx context.Context, v LatencyVariant, fault Fault, seed uint64) LatencyResult {
+	ctx, cancel := context.WithCancel(ctx)
+	r := &latencyRunner{variant: v, seed: seed, start: time.Now()}
+	r.build()
+	var wg sync.WaitGroup
+	for i, n := range r.nodes {
+		wg.Go(func() {
+			time.Sleep(time.Duration(1+i) * time.Microsecond) // so that no two polls coincide
+			n.poll(ctx, &wg)
+		})
+	}
+	wg.Go(func() { r.fail(ctx, fault) })
+	r.offer(ctx)
+	cancel()
+	wg.Wait()
+	return r.result(fault)
+}
+
+// offer sends requests with exponential intervals and waits for their answers.
+func (r *latencyRunner) offer(ctx context.Context) {
+	rnd := rand.New(rand.NewPCG(r.seed, 0))
+	rate := utilisation * latencyReplicas * capacityPerReplica()
+	var wg sync.WaitGroup
+	for i := 0; time.Since(r.start) < latencyRun; i++ {
+		time.Sleep(time.Duration(rnd.ExpFloat64() / rate * float64(time.Second)))
+		n := r.nodes[rnd.IntN(len(r.nodes))]
+		prompt, answer := promptMin+rnd.Int64N(promptMax-promptMin+1), answerMin+rnd.Int64N(answerMax-answerMin+1)
+		in := n.input
+		in.RequestID, in.Fingerprint = fmt.Sprint(i), uint64(i+1)
+		in.Body = fmt.Appendf(nil, "%d %d", prompt, answer)
+		in.Tokens, in.MaxTokens = prompt, answer
+		counted := time.Since(r.start) >= firstFault
+		wg.Go(func() { r.request(ctx, n.filter, in, counted) })
+	}
+	wg.Wait()
+}
+
+// request reads one answer to its end.
+func (r *latencyRunner) request(ctx context.Context, f *dispatch.Filter, in dispatch.Input, counted bool) {
+	sent := time.Now()
+	first, between, err := readAnswer(ctx, f, in)
+	if !counted {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.between = append(r.between, between...)
+	if err != nil {
+		r.failed++
+	}
+	if first.IsZero() {
+		r.first = append(r.first, math.MaxInt64)
+		return
+	}
+	r.first = append(r.first, first.Sub(sent))
+}
+
+func readAnswer(ctx context.Context, f *dispatch.Filter, in dispatch.Input) (first time.Time, between []time.Duration, err error) {
+	a, err := f.Do(ctx, in)
+	if err != nil {
+		return first, nil, err
+	}
+	defer a.Close()
+	var last time.Time
+	for {
+		_, err := a.Next()
+		if errors.Is(err, io.EOF) {
+			return first, between, nil
+		}
+		if err != nil {
+			return first, between, err
+		}
+		now := time.Now()
+		if last.IsZero() {
+			first = now
+		} else {
+			between = append(between, now.Sub(last))
+		}
+		last = now
+	}
+}
+
+// fail lets one replica in ten fail until the end.
+func (r *latencyRunner) fail(ctx context.Context, fault Fault) {
+	rnd := rand.New(rand.NewPCG(r.seed, 1))
+	order := rnd.Perm(latencyReplicas)
+	wait := firstFault
+	for i := 0; ; i++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(wait):
+		}
+		wait = faultEvery
+		e := r.fleet.engines[replicaName(order[i%latencyReplicas])]
+		switch fault {
+		case Cold:
+			e.becomeCold()
+		case Silent:
+			if i > 0 {
+				r.fleet.engines[replicaName(order[(i-1)%latencyReplicas])].setSilent(false)
+			}
+			e.setSilent(true)
+		}
+	}
+}
+
+func (r *latencyRunner) result(fault Fault) LatencyResult {
+	out := LatencyResult{Variant: r.variant.Name, Fault: fault, Seed: r.seed, Requests: len(r.first), Failed: r.failed}
+	out.First95, out.First99 = percentile(r.first, 0.95), percentile(r.first, 0.99)
+	out.Between95 = percentile(r.between, 0.95)
+	most, all := 0, 0
+	for _, e := range r.fleet.engines {
+		out.Overloads += e.overloads
+		most, all = max(most, e.served), all+e.served
+	}
+	out.Balance = float64(most) * latencyReplicas / float64(max(1, all))
+	return out
+}
+
+func percentile(d []time.Duration, p float64) time.Duration {
+	if len(d) == 0 {
+		return 0
+	}
+	d = slices.Sorted(slices.Values(d))
+	return d[min(len(d)-1, int(math.Ceil(p*float64(len(d)))))]
+}
--- /dev/null
+++ b/bench/latency_node.go
@@ -0,0 +1,123 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/bramleytrail/bramleytrail/choose"
+	"github.com/bramleytrail/bramleytrail/config"
+	"github.com/bramleytrail/bramleytrail/dispatch"
+	"github.com/bramleytrail/bramleytrail/engine"
+	"github.com/bramleytrail/bramleytrail/hostlist"
+	"github.com/bramleytrail/bramleytrail/object"
+	"github.com/bramleytrail/bramleytrail/poison"
+	"github.com/bramleytrail/bramleytrail/pool"
+)
+
+// latencyNode is the pool and the dispatch stage of one daemon.
+type latencyNode struct {
+	pool   *pool.Pool
+	filter *dispatch.Filter
+	client engine.Client
+	input  dispatch.Input
+}
+
+func replicaName(i int) string { return fmt.Sprint("llm-", i) }
+
+// build makes engines, all warm, and daemons that have their reports.
+func (r *latencyRunner) build() {
+	r.fleet = &fleet{engines: map[string]*batchEngine{}}
+	var list hostlist.List
+	for i := range latencyDaemons {
+		list.Hosts = append(list.Hosts, hostlist.Host{ID: fmt.Sprint("entry-", i), Role: hostlist.RoleEntry, Domain: "d"})
+	}
+	for i := range latencyReplicas {
+		id := replicaName(i)
+		r.fleet.engines[id] = &batchEngine{id: id, completed: warmAfter}
+		list.Hosts = append(list.Hosts, hostlist.Host{ID: id, Addr: id, Role: hostlist.RoleEndpoint, Domain: "d", State: hostlist.StateLive,
+			Service: "llm", Versions: []string{"v"}})
+	}
+	for i := range latencyDaemons {
+		r.nodes = append(r.nodes, r.node(i, list))
+	}
+}
+
+// latencyView is the configuration. Limits and timeouts are those of examples/nogalera.
+func latencyView() *config.View {
+	svc := &object.Service{Name: "llm", Type: object.ServiceModel, Repeatable: true,
+		Limits:   object.EndpointLimits{Slots: slots, ColdSlots: coldSlots, Tokens: tokenLimit, WarmAfter: warmAfter},
+		Timeouts: object.Timeouts{FirstByte: 2 * time.Second, Progress: time.Second}}
+	return &config.View{
+		Services: map[string]*object.Service{"llm": svc},
+		Domains:  map[string]*object.FailureDomain{"d": {Name: "d", State: object.DomainIn}},
+		Versions: map[string]*object.Version{"v": {Name: "v", Model: "m", State: object.VersionActive}},
+		Teams:    map[string]*object.Team{"t": {Name: "t", Limits: object.TeamLimits{MaxTokens: promptMax + answerMax}}},
+	}
+}
+
+func (r *latencyRunner) node(i int, list hostlist.List) *latencyNode {
+	random := clockRand(r.seed, uint64(2+i), r.start)
+	view := latencyView()
+	n := &latencyNode{client: r.fleet}
+	n.pool = pool.New(pool.Spec{Self: fmt.Sprint("entry-", i), Domain: "d", Rand: random, Policy: r.variant.Policy, OnRoom: func(s string, v []string) {
+		if n.filter != nil {
+			n.filter.Signal(s, v)
+		}
+	}})
+	n.filter = dispatch.New(dispatch.Spec{Pool: n.pool, Client: r.fleet, Poison: poison.NewTable(), OnCrash: func(poison.Record) {},
+		QueueWait: 5 * time.Second, Now: time.Now, Rand: random})
+	n.pool.SetView(view, time.Now())
+	n.pool.SetHosts(list, time.Now())
+	for id := range r.fleet.engines {
+		l, _ := r.fleet.Load(context.Background(), id) // not silent yet
+		n.pool.Report(id, l, time.Now())
+	}
+	n.input = dispatch.Input{View: view, Team: "t", Candidates: []choose.Candidate{{Version: view.Versions["v"], Service: "llm"}}}
+	return n
+}
+
+// clockRand returns random numbers that depend on the time only, so that the number of calls at one time, which differs
+// with the order of goroutines, has no influence.
+func clockRand(seed, stream uint64, start time.Time) func() uint64 {
+	return func() uint64 { return rand.NewPCG(seed+stream<<32, uint64(time.Since(start))).Uint64() }
+}
+
+// poll reads load reports as a daemon does.
+func (n *latencyNode) poll(ctx context.Context, wg *sync.WaitGroup) {
+	t := time.NewTicker(time.Second / pollsPerSecond)
+	defer t.Stop()
+	busy := make(chan struct{}, pollsPerSecond)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		for _, target := range n.pool.Due(1, time.Now()) {
+			select {
+			case busy <- struct{}{}:
+				wg.Go(func() {
+					defer func() { <-busy }()
+					n.pollOne(ctx, target)
+				})
+			default:
+			}
+		}
+	}
+}
+
+func (n *latencyNode) pollOne(ctx context.Context, target pool.Target) {
+	call, cancel := context.WithTimeout(ctx, engine.LoadTimeout)
+	defer cancel()
+	asked := time.Now()
+	load, err := n.client.Load(call, target.Addr)
+	switch {
+	case err == nil:
+		n.pool.Report(target.ID, load, asked)
+	case ctx.Err() == nil:
+		n.pool.ReportFailed(target.ID, time.Now())
+	}
+}
--- /dev/null
+++ b/bench/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package bench
+
+const raceDetector = false
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -51,8 +51,7 @@
 	pool    *Pool
 }
 
-// Pick chooses an endpoint and reserves room on it. It takes the better of two random endpoints that admit the request,
-// since choosing the best of all with lagging reports sends every daemon to the same one.
+// Pick chooses an endpoint by the pool's policy and reserves room on it.
 func (p *Pool) Pick(q Query, now time.Time) (Reservation, Shortage, bool) {
 	t := p.table.Load()
 	group := t.groups[groupKey{q.Service, q.Version}]
@@ -74,25 +73,6 @@
 	return Reservation{}, short, false
 }
 
-func (p *Pool) best(group []*endpoint, q *Query, t *table, now time.Time, short *Shortage) *endpoint {
-	start := int(p.spec.Rand() % uint64(len(group)))
-	var best *endpoint
-	var bestScore float64
-	found := 0
-	for i := 0; i < len(group) && found < 2; i++ {
-		e := group[(start+i)%len(group)]
-		score, ok := e.consider(q, t.view, t.rules[q.Service], now, short)
-		if !ok {
-			continue
-		}
-		found++
-		if best == nil || score < bestScore {
-			best, bestScore = e, score
-		}
-	}
-	return best
-}
-
 func (e *endpoint) consider(q *Query, view *config.View, rule *rule, now time.Time, short *Shortage) (float64, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -27,6 +27,8 @@
 	Settle time.Duration
 	// Rand returns random numbers for the choice among endpoints.
 	Rand func() uint64
+	// Policy is the rule of the choice.
+	Policy Policy
 	// OnRoom, if set, is called when an endpoint of the service may have got room, or any endpoint if service is empty.
 	// versions are those that the endpoint serves. No lock of the pool is held.
 	OnRoom func(service string, versions []string)
@@ -37,6 +39,7 @@
 	spec   Spec
 	shards [shardCount]sync.Mutex
 	table  atomic.Pointer[table]
+	turn   atomic.Uint64 // of RoundRobin
 
 	mu      sync.Mutex // serialises rebuild
 	list    hostlist.List
