dispatch: hedge a late first token

Cause: a request sent to a replica that has gone silent waits for the first-byte timeout and a probe, 3 s together.

Change: if the first token has not come after the 98th percentile of the version's recent first tokens (125 to 345 ms), the request is sent to a second endpoint, too. The call that answers later is cancelled and gives its room back. Hedges have a token bucket (--hedge-share, 5 % of the requests), need room to spare and an empty queue, and leave out requests that may run only once or were present at a crash. The state of one call at an endpoint moves from Answer to a type of its own, so that a request can have two. The loser of a race counts as slow and its load report is read next, since it is no longer ejected by the first-byte timeout.

--- a/bench/latency.go
+++ b/bench/latency.go
@@ -30,6 +30,7 @@
 	warmAfter       = 16
 	tokenLimit      = 400_000
 	pollsPerSecond  = 8
+	hedgeShare      = 0.05 // default of --hedge-share
 
 	promptMin, promptMax = 100, 500 // tokens
 	answerMin, answerMax = 16, 112  // tokens
@@ -60,15 +61,17 @@
 
 // LatencyVariant is a way to route that is measured.
 type LatencyVariant struct {
-	Name   string
-	Policy pool.Policy
+	Name       string
+	Policy     pool.Policy
+	HedgeShare float64 // part of the requests that may be hedged
 }
 
 // LatencyVariants are the variants that are compared.
 var LatencyVariants = []LatencyVariant{
-	{"current", pool.TwoChoices},
-	{"round robin", pool.RoundRobin},
-	{"least requests", pool.LeastRequests},
+	{"current", pool.TwoChoices, hedgeShare},
+	{"without hedges", pool.TwoChoices, 0},
+	{"round robin", pool.RoundRobin, 0},
+	{"least requests", pool.LeastRequests, 0},
 }
 
 // LatencyResult is the result of one run. Requests count from the first fault on.
@@ -82,6 +85,8 @@
 	First99   time.Duration
 	Between95 time.Duration // time between tokens
 	Overloads int           // crashes of cold engines by too many requests
+	Hedges    int           // sent
+	Refused   int           // late first tokens that were not hedged
 	Balance   float64       // largest number of first tokens of a replica over the mean
 }
 
@@ -97,6 +102,7 @@
 	first   []time.Duration
 	between []time.Duration
 	failed  int
+	hedges  map[dispatch.HedgeOutcome]int
 }
 
 // capacityPerReplica returns the requests a second at which an engine with all slots taken does nothing but its work.
@@ -109,7 +115,7 @@
 // RunLatency runs one variant under the clock of package time; tests run it under a fake one.
 func RunLatency(ctx context.Context, v LatencyVariant, fault Fault, seed uint64) LatencyResult {
 	ctx, cancel := context.WithCancel(ctx)
-	r := &latencyRunner{variant: v, seed: seed, start: time.Now()}
+	r := &latencyRunner{variant: v, seed: seed, start: time.Now(), hedges: map[dispatch.HedgeOutcome]int{}}
 	r.build()
 	var wg sync.WaitGroup
 	for i, n := range r.nodes {
@@ -218,6 +224,14 @@
 	out := LatencyResult{Variant: r.variant.Name, Fault: fault, Seed: r.seed, Requests: len(r.first), Failed: r.failed}
 	out.First95, out.First99 = percentile(r.first, 0.95), percentile(r.first, 0.99)
 	out.Between95 = percentile(r.between, 0.95)
+	for o, n := range r.hedges {
+		switch o {
+		case dispatch.HedgeWon, dispatch.HedgeLost, dispatch.HedgeFailed:
+			out.Hedges += n
+		default:
+			out.Refused += n
+		}
+	}
 	most, all := 0, 0
 	for _, e := range r.fleet.engines {
 		out.Overloads += e.overloads
--- a/bench/latency_node.go
+++ b/bench/latency_node.go
@@ -68,7 +68,7 @@
 		}
 	}})
 	n.filter = dispatch.New(dispatch.Spec{Pool: n.pool, Client: r.fleet, Poison: poison.NewTable(), OnCrash: func(poison.Record) {},
-		QueueWait: 5 * time.Second, Now: time.Now, Rand: random})
+		QueueWait: 5 * time.Second, Now: time.Now, Rand: random, HedgeShare: r.variant.HedgeShare, OnHedge: r.hedged})
 	n.pool.SetView(view, time.Now())
 	n.pool.SetHosts(list, time.Now())
 	for id := range r.fleet.engines {
@@ -79,6 +79,12 @@
 	return n
 }
 
+func (r *latencyRunner) hedged(o dispatch.HedgeOutcome) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.hedges[o]++
+}
+
 // clockRand returns random numbers that depend on the time only, so that the number of calls at one time, which differs
 // with the order of goroutines, has no influence.
 func clockRand(seed, stream uint64, start time.Time) func() uint64 {
--- a/bench/latency_test.go
+++ b/bench/latency_test.go
@@ -52,8 +52,9 @@
 // Guards against results of the latency benchmark that differ under the same seed.
 func TestLatencyRepeats(t *testing.T) {
 	skipUnderRace(t)
+	const seed = 2 // has the longest queues
 	for _, fault := range Faults {
-		if a, b := latency(t, LatencyVariants[0], fault, 1), latency(t, LatencyVariants[0], fault, 1); !reflect.DeepEqual(a, b) {
+		if a, b := latency(t, LatencyVariants[0], fault, seed), latency(t, LatencyVariants[0], fault, seed); !reflect.DeepEqual(a, b) {
 			t.Errorf("%s: %+v and %+v", fault, a, b)
 		}
 	}
@@ -73,8 +74,8 @@
 					r := latency(t, v, fault, uint64(seed+1))
 					mu.Lock()
 					defer mu.Unlock()
-					t.Logf("%-16s %-7s seed %d: requests %d, failed %d, first token p95 %s p99 %s, between tokens p95 %s, overloads %d, balance %.2f",
-						r.Variant, r.Fault, r.Seed, r.Requests, r.Failed, r.First95, r.First99, r.Between95, r.Overloads, r.Balance)
+					t.Logf("%-16s %-7s seed %d: requests %d, failed %d, first token p95 %s p99 %s, between tokens p95 %s, overloads %d, hedges %d, not hedged %d, balance %.2f",
+						r.Variant, r.Fault, r.Seed, r.Requests, r.Failed, r.First95, r.First99, r.Between95, r.Overloads, r.Hedges, r.Refused, r.Balance)
 				})
 			}
 		}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -193,7 +193,10 @@
 	d.claims = claim.New(claim.Spec{Store: d.platform.Store, Owner: d.incarnation, WritesPerSecond: s.ClaimWrites, Now: time.Now})
 	d.dispatch.Store(dispatch.New(dispatch.Spec{
 		Pool: d.pool, Client: d.engines, Poison: d.poison, OnCrash: d.node.ReportCrash, QueueWait: s.QueueWait, OnCall: d.decisions.count,
-		Now: time.Now, Rand: mathrand.Uint64,
+		Now: time.Now, Rand: mathrand.Uint64, HedgeShare: s.HedgeShare,
+		OnHedge: func(o dispatch.HedgeOutcome) {
+			d.metrics.Counter(fmt.Sprintf(`bramley_hedges_total{outcome=%q}`, o)).Inc()
+		},
 	}))
 	p := &pipeline.Pipeline{
 		Config:     d.config,
--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -5,12 +5,13 @@
 	"errors"
 	"io"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/bramleytrail/bramleytrail/choose"
 	"github.com/bramleytrail/bramleytrail/engine"
 	"github.com/bramleytrail/bramleytrail/object"
-	"github.com/bramleytrail/bramleytrail/poison"
 	"github.com/bramleytrail/bramleytrail/result"
 )
 
@@ -21,24 +22,13 @@
 	in     Input
 	ctx    context.Context
 
-	room     room
-	reserved bool
-	stream   engine.Stream
-	ctxCall  context.Context // context of stream
-	cancel   context.CancelCauseFunc
-	timer    *time.Timer // cancels stream when it makes no progress
-	callID   string
-	first    *engine.Event // read by start and not delivered yet
-	lastSign time.Time     // the endpoint sent the newest event after this time
+	*call               // newest one that is not abandoned
+	held  *outcome      // read by a race and not processed yet
+	first *engine.Event // read by start and not delivered yet
 
 	calls              int             // at endpoints
 	callsSinceProgress int             // calls since the last part of the answer
 	exclude            []string        // endpoints that failed since the last part of the answer
-	boot               string          // boot identity of the endpoint when the call began
-	failedAt           time.Time       // when the last call failed
-	opened             time.Time       // when the call in progress began
-	firstByte          time.Duration   // of the call in progress
-	crash              string          // the endpoint's crash that ended the call in progress
 	crashRecorded      bool            // a crash was recorded since the last part of the answer
 	text               strings.Builder // answer so far, to continue it at another endpoint
 	seq                int64
@@ -48,12 +38,10 @@
 	ran                result.Ran
 	served             *object.Version
 	trace              []Attempt
+	answered           atomic.Bool    // some part of the answer was read
+	discards           sync.WaitGroup // failed calls of races that are looked into
 }
 
-// bufferedRead is the duration of a read from which the event was not in a buffer before the read began. Engines send a token
-// every few tens of milliseconds, and reading a buffered one takes microseconds.
-const bufferedRead = 5 * time.Millisecond
-
 // Attempt records one endpoint that a request was sent to.
 type Attempt struct {
 	Endpoint string `json:"endpoint"`
@@ -126,8 +114,12 @@
 func (a *Answer) accept(ev engine.Event) {
 	if a.firstByte == 0 {
 		a.firstByte = max(1, a.filter.spec.Now().Sub(a.opened))
+		if a.seq == 0 && a.leave == nil { // a race observes its own
+			a.filter.firstTokens.observe(a.served.Name, a.firstByte)
+		}
 	}
 	a.seq = ev.Seq
+	a.answered.Store(true)
 	a.callsSinceProgress, a.exclude = 0, nil
 	if a.crashRecorded { // a request that crashes endpoints gets no further at the next one
 		a.crashRecorded = false
@@ -145,6 +137,7 @@
 
 // open reserves room and sends the request, or its continuation, to an endpoint.
 func (a *Answer) open() error {
+	a.discards.Wait() // a crash has to be known before the request runs again
 	if err := a.mayAttempt(); err != nil {
 		return err
 	}
@@ -156,25 +149,31 @@
 	if err != nil {
 		return a.withRan(err)
 	}
-	a.room, a.reserved, a.served = r, true, r.candidate.Version
-	a.boot = r.Boot()
-	a.opened, a.firstByte, a.crash = a.filter.spec.Now(), 0, ""
-	a.count()
-	a.callID = callID(a.in.RequestID, a.calls)
-	a.trace = append(a.trace, Attempt{Endpoint: r.ID, Version: r.candidate.Version.Name})
-	req := engine.Request{
-		ID: a.callID, Version: r.candidate.Version.Name, Body: a.in.Body, Priority: a.in.Priority,
-		MaxTokens: a.in.MaxTokens, Prior: a.text.String(), PriorTokens: a.seq,
+	a.served = r.candidate.Version
+	req := a.begin(r)
+	if limit, ok := a.hedgeAfter(); ok {
+		err = a.race(req, limit)
+	} else {
+		err = a.send(req)
 	}
-	err = a.connect(r.timeouts.firstByte, func(ctx context.Context) (engine.Stream, error) {
-		return a.filter.spec.Client.Stream(ctx, r.Addr, req)
-	})
 	if err != nil {
 		return a.recover(err)
 	}
 	return nil
 }
 
+// begin makes a call at a reserved endpoint the newest one and returns its request.
+func (a *Answer) begin(r room) engine.Request {
+	a.count()
+	a.call = &call{filter: a.filter, ctx: a.ctx, room: r, reserved: true, boot: r.Boot(), opened: a.filter.spec.Now(),
+		callID: callID(a.in.RequestID, a.calls), attempt: len(a.trace)}
+	a.trace = append(a.trace, Attempt{Endpoint: r.ID, Version: r.candidate.Version.Name})
+	return engine.Request{
+		ID: a.callID, Version: r.candidate.Version.Name, Body: a.in.Body, Priority: a.in.Priority,
+		MaxTokens: a.in.MaxTokens, Prior: a.text.String(), PriorTokens: a.seq,
+	}
+}
+
 func (a *Answer) count() {
 	a.calls++
 	a.callsSinceProgress++
@@ -208,56 +207,17 @@
 	return &result.Error{Code: code, Ran: a.ran, RetryAfter: fullRetry}
 }
 
-// connect opens a stream under a deadline for its response header.
-func (a *Answer) connect(limit time.Duration, open func(context.Context) (engine.Stream, error)) error {
-	ctx, cancel := context.WithCancelCause(a.ctx)
-	timer := time.AfterFunc(limit, func() { cancel(engine.ErrStalled) })
-	start := a.filter.spec.Now()
-	s, err := open(ctx)
-	if !timer.Stop() && err == nil {
-		s.Close()
-		err = engine.ErrStalled
-	}
-	if err != nil {
-		err = a.cause(ctx, err)
-		cancel(nil)
-		return err
-	}
-	a.stream, a.ctxCall, a.cancel, a.timer = s, ctx, cancel, timer
-	now := a.filter.spec.Now()
-	a.room.Opened(s.Boot(), now.Sub(start), start)
-	a.lastSign, a.boot = start, s.Boot()
-	return nil
-}
-
 // read returns the next event under a progress deadline.
 func (a *Answer) read() (engine.Event, error) {
+	if h := a.held; h != nil {
+		a.held = nil
+		return h.event, h.err
+	}
 	limit := a.room.timeouts.progress
 	if a.seq == 0 {
 		limit = a.room.timeouts.firstByte
 	}
-	a.timer.Reset(limit)
-	start := a.filter.spec.Now()
-	ev, err := a.stream.Next()
-	a.timer.Stop()
-	if a.filter.spec.Now().Sub(start) >= bufferedRead {
-		a.lastSign = start
-	}
-	if err != nil && err != io.EOF {
-		err = a.cause(a.ctxCall, err)
-	}
-	return ev, err
-}
-
-// cause replaces the error of a cancelled call by the reason for the cancellation.
-func (a *Answer) cause(ctx context.Context, err error) error {
-	if a.ctx.Err() != nil {
-		return errCancelled
-	}
-	if c := context.Cause(ctx); errors.Is(c, engine.ErrStalled) {
-		return engine.ErrStalled
-	}
-	return err
+	return a.call.next(limit)
 }
 
 // recover handles a failed attempt. It returns nil if the answer can go on.
@@ -319,21 +279,8 @@
 // resume asks the same endpoint for the rest of the stream on a new connection, after a probe that tells a lost
 // connection from a lost endpoint.
 func (a *Answer) resume(cause error) resumption {
-	ctx, cancel := context.WithTimeout(a.ctx, probeLimit)
-	defer cancel()
-	asked := a.filter.spec.Now()
-	load, err := a.filter.spec.Client.Load(ctx, a.room.Addr)
-	if err == nil {
-		defer a.filter.spec.Pool.Report(a.room.ID, load, asked)
-	}
-	switch {
-	case err == nil && load.Boot == a.boot:
-	case errors.Is(cause, engine.ErrBroken):
-		return crashed
-	case err == nil:
-		return crashed // it went silent and started anew
-	default:
-		return unknown
+	if r := a.probe(cause); r != resumed {
+		return r
 	}
 	if !a.mayCall() {
 		return refused
@@ -344,7 +291,7 @@
 		a.stream.Close()
 		a.stream = nil
 	}
-	err = a.connect(probeLimit, func(ctx context.Context) (engine.Stream, error) {
+	err := a.connect(probeLimit, func(ctx context.Context) (engine.Stream, error) {
 		return a.filter.spec.Client.Resume(ctx, a.room.Addr, a.callID, a.seq)
 	})
 	if err != nil {
@@ -367,45 +314,12 @@
 	return sleep(a.ctx, pause, a.ran)
 }
 
-// recordCrash blames this request for a crash unless a request that ran in isolation is the cause.
+// recordCrash blames this request for the crash that ended the call unless a request that ran in isolation is the cause.
 func (a *Answer) recordCrash() {
-	now := a.filter.spec.Now()
-	if a.room.BesideSuspect(now) {
-		return
-	}
-	r := poison.Record{Fingerprint: a.in.Fingerprint, Crash: a.room.ID + "/" + a.boot, Isolated: a.room.Isolated(now)}
-	a.crashRecorded, a.crash = true, r.Crash
-	if a.filter.spec.Poison.Add(r, now) {
-		a.filter.spec.OnCrash(r)
-	}
+	a.crashRecorded = a.call.recordCrash(a.in.Fingerprint) || a.crashRecorded
 }
 
-func (a *Answer) note(err error) { a.trace[len(a.trace)-1].Error = err.Error() }
-
-// closeStream ends the attempt and gives its room back.
-func (a *Answer) closeStream(err error) {
-	if a.stream != nil {
-		a.cancel(nil)
-		a.stream.Close()
-		a.stream, a.cancel = nil, nil
-	}
-	if a.reserved {
-		a.reserved = false
-		a.room.Release(outcomeOf(err), a.failedAt)
-		a.reportCall(err)
-	}
-}
-
-// reportCall reports the attempt, unless its outcome says nothing about the version.
-func (a *Answer) reportCall(err error) {
-	failed := errors.Is(err, engine.ErrFailed) || errors.Is(err, engine.ErrBroken) || errors.Is(err, engine.ErrStalled)
-	if a.filter.spec.OnCall == nil || err != nil && !failed {
-		return
-	}
-	a.filter.spec.OnCall(CallResult{
-		RequestID: a.in.RequestID, Version: a.served.Name, Failed: failed, Crash: a.crash, FirstByte: a.firstByte,
-	})
-}
+func (a *Answer) note(err error) { a.trace[a.attempt].Error = err.Error() }
 
 // withRan sets the run state of the attempts so far on an error of a later one.
 func (a *Answer) withRan(err error) error {
@@ -434,10 +348,8 @@
 }
 
 func (a *Answer) cancelStream() {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(a.ctx), probeLimit)
-	defer cancel()
-	// The room is given back after the endpoint has ended the stream: until then the endpoint bears it, and a cold one
-	// may not bear another request beside it. The closed connection ends the stream if the call fails.
-	_ = a.filter.spec.Client.Cancel(ctx, a.room.Addr, a.callID)
-	a.closeStream(errCancelled)
+	a.call.cancelStream(a.in.RequestID)
 }
+
+// closeStream ends the newest call and gives its room back.
+func (a *Answer) closeStream(err error) { a.call.closeStream(a.in.RequestID, err) }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -50,6 +50,11 @@
 	Now       func() time.Time
 	// OnCall is called at the end of each model call that an endpoint ran, unless the caller ended it; it may be nil.
 	OnCall func(CallResult)
+	// HedgeShare is the part of the requests that may be hedged; 0 for none.
+	HedgeShare float64
+	// OnHedge is called with the end of each hedge, or with the reason why a late first token was not hedged; it may be
+	// nil.
+	OnHedge func(HedgeOutcome)
 }
 
 // CallResult describes a finished model call.
@@ -65,12 +70,15 @@
 type Filter struct {
 	spec   Spec
 	budget *budget
+	hedges *budget
 	queue  *queue.Queue
+
+	firstTokens firstTokens
 }
 
 // New returns a filter.
 func New(spec Spec) *Filter {
-	return &Filter{spec: spec, budget: newBudget(), queue: queue.New(queue.Spec{Limit: queueLimit, Now: spec.Now})}
+	return &Filter{spec: spec, budget: newBudget(retryRatio, retryReserve), hedges: newBudget(spec.HedgeShare, hedgeReserve), queue: queue.New(queue.Spec{Limit: queueLimit, Now: spec.Now})}
 }
 
 // Signal tells the requests that wait that endpoints of a service may have room. It suits pool.Spec.OnRoom.
@@ -127,7 +135,8 @@
 // Do sends the request and waits for the first part of the answer. Cancelling ctx ends the answer.
 func (f *Filter) Do(ctx context.Context, in Input) (*Answer, error) {
 	f.budget.deposit()
-	a := &Answer{filter: f, in: in, ctx: ctx}
+	f.hedges.deposit()
+	a := &Answer{filter: f, in: in, ctx: ctx, call: &call{filter: f, ctx: ctx}}
 	if err := a.start(); err != nil {
 		a.Close()
 		return nil, err
--- a/pool/endpoint.go
+++ b/pool/endpoint.go
@@ -13,11 +13,14 @@
 	// without a recent sign gets only the work that a cold one can bear.
 	evidenceTTL = time.Second
 	// loadTTL is the age at which a load report no longer counts in the choice.
-	loadTTL      = 10 * time.Second
-	ejectBase    = 200 * time.Millisecond
-	ejectMax     = 10 * time.Second
-	busyBackoff  = 100 * time.Millisecond
-	remoteCost   = 0.1 // score added for an endpoint in another failure domain
+	loadTTL     = 10 * time.Second
+	ejectBase   = 200 * time.Millisecond
+	ejectMax    = 10 * time.Second
+	busyBackoff = 100 * time.Millisecond
+	remoteCost  = 0.1 // score added for an endpoint in another failure domain
+	// spareLimit is the part of this daemon's shares of an endpoint up to which it takes work that may be left out. At 80 %
+	// of capacity with one replica in ten lost, the others are at 0.89 of what they bear.
+	spareLimit   = 0.9
 	latencyAlpha = 0.2 // weight of the newest first-byte latency in the moving average
 )
 
@@ -122,6 +125,9 @@
 	if q.Suspect && (e.suspects > 0 || q.OnlyRankZero && !e.first(r, now)) {
 		return refusedSuspect
 	}
+	if q.Spare && float64(e.inFlight+1) > spareLimit*float64(e.slotShare(r, now)) {
+		return refusedSlots
+	}
 	if e.inFlight >= e.slotShare(r, now) {
 		if e.stale(now) && r.limits.ColdSlots < r.limits.Slots {
 			e.wanted = true
@@ -134,7 +140,7 @@
 		switch {
 		case q.Tokens > share:
 			return refusedTooLarge
-		case e.tokens+q.Tokens > share:
+		case e.tokens+q.Tokens > share, q.Spare && float64(e.tokens+q.Tokens) > spareLimit*float64(share):
 			return refusedTokens
 		}
 	}
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -22,6 +22,8 @@
 	// suspect. With OnlyRankZero the daemon must have the first rank there, so that it is the only one of all daemons.
 	Suspect      bool
 	OnlyRankZero bool
+	// Spare asks for room that leaves a part of the endpoint's shares free, for work that may be left out.
+	Spare bool
 	// Dry asks whether there is room without reserving it.
 	Dry bool
 }
@@ -150,6 +152,17 @@
 	r.e.latency += time.Duration(latencyAlpha * float64(latency-r.e.latency))
 }
 
+// Overdue records that the endpoint has not given the first token of a request for a time that is late for its version.
+// Its load report is read next, so that a silent endpoint is found although its requests are answered elsewhere.
+func (r *Reservation) Overdue(waited time.Duration) {
+	r.e.mu.Lock()
+	defer r.e.mu.Unlock()
+	r.e.wanted = true
+	if waited > r.e.latency {
+		r.e.latency += time.Duration(latencyAlpha * float64(waited-r.e.latency))
+	}
+}
+
 // Progress records that the endpoint, running as boot, sent a part of an answer at or after a time. The time at which
 // the part was read is not enough: it may have waited in a buffer for a slow caller.
 func (r *Reservation) Progress(boot string, at time.Time) {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -51,6 +51,7 @@
 	RatingEvery    time.Duration `long:"rating-interval" env:"BRAMLEY_RATING_INTERVAL" description:"time between reads of the rating service" default:"30s"`
 	ExploreShare   float64       `long:"explore-requests" env:"BRAMLEY_EXPLORE_REQUESTS" description:"part of a team's requests that may explore cheaper versions" default:"0.05"`
 	ExploreCost    float64       `long:"explore-cost" env:"BRAMLEY_EXPLORE_COST" description:"part of a team's cost that may explore cheaper versions" default:"0.05"`
+	HedgeShare     float64       `long:"hedge-share" env:"BRAMLEY_HEDGE_SHARE" description:"part of the requests that may be sent to a second endpoint when the first token is late; 0 for none" default:"0.05"`
 	LogLevel       string        `long:"log-level" env:"BRAMLEY_LOG_LEVEL" description:"error, warn, info or debug" default:"info"`
 
 	SessionKey []byte `no-flag:"true"`
@@ -153,7 +154,7 @@
 			bad(flag, "%s is not positive", v)
 		}
 	}
-	for flag, v := range map[string]float64{"explore-requests": s.ExploreShare, "explore-cost": s.ExploreCost} {
+	for flag, v := range map[string]float64{"explore-requests": s.ExploreShare, "explore-cost": s.ExploreCost, "hedge-share": s.HedgeShare} {
 		if !(v >= 0 && v <= 1) {
 			bad(flag, "%g is not between 0 and 1", v)
 		}
