pool: count prompts that have no first token yet

Cause: prompts that wait behind others at an engine make first tokens late, and the choice counted a request with a short answer in progress like one with a long prompt that waits.

Change: the queue of an endpoint counts this daemon's prompts without a first token, 256 tokens as one request.

--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -60,7 +60,7 @@
 		w.view, candidates, w.queries = in.View, list, nil
 		for _, c := range list {
 			w.queries = append(w.queries, pool.Query{Service: c.Service, Version: c.Version.Name, Tokens: in.Tokens + in.MaxTokens, Exclude: exclude,
-				Prefix: in.Prefix, PrefixTokens: in.Tokens})
+				Prefix: in.Prefix, Prompt: in.Tokens})
 		}
 		return nil
 	}
--- a/pool/affinity.go
+++ b/pool/affinity.go
@@ -44,7 +44,7 @@
 func (e *endpoint) bonus(q *Query, r *rule, now time.Time) float64 {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	requests := min(float64(q.PrefixTokens)/requestTokens, maxAffinity)
+	requests := min(float64(q.Prompt)/requestTokens, maxAffinity)
 	share := max(1, e.place(r, now).share(int64(r.limits.Slots), r.limits.Slots))
 	return min(requests/float64(share), e.queueCost(r, now))
 }
--- a/pool/affinity_test.go
+++ b/pool/affinity_test.go
@@ -10,7 +10,7 @@
 // over an idle endpoint.
 func TestAffinityDoesNotHerd(t *testing.T) {
 	p, now := warmPool(8, 0)
-	q := Query{Service: testService, Version: "v0", Tokens: 100, Prefix: 7, PrefixTokens: 1 << 20}
+	q := Query{Service: testService, Version: "v0", Tokens: 100, Prefix: 7, Prompt: 1 << 20}
 	for range 200 {
 		if _, _, ok := p.Pick(q, now); !ok {
 			t.Fatal("no room")
@@ -36,7 +36,7 @@
 		for seed := range uint64(4) {
 			p, now := warmPool(8, 0)
 			p.spec.Rand = func() uint64 { return seed }
-			r, _, ok := p.Pick(Query{Service: testService, Version: "v0", Prefix: prefix + 1, PrefixTokens: 1000}, now)
+			r, _, ok := p.Pick(Query{Service: testService, Version: "v0", Prefix: prefix + 1, Prompt: 1000}, now)
 			if !ok {
 				t.Fatal("no room")
 			}
@@ -58,7 +58,7 @@
 // Guards against requests that wait for an endpoint which failed, because it holds their prefix.
 func TestAffinityAvoidsFailedEndpoint(t *testing.T) {
 	p, now := warmPool(8, 0)
-	q := Query{Service: testService, Version: "v0", Prefix: 7, PrefixTokens: 1000}
+	q := Query{Service: testService, Version: "v0", Prefix: 7, Prompt: 1000}
 	r, _, _ := p.Pick(q, now)
 	r.Release(Broken, now)
 	now = now.Add(time.Millisecond)
--- a/pool/endpoint.go
+++ b/pool/endpoint.go
@@ -35,6 +35,7 @@
 	counted   place // among those and the ones that left a short time ago
 	inFlight  int64
 	tokens    int64
+	prefill   int64 // prompt tokens of this daemon's requests that have no first token yet
 	suspects  int
 	boot      string
 	completed int64
@@ -165,7 +166,7 @@
 // queueCost is the part of the score that stands for the requests at the endpoint, the new one included.
 func (e *endpoint) queueCost(r *rule, now time.Time) float64 {
 	share := max(1, e.place(r, now).share(int64(r.limits.Slots), r.limits.Slots))
-	s := float64(e.inFlight+1) / float64(share)
+	s := (float64(e.inFlight+1) + float64(e.prefill)/requestTokens) / float64(share)
 	if age := now.Sub(e.loadAt); age < loadTTL && r.limits.Slots > 0 {
 		fresh := 1 - float64(age)/float64(loadTTL)
 		s += fresh * float64(e.load.Running+e.load.Queued) / float64(r.limits.Slots)
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -18,10 +18,9 @@
 	Version string   // empty for plain services
 	Tokens  int64    // estimated tokens that the endpoint holds for the request
 	Exclude []string // endpoint identities
-	// Prefix is the hash of the prompt's beginning that a session keeps, 0 if there is none, and PrefixTokens the length of
-	// the prompt.
-	Prefix       uint64
-	PrefixTokens int64
+	// Prefix is the hash of the prompt's beginning that a session keeps, 0 if there is none.
+	Prefix uint64
+	Prompt int64 // tokens of the prompt
 	// Suspect marks a request that was present at several crashes. It gets an endpoint on which it is this daemon's only
 	// suspect. With OnlyRankZero the daemon must have the first rank there, so that it is the only one of all daemons.
 	Suspect      bool
@@ -51,6 +50,7 @@
 	Domain  string
 	service string
 	tokens  int64
+	prefill int64 // prompt tokens until the first token
 	suspect bool
 	alone   bool // no other daemon may run a suspect at the endpoint
 	e       *endpoint
@@ -106,11 +106,12 @@
 	}
 	e.inFlight++
 	e.tokens += q.Tokens
+	e.prefill += q.Prompt
 	if q.Suspect {
 		e.suspects++
 	}
 	return Reservation{
-		ID: e.host.ID, Addr: e.host.Addr, Domain: e.host.Domain, service: q.Service, tokens: q.Tokens,
+		ID: e.host.ID, Addr: e.host.Addr, Domain: e.host.Domain, service: q.Service, tokens: q.Tokens, prefill: q.Prompt,
 		suspect: q.Suspect, alone: q.Suspect && e.first(rule, now), e: e,
 	}, true
 }
@@ -172,11 +173,18 @@
 func (r *Reservation) Progress(boot string, at time.Time) {
 	r.e.mu.Lock()
 	defer r.e.mu.Unlock()
+	r.prefilled()
 	if boot == r.e.boot {
 		r.e.confirm(boot, at)
 	}
 }
 
+// prefilled records that the prompt is processed, or given up.
+func (r *Reservation) prefilled() {
+	r.e.prefill -= r.prefill
+	r.prefill = 0
+}
+
 // Boot returns the endpoint's last known boot identity.
 func (r *Reservation) Boot() string {
 	r.e.mu.Lock()
@@ -220,6 +228,7 @@
 	e.mu.Lock()
 	e.inFlight--
 	e.tokens -= r.tokens
+	r.prefilled()
 	if r.suspect {
 		e.suspects--
 	}
--- a/pool/pick_test.go
+++ b/pool/pick_test.go
@@ -38,7 +38,7 @@
 	exclude := []string{"llm-3"}
 	for name, q := range map[string]Query{
 		"room":    {Service: testService, Version: "v0", Tokens: 100, Exclude: exclude},
-		"prefix":  {Service: testService, Version: "v0", Tokens: 100, Exclude: exclude, Prefix: 7, PrefixTokens: 1000},
+		"prefix":  {Service: testService, Version: "v0", Tokens: 100, Exclude: exclude, Prefix: 7, Prompt: 1000},
 		"no room": {Service: testService, Version: "v0", Tokens: 1e9},
 	} {
 		if n := testing.AllocsPerRun(1000, func() {
@@ -51,6 +51,30 @@
 	}
 }
 
+// Guards against a prompt that waits behind a long one at an endpoint while another one is free of prompts, and against
+// prompts that count after their first token or after the request has ended.
+func TestPromptsInProgressCount(t *testing.T) {
+	p, now := warmPool(2, 0)
+	q := Query{Service: testService, Version: "v0", Tokens: 100, Prompt: 4 * requestTokens}
+	first, _, _ := p.Pick(q, now)
+	for range 3 {
+		r, _, ok := p.Pick(Query{Service: testService, Version: "v0", Tokens: 100}, now)
+		if !ok || r.ID == first.ID {
+			t.Fatalf("a request went to %s, where a prompt is in progress", r.ID)
+		}
+	}
+	first.Progress("a", now)
+	if n := first.e.prefill; n != 0 {
+		t.Errorf("%d prompt tokens after the first token", n)
+	}
+	first.Release(Succeeded, now)
+	second, _, _ := p.Pick(q, now)
+	second.Release(Cancelled, now)
+	if n := second.e.prefill; n != 0 {
+		t.Errorf("%d prompt tokens after the end", n)
+	}
+}
+
 // BenchmarkPick shows that the cost depends neither on the size of the fleet nor, with room, on that of the subset.
 func BenchmarkPick(b *testing.B) {
 	for _, size := range []struct{ subset, others int }{{8, 0}, {8, 800}, {64, 0}} {
@@ -58,7 +82,7 @@
 			p, now := warmPool(size.subset, size.others)
 			b.ReportAllocs()
 			for b.Loop() {
-				if r, _, ok := p.Pick(Query{Service: testService, Version: "v0", Tokens: 100, Prefix: 7, PrefixTokens: 1000}, now); ok {
+				if r, _, ok := p.Pick(Query{Service: testService, Version: "v0", Tokens: 100, Prefix: 7, Prompt: 1000}, now); ok {
 					r.Release(Succeeded, now)
 				} else {
 					b.Fatal("no room")
