--- a/bench/latency_engine.go
+++ b/bench/latency_engine.go
@@ -41,6 +41,7 @@
 	running   []*batchStream
 	stepping  bool
 	silent    bool
+	lastSent  time.Time
 	overloads int   // crashes of a cold engine by more requests than it bears
 	served    int   // first tokens
 	prefilled int64 // prompt tokens processed
@@ -91,6 +92,7 @@
 	time.Sleep(time.Duration(order)) // requests that got room at the same time
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.lastSent = time.Now()
 	cached := min(e.cache.use(session, prompt), prompt-1)
 	e.hits += cached
 	s := &batchStream{e: e, ctx: ctx, id: r.ID, boot: e.boot(), prefill: prompt + r.PriorTokens - cached, seq: r.PriorTokens, last: answer,
