--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -120,7 +120,7 @@
 		ctx:       ctx, cancel: cancel,
 	}
 	d.platform = Platform{Store: observe.Store{Store: p.Store, Metrics: d.metrics}, Hosts: p.Hosts, Ratings: p.Ratings}
-	d.pool = pool.New(pool.Spec{Self: s.ID, Domain: s.Domain, Settle: s.Settle, Rand: mathrand.Uint64, OnRoom: d.signalRoom})
+	d.pool = pool.New(pool.Spec{Self: s.ID, Domain: s.Domain, Settle: s.Settle, Rand: mathrand.Uint64, Affinity: true, OnRoom: d.signalRoom})
 	d.docs = &documents{ctx: ctx, spec: documentsSpec{
 		Platform: d.platform, Config: d.config, Metrics: d.metrics, Log: d.log,
 		OnHosts: func(list hostlist.List) { d.pool.SetHosts(list, time.Now()) },
@@ -194,7 +194,10 @@
 	d.claims = claim.New(claim.Spec{Store: d.platform.Store, Owner: d.incarnation, WritesPerSecond: s.ClaimWrites, Now: time.Now})
 	d.dispatch.Store(dispatch.New(dispatch.Spec{
 		Pool: d.pool, Client: d.engines, Poison: d.poison, OnCrash: d.node.ReportCrash, QueueWait: s.QueueWait, OnCall: d.decisions.count,
-		Now: time.Now, Rand: mathrand.Uint64,
+		Now: time.Now, Rand: mathrand.Uint64, HedgeShare: s.HedgeShare,
+		OnHedge: func(o dispatch.HedgeOutcome) {
+			d.metrics.Counter(fmt.Sprintf(`bramley_hedges_total{outcome=%q}`, o)).Inc()
+		},
 	}))
 	p := &pipeline.Pipeline{
 		Config:     d.config,
--- a/pool/endpoint.go
+++ b/pool/endpoint.go
@@ -13,17 +13,21 @@
 	// without a recent sign gets only the work that a cold one can bear.
 	evidenceTTL = time.Second
 	// loadTTL is the age at which a load report no longer counts in the choice.
-	loadTTL      = 10 * time.Second
-	ejectBase    = 200 * time.Millisecond
-	ejectMax     = 10 * time.Second
-	busyBackoff  = 100 * time.Millisecond
-	remoteCost   = 0.1 // score added for an endpoint in another failure domain
+	loadTTL     = 10 * time.Second
+	ejectBase   = 200 * time.Millisecond
+	ejectMax    = 10 * time.Second
+	busyBackoff = 100 * time.Millisecond
+	remoteCost  = 0.1 // score added for an endpoint in another failure domain
+	// spareLimit is the part of this daemon's shares of an endpoint up to which it takes work that may be left out. At 80 %
+	// of capacity with one replica in ten lost, the others are at 0.89 of what they bear.
+	spareLimit   = 0.9
 	latencyAlpha = 0.2 // weight of the newest first-byte latency in the moving average
 )
 
 // endpoint is the state of one endpoint. Its fields below mu are guarded by the lock of its shard.
 type endpoint struct {
 	host  hostlist.Host
+	key   uint64 // hash of the identity
 	local bool
 	mu    *sync.Mutex // lock of the endpoint's shard
 
@@ -31,6 +35,7 @@
 	counted   place // among those and the ones that left a short time ago
 	inFlight  int64
 	tokens    int64
+	prefill   int64 // prompt tokens of this daemon's requests that have no first token yet
 	suspects  int
 	boot      string
 	completed int64
@@ -122,6 +127,9 @@
 	if q.Suspect && (e.suspects > 0 || q.OnlyRankZero && !e.first(r, now)) {
 		return refusedSuspect
 	}
+	if q.Spare && float64(e.inFlight+1) > spareLimit*float64(e.slotShare(r, now)) {
+		return refusedSlots
+	}
 	if e.inFlight >= e.slotShare(r, now) {
 		if e.stale(now) && r.limits.ColdSlots < r.limits.Slots {
 			e.wanted = true
@@ -134,7 +142,7 @@
 		switch {
 		case q.Tokens > share:
 			return refusedTooLarge
-		case e.tokens+q.Tokens > share:
+		case e.tokens+q.Tokens > share, q.Spare && float64(e.tokens+q.Tokens) > spareLimit*float64(share):
 			return refusedTokens
 		}
 	}
@@ -148,16 +156,22 @@
 
 // score estimates the cost of choosing the endpoint; lower is better.
 func (e *endpoint) score(r *rule, now time.Time) float64 {
+	s := e.queueCost(r, now)
+	if !e.local {
+		s += remoteCost
+	}
+	return s + e.latency.Seconds()
+}
+
+// queueCost is the part of the score that stands for the requests at the endpoint, the new one included.
+func (e *endpoint) queueCost(r *rule, now time.Time) float64 {
 	share := max(1, e.place(r, now).share(int64(r.limits.Slots), r.limits.Slots))
-	s := float64(e.inFlight+1) / float64(share)
+	s := (float64(e.inFlight+1) + float64(e.prefill)/requestTokens) / float64(share)
 	if age := now.Sub(e.loadAt); age < loadTTL && r.limits.Slots > 0 {
 		fresh := 1 - float64(age)/float64(loadTTL)
 		s += fresh * float64(e.load.Running+e.load.Queued) / float64(r.limits.Slots)
 	}
-	if !e.local {
-		s += remoteCost
-	}
-	return s + e.latency.Seconds()
+	return s
 }
 
 // confirm records that the endpoint ran as boot at a time. An endpoint with a new boot identity has started anew and is
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -18,10 +18,15 @@
 	Version string   // empty for plain services
 	Tokens  int64    // estimated tokens that the endpoint holds for the request
 	Exclude []string // endpoint identities
+	// Prefix is the hash of the prompt's beginning that a session keeps, 0 if there is none.
+	Prefix uint64
+	Prompt int64 // tokens of the prompt
 	// Suspect marks a request that was present at several crashes. It gets an endpoint on which it is this daemon's only
 	// suspect. With OnlyRankZero the daemon must have the first rank there, so that it is the only one of all daemons.
 	Suspect      bool
 	OnlyRankZero bool
+	// Spare asks for room that leaves a part of the endpoint's shares free, for work that may be left out.
+	Spare bool
 	// Dry asks whether there is room without reserving it.
 	Dry bool
 }
@@ -45,14 +50,14 @@
 	Domain  string
 	service string
 	tokens  int64
+	prefill int64 // prompt tokens until the first token
 	suspect bool
 	alone   bool // no other daemon may run a suspect at the endpoint
 	e       *endpoint
 	pool    *Pool
 }
 
-// Pick chooses an endpoint and reserves room on it. It takes the better of two random endpoints that admit the request,
-// since choosing the best of all with lagging reports sends every daemon to the same one.
+// Pick chooses an endpoint by the pool's policy and reserves room on it.
 func (p *Pool) Pick(q Query, now time.Time) (Reservation, Shortage, bool) {
 	t := p.table.Load()
 	group := t.groups[groupKey{q.Service, q.Version}]
@@ -74,25 +79,6 @@
 	return Reservation{}, short, false
 }
 
-func (p *Pool) best(group []*endpoint, q *Query, t *table, now time.Time, short *Shortage) *endpoint {
-	start := int(p.spec.Rand() % uint64(len(group)))
-	var best *endpoint
-	var bestScore float64
-	found := 0
-	for i := 0; i < len(group) && found < 2; i++ {
-		e := group[(start+i)%len(group)]
-		score, ok := e.consider(q, t.view, t.rules[q.Service], now, short)
-		if !ok {
-			continue
-		}
-		found++
-		if best == nil || score < bestScore {
-			best, bestScore = e, score
-		}
-	}
-	return best
-}
-
 func (e *endpoint) consider(q *Query, view *config.View, rule *rule, now time.Time, short *Shortage) (float64, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -120,11 +106,12 @@
 	}
 	e.inFlight++
 	e.tokens += q.Tokens
+	e.prefill += q.Prompt
 	if q.Suspect {
 		e.suspects++
 	}
 	return Reservation{
-		ID: e.host.ID, Addr: e.host.Addr, Domain: e.host.Domain, service: q.Service, tokens: q.Tokens,
+		ID: e.host.ID, Addr: e.host.Addr, Domain: e.host.Domain, service: q.Service, tokens: q.Tokens, prefill: q.Prompt,
 		suspect: q.Suspect, alone: q.Suspect && e.first(rule, now), e: e,
 	}, true
 }
@@ -170,16 +157,34 @@
 	r.e.latency += time.Duration(latencyAlpha * float64(latency-r.e.latency))
 }
 
+// Overdue records that the endpoint has not given the first token of a request for a time that is late for its version.
+// Its load report is read next, so that a silent endpoint is found although its requests are answered elsewhere.
+func (r *Reservation) Overdue(waited time.Duration) {
+	r.e.mu.Lock()
+	defer r.e.mu.Unlock()
+	r.e.wanted = true
+	if waited > r.e.latency {
+		r.e.latency += time.Duration(latencyAlpha * float64(waited-r.e.latency))
+	}
+}
+
 // Progress records that the endpoint, running as boot, sent a part of an answer at or after a time. The time at which
 // the part was read is not enough: it may have waited in a buffer for a slow caller.
 func (r *Reservation) Progress(boot string, at time.Time) {
 	r.e.mu.Lock()
 	defer r.e.mu.Unlock()
+	r.prefilled()
 	if boot == r.e.boot {
 		r.e.confirm(boot, at)
 	}
 }
 
+// prefilled records that the prompt is processed, or given up.
+func (r *Reservation) prefilled() {
+	r.e.prefill -= r.prefill
+	r.prefill = 0
+}
+
 // Boot returns the endpoint's last known boot identity.
 func (r *Reservation) Boot() string {
 	r.e.mu.Lock()
@@ -223,6 +228,7 @@
 	e.mu.Lock()
 	e.inFlight--
 	e.tokens -= r.tokens
+	r.prefilled()
 	if r.suspect {
 		e.suspects--
 	}
