claim: notice a key-value service that has lost recent claims

Cause: a service that comes back from a restore without recent claims let their calls run a second time, and nothing noticed.

Change: a daemon keeps its last 1,024 claims without their answers and reads the newest one every 10 s. A missing or older entry, a revision of a new claim that is not above one seen before, or two reads without an answer make it refuse calls as not run for a minute, except repeats whose claim is stored, and write its lost claims again, newest first, at one in 2 s.

Conclusion: closed after an outage that two reads notice, and through the owner. After such an outage claims are refused for one minute more.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -81,6 +81,7 @@
 type Filter struct {
 	spec    Spec
 	limiter *rate.Limiter
+	recall  recall
 	ctx     context.Context
 	cancel  context.CancelFunc
 
@@ -156,9 +157,21 @@
 	c := &Claim{filter: f, key: StoreKey(in.Service, in.Team, in.Key), record: Record{
 		State: Running, Key: in.Key, Nonce: rand.Text(), Owner: f.spec.Owner, Request: in.Request, At: f.spec.Now(),
 	}}
+	if f.recall.suspected(f.spec.Now()) {
+		return f.repeatOnly(ctx, c)
+	}
 	return f.acquire(ctx, c)
 }
 
+// repeatOnly answers a repeat whose claim is stored, and refuses everything else.
+func (f *Filter) repeatOnly(ctx context.Context, c *Claim) (*Claim, *Record, error) {
+	r, _, err := f.read(ctx, c.key)
+	if err == nil && r.State != Released {
+		return f.judge(c, r)
+	}
+	return nil, nil, result.Wrap(result.ClaimUnavailable, result.NotRun, errors.Join(errRestored, err)).WithRetry(recallHold)
+}
+
 func (f *Filter) write(ctx context.Context, key string, r Record, prev uint64) (uint64, error) {
 	data, err := json.Marshal(r)
 	if err != nil {
@@ -194,10 +207,10 @@
 			break
 		}
 		if write {
+			before := f.recall.position()
 			rev, err := f.write(ctx, c.key, c.record, prev)
 			if err == nil {
-				c.rev = rev
-				return c, nil, nil
+				return f.made(c, rev, before)
 			}
 			cause = err
 			conflict = conflict || errors.Is(err, kv.ErrConflict)
@@ -206,8 +219,7 @@
 		r, rev, err := f.read(ctx, c.key)
 		switch {
 		case err == nil && r.Nonce == c.record.Nonce:
-			c.rev = rev
-			return c, nil, nil
+			return f.made(c, rev, 0) // written at an unknown time
 		case err == nil && r.State != Released:
 			return f.judge(c, r)
 		case err == nil || errors.Is(err, kv.ErrNotFound):
@@ -225,6 +237,19 @@
 	return nil, nil, result.Wrap(result.ClaimUnavailable, result.NotRun, cause).WithRetry(storeRetry)
 }
 
+// made ends acquire after the claim was stored. A revision that is not above one seen before its write shows that the
+// service has gone back, so that an earlier claim of this key may be lost. The claim is given back then.
+func (f *Filter) made(c *Claim, rev, before uint64) (*Claim, *Record, error) {
+	c.rev = rev
+	if rev <= before {
+		f.recall.wentBack(f.spec.Now())
+		c.Release()
+		return nil, nil, result.Wrap(result.ClaimUnavailable, result.NotRun, errRestored).WithRetry(recallHold)
+	}
+	f.recall.note(c.key, c.record, rev)
+	return c, nil, nil
+}
+
 // judge answers a repeat of a call whose claim exists.
 func (f *Filter) judge(c *Claim, r Record) (*Claim, *Record, error) {
 	if r.Request != c.record.Request {
@@ -266,6 +291,7 @@
 	}
 	c.closed = true
 	c.record.State = Released
+	c.filter.recall.drop(c.key, c.record.Nonce)
 	c.inBackground(func(ctx context.Context) bool {
 		_, err := c.filter.write(ctx, c.key, c.record, c.rev)
 		return err == nil || errors.Is(err, kv.ErrConflict)
@@ -283,7 +309,10 @@
 		c.record.Header, c.record.Body, c.record.BodyKept = header, body, true
 	}
 	c.inBackground(func(ctx context.Context) bool {
-		_, err := c.filter.write(ctx, c.key, c.record, c.rev)
+		rev, err := c.filter.write(ctx, c.key, c.record, c.rev)
+		if err == nil {
+			c.filter.recall.note(c.key, c.record, rev)
+		}
 		return err == nil || c.settled(ctx, err)
 	})
 }
--- /dev/null
+++ b/claim/recall_test.go
@@ -0,0 +1,117 @@
+package claim
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/bramleytrail/bramleytrail/kv/memkv"
+	"github.com/bramleytrail/bramleytrail/result"
+)
+
+var onceCall = Input{Service: "lots", Team: "growers", Key: "k", Request: 1}
+
+// restored runs test with two daemons on a service that has gone back to before the owner's claim of a call that ran.
+func restored(t *testing.T, outage time.Duration, test func(t *testing.T, owner, other *Filter)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		store := memkv.New()
+		ctx, cancel := context.WithCancel(context.Background())
+		var filters []*Filter
+		for _, name := range []string{"owner", "other"} {
+			f := New(Spec{Store: store, Owner: name, WritesPerSecond: 100, Now: time.Now})
+			filters = append(filters, f)
+			go f.Run(ctx)
+		}
+		time.Sleep(2 * probeInterval)
+		snapshot := store.Snapshot()
+		c, _, err := filters[0].Do(t.Context(), onceCall)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Finish(Done, 200, nil, []byte("ran"), true)
+		synctest.Wait()
+		store.Faults.SetDown(outage > 0)
+		time.Sleep(outage)
+		store.Restore(snapshot)
+		store.Faults.SetDown(false)
+		test(t, filters[0], filters[1])
+		cancel()
+		for _, f := range filters {
+			f.cancel()
+		}
+	})
+}
+
+// deliver reports an error if a repeat may run.
+func deliver(t *testing.T, f *Filter, when string) (replayed bool) {
+	t.Helper()
+	c, earlier, err := f.Do(t.Context(), onceCall)
+	if c != nil {
+		t.Errorf("%s: a repeat of a call that ran may run", when)
+		c.Release()
+	}
+	if err != nil && result.From(err).Code != result.ClaimUnavailable {
+		t.Errorf("%s: %v", when, err)
+	}
+	return earlier != nil && earlier.State == Done
+}
+
+// Guards against a second run of a call whose claim the service lost in an outage, through any daemon and at any time.
+func TestRestoreAfterAnOutage(t *testing.T) {
+	restored(t, 3*probeInterval, func(t *testing.T, owner, other *Filter) {
+		for range 20 {
+			deliver(t, owner, "owner")
+			deliver(t, other, "other")
+			time.Sleep(recallHold / 10)
+		}
+		if !deliver(t, owner, "owner later") || !deliver(t, other, "other later") {
+			t.Error("the outcome is not known again")
+		}
+	})
+}
+
+// Guards against a second run through the owner, or through another daemon after the owner's next probe, when the service
+// loses claims without an outage.
+func TestRestoreWithoutAnOutage(t *testing.T) {
+	restored(t, 0, func(t *testing.T, owner, other *Filter) {
+		deliver(t, owner, "owner at once")
+		time.Sleep(probeInterval + 2*recallPause)
+		if !deliver(t, owner, "owner") || !deliver(t, other, "other") {
+			t.Error("the outcome is not known again")
+		}
+		time.Sleep(2 * recallHold)
+		fresh := onceCall
+		fresh.Key = "fresh"
+		for _, f := range []*Filter{owner, other} {
+			if c, _, err := f.Do(t.Context(), fresh); c == nil {
+				t.Errorf("claims are still refused: %v", err)
+			} else {
+				c.Release()
+				synctest.Wait()
+			}
+		}
+	})
+}
+
+// Guards against probes that cost more than one read an interval, and against any write while nothing is lost.
+func TestProbesOnlyRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memkv.New()
+		f := New(Spec{Store: store, Owner: "a", WritesPerSecond: 100, Now: time.Now})
+		ctx, cancel := context.WithCancel(context.Background())
+		go f.Run(ctx)
+		c, _, err := f.Do(t.Context(), onceCall)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Finish(Done, 200, nil, nil, true)
+		time.Sleep(10*probeInterval + time.Second)
+		if n := store.Faults.Counts(); n[memkv.CallCAS] != 2 || n[memkv.CallGet] != 10 || len(n) != 2 {
+			t.Errorf("calls %v, want 2 writes of the claim and 10 reads", n)
+		}
+		cancel()
+		f.cancel()
+	})
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -164,6 +164,7 @@
 	d.registerGauges()
 	d.wg.Go(func() { d.ledger.Run(d.ctx) })
 	d.wg.Go(d.writeSilentCopies)
+	d.wg.Go(func() { d.claims.Run(d.ctx) })
 	d.wg.Go(d.docs.run)
 	d.wg.Go(d.pollLoads)
 	d.startDecisions()
