claim: keep outcomes and removals when claims are written again

Cause: a claim whose outcome was stored but whose reply was lost would have been overwritten by its running state after an outage, and a claim that operators had removed after a week would have been taken for lost. A damaged record under a claim's key would have stopped the probes.

Change: a stored entry with a higher revision than the remembered one counts as there; claims are forgotten after 24 h; only unavailability is tried again.

The damaged record has no test.

Conclusion: writing claims again changes no claim that is still stored.

--- a/claim/recall.go
+++ b/claim/recall.go
@@ -25,6 +25,9 @@
 	// maxRecalled bounds the claims in memory. At 0.3 a second and daemon they are from the last hour; without answers they
 	// take about 500 bytes each.
 	maxRecalled = 1024
+	// recallAge is the age at which a claim is forgotten. It is far below MinRetention, so that a claim which operators have
+	// removed is not taken for a lost one.
+	recallAge = 24 * time.Hour
 	// probeKey is never written. The configuration would show more, but is too large to be read so often.
 	probeKey = "claim-probe"
 )
@@ -83,10 +86,11 @@
 	r.newest, r.until, r.due = 0, now.Add(recallHold), true
 }
 
-// last returns the claim that was written last, or false if there is none.
-func (r *recall) last() (known, bool) {
+// last returns the claim that was written last, or false if there is none. It forgets old ones.
+func (r *recall) last(now time.Time) (known, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.claims = slices.DeleteFunc(r.claims, func(k known) bool { return now.Sub(k.record.At) > recallAge })
 	if len(r.claims) == 0 {
 		return known{}, false
 	}
@@ -103,7 +107,7 @@
 // it wrote last; another one reads a key that does not exist and notices outages only.
 func (f *Filter) Run(ctx context.Context) {
 	for sleep(ctx, probeInterval) {
-		k, own := f.recall.last()
+		k, own := f.recall.last(f.spec.Now())
 		if !own {
 			k.key = probeKey
 		}
@@ -154,7 +158,7 @@
 		if there {
 			return
 		}
-		if err == nil {
+		if !errors.Is(err, kv.ErrUnavailable) { // else once more; a damaged record can't be settled
 			i--
 		}
 		if !sleep(ctx, recallPause) {
@@ -174,7 +178,7 @@
 		}
 		own := r.Nonce == k.record.Nonce
 		switch {
-		case own && (rev == k.revision || r.State == k.record.State):
+		case own && (rev >= k.revision || r.State == k.record.State): // higher if the reply of the last write was lost
 			return true, nil
 		case !own && r.State != Released:
 			f.recall.drop(k.key, k.record.Nonce)
--- a/claim/recall_test.go
+++ b/claim/recall_test.go
@@ -95,6 +95,58 @@
 	})
 }
 
+// Guards against an outcome that is overwritten by the running state that this daemon remembers, because the reply of the
+// outcome's write was lost.
+func TestOutcomeSurvivesRewriting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memkv.New()
+		f := New(Spec{Store: store, Owner: "a", WritesPerSecond: 100, Now: time.Now})
+		ctx, cancel := context.WithCancel(context.Background())
+		go f.Run(ctx)
+		c, _, err := f.Do(t.Context(), onceCall)
+		if err != nil {
+			t.Fatal(err)
+		}
+		store.Faults.LoseReplies(1)
+		c.Finish(Done, 200, nil, []byte("ran"), true)
+		time.Sleep(time.Second)
+		store.Faults.SetDown(true)
+		time.Sleep(3 * probeInterval)
+		store.Faults.SetDown(false)
+		time.Sleep(2 * recallHold)
+		if r, err := f.Lookup(t.Context(), onceCall.Service, onceCall.Team, onceCall.Key); err != nil || r == nil || r.State != Done || !r.BodyKept {
+			t.Errorf("%+v, %v; want the outcome", r, err)
+		}
+		cancel()
+		f.cancel()
+	})
+}
+
+// Guards against a claim that operators have removed and that its owner takes for lost.
+func TestRemovedClaimsStayRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memkv.New()
+		f := New(Spec{Store: store, Owner: "a", WritesPerSecond: 100, Now: time.Now})
+		ctx, cancel := context.WithCancel(context.Background())
+		go f.Run(ctx)
+		c, _, err := f.Do(t.Context(), onceCall)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Finish(Done, 200, nil, nil, true)
+		time.Sleep(MinRetention + time.Hour)
+		if p, err := Prune(t.Context(), store, time.Now().Add(-MinRetention), false); err != nil || p.Removed != 1 {
+			t.Fatalf("%+v, %v", p, err)
+		}
+		time.Sleep(2 * probeInterval)
+		if n := store.Faults.Counts()[memkv.CallCAS]; n != 2 {
+			t.Errorf("%d writes, want those of the claim", n)
+		}
+		cancel()
+		f.cancel()
+	})
+}
+
 // Guards against probes that cost more than one read an interval, and against any write while nothing is lost.
 func TestProbesOnlyRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
