claim: tell operators about a suspected restore

Cause: a daemon that refused calls because of a suspected restore said so to callers only.

Before and after: the tests of restores had no such check; now they fail if no daemon counts one.

Conclusion: operators learn of a loss in the ways that the daemon notices.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -75,6 +75,8 @@
 	// WritesPerSecond bounds the claim writes of this daemon, two for each call.
 	WritesPerSecond float64
 	Now             func() time.Time
+	// OnRestore is called when the key-value service may have lost claims; nil for nothing.
+	OnRestore func()
 }
 
 // Filter makes claims.
@@ -242,7 +244,7 @@
 func (f *Filter) made(c *Claim, rev, before uint64) (*Claim, *Record, error) {
 	c.rev = rev
 	if rev <= before {
-		f.recall.wentBack(f.spec.Now())
+		f.wentBack()
 		c.Release()
 		return nil, nil, result.Wrap(result.ClaimUnavailable, result.NotRun, errRestored).WithRetry(recallHold)
 	}
--- a/claim/recall.go
+++ b/claim/recall.go
@@ -117,7 +117,7 @@
 			continue
 		}
 		if f.recall.answered() || e.Revision < k.revision {
-			f.recall.wentBack(f.spec.Now())
+			f.wentBack()
 		}
 		if f.recall.takeDue() {
 			f.rewrite(ctx)
@@ -125,6 +125,13 @@
 	}
 }
 
+func (f *Filter) wentBack() {
+	f.recall.wentBack(f.spec.Now())
+	if f.spec.OnRestore != nil {
+		f.spec.OnRestore()
+	}
+}
+
 // miss counts a probe without an answer.
 func (r *recall) miss() {
 	r.mu.Lock()
--- a/claim/recall_test.go
+++ b/claim/recall_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,8 +20,9 @@
 		store := memkv.New()
 		ctx, cancel := context.WithCancel(context.Background())
 		var filters []*Filter
+		var noticed atomic.Int32
 		for _, name := range []string{"owner", "other"} {
-			f := New(Spec{Store: store, Owner: name, WritesPerSecond: 100, Now: time.Now})
+			f := New(Spec{Store: store, Owner: name, WritesPerSecond: 100, Now: time.Now, OnRestore: func() { noticed.Add(1) }})
 			filters = append(filters, f)
 			go f.Run(ctx)
 		}
@@ -37,6 +39,9 @@
 		store.Restore(snapshot)
 		store.Faults.SetDown(false)
 		test(t, filters[0], filters[1])
+		if noticed.Load() == 0 {
+			t.Error("nobody is told")
+		}
 		cancel()
 		for _, f := range filters {
 			f.cancel()
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -191,7 +191,14 @@
 	s := d.settings
 	signer := session.NewSigner(s.SessionKey)
 	d.admit = admit.New(admit.Spec{MaxInFlight: s.MaxInFlight, MaxBytes: maxBodies})
-	d.claims = claim.New(claim.Spec{Store: d.platform.Store, Owner: d.incarnation, WritesPerSecond: s.ClaimWrites, Now: time.Now})
+	restores := d.metrics.Counter("bramley_claim_restores_suspected_total")
+	d.claims = claim.New(claim.Spec{
+		Store: d.platform.Store, Owner: d.incarnation, WritesPerSecond: s.ClaimWrites, Now: time.Now,
+		OnRestore: func() {
+			restores.Inc()
+			d.log.Warn("key-value service may have lost claims; non-repeatable calls are refused for a minute")
+		},
+	})
 	d.dispatch.Store(dispatch.New(dispatch.Spec{
 		Pool: d.pool, Client: d.engines, Poison: d.poison, OnCrash: d.node.ReportCrash, QueueWait: s.QueueWait, OnCall: d.decisions.count,
 		Now: time.Now, Rand: mathrand.Uint64,
