engine: optional running requests by version and loading versions in load reports

Cause: an endpoint that holds several versions reports its running requests as one number, so nobody can tell when it is drained of one of them, nor whether a load is still in progress. Change: two optional fields of the load report. Engines that leave them out work as before.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -76,6 +76,10 @@
 	Completed     int64    `json:"completed"` // since start
 	Versions      []string `json:"versions"`
 	UptimeSeconds float64  `json:"uptimeSeconds"`
+	// RunningByVersion splits Running; nil if the engine does not report it.
+	RunningByVersion map[string]int `json:"runningByVersion,omitempty"`
+	// Loading are versions that are being loaded; nil if the engine does not report them.
+	Loading []string `json:"loading,omitempty"`
 }
 
 // CacheEvent says that an endpoint cached or evicted a prompt prefix. Sequence numbers have gaps when events are lost.
