duty: the end of the lease for holders that act outside the key-value service

Cause: compare-and-swap excludes a paused holder from the state only, not from sending orders to endpoints. Change: Lease returns the fencing number and the end of the lease, so that a holder can stop some time before it. Conclusion: no behaviour changes; the duties of today do not use it.

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -49,6 +49,14 @@
 	return d.fence, d.fence != 0 && d.spec.Now().Before(d.expires)
 }
 
+// Lease returns the fencing number and the end of the lease by this process's monotonic clock; both are zero if the duty
+// is not held. A holder whose acts can't be excluded by compare-and-swap stops them some time before the end.
+func (d *Duty) Lease() (fence uint64, expires time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.fence, d.expires
+}
+
 // Step renews the lease, or tries to take the duty if it is not held. It reports whether the daemon holds it.
 func (d *Duty) Step(ctx context.Context) (bool, error) {
 	if _, held := d.Fence(); held {
