placement: plan around orders that are under way

Cause: the plan knew only what endpoints hold. With orders under way it would send a second order to the same endpoint, count a replica that is still loading as one that permits an unload, and unload versions that the configuration does not name. Change: an endpoint of the plan states the versions on their way to it, reserved room, versions to avoid and whether an order is under way; only ready replicas permit an unload; versions without a demand entry are not touched. An adapter is loaded only where its base version is ready. Unwanted versions no longer wait for an idle endpoint, because the executor drains them.

--- a/placement/plan.go
+++ b/placement/plan.go
@@ -15,6 +15,22 @@
 	Addr     string
 	Versions []string
 	Running  int // requests
+	// Loading are versions that are on their way to the endpoint. They take room and count as placed, but a version that
+	// is not ready does not permit the unload of another replica.
+	Loading []string
+	// Reserved is room that neither Versions nor Loading accounts for.
+	Reserved int
+	// Avoid are versions that must not be loaded here for now.
+	Avoid []string
+	// Busy says that an order for the endpoint is under way, so that it gets no other one.
+	Busy bool
+}
+
+// occupied returns the number of versions that the endpoint has or will have to hold.
+func (e *Endpoint) occupied() int { return len(e.Versions) + len(e.Loading) + e.Reserved }
+
+func (e *Endpoint) mayLoad(version string) bool {
+	return !e.Busy && !slices.Contains(e.Versions, version) && !slices.Contains(e.Loading, version) && !slices.Contains(e.Avoid, version)
 }
 
 // Demand is the load of one version over the whole deployment.
@@ -22,8 +38,12 @@
 	Version string
 	// Running is the number of requests that are running or waiting, in all failure domains.
 	Running int
-	// Wanted says that a team or roll-out may use the version. Versions that are not wanted are unloaded when idle.
+	// Wanted says that a team or roll-out may use the version. Versions that are not wanted are unloaded.
+	// Versions without a demand entry are not touched.
 	Wanted bool
+	// Base is the version that an endpoint must hold to load this one, which is then an adapter; empty for a version with
+	// weights of its own.
+	Base string
 }
 
 // Input of a plan for one service in one failure domain.
@@ -82,21 +102,31 @@
 	in        Input
 	endpoints []Endpoint
 	need      map[string]int
-	have      map[string]int
+	base      map[string]string // of adapters
+	have      map[string]int    // replicas that are ready or on their way
+	ready     map[string]int
 	loads     int
 	orders    []Order
 }
 
 func newPlanner(in Input) *planner {
-	p := &planner{in: in, need: map[string]int{}, have: map[string]int{}}
+	p := &planner{in: in, need: map[string]int{}, base: map[string]string{}, have: map[string]int{}, ready: map[string]int{}}
 	for _, d := range in.Demands {
 		p.need[d.Version] = Need(d, in.Domains, in.Slots)
+		if d.Base != "" {
+			p.base[d.Version] = d.Base
+		}
 	}
 	for _, e := range in.Endpoints {
 		e.Versions = slices.Clone(e.Versions)
 		p.endpoints = append(p.endpoints, e)
+		e.Loading = slices.Clone(e.Loading)
 		for _, v := range e.Versions {
 			p.have[v]++
+			p.ready[v]++
+		}
+		for _, v := range e.Loading {
+			p.have[v]++
 		}
 	}
 	slices.SortFunc(p.endpoints, func(a, b Endpoint) int {
@@ -105,28 +135,42 @@
 	return p
 }
 
-// mayUnload reports whether a replica of a version can go.
-func (p *planner) mayUnload(version string) bool {
-	need := p.need[version]
+// mayLoad reports whether an endpoint can take a version, apart from room.
+func (p *planner) mayLoad(e *Endpoint, version string) bool {
+	base, adapter := p.base[version]
+	return e.mayLoad(version) && (!adapter || slices.Contains(e.Versions, base))
+}
+
+// mayUnload reports whether an endpoint can give up a version: enough other replicas are ready, and no adapter at the
+// endpoint needs it.
+func (p *planner) mayUnload(e *Endpoint, version string) bool {
+	for _, v := range slices.Concat(e.Versions, e.Loading) {
+		if p.base[v] == version {
+			return false
+		}
+	}
+	need, known := p.need[version]
 	if need == 0 {
-		return true
+		return known
 	}
-	return p.have[version]-1 >= need+p.in.Spare
+	return p.ready[version]-1 >= need+p.in.Spare
 }
 
 func (p *planner) unload(e *Endpoint, version string) {
 	e.Versions = slices.DeleteFunc(e.Versions, func(v string) bool { return v == version })
 	p.have[version]--
+	p.ready[version]--
 	p.orders = append(p.orders, Order{e.ID, e.Addr, Unload, version})
 }
 
-// unloadUnwanted frees idle endpoints of versions that nobody may use.
+// unloadUnwanted frees endpoints of versions that nobody may use. An endpoint gets one order at a time.
 func (p *planner) unloadUnwanted() {
 	for i := range p.endpoints {
 		e := &p.endpoints[i]
 		for _, v := range slices.Clone(e.Versions) {
-			if p.need[v] == 0 && e.Running == 0 {
+			if p.need[v] == 0 && !e.Busy && p.mayUnload(e, v) {
 				p.unload(e, v)
+				e.Busy, e.Reserved = true, e.Reserved+1
 			}
 		}
 	}
@@ -144,7 +188,8 @@
 			p.need[version] = p.have[version] // no endpoint can take it in this plan
 			continue
 		}
-		e.Versions = append(e.Versions, version)
+		e.Loading = append(e.Loading, version)
+		e.Busy = true
 		p.have[version]++
 		p.loads++
 		p.orders = append(p.orders, Order{e.ID, e.Addr, Load, version})
@@ -166,17 +211,17 @@
 func (p *planner) place(version string) *Endpoint {
 	for i := range p.endpoints {
 		e := &p.endpoints[i]
-		if len(e.Versions) < p.in.VersionsPerEndpoint && !slices.Contains(e.Versions, version) {
+		if e.occupied() < p.in.VersionsPerEndpoint && p.mayLoad(e, version) {
 			return e
 		}
 	}
 	for i := range p.endpoints {
 		e := &p.endpoints[i]
-		if slices.Contains(e.Versions, version) {
+		if !p.mayLoad(e, version) || e.occupied() > p.in.VersionsPerEndpoint {
 			continue
 		}
 		for _, v := range e.Versions {
-			if p.mayUnload(v) {
+			if v != p.base[version] && p.mayUnload(e, v) {
 				p.unload(e, v)
 				return e
 			}
