engine: role in load reports

Cause: an order changes an endpoint's role, but no report shows it. Change: an optional field of the load report. Conclusion: engines that leave it out work as before, and their roles are left alone.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -78,6 +78,8 @@
 	UptimeSeconds float64  `json:"uptimeSeconds"`
 	// RunningByVersion splits Running; nil if the engine does not report it.
 	RunningByVersion map[string]int `json:"runningByVersion,omitempty"`
+	// Role is what the endpoint does, for example prefill; empty if the engine does not report it.
+	Role string `json:"role,omitempty"`
 	// Loading are versions that are being loaded; nil if the engine does not report them.
 	Loading []string `json:"loading,omitempty"`
 }
