--- a/placement/plan.go
+++ b/placement/plan.go
@@ -22,6 +22,8 @@
 	Reserved int
 	// Avoid are versions that must not be loaded here for now.
 	Avoid []string
+	// Role is the reported role; empty if the engine reports none.
+	Role string
 	// Busy says that an order for the endpoint is under way, so that it gets no other one.
 	Busy bool
 }
@@ -61,6 +63,13 @@
 	// Spare is the number of replicas of a version above the need that an unload must leave. It is 1 for engines that
 	// don't check fencing numbers: a late order of an earlier holder can then take one replica too many, not two.
 	Spare int
+	// Role is the role that all endpoints should have; empty to leave roles alone.
+	Role string
+}
+
+// changesRole reports whether an endpoint should get another role.
+func (in *Input) changesRole(e *Endpoint) bool {
+	return in.Role != "" && e.Role != "" && e.Role != in.Role
 }
 
 // Action of an order.
@@ -70,6 +79,7 @@
 const (
 	Load   Action = "load"
 	Unload Action = "unload"
+	Role   Action = "role" // the order's version is the name of the role
 )
 
 // Order is one step of a plan.
@@ -94,6 +104,7 @@
 func Plan(in Input) []Order {
 	p := newPlanner(in)
 	p.unloadUnwanted()
+	p.changeRoles()
 	p.loadMissing()
 	return p.orders
 }
@@ -129,8 +140,14 @@
 			p.have[v]++
 		}
 	}
+	rank := func(e *Endpoint) int { // endpoints that will change their role are the last choice
+		if in.changesRole(e) {
+			return 1
+		}
+		return 0
+	}
 	slices.SortFunc(p.endpoints, func(a, b Endpoint) int {
-		return cmp.Or(cmp.Compare(a.Running, b.Running), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(rank(&a), rank(&b)), cmp.Compare(a.Running, b.Running), cmp.Compare(a.ID, b.ID))
 	})
 	return p
 }
@@ -176,6 +193,35 @@
 	}
 }
 
+// changeRoles gives endpoints the declared role. An endpoint serves nothing during the change, so each of its versions
+// needs a replica to spare; versions that lack one get it first.
+func (p *planner) changeRoles() {
+	raised := map[string]bool{}
+	for i := range p.endpoints {
+		e := &p.endpoints[i]
+		if !p.in.changesRole(e) || e.Busy {
+			continue
+		}
+		short := false
+		for _, v := range e.Versions {
+			if need := p.need[v]; need > 0 && p.ready[v]-1 < need+p.in.Spare {
+				short, raised[v] = true, true
+			}
+		}
+		if short {
+			continue
+		}
+		for _, v := range e.Versions {
+			p.ready[v]--
+		}
+		e.Busy = true
+		p.orders = append(p.orders, Order{e.ID, e.Addr, Role, p.in.Role})
+	}
+	for v := range raised {
+		p.need[v] += p.in.Spare + 1
+	}
+}
+
 // loadMissing loads the versions with the largest shortage first.
 func (p *planner) loadMissing() {
 	for p.loads < p.in.MaxLoads {
--- /dev/null
+++ b/placement/random_test.go
@@ -0,0 +1,138 @@
+package placement_test
+
+import (
+	"context"
+	"flag"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/bramleytrail/bramleytrail/engine"
+	"github.com/bramleytrail/bramleytrail/placement"
+	"github.com/bramleytrail/bramleytrail/standin"
+)
+
+// randomSchedules is the number of draws; each takes up to half an hour of the fake clock.
+const randomSchedules = "60"
+
+// schedule is a random sequence of failures.
+type schedule struct {
+	spec      standin.FleetSpec
+	endpoints int
+	requests  map[string]int
+	orders    []standin.OrderFault // what happens to the nth order
+	failures  []failure
+}
+
+type failure struct {
+	kind   string
+	wait   time.Duration // before it
+	lasts  time.Duration
+	domain string
+	second bool // hits the candidate
+}
+
+var faultKinds = []string{"pause", "cut", "store", "weights", "endpoint", "domain", "demand"}
+
+func drawSchedule(t *rapid.T) schedule {
+	s := schedule{
+		spec:      standin.FleetSpec{LoadTime: time.Duration(rapid.IntRange(1, 90).Draw(t, "load")) * time.Second, Room: rapid.IntRange(1, 2).Draw(t, "room"), ChecksFencing: rapid.Bool().Draw(t, "checks")},
+		endpoints: rapid.IntRange(3, 8).Draw(t, "endpoints"),
+		requests:  map[string]int{"old": rapid.IntRange(0, 30).Draw(t, "old"), "new": rapid.IntRange(0, 10).Draw(t, "new")},
+	}
+	s.orders = rapid.SliceOfN(rapid.SampledFrom([]standin.OrderFault{standin.OrderWorks, standin.OrderWorks, standin.OrderLost, standin.OrderAnswerLost, standin.OrderCrash, standin.OrderNoMemory}), 0, 30).Draw(t, "orders")
+	for range rapid.IntRange(0, 6).Draw(t, "failures") {
+		s.failures = append(s.failures, failure{
+			kind: rapid.SampledFrom(faultKinds).Draw(t, "kind"), domain: rapid.SampledFrom([]string{"d0", "d1", "d2"}).Draw(t, "domain"), second: rapid.Bool().Draw(t, "second"),
+			wait: time.Duration(rapid.IntRange(1, 90).Draw(t, "wait")) * time.Second, lasts: time.Duration(rapid.IntRange(1, 120).Draw(t, "lasts")) * time.Second,
+		})
+	}
+	return s
+}
+
+// Guards against a schedule of failures that breaks an invariant of the record: a version below its need because of an
+// order, an interrupted request, an endpoint out of memory, loads past the weight store's rate, or a late order that
+// changes what daemons use.
+func TestRandomFailures(t *testing.T) {
+	checks := flag.Lookup("rapid.checks")
+	before := checks.Value.String()
+	if err := checks.Value.Set(randomSchedules); err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = checks.Value.Set(before) }()
+	rapid.Check(t, func(rt *rapid.T) {
+		plan := drawSchedule(rt)
+		var s *sim
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			s = newSim(ctx, plan.spec, pair(), domains, plan.endpoints, onlyOld)
+			s.requests = plan.requests
+			n := 0
+			s.fleet.SetFault(func(string, engine.Order) standin.OrderFault {
+				if n++; n <= len(plan.orders) {
+					return plan.orders[n-1]
+				}
+				return standin.OrderWorks
+			})
+			holders := map[string][]*holder{}
+			for name, f := range s.domains {
+				s.route(placement.Table{Domain: name, Serve: held(f)})
+				holders[name] = []*holder{s.start(ctx, name, name+"-first"), s.start(ctx, name, name+"-second")}
+			}
+			for _, f := range plan.failures {
+				h := holders[f.domain][0]
+				if f.second {
+					h = holders[f.domain][1]
+				}
+				time.Sleep(f.wait)
+				s.fail(f, h)
+			}
+			time.Sleep(5 * time.Minute)
+			cancel()
+			synctest.Wait()
+			s.checkLoads()
+		})
+		if len(s.faults) > 0 {
+			rt.Fatalf("%d violations, first: %s", len(s.faults), s.faults[0])
+		}
+	})
+}
+
+// fail causes a failure for its time.
+func (s *sim) fail(f failure, h *holder) {
+	targets := slices.Clone(s.domains[f.domain].Endpoints)
+	if f.kind == "endpoint" {
+		targets = targets[:1]
+	}
+	set := func(failed bool) {
+		switch f.kind {
+		case "cut":
+			h.cut.Store(failed)
+		case "store":
+			s.store.Faults.SetDown(failed)
+		case "weights":
+			s.weights.SetDown(failed)
+		case "endpoint", "domain":
+			for _, e := range targets {
+				s.fleet.SetDown(e.ID, failed)
+			}
+		}
+	}
+	wait := make(chan struct{})
+	if f.kind == "pause" {
+		h.stall.Store(&wait)
+	}
+	if f.kind == "demand" {
+		s.mu.Lock()
+		s.requests["old"] = 2 * s.requests["old"] / 3
+		s.mu.Unlock()
+	}
+	set(true)
+	time.Sleep(f.lasts)
+	set(false)
+	h.stall.Store(nil)
+	close(wait)
+}
--- /dev/null
+++ b/placement/sim_test.go
@@ -0,0 +1,300 @@
+package placement_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/bramleytrail/bramleytrail/duty"
+	"github.com/bramleytrail/bramleytrail/engine"
+	"github.com/bramleytrail/bramleytrail/kv"
+	"github.com/bramleytrail/bramleytrail/kv/memkv"
+	"github.com/bramleytrail/bramleytrail/placement"
+	"github.com/bramleytrail/bramleytrail/standin"
+	"github.com/bramleytrail/bramleytrail/weight"
+)
+
+const (
+	dutyTTL   = 9 * time.Second
+	tickEvery = 3 * time.Second
+	settle    = 20 * time.Second
+	loadRate  = 1 // loads a second of the weight store
+	loadBurst = 4
+	slots     = 10
+	// wrongRoles is the number of endpoints of the first domain that have another role than the declared one.
+	wrongRoles = 2
+)
+
+// sim is a deployment of one service under the fake clock of synctest.
+type sim struct {
+	ctx     context.Context
+	store   *memkv.Store
+	fleet   *standin.Fleet
+	weights *weight.Fake
+
+	mu       sync.Mutex
+	domains  map[string]*placement.Fleet
+	requests map[string]int // running in each domain, by version
+	tables   map[string]placement.Table
+	served   map[string]int // last count of ready replicas by domain and version
+	faults   []string       // violated invariants
+	writes   int
+}
+
+func newSim(ctx context.Context, spec standin.FleetSpec, base placement.Fleet, domains, endpoints int, held func(domain, i int) []string) *sim {
+	s := &sim{
+		ctx: ctx, store: memkv.New(), fleet: standin.NewFleet(spec), weights: weight.NewFake(loadRate, loadBurst, 1),
+		domains: map[string]*placement.Fleet{}, requests: map[string]int{}, tables: map[string]placement.Table{}, served: map[string]int{},
+	}
+	base.Service, base.Domains, base.VersionsPerEndpoint = "llm", domains, spec.Room
+	if base.Slots = slots; !spec.ChecksFencing {
+		base.Spare, base.OneAtATime = 1, true
+	}
+	for d := range domains {
+		f := base
+		f.Demands = slices.Clone(base.Demands)
+		name := fmt.Sprintf("d%d", d)
+		for i := range endpoints {
+			id := fmt.Sprintf("%s-e%03d", name, i)
+			f.Endpoints = append(f.Endpoints, placement.Target{ID: id, Addr: id})
+			role := base.Role
+			if role != "" && d == 0 && i < wrongRoles {
+				role = "prefill"
+			}
+			s.fleet.Add(id, name, role, held(d, i)...)
+		}
+		s.domains[name] = &f
+	}
+	s.fleet.OnChange(s.check)
+	return s
+}
+
+func (s *sim) violated(format string, args ...any) {
+	s.faults = append(s.faults, fmt.Sprintf(format, args...))
+}
+
+// check reads each event of the endpoints' record: no order interrupts a request or starts an endpoint anew for lack of
+// memory, and one with a stale fencing number changes nothing that daemons use.
+func (s *sim) check(e standin.FleetEvent) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.tables[e.Domain]
+	switch {
+	case e.Running > 0:
+		s.violated("%s interrupted %d requests at %s", e.Order.Action, e.Running, e.Endpoint)
+	case e.Changed && e.Order.Action == "":
+		s.violated("%s ran out of memory", e.Endpoint)
+	case e.Changed && e.Order.Action == "unload" && slices.Contains(t.Serve[e.Endpoint], e.Order.Target):
+		s.violated("%s was unloaded from %s while it served, fence %d of %d", e.Order.Target, e.Endpoint, e.Order.Fence, t.Fence)
+	}
+	if e.Held != nil {
+		s.capacity(e.Domain, e.Held)
+	}
+}
+
+// capacity verifies that a version's ready replicas in a domain don't fall below the need.
+func (s *sim) capacity(domain string, held map[string][]string) {
+	t := s.tables[domain]
+	for v, status := range t.Versions {
+		n := 0
+		for id, served := range t.Serve {
+			if slices.Contains(served, v) && slices.Contains(held[id], v) {
+				n++
+			}
+		}
+		if key := domain + v; n < s.served[key] && n < status.Need {
+			s.violated("%s has %d replicas in %s, need %d", v, n, domain, status.Need)
+			s.served[key] = n
+		} else {
+			s.served[key] = n
+		}
+	}
+}
+
+// holder is a daemon that competes for a domain's duty.
+type holder struct {
+	sim    *sim
+	domain string
+	job    *duty.Duty
+	exec   *placement.Executor
+	fence  uint64
+	cut    atomic.Bool // off from the key-value service
+	stall  atomic.Pointer[chan struct{}]
+	kv.Store
+}
+
+// start runs a holder until the end of ctx.
+func (s *sim) start(ctx context.Context, domain, name string) *holder {
+	h := &holder{sim: s, domain: domain, Store: s.store}
+	h.job = duty.New(duty.Spec{Store: h, Name: "placement/" + domain, Owner: name, TTL: dutyTTL, Now: time.Now})
+	go func() {
+		for ctx.Err() == nil {
+			h.step(ctx)
+			select {
+			case <-ctx.Done():
+			case <-time.After(tickEvery):
+			}
+		}
+	}()
+	return h
+}
+
+func (h *holder) step(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, tickEvery)
+	defer cancel()
+	held, _ := h.job.Step(ctx)
+	fence, _ := h.job.Fence()
+	if !held || fence != h.fence {
+		h.exec, h.fence = nil, fence
+	}
+	if held && h.exec == nil {
+		state, body, err := duty.Open(ctx, h, "state/placement/"+h.domain, fence)
+		previous, decodeErr := placement.DecodeTable(body)
+		if err != nil || decodeErr != nil {
+			return
+		}
+		h.exec = placement.New(placement.Spec{
+			Domain: h.domain, Engines: h, Weights: h.sim.weights, Journal: journal{h, state}, Fence: fence, Lease: h.job.Lease,
+			Margin: dutyTTL / 2, Settle: settle, PollsPerTick: 24, Now: time.Now,
+		}, previous)
+	}
+	if held && h.exec != nil && errors.Is(h.exec.Tick(ctx, []placement.Fleet{h.sim.fleetOf(h.domain)}), duty.ErrSuperseded) {
+		h.exec = nil
+		h.job.Release(ctx)
+	}
+}
+
+// fleetOf adds the demand that the other domains published.
+func (s *sim) fleetOf(domain string) placement.Fleet {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := *s.domains[domain]
+	f.Demands = slices.Clone(f.Demands)
+	for i := range f.Demands {
+		for other, t := range s.tables {
+			if other != domain {
+				f.Demands[i].Running += t.Versions[f.Demands[i].Version].Running
+			}
+		}
+	}
+	return f
+}
+
+type journal struct {
+	holder *holder
+	state  *duty.State
+}
+
+// Save records a table and has daemons apply it just before the settle time ends.
+func (j journal) Save(ctx context.Context, body []byte) error {
+	if err := j.state.Save(ctx, body); err != nil {
+		return err
+	}
+	t, err := placement.DecodeTable(body)
+	s := j.holder.sim
+	held := s.fleet.Held()
+	s.mu.Lock()
+	s.writes++
+	s.tables[t.Domain] = t
+	s.capacity(t.Domain, held)
+	s.mu.Unlock()
+	time.AfterFunc(settle-time.Second, func() { s.route(t) })
+	return err
+}
+
+// route spreads a domain's requests over the endpoints that a table serves.
+func (s *sim) route(t placement.Table) {
+	s.mu.Lock()
+	demands, requests := s.domains[t.Domain].Demands, maps.Clone(s.requests)
+	s.mu.Unlock() // events of the fleet take this lock while they hold the fleet's
+	count := map[string]int{}
+	for _, served := range t.Serve {
+		for _, v := range served {
+			count[v]++
+		}
+	}
+	for id, served := range t.Serve {
+		for _, d := range demands {
+			n := 0
+			if slices.Contains(served, d.Version) {
+				n = (requests[d.Version] + count[d.Version] - 1) / count[d.Version]
+			}
+			s.fleet.SetRunning(id, d.Version, n)
+		}
+	}
+}
+
+func (h *holder) Load(ctx context.Context, addr string) (engine.Load, error) {
+	return h.sim.fleet.Load(ctx, addr)
+}
+
+// Order delivers an order, after the end of a pause if the holder is paused just before it sends.
+func (h *holder) Order(ctx context.Context, addr string, o engine.Order) error {
+	if wait := h.stall.Load(); wait != nil {
+		<-*wait
+	}
+	return h.sim.fleet.Order(ctx, addr, o)
+}
+
+func (h *holder) Get(ctx context.Context, key string) (kv.Entry, error) {
+	if h.cut.Load() {
+		return kv.Entry{}, kv.ErrUnavailable
+	}
+	return h.Store.Get(ctx, key)
+}
+
+func (h *holder) CAS(ctx context.Context, key string, v []byte, prev uint64, l kv.LeaseID) (uint64, error) {
+	if h.cut.Load() {
+		return 0, kv.ErrUnavailable
+	}
+	return h.Store.CAS(ctx, key, v, prev, l)
+}
+
+func (h *holder) KeepAlive(ctx context.Context, id kv.LeaseID) error {
+	if h.cut.Load() {
+		return kv.ErrUnavailable
+	}
+	return h.Store.KeepAlive(ctx, id)
+}
+
+// ready returns the smallest number of a version's replicas over the domains.
+func (s *sim) ready(version string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	least := -1
+	for name := range s.domains {
+		n := 0
+		for _, served := range s.tables[name].Serve {
+			if slices.Contains(served, version) {
+				n++
+			}
+		}
+		if least < 0 || n < least {
+			least = n
+		}
+	}
+	return least
+}
+
+// checkLoads verifies that the loads that arrived stay within the weight store's rate over any time.
+func (s *sim) checkLoads() {
+	var at []time.Time
+	for _, e := range s.fleet.Events() {
+		if (e.Order.Action == "load" || e.Order.Action == "adapter") && !e.Changed {
+			at = append(at, e.At)
+		}
+	}
+	for i := range at {
+		for j := i; j < len(at); j++ {
+			if limit := loadBurst + loadRate*at[j].Sub(at[i]).Seconds(); float64(j-i+1) > limit+1e-6 {
+				s.violated("%d loads in %s", j-i+1, at[j].Sub(at[i]))
+				return
+			}
+		}
+	}
+}
