placement: stricter tests of drains, late orders and the lease's margin

Change: the record of the fleet is checked for the time since a version was no longer served; a pause begins when an order is due and demand rises meanwhile, so that a successor would serve the replica again; the store fails before the order.

--- a/placement/executor_test.go
+++ b/placement/executor_test.go
@@ -111,14 +111,17 @@
 func TestPausedHolder(t *testing.T) {
 	each(t, func(t *testing.T, spec standin.FleetSpec) {
 		for _, pause := range []time.Duration{5 * time.Second, 12 * time.Second, time.Minute, 5 * time.Minute} {
-			s := run(t, spec, pair(), 10*time.Minute, func(s *sim, first map[string]*holder) {
+			s := run(t, spec, pair(), 25*time.Minute, func(s *sim, first map[string]*holder) {
 				for _, before := range []time.Duration{0, 40 * time.Second} { // before a drain ends, before a load
 					time.Sleep(before)
 					wait := make(chan struct{})
 					for _, h := range first {
 						h.stall.Store(&wait)
 					}
-					time.Sleep(30*time.Second + pause)
+					time.Sleep(27 * time.Second) // the order is due
+					s.demand("old", 36)          // more than the endpoints bear: the successor would rather unload nothing
+					time.Sleep(pause)
+					s.demand("old", 16)
 					for _, h := range first {
 						h.stall.Store(nil)
 					}
@@ -138,9 +141,9 @@
 	quiet := func(t *testing.T, cut func(s *sim, first map[string]*holder, off bool), want bool) {
 		each(t, func(t *testing.T, spec standin.FleetSpec) {
 			s := run(t, spec, pair(), 10*time.Minute, func(s *sim, first map[string]*holder) {
-				time.Sleep(22 * time.Second) // drains are under way
+				time.Sleep(16 * time.Second) // drains are under way, the first order is due at 21 s
 				cut(s, first, true)
-				time.Sleep(dutyTTL/2 + time.Second) // the rest of the time in which orders may be sent
+				time.Sleep(dutyTTL / 2) // the rest of the time in which orders may be sent
 				sent, served := s.fleet.Sent(), s.ready("old")
 				time.Sleep(3 * time.Minute)
 				if n := s.fleet.Sent(); want && n != sent {
--- a/placement/random_test.go
+++ b/placement/random_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"flag"
+	"maps"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -69,7 +70,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(t.Context())
 			s = newSim(ctx, plan.spec, pair(), domains, plan.endpoints, onlyOld)
-			s.requests = plan.requests
+			maps.Copy(s.requests, plan.requests)
 			n := 0
 			s.fleet.SetFault(func(string, engine.Order) standin.OrderFault {
 				if n++; n <= len(plan.orders) {
--- a/placement/sim_test.go
+++ b/placement/sim_test.go
@@ -41,15 +41,16 @@
 	domains  map[string]*placement.Fleet
 	requests map[string]int // running in each domain, by version
 	tables   map[string]placement.Table
-	served   map[string]int // last count of ready replicas by domain and version
-	faults   []string       // violated invariants
+	hidden   map[[2]string]time.Time // since when a version at an endpoint is not served
+	served   map[string]int          // last count of ready replicas by domain and version
+	faults   []string                // violated invariants
 	writes   int
 }
 
 func newSim(ctx context.Context, spec standin.FleetSpec, base placement.Fleet, domains, endpoints int, held func(domain, i int) []string) *sim {
 	s := &sim{
 		ctx: ctx, store: memkv.New(), fleet: standin.NewFleet(spec), weights: weight.NewFake(loadRate, loadBurst, 1),
-		domains: map[string]*placement.Fleet{}, requests: map[string]int{}, tables: map[string]placement.Table{}, served: map[string]int{},
+		domains: map[string]*placement.Fleet{}, requests: map[string]int{}, tables: map[string]placement.Table{}, served: map[string]int{}, hidden: map[[2]string]time.Time{},
 	}
 	base.Service, base.Domains, base.VersionsPerEndpoint = "llm", domains, spec.Room
 	if base.Slots = slots; !spec.ChecksFencing {
@@ -89,6 +90,8 @@
 		s.violated("%s interrupted %d requests at %s", e.Order.Action, e.Running, e.Endpoint)
 	case e.Changed && e.Order.Action == "":
 		s.violated("%s ran out of memory", e.Endpoint)
+	case e.Changed && e.Order.Action == "unload" && e.At.Sub(s.hidden[[2]string{e.Endpoint, e.Order.Target}]) < settle:
+		s.violated("%s was unloaded from %s before all daemons knew", e.Order.Target, e.Endpoint)
 	case e.Changed && e.Order.Action == "unload" && slices.Contains(t.Serve[e.Endpoint], e.Order.Target):
 		s.violated("%s was unloaded from %s while it served, fence %d of %d", e.Order.Target, e.Endpoint, e.Order.Fence, t.Fence)
 	}
@@ -200,6 +203,13 @@
 	held := s.fleet.Held()
 	s.mu.Lock()
 	s.writes++
+	for id, before := range s.tables[t.Domain].Serve {
+		for _, v := range before {
+			if !slices.Contains(t.Serve[id], v) {
+				s.hidden[[2]string{id, v}] = time.Now()
+			}
+		}
+	}
 	s.tables[t.Domain] = t
 	s.capacity(t.Domain, held)
 	s.mu.Unlock()
@@ -262,6 +272,17 @@
 	return h.Store.KeepAlive(ctx, id)
 }
 
+// demand changes the running requests of a version in each domain.
+func (s *sim) demand(version string, n int) {
+	s.mu.Lock()
+	s.requests[version] = n
+	tables := maps.Clone(s.tables)
+	s.mu.Unlock()
+	for _, t := range tables {
+		s.route(t)
+	}
+}
+
 // ready returns the smallest number of a version's replicas over the domains.
 func (s *sim) ready(version string) int {
 	s.mu.Lock()
