object: declare placement of a service, and versions that are adapters

Cause: operators can't ask for placement, and it must stay off where they don't. Change: Service.placement (enabled, versionsPerEndpoint, role) and Version.adapterOf, with findings for plain services, missing room, and adapters of unknown versions, other adapters or other services. Conclusion: encodings of existing declarations do not change, because empty fields are left out.

--- a/declare/check.go
+++ b/declare/check.go
@@ -140,6 +140,7 @@
 		c.duration(ref, "timeouts.firstByte", s.Timeouts.FirstByte, maxTimeout)
 		c.duration(ref, "timeouts.progress", s.Timeouts.Progress, maxTimeout)
 		c.inRange(ref, "callPrice", s.CallPrice, 0, maxPrice)
+		c.checkPlacement(ref, s)
 	}
 }
 
@@ -173,6 +174,7 @@
 		c.fraction(ref, "quality", v.Quality)
 		c.inRange(ref, "prices.input", v.Prices.Input, 0, maxPrice)
 		c.inRange(ref, "prices.output", v.Prices.Output, 0, maxPrice)
+		c.checkAdapter(ref, v)
 	}
 }
 
--- a/object/object.go
+++ b/object/object.go
@@ -70,10 +70,22 @@
 	ChecksFencing bool `json:"checksFencing,omitempty" yaml:"checksFencing"`
 	// AuthenticatesOrders says whether the engines authenticate the sender of an order.
 	AuthenticatesOrders bool `json:"authenticatesOrders,omitempty" yaml:"authenticatesOrders"`
+	// Placement has the system load and unload versions at the service's endpoints; off by default.
+	Placement Placement `json:"placement,omitzero" yaml:"placement"`
 	// CallPrice is the price of one call of a plain service, in micro-units of cost.
 	CallPrice int64 `json:"callPrice,omitempty" yaml:"callPrice"`
 }
 
+// Placement says how the versions of a service are placed on its endpoints.
+type Placement struct {
+	// Enabled has the holder of each failure domain's placement duty send orders to the endpoints.
+	Enabled bool `json:"enabled,omitempty" yaml:"enabled"`
+	// VersionsPerEndpoint is the number of versions that fit on an endpoint.
+	VersionsPerEndpoint int `json:"versionsPerEndpoint,omitempty" yaml:"versionsPerEndpoint"`
+	// Role is the role that the endpoints are given; empty to leave roles alone.
+	Role string `json:"role,omitempty" yaml:"role"`
+}
+
 // EndpointLimits bound the work at one endpoint over all daemons together.
 type EndpointLimits struct {
 	Slots     int   `json:"slots" yaml:"slots"`         // concurrent requests when warm
@@ -112,6 +124,9 @@
 	// Quality is the expected answer rating before ratings arrive, 0 to 1.
 	Quality float64 `json:"quality" yaml:"quality"`
 	Prices  Prices  `json:"prices" yaml:"prices"`
+	// AdapterOf is the version that an endpoint must hold to load this one as an adapter; empty for a version with weights
+	// of its own.
+	AdapterOf string `json:"adapterOf,omitempty" yaml:"adapterOf"`
 }
 
 // Prices in micro-units of cost per 1,000 tokens.
