pool: versions of endpoints from the placement

Cause: the pool knew an endpoint's versions from the host list only, which lags behind and does not know drains. Change: SetPlacement replaces them for services under placement. Conclusion: without a placement the host list decides as before.

--- a/pool/pool.go
+++ b/pool/pool.go
@@ -42,6 +42,7 @@
 	list    hostlist.List
 	view    *config.View
 	known   map[string]*endpoint
+	placed  placed
 	members members
 	history map[string]*limitHistory // by service
 }
@@ -146,6 +147,7 @@
 		if h.Role != hostlist.RoleEndpoint || svc == nil {
 			continue
 		}
+		h.Versions = p.placed.versions(h)
 		e := p.adopt(h, locate(p.spec.Self, h, p.members.present), locate(p.spec.Self, h, counted))
 		known[h.ID] = e
 		if h.State == hostlist.StateLive && e.settled.assigned(svc.Limits.Slots) {
