--- a/settings/settings.go
+++ b/settings/settings.go
@@ -28,6 +28,8 @@
 	Store          string   `long:"store" env:"BRAMLEY_STORE" description:"URL of the platform's key-value service" required:"true"`
 	Hosts          string   `long:"hosts" env:"BRAMLEY_HOSTS" description:"URL of the platform's host list" required:"true"`
 	Ratings        string   `long:"ratings" env:"BRAMLEY_RATINGS" description:"URL of the platform's rating service"`
+	Weights        string   `long:"weights" env:"BRAMLEY_WEIGHTS" description:"URL of the platform's weight store; without it this daemon places no versions"`
+	OrderTokenFile string   `long:"order-token-file" env:"BRAMLEY_ORDER_TOKEN_FILE" description:"file with the token for endpoints that authenticate the sender of orders"`
 	SessionKeyFile string   `long:"session-key-file" env:"BRAMLEY_SESSION_KEY_FILE" description:"file with the secret that signs session tokens, the same for all daemons" required:"true"`
 
 	TLSCert     string `long:"tls-cert" env:"BRAMLEY_TLS_CERT" description:"PEM file with the certificate for callers; without it callers use plain HTTP"`
@@ -54,6 +56,7 @@
 	LogLevel       string        `long:"log-level" env:"BRAMLEY_LOG_LEVEL" description:"error, warn, info or debug" default:"info"`
 
 	SessionKey []byte `no-flag:"true"`
+	OrderToken string `no-flag:"true"`
 }
 
 // minSessionKeyBytes is the shortest key that resists guessing.
@@ -82,7 +85,7 @@
 		return nil, fmt.Errorf("settings: unexpected argument %q", rest[0])
 	}
 	s.SessionKey, err = readKey(s.SessionKeyFile)
-	return s, errors.Join(err, s.Check())
+	return s, errors.Join(err, s.readOrderToken(), s.Check())
 }
 
 func countSet(values ...string) int {
@@ -95,6 +98,19 @@
 	return n
 }
 
+// readOrderToken reads the token for orders, if there is a file with one.
+func (s *Settings) readOrderToken() error {
+	if s.OrderTokenFile == "" {
+		return nil
+	}
+	data, err := os.ReadFile(s.OrderTokenFile)
+	if err != nil {
+		return fmt.Errorf("--order-token-file: %w", err)
+	}
+	s.OrderToken = strings.TrimSpace(string(data))
+	return nil
+}
+
 func readKey(path string) ([]byte, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
@@ -161,6 +177,9 @@
 	if u, err := url.Parse(s.Ratings); s.Ratings != "" && (err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "") {
 		bad("ratings", "%q is not an http or https URL", s.Ratings)
 	}
+	if u, err := url.Parse(s.Weights); s.Weights != "" && (err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "") {
+		bad("weights", "%q is not an http or https URL", s.Weights)
+	}
 	if s.Settle < 0 {
 		bad("settle", "%s is negative", s.Settle)
 	}
