standin: engines report roles and requests by version

Cause: the executor reads them to drain an endpoint of one version. Change: the HTTP fake reports both, and carries out the orders adapter and role.

--- a/standin/engine.go
+++ b/standin/engine.go
@@ -80,6 +80,7 @@
 	down      bool
 	noFence   bool
 	fence     uint64
+	role      string
 	orders    []engine.Order
 	failEvery int
 	failCount int
--- a/standin/enginecontrol.go
+++ b/standin/enginecontrol.go
@@ -30,7 +30,12 @@
 	e.mu.Lock()
 	l := engine.Load{
 		Boot: e.bootID(), Running: e.running, TokensHeld: e.held, TokensMax: e.spec.TokensMax, Completed: e.completed,
-		Versions: slices.Clone(e.versions), UptimeSeconds: time.Since(e.started).Seconds(),
+		Versions: slices.Clone(e.versions), UptimeSeconds: time.Since(e.started).Seconds(), Role: e.role, RunningByVersion: map[string]int{},
+	}
+	for _, g := range e.streams {
+		if g.serving > 0 && !g.freed {
+			l.RunningByVersion[g.run.Version]++
+		}
 	}
 	e.mu.Unlock()
 	replyJSON(w, l)
@@ -91,13 +96,16 @@
 	e.fence = max(e.fence, o.Fence)
 	e.orders = append(e.orders, o)
 	switch o.Action {
-	case "load":
+	case "load", "adapter":
 		if !slices.Contains(e.versions, o.Target) {
 			e.versions = append(e.versions, o.Target)
 		}
 	case "unload":
 		e.versions = slices.DeleteFunc(e.versions, func(v string) bool { return v == o.Target })
 	}
+	if o.Action == "role" {
+		e.role = o.Target
+	}
 	w.WriteHeader(http.StatusNoContent)
 }
 
