daemon: hold the placement duty of the failure domain

Cause: nothing ran the executor of placement. Change: a watcher of a failure domain with a service under placement takes the duty placement/<domain>, and runs the executor on the services' live endpoints. Tables are saved under state/placement/<domain> and spread as documents placement/<domain>; every daemon serves by them. A roll-out under placement places no new session on its version before the version has the replicas that it needs in each failure domain. The state dump shows the tables. Figures (go test -run Placement ./local): a roll-out at step 0 whose version is in no host list gets endpoints and then requests, without a failed request before; without the declaration there is no duty and no order. Conclusion: placement works end to end on loopback, and is off by default.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -36,6 +36,7 @@
 	"github.com/bramleytrail/bramleytrail/secure"
 	"github.com/bramleytrail/bramleytrail/session"
 	"github.com/bramleytrail/bramleytrail/settings"
+	"github.com/bramleytrail/bramleytrail/weight"
 )
 
 const (
@@ -54,6 +55,7 @@
 	Store   kv.Store
 	Hosts   hostlist.Source
 	Ratings rating.Source // nil if there is no rating service
+	Weights weight.Store  // nil if this daemon places no versions
 }
 
 // Daemon is one entry process.
@@ -82,6 +84,7 @@
 	callerTLS *tls.Config    // nil for plain HTTP
 	peerTLS   *secure.Source // nil for plain TCP
 	decisions *decisions
+	placement placementState
 	leaving   atomic.Bool
 	peerAddr  string
 
@@ -101,6 +104,9 @@
 	if s.Ratings != "" {
 		p.Ratings = rating.NewHTTPSource(s.Ratings)
 	}
+	if s.Weights != "" {
+		p.Weights = weight.NewHTTPStore(s.Weights)
+	}
 	return build(s, p, httpengine.NewClientWith(m.Dial(observe.KindLoad, httpengine.Dialer())), log, m)
 }
 
@@ -118,7 +124,7 @@
 		decisions: newDecisions(),
 		ctx:       ctx, cancel: cancel,
 	}
-	d.platform = Platform{Store: observe.Store{Store: p.Store, Metrics: d.metrics}, Hosts: p.Hosts, Ratings: p.Ratings}
+	d.platform = Platform{Store: observe.Store{Store: p.Store, Metrics: d.metrics}, Hosts: p.Hosts, Ratings: p.Ratings, Weights: p.Weights}
 	d.pool = pool.New(pool.Spec{Self: s.ID, Domain: s.Domain, Settle: s.Settle, Rand: mathrand.Uint64, OnRoom: d.signalRoom})
 	d.docs = &documents{ctx: ctx, spec: documentsSpec{
 		Platform: d.platform, Config: d.config, Metrics: d.metrics, Log: d.log,
@@ -127,6 +133,7 @@
 	d.config.OnChange(func(v *config.View) {
 		d.pool.SetView(v, time.Now())
 		d.decisions.setView(v)
+		d.applyPlacement()
 	})
 	return d
 }
@@ -167,6 +174,7 @@
 	d.wg.Go(d.docs.run)
 	d.wg.Go(d.pollLoads)
 	d.startDecisions()
+	d.startPlacement()
 	d.log.WithFields(logrus.Fields{"listen": d.entry.Addr(), "peers": d.peerAddr, "operators": d.ops.addr}).Info("daemon started")
 	return nil
 }
--- a/daemon/decisions.go
+++ b/daemon/decisions.go
@@ -105,7 +105,7 @@
 
 func (d *Daemon) buildChoice() *choose.Filter {
 	return choose.New(choose.Spec{
-		Estimator: &d.decisions.estimates, Steps: &d.decisions.rollouts, ClimbRate: d.decisions.climbs.Rate,
+		Estimator: &d.decisions.estimates, Steps: placedSteps{d}, ClimbRate: d.decisions.climbs.Rate,
 		Explore: choose.Budget{Requests: d.settings.ExploreShare, Cost: d.settings.ExploreCost},
 	})
 }
--- a/daemon/duties.go
+++ b/daemon/duties.go
@@ -28,7 +28,20 @@
 
 // holdDuty takes a duty when it is free, if this daemon is a watcher, and works for it as long as the lease lasts.
 func (d *Daemon) holdDuty(name string, start func(ctx context.Context, fence uint64) (term, error)) {
-	job := duty.New(duty.Spec{Store: d.platform.Store, Name: name, Owner: d.incarnation, TTL: d.settings.DutyTTL, Now: time.Now})
+	d.holdJob(d.newJob(name), name, func() bool { return true }, start)
+}
+
+func (d *Daemon) newJob(name string) *duty.Duty {
+	return duty.New(duty.Spec{Store: d.platform.Store, Name: name, Owner: d.incarnation, TTL: d.settings.DutyTTL, Now: time.Now})
+}
+
+// dutyPause is the time between two steps of a duty.
+func (d *Daemon) dutyPause(job *duty.Duty) time.Duration {
+	return min(job.Interval(), d.settings.EvidenceEvery, d.settings.RatingEvery)
+}
+
+// holdJob is holdDuty for a duty that is given up while it is not wanted.
+func (d *Daemon) holdJob(job *duty.Duty, name string, wanted func() bool, start func(ctx context.Context, fence uint64) (term, error)) {
 	var current term
 	log := d.log.WithField("duty", name)
 	leave := func() {
@@ -38,9 +51,16 @@
 			d.decisions.setHeld(name, 0)
 		}
 	}
-	pause := min(job.Interval(), d.settings.EvidenceEvery, d.settings.RatingEvery)
+	pause := d.dutyPause(job)
 	for ; d.ctx.Err() == nil; d.sleep(pause) {
 		fence, held := job.Fence()
+		if !wanted() {
+			leave()
+			if held {
+				job.Release(d.ctx)
+			}
+			continue
+		}
 		if !held && (!d.node.Watching() || d.leaving.Load()) {
 			leave()
 			continue
--- a/daemon/handler.go
+++ b/daemon/handler.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"strings"
 	"time"
 
 	"github.com/bramleytrail/bramleytrail/ledger"
@@ -19,6 +20,9 @@
 	case docRollout:
 		return h.daemon.applyRollout(doc.Body)
 	default:
+		if domain, ok := strings.CutPrefix(doc.Name, docPlacement); ok {
+			return h.daemon.offerPlacement(domain, doc.Body)
+		}
 		return h.daemon.docs.OfferDocument(doc)
 	}
 }
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -13,6 +13,7 @@
 
 	"github.com/bramleytrail/bramleytrail/observe"
 	"github.com/bramleytrail/bramleytrail/peer"
+	"github.com/bramleytrail/bramleytrail/placement"
 	"github.com/bramleytrail/bramleytrail/pool"
 )
 
@@ -44,6 +45,8 @@
 	Endpoints     []pool.State      `json:"endpoints"`
 	Requests      []observe.Request `json:"requests"`
 	Decisions     DecisionState     `json:"decisions"`
+	// Placement are the tables of the placement duties by failure domain; that of this daemon's duty is as of its last tick.
+	Placement map[string]placement.Table `json:"placement,omitempty"`
 }
 
 // State returns the daemon's state. Its size is bounded.
@@ -56,7 +59,7 @@
 		Revision: rev.Number, Digest: rev.Digest, Watcher: d.node.Watching(), Peers: d.node.Peers(), Documents: d.node.Documents(),
 		InFlight: d.admit.InFlight(), BillsHeld: held, BillsUncopied: uncopied, CopiesHeld: d.copies.Held(),
 		Endpoints: d.pool.Dump(now, maxDumpEndpoints), Requests: d.recent.Last(maxDumpRequests),
-		Decisions: d.decisions.state(),
+		Decisions: d.decisions.state(), Placement: d.placement.dump(),
 	}
 	if l := d.docs.list.Load(); l != nil {
 		s.HostList = l.Revision
--- a/local/deployment.go
+++ b/local/deployment.go
@@ -89,7 +89,7 @@
 		ID: id, Domain: domain, Rack: id, Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", OperatorListen: "127.0.0.1:0",
 		Store: d.PlatformURL, Hosts: d.PlatformURL, MaxInFlight: 1000, MaxConnections: 1000, QueueWait: 2 * time.Second,
 		StallTimeout: 30 * time.Second, Settle: d.Settle, BillInterval: 500 * time.Millisecond, CopyTimeout: 500 * time.Millisecond,
-		ClaimWrites: 1000, PollsPerSecond: 50, Ratings: d.PlatformURL, DutyTTL: d.DutyTTL,
+		ClaimWrites: 1000, PollsPerSecond: 50, Ratings: d.PlatformURL, Weights: d.PlatformURL, DutyTTL: d.DutyTTL,
 		EvidenceEvery: 100 * time.Millisecond, RatingEvery: 100 * time.Millisecond, ExploreShare: 0.05, ExploreCost: 0.05, LogLevel: "info", SessionKey: []byte(SessionKey),
 	}
 }
--- /dev/null
+++ b/local/placement_test.go
@@ -0,0 +1,86 @@
+package local
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/bramleytrail/bramleytrail/object"
+	"github.com/bramleytrail/bramleytrail/standin"
+)
+
+// newVersion is the version that a roll-out brings in.
+const newVersion = "small-next"
+
+func placementDeployment(t *testing.T, enabled bool) (*Deployment, context.Context) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	t.Cleanup(cancel)
+	d, err := New(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Stop)
+	set := SampleSet()
+	for i := range set.Services {
+		if set.Services[i].Name == SampleLLM && enabled {
+			set.Services[i].Placement = object.Placement{Enabled: true, VersionsPerEndpoint: 2}
+		}
+	}
+	set.Versions = append(set.Versions, object.Version{Name: newVersion, Model: "small", State: object.VersionActive, Quality: 0.8})
+	set.Rollouts = []object.Rollout{{Name: "next", Model: "small", From: SampleSmall, To: newVersion, Steps: []float64{1}, Step: 0}}
+	if err := SampleWith(ctx, d, 2, standin.EngineSpec{Slots: 64, ColdSlots: 16}, set); err != nil {
+		t.Fatal(err)
+	}
+	return d, ctx
+}
+
+// Guards against a roll-out whose new version gets requests before it has endpoints, and against daemons that don't learn
+// where it was loaded: the host list never names it here.
+func TestPlacementLoadsRolloutVersion(t *testing.T) {
+	d, ctx := placementDeployment(t, true)
+	client := NewClient(d.Daemons[0].Addr(), SampleKey)
+	for ctx.Err() == nil {
+		answer, err := client.Chat(ctx, ChatBody("small", "hello", false), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if answer.Status != 200 {
+			t.Fatalf("status %d: the roll-out sends requests before its version has endpoints", answer.Status)
+		}
+		if answer.Header.Get("Bramley-Version") == newVersion {
+			break
+		}
+		time.Sleep(readyPoll)
+	}
+	for name, e := range d.Engines {
+		for _, o := range e.Orders() {
+			if o.Action != "load" || o.Fence == 0 {
+				t.Errorf("order %+v to %s", o, name)
+			}
+		}
+	}
+	for domain, table := range d.Daemons[0].State().Placement {
+		if s := table.Versions[newVersion]; s.Ready < 1 {
+			t.Errorf("%s: %+v", domain, s)
+		}
+	}
+}
+
+// Guards against orders to the endpoints of a service whose declaration does not ask for placement, and against calls of
+// the key-value service for it.
+func TestPlacementIsOffByDefault(t *testing.T) {
+	d, ctx := placementDeployment(t, false)
+	for d.Platform.KV != nil && len(d.Daemons[0].State().Decisions.Duties)+len(d.Daemons[1].State().Decisions.Duties) < 2 && ctx.Err() == nil {
+		time.Sleep(readyPoll) // the other duties are taken
+	}
+	entries, err := d.Platform.KV.List(ctx, "duty/placement")
+	if err != nil || len(entries) > 0 {
+		t.Errorf("%d placement duties, %v", len(entries), err)
+	}
+	for name, e := range d.Engines {
+		if n := len(e.Orders()); n > 0 {
+			t.Errorf("%d orders to %s", n, name)
+		}
+	}
+}
--- a/placement/executor.go
+++ b/placement/executor.go
@@ -56,7 +56,6 @@
 	Settle time.Duration
 	// PollsPerTick bounds the load reports that are read in one tick.
 	PollsPerTick int
-	Token        string // for endpoints that authenticate the sender
 	Now          func() time.Time
 	// OnOrder, if set, is called after each attempt to send an order.
 	OnOrder func(s Step, err error)
@@ -79,6 +78,7 @@
 	// OneAtATime sends an order only after the one before it was answered. It is for engines that ignore the fencing
 	// number: a holder that is paused and wakes up can then still send one order.
 	OneAtATime bool
+	Token      string // for endpoints that authenticate the sender of an order
 }
 
 // Executor has the plan carried out during one term of the domain's duty. Tick is called by one goroutine.
--- a/placement/send.go
+++ b/placement/send.go
@@ -122,7 +122,7 @@
 	orderCtx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	a.sent = true
-	a.err = x.spec.Engines.Order(orderCtx, s.Addr, s.order(x.spec.Fence, x.spec.Token))
+	a.err = x.spec.Engines.Order(orderCtx, s.Addr, s.order(x.spec.Fence, x.fleets[s.Service].Token))
 }
 
 // fits reports whether an order is still right for an endpoint in the state that a report shows.
