--- a/ctl/main.go
+++ b/ctl/main.go
@@ -120,6 +120,7 @@
 		{"publish", "Check a directory and publish it as the next revision", &publishCommand{app: a}},
 		{"status", "Show which daemon has which revision", &statusCommand{app: a}},
 		{"state", "Show the state of a daemon or of one request", &stateCommand{app: a}},
+		{"placement", "Show where versions are placed and the orders under way", &placementCommand{app: a}},
 		{"bills", "Show the bills that are stored, merged by request", &billsCommand{app: a}},
 		{"prune", "Remove old claims and bills from the key-value service", &pruneCommand{app: a}},
 		{"codes", "List the result codes", &codesCommand{app: a}},
