placement: measure a roll-out at 10 to 168 endpoints a domain

Change: TestRolloutCost logs orders, writes and the time of the fake clock until a roll-out's version has its endpoints, and bounds the tables that are written by the orders; BenchmarkPlan measures a plan at the target's size.

--- /dev/null
+++ b/placement/measure_test.go
@@ -0,0 +1,111 @@
+package placement_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/bramleytrail/bramleytrail/kv/memkv"
+	"github.com/bramleytrail/bramleytrail/placement"
+	"github.com/bramleytrail/bramleytrail/standin"
+)
+
+const (
+	measuredDomains  = 5
+	measuredVersions = 18
+	// share is the part of the largest version's requests that the roll-out's next step moves.
+	share = 0.25
+)
+
+// Measures the orders, writes to the key-value service and time until a roll-out's new version has its endpoints, and
+// guards against orders or writes that grow faster than the replicas that are needed.
+func TestRolloutCost(t *testing.T) {
+	for _, endpoints := range []int{10, 20, 40, 80, 168} {
+		t.Run(fmt.Sprint(endpoints), func(t *testing.T) { measureRollout(t, endpoints) })
+	}
+}
+
+func measureRollout(t *testing.T, endpoints int) {
+	versions := min(measuredVersions-1, endpoints/4)
+	// Two thirds of the slots that may be used after the loss of a domain are in use, most of them by version v00.
+	total := endpoints * slots * (measuredDomains - 1) * 2 / 3
+	base := placement.Fleet{}
+	requests := map[string]int{}
+	for v := range versions {
+		name := fmt.Sprintf("v%02d", v)
+		requests[name] = total / 2 / versions / measuredDomains
+		base.Demands = append(base.Demands, placement.Demand{Version: name, Wanted: true})
+	}
+	requests["v00"] += total / 2 / measuredDomains / 2
+	base.Demands = append(base.Demands, placement.Demand{Version: "new", Wanted: true, Running: int(share * float64(requests["v00"]*measuredDomains))})
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := newSim(ctx, standin.FleetSpec{LoadTime: loadTime, Room: 1}, base, measuredDomains, endpoints, func(_, i int) []string {
+			if i < endpoints/2 {
+				return []string{"v00"}
+			}
+			return []string{base.Demands[i%versions].Version}
+		})
+		s.requests = requests
+		for name, f := range s.domains {
+			serve := map[string][]string{}
+			for _, e := range f.Endpoints {
+				serve[e.ID] = s.fleet.Held()[e.ID]
+			}
+			s.route(placement.Table{Domain: name, Serve: serve})
+			s.start(ctx, name, name)
+		}
+		start := time.Now()
+		for !s.placed("new") && time.Since(start) < time.Hour {
+			time.Sleep(time.Second)
+		}
+		orders, took := s.fleet.Sent(), time.Since(start)
+		counts := s.store.Faults.Counts()
+		writes := counts[memkv.CallCAS] + counts[memkv.CallGrant] + counts[memkv.CallKeepAlive]
+		ready := s.ready("new")
+		cancel()
+		synctest.Wait()
+		s.checkLoads()
+		t.Logf("%d endpoints a domain, %d versions: new version has %d replicas a domain after %s; %d orders, %d writes, %d of them renewals",
+			endpoints, versions+1, ready, took, orders, writes, counts[memkv.CallKeepAlive])
+		if ready < 1 {
+			t.Error("the new version has no replicas")
+		}
+		// A step is recorded at its start and at its end, and a table is published every 30 s.
+		if tables, limit := s.writes, 2*orders+measuredDomains*int(took/(30*time.Second)+2); tables > limit {
+			t.Errorf("%d tables were written for %d orders, limit %d", tables, orders, limit)
+		}
+		for _, f := range s.faults {
+			t.Error(f)
+		}
+	})
+}
+
+// placed reports whether a version has the replicas that it needs in each domain.
+func (s *sim) placed(version string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name := range s.domains {
+		if st := s.tables[name].Versions[version]; st.Ready == 0 || st.Ready < st.Need {
+			return false
+		}
+	}
+	return true
+}
+
+// BenchmarkPlan measures the processor time of a plan at the target's size.
+func BenchmarkPlan(b *testing.B) {
+	in := placement.Input{Domains: measuredDomains, Slots: slots, VersionsPerEndpoint: 1, MaxLoads: 8, Spare: 1}
+	for v := range measuredVersions {
+		in.Demands = append(in.Demands, placement.Demand{Version: fmt.Sprintf("v%02d", v), Wanted: true, Running: 200})
+	}
+	for i := range 168 {
+		in.Endpoints = append(in.Endpoints, placement.Endpoint{ID: fmt.Sprintf("e%03d", i), Versions: []string{fmt.Sprintf("v%02d", i%(measuredVersions-1))}})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		placement.Plan(in)
+	}
+}
