placement: read the tables of the simulation under their lock

Cause: the race detector found TestDomainLost reading a table while a holder saved one. Change: the count of ready replicas of one domain is a method that takes the lock.

--- a/placement/executor_test.go
+++ b/placement/executor_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -204,13 +203,7 @@
 			s.mu.Unlock()
 			time.Sleep(5 * time.Minute)
 			for _, name := range []string{"d1", "d2"} {
-				n := 0
-				for _, served := range s.tables[name].Serve {
-					if slices.Contains(served, "old") {
-						n++
-					}
-				}
-				if n*slots < s.requests["old"] {
+				if n := s.readyIn(name, "old"); n*slots < s.requests["old"] {
 					t.Errorf("%d replicas for %d requests in %s", n, s.requests["old"], name)
 				}
 			}
--- a/placement/sim_test.go
+++ b/placement/sim_test.go
@@ -285,21 +285,23 @@
 
 // ready returns the smallest number of a version's replicas over the domains.
 func (s *sim) ready(version string) int {
+	var counts []int
+	for name := range s.domains {
+		counts = append(counts, s.readyIn(name, version))
+	}
+	return slices.Min(counts)
+}
+
+func (s *sim) readyIn(domain, version string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	least := -1
-	for name := range s.domains {
-		n := 0
-		for _, served := range s.tables[name].Serve {
-			if slices.Contains(served, version) {
-				n++
-			}
-		}
-		if least < 0 || n < least {
-			least = n
+	n := 0
+	for _, served := range s.tables[domain].Serve {
+		if slices.Contains(served, version) {
+			n++
 		}
 	}
-	return least
+	return n
 }
 
 // checkLoads verifies that the loads that arrived stay within the weight store's rate over any time.
