placement: keep what was served over restarts, relistings and take-overs

Cause: by review. An endpoint that left the host list and came back was served by an old table; a new holder forgot the peak of demand; a step for an endpoint with a new address could never end; the first tick before a host list would have published an empty table; a domain taken out of service counted for good. Change: the last published versions, the published demand and the address of a step are kept or compared; no tick without a host list; the demand of a domain that is out counts for 10 minutes. Conclusion: no test showed these faults, and none covers them yet.

--- a/daemon/demand.go
+++ b/daemon/demand.go
@@ -50,15 +50,14 @@
 	return slices.Sorted(maps.Keys(seen))
 }
 
-// demands returns the demand for each version of a service in the other failure domains. A domain that publishes nothing
-// any more counts with its last numbers, so that its loss lowers no need.
+// demands returns the demand for each version of a service in the other failure domains.
 func (d *Daemon) demands(view *config.View, svc *object.Service, tables map[string]placement.Table) []placement.Demand {
 	others, own := map[string]int{}, map[string]int{}
 	for domain, t := range tables {
 		for v, s := range t.Versions {
 			if domain == d.settings.Domain {
 				own[v] = s.Running
-			} else if view.Domains[domain] != nil {
+			} else if d.placement.counts(view, domain) {
 				others[v] += s.Running
 			}
 		}
--- a/daemon/placement.go
+++ b/daemon/placement.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/bramleytrail/bramleytrail/config"
 	"github.com/bramleytrail/bramleytrail/duty"
 	"github.com/bramleytrail/bramleytrail/object"
 	"github.com/bramleytrail/bramleytrail/placement"
@@ -30,6 +31,7 @@
 
 	mu     sync.Mutex
 	tables map[string]placement.Table // by failure domain, as spread
+	heard  map[string]time.Time       // when each was applied
 	own    *placement.Executor        // while this daemon holds its domain's duty
 
 	applying sync.Mutex // serialises applyPlacement, so that an older snapshot never replaces a newer one
@@ -61,6 +63,18 @@
 	return out
 }
 
+// outDemandKept is the time for which the demand of a failure domain that was taken out of service still counts. By then,
+// its traffic shows in the reports of the other domains.
+const outDemandKept = 10 * time.Minute
+
+// counts reports whether the demand of a failure domain's table counts. A domain that is in service counts with its last
+// numbers even if it publishes nothing any more, so that its loss lowers no need.
+func (s *placementState) counts(view *config.View, domain string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return view.DomainIn(domain) || view.Domains[domain] != nil && time.Since(s.heard[domain]) < outDemandKept
+}
+
 func (d *Daemon) startPlacement() {
 	d.metrics.Gauge(`bramley_duty_held{duty="placement"}`, func() float64 {
 		d.placement.mu.Lock()
@@ -136,6 +150,10 @@
 		tables = map[string]placement.Table{}
 	}
 	tables[domain] = t
+	if d.placement.heard == nil {
+		d.placement.heard = map[string]time.Time{}
+	}
+	d.placement.heard[domain] = time.Now()
 	d.placement.tables = tables
 	d.placement.mu.Unlock()
 	d.applyPlacement()
@@ -190,6 +208,9 @@
 }
 
 func (t *executorTerm) tick(ctx context.Context) error {
+	if t.daemon.docs.list.Load() == nil {
+		return nil // without a host list, the table would name no endpoint
+	}
 	return t.executor.Tick(ctx, t.daemon.fleets())
 }
 
--- a/placement/executor.go
+++ b/placement/executor.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -86,7 +87,7 @@
 	spec  Spec
 	seen  map[string]*observed
 	steps []*Step
-	// earlier are the served versions that the previous holder published, for endpoints without a report so far.
+	// earlier are the served versions that were published last, for endpoints without a report since they were listed.
 	earlier map[string][]string
 	peaks   map[string]peak
 	status  map[string]Status
@@ -108,8 +109,12 @@
 // New returns an executor that goes on from the table of the previous holder. Orders of that holder may still arrive;
 // they are completed, never revoked.
 func New(spec Spec, previous Table) *Executor {
-	x := &Executor{spec: spec, seen: map[string]*observed{}, earlier: previous.Serve, peaks: map[string]peak{}, planned: map[string]bool{}}
+	x := &Executor{spec: spec, seen: map[string]*observed{}, earlier: map[string][]string{}, peaks: map[string]peak{}, planned: map[string]bool{}}
 	now := spec.Now()
+	maps.Copy(x.earlier, previous.Serve)
+	for v, s := range previous.Versions {
+		x.peaks[v] = peak{float64(s.Running), now}
+	}
 	for _, s := range previous.Steps {
 		s.Inherited, s.Unsure = true, true
 		s.Attempts = max(1, s.Attempts)
@@ -218,6 +223,7 @@
 		return fmt.Errorf("save placement table: %w", err)
 	}
 	x.saved, x.savedAt = key, now
+	maps.Copy(x.earlier, t.Serve)
 	for _, s := range x.steps {
 		if !s.recorded {
 			s.recorded = true
@@ -240,6 +246,8 @@
 			return false
 		case e == nil: // an attempt may still arrive if it comes back
 			return now.Sub(s.since) > quarantine && now.Sub(s.sentAt) > quarantine
+		case e.target.Addr != s.Addr:
+			return true // a new process, which no attempt can reach
 		case !s.recorded || !e.fresh(now) || !e.at.After(s.since):
 			return false
 		}
