placement: tickets of the weight store are used in the tick that obtained them

Cause: a ticket was used for up to 5 s, so that those of a tick whose table could not be saved came on top of the next ones: 5 loads at one moment, where the store permits 4 (TestOldTickets with the age check taken out). Change: a ticket is used up to 2 s after it was obtained, or 4 s after its time to wait. TestRoomOfLateLoad covers the room kept for a load that may arrive late. The record's check of the rate is a method of standin.Fleet, and the simulation cuts holders off by memkv.Unreliable.

--- a/placement/executor_test.go
+++ b/placement/executor_test.go
@@ -10,6 +10,7 @@
 	"github.com/bramleytrail/bramleytrail/engine"
 	"github.com/bramleytrail/bramleytrail/placement"
 	"github.com/bramleytrail/bramleytrail/standin"
+	"github.com/bramleytrail/bramleytrail/weight"
 )
 
 const (
@@ -164,7 +165,7 @@
 	t.Run("holders", func(t *testing.T) {
 		quiet(t, func(_ *sim, first map[string]*holder, off bool) {
 			for _, h := range first {
-				h.cut.Store(off)
+				h.SetReliable(!off)
 			}
 		}, false)
 	})
@@ -197,7 +198,7 @@
 			for _, e := range s.domains["d0"].Endpoints {
 				s.fleet.SetDown(e.ID, true)
 			}
-			first["d0"].cut.Store(true)
+			first["d0"].SetReliable(false)
 			s.mu.Lock()
 			s.requests["old"] = s.requests["old"] * domains / (domains - 1)
 			s.mu.Unlock()
@@ -229,3 +230,56 @@
 		t.Errorf("%d adapters loaded and %d roles changed, want %d and %d", adapters, roles, domains, wrongRoles)
 	}
 }
+
+// Guards against tickets of the weight store that are kept during an outage and used all at once.
+func TestOldTickets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		base := placement.Fleet{Demands: []placement.Demand{{Version: "new", Wanted: true, Running: 20 * slots}}}
+		s := newSim(ctx, standin.FleetSpec{LoadTime: loadTime, Room: 1}, base, domains, 4*endpoints, func(int, int) []string { return nil })
+		for name := range s.domains {
+			s.start(ctx, name, name)
+		}
+		for range 5 {
+			time.Sleep(10*tickEvery + time.Second)
+			s.store.Faults.SetDown(true) // the tables of one tick are not saved
+			time.Sleep(tickEvery)
+			s.store.Faults.SetDown(false)
+		}
+		cancel()
+		synctest.Wait()
+		if s.checkLoads(); len(s.faults) > 0 {
+			t.Error(s.faults[0])
+		}
+	})
+}
+
+// Guards against a load into the room of another one that may still arrive from an earlier holder.
+func TestRoomOfLateLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := standin.NewFleet(standin.FleetSpec{Room: 1})
+		f.Add("e", "d", "")
+		previous := placement.Table{Steps: []placement.Step{
+			{Service: "llm", Endpoint: "e", Addr: "e", Action: placement.Load, Version: "late", Stage: placement.StageSettled, Unsure: true},
+		}}
+		x := placement.New(placement.Spec{
+			Domain: "d", Engines: f, Weights: weight.NewFake(loadRate, loadBurst, 1), Journal: discard{}, Fence: 1, PollsPerTick: 1, Now: time.Now,
+			Lease: func() (uint64, time.Time) { return 1, time.Now().Add(dutyTTL) },
+		}, previous)
+		fleet := placement.Fleet{Service: "llm", Endpoints: []placement.Target{{ID: "e", Addr: "e"}}, Domains: 1, Slots: 1, VersionsPerEndpoint: 1,
+			Demands: []placement.Demand{{Version: "other", Wanted: true}}}
+		for start := time.Now(); f.Sent() == 0; time.Sleep(tickEvery) {
+			if err := x.Tick(t.Context(), []placement.Fleet{fleet}); err != nil {
+				t.Fatal(err)
+			}
+			if age := time.Since(start); (f.Sent() > 0) != (age > 20*time.Minute) {
+				t.Fatalf("%d orders after %s, want the first after 20 min", f.Sent(), age)
+			}
+		}
+	})
+}
+
+// discard is a journal that keeps nothing.
+type discard struct{}
+
+func (discard) Save(context.Context, []byte) error { return nil }
--- a/placement/random_test.go
+++ b/placement/random_test.go
@@ -111,7 +111,7 @@
 	set := func(failed bool) {
 		switch f.kind {
 		case "cut":
-			h.cut.Store(failed)
+			h.SetReliable(!failed)
 		case "store":
 			s.store.Faults.SetDown(failed)
 		case "weights":
--- a/placement/schedule.go
+++ b/placement/schedule.go
@@ -171,6 +171,6 @@
 	case err != nil:
 		x.problem = "the weight store does not answer"
 	}
-	s.notBefore, s.ticket = x.spec.Now().Add(t.Wait), err == nil
+	s.notBefore, s.ticket, s.waits = x.spec.Now().Add(t.Wait), err == nil, t.Wait > 0
 	return s.ticket
 }
--- a/placement/send.go
+++ b/placement/send.go
@@ -15,9 +15,13 @@
 // resendAfter is the time after which an order without a visible effect is sent again. Orders are idempotent.
 const resendAfter = 10 * time.Second
 
-// ticketTTL is the age at which a ticket of the weight store is no longer used. Old tickets, for example of an outage of
-// the key-value service, would be used all at once.
-const ticketTTL = 5 * time.Second
+const (
+	// ticketTTL is the age at which a ticket of the weight store is no longer used: after the tick that obtained it. Old
+	// tickets, for example of an outage of the key-value service, would be used all at once.
+	ticketTTL = 2 * time.Second
+	// waitedTTL replaces it for a ticket with a time to wait, which can end just after a tick.
+	waitedTTL = 4 * time.Second
+)
 
 // errStateChanged says that an endpoint's report no longer fits the order, which was not sent.
 var errStateChanged = errors.New("placement: the endpoint's state has changed")
@@ -73,8 +77,11 @@
 
 // permitted obtains a ticket of the weight store for another attempt to load, or if the first one is too old.
 func (x *Executor) permitted(ctx context.Context, s *Step) bool {
-	now := x.spec.Now()
-	if s.Action != Load || s.ticket && now.Sub(s.notBefore) < ticketTTL {
+	now, limit := x.spec.Now(), ticketTTL
+	if s.waits {
+		limit = waitedTTL
+	}
+	if s.Action != Load || s.ticket && now.Sub(s.notBefore) < limit {
 		return true
 	}
 	return x.reserve(ctx, s) && !now.Before(s.notBefore)
--- a/placement/sim_test.go
+++ b/placement/sim_test.go
@@ -12,7 +12,6 @@
 
 	"github.com/bramleytrail/bramleytrail/duty"
 	"github.com/bramleytrail/bramleytrail/engine"
-	"github.com/bramleytrail/bramleytrail/kv"
 	"github.com/bramleytrail/bramleytrail/kv/memkv"
 	"github.com/bramleytrail/bramleytrail/placement"
 	"github.com/bramleytrail/bramleytrail/standin"
@@ -121,19 +120,19 @@
 
 // holder is a daemon that competes for a domain's duty.
 type holder struct {
-	sim    *sim
-	domain string
-	job    *duty.Duty
-	exec   *placement.Executor
-	fence  uint64
-	cut    atomic.Bool // off from the key-value service
-	stall  atomic.Pointer[chan struct{}]
-	kv.Store
+	sim               *sim
+	domain            string
+	job               *duty.Duty
+	exec              *placement.Executor
+	fence             uint64
+	stall             atomic.Pointer[chan struct{}]
+	*memkv.Unreliable // not reliable while it is cut off from the key-value service
 }
 
 // start runs a holder until the end of ctx.
 func (s *sim) start(ctx context.Context, domain, name string) *holder {
-	h := &holder{sim: s, domain: domain, Store: s.store}
+	h := &holder{sim: s, domain: domain, Unreliable: memkv.NewUnreliable(s.store, memkv.UnreliableSpec{Lost: 1})}
+	h.SetReliable(true)
 	h.job = duty.New(duty.Spec{Store: h, Name: "placement/" + domain, Owner: name, TTL: dutyTTL, Now: time.Now})
 	go func() {
 		for ctx.Err() == nil {
@@ -251,27 +250,6 @@
 	return h.sim.fleet.Order(ctx, addr, o)
 }
 
-func (h *holder) Get(ctx context.Context, key string) (kv.Entry, error) {
-	if h.cut.Load() {
-		return kv.Entry{}, kv.ErrUnavailable
-	}
-	return h.Store.Get(ctx, key)
-}
-
-func (h *holder) CAS(ctx context.Context, key string, v []byte, prev uint64, l kv.LeaseID) (uint64, error) {
-	if h.cut.Load() {
-		return 0, kv.ErrUnavailable
-	}
-	return h.Store.CAS(ctx, key, v, prev, l)
-}
-
-func (h *holder) KeepAlive(ctx context.Context, id kv.LeaseID) error {
-	if h.cut.Load() {
-		return kv.ErrUnavailable
-	}
-	return h.Store.KeepAlive(ctx, id)
-}
-
 // demand changes the running requests of a version in each domain.
 func (s *sim) demand(version string, n int) {
 	s.mu.Lock()
@@ -306,18 +284,7 @@
 
 // checkLoads verifies that the loads that arrived stay within the weight store's rate over any time.
 func (s *sim) checkLoads() {
-	var at []time.Time
-	for _, e := range s.fleet.Events() {
-		if (e.Order.Action == "load" || e.Order.Action == "adapter") && !e.Changed {
-			at = append(at, e.At)
-		}
-	}
-	for i := range at {
-		for j := i; j < len(at); j++ {
-			if limit := loadBurst + loadRate*at[j].Sub(at[i]).Seconds(); float64(j-i+1) > limit+1e-6 {
-				s.violated("%d loads in %s", j-i+1, at[j].Sub(at[i]))
-				return
-			}
-		}
+	if n, within := s.fleet.LoadsAbove(loadRate, loadBurst); n > 0 {
+		s.violated("%d loads in %s", n, within)
 	}
 }
--- a/placement/step.go
+++ b/placement/step.go
@@ -43,6 +43,7 @@
 	sentAt    time.Time
 	notBefore time.Time // given by the weight store's ticket
 	ticket    bool      // not used yet
+	waits     bool      // the ticket has a time to wait
 	boot      string    // of the endpoint that the order is meant for
 	accepted  bool      // the endpoint acknowledged it
 	recorded  bool      // the key-value service has it
--- a/standin/fleet.go
+++ b/standin/fleet.go
@@ -145,6 +145,27 @@
 	return f.sent
 }
 
+// LoadsAbove returns a number of orders to load that arrived within a time in which a rate a second and burst permit fewer.
+// It returns 0 if there is none.
+func (f *Fleet) LoadsAbove(rate float64, burst int) (n int, within time.Duration) {
+	var at []time.Time
+	for _, e := range f.Events() {
+		if (e.Order.Action == "load" || e.Order.Action == "adapter") && !e.Changed {
+			at = append(at, e.At)
+		}
+	}
+	const rounding = 1e-6
+	for i := range at {
+		for j := i; j < len(at); j++ {
+			within := at[j].Sub(at[i])
+			if float64(j-i+1) > float64(burst)+rate*within.Seconds()+rounding {
+				return j - i + 1, within
+			}
+		}
+	}
+	return 0, 0
+}
+
 // Load returns a load report.
 func (f *Fleet) Load(ctx context.Context, addr string) (engine.Load, error) {
 	f.mu.Lock()
