--- a/placement/measure_test.go
+++ b/placement/measure_test.go
@@ -1,6 +1,8 @@
 package placement_test
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"fmt"
 	"testing"
@@ -68,6 +70,12 @@
 		cancel()
 		synctest.Wait()
 		s.checkLoads()
+		var packed bytes.Buffer
+		zw := gzip.NewWriter(&packed)
+		if _, err := zw.Write(s.largest); err != nil || zw.Close() != nil {
+			t.Fatal("table not compressed")
+		}
+		t.Logf("largest table %d B, %d B compressed", len(s.largest), packed.Len())
 		t.Logf("%d endpoints a domain, %d versions: new version has %d replicas a domain after %s; %d orders, %d writes, %d of them renewals",
 			endpoints, versions+1, ready, took, orders, writes, counts[memkv.CallKeepAlive])
 		if ready < 1 {
--- a/placement/sim_test.go
+++ b/placement/sim_test.go
@@ -44,6 +44,7 @@
 	served   map[string]int          // last count of ready replicas by domain and version
 	faults   []string                // violated invariants
 	writes   int
+	largest  []byte // table
 }
 
 func newSim(ctx context.Context, spec standin.FleetSpec, base placement.Fleet, domains, endpoints int, held func(domain, i int) []string) *sim {
@@ -202,6 +203,9 @@
 	held := s.fleet.Held()
 	s.mu.Lock()
 	s.writes++
+	if len(body) > len(s.largest) {
+		s.largest = body
+	}
 	for id, before := range s.tables[t.Domain].Serve {
 		for _, v := range before {
 			if !slices.Contains(t.Serve[id], v) {
