local: list the placement duties by range

Cause: the test of the switched-off placement used the earlier form of List and did not build with the paged one. Change: it lists by range.

--- a/local/placement_test.go
+++ b/local/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"github.com/bramleytrail/bramleytrail/kv"
 	"testing"
 	"time"
 
@@ -74,9 +75,9 @@
 	for d.Platform.KV != nil && len(d.Daemons[0].State().Decisions.Duties)+len(d.Daemons[1].State().Decisions.Duties) < 2 && ctx.Err() == nil {
 		time.Sleep(readyPoll) // the other duties are taken
 	}
-	entries, err := d.Platform.KV.List(ctx, "duty/placement")
-	if err != nil || len(entries) > 0 {
-		t.Errorf("%d placement duties, %v", len(entries), err)
+	entries, err := d.Platform.KV.List(ctx, kv.Range{Prefix: "duty/placement"})
+	if err != nil || len(entries.Entries) > 0 {
+		t.Errorf("%d placement duties, %v", len(entries.Entries), err)
 	}
 	for name, e := range d.Engines {
 		if n := len(e.Orders()); n > 0 {
