--- a/local/placement_test.go
+++ b/local/placement_test.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"github.com/bramleytrail/bramleytrail/kv"
 	"testing"
 	"time"
 
+	"github.com/bramleytrail/bramleytrail/kv"
 	"github.com/bramleytrail/bramleytrail/object"
 	"github.com/bramleytrail/bramleytrail/standin"
 )
