peer: refuse connections from other deployments

Cause: daemons knew one another only by address. In a run of all tests at once, a daemon of one deployment sent copies of its bills to an address that by then belonged to a daemon of another deployment, which wrote them to its own key-value service: TestFailuresInPairs/version-withdrawn+daemon-killed found the bill of a release that only another package's tests send.

Each deployment of the tests has a secret of its own.

Result: peer.TestOtherDeploymentIsRefused: one copy is taken with the same secret, none with another one.

TLS between daemons separates deployments too, where it is set.

--- a/capacity/fleet.go
+++ b/capacity/fleet.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"cmp"
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -102,7 +103,7 @@
 	if f.dir, err = os.MkdirTemp("", "bramleycap"); err != nil {
 		return f, err
 	}
-	if err := os.WriteFile(f.keyFile(), []byte(local.SessionKey), 0o600); err != nil {
+	if err := os.WriteFile(f.keyFile(), []byte(rand.Text()), 0o600); err != nil {
 		return f, err
 	}
 	if err := f.startStandIn(ctx); err != nil {
--- a/daemon/certificates.go
+++ b/daemon/certificates.go
@@ -32,12 +32,13 @@
 	return nil
 }
 
-// securePeers returns the listener for other daemons and the function that dials them, both with mutual TLS if the
-// settings name certificates.
+// securePeers returns the listener for other daemons and the function that dials them, both for this deployment only and
+// with mutual TLS if the settings name certificates.
 func (d *Daemon) securePeers(ln net.Listener) (net.Listener, func(context.Context, string) (net.Conn, error)) {
 	dial := peer.DialFrom(ln.Addr())
+	deployment := peer.DeploymentOf(d.settings.SessionKey)
 	if d.peerTLS == nil {
-		return ln, dial
+		return deployment.Listen(ln), deployment.Dial(dial)
 	}
 	secured := func(ctx context.Context, addr string) (net.Conn, error) {
 		conn, err := dial(ctx, addr)
@@ -51,7 +52,7 @@
 		}
 		return c, nil
 	}
-	return tls.NewListener(ln, d.peerTLS.Server()), secured
+	return deployment.Listen(tls.NewListener(ln, d.peerTLS.Server())), deployment.Dial(secured)
 }
 
 func (d *Daemon) certificateError(err error) {
--- /dev/null
+++ b/peer/deployment_test.go
@@ -0,0 +1,68 @@
+package peer_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/bramleytrail/bramleytrail/hostlist"
+	"github.com/bramleytrail/bramleytrail/ledger"
+	"github.com/bramleytrail/bramleytrail/peer"
+	"github.com/bramleytrail/bramleytrail/poison"
+)
+
+// billKeeper counts the copies of bills that it was given.
+type billKeeper struct {
+	handler
+	copies int
+}
+
+func (k *billKeeper) KeepBills(ledger.Copy) (string, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.copies++
+	return "", nil
+}
+
+func startNode(t *testing.T, id, secret string, h peer.Handler) (*peer.Node, hostlist.Host) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	host := hostlist.Host{ID: id, Addr: ln.Addr().String(), Role: hostlist.RoleEntry, Domain: id, State: hostlist.StateLive}
+	d := peer.DeploymentOf([]byte(secret))
+	n, err := peer.New(peer.Spec{
+		Self: host, Handler: h, Poison: poison.NewTable(), Log: logrus.New(), Now: time.Now, Dial: d.Dial(peer.DialFrom(ln.Addr())),
+	}, d.Listen(ln))
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.Start()
+	t.Cleanup(n.Close)
+	return n, host
+}
+
+// Guards against bills that go to a daemon of another deployment, which has the address of one that is gone: it would
+// write them to its own key-value service.
+func TestOtherDeploymentIsRefused(t *testing.T) {
+	for _, c := range []struct {
+		secret string
+		copies int
+	}{{"ours", 1}, {"theirs", 0}} {
+		keeper := &billKeeper{}
+		_, other := startNode(t, "other", c.secret, keeper)
+		n, self := startNode(t, "self", "ours", &handler{})
+		n.SetHosts([]hostlist.Host{self, other})
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		_, err := n.CopyBills(ctx, ledger.Copy{Bills: []ledger.Bill{{ID: "x"}}})
+		if accepted := err == nil; accepted != (c.copies > 0) || keeper.copies != c.copies || errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("secret %q: %d copies, error %v; want %d", c.secret, keeper.copies, err, c.copies)
+		}
+	}
+}
