chaos: a copy timeout that does not pass on a busy machine

Change: the copy timeout of these runs is 20 s, so that the verdict does not depend on the load of the machine.

--- a/chaos/run.go
+++ b/chaos/run.go
@@ -22,7 +22,10 @@
 	settle  = 200 * time.Millisecond
 	// recopyTime is the time after the loss of a daemon in which its bills, and those that it held copies of, have only one
 	// place: a loss of their holder in this time may lose them, see docs/billing.md.
-	recopyTime   = 3 * time.Second
+	recopyTime = 3 * time.Second
+	// copyTimeout is so long that it does not pass on a busy machine: an answer ends without a copy of its bill then, and the
+	// bill is lost with its daemon.
+	copyTimeout  = 20 * time.Second
 	settleAfter  = 300 * time.Millisecond // load before and after the failures
 	revisionPoll = 5 * time.Millisecond
 	runTimeout   = 2 * time.Minute
@@ -85,7 +88,7 @@
 		r.poison = r.poison || f.Name == "poison-request"
 		r.storeFaulty = r.storeFaulty || f.Name == "store-down" || f.Name == "store-slow" || f.Name == "store-replies-lost" || f.Name == faultPlatformCut
 	}
-	dep.Settle = settle
+	dep.Settle, dep.CopyTimeout = settle, copyTimeout
 	dep.UseNetwork()
 	if err := r.start(ctx); err != nil {
 		return Report{}, err
