peer: tell deployments apart by name, not by secret

Cause: the identity of a connection came from the secret for session tokens. A change of the secret, host by host, would have parted the daemons: no copies of bills and no exchange of configurations between old and new ones.

--- a/capacity/fleet.go
+++ b/capacity/fleet.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"cmp"
 	"context"
-	"crypto/rand"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -103,7 +102,7 @@
 	if f.dir, err = os.MkdirTemp("", "bramleycap"); err != nil {
 		return f, err
 	}
-	if err := os.WriteFile(f.keyFile(), []byte(rand.Text()), 0o600); err != nil {
+	if err := os.WriteFile(f.keyFile(), []byte(local.SessionKey), 0o600); err != nil {
 		return f, err
 	}
 	if err := f.startStandIn(ctx); err != nil {
@@ -173,7 +172,7 @@
 
 func (f *fleet) startMember(m *member) (err error) {
 	args := []string{
-		"--id", m.host.ID, "--domain", m.host.Domain, "--rack", m.host.Rack, "--listen", m.caller, "--peer-listen", m.host.Addr,
+		"--id", m.host.ID, "--deployment", filepath.Base(f.dir), "--domain", m.host.Domain, "--rack", m.host.Rack, "--listen", m.caller, "--peer-listen", m.host.Addr,
 		"--operator-listen", m.operator, "--store", f.platform, "--hosts", f.platform, "--session-key-file", f.keyFile(), "--log-level", "error",
 	}
 	m.process, err = startProcess(f.binaries.Daemon, append(args, f.spec.Flags...)...)
--- a/daemon/certificates.go
+++ b/daemon/certificates.go
@@ -36,7 +36,7 @@
 // with mutual TLS if the settings name certificates.
 func (d *Daemon) securePeers(ln net.Listener) (net.Listener, func(context.Context, string) (net.Conn, error)) {
 	dial := peer.DialFrom(ln.Addr())
-	deployment := peer.DeploymentOf(d.settings.SessionKey)
+	deployment := peer.DeploymentOf(d.settings.Deployment)
 	if d.peerTLS == nil {
 		return deployment.Listen(ln), deployment.Dial(dial)
 	}
--- a/local/deployment.go
+++ b/local/deployment.go
@@ -20,6 +20,9 @@
 	"github.com/bramleytrail/bramleytrail/standin"
 )
 
+// SessionKey signs session tokens of a local deployment.
+const SessionKey = "local-deployment-session-key"
+
 const readyPoll = 10 * time.Millisecond
 
 // Deployment is a running set of processes' parts.
@@ -31,11 +34,11 @@
 	Plains      map[string]*standin.Plain
 	Log         *logrus.Logger
 	Network     *Network      // nil unless UseNetwork was called
-	SessionKey  []byte        // of daemons that are added from now on; another one for each deployment
 	DutyTTL     time.Duration // of daemons that are added from now on
 	CopyTimeout time.Duration // of daemons that are added from now on
 	Settle      time.Duration // of daemons that are added from now on
 
+	name     string // another one for each deployment, as ports are used again
 	platform *standin.Server
 	servers  map[string]*standin.Server
 }
@@ -53,8 +56,8 @@
 	}
 	return &Deployment{
 		Platform: p, PlatformURL: "http://" + srv.Addr, Engines: map[string]*standin.Engine{}, Plains: map[string]*standin.Plain{}, Log: log, DutyTTL: 900 * time.Millisecond, CopyTimeout: 500 * time.Millisecond,
-		SessionKey: []byte(rand.Text()),
-		platform:   srv, servers: map[string]*standin.Server{},
+		name:     rand.Text(),
+		platform: srv, servers: map[string]*standin.Server{},
 	}, nil
 }
 
@@ -87,11 +90,11 @@
 // Settings returns settings for a daemon with free ports and short intervals.
 func (d *Deployment) Settings(id, domain string) *settings.Settings {
 	return &settings.Settings{
-		ID: id, Domain: domain, Rack: id, Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", OperatorListen: "127.0.0.1:0",
+		ID: id, Deployment: d.name, Domain: domain, Rack: id, Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", OperatorListen: "127.0.0.1:0",
 		Store: d.PlatformURL, Hosts: d.PlatformURL, MaxInFlight: 1000, MaxConnections: 1000, QueueWait: 2 * time.Second,
 		StallTimeout: 30 * time.Second, Settle: d.Settle, BillInterval: 500 * time.Millisecond, CopyTimeout: d.CopyTimeout,
 		ClaimWrites: 1000, PollsPerSecond: 50, Ratings: d.PlatformURL, Weights: d.PlatformURL, DutyTTL: d.DutyTTL,
-		EvidenceEvery: 100 * time.Millisecond, RatingEvery: 100 * time.Millisecond, ExploreShare: 0.05, ExploreCost: 0.05, LogLevel: "info", SessionKey: d.SessionKey,
+		EvidenceEvery: 100 * time.Millisecond, RatingEvery: 100 * time.Millisecond, ExploreShare: 0.05, ExploreCost: 0.05, LogLevel: "info", SessionKey: []byte(SessionKey),
 	}
 }
 
--- a/peer/deployment.go
+++ b/peer/deployment.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/hmac"
 	"crypto/sha256"
 	"errors"
 	"fmt"
@@ -23,11 +22,10 @@
 // its configuration. It keeps mistakes apart and does not replace TLS.
 type Deployment [16]byte
 
-// DeploymentOf returns the identity of the daemons that share a secret.
-func DeploymentOf(secret []byte) (d Deployment) {
-	mac := hmac.New(sha256.New, secret)
-	_, _ = mac.Write([]byte("daemons of a deployment")) // never fails
-	copy(d[:], mac.Sum(nil))
+// DeploymentOf returns the identity of the deployment with a name.
+func DeploymentOf(name string) (d Deployment) {
+	sum := sha256.Sum256([]byte(name))
+	copy(d[:], sum[:])
 	return d
 }
 
@@ -90,7 +88,7 @@
 	if _, c.err = io.ReadFull(c.Conn, got[:]); c.err != nil {
 		return
 	}
-	if !hmac.Equal(got[:], c.deployment[:]) {
+	if got != c.deployment {
 		c.err = errOtherDeployment
 		return
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -18,6 +18,7 @@
 // Settings of one daemon. They are static: everything that may change while the daemon runs is in the configuration.
 type Settings struct {
 	ID             string   `long:"id" env:"BRAMLEY_ID" description:"identity of this daemon in the host list" required:"true"`
+	Deployment     string   `long:"deployment" env:"BRAMLEY_DEPLOYMENT" description:"name of the deployment; daemons refuse connections from daemons of another one" default:"bramleytrail"`
 	Domain         string   `long:"domain" env:"BRAMLEY_DOMAIN" description:"failure domain of this host" required:"true"`
 	Rack           string   `long:"rack" env:"BRAMLEY_RACK" description:"rack of this host"`
 	Listen         string   `long:"listen" env:"BRAMLEY_LISTEN" description:"IP address and port for callers" default:"127.0.0.1:8080"`
