capacity: build the programs of the tests once

Cause: each test of processes built both programs into a directory of its own. Change: the tests of the package share one build, which TestMain removes. Conclusion: further tests of processes cost no build.

--- a/capacity/process_test.go
+++ b/capacity/process_test.go
@@ -5,7 +5,9 @@
 	"errors"
 	"math"
 	"net"
+	"os"
 	"os/exec"
+	"sync"
 	"testing"
 	"time"
 
@@ -16,13 +18,32 @@
 
 const testTimeout = 2 * time.Minute
 
+// built holds the programs, which all tests of the package share.
+var built struct {
+	once sync.Once
+	dir  string
+	b    Binaries
+	err  error
+}
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	_ = os.RemoveAll(built.dir) // removes nothing if no test needed the programs
+	os.Exit(code)
+}
+
+// testBinaries builds the programs at its first call.
 func testBinaries(ctx context.Context, t *testing.T) Binaries {
 	t.Helper()
-	b, err := Build(ctx, t.TempDir(), Binaries{})
-	if err != nil {
-		t.Fatal(err)
+	built.once.Do(func() {
+		if built.dir, built.err = os.MkdirTemp("", "bramleycap"); built.err == nil {
+			built.b, built.err = Build(ctx, built.dir, Binaries{})
+		}
+	})
+	if built.err != nil {
+		t.Fatal(built.err)
 	}
-	return b
+	return built.b
 }
 
 // Guards against a break between whole processes: settings, ports, platform adapters, a streamed answer and the exit code
