--- a/local/client.go
+++ b/local/client.go
@@ -133,6 +133,13 @@
 	return nil
 }
 
+// ReadStream reads a streamed answer. It returns ErrIncomplete if the answer has neither a final marker nor an error event.
+func ReadStream(r io.Reader) (Answer, error) {
+	var a Answer
+	err := readStream(r, &a)
+	return a, err
+}
+
 func readStream(r io.Reader, a *Answer) error {
 	lines := bufio.NewScanner(r)
 	var text strings.Builder
