--- a/standin/plain.go
+++ b/standin/plain.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"encoding/json"
 	"io"
 	"net/http"
 	"sync"
@@ -27,6 +28,7 @@
 	mu        sync.Mutex
 	runs      []PlainRun
 	dropReply int
+	cutReply  int
 	hold      chan struct{} // calls wait until it is closed
 	down      bool
 }
@@ -41,6 +43,13 @@
 	p.dropReply = n
 }
 
+// CutReplies makes the next n calls take effect and then drop the connection in the middle of the reply's body.
+func (p *Plain) CutReplies(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cutReply = n
+}
+
 // SetDown makes the service drop every connection, calls under way included, before it runs anything.
 func (p *Plain) SetDown(down bool) {
 	p.mu.Lock()
@@ -102,6 +111,10 @@
 	if drop {
 		p.dropReply--
 	}
+	cut := !drop && p.cutReply > 0
+	if cut {
+		p.cutReply--
+	}
 	p.mu.Unlock()
 	if hold != nil {
 		select {
@@ -112,5 +125,21 @@
 	if drop || p.isDown() {
 		panic(http.ErrAbortHandler)
 	}
-	replyJSON(w, map[string]string{"service": p.Name, "method": r.Method, "path": r.URL.RequestURI()})
+	reply := map[string]string{"service": p.Name, "method": r.Method, "path": r.URL.RequestURI()}
+	if cut {
+		replyPart(w, reply)
+	}
+	replyJSON(w, reply)
+}
+
+// replyPart sends the first half of a reply and drops the connection.
+func replyPart(w http.ResponseWriter, v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // strings always encode
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(data[:len(data)/2]) // the connection is dropped anyway
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
 }
