entry: send an event of a stream with one write

Cause: the chunked writer made three writes, and three packets, of each event. Change: the chunked framing is collected in a buffer of 1 KiB, which is flushed after each event.

--- a/entry/caller.go
+++ b/entry/caller.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -76,6 +77,10 @@
 // megabytes for a caller that reads slowly.
 const socketBuffer = 32 << 10
 
+// chunkBuffer holds a chunk of a usual event with its framing, so that it is one write to the connection. Without it,
+// the chunked writer makes three writes of each event.
+const chunkBuffer = 1 << 10
+
 // errGone is returned for a write after the caller closed its connection.
 var errGone = errors.New("caller closed the connection")
 
@@ -84,7 +89,8 @@
 type streamCaller struct {
 	conn    net.Conn
 	stall   time.Duration
-	body    io.WriteCloser // chunked framing; nil until Begin
+	body    io.WriteCloser // chunked framing into out; nil until Begin
+	out     *bufio.Writer
 	begun   bool
 	gone    atomic.Bool
 	aborted *atomic.Bool
@@ -142,7 +148,8 @@
 func (c *streamCaller) Begin(status int, h http.Header) error {
 	h = h.Clone()
 	h.Set("Transfer-Encoding", "chunked")
-	c.body = httputil.NewChunkedWriter(deadlineWriter{c})
+	c.out = bufio.NewWriterSize(deadlineWriter{c}, chunkBuffer)
+	c.body = httputil.NewChunkedWriter(c.out)
 	return c.sendHeader(status, h, nil)
 }
 
@@ -161,15 +168,23 @@
 }
 
 // Write implements relay.Caller.
-func (c *streamCaller) Write(p []byte) (int, error) { return c.body.Write(p) }
+func (c *streamCaller) Write(p []byte) (int, error) {
+	n, err := c.body.Write(p)
+	if err != nil {
+		return n, err
+	}
+	return n, c.out.Flush()
+}
 
 // End implements relay.Caller.
 func (c *streamCaller) End() error {
 	if err := c.body.Close(); err != nil {
 		return err
 	}
-	_, err := deadlineWriter{c}.Write([]byte("\r\n"))
-	return err
+	if _, err := c.out.WriteString("\r\n"); err != nil {
+		return err
+	}
+	return c.out.Flush()
 }
 
 // Reply implements relay.Caller.
