--- a/capacity/process_test.go
+++ b/capacity/process_test.go
@@ -33,7 +33,7 @@
 }
 
 // testBinaries builds the programs at its first call.
-func testBinaries(ctx context.Context, t *testing.T) Binaries {
+func testBinaries(ctx context.Context, t testing.TB) Binaries {
 	t.Helper()
 	built.once.Do(func() {
 		if built.dir, built.err = os.MkdirTemp("", "bramleycap"); built.err == nil {
--- a/capacity/stopped_fleet_test.go
+++ b/capacity/stopped_fleet_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/bramleytrail/bramleytrail/hostlist"
 	"github.com/bramleytrail/bramleytrail/local"
+	"github.com/bramleytrail/bramleytrail/object"
 	"github.com/bramleytrail/bramleytrail/standin"
 )
 
@@ -109,29 +110,35 @@
 	return all, succeeded
 }
 
-// stopFleet has daemons as processes; platform and endpoints are in the test's process, where their calls can be held.
-type stopFleet struct {
+// testFleet has daemons as processes; platform and endpoints are in the test's process, where their calls can be held.
+type testFleet struct {
 	*local.Deployment
-	t       *testing.T
+	t       testing.TB
 	ctx     context.Context
 	members []*member
 	access  []*access
 }
 
-// startStopFleet starts daemons one after the other, so that the first one holds the duties that all may hold.
-func startStopFleet(t *testing.T, engine standin.EngineSpec, ownerFlags ...string) *stopFleet {
-	t.Helper()
-	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
-	t.Cleanup(cancel)
+// newTestFleet starts the platform and the endpoints.
+func newTestFleet(tb testing.TB, timeout time.Duration, engine standin.EngineSpec, set object.Set) *testFleet {
+	tb.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	tb.Cleanup(cancel)
 	d, err := local.New(nil)
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
-	t.Cleanup(d.Stop)
-	if err := local.Sample(ctx, d, 0, engine); err != nil {
-		t.Fatal(err)
+	tb.Cleanup(d.Stop)
+	if err := local.SampleWith(ctx, d, 0, engine, set); err != nil {
+		tb.Fatal(err)
 	}
-	f := &stopFleet{Deployment: d, t: t, ctx: ctx}
+	return &testFleet{Deployment: d, t: tb, ctx: ctx}
+}
+
+// startPair starts daemons one after the other, so that the first one holds the duties that all may hold.
+func startPair(t *testing.T, engine standin.EngineSpec, ownerFlags ...string) *testFleet {
+	t.Helper()
+	f := newTestFleet(t, testTimeout, engine, local.SampleSet())
 	f.start("entry-1", local.SampleDomainA, ownerFlags...)
 	for _, name := range []string{"rating", "rollout"} {
 		f.wait("the first daemon holds duty "+name, func() bool { return f.dutyOwner(name) != "" })
@@ -140,7 +147,7 @@
 	return f
 }
 
-func (f *stopFleet) start(id, domain string, flags ...string) {
+func (f *testFleet) start(id, domain string, flags ...string) {
 	f.t.Helper()
 	ports, err := freePorts(3)
 	if err != nil {
@@ -179,7 +186,7 @@
 	})
 }
 
-func (f *stopFleet) wait(what string, cond func() bool) {
+func (f *testFleet) wait(what string, cond func() bool) {
 	f.t.Helper()
 	if err := local.Wait(f.ctx, cond); err != nil {
 		f.t.Fatalf("%s: %v", what, err)
@@ -187,7 +194,7 @@
 }
 
 // dutyOwner returns the incarnation that holds a duty, empty for none.
-func (f *stopFleet) dutyOwner(name string) string {
+func (f *testFleet) dutyOwner(name string) string {
 	e, err := f.Platform.KV.Get(f.ctx, "duty/"+name)
 	if err != nil {
 		return ""
@@ -196,7 +203,7 @@
 }
 
 // pause stops the first daemon's process and returns when the system shows it as stopped.
-func (f *stopFleet) pause() {
+func (f *testFleet) pause() {
 	f.t.Helper()
 	p := f.members[0].cmd.Process
 	if err := p.Signal(syscall.SIGSTOP); err != nil {
@@ -210,14 +217,14 @@
 }
 
 // outlastLeases waits until the second daemon holds the duties of the stopped one, whose leases have then ended.
-func (f *stopFleet) outlastLeases() {
+func (f *testFleet) outlastLeases() {
 	f.t.Helper()
 	for _, name := range []string{"rating", "rollout"} {
 		f.wait("duty "+name+" is taken over", func() bool { return strings.HasPrefix(f.dutyOwner(name), "entry-2") })
 	}
 }
 
-func (f *stopFleet) proceed() {
+func (f *testFleet) proceed() {
 	f.t.Helper()
 	if err := f.members[0].cmd.Process.Signal(syscall.SIGCONT); err != nil {
 		f.t.Fatal(err)
@@ -225,7 +232,7 @@
 }
 
 // stopAll ends the daemons by SIGTERM, which must write their bills and end with exit code 0.
-func (f *stopFleet) stopAll() {
+func (f *testFleet) stopAll() {
 	f.t.Helper()
 	for _, m := range f.members {
 		if err := m.stop(); err != nil {
--- a/capacity/stopped_test.go
+++ b/capacity/stopped_test.go
@@ -27,13 +27,13 @@
 }
 
 // release sends a call that may not be repeated through a daemon.
-func (f *stopFleet) release(i int, key string) delivery {
+func (f *testFleet) release(i int, key string) delivery {
 	a, err := local.NewClient(f.members[i].caller, local.SampleKey).Call(f.ctx, http.MethodPost, "/v1/services/lots/release", []byte("lot 1"),
 		map[string]string{identify.HeaderKey: key})
 	return delivery{a, err}
 }
 
-func (f *stopFleet) runs(key string) int {
+func (f *testFleet) runs(key string) int {
 	n := 0
 	for _, p := range f.Plains {
 		for _, r := range p.Runs() {
@@ -46,7 +46,7 @@
 }
 
 // checkDelivery compares what a caller was told with the number of runs at that time.
-func (f *stopFleet) checkDelivery(what string, d delivery, runs int) {
+func (f *testFleet) checkDelivery(what string, d delivery, runs int) {
 	f.t.Helper()
 	ran := d.a.Header.Get(relay.HeaderRan)
 	switch {
@@ -65,7 +65,7 @@
 // leases while the caller repeats the call through another daemon.
 func TestStoppedOwnerOfAClaim(t *testing.T) {
 	for name, c := range map[string]struct {
-		when func(f *stopFleet) (reached func(), release func())
+		when func(f *testFleet) (reached func(), release func())
 		// repeat is the status of the repeat during the stop, and runs the number of runs then.
 		repeat, runs int
 	}{
@@ -74,7 +74,7 @@
 		"after the call was sent":     {when: holdCall, repeat: http.StatusConflict, runs: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
-			f := startStopFleet(t, stopEngine)
+			f := startPair(t, stopEngine)
 			reached, release := c.when(f)
 			first := make(chan delivery, 1)
 			go func() { first <- f.release(0, "lot-1") }()
@@ -102,15 +102,15 @@
 }
 
 // holdClaim stops the owner while its claim is on the way to the key-value service, or while the reply is on its way back.
-func holdClaim(written bool) func(*stopFleet) (func(), func()) {
-	return func(f *stopFleet) (func(), func()) {
+func holdClaim(written bool) func(*testFleet) (func(), func()) {
+	return func(f *testFleet) (func(), func()) {
 		h := f.access[0].hold(claim.Prefix, written)
 		return func() { <-h.reached }, func() { close(h.release); <-h.status }
 	}
 }
 
 // holdCall stops the owner while the endpoint holds its reply.
-func holdCall(f *stopFleet) (func(), func()) {
+func holdCall(f *testFleet) (func(), func()) {
 	var releases []func()
 	for _, p := range f.Plains {
 		releases = append(releases, p.Hold())
@@ -127,7 +127,7 @@
 // successor wrote. One write is on its way when the process stops, the others would follow when it continues.
 func TestStoppedHolderOfDuties(t *testing.T) {
 	const key = "state/quality"
-	f := startStopFleet(t, stopEngine)
+	f := startPair(t, stopEngine)
 	late := f.access[0].hold(key, false)
 	f.Platform.Ratings.Add(rating.Rating{RequestID: "1", Version: local.SampleSmall, Kind: "summary", Score: 1})
 	<-late.reached
@@ -162,7 +162,7 @@
 }
 
 // rated returns the number of ratings in the state of the rating duty.
-func (f *stopFleet) rated() int {
+func (f *testFleet) rated() int {
 	_, body, err := duty.Read(f.ctx, f.Platform.KV, "state/quality")
 	if err != nil || len(body) == 0 {
 		return 0
@@ -180,7 +180,7 @@
 // during the stop and again by their owner after it.
 func TestStoppedServerOfStreams(t *testing.T) {
 	const ended, streams, tokens = 5, 6, 200
-	f := startStopFleet(t, standin.EngineSpec{Slots: 64, ColdSlots: 64, TokenDelay: 5 * time.Millisecond, Answer: tokens},
+	f := startPair(t, standin.EngineSpec{Slots: 64, ColdSlots: 64, TokenDelay: 5 * time.Millisecond, Answer: tokens},
 		"--bill-interval", "1h", "--copy-timeout", "10s")
 	client := local.NewClient(f.members[0].caller, local.SampleKey)
 	for i := range ended {
@@ -220,7 +220,7 @@
 }
 
 // readStream reads one streamed answer and calls started after its first event.
-func (f *stopFleet) readStream(prompt string, started func()) string {
+func (f *testFleet) readStream(prompt string, started func()) string {
 	once := sync.OnceFunc(started)
 	defer once()
 	resp, err := local.NewClient(f.members[0].caller, local.SampleKey).Do(f.ctx, http.MethodPost, "/v1/chat/completions", local.ChatBody("small", prompt, true), nil)
@@ -251,7 +251,7 @@
 	return a.Text
 }
 
-func (f *stopFleet) bills() []ledger.Bill {
+func (f *testFleet) bills() []ledger.Bill {
 	bills, err := ledger.Read(f.ctx, f.Platform.KV)
 	if err != nil {
 		f.t.Error(err)
@@ -261,7 +261,7 @@
 
 // checkBills compares the merged bills, one for each identity, with the number of requests, and their tokens with those of
 // whole answers.
-func (f *stopFleet) checkBills(requests int, tokens int64) {
+func (f *testFleet) checkBills(requests int, tokens int64) {
 	f.t.Helper()
 	bills := f.bills()
 	if len(bills) != requests {
