ledger: copy bills that end within 5 ms together

Cause: bills that end at nearly the same time were copied one by one unless a copy was on its way, and each copy has a header and a reply. Change: the first bill waits 5 ms for others. The copy timeout includes this wait, at most half of it is used, and an answer's end still waits for the acknowledgement or the copy timeout. Every answer ends 5 ms later.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -187,7 +187,7 @@
 	failed := d.metrics.Counter("bramley_bill_write_errors_total")
 	d.ledger = ledger.New(ledger.Spec{
 		Store: d.platform.Store, Replicator: d.node, Domain: s.Domain, Incarnation: d.incarnation, Interval: s.BillInterval,
-		CopyTimeout: s.CopyTimeout, OnUncopied: uncopied.Inc,
+		CopyTimeout: s.CopyTimeout, Collect: ledger.CollectTime, OnUncopied: uncopied.Inc,
 		OnStoreError: func(err error) {
 			failed.Inc()
 			d.log.WithError(err).Warn("bills not written; they stay in memory")
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -19,6 +19,8 @@
 	writeTimeout    = 5 * time.Second
 	announceTimeout = 2 * time.Second
 	retryPause      = time.Second
+	// CollectTime is a Collect that adds little to the end of an answer and joins the bills of a burst.
+	CollectTime = 5 * time.Millisecond
 	// copyPending marks a bill whose first copy is on its way.
 	copyPending = "?"
 )
@@ -47,7 +49,10 @@
 	Domain      string
 	Incarnation string
 	Interval    time.Duration // time between writes
-	CopyTimeout time.Duration
+	CopyTimeout time.Duration // for one copy, with Collect
+	// Collect is the time for which a bill waits for others that are copied together with it. At most half of CopyTimeout
+	// is used.
+	Collect time.Duration
 	// OnUncopied is called for each bill that no other daemon holds a copy of when its answer ends.
 	OnUncopied func()
 	// OnStoreError is called when a write fails.
@@ -133,10 +138,14 @@
 	return g
 }
 
-// copyGroup sends one group. While a group is on its way, the next one collects bills, so that the number of messages
-// stays small under load without a fixed delay.
+// copyGroup sends one group. It waits for further bills first, and while a group is on its way, the next one collects
+// bills, so that the number of messages stays small under load.
 func (l *Ledger) copyGroup(ctx context.Context, g *group) {
 	defer close(g.done)
+	collect := min(l.spec.Collect, l.spec.CopyTimeout/2)
+	if collect > 0 {
+		time.Sleep(collect)
+	}
 	l.copying <- struct{}{}
 	defer func() { <-l.copying }()
 	l.mu.Lock()
@@ -149,7 +158,7 @@
 	}
 	c := Copy{ID: g.batch.id, Bills: g.batch.bills[g.from:g.to:g.to], Written: l.written()}
 	l.mu.Unlock()
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), l.spec.CopyTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), l.spec.CopyTimeout-collect)
 	defer cancel()
 	holder, err := l.spec.Replicator.CopyBills(ctx, c)
 	g.err = err
--- /dev/null
+++ b/peer/bills_test.go
@@ -0,0 +1,86 @@
+package peer
+
+import (
+	"context"
+	"encoding/base32"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/rpc"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/bramleytrail/bramleytrail/hostlist"
+	"github.com/bramleytrail/bramleytrail/ledger"
+	"github.com/bramleytrail/bramleytrail/poison"
+)
+
+type rpcReplicator struct{ client *rpc.Client }
+
+func (r rpcReplicator) CopyBills(_ context.Context, c ledger.Copy) (string, error) {
+	var reply BillsReply
+	err := r.client.Call(serviceName+".CopyBills", BillsArgs{c}, &reply)
+	return reply.Holder, err
+}
+
+func (rpcReplicator) AnnounceBills(context.Context, ledger.Copy) []string { return nil }
+
+type billHolder struct{ nothing }
+
+func (billHolder) KeepBills(ledger.Copy) (string, error) { return "domain-3-entry-117-KLMNOPQRST", nil }
+
+func sampleBill(rng *rand.Rand, owner string) ledger.Bill {
+	id := make([]byte, 26)
+	for i := range id {
+		id[i] = base32.StdEncoding.EncodeToString([]byte{byte(rng.Uint32())})[0]
+	}
+	team := fmt.Sprintf("team-%d", rng.IntN(10))
+	return ledger.Bill{
+		ID: team + "/chat/id/" + string(id), Team: team, At: time.Now().UnixMilli(), Daemon: owner,
+		Calls: ledger.Calls{{Version: fmt.Sprintf("model-%d-v1", rng.IntN(9)), Input: rng.Int64N(4000), Output: rng.Int64N(1000), Cost: rng.Int64N(9000)}},
+	}
+}
+
+// Guards against copies of bills that take more of a daemon's 5 KB a second than is left for them. 17.6 bills a second are
+// one daemon's share of 6,500 requests.
+func TestBillCopyBytes(t *testing.T) {
+	const bills = 1760
+	for _, c := range []struct{ burst, limit int }{{1, 80}, {10, 45}} {
+		synctest.Test(t, func(t *testing.T) {
+			traffic := newTraffic()
+			n, err := New(Spec{Self: hostlist.Host{ID: "a"}, Handler: billHolder{}, Poison: poison.NewTable(), Now: time.Now, Dial: noDial}, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			a, b := net.Pipe()
+			var wg sync.WaitGroup
+			wg.Go(func() { n.server.ServeCodec(serverCodec{newCodec(b, nil)}) })
+			client := rpc.NewClientWithCodec(newClientCodec(a, traffic))
+			const owner = "domain-2-entry-339-ABCDEFGHIJ"
+			l := ledger.New(ledger.Spec{
+				Replicator: rpcReplicator{client}, Domain: "domain-2", Incarnation: owner, CopyTimeout: 100 * time.Millisecond,
+				Collect: ledger.CollectTime, OnUncopied: func() { t.Error("bill without a copy") },
+			})
+			rng := rand.New(rand.NewPCG(1, 1))
+			for range bills / c.burst {
+				for range c.burst { // a burst ends within a millisecond
+					bill := sampleBill(rng, owner)
+					wg.Go(func() { l.Add(t.Context(), bill) })
+					time.Sleep(time.Millisecond / time.Duration(c.burst))
+				}
+				time.Sleep(time.Duration(rng.ExpFloat64() * float64(c.burst) / 17.6 * float64(time.Second)))
+			}
+			time.Sleep(time.Second)
+			_ = client.Close()
+			wg.Wait()
+			out, in := traffic.take("peer/copybills out"), traffic.take("peer/copybills in")
+			t.Logf("bursts of %d: %d messages, %.1f B a bill sent, %.1f received", c.burst, traffic.messages["peer/copybills out"],
+				float64(out)/bills, float64(in)/bills)
+			if out+in > c.limit*bills {
+				t.Errorf("bursts of %d: %d B a bill; want at most %d", c.burst, (out+in)/bills, c.limit)
+			}
+		})
+	}
+}
