peer: spread changes of the host list as differences

Change: a node keeps the last 8 versions of a document and gives a difference against the version that the peer names, or against the newest older one that it has itself. The result must have the digest of the whole list; otherwise, and without a known base, the whole list is sent. Watchers still read whole lists from the platform.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -157,7 +157,7 @@
 	ln, dial := d.securePeers(ln)
 	d.node, err = peer.New(peer.Spec{
 		Dial: dial,
-		Self: d.self(), Handler: handler{d}, Poison: d.poison, Log: d.log, Now: time.Now, Seeds: d.settings.Seeds, Traffic: d.metrics,
+		Self: d.self(), Handler: handler{d}, Poison: d.poison, Log: d.log, Now: time.Now, Seeds: d.settings.Seeds, Traffic: d.metrics, Differ: differ{},
 	}, ln)
 	if err != nil {
 		return err
--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -196,7 +196,7 @@
 	rng := rand.New(rand.NewPCG(1, uint64(len(f.parts))))
 	var err error
 	p.node, err = peer.New(peer.Spec{
-		Self: p.host, Handler: docsHandler{p.docs}, Poison: poison.NewTable(), Log: log, Now: time.Now, Dial: f.net.Dial(id), Rand: rng.Int64N, Seeds: seeds,
+		Self: p.host, Handler: docsHandler{p.docs}, Poison: poison.NewTable(), Log: log, Now: time.Now, Dial: f.net.Dial(id), Rand: rng.Int64N, Seeds: seeds, Differ: differ{},
 	}, f.net.Listen(id))
 	if err != nil {
 		f.t.Fatal(err)
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/rpc"
+	"slices"
 	"time"
 )
 
@@ -116,13 +117,17 @@
 		n.spec.Poison.Add(r, n.spec.Now())
 	}
 	n.fetchNewer(addr, reply.Docs)
-	return n.give(addr, reply.Want)
+	return n.give(addr, reply)
 }
 
 // give sends the documents that a peer asked for on the connection that has just answered.
-func (n *Node) give(addr string, names []string) error {
-	for _, name := range names {
-		d, ok := n.Document(name)
+func (n *Node) give(addr string, reply *DigestReply) error {
+	for _, name := range reply.Want {
+		var have DocumentID
+		if i := slices.IndexFunc(reply.Docs, func(id DocumentID) bool { return id.Name == name }); i >= 0 {
+			have = reply.Docs[i]
+		}
+		d, ok := n.documentFor(name, have)
 		if !ok {
 			continue
 		}
@@ -219,7 +224,8 @@
 			return
 		}
 		var d Document
-		if err := n.link(addr).call(n.ctx, fetchTimeout, "Fetch", FetchArgs{Name: name}, &d); err != nil {
+		args := n.fetchArgs(name)
+		if err := n.link(addr).call(n.ctx, fetchTimeout, "Fetch", args, &d); err != nil {
 			n.spec.Log.WithError(err).Warn("document fetch failed")
 			continue // offered again with the next digest
 		}
@@ -227,6 +233,16 @@
 			n.spec.Log.WithField("peer", addr).Warn("peer sent another document than the one asked for")
 			continue
 		}
+		d, err := n.complete(d)
+		if err != nil {
+			n.spec.Log.WithError(err).WithField("peer", addr).Debug("difference not applied")
+			if args.Have != (DocumentID{}) {
+				n.mu.Lock()
+				f.sources[addr] = d.DocumentID // the next fetch asks for the whole document
+				n.mu.Unlock()
+			}
+			continue
+		}
 		if err := n.offer(d, addr); err != nil {
 			n.spec.Log.WithError(err).WithField("document", name).WithField("peer", addr).Warn("document rejected")
 		}
--- a/peer/message.go
+++ b/peer/message.go
@@ -41,10 +41,12 @@
 	return id.short().Digest > other.short().Digest
 }
 
-// Document is one version of a document.
+// Document is one version of a document. In a message, Base and Diff may take the place of Body.
 type Document struct {
 	DocumentID
 	Body []byte
+	Base DocumentID // version that Diff starts from
+	Diff []byte
 }
 
 // DigestArgs tells a peer which documents the sender has.
@@ -73,8 +75,11 @@
 	Doc  Document
 }
 
-// FetchArgs asks for a document.
-type FetchArgs struct{ Name string }
+// FetchArgs asks for a document, or for the difference against the version Have.
+type FetchArgs struct {
+	Name string
+	Have DocumentID
+}
 
 // CrashArgs spreads crash records.
 type CrashArgs struct{ Records []poison.Record }
--- a/peer/node.go
+++ b/peer/node.go
@@ -42,6 +42,8 @@
 	Poison  *poison.Table
 	Log     logrus.FieldLogger
 	Now     func() time.Time
+	// Differ makes differences between versions of documents. Nil sends every document whole.
+	Differ Differ
 	// Seeds are peer addresses that are used as long as no daemon is known from the host list.
 	Seeds []string
 	// Rand returns a random number below its argument. Nil uses the process's source.
@@ -74,6 +76,10 @@
 	expected  map[string]expected // by document name
 	rejected  map[DocumentID]bool
 
+	past  map[string][]Document            // earlier versions by document name, the newest last
+	diffs map[string]map[DocumentID][]byte // differences to the newest version, by name and base
+	whole map[string]bool                  // documents whose last difference could not be applied
+
 	offering sync.Mutex // serialises documents
 	wg       sync.WaitGroup
 	ctx      context.Context
@@ -93,7 +99,8 @@
 		spec: spec, listener: ln, server: rpc.NewServer(), docs: map[string]Document{}, links: map[string]*link{},
 		conns: map[net.Conn]bool{}, holders: map[string]holder{}, watch: newWatchers(spec.Self.ID, spec.Now()),
 		told: map[string]uint64{}, exchanges: map[string]*exchange{}, fetches: map[string]*fetch{},
-		expected: map[string]expected{}, rejected: map[DocumentID]bool{}, ctx: ctx, cancel: cancel,
+		expected: map[string]expected{}, rejected: map[DocumentID]bool{}, past: map[string][]Document{}, diffs: map[string]map[DocumentID][]byte{},
+		whole: map[string]bool{}, ctx: ctx, cancel: cancel,
 	}
 	if err := n.server.RegisterName(serviceName, &service{n}); err != nil {
 		cancel()
@@ -260,6 +267,7 @@
 		return err
 	}
 	n.mu.Lock()
+	n.keepPastLocked(d.Name)
 	n.docs[d.Name] = d
 	n.version++
 	if from != "" {
--- a/peer/service.go
+++ b/peer/service.go
@@ -27,12 +27,12 @@
 
 // Give takes a document.
 func (s *service) Give(args GiveArgs, _ *Empty) error {
-	return s.node.offer(args.Doc, args.From)
+	return s.node.take(args.Doc, args.From)
 }
 
 // Fetch returns a document.
 func (s *service) Fetch(args FetchArgs, reply *Document) error {
-	d, ok := s.node.Document(args.Name)
+	d, ok := s.node.documentFor(args.Name, args.Have)
 	if !ok {
 		return fmt.Errorf("no document %q", args.Name)
 	}
