claim: divide a budget of claim writes among the daemons

Cause: the default of 20 claim writes a second for each daemon admitted 7,400 a second from 370 daemons; the key-value service takes several hundred. A share is at least 0.2 a second, one call in 10 s, also without a list. Each daemon may make the writes of one call at once, so 370 may make 740 once.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -72,9 +72,13 @@
 type Spec struct {
 	Store kv.Store
 	Owner string // identity of this daemon
-	// WritesPerSecond bounds the claim writes of this daemon, two for each call.
+	// WritesPerSecond bounds the claim writes of this daemon, two for each call. Zero stands for its share of Budget.
 	WritesPerSecond float64
-	Now             func() time.Time
+	// Budget is the number of claim writes a second of the whole deployment, and Members returns the number of live
+	// entry hosts, among which it is divided; 0 if it is not known yet.
+	Budget  float64
+	Members func() int
+	Now     func() time.Time
 	// OnRestore is called when the key-value service may have lost claims; nil for nothing.
 	OnRestore func()
 }
@@ -95,8 +99,16 @@
 // New returns a filter.
 func New(spec Spec) *Filter {
 	ctx, cancel := context.WithCancel(context.Background())
-	burst := max(2, int(spec.WritesPerSecond))
-	return &Filter{spec: spec, limiter: rate.NewLimiter(rate.Limit(spec.WritesPerSecond), burst), ctx: ctx, cancel: cancel}
+	writes := spec.writesPerSecond()
+	return &Filter{spec: spec, limiter: rate.NewLimiter(rate.Limit(writes), burst(writes)), ctx: ctx, cancel: cancel}
+}
+
+// allow reports whether the writes of a call may be made, and counts them.
+func (f *Filter) allow() bool {
+	now, writes := f.spec.Now(), f.spec.writesPerSecond()
+	f.limiter.SetLimitAt(now, rate.Limit(writes))
+	f.limiter.SetBurstAt(now, burst(writes))
+	return f.limiter.AllowN(now, writesPerCall)
 }
 
 // Close waits until ctx ends for outcomes that are not recorded yet, then gives up on them. Requests must have ended;
@@ -156,7 +168,7 @@
 	if in.Key == "" {
 		return nil, nil, result.Newf(result.KeyRequired, "")
 	}
-	if !f.limiter.AllowN(f.spec.Now(), 2) {
+	if !f.allow() {
 		return nil, nil, result.Newf(result.ClaimBudget, "").WithRetry(storeRetry)
 	}
 	c := &Claim{filter: f, key: StoreKey(in.Service, in.Team, in.Key), record: Record{
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -203,6 +203,7 @@
 	restores := d.metrics.Counter("bramley_claim_restores_suspected_total")
 	d.claims = claim.New(claim.Spec{
 		Store: d.platform.Store, Owner: d.incarnation, WritesPerSecond: s.ClaimWrites, Now: time.Now,
+		Budget: s.ClaimBudget, Members: func() int { return int(d.docs.members.Load()) },
 		OnRestore: func() {
 			restores.Inc()
 			d.log.Warn("key-value service may have lost claims; non-repeatable calls are refused for a minute")
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -46,7 +46,8 @@
 	Settle         time.Duration `long:"settle" env:"BRAMLEY_SETTLE" description:"time within which every daemon sees a change of the host list" default:"3s"`
 	BillInterval   time.Duration `long:"bill-interval" env:"BRAMLEY_BILL_INTERVAL" description:"time between writes of bills" default:"10s"`
 	CopyTimeout    time.Duration `long:"copy-timeout" env:"BRAMLEY_COPY_TIMEOUT" description:"longest wait for the copy of a bill" default:"100ms"`
-	ClaimWrites    float64       `long:"claim-writes" env:"BRAMLEY_CLAIM_WRITES" description:"claim writes a second of this daemon" default:"20"`
+	ClaimWrites    float64       `long:"claim-writes" env:"BRAMLEY_CLAIM_WRITES" description:"claim writes a second of this daemon; 0 for its share of --claim-budget" default:"0"`
+	ClaimBudget    float64       `long:"claim-budget" env:"BRAMLEY_CLAIM_BUDGET" description:"claim writes a second of all daemons, divided among those that the host list shows as live" default:"260"`
 	PollsPerSecond int           `long:"polls-per-second" env:"BRAMLEY_POLLS_PER_SECOND" description:"load reports that this daemon reads a second" default:"8"`
 	DutyTTL        time.Duration `long:"duty-ttl" env:"BRAMLEY_DUTY_TTL" description:"time after which a silent holder of a duty is replaced" default:"9s"`
 	EvidenceEvery  time.Duration `long:"evidence-interval" env:"BRAMLEY_EVIDENCE_INTERVAL" description:"time between reports on versions under roll-out" default:"10s"`
@@ -219,8 +220,11 @@
 	if s.Settle < 0 {
 		bad("settle", "%s is negative", s.Settle)
 	}
-	if s.ClaimWrites <= 0 {
-		bad("claim-writes", "%g is not positive", s.ClaimWrites)
+	if !(s.ClaimWrites >= 0) {
+		bad("claim-writes", "%g is negative", s.ClaimWrites)
+	}
+	if !(s.ClaimBudget > 0) {
+		bad("claim-budget", "%g is not positive", s.ClaimBudget)
 	}
 	if len(s.SessionKey) < minSessionKeyBytes {
 		bad("session-key-file", "the key has %d bytes; want at least %d", len(s.SessionKey), minSessionKeyBytes)
