--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -157,7 +157,7 @@
 	ln, dial := d.securePeers(ln)
 	d.node, err = peer.New(peer.Spec{
 		Dial: dial,
-		Self: d.self(), Handler: handler{d}, Poison: d.poison, Log: d.log, Now: time.Now, Seeds: d.settings.Seeds, Traffic: d.metrics,
+		Self: d.self(), Handler: handler{d}, Poison: d.poison, Log: d.log, Now: time.Now, Seeds: d.settings.Seeds, Traffic: d.metrics, Differ: differ{},
 	}, ln)
 	if err != nil {
 		return err
@@ -187,7 +187,7 @@
 	failed := d.metrics.Counter("bramley_bill_write_errors_total")
 	d.ledger = ledger.New(ledger.Spec{
 		Store: d.platform.Store, Replicator: d.node, Domain: s.Domain, Incarnation: d.incarnation, Interval: s.BillInterval,
-		CopyTimeout: s.CopyTimeout, OnUncopied: uncopied.Inc,
+		CopyTimeout: s.CopyTimeout, Collect: ledger.CollectTime, OnUncopied: uncopied.Inc,
 		OnStoreError: func(err error) {
 			failed.Inc()
 			d.log.WithError(err).Warn("bills not written; they stay in memory")
@@ -203,6 +203,7 @@
 	restores := d.metrics.Counter("bramley_claim_restores_suspected_total")
 	d.claims = claim.New(claim.Spec{
 		Store: d.platform.Store, Owner: d.incarnation, WritesPerSecond: s.ClaimWrites, Now: time.Now,
+		Budget: s.ClaimBudget, Members: func() int { return int(d.docs.members.Load()) },
 		OnRestore: func() {
 			restores.Inc()
 			d.log.Warn("key-value service may have lost claims; non-repeatable calls are refused for a minute")
--- a/peer/message.go
+++ b/peer/message.go
@@ -41,10 +41,12 @@
 	return id.short().Digest > other.short().Digest
 }
 
-// Document is one version of a document.
+// Document is one version of a document. In a message, Base and Diff may take the place of Body.
 type Document struct {
 	DocumentID
 	Body []byte
+	Base DocumentID // version that Diff starts from
+	Diff []byte
 }
 
 // DigestArgs tells a peer which documents the sender has.
@@ -73,14 +75,33 @@
 	Doc  Document
 }
 
-// FetchArgs asks for a document.
-type FetchArgs struct{ Name string }
+// FetchArgs asks for a document, or for the difference against the version Have.
+type FetchArgs struct {
+	Name string
+	Have DocumentID
+}
 
 // CrashArgs spreads crash records.
 type CrashArgs struct{ Records []poison.Record }
 
-// BillsArgs carries copies of bills.
-type BillsArgs struct{ Copy ledger.Copy }
+// BillsArgs carries copies of bills. Daemons of earlier versions send them in Copy, others in Packed.
+type BillsArgs struct {
+	Copy   ledger.Copy
+	Packed packedBills
+}
+
+func newBillsArgs(c ledger.Copy) BillsArgs {
+	packed := packBills(c.Bills, c.ID.Incarnation)
+	c.Bills = nil
+	return BillsArgs{Copy: c, Packed: packed}
+}
+
+func (a BillsArgs) copy() (ledger.Copy, error) {
+	bills, err := a.Packed.unpack(a.Copy.ID.Incarnation)
+	c := a.Copy
+	c.Bills = append(c.Bills, bills...)
+	return c, err
+}
 
 // BillsReply names the incarnation that keeps the copies. A daemon that was started again has lost them and has another.
 type BillsReply struct{ Holder string }
