rollout: keep the totals of idle daemons

Cause: the holder forgot a daemon 10 min after its last report. A daemon without new calls sends none, so that its next report counted all its calls again.

Change: totals are kept until the roll-out is no longer declared.

A restarted daemon leaves its former totals with the holder until the roll-out ends, about 200 B each by the size of the structures (computed).

--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -12,8 +12,6 @@
 const (
 	// suspicion is the e-value from which a roll-out does not advance by itself.
 	suspicion = 4
-	// senderTTL is the time after which a sender that reports no more is forgotten.
-	senderTTL = 10 * time.Minute
 	// maxSeenCrashes bounds the crashes that are told apart in one roll-out.
 	maxSeenCrashes = 4096
 )
@@ -51,7 +49,6 @@
 }
 
 type sender struct {
-	seen  time.Time
 	pairs map[ID]Pair
 }
 
@@ -95,7 +92,6 @@
 	if !ok {
 		s.pairs = map[ID]Pair{}
 	}
-	s.seen = now
 	for _, p := range e.Pairs {
 		before := s.pairs[p.ID]
 		t := c.test(p.ID)
@@ -151,18 +147,21 @@
 			changed = true
 		}
 	}
-	c.forget(ids, now)
+	c.forget(ids)
 	return changed, halted
 }
 
-func (c *Controller) forget(ids map[ID]bool, now time.Time) {
+func (c *Controller) forget(ids map[ID]bool) {
 	for id := range c.tests {
 		if !ids[id] {
 			delete(c.tests, id)
 		}
 	}
+	// A daemon without new calls sends no reports, however long. If its totals were forgotten before its roll-outs end,
+	// its next report would count them again.
 	for name, s := range c.senders {
-		if now.Sub(s.seen) > senderTTL {
+		maps.DeleteFunc(s.pairs, func(id ID, _ Pair) bool { return !ids[id] })
+		if len(s.pairs) == 0 {
 			delete(c.senders, name)
 		}
 	}
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -115,6 +115,22 @@
 	}
 }
 
+// Guards against totals that count again when a daemon reports after a long time without calls.
+func TestIdleSenderCountsOnce(t *testing.T) {
+	c := NewController(State{}, "a")
+	report := func(calls uint64, now time.Time) {
+		p := Pair{ID: IDOf(&declared), From: Counts{Answers: calls}}
+		c.Report(Evidence{Sender: "x", Pairs: []Pair{p}}, now)
+		c.Tick([]object.Rollout{declared}, noRatings, now)
+	}
+	report(100, start)
+	c.Tick([]object.Rollout{declared}, noRatings, start.Add(time.Hour))
+	report(101, start.Add(time.Hour))
+	if got := c.test(IDOf(&declared)).total.from.Answers; got != 101 {
+		t.Errorf("%d calls counted of 101", got)
+	}
+}
+
 // Guards against ratings that don't count, and against old ratings that do.
 func TestPoorRatingsHalt(t *testing.T) {
 	c := NewController(State{}, "a")
