rollout: process calls in event time

Cause: daemons report totals at different times, so that the blocks of the test differed from those of the calls in their order. A value just below the bound then waited for the next failure, minutes later.

The holder processes the seconds of all daemons in order, when all have reported past them or after 13 s, and evaluates the test after each. Totals decide how many calls count, so that lost and repeated reports do no harm. The simulation uses these reports, only after new calls as daemons do; the reference still learns every call at once. Its reports of daemons without new calls are left out, which changes nothing but the time of a run.

--- a/bench/main.go
+++ b/bench/main.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"text/tabwriter"
+	"time"
 
 	"github.com/jessevdk/go-flags"
 )
@@ -88,6 +89,7 @@
 	}
 	if o.Bad > 0 {
 		r.Rollouts = append(r.Rollouts, RunRollouts("bad version", BadVersion, o.FirstSeed, o.Bad))
+		r.Rollouts = append(r.Rollouts, RunRollouts("bad version, 60 daemons", BadVersionAtMany, o.FirstSeed, o.Bad))
 	}
 	if o.Sound > 0 {
 		r.Rollouts = append(r.Rollouts, RunRollouts("sound version", SoundVersion, o.FirstSeed, o.Sound))
@@ -106,9 +108,9 @@
 	if err := t.Flush(); err != nil {
 		return err
 	}
-	fmt.Fprintln(t, "roll-outs\truns\thalted\tcompleted\tmost exposed\tlongest delay\tlate halts\t")
+	fmt.Fprintln(t, "roll-outs\truns\thalted\tcompleted\tmost exposed\tlongest delay\tmean delay\tlate halts\t")
 	for _, s := range r.Rollouts {
-		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%.3f %%\t%s\t%d\t\n", s.Name, s.Runs, s.Halted, s.Completed, 100*s.MaxExposed, s.MaxDelay, s.Late)
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%.3f %%\t%s\t%s\t%d\t\n", s.Name, s.Runs, s.Halted, s.Completed, 100*s.MaxExposed, s.MaxDelay, s.MeanDelay.Round(time.Second), s.Late)
 	}
 	return t.Flush()
 }
--- a/bench/rollout.go
+++ b/bench/rollout.go
@@ -1,9 +1,10 @@
 package bench
 
 import (
-	"fmt"
+	"cmp"
 	"math"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"github.com/bramleytrail/bramleytrail/object"
@@ -11,6 +12,7 @@
 )
 
 const (
+	// rolloutDaemons is the number of daemons unless RolloutSpec says otherwise.
 	rolloutDaemons   = 8
 	evidenceInterval = 10 * time.Second // of a daemon's reports
 	tickInterval     = 3 * time.Second  // of the holder's evaluation
@@ -18,6 +20,9 @@
 	goodFailureRate  = 0.01
 )
 
+// simulationStart is the time at which simulated roll-outs begin.
+var simulationStart = time.Unix(1_000_000_000, 0)
+
 // MaxHaltDelay is the time within which a bad version must be out of service after the evidence suffices.
 const MaxHaltDelay = 20 * time.Second
 
@@ -38,11 +43,15 @@
 	Requests    int     // a day
 	FailureRate float64 // of the new version; the old one fails 1 %
 	PoorRate    float64 // of the new version's ratings; of the old version's, 10 % are poor
+	Daemons     int     // rolloutDaemons if 0
 }
 
 // BadVersion is a version that fails a fifth of its answers.
 var BadVersion = RolloutSpec{Requests: 100_000, FailureRate: 0.2, PoorRate: 0.1}
 
+// BadVersionAtMany is the bad version at 60 daemons under the same load.
+var BadVersionAtMany = RolloutSpec{Requests: 100_000, FailureRate: 0.2, PoorRate: 0.1, Daemons: 60}
+
 // SoundVersion is as good as the old one.
 var SoundVersion = RolloutSpec{Requests: 100_000, FailureRate: goodFailureRate, PoorRate: 0.1}
 
@@ -52,7 +61,7 @@
 	rng        *rand.Rand
 	declared   object.Rollout
 	controller *rollout.Controller
-	pairs      [rolloutDaemons]rollout.Pair
+	daemons    []simulatedDaemon
 	ratings    map[string]rollout.Ratings
 	shadow     *rollout.Controller // learns every call at once, without reports
 	suffices   time.Duration       // when the evidence sufficed, -1 before
@@ -60,6 +69,15 @@
 	result     RolloutResult
 }
 
+// simulatedDaemon counts the calls of one daemon.
+type simulatedDaemon struct {
+	counter *rollout.Counter
+	pair    rollout.Pair // for the shadow
+	sent    int64        // last second reported
+	calls   uint64       // reported
+	fresh   bool         // has calls that the shadow does not know
+}
+
 // RunRollout simulates one day of a roll-out in steps of one second.
 func RunRollout(spec RolloutSpec, seed uint64) RolloutResult {
 	s := &simulation{
@@ -68,8 +86,10 @@
 		result:   RolloutResult{Seed: seed, Requests: spec.Requests},
 	}
 	id := rollout.IDOf(&s.declared)
-	for i := range s.pairs {
-		s.pairs[i].ID = id
+	s.daemons = make([]simulatedDaemon, cmp.Or(spec.Daemons, rolloutDaemons))
+	for i := range s.daemons {
+		s.daemons[i] = simulatedDaemon{counter: rollout.NewCounter(), pair: rollout.Pair{ID: id}}
+		s.daemons[i].counter.SetRollouts([]object.Rollout{s.declared})
 	}
 	s.controller = rollout.NewController(rollout.State{}, "self")
 	s.shadow = rollout.NewController(rollout.State{}, "shadow")
@@ -94,14 +114,18 @@
 	}
 	share := s.declared.Steps[s.step]
 	for range n {
-		p := &s.pairs[s.rng.IntN(rolloutDaemons)]
+		d := &s.daemons[s.rng.IntN(len(s.daemons))]
+		p := &d.pair
+		d.fresh = true
 		counts, version, fails, poor := &p.From, "m-1", goodFailureRate, 0.1
 		if s.rng.Float64() < share {
 			counts, version, fails, poor = &p.To, "m-2", s.spec.FailureRate, s.spec.PoorRate
 			exposed++
 		}
 		counts.Answers++
-		if s.rng.Float64() < fails {
+		failed := s.rng.Float64() < fails
+		d.counter.Add(0, rollout.Call{At: simulationStart.Add(at), Version: version, Failed: failed})
+		if failed {
 			counts.Errors++
 			if version == "m-2" {
 				s.result.Failed++
@@ -121,14 +145,14 @@
 
 // evaluate reports the evidence that is due and evaluates it. It reports whether the roll-out was halted.
 func (s *simulation) evaluate(at time.Duration) bool {
-	now := time.Unix(0, 0).Add(at)
+	now := simulationStart.Add(at)
 	if s.suffices < 0 && s.enough(now) {
 		s.suffices = at
 	}
-	for i := range s.pairs {
-		offset := time.Duration(i) * evidenceInterval / rolloutDaemons
+	for i := range s.daemons {
+		offset := time.Duration(i) * evidenceInterval / time.Duration(len(s.daemons))
 		if (at-offset.Truncate(time.Second))%evidenceInterval == 0 {
-			s.controller.Report(rollout.Evidence{Sender: fmt.Sprint(i), Pairs: s.pairs[i : i+1]}, now)
+			s.report(i, now)
 		}
 	}
 	if at%tickInterval != 0 {
@@ -147,6 +171,18 @@
 	return halted
 }
 
+// report sends the report of a daemon if it has new calls.
+func (s *simulation) report(daemon int, now time.Time) {
+	d := &s.daemons[daemon]
+	e := d.counter.Evidence(strconv.Itoa(daemon), d.sent, now)
+	calls := e.Calls()
+	if calls == d.calls {
+		return
+	}
+	s.controller.Report(e, now)
+	d.sent, d.calls = e.Through, calls
+}
+
 func (s *simulation) ratingsOf(version string) rollout.Ratings { return s.ratings[version] }
 
 // enough reports whether the calls so far suffice for a halt. It is asked only when the version fails.
@@ -154,8 +190,13 @@
 	if s.spec.FailureRate <= goodFailureRate {
 		return false
 	}
-	for i := range s.pairs {
-		s.shadow.Report(rollout.Evidence{Sender: fmt.Sprint(i), Pairs: s.pairs[i : i+1]}, now)
+	for i := range s.daemons {
+		d := &s.daemons[i]
+		if !d.fresh {
+			continue
+		}
+		d.fresh = false
+		s.shadow.Report(rollout.Evidence{Sender: strconv.Itoa(i), Pairs: []rollout.Pair{d.pair}}, now)
 	}
 	_, halted := s.shadow.Tick([]object.Rollout{s.declared}, s.ratingsOf, now)
 	return halted
@@ -169,7 +210,8 @@
 	Completed  int           `json:"completed"`  // reached the last step within the day
 	MaxExposed float64       `json:"maxExposed"` // part of the day's requests
 	MaxDelay   time.Duration `json:"maxDelayNanoseconds"`
-	Late       int           `json:"late"` // halts later than MaxHaltDelay
+	MeanDelay  time.Duration `json:"meanDelayNanoseconds"` // of the halts
+	Late       int           `json:"late"`                 // halts later than MaxHaltDelay
 }
 
 // RunRollouts runs roll-outs with seeds from first on.
@@ -179,6 +221,7 @@
 	for _, r := range results {
 		if r.Halted {
 			sum.Halted++
+			sum.MeanDelay += r.Delay
 		}
 		if r.Step == 3 {
 			sum.Completed++
@@ -189,5 +232,6 @@
 			sum.Late++
 		}
 	}
+	sum.MeanDelay /= time.Duration(max(1, sum.Halted))
 	return sum
 }
--- a/daemon/decisions.go
+++ b/daemon/decisions.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strconv"
 	"sync"
 	"time"
 
@@ -29,6 +30,16 @@
 	keyRollout  = "state/rollout"
 )
 
+const (
+	// senderShift leaves 48 bits of the hash that names a daemon's incarnation in reports, to keep these small. Two of
+	// 1,000 incarnations have the same with a probability of 2 in 1,000,000,000.
+	senderShift = 16
+	senderBase  = 36
+)
+
+// maxInboxReports bounds the reports of one daemon that wait for the holder. Totals in the newer ones cover the others.
+const maxInboxReports = 4
+
 // errNotHolder answers evidence that arrives at a daemon without the duty.
 var errNotHolder = errors.New("this daemon does not hold the roll-out duty")
 
@@ -40,8 +51,8 @@
 	climbs    *cascade.Rates
 
 	mu    sync.Mutex
-	held  map[string]uint64           // fencing numbers of the duties that this daemon holds
-	inbox map[string]rollout.Evidence // newest by sender; nil without the roll-out duty
+	held  map[string]uint64             // fencing numbers of the duties that this daemon holds
+	inbox map[string][]rollout.Evidence // by sender; nil without the roll-out duty
 }
 
 func newDecisions() *decisions {
@@ -54,7 +65,7 @@
 }
 
 func (c *decisions) count(r dispatch.CallResult) {
-	c.counter.Add(xxhash.Sum64String(r.RequestID), rollout.Call{Version: r.Version, Failed: r.Failed, Crash: r.Crash, FirstByte: r.FirstByte})
+	c.counter.Add(xxhash.Sum64String(r.RequestID), rollout.Call{At: time.Now(), Version: r.Version, Failed: r.Failed, Crash: r.Crash, FirstByte: r.FirstByte})
 }
 
 func (c *decisions) setHeld(name string, fence uint64) {
@@ -71,7 +82,7 @@
 func (c *decisions) openInbox() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.inbox = map[string]rollout.Evidence{}
+	c.inbox = map[string][]rollout.Evidence{}
 }
 
 func (c *decisions) closeInbox() {
@@ -85,21 +96,22 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var out []rollout.Evidence
-	for _, e := range c.inbox {
-		out = append(out, e)
+	for _, list := range c.inbox {
+		out = append(out, list...)
 	}
 	clear(c.inbox)
 	return out
 }
 
-// takeEvidence keeps the newest counts of a daemon. It fails without the roll-out duty.
+// takeEvidence keeps the newest reports of a daemon. It fails without the roll-out duty.
 func (c *decisions) takeEvidence(e rollout.Evidence) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.inbox == nil {
 		return errNotHolder
 	}
-	c.inbox[e.Sender] = e
+	list := append(c.inbox[e.Sender], e)
+	c.inbox[e.Sender] = list[max(0, len(list)-maxInboxReports):]
 	return nil
 }
 
@@ -172,11 +184,15 @@
 func (d *Daemon) sendEvidence() {
 	var sentTo string
 	var sent uint64
+	var through int64 // last second that the holder has confirmed
 	for d.ctx.Err() == nil {
 		d.sleep(d.settings.EvidenceEvery)
 		holder := d.decisions.rollouts.State().Holder
-		e := d.evidence()
-		calls := callsIn(e)
+		if holder != sentTo {
+			through = 0
+		}
+		e := d.evidence(through)
+		calls := e.Calls()
 		if holder == "" || holder == d.peerAddr || len(e.Pairs) == 0 || holder == sentTo && calls == sent {
 			continue
 		}
@@ -184,19 +200,14 @@
 			d.log.WithError(err).Debug("evidence not delivered")
 			continue
 		}
-		sentTo, sent = holder, calls
+		sentTo, sent, through = holder, calls, e.Through
 	}
 }
 
-func (d *Daemon) evidence() rollout.Evidence {
-	return rollout.Evidence{Sender: d.incarnation, Pairs: d.decisions.counter.Pairs()}
-}
-
-func callsIn(e rollout.Evidence) (n uint64) {
-	for _, p := range e.Pairs {
-		n += p.From.Answers + p.To.Answers
-	}
-	return n
+// evidence returns the totals and the counts of the seconds after the given one.
+func (d *Daemon) evidence(after int64) rollout.Evidence {
+	sender := strconv.FormatUint(xxhash.Sum64String(d.incarnation)>>senderShift, senderBase)
+	return d.decisions.counter.Evidence(sender, after, time.Now())
 }
 
 // DecisionState is the part of the state dump that shows what the choice of versions depends on.
@@ -210,7 +221,7 @@
 
 func (c *decisions) state() DecisionState {
 	s := c.rollouts.State()
-	out := DecisionState{Duties: map[string]uint64{}, Rollouts: s.Records, Holder: s.Holder, Counts: c.counter.Pairs(), Quality: c.estimates.Summary()}
+	out := DecisionState{Duties: map[string]uint64{}, Rollouts: s.Records, Holder: s.Holder, Counts: c.counter.Evidence("", 0, time.Now()).Pairs, Quality: c.estimates.Summary()}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for name, fence := range c.held {
--- a/daemon/duties.go
+++ b/daemon/duties.go
@@ -177,6 +177,7 @@
 	daemon     *Daemon
 	state      *duty.State
 	controller *rollout.Controller
+	reported   int64 // last second that the controller has of this daemon
 	dirty      bool
 }
 
@@ -207,7 +208,9 @@
 		return nil
 	}
 	now := time.Now().UTC()
-	for _, e := range append(d.decisions.takeInbox(), d.evidence()) {
+	own := d.evidence(t.reported)
+	t.reported = own.Through
+	for _, e := range append(d.decisions.takeInbox(), own) {
 		t.controller.Report(e, now)
 	}
 	changed, halted := t.controller.Tick(view.Set.Rollouts, d.ratingsOf, now)
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -46,10 +46,14 @@
 	state   State
 	tests   map[ID]*test
 	senders map[string]sender
+	// processed is the last second, in Unix time, that the tests include.
+	processed int64
 }
 
 type sender struct {
-	pairs map[ID]Pair
+	seen    time.Time
+	through int64 // last second reported; 0 without counts by second
+	pairs   map[ID]Pair
 }
 
 // versions counts the calls of both versions over all daemons.
@@ -63,6 +67,7 @@
 	metrics  [metricCount]comparison
 	block    versions // counts that the metrics don't include yet
 	total    versions
+	pending  timeline
 	crashes  map[uint64]bool
 	ratings  [2]Ratings // included in the metrics
 	included bool       // ratings is set
@@ -86,7 +91,7 @@
 	return State{Holder: c.state.Holder, Records: maps.Clone(c.state.Records)}
 }
 
-// Report takes the totals of one daemon.
+// Report takes the counts of one daemon.
 func (c *Controller) Report(e Evidence, now time.Time) {
 	s, ok := c.senders[e.Sender]
 	if !ok {
@@ -94,24 +99,32 @@
 	}
 	for _, p := range e.Pairs {
 		before := s.pairs[p.ID]
+		if e.Through < s.through && !(before.From.within(p.From) && before.To.within(p.To)) {
+			continue // an earlier report that was overtaken
+		}
 		t := c.test(p.ID)
-		from, to := p.From.minus(before.From), p.To.minus(before.To)
-		fromCrashes, toCrashes := t.fresh(p.FromCrashes), t.fresh(p.ToCrashes)
-		for _, v := range []*versions{&t.block, &t.total} {
-			v.from.add(from)
-			v.to.add(to)
-			v.fromCrashes += fromCrashes
-			v.toCrashes += toCrashes
+		growth := versions{p.From.minus(before.From), p.To.minus(before.To), t.fresh(p.FromCrashes), t.fresh(p.ToCrashes)}
+		if e.Through == 0 {
+			t.take(growth)
+		} else {
+			c.place(t.pending, growth, p, s.through, e.Through, now.Unix())
 		}
 		s.pairs[p.ID] = p
 	}
+	s.seen, s.through = now, max(s.through, min(e.Through, now.Unix()))
 	c.senders[e.Sender] = s
 }
 
+// take adds counts to the block.
+func (t *test) take(v versions) {
+	t.block.add(v)
+	t.total.add(v)
+}
+
 func (c *Controller) test(id ID) *test {
 	t := c.tests[id]
 	if t == nil {
-		t = &test{crashes: map[uint64]bool{}}
+		t = &test{pending: timeline{}, crashes: map[uint64]bool{}}
 		c.tests[id] = t
 	}
 	return t
@@ -134,6 +147,7 @@
 func (c *Controller) Tick(declared []object.Rollout, ratings func(version string) Ratings, now time.Time) (changed, halted bool) {
 	names := map[string]bool{}
 	ids := map[ID]bool{}
+	c.processed = c.complete(now)
 	for i := range declared {
 		r := &declared[i]
 		names[r.Name] = true
@@ -176,14 +190,16 @@
 		c.state.Records[r.Name] = rec
 		changed = true
 	}
+	t := c.test(id)
+	due := t.pending.take(c.processed)
 	if rec.Halted {
 		return changed, false
 	}
-	t := c.test(id)
-	t.include(rec.Ratings, [2]Ratings{ratings(r.From), ratings(r.To)})
-	value, worst := t.value()
+	bound := math.Exp2(float64(rec.Terms)) / FalseAlarmRate
+	t.includeRatings(rec.Ratings, [2]Ratings{ratings(r.From), ratings(r.To)})
+	value, worst := t.process(due, bound)
 	switch {
-	case value >= math.Exp2(float64(rec.Terms))/FalseAlarmRate:
+	case value >= bound:
 		rec.Step, rec.Halted, rec.Since = -1, true, now
 		rec.Reason = fmt.Sprintf("%s: %s", metrics[worst].name, t.describe(worst))
 		halted = true
@@ -198,14 +214,36 @@
 	return true, halted
 }
 
-// include adds the block of calls and the new ratings to the comparisons, once they are large enough.
-func (t *test) include(base, current [2]Ratings) {
-	if b := t.block; large(b.from.Answers, b.to.Answers) {
-		t.block = versions{}
-		t.compare(metricErrors, outcome{b.from.Answers, b.from.Errors}, outcome{b.to.Answers, b.to.Errors})
-		t.compare(metricCrashes, outcome{b.from.Answers, b.fromCrashes}, outcome{b.to.Answers, b.toCrashes})
-		t.compare(metricSlow, outcome{b.from.Answers, b.from.Slow}, outcome{b.to.Answers, b.to.Slow})
+// process takes the counts of seconds in their order and evaluates the test after each of them, so that a value that
+// reaches the bound is not missed when later calls lower it. It stops at the bound.
+func (t *test) process(seconds []versions, bound float64) (value float64, worst int) {
+	t.includeCalls()
+	value, worst = t.value()
+	for _, v := range seconds {
+		if value >= bound {
+			break
+		}
+		t.take(v)
+		t.includeCalls()
+		value, worst = t.value()
+	}
+	return value, worst
+}
+
+// includeCalls adds the block of calls to the comparisons, once it is large enough.
+func (t *test) includeCalls() {
+	b := t.block
+	if !large(b.from.Answers, b.to.Answers) {
+		return
 	}
+	t.block = versions{}
+	t.compare(metricErrors, outcome{b.from.Answers, b.from.Errors}, outcome{b.to.Answers, b.to.Errors})
+	t.compare(metricCrashes, outcome{b.from.Answers, b.fromCrashes}, outcome{b.to.Answers, b.toCrashes})
+	t.compare(metricSlow, outcome{b.from.Answers, b.from.Slow}, outcome{b.to.Answers, b.to.Slow})
+}
+
+// includeRatings adds the new ratings to the comparison, once there are enough.
+func (t *test) includeRatings(base, current [2]Ratings) {
 	if !t.included {
 		t.ratings, t.included = base, true
 	}
--- a/rollout/counts.go
+++ b/rollout/counts.go
@@ -53,6 +53,11 @@
 	return Counts{c.Answers - o.Answers, c.Errors - o.Errors, c.Slow - o.Slow}
 }
 
+// within reports whether no count exceeds that of o.
+func (c Counts) within(o Counts) bool {
+	return c.Answers <= o.Answers && c.Errors <= o.Errors && c.Slow <= o.Slow
+}
+
 // Pair counts the calls of both versions of one roll-out.
 type Pair struct {
 	ID       ID
@@ -60,6 +65,8 @@
 	// FromCrashes and ToCrashes are hashes of crashes of endpoints, at most maxCrashes each. A crash interrupts calls of
 	// many daemons; the hash lets it count once.
 	FromCrashes, ToCrashes []uint64
+	// Seconds holds the counts by second since the last report that arrived, see packSeconds.
+	Seconds []byte `json:"-"`
 }
 
 // Evidence is what one daemon has counted. Counts are totals, so that a report which is lost or delivered twice does no
@@ -67,10 +74,22 @@
 type Evidence struct {
 	Sender string // incarnation of the daemon
 	Pairs  []Pair
+	// Through is the last second, in Unix time by the daemon's clock, that the counts include. It is 0 if the report has
+	// no counts by second; these count when they arrive.
+	Through int64
+}
+
+// Calls returns the number of calls in the totals.
+func (e Evidence) Calls() (n uint64) {
+	for _, p := range e.Pairs {
+		n += p.From.Answers + p.To.Answers
+	}
+	return n
 }
 
 // Call is a finished model call.
 type Call struct {
+	At        time.Time // of its end
 	Version   string
 	Failed    bool
 	Crash     string        // identity of the endpoint's crash that ended the call, or empty
@@ -91,6 +110,7 @@
 	to        bool
 	slowAfter time.Duration
 	counts    Counts
+	recent    window
 	crashes   map[uint64]bool
 }
 
@@ -137,7 +157,7 @@
 	if l == nil {
 		return
 	}
-	l.counts.Answers++
+	one := Counts{Answers: 1}
 	switch {
 	case call.Crash != "" && len(l.crashes) < maxCrashes:
 		if l.crashes == nil {
@@ -145,42 +165,90 @@
 		}
 		l.crashes[xxhash.Sum64String(call.Crash)] = true
 	case call.Crash == "" && call.Failed:
-		l.counts.Errors++
+		one.Errors = 1
 	}
 	if call.FirstByte > l.slowAfter {
-		l.counts.Slow++
+		one.Slow = 1
 	}
+	l.counts.add(one)
+	l.recent.add(call.At.Unix(), one)
 }
 
-// Pairs returns the counts of all roll-outs in force that have any.
-func (c *Counter) Pairs() []Pair {
-	sums := map[ID]*Pair{}
+// Evidence returns the counts of all roll-outs in force that have any, up to the last complete second. The counts by
+// second begin after the given second, which the receiver has.
+func (c *Counter) Evidence(sender string, after int64, now time.Time) Evidence {
+	e := Evidence{Sender: sender, Through: now.Unix() - 1}
+	after = max(after, e.Through-windowSeconds+1) // the slot of the current second may have replaced that of the oldest
+	sums := map[ID]*pairSum{}
 	for i := range c.shards {
-		s := &c.shards[i]
-		s.mu.Lock()
-		for _, l := range s.lanes {
-			p := sums[l.id]
-			if p == nil {
-				p = &Pair{ID: l.id}
-				sums[l.id] = p
-			}
-			counts, crashes := &p.From, &p.FromCrashes
-			if l.to {
-				counts, crashes = &p.To, &p.ToCrashes
-			}
-			counts.add(l.counts)
-			for h := range l.crashes {
-				if len(*crashes) < maxCrashes && !slices.Contains(*crashes, h) {
-					*crashes = append(*crashes, h)
-				}
-			}
-		}
-		s.mu.Unlock()
+		c.shards[i].sum(sums, after, e.Through)
 	}
-	var out []Pair
 	for _, p := range sums {
 		if p.From.Answers+p.To.Answers > 0 {
-			out = append(out, *p)
+			p.Seconds = packSeconds(p.list(after, e.Through), e.Through)
+			e.Pairs = append(e.Pairs, p.Pair)
+		}
+	}
+	return e
+}
+
+// pairSum adds up the shards of a pair.
+type pairSum struct {
+	Pair
+	seconds map[int64]*Second
+}
+
+func (s *countShard) sum(sums map[ID]*pairSum, after, through int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.lanes {
+		if l.counts.Answers == 0 {
+			continue
+		}
+		p := sums[l.id]
+		if p == nil {
+			p = &pairSum{Pair: Pair{ID: l.id}, seconds: map[int64]*Second{}}
+			sums[l.id] = p
+		}
+		p.add(l, after, through)
+	}
+}
+
+func (p *pairSum) add(l *lane, after, through int64) {
+	counts, crashes := &p.From, &p.FromCrashes
+	if l.to {
+		counts, crashes = &p.To, &p.ToCrashes
+	}
+	counts.add(l.counts.minus(l.recent.sum(through + 1)))
+	for h := range l.crashes {
+		if len(*crashes) < maxCrashes && !slices.Contains(*crashes, h) {
+			*crashes = append(*crashes, h)
+		}
+	}
+	for at := after + 1; at <= through; at++ {
+		n := l.recent.sum(at)
+		if n == (Counts{}) {
+			continue
+		}
+		second := p.seconds[at]
+		if second == nil {
+			second = &Second{At: at}
+			p.seconds[at] = second
+		}
+		if l.to {
+			second.To.add(n)
+		} else {
+			second.From.add(n)
+		}
+	}
+}
+
+// list returns the seconds, newest first.
+func (p *pairSum) list(after, through int64) []Second {
+	var out []Second
+	for at := through; at > after; at-- {
+		if s := p.seconds[at]; s != nil {
+			out = append(out, *s)
 		}
 	}
 	return out
