--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -91,3 +91,17 @@
 		t.Errorf("%d of %d halted, %d completed", sum.Halted, sum.Runs, sum.Completed)
 	}
 }
+
+// Guards against halts of sound versions when failures of both versions come in common bursts.
+func TestCommonBursts(t *testing.T) {
+	if sum := RunRollouts("common bursts", CommonBursts, 1, 100); sum.Halted > sum.Runs/100 {
+		t.Errorf("%d of %d sound versions were halted", sum.Halted, sum.Runs)
+	}
+}
+
+// Guards against halts of sound versions when the failures of each version come in bursts of their own.
+func TestSeparateBursts(t *testing.T) {
+	if sum := RunRollouts("separate bursts", SeparateBursts, 1, 300); sum.Halted > sum.Runs/100 {
+		t.Errorf("%d of %d sound versions were halted", sum.Halted, sum.Runs)
+	}
+}
--- a/bench/main.go
+++ b/bench/main.go
@@ -19,6 +19,7 @@
 	Seeds     int    `long:"seeds" description:"runs of each policy and load" default:"5"`
 	Bad       int    `long:"bad-rollouts" description:"simulated roll-outs of a bad version" default:"300"`
 	Sound     int    `long:"sound-rollouts" description:"simulated roll-outs of a sound version" default:"1000"`
+	Bursts    int    `long:"burst-rollouts" description:"simulated roll-outs of a sound version with bursts of failures, of each kind" default:"300"`
 	Format    string `long:"format" description:"output on standard output" choice:"table" choice:"json" default:"table"`
 	Plots     string `long:"plots" description:"directory for PNG plots; none if empty"`
 }
@@ -94,6 +95,10 @@
 	if o.Sound > 0 {
 		r.Rollouts = append(r.Rollouts, RunRollouts("sound version", SoundVersion, o.FirstSeed, o.Sound))
 	}
+	if o.Bursts > 0 {
+		r.Rollouts = append(r.Rollouts, RunRollouts("common bursts", CommonBursts, o.FirstSeed, o.Bursts))
+		r.Rollouts = append(r.Rollouts, RunRollouts("separate bursts", SeparateBursts, o.FirstSeed, o.Bursts))
+	}
 	return r, nil
 }
 
--- a/bench/rollout.go
+++ b/bench/rollout.go
@@ -44,6 +44,7 @@
 	FailureRate float64 // of the new version; the old one fails 1 %
 	PoorRate    float64 // of the new version's ratings; of the old version's, 10 % are poor
 	Daemons     int     // rolloutDaemons if 0
+	Bursts      Bursts
 }
 
 // BadVersion is a version that fails a fifth of its answers.
@@ -55,6 +56,12 @@
 // SoundVersion is as good as the old one.
 var SoundVersion = RolloutSpec{Requests: 100_000, FailureRate: goodFailureRate, PoorRate: 0.1}
 
+// CommonBursts and SeparateBursts are sound versions whose failures come in bursts, see Bursts.
+var (
+	CommonBursts   = RolloutSpec{Requests: 100_000, FailureRate: goodFailureRate, PoorRate: 0.1, Bursts: BurstsOfBoth}
+	SeparateBursts = RolloutSpec{Requests: 100_000, FailureRate: goodFailureRate, PoorRate: 0.1, Bursts: BurstsOfEach}
+)
+
 // simulation is the state of one simulated roll-out.
 type simulation struct {
 	spec       RolloutSpec
@@ -66,6 +73,7 @@
 	shadow     *rollout.Controller // learns every call at once, without reports
 	suffices   time.Duration       // when the evidence sufficed, -1 before
 	step       int
+	bursts     burstState
 	result     RolloutResult
 }
 
@@ -113,6 +121,7 @@
 		n++
 	}
 	share := s.declared.Steps[s.step]
+	s.bursts.next(s.spec.Bursts, s.rng)
 	for range n {
 		d := &s.daemons[s.rng.IntN(len(s.daemons))]
 		p := &d.pair
@@ -123,7 +132,7 @@
 			exposed++
 		}
 		counts.Answers++
-		failed := s.rng.Float64() < fails
+		failed := s.rng.Float64() < s.bursts.rate(version == "m-2", fails)
 		d.counter.Add(0, rollout.Call{At: simulationStart.Add(at), Version: version, Failed: failed})
 		if failed {
 			counts.Errors++
