bench: add roll-outs that turn bad at the last step

Cause: the benchmark had no version that becomes faulty after its roll-out has reached the last step.

The summary states the longest time until the halt.

There is no bound on the time yet.

--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -105,3 +105,11 @@
 		t.Errorf("%d of %d sound versions were halted", sum.Halted, sum.Runs)
 	}
 }
+
+// Guards against a version that turns bad after its roll-out has reached the last step and stays in service.
+func TestTurnsBadAtLastStep(t *testing.T) {
+	sum := RunRollouts("turns bad at the last step", LateBadVersion, 1, 20)
+	if sum.TurnedBad != sum.Runs || sum.Halted != sum.Runs {
+		t.Errorf("%d of %d turned bad, %d halted, the longest bad for %s", sum.TurnedBad, sum.Runs, sum.Halted, sum.MaxBad)
+	}
+}
--- a/bench/main.go
+++ b/bench/main.go
@@ -20,6 +20,7 @@
 	Bad       int    `long:"bad-rollouts" description:"simulated roll-outs of a bad version" default:"300"`
 	Sound     int    `long:"sound-rollouts" description:"simulated roll-outs of a sound version" default:"1000"`
 	Bursts    int    `long:"burst-rollouts" description:"simulated roll-outs of a sound version with bursts of failures, of each kind" default:"300"`
+	LateBad   int    `long:"late-bad-rollouts" description:"simulated roll-outs of a version that turns bad at the last step" default:"20"`
 	Format    string `long:"format" description:"output on standard output" choice:"table" choice:"json" default:"table"`
 	Plots     string `long:"plots" description:"directory for PNG plots; none if empty"`
 }
@@ -99,6 +100,9 @@
 		r.Rollouts = append(r.Rollouts, RunRollouts("common bursts", CommonBursts, o.FirstSeed, o.Bursts))
 		r.Rollouts = append(r.Rollouts, RunRollouts("separate bursts", SeparateBursts, o.FirstSeed, o.Bursts))
 	}
+	if o.LateBad > 0 {
+		r.Rollouts = append(r.Rollouts, RunRollouts("turns bad at the last step", LateBadVersion, o.FirstSeed, o.LateBad))
+	}
 	return r, nil
 }
 
@@ -113,9 +117,9 @@
 	if err := t.Flush(); err != nil {
 		return err
 	}
-	fmt.Fprintln(t, "roll-outs\truns\thalted\tcompleted\tmost exposed\tlongest delay\tmean delay\tlate halts\t")
+	fmt.Fprintln(t, "roll-outs\truns\thalted\tcompleted\tmost exposed\tlongest delay\tmean delay\tlate halts\tturned bad\tlongest bad\t")
 	for _, s := range r.Rollouts {
-		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%.3f %%\t%s\t%s\t%d\t\n", s.Name, s.Runs, s.Halted, s.Completed, 100*s.MaxExposed, s.MaxDelay, s.MeanDelay.Round(time.Second), s.Late)
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%.3f %%\t%s\t%s\t%d\t%d\t%s\t\n", s.Name, s.Runs, s.Halted, s.Completed, 100*s.MaxExposed, s.MaxDelay, s.MeanDelay.Round(time.Second), s.Late, s.TurnedBad, s.MaxBad)
 	}
 	return t.Flush()
 }
--- a/bench/rollout.go
+++ b/bench/rollout.go
@@ -18,6 +18,8 @@
 	tickInterval     = 3 * time.Second  // of the holder's evaluation
 	day              = 24 * time.Hour
 	goodFailureRate  = 0.01
+	lateFailureRate  = 0.2
+	lateFailure      = time.Hour
 )
 
 // simulationStart is the time at which simulated roll-outs begin.
@@ -36,6 +38,8 @@
 	// Delay is the time from the moment at which the same test, applied to every call at once, would halt, until the halt.
 	Delay time.Duration `json:"delay"`
 	Step  int           `json:"step"` // at the end
+	// Bad is the time from the moment at which the version turned bad until the halt or the end of the day, 0 if it did not.
+	Bad time.Duration `json:"badNanoseconds"`
 }
 
 // RolloutSpec describes simulated roll-outs.
@@ -45,6 +49,8 @@
 	PoorRate    float64 // of the new version's ratings; of the old version's, 10 % are poor
 	Daemons     int     // rolloutDaemons if 0
 	Bursts      Bursts
+	// TurnsBad makes the new version fail lateFailureRate from lateFailure after its roll-out has reached the last step.
+	TurnsBad bool
 }
 
 // BadVersion is a version that fails a fifth of its answers.
@@ -62,6 +68,9 @@
 	SeparateBursts = RolloutSpec{Requests: 100_000, FailureRate: goodFailureRate, PoorRate: 0.1, Bursts: BurstsOfEach}
 )
 
+// LateBadVersion is sound until it turns bad at the last step.
+var LateBadVersion = RolloutSpec{Requests: 100_000, FailureRate: goodFailureRate, PoorRate: 0.1, TurnsBad: true}
+
 // simulation is the state of one simulated roll-out.
 type simulation struct {
 	spec       RolloutSpec
@@ -73,6 +82,7 @@
 	shadow     *rollout.Controller // learns every call at once, without reports
 	suffices   time.Duration       // when the evidence sufficed, -1 before
 	step       int
+	advanced   time.Duration // when the step began
 	bursts     burstState
 	result     RolloutResult
 }
@@ -104,6 +114,9 @@
 	exposed := 0
 	for at := time.Duration(0); at < day; at += time.Second {
 		exposed += s.traffic(at)
+		if s.bad(at) {
+			s.result.Bad = at - s.advanced - lateFailure
+		}
 		if s.evaluate(at) {
 			break
 		}
@@ -130,6 +143,9 @@
 		if s.rng.Float64() < share {
 			counts, version, fails, poor = &p.To, "m-2", s.spec.FailureRate, s.spec.PoorRate
 			exposed++
+			if s.bad(at) {
+				fails = lateFailureRate
+			}
 		}
 		counts.Answers++
 		failed := s.rng.Float64() < s.bursts.rate(version == "m-2", fails)
@@ -152,6 +168,11 @@
 	return exposed
 }
 
+// bad reports whether a version that turns bad at the last step has done so.
+func (s *simulation) bad(at time.Duration) bool {
+	return s.spec.TurnsBad && s.step == len(s.declared.Steps)-1 && at-s.advanced >= lateFailure
+}
+
 // evaluate reports the evidence that is due and evaluates it. It reports whether the roll-out was halted.
 func (s *simulation) evaluate(at time.Duration) bool {
 	now := simulationStart.Add(at)
@@ -169,7 +190,7 @@
 	}
 	changed, halted := s.controller.Tick([]object.Rollout{s.declared}, s.ratingsOf, now)
 	if changed {
-		s.step = s.controller.State().Records["r"].Step
+		s.step, s.advanced = s.controller.State().Records["r"].Step, at
 	}
 	if halted {
 		s.result.Halted = true
@@ -220,6 +241,8 @@
 	MaxExposed float64       `json:"maxExposed"` // part of the day's requests
 	MaxDelay   time.Duration `json:"maxDelayNanoseconds"`
 	MeanDelay  time.Duration `json:"meanDelayNanoseconds"` // of the halts
+	TurnedBad  int           `json:"turnedBad"`            // runs in which the version turned bad at the last step
+	MaxBad     time.Duration `json:"maxBadNanoseconds"`    // from then until the halt or the end of the day
 	Late       int           `json:"late"`                 // halts later than MaxHaltDelay
 }
 
@@ -237,6 +260,10 @@
 		}
 		sum.MaxExposed = max(sum.MaxExposed, r.Exposed)
 		sum.MaxDelay = max(sum.MaxDelay, r.Delay)
+		if r.Bad > 0 {
+			sum.TurnedBad++
+		}
+		sum.MaxBad = max(sum.MaxBad, r.Bad)
 		if r.Delay > MaxHaltDelay {
 			sum.Late++
 		}
