--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -91,3 +91,25 @@
 		t.Errorf("%d of %d halted, %d completed", sum.Halted, sum.Runs, sum.Completed)
 	}
 }
+
+// Guards against halts of sound versions when failures of both versions come in common bursts.
+func TestCommonBursts(t *testing.T) {
+	if sum := RunRollouts("common bursts", CommonBursts, 1, 100); sum.Halted > sum.Runs/100 {
+		t.Errorf("%d of %d sound versions were halted", sum.Halted, sum.Runs)
+	}
+}
+
+// Guards against halts of sound versions when the failures of each version come in bursts of their own.
+func TestSeparateBursts(t *testing.T) {
+	if sum := RunRollouts("separate bursts", SeparateBursts, 1, 300); sum.Halted > sum.Runs/100 {
+		t.Errorf("%d of %d sound versions were halted", sum.Halted, sum.Runs)
+	}
+}
+
+// Guards against a version that turns bad after its roll-out has reached the last step and stays in service.
+func TestTurnsBadAtLastStep(t *testing.T) {
+	sum := RunRollouts("turns bad at the last step", LateBadVersion, 1, 20)
+	if sum.TurnedBad != sum.Runs || sum.Halted != sum.Runs {
+		t.Errorf("%d of %d turned bad, %d halted, the longest bad for %s", sum.TurnedBad, sum.Runs, sum.Halted, sum.MaxBad)
+	}
+}
