local: wait for the host list before a copy over TLS is expected

Cause: TestDaemonsOverTLS sent its request as soon as all daemons were ready.

Change: the test waits until the first daemon has all three members.

The expectation is unchanged.

Conclusion: a daemon that knows no other one keeps a bill in one place, which docs/billing.md states as case 3.

--- a/local/tls_test.go
+++ b/local/tls_test.go
@@ -97,6 +97,9 @@
 	if err := d.WaitRevision(ctx, 1); err != nil {
 		t.Fatal(err)
 	}
+	if err := Wait(ctx, func() bool { return first.State().Members == 3 }); err != nil {
+		t.Fatal("the first daemon knows no other one")
+	}
 	c := NewClient(first.Addr(), SampleKey)
 	if a, err := c.Chat(ctx, ChatBody("auto", "hello", true), nil); err != nil || a.Status != http.StatusOK {
 		t.Fatalf("status %d, %v", a.Status, err)
