choose: explain a choice only when it is shown

Cause: the pipeline explained the choice of each request, with one entry for each version, although only the state dump reads the explanation. Change: the outcome and the request in flight keep a copy of the choice; the dump explains it. The copy keeps no request body. Conclusion: the work moves from the request's path to the dump.

--- a/choose/explain.go
+++ b/choose/explain.go
@@ -65,9 +65,12 @@
 	}
 }
 
-// Explain says how the choice came about and why other versions were not chosen.
-func (c *Choice) Explain() Decision {
-	d := Decision{Rule: c.rule, Target: c.target}
+// Explain says how the choice came about and why other versions were not chosen. It returns nil without a choice.
+func (c *Choice) Explain() *Decision {
+	if c == nil {
+		return nil
+	}
+	d := &Decision{Rule: c.rule, Target: c.target}
 	considered := c.considered
 	if considered == nil {
 		considered = c.Candidates
--- a/choose/explain_test.go
+++ b/choose/explain_test.go
@@ -39,7 +39,7 @@
 }
 
 // checkVerdicts compares each verdict with the figures beside it.
-func checkVerdicts(t *testing.T, choice Choice, d Decision) {
+func checkVerdicts(t *testing.T, choice Choice, d *Decision) {
 	t.Helper()
 	var chosen Weighed
 	for _, o := range d.Options {
--- a/observe/inflight.go
+++ b/observe/inflight.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/bramleytrail/bramleytrail/choose"
 	"github.com/bramleytrail/bramleytrail/pipeline"
 )
 
@@ -19,6 +20,7 @@
 	Kind string        `json:"kind"`
 	Age  time.Duration `json:"ageNs"`
 	pipeline.Position
+	Decision *choose.Decision `json:"decision,omitempty"` // why the versions were chosen; nil before the choice
 }
 
 // InFlight holds the requests in flight.
@@ -95,5 +97,6 @@
 }
 
 func describe(p *pipeline.Progress, now time.Time) RequestInFlight {
-	return RequestInFlight{ID: p.ID, Kind: p.Kind, Age: now.Sub(p.Start), Position: p.Position()}
+	at := p.Position()
+	return RequestInFlight{ID: p.ID, Kind: p.Kind, Age: now.Sub(p.Start), Position: at, Decision: at.Choice.Explain()}
 }
--- a/observe/recent.go
+++ b/observe/recent.go
@@ -26,6 +26,8 @@
 	pipeline.ClaimHolder
 	// Decision says why the versions were chosen; nil for calls of plain services and requests that ended before the choice.
 	Decision *choose.Decision `json:"decision,omitempty"`
+
+	choice *choose.Choice // explained only when the request is shown
 }
 
 // Recent is a ring of the last finished requests.
@@ -43,10 +45,7 @@
 func (r *Recent) Add(o pipeline.Outcome) {
 	req := Request{
 		ID: o.RequestID, Team: o.Team, Kind: o.Kind, Target: o.Version, Code: int(o.Code), FirstByte: o.FirstByte, Total: o.Total,
-		Attempts: o.Attempts, ClaimHolder: o.ClaimHolder,
-	}
-	if o.Decision.Rule != "" {
-		req.Decision = &o.Decision
+		Attempts: o.Attempts, ClaimHolder: o.ClaimHolder, choice: o.Choice,
 	}
 	if o.Err != nil {
 		req.Detail = o.Err.Error()
@@ -67,7 +66,7 @@
 	if !ok {
 		return Request{}, false
 	}
-	return r.ring[i], true
+	return r.ring[i].explained(), true
 }
 
 // Last returns up to n requests, the newest first.
@@ -80,7 +79,12 @@
 		if req.ID == "" {
 			break
 		}
-		out = append(out, req)
+		out = append(out, req.explained())
 	}
 	return out
 }
+
+func (r Request) explained() Request {
+	r.Decision = r.choice.Explain()
+	return r
+}
--- a/pipeline/chat.go
+++ b/pipeline/chat.go
@@ -89,8 +89,9 @@
 		return err
 	}
 	s.outcome.Explored, s.outcome.Cascade = s.choice.Explored, s.choice.Cascade != nil
-	s.outcome.Decision = s.choice.Explain()
-	s.update(func(p *Position) { p.Decision = &s.outcome.Decision })
+	choice := s.choice // a copy, since a pointer into the stages would keep the request's body
+	s.outcome.Choice = &choice
+	s.update(func(p *Position) { p.Choice = &choice })
 	return nil
 }
 
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -52,7 +52,7 @@
 	Attempts  []dispatch.Attempt
 	Explored  bool // answered to learn about the version or cascade
 	Cascade   bool
-	Decision  choose.Decision // of chat requests
+	Choice    *choose.Choice // nil for calls of plain services and requests that ended before the choice
 	ClaimHolder
 	Err error
 }
--- a/pipeline/progress.go
+++ b/pipeline/progress.go
@@ -39,8 +39,8 @@
 	Team   string `json:"team,omitempty"`
 	Target string `json:"target,omitempty"` // version or service
 	ClaimHolder
-	// Decision says why the versions were chosen, nil before the choice. It does not change any more.
-	Decision *choose.Decision `json:"decision,omitempty"`
+	// Choice is nil before the choice. It does not change any more.
+	Choice *choose.Choice `json:"-"`
 }
 
 // ClaimHolder tells who claimed a call.
