--- a/standin/server.go
+++ b/standin/server.go
@@ -28,6 +28,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("stand-in: %w", err)
 	}
+	return ServeOn(ln, handler), nil
+}
+
+// ServeOn starts handler on a listener.
+func ServeOn(ln net.Listener, handler http.Handler) *Server {
 	s := &Server{Addr: ln.Addr().String(), http: &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}}
 	s.http.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		if tcp, ok := c.(*net.TCPConn); ok {
@@ -36,7 +41,7 @@
 		return context.WithValue(ctx, connKey{}, &connState{})
 	}
 	go func() { _ = s.http.Serve(ln) }() // returns http.ErrServerClosed after Close
-	return s, nil
+	return s
 }
 
 // connState is what an engine knows of a connection. It is guarded by the engine's lock.
