daemon: a network in place of sockets

Cause: a daemon opened TCP sockets by itself, so that a whole daemon could not run under a fake clock. Change: FromNetwork takes the functions that open ports and connections. Its ports are served by net/http, as those with TLS are, since nbhttp needs sockets. FromSettings uses TCP as before. Conclusion: tests of whole daemons can use connections in memory.

--- a/daemon/certificates.go
+++ b/daemon/certificates.go
@@ -35,7 +35,7 @@
 // securePeers returns the listener for other daemons and the function that dials them, both for this deployment only and
 // with mutual TLS if the settings name certificates.
 func (d *Daemon) securePeers(ln net.Listener) (net.Listener, func(context.Context, string) (net.Conn, error)) {
-	dial := peer.DialFrom(ln.Addr())
+	dial := d.network.dialPeer(ln.Addr())
 	deployment := peer.DeploymentOf(d.settings.Deployment)
 	if d.peerTLS == nil {
 		return deployment.Listen(ln), deployment.Dial(dial)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -61,6 +61,7 @@
 // Daemon is one entry process.
 type Daemon struct {
 	settings    *settings.Settings
+	network     *Network // nil for sockets
 	log         *logrus.Entry
 	platform    Platform
 	engines     engine.Client
@@ -94,21 +95,27 @@
 	wg     sync.WaitGroup
 }
 
-// FromSettings returns a daemon that reaches the platform and the endpoints over the network.
-func FromSettings(s *settings.Settings, log *logrus.Logger) *Daemon {
+// FromSettings returns a daemon that reaches the platform and the endpoints over TCP.
+func FromSettings(s *settings.Settings, log *logrus.Logger) *Daemon { return FromNetwork(s, nil, log) }
+
+// FromNetwork is FromSettings with another network; nil stands for TCP sockets.
+func FromNetwork(s *settings.Settings, n *Network, log *logrus.Logger) *Daemon {
 	m := observe.NewMetrics()
 	agent := "bramleyd/" + s.ID
 	p := Platform{
-		Store: httpkv.NewClientWith(s.Store, agent, m.Dial(observe.KindStore, &net.Dialer{})),
-		Hosts: hostlist.NewHTTPSourceWith(s.Hosts, agent, m.Dial(observe.KindHosts, &net.Dialer{})),
+		Store: httpkv.NewClientWith(s.Store, agent, m.Dial(observe.KindStore, n.dialPlatform())),
+		Hosts: hostlist.NewHTTPSourceWith(s.Hosts, agent, m.Dial(observe.KindHosts, n.dialPlatform())),
 	}
 	if s.Ratings != "" {
-		p.Ratings = rating.NewHTTPSource(s.Ratings)
+		p.Ratings = rating.NewHTTPSourceWith(s.Ratings, n.dialPlatform())
 	}
 	if s.Weights != "" {
-		p.Weights = weight.NewHTTPStore(s.Weights)
+		p.Weights = weight.NewHTTPStoreWith(s.Weights, n.dialPlatform())
 	}
-	return build(s, p, httpengine.NewClientWith(m.Dial(observe.KindLoad, httpengine.Dialer())), log, m)
+	commands := m.Dial(observe.KindLoad, observe.DialFunc(n.dialEndpoint()))
+	d := build(s, p, httpengine.NewClientWith(n.dialEndpoint(), httpengine.DialFunc(commands)), log, m)
+	d.network = n
+	return d
 }
 
 // New returns a daemon. It opens no port.
@@ -149,7 +156,7 @@
 	if err := d.ops.start(d.settings.OperatorListen); err != nil {
 		return err
 	}
-	ln, err := net.Listen("tcp", d.settings.PeerListen)
+	ln, err := d.network.listen(d.settings.PeerListen)
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
@@ -239,8 +246,12 @@
 			}
 		},
 	}
+	var listen func(string) (net.Listener, error)
+	if d.network != nil {
+		listen = d.network.Listen
+	}
 	return entry.New(entry.Spec{
-		Addr: s.Listen, TLS: d.callerTLS, MaxConnections: s.MaxConnections, StallTimeout: s.StallTimeout, Pipeline: p, Config: d.config, Ready: d.Ready,
+		Addr: s.Listen, Listen: listen, TLS: d.callerTLS, MaxConnections: s.MaxConnections, StallTimeout: s.StallTimeout, Pipeline: p, Config: d.config, Ready: d.Ready,
 	})
 }
 
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -73,7 +73,8 @@
 // operatorServer serves metrics and state dumps on a port of its own, which callers can't reach.
 type operatorServer struct {
 	daemon *Daemon
-	engine *nbhttp.Engine
+	engine *nbhttp.Engine // nil on a network of its own
+	server *http.Server   // nil on sockets
 	addr   string
 }
 
@@ -87,6 +88,9 @@
 	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	mux.HandleFunc("GET /debug/pprof/heap", pprof.Handler("heap").ServeHTTP)
 	mux.HandleFunc("GET /debug/pprof/goroutine", pprof.Handler("goroutine").ServeHTTP)
+	if o.daemon.network != nil {
+		return o.serveOn(o.daemon.network, addr, mux)
+	}
 	o.engine = nbhttp.NewEngine(nbhttp.Config{
 		Name: "operators", Network: "tcp", Addrs: []string{addr}, IOMod: nbhttp.IOModBlocking, MaxBlockingOnline: maxOperators,
 		MaxLoad: maxOperators, Handler: mux,
@@ -104,7 +108,25 @@
 	return nil
 }
 
-func (o *operatorServer) stop() { _ = o.engine.Shutdown(context.Background()) }
+// serveOn serves operators through net/http.
+func (o *operatorServer) serveOn(n *Network, addr string, handler http.Handler) error {
+	ln, err := n.Listen(addr)
+	if err != nil {
+		return fmt.Errorf("listen for operators on %s: %w", addr, err)
+	}
+	o.addr = ln.Addr().String()
+	o.server = &http.Server{Handler: handler}
+	go func() { _ = o.server.Serve(ln) }() // returns http.ErrServerClosed after Close
+	return nil
+}
+
+func (o *operatorServer) stop() {
+	if o.server != nil {
+		_ = o.server.Close() // the daemon ends
+		return
+	}
+	_ = o.engine.Shutdown(context.Background())
+}
 
 func (o *operatorServer) metrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
--- a/engine/httpengine/client.go
+++ b/engine/httpengine/client.go
@@ -32,6 +32,7 @@
 
 // Client implements engine.Client over HTTP.
 type Client struct {
+	dial     DialFunc     // of all calls but load reports and commands
 	single   *http.Client // one connection for each call
 	commands *http.Client // one connection for each load report or command, so that their bytes are counted apart
 
@@ -42,23 +43,21 @@
 // NewClient returns a client. Each non-repeatable call uses a connection of its own: net/http sends a request with an
 // Idempotency-Key header again if a kept connection turns out to be closed, which could run the call twice. So does each
 // load report and each resumed stream: a kept connection may have gone silent while new ones work.
-func NewClient() *Client { return NewClientWith(dial) }
+func NewClient() *Client { return NewClientWith(Dial, Dial) }
 
-// Dialer returns the dialer of a Client.
-func Dialer() *net.Dialer { return &net.Dialer{Timeout: connectTimeout} }
-
-// NewClientWith returns a client that opens the connections for load reports and commands with dial.
-func NewClientWith(dial func(ctx context.Context, network, addr string) (net.Conn, error)) *Client {
-	commands := transport(true)
-	commands.DialContext = dial
-	return &Client{single: client(true), commands: &http.Client{Transport: commands}, shared: map[string]*http.Client{}}
+// NewClientWith returns a client that opens the connections for load reports and commands with commands, all others with
+// calls.
+func NewClientWith(calls, commands DialFunc) *Client {
+	return &Client{
+		dial: calls, single: client(calls, true), commands: &http.Client{Transport: transport(commands, true)}, shared: map[string]*http.Client{},
+	}
 }
 
 // client follows no redirect: it would send the request again, possibly to a host that is no endpoint. The caller gets
 // the redirect as the endpoint's answer.
-func client(single bool) *http.Client {
+func client(dial DialFunc, single bool) *http.Client {
 	return &http.Client{
-		Transport:     transport(single),
+		Transport:     transport(dial, single),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
@@ -72,7 +71,7 @@
 		if len(c.shared) >= maxAddresses {
 			c.closeIdle()
 		}
-		h = client(false)
+		h = client(c.dial, false)
 		c.shared[addr] = h
 	}
 	return h
@@ -103,7 +102,11 @@
 // megabytes while a slow caller holds an answer back.
 const socketBuffer = 32 << 10
 
-func dial(ctx context.Context, network, addr string) (net.Conn, error) {
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// Dial connects to an endpoint.
+func Dial(ctx context.Context, network, addr string) (net.Conn, error) {
 	conn, err := (&net.Dialer{Timeout: connectTimeout}).DialContext(ctx, network, addr)
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		_ = tcp.SetReadBuffer(socketBuffer) // without it the connection works as well
@@ -111,7 +114,7 @@
 	return conn, err
 }
 
-func transport(single bool) *http.Transport {
+func transport(dial DialFunc, single bool) *http.Transport {
 	return &http.Transport{
 		DialContext:            dial,
 		MaxIdleConnsPerHost:    maxIdlePerHost,
--- a/entry/server.go
+++ b/entry/server.go
@@ -36,8 +36,9 @@
 
 // Spec configures a Server.
 type Spec struct {
-	Addr           string      // IP address and port
-	TLS            *tls.Config // nil for plain HTTP
+	Addr           string                                  // IP address and port
+	TLS            *tls.Config                             // nil for plain HTTP
+	Listen         func(addr string) (net.Listener, error) // nil for a TCP socket
 	MaxConnections int
 	// StallTimeout bounds the time for which a caller may read nothing.
 	StallTimeout time.Duration
@@ -52,8 +53,8 @@
 // Server is the callers' listener.
 type Server struct {
 	spec   Spec
-	engine *nbhttp.Engine // nil with TLS
-	secure *http.Server   // nil without TLS
+	engine *nbhttp.Engine // nil with TLS or a listener of its own
+	server *http.Server   // nil otherwise
 	addr   string
 	// aborted is set by Abort. Nothing is sent to callers from then on.
 	aborted atomic.Bool
@@ -72,8 +73,8 @@
 // The engine runs in blocking mode: in non-blocking mode its write queue has no limit, so that a caller that reads
 // slowly would fill the process's memory.
 func (s *Server) Start() error {
-	if s.spec.TLS != nil {
-		return s.startTLS()
+	if s.spec.TLS != nil || s.spec.Listen != nil {
+		return s.startServer()
 	}
 	conf := nbhttp.Config{
 		Name: "entry", Network: "tcp", Addrs: []string{s.spec.Addr}, IOMod: nbhttp.IOModBlocking, MaxBlockingOnline: s.spec.MaxConnections,
@@ -96,21 +97,29 @@
 	return nil
 }
 
-// startTLS serves callers through net/http. On a TLS connection of nbhttp, a read after Hijack returns no bytes and no
-// error at once, so that a caller that leaves would not be noticed.
-func (s *Server) startTLS() error {
-	ln, err := net.Listen("tcp", s.spec.Addr)
+// startServer serves callers through net/http. On a TLS connection of nbhttp, a read after Hijack returns no bytes and no
+// error at once, so that a caller that leaves would not be noticed; and nbhttp accepts only sockets.
+func (s *Server) startServer() error {
+	listen := s.spec.Listen
+	if listen == nil {
+		listen = func(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
+	}
+	ln, err := listen(s.spec.Addr)
 	if err != nil {
 		return fmt.Errorf("listen for callers on %s: %w", s.spec.Addr, err)
 	}
 	s.addr = ln.Addr().String()
-	s.secure = &http.Server{
+	s.server = &http.Server{
 		Handler: s, TLSConfig: s.spec.TLS, ReadHeaderTimeout: headerTimeout, ReadTimeout: keepaliveTime, IdleTimeout: keepaliveTime,
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: log.New(io.Discard, "", 0),
 		TLSNextProto: map[string]func(*http.Server, *tls.Conn, http.Handler){}, // HTTP/2 connections can't be hijacked
 	}
 	limited := &limitedListener{Listener: ln, free: make(chan struct{}, s.spec.MaxConnections)}
-	go func() { _ = s.secure.ServeTLS(limited, "", "") }() // returns http.ErrServerClosed after Shutdown
+	serve := func() error { return s.server.Serve(limited) }
+	if s.spec.TLS != nil {
+		serve = func() error { return s.server.ServeTLS(limited, "", "") }
+	}
+	go func() { _ = serve() }() // returns http.ErrServerClosed after Shutdown
 	return nil
 }
 
@@ -119,8 +128,8 @@
 
 // Shutdown closes the port and all connections. Requests in flight must have ended: the engine does not wait for them.
 func (s *Server) Shutdown(ctx context.Context) error {
-	if s.secure != nil {
-		return s.secure.Close()
+	if s.server != nil {
+		return s.server.Close()
 	}
 	return s.engine.Shutdown(ctx)
 }
--- a/observe/bytes.go
+++ b/observe/bytes.go
@@ -34,11 +34,11 @@
 	return m.Counter(fmt.Sprintf(`bramley_control_bytes_total{kind=%q,direction=%q}`, kind, direction))
 }
 
-// Dial returns a function that opens connections as dialer does and counts their bytes as control traffic of the kind.
-func (m *Metrics) Dial(kind string, dialer *net.Dialer) DialFunc {
+// Dial returns a function that opens connections with dial and counts their bytes as control traffic of the kind.
+func (m *Metrics) Dial(kind string, dial DialFunc) DialFunc {
 	in, out := m.controlCounter(kind, "in"), m.controlCounter(kind, "out")
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
-		conn, err := dialer.DialContext(ctx, network, addr)
+		conn, err := dial(ctx, network, addr)
 		if err != nil {
 			return nil, err
 		}
--- a/rating/http.go
+++ b/rating/http.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -22,8 +23,12 @@
 }
 
 // NewHTTPSource returns a client of the service at base.
-func NewHTTPSource(base string) *HTTPSource {
-	return &HTTPSource{base: base, http: &http.Client{Timeout: callTimeout}}
+func NewHTTPSource(base string) *HTTPSource { return NewHTTPSourceWith(base, nil) }
+
+// NewHTTPSourceWith returns a client that opens connections with dial; nil stands for the library's own.
+func NewHTTPSourceWith(base string, dial func(ctx context.Context, network, addr string) (net.Conn, error)) *HTTPSource {
+	t := &http.Transport{DialContext: dial, IdleConnTimeout: time.Minute}
+	return &HTTPSource{base: base, http: &http.Client{Transport: t, Timeout: callTimeout}}
 }
 
 // After implements Source.
--- a/weight/http.go
+++ b/weight/http.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"net/url"
 	"time"
@@ -20,8 +21,12 @@
 }
 
 // NewHTTPStore returns a client of the store at base.
-func NewHTTPStore(base string) *HTTPStore {
-	return &HTTPStore{base: base, http: &http.Client{Timeout: callTimeout}}
+func NewHTTPStore(base string) *HTTPStore { return NewHTTPStoreWith(base, nil) }
+
+// NewHTTPStoreWith returns a client that opens connections with dial; nil stands for the library's own.
+func NewHTTPStoreWith(base string, dial func(ctx context.Context, network, addr string) (net.Conn, error)) *HTTPStore {
+	t := &http.Transport{DialContext: dial, IdleConnTimeout: time.Minute}
+	return &HTTPStore{base: base, http: &http.Client{Transport: t, Timeout: callTimeout}}
 }
 
 // Reserve implements Store.
