entry: shutdown ends streams served by net/http

Cause: http.Server.Close does not close hijacked connections. A daemon with TLS, or in memory, that stops while a stream is in flight went on with its request: a killed daemon of a test ran a poison request twice more. Change: the server keeps its hijacked connections and closes them at shutdown, as nbhttp does. Conclusion: a shutdown that does not wait for its requests ends them in every mode.

--- a/entry/caller.go
+++ b/entry/caller.go
@@ -111,6 +111,9 @@
 	limitSendBuffer(conn)
 	ctx, cancel := context.WithCancel(r.Context())
 	c := &streamCaller{conn: conn, stall: s.spec.StallTimeout, aborted: &s.aborted}
+	s.mu.Lock()
+	s.hijacked[c] = struct{}{}
+	s.mu.Unlock()
 	go watch(conn, func() {
 		c.gone.Store(true)
 		_ = conn.SetWriteDeadline(time.Now()) // ends a pending write; the connection may be closed already
@@ -119,6 +122,23 @@
 	return c, ctx, nil
 }
 
+// release ends a connection that was taken over.
+func (s *Server) release(c *streamCaller) {
+	c.close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.hijacked, c)
+}
+
+// closeHijacked ends the connections that were taken over, and with them their requests.
+func (s *Server) closeHijacked() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.hijacked {
+		c.close()
+	}
+}
+
 // limitSendBuffer bounds the kernel's part of the memory of a stalled stream.
 func limitSendBuffer(conn net.Conn) {
 	if wrapped, ok := conn.(*nbhttp.Conn); ok {
--- a/entry/server.go
+++ b/entry/server.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -58,6 +59,9 @@
 	addr   string
 	// aborted is set by Abort. Nothing is sent to callers from then on.
 	aborted atomic.Bool
+
+	mu       sync.Mutex
+	hijacked map[*streamCaller]struct{} // net/http does not close them
 }
 
 // New returns a server. It opens no port.
@@ -65,7 +69,7 @@
 	if spec.IdleTimeout == 0 {
 		spec.IdleTimeout = keepaliveTime
 	}
-	return &Server{spec: spec}
+	return &Server{spec: spec, hijacked: map[*streamCaller]struct{}{}}
 }
 
 // Start opens the port and serves callers.
@@ -129,7 +133,9 @@
 // Shutdown closes the port and all connections. Requests in flight must have ended: the engine does not wait for them.
 func (s *Server) Shutdown(ctx context.Context) error {
 	if s.server != nil {
-		return s.server.Close()
+		err := s.server.Close()
+		s.closeHijacked()
+		return err
 	}
 	return s.engine.Shutdown(ctx)
 }
@@ -196,7 +202,7 @@
 		replyError(w, err, 0)
 		return
 	}
-	defer c.close()
+	defer s.release(c)
 	_ = s.spec.Pipeline.Chat(ctx, req, c)
 }
 
@@ -216,7 +222,7 @@
 		replyError(w, err, 0)
 		return
 	}
-	defer c.close()
+	defer s.release(c)
 	_ = s.spec.Pipeline.Plain(ctx, service, req, c)
 }
 
