chaos: failures alone and in pairs under a fake clock

Cause: the tests ran real daemons on sockets with real times, so that a slow machine changed their verdict. Change: local.NewInMemory makes a deployment whose connections are in memory. The tests run it under testing/synctest, with the same daemons, stand-ins, failures, invariants, times and seeds. bramleychaos still uses sockets. The fake clock found that a daemon served by net/http goes on with its streams after a shutdown. Conclusion: the 3 s after which new work must have ended, and all other times, no longer depend on the machine.

--- a/chaos/chaos_test.go
+++ b/chaos/chaos_test.go
@@ -3,12 +3,19 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
 func runFaults(t *testing.T, seed uint64, hold time.Duration, faults ...Fault) {
 	t.Helper()
-	report, err := Run(context.Background(), Spec{Seed: seed, Faults: faults, Hold: hold})
+	synctest.Test(t, func(t *testing.T) { checkRun(t, Spec{Seed: seed, Faults: faults, Hold: hold, InMemory: true}) })
+}
+
+func checkRun(t *testing.T, spec Spec) {
+	t.Helper()
+	seed := spec.Seed
+	report, err := Run(context.Background(), spec)
 	if err != nil {
 		t.Fatalf("seed %d: %v", seed, err)
 	}
--- a/chaos/fault.go
+++ b/chaos/fault.go
@@ -44,9 +44,9 @@
 		{"publish-race", publishRace},
 		{"daemon-killed", daemonKilled},
 		{"daemon-restarted", daemonRestarted},
-		{faultPeersCut, cut(cutPeers)},
-		{faultPlatformCut, cut(cutPlatform)},
-		{"connections-silent", once(func(r *run) { r.dep.Network.Silence() })},
+		{faultPeersCut, cut(network.Isolate)},
+		{faultPlatformCut, cut(network.CutPlatform)},
+		{"connections-silent", once(func(r *run) { r.network.Silence() })},
 		{"domain-lost", domainLost},
 		{"poison-request", once(func(*run) {})}, // the workload sends it
 	}
@@ -143,8 +143,8 @@
 }
 
 func daemonKilled(ctx context.Context, r *run, hold time.Duration) error {
-	r.losses.Lock()
-	defer r.losses.Unlock()
+	r.losses <- struct{}{}
+	defer func() { <-r.losses }()
 	l := r.take()
 	r.record.addKilled(l.dm.Addr())
 	l.dm.Kill()
@@ -166,8 +166,8 @@
 
 // domainLost stops all daemons and endpoints of a failure domain at once and brings them back.
 func domainLost(ctx context.Context, r *run, hold time.Duration) error {
-	r.losses.Lock()
-	defer r.losses.Unlock()
+	r.losses <- struct{}{}
+	defer func() { <-r.losses }()
 	taken := r.takeDomain(local.SampleDomainA)
 	r.setDomainDown(local.SampleDomainA, true)
 	for _, l := range taken {
@@ -196,24 +196,18 @@
 }
 
 // cut cuts a failure domain off and connects it again.
-func cut(set func(*local.Network, string, bool)) func(context.Context, *run, time.Duration) error {
+func cut(set func(n network, domain string, on bool)) func(context.Context, *run, time.Duration) error {
 	return func(ctx context.Context, r *run, hold time.Duration) error {
 		w := Window{Domain: local.SampleDomainA, From: time.Now()}
-		set(r.dep.Network, w.Domain, true)
+		set(r.network, w.Domain, true)
 		sleep(ctx, hold)
-		set(r.dep.Network, w.Domain, false)
+		set(r.network, w.Domain, false)
 		w.To = time.Now()
 		r.record.addCut(w)
 		return nil
 	}
 }
 
-func cutPeers(n *local.Network, domain string, on bool) { n.Isolate(domain, on) }
-
-func cutPlatform(n *local.Network, domain string, on bool) {
-	n.Platform(domain).Set(choice(on, standin.Freeze, standin.Pass))
-}
-
 func daemonRestarted(ctx context.Context, r *run, _ time.Duration) error {
 	l := r.take()
 	if err := r.addDaemon(ctx, l.domain); err != nil {
--- a/chaos/run.go
+++ b/chaos/run.go
@@ -38,6 +38,8 @@
 	Faults []Fault
 	Rounds int
 	Hold   time.Duration // how long each failure lasts
+	// InMemory makes all connections in memory, so that the run works under a fake clock.
+	InMemory bool
 }
 
 // Report is the result of a run.
@@ -47,16 +49,24 @@
 	Violations []string
 }
 
+// network is what lies between daemons and before the platform.
+type network interface {
+	Isolate(domain string, cut bool)
+	CutPlatform(domain string, cut bool)
+	Silence()
+}
+
 // run is the state of one run.
 type run struct {
 	spec        Spec
 	dep         *local.Deployment
+	network     network
 	record      *Record
 	poison      bool
 	storeFaulty bool
-	cutDomains  bool       // daemons of a failure domain are cut off from others
-	cutPlatform bool       // a failure domain is cut off from the platform
-	losses      sync.Mutex // held from the loss of daemons until the bills that they held have a second place again
+	cutDomains  bool          // daemons of a failure domain are cut off from others
+	cutPlatform bool          // a failure domain is cut off from the platform
+	losses      chan struct{} // has room unless bills of lost daemons have one place only; a mutex stops a fake clock
 	adding      sync.Mutex
 
 	mu      sync.Mutex
@@ -76,12 +86,12 @@
 func Run(ctx context.Context, spec Spec) (Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, runTimeout)
 	defer cancel()
-	dep, err := local.New(nil)
+	dep, network, err := deploy(spec.InMemory)
 	if err != nil {
 		return Report{}, err
 	}
 	defer dep.Stop()
-	r := &run{spec: spec, dep: dep, record: &Record{killed: map[string]bool{}, lost: map[string]bool{}}, rng: rand.New(rand.NewPCG(spec.Seed, 1))}
+	r := &run{spec: spec, dep: dep, network: network, losses: make(chan struct{}, 1), record: &Record{killed: map[string]bool{}, lost: map[string]bool{}}, rng: rand.New(rand.NewPCG(spec.Seed, 1))}
 	for _, f := range spec.Faults {
 		r.cutDomains = r.cutDomains || f.Name == faultPeersCut
 		r.cutPlatform = r.cutPlatform || f.Name == faultPlatformCut
@@ -89,7 +99,6 @@
 		r.storeFaulty = r.storeFaulty || f.Name == "store-down" || f.Name == "store-slow" || f.Name == "store-replies-lost" || f.Name == faultPlatformCut
 	}
 	dep.Settle, dep.CopyTimeout = settle, copyTimeout
-	dep.UseNetwork()
 	if err := r.start(ctx); err != nil {
 		return Report{}, err
 	}
@@ -110,6 +119,21 @@
 	return r.check(ctx)
 }
 
+func deploy(inMemory bool) (*local.Deployment, network, error) {
+	if inMemory {
+		dep, err := local.NewInMemory(nil)
+		if err != nil {
+			return nil, nil, err
+		}
+		return dep, dep.Memory, nil
+	}
+	dep, err := local.New(nil)
+	if err != nil {
+		return nil, nil, err
+	}
+	return dep, dep.UseNetwork(), nil
+}
+
 func (r *run) start(ctx context.Context) error {
 	spec := standin.EngineSpec{Slots: 64, ColdSlots: 4, WarmAfter: 8, TokenDelay: 4 * time.Millisecond}
 	if err := local.Sample(ctx, r.dep, daemons, spec); err != nil {
--- a/chaos/workload.go
+++ b/chaos/workload.go
@@ -101,7 +101,7 @@
 
 func (w *workload) deliverChat(ctx context.Context, req *Request, body []byte, header map[string]string, rng *rand.Rand, session *string) Delivery {
 	addr := w.run.daemon(rng)
-	client := local.NewClient(addr, local.SampleKey)
+	client := w.run.dep.NewClient(addr, local.SampleKey)
 	defer client.HTTP.CloseIdleConnections()
 	if req.Kind == KindLeave {
 		return leave(ctx, client, body)
@@ -160,7 +160,7 @@
 func (w *workload) release(ctx context.Context, req *Request, rng *rand.Rand) {
 	for range maxDeliveries {
 		addr := w.run.daemon(rng)
-		client := local.NewClient(addr, local.SampleKey)
+		client := w.run.dep.NewClient(addr, local.SampleKey)
 		a, err := client.Call(ctx, http.MethodPost, "/v1/services/"+local.SamplePlain+"/release", []byte(req.Key), map[string]string{identify.HeaderKey: req.Key})
 		client.HTTP.CloseIdleConnections()
 		d := delivery(addr, a, err)
--- a/local/deployment.go
+++ b/local/deployment.go
@@ -34,6 +34,7 @@
 	Plains      map[string]*standin.Plain
 	Log         *logrus.Logger
 	Network     *Network      // nil unless UseNetwork was called
+	Memory      *Memory       // nil unless the deployment is in memory
 	DutyTTL     time.Duration // of daemons that are added from now on
 	CopyTimeout time.Duration // of daemons that are added from now on
 	Settle      time.Duration // of daemons that are added from now on
@@ -44,27 +45,33 @@
 }
 
 // New starts the platform.
-func New(log *logrus.Logger) (*Deployment, error) {
+func New(log *logrus.Logger) (*Deployment, error) { return newDeployment(log, nil) }
+
+// NewInMemory starts the platform of a deployment that opens no sockets and works under a fake clock.
+func NewInMemory(log *logrus.Logger) (*Deployment, error) { return newDeployment(log, newMemory()) }
+
+func newDeployment(log *logrus.Logger, memory *Memory) (*Deployment, error) {
 	if log == nil {
 		log = logrus.New()
 		log.SetOutput(io.Discard)
 	}
 	p := standin.NewPlatform()
-	srv, err := standin.Serve("127.0.0.1:0", p.Handler())
+	d := &Deployment{
+		Platform: p, Engines: map[string]*standin.Engine{}, Plains: map[string]*standin.Plain{}, Log: log, Memory: memory,
+		DutyTTL: 900 * time.Millisecond, CopyTimeout: 500 * time.Millisecond, name: rand.Text(), servers: map[string]*standin.Server{},
+	}
+	srv, err := d.serve(platformHost, p.Handler())
 	if err != nil {
 		return nil, err
 	}
-	return &Deployment{
-		Platform: p, PlatformURL: "http://" + srv.Addr, Engines: map[string]*standin.Engine{}, Plains: map[string]*standin.Plain{}, Log: log, DutyTTL: 900 * time.Millisecond, CopyTimeout: 500 * time.Millisecond,
-		name:     rand.Text(),
-		platform: srv, servers: map[string]*standin.Server{},
-	}, nil
+	d.platform, d.PlatformURL = srv, "http://"+srv.Addr
+	return d, nil
 }
 
 // AddEngine starts a model engine and lists it.
 func (d *Deployment) AddEngine(domain, service string, spec standin.EngineSpec) (*standin.Engine, error) {
 	e := standin.NewEngine(spec)
-	srv, err := standin.Serve("127.0.0.1:0", e.Handler())
+	srv, err := d.serve(endpointHost, e.Handler())
 	if err != nil {
 		return nil, err
 	}
@@ -78,7 +85,7 @@
 // AddPlain starts a plain service's endpoint and lists it.
 func (d *Deployment) AddPlain(domain, service, name string) (*standin.Plain, error) {
 	p := standin.NewPlain(name)
-	srv, err := standin.Serve("127.0.0.1:0", p.Handler())
+	srv, err := d.serve(endpointHost, p.Handler())
 	if err != nil {
 		return nil, err
 	}
@@ -110,12 +117,16 @@
 
 // StartDaemon starts a daemon that is not in the host list yet.
 func (d *Deployment) StartDaemon(s *settings.Settings) (*daemon.Daemon, error) {
+	var network *daemon.Network // sockets
+	if d.Memory != nil {
+		network = d.Memory.place(s)
+	}
 	if d.Network != nil {
 		if err := d.Network.place(s, d.platform.Addr); err != nil {
 			return nil, err
 		}
 	}
-	dm := daemon.FromSettings(s, d.Log)
+	dm := daemon.FromNetwork(s, network, d.Log)
 	if err := dm.Start(); err != nil {
 		return nil, err
 	}
@@ -243,4 +254,7 @@
 	if d.Network != nil {
 		d.Network.close()
 	}
+	if d.Memory != nil {
+		d.Memory.net.Close()
+	}
 }
--- a/local/network.go
+++ b/local/network.go
@@ -86,6 +86,15 @@
 	return n.platform[domain]
 }
 
+// CutPlatform cuts the daemons of a failure domain off from the platform, or connects them again.
+func (n *Network) CutPlatform(domain string, cut bool) {
+	link := standin.Pass
+	if cut {
+		link = standin.Freeze
+	}
+	n.Platform(domain).Set(link)
+}
+
 // Silence makes the open connections between daemons and to the platform go silent for good, while new ones work.
 func (n *Network) Silence() {
 	n.mu.Lock()
