standin: read the silenced addresses under the lock

Cause: connections read the function that says which of them are silent while SilenceIf replaces it. Change: the function is called under the network's lock. Result: standin and peer pass under the race detector.

--- a/standin/memnet.go
+++ b/standin/memnet.go
@@ -62,6 +62,13 @@
 	n.silent = match
 }
 
+// isSilent reports whether earlier connections between two addresses are silent.
+func (n *MemNet) isSilent(from, to string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.silent(from, to)
+}
+
 // Traffic returns what a host has sent so far.
 func (n *MemNet) Traffic(addr string) Traffic {
 	n.mu.Lock()
@@ -330,7 +337,7 @@
 		switch {
 		case l == Drop || l == Refuse:
 			return false
-		case l == Pass && (epoch == c.epoch || !c.net.silent(c.from, c.to)):
+		case l == Pass && (epoch == c.epoch || !c.net.isSilent(c.from, c.to)):
 			return true
 		}
 		select {
