--- a/chaos/chaos_test.go
+++ b/chaos/chaos_test.go
@@ -7,6 +7,11 @@
 	"time"
 )
 
+const (
+	firstRandomSeed = uint64(5000)
+	randomRuns      = 20
+)
+
 func runFaults(t *testing.T, seed uint64, hold time.Duration, faults ...Fault) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) { checkRun(t, Spec{Seed: seed, Faults: faults, Hold: hold, InMemory: true}) })
@@ -14,17 +19,16 @@
 
 func checkRun(t *testing.T, spec Spec) {
 	t.Helper()
-	seed := spec.Seed
 	report, err := Run(context.Background(), spec)
 	if err != nil {
-		t.Fatalf("seed %d: %v", seed, err)
+		t.Fatalf("%s: %v", spec, err)
 	}
 	for i, v := range report.Violations {
 		if i == 10 {
-			t.Errorf("seed %d: %d more", seed, len(report.Violations)-i)
+			t.Errorf("%s: %d more", spec, len(report.Violations)-i)
 			break
 		}
-		t.Errorf("seed %d: %s", seed, v)
+		t.Errorf("%s: %s", spec, v)
 	}
 	if report.Requests == 0 {
 		t.Error("no request was sent")
@@ -55,6 +59,19 @@
 	}
 }
 
+// Guards each invariant against up to four failures at the same time and one after the other.
+func TestRandomFailures(t *testing.T) {
+	spec := RandomSpec{MaxFaults: 4, MaxHold: 5 * time.Second}
+	for seed := firstRandomSeed; seed < firstRandomSeed+randomRuns; seed++ {
+		run := spec.draw(seed)
+		run.InMemory = true
+		t.Run(run.String(), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) { checkRun(t, run) })
+		})
+	}
+}
+
 // Guards against new work at what is out, withdrawn or leaving, 3 s after the change, at daemons that are cut off from other
 // daemons or from the platform, or whose connections have gone silent.
 func TestChangesReachDisturbedDaemons(t *testing.T) {
--- a/chaos/check.go
+++ b/chaos/check.go
@@ -208,7 +208,7 @@
 	for _, w := range c.run.record.windows {
 		for _, runs := range c.runs {
 			for _, run := range runs {
-				if run.Started.Before(w.From.Add(noNewWorkAfter)) || run.Started.After(w.To) || c.cutOff(run.Started) {
+				if run.Started.Before(w.From.Add(noNewWorkAfter)) || !run.Started.Before(w.To) || c.cutOff(run.Started) {
 					continue
 				}
 				if run.Engine == w.Endpoint || run.Version == w.Version || w.Domain != "" && strings.HasSuffix(run.Engine, "-"+w.Domain) {
