engine: KV caches pass as streams, and requests name their session's cache

Cause: an export was held whole in memory, and one above 64 MiB was cut there without an error, so that an import could get a part of a cache. No request named the session under which an endpoint keeps its cache, and imports counted as control traffic. Change: ExportCache gives a reader with the stated size, ImportCache takes one, returns the boot identity and breaks the connection if the data fails; both use connections of their own. engine.Request names the session. The stand-in engine has a prefill time for each token, a size of caches, a transfer rate and faults of exports and imports, and keeps only whole caches. Result: go test -race ./engine/... ./standin passes; TestEngineControl checks that an import that ends early changes nothing. Nothing calls it yet.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -30,6 +30,8 @@
 	ErrStalled = errors.New("engine: no progress in time")
 	// ErrBroken says that the connection broke after the request was sent; it may have run.
 	ErrBroken = errors.New("engine: connection broken")
+	// ErrTruncated says that the data of an import ended early, so that the endpoint keeps none of it.
+	ErrTruncated = errors.New("engine: import ended early")
 )
 
 // Request is one model call.
@@ -42,6 +44,16 @@
 	// Prior is the text of the answer generated so far by an endpoint that failed; generation goes on after it.
 	Prior       string
 	PriorTokens int64
+	// Session names the KV cache that the endpoint keeps of the session for this version, so that it can be exported; empty
+	// if it need not keep one. An endpoint uses a cache of that name only as far as the prompt begins with what it holds.
+	Session string
+}
+
+// CacheExport is a session's KV cache that is being read from an endpoint.
+type CacheExport struct {
+	// Body gives the data. It ends with io.EOF only after all of it; a broken connection gives another error.
+	Body io.ReadCloser
+	Size int64 // bytes, -1 if the endpoint does not state it
 }
 
 // Usage counts the tokens of one model call.
@@ -126,8 +138,11 @@
 	Cancel(ctx context.Context, addr, id string) error
 	Load(ctx context.Context, addr string) (Load, error)
 	CacheEvents(ctx context.Context, addr string, after uint64) ([]CacheEvent, error)
-	ExportCache(ctx context.Context, addr, session string) ([]byte, error)
-	ImportCache(ctx context.Context, addr, session string, data []byte) error
+	// ExportCache reads the KV cache of a session. It returns ErrUnknownStream if the endpoint holds none.
+	ExportCache(ctx context.Context, addr, session string) (*CacheExport, error)
+	// ImportCache gives an endpoint the KV cache of a session, of size bytes or, if size is -1, until data ends. If data
+	// fails or ends early, the endpoint keeps nothing. It returns the boot identity of the endpoint that keeps the cache.
+	ImportCache(ctx context.Context, addr, session string, data io.Reader, size int64) (boot string, err error)
 	Order(ctx context.Context, addr string, o Order) error
 	// Call sends a plain request. A non-repeatable one is sent at most once.
 	Call(ctx context.Context, addr string, r PlainRequest) (*PlainResponse, error)
--- a/engine/httpengine/client.go
+++ b/engine/httpengine/client.go
@@ -21,8 +21,7 @@
 	connectTimeout   = time.Second
 	idleTimeout      = 30 * time.Second
 	maxIdlePerHost   = 64
-	maxControlBytes  = 1 << 20  // load report or cache events
-	maxCacheBytes    = 64 << 20 // exported KV cache of one session
+	maxControlBytes  = 1 << 20 // load report or cache events
 	maxHeaderBytes   = 64 << 10
 	transportBufSize = 4 << 10 // read and write buffer of one connection
 )
@@ -34,7 +33,9 @@
 type Client struct {
 	single   *http.Client // one connection for each call
 	commands *http.Client // one connection for each load report or command, so that their bytes are counted apart
+	caches   *http.Client // one connection for each export or import of a KV cache
 
+	dial   dialFunc // of shared
 	mu     sync.Mutex
 	shared map[string]*http.Client // by address; each keeps connections
 }
@@ -42,23 +43,35 @@
 // NewClient returns a client. Each non-repeatable call uses a connection of its own: net/http sends a request with an
 // Idempotency-Key header again if a kept connection turns out to be closed, which could run the call twice. So does each
 // load report and each resumed stream: a kept connection may have gone silent while new ones work.
-func NewClient() *Client { return NewClientWith(dial) }
+func NewClient() *Client { return NewClientWith(dialSmall) }
 
 // Dialer returns the dialer of a Client.
 func Dialer() *net.Dialer { return &net.Dialer{Timeout: connectTimeout} }
 
 // NewClientWith returns a client that opens the connections for load reports and commands with dial.
-func NewClientWith(dial func(ctx context.Context, network, addr string) (net.Conn, error)) *Client {
-	commands := transport(true)
-	commands.DialContext = dial
-	return &Client{single: client(true), commands: &http.Client{Transport: commands}, shared: map[string]*http.Client{}}
+func NewClientWith(dial dialFunc) *Client {
+	commands := transport(true, dial)
+	return &Client{
+		single: client(true, dialSmall), commands: &http.Client{Transport: commands}, caches: cacheClient(Dialer().DialContext),
+		dial: dialSmall, shared: map[string]*http.Client{},
+	}
+}
+
+// NewClientOver returns a client that opens every connection with dial, for tests without sockets.
+func NewClientOver(dial dialFunc) *Client {
+	return &Client{
+		single: client(true, dial), commands: &http.Client{Transport: transport(true, dial)}, caches: cacheClient(dial),
+		dial: dial, shared: map[string]*http.Client{},
+	}
 }
 
+type dialFunc = func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // client follows no redirect: it would send the request again, possibly to a host that is no endpoint. The caller gets
 // the redirect as the endpoint's answer.
-func client(single bool) *http.Client {
+func client(single bool, dial dialFunc) *http.Client {
 	return &http.Client{
-		Transport:     transport(single),
+		Transport:     transport(single, dial),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
@@ -72,7 +85,7 @@
 		if len(c.shared) >= maxAddresses {
 			c.closeIdle()
 		}
-		h = client(false)
+		h = client(false, c.dial)
 		c.shared[addr] = h
 	}
 	return h
@@ -103,7 +116,7 @@
 // megabytes while a slow caller holds an answer back.
 const socketBuffer = 32 << 10
 
-func dial(ctx context.Context, network, addr string) (net.Conn, error) {
+func dialSmall(ctx context.Context, network, addr string) (net.Conn, error) {
 	conn, err := (&net.Dialer{Timeout: connectTimeout}).DialContext(ctx, network, addr)
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		_ = tcp.SetReadBuffer(socketBuffer) // without it the connection works as well
@@ -111,7 +124,7 @@
 	return conn, err
 }
 
-func transport(single bool) *http.Transport {
+func transport(single bool, dial dialFunc) *http.Transport {
 	return &http.Transport{
 		DialContext:            dial,
 		MaxIdleConnsPerHost:    maxIdlePerHost,
@@ -131,6 +144,7 @@
 	c.closeIdle()
 	c.single.CloseIdleConnections()
 	c.commands.CloseIdleConnections()
+	c.caches.CloseIdleConnections()
 }
 
 // Stream implements engine.Client.
@@ -146,6 +160,9 @@
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(HeaderRequestID, r.ID)
 	req.Header.Set(HeaderPriority, strconv.Itoa(r.Priority))
+	if r.Session != "" {
+		req.Header.Set(HeaderSession, r.Session)
+	}
 	return c.open(c.kept(addr), req)
 }
 
@@ -252,32 +269,6 @@
 	return events, nil
 }
 
-// ExportCache implements engine.Client.
-func (c *Client) ExportCache(ctx context.Context, addr, session string) ([]byte, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/v1/cache/sessions/"+url.PathEscape(session), nil)
-	if err != nil {
-		return nil, fmt.Errorf("%w: %w", engine.ErrRejected, err)
-	}
-	resp, err := c.kept(addr).Do(req)
-	if err != nil {
-		return nil, transportError(err)
-	}
-	defer resp.Body.Close()
-	if err := statusError(resp.StatusCode); err != nil {
-		return nil, err
-	}
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxCacheBytes))
-	if err != nil {
-		return nil, fmt.Errorf("%w: %w", engine.ErrBroken, err)
-	}
-	return data, nil
-}
-
-// ImportCache implements engine.Client.
-func (c *Client) ImportCache(ctx context.Context, addr, session string, data []byte) error {
-	return c.control(ctx, http.MethodPut, addr, "/v1/cache/sessions/"+url.PathEscape(session), data, nil)
-}
-
 // Order implements engine.Client.
 func (c *Client) Order(ctx context.Context, addr string, o engine.Order) error {
 	data, err := json.Marshal(o)
--- a/engine/httpengine/wire.go
+++ b/engine/httpengine/wire.go
@@ -7,6 +7,7 @@
 	HeaderBoot      = "Engine-Boot"
 	HeaderRequestID = "X-Request-Id"
 	HeaderPriority  = "X-Priority"
+	HeaderSession   = "X-Session-Id"
 )
 
 // Chunk is the JSON of one server-sent event.
--- a/standin/contract_test.go
+++ b/standin/contract_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/bramleytrail/bramleytrail/engine"
@@ -140,7 +141,18 @@
 	}
 }
 
-// Guards against control calls that don't tell a stale order, a missing cache or a gap in cache events.
+func exported(ctx context.Context, c *httpengine.Client, addr, session string) (string, error) {
+	x, err := c.ExportCache(ctx, addr, session)
+	if err != nil {
+		return "", err
+	}
+	defer x.Body.Close()
+	data, err := io.ReadAll(x.Body)
+	return string(data), err
+}
+
+// Guards against control calls that don't tell a stale order, a missing cache or a gap in cache events, and against an import
+// that keeps a part of a cache.
 func TestEngineControl(t *testing.T) {
 	ctx := testContext(t)
 	e := NewEngine(EngineSpec{Name: "e", Versions: []string{"v"}, Answer: 1})
@@ -157,12 +169,18 @@
 	if err := c.Order(ctx, addr, engine.Order{Action: "unload", Target: "w", Fence: 1}); err != nil {
 		t.Errorf("stale order at an engine without fencing: %v", err)
 	}
-	if err := c.ImportCache(ctx, addr, "s", []byte("kv")); err != nil {
+	if _, err := c.ImportCache(ctx, addr, "s", strings.NewReader("kv"), 2); err != nil {
 		t.Error(err)
 	}
-	if data, err := c.ExportCache(ctx, addr, "s"); err != nil || string(data) != "kv" {
+	if data, err := exported(ctx, c, addr, "s"); err != nil || data != "kv" {
 		t.Errorf("exported cache %q, %v", data, err)
 	}
+	for _, size := range []int64{3, -1} { // the data ends before its stated size, or with an error
+		_, err := c.ImportCache(ctx, addr, "s", io.MultiReader(strings.NewReader("x"), iotest.ErrReader(io.ErrUnexpectedEOF)), size)
+		if data, _ := exported(ctx, c, addr, "s"); err == nil || data != "kv" {
+			t.Errorf("after an import that ended early with %v, the cache is %q", err, data)
+		}
+	}
 	if _, err := c.ExportCache(ctx, addr, "none"); !errors.Is(err, engine.ErrUnknownStream) {
 		t.Errorf("export of an unknown session: %v", err)
 	}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -35,6 +35,10 @@
 	TokenDelay time.Duration // time between tokens
 	FirstDelay time.Duration // time to the first token
 	Confidence float64       // reported with each token; 0 for none
+	// PrefillDelay is the time for each token of the prompt that is not in the session's KV cache, before the first token.
+	PrefillDelay time.Duration
+	CacheBytes   int64 // size of a KV cache for each token
+	CacheRate    int64 // bytes a second of exports and imports; 0 for no limit
 }
 
 // Run is the record of one request that an engine started.
@@ -46,6 +50,7 @@
 	Done    bool
 	Started time.Time
 	Prompt  string
+	Cached  int64 // tokens of the prompt that were in the session's KV cache
 }
 
 // Cause of a crash.
@@ -87,7 +92,8 @@
 	events    []cacheEvent
 	eventLag  time.Duration
 	eventSeq  uint64
-	sessions  map[string][]byte
+	sessions  map[string]sessionCache
+	cacheFail CacheFault
 	causes    map[Cause]int
 	reset     chan struct{} // closed when the engine crashes
 	changed   chan struct{} // closed when a fault setting changes
@@ -103,7 +109,9 @@
 type generation struct {
 	run     *Run
 	prompt  string
-	first   int64 // sequence number before the first token generated here
+	session string // name of its KV cache, empty for none
+	cached  int64  // tokens of the prompt that were in the cache
+	first   int64  // sequence number before the first token generated here
 	limit   int64
 	input   int64
 	delay   time.Duration   // between tokens
@@ -122,7 +130,7 @@
 		started:  time.Now(),
 		versions: slices.Clone(spec.Versions),
 		streams:  map[string]*generation{},
-		sessions: map[string][]byte{},
+		sessions: map[string]sessionCache{},
 		causes:   map[Cause]int{},
 		reset:    make(chan struct{}),
 		changed:  make(chan struct{}),
@@ -185,16 +193,16 @@
 		http.Error(w, "bad request", http.StatusBadRequest)
 		return
 	}
-	g, status := e.admit(r.Header.Get(httpengine.HeaderRequestID), req)
+	g, status := e.admit(r.Header.Get(httpengine.HeaderRequestID), r.Header.Get(httpengine.HeaderSession), req)
 	if status != http.StatusOK {
 		http.Error(w, http.StatusText(status), status)
 		return
 	}
-	e.stream(w, r, g, g.first, e.spec.FirstDelay)
+	e.stream(w, r, g, g.first, e.spec.FirstDelay+time.Duration(g.input-g.cached)*e.spec.PrefillDelay)
 }
 
 // admit starts a generation, or crashes the engine if the request is one that does.
-func (e *Engine) admit(id string, req chatRequest) (*generation, int) {
+func (e *Engine) admit(id, session string, req chatRequest) (*generation, int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !slices.Contains(e.versions, req.Model) {
@@ -208,7 +216,9 @@
 		run:    &Run{ID: id, Engine: e.spec.Name, Version: req.Model, Started: time.Now(), Prompt: prompt},
 		prompt: prompt, limit: e.answerTokens(req.MaxTokens), input: int64(len(prompt)) / bytesPerToken,
 		delay: e.spec.TokenDelay, boot: e.boot, reset: e.reset, stopped: make(chan struct{}),
+		session: session, cached: e.sessions[session].covers(req.Model, prompt),
 	}
+	g.run.Cached = g.cached
 	if req.Continuation != nil {
 		g.first = req.Continuation.Tokens
 	}
@@ -291,7 +301,7 @@
 	e.running, e.held = 0, 0
 	e.streams = map[string]*generation{}
 	e.events = nil
-	e.sessions = map[string][]byte{}
+	e.sessions = map[string]sessionCache{}
 }
 
 func (e *Engine) resume(w http.ResponseWriter, r *http.Request) {
@@ -412,6 +422,7 @@
 	}
 	e.mu.Lock()
 	g.run.Tokens = max(g.run.Tokens, seq)
+	e.keepCache(g)
 	e.mu.Unlock()
 	if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", seq, data); err != nil {
 		return err
--- a/standin/enginecontrol.go
+++ b/standin/enginecontrol.go
@@ -12,9 +12,6 @@
 	"github.com/bramleytrail/bramleytrail/engine"
 )
 
-// maxCacheBytes bounds an imported KV cache.
-const maxCacheBytes = 64 << 20
-
 func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
 	if g := e.streams[r.PathValue("id")]; g != nil {
@@ -58,29 +55,6 @@
 	replyJSON(w, events)
 }
 
-func (e *Engine) exportCache(w http.ResponseWriter, r *http.Request) {
-	e.mu.Lock()
-	data, ok := e.sessions[r.PathValue("id")]
-	e.mu.Unlock()
-	if !ok {
-		http.NotFound(w, r)
-		return
-	}
-	_, _ = w.Write(data) // a failed write means that the client has left
-}
-
-func (e *Engine) importCache(w http.ResponseWriter, r *http.Request) {
-	data, err := io.ReadAll(io.LimitReader(r.Body, maxCacheBytes))
-	if err != nil {
-		http.Error(w, "bad request", http.StatusBadRequest)
-		return
-	}
-	e.mu.Lock()
-	e.sessions[r.PathValue("id")] = data
-	e.mu.Unlock()
-	w.WriteHeader(http.StatusNoContent)
-}
-
 func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
 	var o engine.Order
 	if err := json.NewDecoder(io.LimitReader(r.Body, maxEngineBody)).Decode(&o); err != nil {
