dispatch: move the session's KV cache before the first call

Cause: a session whose endpoint leaves, is full or is out of service is processed anew at the next one. Change: the signed session token names the endpoint of the last turn by a hash, and the tokens cached there. After it has reserved room, dispatch asks the mover, and sends the request in any case. If time has passed, the newest configuration, the host list and the endpoint's boot identity are checked again, and the request goes elsewhere if they forbid it. Conclusion: nothing changes while moves are off.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -16,6 +16,7 @@
 
 	"github.com/bramleytrail/bramleytrail/admit"
 	"github.com/bramleytrail/bramleytrail/bill"
+	"github.com/bramleytrail/bramleytrail/cachemove"
 	"github.com/bramleytrail/bramleytrail/claim"
 	"github.com/bramleytrail/bramleytrail/config"
 	"github.com/bramleytrail/bramleytrail/dispatch"
@@ -70,6 +71,7 @@
 	pool     *pool.Pool
 	poison   *poison.Table
 	dispatch atomic.Pointer[dispatch.Filter] // nil until Start
+	moves    *cachemove.Mover                // nil if KV caches are not moved
 	ledger   *ledger.Ledger
 	copies   *ledger.Copies
 	claims   *claim.Filter
@@ -131,6 +133,7 @@
 		Platform: d.platform, Config: d.config, Metrics: d.metrics, Log: d.log,
 		OnHosts: func(list hostlist.List) { d.pool.SetHosts(list, time.Now()) },
 	}}
+	d.moves = d.buildMoves()
 	d.config.OnChange(func(v *config.View) {
 		d.pool.SetView(v, time.Now())
 		d.decisions.setView(v)
@@ -211,7 +214,7 @@
 	})
 	d.dispatch.Store(dispatch.New(dispatch.Spec{
 		Pool: d.pool, Client: d.engines, Poison: d.poison, OnCrash: d.node.ReportCrash, QueueWait: s.QueueWait, OnCall: d.decisions.count,
-		Now: time.Now, Rand: mathrand.Uint64, HedgeShare: s.HedgeShare,
+		Now: time.Now, Rand: mathrand.Uint64, HedgeShare: s.HedgeShare, Moves: d.moves,
 		OnHedge: func(o dispatch.HedgeOutcome) {
 			d.metrics.Counter(fmt.Sprintf(`bramley_hedges_total{outcome=%q}`, o)).Inc()
 		},
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -11,6 +11,7 @@
 
 	"github.com/lesismal/nbio/nbhttp"
 
+	"github.com/bramleytrail/bramleytrail/cachemove"
 	"github.com/bramleytrail/bramleytrail/observe"
 	"github.com/bramleytrail/bramleytrail/peer"
 	"github.com/bramleytrail/bramleytrail/placement"
@@ -47,6 +48,8 @@
 	Running   []observe.RequestInFlight `json:"running"`
 	Requests  []observe.Request         `json:"requests"`
 	Decisions DecisionState             `json:"decisions"`
+	// CacheMoves is nil if KV caches are not moved.
+	CacheMoves *cachemove.State `json:"cacheMoves,omitempty"`
 	// Placement are the tables of the placement duties by failure domain; that of this daemon's duty is as of its last tick.
 	Placement map[string]placement.Table `json:"placement,omitempty"`
 }
@@ -61,7 +64,7 @@
 		Revision: rev.Number, Digest: rev.Digest, Watcher: d.node.Watching(), Peers: d.node.Peers(), Documents: d.node.Documents(),
 		InFlight: d.admit.InFlight(), BillsHeld: held, BillsUncopied: uncopied, CopiesHeld: d.copies.Held(),
 		Endpoints: d.pool.Dump(now, maxDumpEndpoints), Running: d.inFlight.Oldest(maxDumpRequests, now), Requests: d.recent.Last(maxDumpRequests),
-		Decisions: d.decisions.state(), Placement: d.placement.dump(),
+		Decisions: d.decisions.state(), Placement: d.placement.dump(), CacheMoves: d.moves.State(),
 	}
 	if l := d.docs.list.Load(); l != nil {
 		s.HostList = l.Revision
--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/bramleytrail/bramleytrail/cachemove"
 	"github.com/bramleytrail/bramleytrail/choose"
 	"github.com/bramleytrail/bramleytrail/engine"
 	"github.com/bramleytrail/bramleytrail/object"
@@ -38,8 +39,9 @@
 	ran                result.Ran
 	served             *object.Version
 	trace              []Attempt
-	answered           atomic.Bool    // some part of the answer was read
-	discards           sync.WaitGroup // failed calls of races that are looked into
+	moved              *cachemove.Report // what became of the session's KV cache; nil before that is decided
+	answered           atomic.Bool       // some part of the answer was read
+	discards           sync.WaitGroup    // failed calls of races that are looked into
 }
 
 // Attempt records one endpoint that a request was sent to.
@@ -47,6 +49,8 @@
 	Endpoint string `json:"endpoint"`
 	Version  string `json:"version"`
 	Error    string `json:"error,omitempty"`
+	// Cache says for the first attempt whether the session's KV cache was moved, and why or why not.
+	Cache *cachemove.Report `json:"cache,omitempty"`
 }
 
 // Version returns the version that answers.
@@ -117,6 +121,7 @@
 		if a.seq == 0 && a.leave == nil { // a race observes its own
 			a.filter.firstTokens.observe(a.served.Name, a.firstByte)
 		}
+		a.learnPrefill()
 	}
 	a.seq = ev.Seq
 	a.answered.Store(true)
@@ -145,7 +150,7 @@
 	if a.served != nil && a.seq > 0 {
 		begun = &a.room.candidate
 	}
-	r, err := a.filter.reserve(a.ctx, &a.in, begun, a.exclude)
+	r, err := a.reserve(begun)
 	if err != nil {
 		return a.withRan(err)
 	}
@@ -167,10 +172,10 @@
 	a.count()
 	a.call = &call{filter: a.filter, ctx: a.ctx, room: r, reserved: true, boot: r.Boot(), opened: a.filter.spec.Now(),
 		callID: callID(a.in.RequestID, a.calls), attempt: len(a.trace)}
-	a.trace = append(a.trace, Attempt{Endpoint: r.ID, Version: r.candidate.Version.Name})
+	a.trace = append(a.trace, Attempt{Endpoint: r.ID, Version: r.candidate.Version.Name, Cache: a.cacheReport()})
 	return engine.Request{
 		ID: a.callID, Version: r.candidate.Version.Name, Body: a.in.Body, Priority: a.in.Priority,
-		MaxTokens: a.in.MaxTokens, Prior: a.text.String(), PriorTokens: a.seq,
+		MaxTokens: a.in.MaxTokens, Prior: a.text.String(), PriorTokens: a.seq, Session: a.cacheName(r),
 	}
 }
 
@@ -223,6 +228,7 @@
 // recover handles a failed attempt. It returns nil if the answer can go on.
 func (a *Answer) recover(err error) error {
 	a.note(err)
+	a.cacheLost(err)
 	a.failedAt = a.filter.spec.Now()
 	if errors.Is(err, errCancelled) {
 		a.closeStream(err)
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"time"
 
+	"github.com/bramleytrail/bramleytrail/cachemove"
 	"github.com/bramleytrail/bramleytrail/choose"
 	"github.com/bramleytrail/bramleytrail/config"
 	"github.com/bramleytrail/bramleytrail/engine"
@@ -55,6 +56,8 @@
 	// OnHedge is called with the end of each hedge, or with the reason why a late first token was not hedged; it may be
 	// nil.
 	OnHedge func(HedgeOutcome)
+	// Moves moves KV caches of sessions; nil for none.
+	Moves *cachemove.Mover
 }
 
 // CallResult describes a finished model call.
@@ -99,6 +102,7 @@
 	MaxTokens   int64  // limit of the answer
 	Prefix      uint64 // hash of the prompt's beginning that a session keeps, 0 if there is none
 	Fingerprint uint64
+	Cache       cachemove.Session
 	// Once forbids another attempt after one that may have run.
 	Once bool
 	// Renew returns the newest configuration and the candidates under it, or an error if it no longer allows the request.
--- a/dispatch/hedge.go
+++ b/dispatch/hedge.go
@@ -198,6 +198,7 @@
 func (a *Answer) discard(o outcome) {
 	c, err, request := o.call, o.err, a.in.RequestID
 	a.trace[c.attempt].Error = err.Error()
+	c.cacheLost(err)
 	c.failedAt = a.filter.spec.Now()
 	a.exclude = append(a.exclude, c.room.ID)
 	notRun := errors.Is(err, engine.ErrUnreachable) || errors.Is(err, engine.ErrBusy) || errors.Is(err, engine.ErrRejected)
--- a/local/deployment.go
+++ b/local/deployment.go
@@ -25,6 +25,9 @@
 
 const readyPoll = 10 * time.Millisecond
 
+// cacheMoveTime leaves moves enough time on a busy machine.
+const cacheMoveTime = 2 * time.Minute
+
 // Deployment is a running set of processes' parts.
 type Deployment struct {
 	Platform    *standin.Platform
@@ -37,6 +40,7 @@
 	DutyTTL     time.Duration // of daemons that are added from now on
 	CopyTimeout time.Duration // of daemons that are added from now on
 	Settle      time.Duration // of daemons that are added from now on
+	CacheMoves  int           // of daemons that are added from now on; 0 for none
 
 	name     string // another one for each deployment, as ports are used again
 	platform *standin.Server
@@ -93,6 +97,7 @@
 		ID: id, Deployment: d.name, Domain: domain, Rack: id, Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", OperatorListen: "127.0.0.1:0",
 		Store: d.PlatformURL, Hosts: d.PlatformURL, MaxInFlight: 1000, MaxConnections: 1000, QueueWait: 2 * time.Second,
 		StallTimeout: 30 * time.Second, Settle: d.Settle, BillInterval: 500 * time.Millisecond, CopyTimeout: d.CopyTimeout,
+		CacheMoves: d.CacheMoves, CachePerSource: 1, CacheMoveBytes: 1 << 30, CacheMoveTime: cacheMoveTime,
 		ClaimWrites: 1000, PollsPerSecond: 50, Ratings: d.PlatformURL, Weights: d.PlatformURL, DutyTTL: d.DutyTTL,
 		EvidenceEvery: 100 * time.Millisecond, RatingEvery: 100 * time.Millisecond, ExploreShare: 0.05, ExploreCost: 0.05, LogLevel: "info", SessionKey: []byte(SessionKey),
 	}
--- a/observe/metrics.go
+++ b/observe/metrics.go
@@ -25,6 +25,9 @@
 // Counter returns the counter of that name.
 func (m *Metrics) Counter(name string) *metrics.Counter { return m.set.GetOrCreateCounter(name) }
 
+// Histogram returns the histogram of that name.
+func (m *Metrics) Histogram(name string) *metrics.Histogram { return m.set.GetOrCreateHistogram(name) }
+
 // Request counts a finished request.
 func (m *Metrics) Request(o pipeline.Outcome) {
 	m.Counter(fmt.Sprintf(`bramley_requests_total{kind=%q,team=%q,code="%d"}`, o.Kind, o.Team, int(o.Code))).Inc()
--- a/pipeline/chat.go
+++ b/pipeline/chat.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"github.com/bramleytrail/bramleytrail/bill"
+	"github.com/bramleytrail/bramleytrail/cachemove"
 	"github.com/bramleytrail/bramleytrail/choose"
 	"github.com/bramleytrail/bramleytrail/claim"
 	"github.com/bramleytrail/bramleytrail/config"
@@ -160,7 +161,7 @@
 	return dispatch.Input{
 		View: s.view, RequestID: id, Team: s.who.Team.Name, Candidates: candidates, Body: s.r.Body, Priority: s.who.Priority,
 		Tokens: s.prompt, MaxTokens: s.maxTokens, Prefix: s.chat.prefix(), Fingerprint: poison.Fingerprint(s.who.Team.Name, s.r.Body), Once: s.held != nil,
-		Renew: renew,
+		Renew: renew, Cache: s.cache(),
 	}
 }
 
@@ -188,9 +189,7 @@
 	v := s.answer.Version()
 	h.Set(relay.HeaderVersion, s.ratedVersion(v.Name))
 	tok := s.who.Session
-	if tok.ID == "" {
-		tok.ID = s.r.ID
-	}
+	tok.ID = s.sessionID()
 	if tok.Issued.IsZero() || choose.Expired(s.view, s.who.Team, tok, s.start) {
 		tok.Issued, tok.Versions = s.start, nil
 	}
@@ -200,6 +199,7 @@
 		return old == nil || old.Model == v.Model
 	})
 	tok.Versions = append(tok.Versions, v.Name)
+	tok.Cache = s.answer.CachePlace()
 	value, err := s.p.Signer.Encode(tok)
 	if err != nil {
 		return nil, result.Wrap(result.Internal, result.RunDone, err)
@@ -208,6 +208,24 @@
 	return h, nil
 }
 
+// sessionID returns the identifier of the session. A request without one begins a session of its own.
+func (s *chatStages) sessionID() string {
+	if s.who.Session.ID == "" {
+		return s.r.ID
+	}
+	return s.who.Session.ID
+}
+
+// cache returns what the session's token says of its KV cache.
+func (s *chatStages) cache() cachemove.Session {
+	tok := s.who.Session
+	c := cachemove.Session{Team: s.who.Team.Name, ID: s.sessionID()}
+	if tok.Cache != nil && len(tok.Versions) > 0 {
+		c.Version, c.Endpoint, c.Tokens = tok.Versions[len(tok.Versions)-1], tok.Cache.Endpoint, tok.Cache.Tokens
+	}
+	return c
+}
+
 // ratedVersion returns the version under which the answer is rated. A cascade's answers are rated apart from those of
 // the version alone, see quality.Summary.
 func (s *chatStages) ratedVersion(name string) string {
--- a/session/session.go
+++ b/session/session.go
@@ -30,6 +30,13 @@
 	Team     string    `json:"t"`
 	Issued   time.Time `json:"s"`
 	Versions []string  `json:"v"` // one version for each model that the session has used
+	Cache    *Cache    `json:"c,omitempty"`
+}
+
+// Cache says where the KV cache of the session's last turn is, for the last one of the token's versions.
+type Cache struct {
+	Endpoint uint64 `json:"e"` // hash of the endpoint's identity
+	Tokens   int64  `json:"n"` // of the conversation so far, estimated
 }
 
 // Unsigned reports whether t is the caller's own identifier, which says nothing about the session's version.
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -10,7 +10,7 @@
 // Guards against tokens that callers forge, extend or cut.
 func TestForgedTokens(t *testing.T) {
 	s := NewSigner([]byte("0123456789abcdef"))
-	want := Token{ID: "s-1", Team: "team", Issued: time.Unix(1000, 0).UTC(), Versions: []string{"small-1"}}
+	want := Token{ID: "s-1", Team: "team", Issued: time.Unix(1000, 0).UTC(), Versions: []string{"small-1"}, Cache: &Cache{Endpoint: 1<<63 + 1, Tokens: 5}}
 	value, err := s.Encode(want)
 	if err != nil {
 		t.Fatal(err)
