cachemove: a short time limit says nothing about the old endpoint

Cause: a move that had a few milliseconds, because of a near deadline or a short prefill, and ran out of them took its source for silent, so that nothing was read from that endpoint for 10 s, and after a second one from its failure domain. Change: a source is silent only after 50 ms without a byte. Conclusion: moves with less time still end in a prefill, and bar nothing.

--- a/cachemove/mover.go
+++ b/cachemove/mover.go
@@ -14,9 +14,6 @@
 const (
 	// spareLimit is the part of the daemon's slots at the new endpoint up to which a move may hold one, as for hedges.
 	spareLimit = 0.9
-	// silentPart is the part of a move's time limit without a byte from which the old endpoint is taken for silent, as
-	// 1/silentPart.
-	silentPart = 2
 	// maxVersions bounds the versions whose rates are kept; 18 are in use at the target.
 	maxVersions = 64
 )
@@ -173,7 +170,7 @@
 	r.ended(r.path(from.Domain == t.Domain), rep, x.size, now)
 	silence := now.Sub(time.Unix(0, x.heard.Load()))
 	switch {
-	case rep.Outcome == TimedOut && silence >= limit/silentPart:
+	case rep.Outcome == TimedOut && isSilent(silence, limit):
 		m.sources.silent(from.ID, from.Domain, now)
 	case rep.Outcome == ExportFailed && errors.Is(err, engine.ErrBusy):
 		m.sources.bar(from.ID, now.Add(busyTime), now)
--- a/cachemove/mover_test.go
+++ b/cachemove/mover_test.go
@@ -264,6 +264,14 @@
 	})
 }
 
+// Guards against endpoints that are left alone since a move had little time, or that flow slowly.
+func TestShortLimitsAreNoSilence(t *testing.T) {
+	const ms = time.Millisecond
+	if isSilent(40*ms, 40*ms) || isSilent(100*ms, 250*ms) || !isSilent(125*ms, 250*ms) || !isSilent(50*ms, 60*ms) {
+		t.Error("silence is judged wrongly")
+	}
+}
+
 // Guards against requests that wait for one endpoint after the other of a failure domain that is cut off.
 func TestSilentDomainIsBarred(t *testing.T) {
 	var s sources
--- a/cachemove/sources.go
+++ b/cachemove/sources.go
@@ -8,6 +8,12 @@
 	barTime = 10 * time.Second
 	// busyTime is the time for which nothing is read from an endpoint that refused an export.
 	busyTime = time.Second
+	// silentPart is the part of a move's time limit without a byte from which the old endpoint is taken for silent, as
+	// 1/silentPart.
+	silentPart = 2
+	// silentLeast is the least such time: a short limit says nothing about an endpoint. The
+	// latency between failure domains is about 1 ms.
+	silentLeast = 50 * time.Millisecond
 	// maxSources bounds the endpoints that are remembered; a daemon uses about 145 at the target.
 	maxSources = 1024
 )
@@ -68,6 +74,11 @@
 	}
 }
 
+// isSilent reports whether a source that gave no byte for a time, at the end of a move's limit, is taken for silent.
+func isSilent(silence, limit time.Duration) bool {
+	return silence >= max(limit/silentPart, silentLeast)
+}
+
 // silent bars an endpoint that gave no sign of life, and its failure domain if it is the second one there.
 func (s *sources) silent(id, name string, now time.Time) {
 	s.bar(id, now.Add(barTime), now)
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -24,7 +24,8 @@
 	if err == nil {
 		t.Fatal("no error")
 	}
-	for _, flag := range []string{"--id", "--listen", "--store", "--max-in-flight", "--queue-wait", "--claim-writes", "--claim-budget", "--cache-moves", "--log-level"} {
+	for _, flag := range []string{"--id", "--listen", "--store", "--max-in-flight", "--queue-wait", "--claim-writes", "--claim-budget",
+		"--cache-moves", "--log-level"} {
 		if !strings.Contains(err.Error(), flag+":") {
 			t.Errorf("error does not name %s: %v", flag, err)
 		}
