--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -16,6 +16,7 @@
 
 	"github.com/bramleytrail/bramleytrail/admit"
 	"github.com/bramleytrail/bramleytrail/bill"
+	"github.com/bramleytrail/bramleytrail/cachemove"
 	"github.com/bramleytrail/bramleytrail/claim"
 	"github.com/bramleytrail/bramleytrail/config"
 	"github.com/bramleytrail/bramleytrail/dispatch"
@@ -71,6 +72,7 @@
 	pool     *pool.Pool
 	poison   *poison.Table
 	dispatch atomic.Pointer[dispatch.Filter] // nil until Start
+	moves    *cachemove.Mover                // nil if KV caches are not moved
 	ledger   *ledger.Ledger
 	copies   *ledger.Copies
 	claims   *claim.Filter
@@ -112,8 +114,9 @@
 	if s.Weights != "" {
 		p.Weights = weight.NewHTTPStoreWith(s.Weights, n.dialPlatform())
 	}
-	commands := m.Dial(observe.KindLoad, observe.DialFunc(n.dialEndpoint()))
-	d := build(s, p, httpengine.NewClientWith(n.dialEndpoint(), httpengine.DialFunc(commands)), log, m)
+	dial := n.dialEndpoint()
+	dial.Commands = httpengine.DialFunc(m.Dial(observe.KindLoad, observe.DialFunc(dial.Commands)))
+	d := build(s, p, httpengine.NewClientWith(dial), log, m)
 	d.network = n
 	return d
 }
@@ -138,6 +141,7 @@
 		Platform: d.platform, Config: d.config, Metrics: d.metrics, Log: d.log,
 		OnHosts: func(list hostlist.List) { d.pool.SetHosts(list, time.Now()) },
 	}}
+	d.moves = d.buildMoves()
 	d.config.OnChange(func(v *config.View) {
 		d.pool.SetView(v, time.Now())
 		d.decisions.setView(v)
@@ -218,7 +222,7 @@
 	})
 	d.dispatch.Store(dispatch.New(dispatch.Spec{
 		Pool: d.pool, Client: d.engines, Poison: d.poison, OnCrash: d.node.ReportCrash, QueueWait: s.QueueWait, OnCall: d.decisions.count,
-		Now: time.Now, Rand: mathrand.Uint64, HedgeShare: s.HedgeShare,
+		Now: time.Now, Rand: mathrand.Uint64, HedgeShare: s.HedgeShare, Moves: d.moves,
 		OnHedge: func(o dispatch.HedgeOutcome) {
 			d.metrics.Counter(fmt.Sprintf(`bramley_hedges_total{outcome=%q}`, o)).Inc()
 		},
--- a/daemon/network.go
+++ b/daemon/network.go
@@ -24,12 +24,12 @@
 	return n.Dial
 }
 
-// dialEndpoint returns the function that connects to endpoints.
-func (n *Network) dialEndpoint() httpengine.DialFunc {
+// dialEndpoint returns the functions that connect to endpoints.
+func (n *Network) dialEndpoint() httpengine.Dialers {
 	if n == nil {
-		return httpengine.Dial
+		return httpengine.Sockets()
 	}
-	return httpengine.DialFunc(n.Dial)
+	return httpengine.Over(httpengine.DialFunc(n.Dial))
 }
 
 // dialPeer returns the function that connects to other daemons from the address of a listener.
--- a/engine/httpengine/client.go
+++ b/engine/httpengine/client.go
@@ -21,8 +21,7 @@
 	connectTimeout   = time.Second
 	idleTimeout      = 30 * time.Second
 	maxIdlePerHost   = 64
-	maxControlBytes  = 1 << 20  // load report or cache events
-	maxCacheBytes    = 64 << 20 // exported KV cache of one session
+	maxControlBytes  = 1 << 20 // load report or cache events
 	maxHeaderBytes   = 64 << 10
 	transportBufSize = 4 << 10 // read and write buffer of one connection
 )
@@ -35,6 +34,7 @@
 	dial     DialFunc     // of all calls but load reports and commands
 	single   *http.Client // one connection for each call
 	commands *http.Client // one connection for each load report or command, so that their bytes are counted apart
+	caches   *http.Client // one connection for each export or import of a KV cache
 
 	mu     sync.Mutex
 	shared map[string]*http.Client // by address; each keeps connections
@@ -43,16 +43,35 @@
 // NewClient returns a client. Each non-repeatable call uses a connection of its own: net/http sends a request with an
 // Idempotency-Key header again if a kept connection turns out to be closed, which could run the call twice. So does each
 // load report and each resumed stream: a kept connection may have gone silent while new ones work.
-func NewClient() *Client { return NewClientWith(Dial, Dial) }
+func NewClient() *Client { return NewClientWith(Sockets()) }
 
-// NewClientWith returns a client that opens the connections for load reports and commands with commands, all others with
-// calls.
-func NewClientWith(calls, commands DialFunc) *Client {
+// NewClientWith returns a client that opens its connections with dial.
+func NewClientWith(dial Dialers) *Client {
 	return &Client{
-		dial: calls, single: client(calls, true), commands: &http.Client{Transport: transport(commands, true)}, shared: map[string]*http.Client{},
+		dial: dial.Calls, single: client(dial.Calls, true), commands: &http.Client{Transport: transport(dial.Commands, true)},
+		caches: cacheClient(dial.Caches), shared: map[string]*http.Client{},
 	}
 }
 
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// Dialers are the functions that open the connections of a Client.
+type Dialers struct {
+	Calls    DialFunc
+	Commands DialFunc // load reports and commands
+	Caches   DialFunc // exports and imports of KV caches
+}
+
+// Sockets returns dialers of TCP connections.
+func Sockets() Dialers {
+	cache := &net.Dialer{Timeout: connectTimeout}
+	return Dialers{Calls: dialSmall, Commands: dialSmall, Caches: cache.DialContext}
+}
+
+// Over returns dialers that all use dial.
+func Over(dial DialFunc) Dialers { return Dialers{Calls: dial, Commands: dial, Caches: dial} }
+
 // client follows no redirect: it would send the request again, possibly to a host that is no endpoint. The caller gets
 // the redirect as the endpoint's answer.
 func client(dial DialFunc, single bool) *http.Client {
@@ -102,11 +121,7 @@
 // megabytes while a slow caller holds an answer back.
 const socketBuffer = 32 << 10
 
-// DialFunc opens a connection.
-type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
-
-// Dial connects to an endpoint.
-func Dial(ctx context.Context, network, addr string) (net.Conn, error) {
+func dialSmall(ctx context.Context, network, addr string) (net.Conn, error) {
 	conn, err := (&net.Dialer{Timeout: connectTimeout}).DialContext(ctx, network, addr)
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		_ = tcp.SetReadBuffer(socketBuffer) // without it the connection works as well
@@ -134,6 +149,7 @@
 	c.closeIdle()
 	c.single.CloseIdleConnections()
 	c.commands.CloseIdleConnections()
+	c.caches.CloseIdleConnections()
 }
 
 // Stream implements engine.Client.
@@ -149,6 +165,9 @@
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(HeaderRequestID, r.ID)
 	req.Header.Set(HeaderPriority, strconv.Itoa(r.Priority))
+	if r.Session != "" {
+		req.Header.Set(HeaderSession, r.Session)
+	}
 	return c.open(c.kept(addr), req)
 }
 
@@ -255,32 +274,6 @@
 	return events, nil
 }
 
-// ExportCache implements engine.Client.
-func (c *Client) ExportCache(ctx context.Context, addr, session string) ([]byte, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/v1/cache/sessions/"+url.PathEscape(session), nil)
-	if err != nil {
-		return nil, fmt.Errorf("%w: %w", engine.ErrRejected, err)
-	}
-	resp, err := c.kept(addr).Do(req)
-	if err != nil {
-		return nil, transportError(err)
-	}
-	defer resp.Body.Close()
-	if err := statusError(resp.StatusCode); err != nil {
-		return nil, err
-	}
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxCacheBytes))
-	if err != nil {
-		return nil, fmt.Errorf("%w: %w", engine.ErrBroken, err)
-	}
-	return data, nil
-}
-
-// ImportCache implements engine.Client.
-func (c *Client) ImportCache(ctx context.Context, addr, session string, data []byte) error {
-	return c.control(ctx, http.MethodPut, addr, "/v1/cache/sessions/"+url.PathEscape(session), data, nil)
-}
-
 // Order implements engine.Client.
 func (c *Client) Order(ctx context.Context, addr string, o engine.Order) error {
 	data, err := json.Marshal(o)
