--- a/bench/domain.go
+++ b/bench/domain.go
@@ -46,7 +46,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	replicas := latencyReplicas - len(leavingReplicas(domains))
 	r := newLatencyRunner(v, seed, latencySetup{
-		domains: domains, daemons: domains, rate: utilisation * float64(replicas) * capacityPerReplica(v.Sessions),
+		domains: domains, daemons: domains, polls: pollsPerSecond, rate: utilisation * float64(replicas) * capacityPerReplica(v.Sessions),
 		length: domainRun, phases: 3, phase: domainPhase,
 	})
 	out := DomainResult{Seed: seed}
--- a/bench/latency.go
+++ b/bench/latency.go
@@ -117,6 +117,7 @@
 type latencySetup struct {
 	domains int // failure domains of replicas and daemons
 	daemons int
+	polls   int     // load reports that a daemon reads in a second
 	rate    float64 // requests a second
 	length  time.Duration
 	phases  int
@@ -138,7 +139,7 @@
 func RunLatency(ctx context.Context, v LatencyVariant, fault Fault, seed uint64) LatencyResult {
 	ctx, cancel := context.WithCancel(ctx)
 	r := newLatencyRunner(v, seed, latencySetup{
-		domains: 1, daemons: latencyDaemons, rate: utilisation * latencyReplicas * capacityPerReplica(v.Sessions), length: latencyRun, phases: 1,
+		domains: 1, daemons: latencyDaemons, polls: pollsPerSecond, rate: utilisation * latencyReplicas * capacityPerReplica(v.Sessions), length: latencyRun, phases: 1,
 		phase: func(since time.Duration) int {
 			if since < firstFault {
 				return -1
@@ -166,7 +167,7 @@
 	for i, n := range r.nodes {
 		wg.Go(func() {
 			time.Sleep(time.Duration(1+i) * time.Microsecond) // so that no two polls coincide
-			n.poll(ctx, wg)
+			n.poll(ctx, wg, r.setup.polls)
 		})
 	}
 	r.offer(ctx)
--- a/bench/latency_node.go
+++ b/bench/latency_node.go
@@ -118,10 +118,10 @@
 }
 
 // poll reads load reports as a daemon does.
-func (n *latencyNode) poll(ctx context.Context, wg *sync.WaitGroup) {
-	t := time.NewTicker(time.Second / pollsPerSecond)
+func (n *latencyNode) poll(ctx context.Context, wg *sync.WaitGroup, polls int) {
+	t := time.NewTicker(time.Second / time.Duration(polls))
 	defer t.Stop()
-	busy := make(chan struct{}, pollsPerSecond)
+	busy := make(chan struct{}, polls)
 	for {
 		select {
 		case <-ctx.Done():
