pool: compare up to 16 endpoints

Cause: with the better of two random endpoints, a request often goes to an endpoint with prompts in progress while others have none. Change: up to 16 endpoints are compared. The better of two stays as a baseline of the benchmark. Conclusion: more endpoints to choose from do not herd, since own requests count exactly and more than reported ones.

--- a/bench/latency.go
+++ b/bench/latency.go
@@ -74,6 +74,7 @@
 var LatencyVariants = []LatencyVariant{
 	{Name: "current", HedgeShare: hedgeShare, Affinity: true},
 	{Name: "without hedges", Affinity: true},
+	{Name: "two choices", Policy: pool.TwoChoices},
 	{Name: "round robin", Policy: pool.RoundRobin},
 	{Name: "least requests", Policy: pool.LeastRequests},
 	{Name: "sessions", HedgeShare: hedgeShare, Affinity: true, Sessions: true},
--- a/pool/policy.go
+++ b/pool/policy.go
@@ -1,23 +1,27 @@
 package pool
 
-import (
-	"time"
-)
+import "time"
 
 // Policy is the rule by which one of the endpoints that admit a request is chosen.
 type Policy int
 
 // Policies. All but the first are baselines of the benchmarks.
 const (
-	// TwoChoices takes the better of two random endpoints, since choosing the best of all with lagging reports sends every
-	// daemon to the same one.
-	TwoChoices Policy = iota
+	// LeastCost takes the endpoint with the lowest cost. The cost counts this daemon's own requests exactly and most, so
+	// that daemons which read the same lagging reports don't all choose the same endpoint.
+	LeastCost Policy = iota
+	// TwoChoices takes the better of two random endpoints by the same cost.
+	TwoChoices
 	// RoundRobin takes the endpoints in turn.
 	RoundRobin
 	// LeastRequests takes the endpoint with the fewest requests of this daemon in flight.
 	LeastRequests
 )
 
+// maxCompared bounds the endpoints that are compared for one request, so that a choice costs the same with any number of
+// them. At the scale target a daemon uses 8 endpoints of a version.
+const maxCompared = 16
+
 // best returns the endpoint that the policy chooses, or nil if none admits the request.
 func (p *Pool) best(group []*endpoint, q *Query, t *table, now time.Time, short *Shortage) *endpoint {
 	start, compared := 0, 1
@@ -26,8 +30,10 @@
 		start = int(p.turn.Add(1) % uint64(len(group)))
 	case LeastRequests:
 		start, compared = int(p.spec.Rand()%uint64(len(group))), len(group)
-	default:
+	case TwoChoices:
 		start, compared = int(p.spec.Rand()%uint64(len(group))), 2
+	default:
+		start, compared = int(p.spec.Rand()%uint64(len(group))), maxCompared
 	}
 	var best *endpoint
 	var bestScore float64
@@ -46,7 +52,7 @@
 			best, bestScore = e, score
 		}
 	}
-	if p.spec.Affinity && p.spec.Policy == TwoChoices && q.Prefix != 0 && best != nil {
+	if p.spec.Affinity && p.spec.Policy == LeastCost && q.Prefix != 0 && best != nil {
 		if e, score := p.home(group, q, t, now); e != nil && score <= bestScore {
 			return e
 		}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -29,7 +29,7 @@
 	Rand func() uint64
 	// Policy is the rule of the choice.
 	Policy Policy
-	// Affinity lets an endpoint that probably holds a prompt's prefix go first, with TwoChoices only.
+	// Affinity lets an endpoint that probably holds a prompt's prefix go first, with LeastCost only.
 	Affinity bool
 	// OnRoom, if set, is called when an endpoint of the service may have got room, or any endpoint if service is empty.
 	// versions are those that the endpoint serves. No lock of the pool is held.
