pool: prompts in progress count by the time they take

Cause: in a trace of one domain of three out, requests with late first tokens had 300 to 400 prompt tokens before them at their endpoint, and others 20 to 60. 256 tokens of the daemon's own prompts counted as little as one more request in flight. Change: 256 prompt tokens in progress count as twice all slots, as a step of the engine lasts about that much longer.

--- a/pool/affinity.go
+++ b/pool/affinity.go
@@ -3,8 +3,7 @@
 import "time"
 
 const (
-	// requestTokens is the length of a prompt whose prefill delays a first token as much as one more request at the endpoint
-	// does: what an engine with continuous batching prefills in one step.
+	// requestTokens is the length of a prompt that an engine with continuous batching prefills in one step.
 	requestTokens = 256
 	// maxAffinity bounds the requests that an endpoint may have more than another one and still be preferred for a prefix
 	// that it holds.
--- a/pool/endpoint.go
+++ b/pool/endpoint.go
@@ -17,6 +17,9 @@
 	ejectBase   = 200 * time.Millisecond
 	ejectMax    = 10 * time.Second
 	busyBackoff = 100 * time.Millisecond
+	// prefillCost is the score of requestTokens prompt tokens of own requests in progress. They delay a first token by a step
+	// of the engine, 61 ms at the target; requests in all slots make a step about half as long again.
+	prefillCost = 2.0
 	remoteCost  = 0.1 // score added for an endpoint in another failure domain
 	// spareLimit is the part of this daemon's shares of an endpoint up to which it takes work that may be left out. At 80 %
 	// of capacity with one replica in ten lost, the others are at 0.89 of what they bear.
@@ -163,10 +166,11 @@
 	return s + e.latency.Seconds()
 }
 
-// queueCost is the part of the score that stands for the requests at the endpoint, the new one included.
+// queueCost is the part of the score that stands for the requests at the endpoint, the new one included. Reports show no
+// prompts in progress: a prompt is processed before the next report.
 func (e *endpoint) queueCost(r *rule, now time.Time) float64 {
 	share := max(1, e.place(r, now).share(int64(r.limits.Slots), r.limits.Slots))
-	s := (float64(e.inFlight+1) + float64(e.prefill)/requestTokens) / float64(share)
+	s := float64(e.inFlight+1)/float64(share) + prefillCost*float64(e.prefill)/requestTokens
 	if age := now.Sub(e.loadAt); age < loadTTL && r.limits.Slots > 0 {
 		fresh := 1 - float64(age)/float64(loadTTL)
 		s += fresh * float64(e.load.Running+e.load.Queued) / float64(r.limits.Slots)
