pool: endpoints of about the same score in turn

Cause: without a fault, round robin had earlier first tokens (150 to 157 ms) than the choice by score (158 to 165 ms): among endpoints without own prompts, small differences of lagging reports decided. Change: of the endpoints whose scores are less than 0.08 apart, the one that this daemon chose the longest time ago is taken. Conclusion: a rotation that follows load.

--- a/pool/affinity.go
+++ b/pool/affinity.go
@@ -30,8 +30,8 @@
 		if e == nil {
 			continue
 		}
-		if score, ok := e.consider(q, t.view, t.rules[q.Service], now, &ignored); ok {
-			return e, score - e.bonus(q, t.rules[q.Service], now)
+		if c, ok := e.consider(q, t.view, t.rules[q.Service], now, &ignored); ok {
+			return e, c.score - e.bonus(q, t.rules[q.Service], now)
 		}
 	}
 	return nil, 0
--- a/pool/endpoint.go
+++ b/pool/endpoint.go
@@ -40,6 +40,7 @@
 	tokens    int64
 	prefill   int64 // prompt tokens of this daemon's requests that have no first token yet
 	suspects  int
+	chosen    time.Time // when this daemon last sent a request
 	boot      string
 	completed int64
 	evidence  time.Time // at which the endpoint was surely running as boot
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -79,22 +79,22 @@
 	return Reservation{}, short, false
 }
 
-func (e *endpoint) consider(q *Query, view *config.View, rule *rule, now time.Time, short *Shortage) (float64, bool) {
+func (e *endpoint) consider(q *Query, view *config.View, rule *rule, now time.Time, short *Shortage) (candidate, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !view.DomainIn(e.host.Domain) {
 		short.DomainOut++
-		return 0, false
+		return candidate{}, false
 	}
 	if slices.Contains(q.Exclude, e.host.ID) {
 		short.Excluded++
-		return 0, false
+		return candidate{}, false
 	}
 	if r := e.admits(q, rule, now); r != accepted {
 		short.count(r, e.ejected)
-		return 0, false
+		return candidate{}, false
 	}
-	return e.score(rule, now), true
+	return candidate{e, e.score(rule, now), e.chosen}, true
 }
 
 // reserve checks the limits again, since another request may have taken the room in the meantime.
@@ -105,6 +105,7 @@
 		return Reservation{}, false
 	}
 	e.inFlight++
+	e.chosen = now
 	e.tokens += q.Tokens
 	e.prefill += q.Prompt
 	if q.Suspect {
--- a/pool/policy.go
+++ b/pool/policy.go
@@ -22,39 +22,72 @@
 // them. At the scale target a daemon uses 8 endpoints of a version.
 const maxCompared = 16
 
+// sameCost is the difference of scores below which endpoints count as equal. It is less than remoteCost, so that endpoints
+// of the own failure domain go first.
+const sameCost = 0.08
+
+// candidate is an endpoint that admits a request.
+type candidate struct {
+	e      *endpoint
+	score  float64
+	chosen time.Time // when this daemon last sent it a request
+}
+
 // best returns the endpoint that the policy chooses, or nil if none admits the request.
 func (p *Pool) best(group []*endpoint, q *Query, t *table, now time.Time, short *Shortage) *endpoint {
-	start, compared := 0, 1
+	start, compared := p.order(len(group))
+	var list [maxCompared]candidate
+	n := 0
+	for i := 0; i < len(group) && n < compared; i++ {
+		if c, ok := group[(start+i)%len(group)].consider(q, t.view, t.rules[q.Service], now, short); ok {
+			list[n] = c
+			n++
+		}
+	}
+	if n == 0 {
+		return nil
+	}
+	best := p.choose(list[:n])
+	if p.spec.Affinity && p.spec.Policy == LeastCost && q.Prefix != 0 {
+		if e, score := p.home(group, q, t, now); e != nil && score <= best.score {
+			return e
+		}
+	}
+	return best.e
+}
+
+// order returns the index of the first endpoint that is considered, and how many are compared.
+func (p *Pool) order(size int) (start, compared int) {
 	switch p.spec.Policy {
 	case RoundRobin:
-		start = int(p.turn.Add(1) % uint64(len(group)))
-	case LeastRequests:
-		start, compared = int(p.spec.Rand()%uint64(len(group))), len(group)
+		return int(p.turn.Add(1) % uint64(size)), 1
 	case TwoChoices:
-		start, compared = int(p.spec.Rand()%uint64(len(group))), 2
+		compared = 2
 	default:
-		start, compared = int(p.spec.Rand()%uint64(len(group))), maxCompared
+		compared = maxCompared
 	}
-	var best *endpoint
-	var bestScore float64
-	found := 0
-	for i := 0; i < len(group) && found < compared; i++ {
-		e := group[(start+i)%len(group)]
-		score, ok := e.consider(q, t.view, t.rules[q.Service], now, short)
-		if !ok {
-			continue
-		}
-		found++
+	return int(p.spec.Rand() % uint64(size)), compared
+}
+
+// choose returns the candidate with the lowest score. With LeastCost, it is the one among equals that was chosen the
+// longest time ago, so that prompts are spread in turn.
+func (p *Pool) choose(list []candidate) *candidate {
+	best := &list[0]
+	for i := range list {
 		if p.spec.Policy == LeastRequests {
-			score = float64(e.requests())
+			list[i].score = float64(list[i].e.requests())
 		}
-		if best == nil || score < bestScore {
-			best, bestScore = e, score
+		if list[i].score < best.score {
+			best = &list[i]
 		}
 	}
-	if p.spec.Affinity && p.spec.Policy == LeastCost && q.Prefix != 0 && best != nil {
-		if e, score := p.home(group, q, t, now); e != nil && score <= bestScore {
-			return e
+	if p.spec.Policy != LeastCost {
+		return best
+	}
+	limit := best.score + sameCost
+	for i := range list {
+		if c := &list[i]; c.score < limit && c.chosen.Before(best.chosen) {
+			best = c
 		}
 	}
 	return best
