pool: a cached prefix is worth a wait for own prompts

Change: the bonus also covers own prompts in progress up to the steps that the cached prompt can save, all but one.

--- a/pool/affinity.go
+++ b/pool/affinity.go
@@ -37,13 +37,15 @@
 	return nil, 0
 }
 
-// bonus is the part of the score that the prefill of a prefix is worth. It is at most the part that stands for requests
-// at the endpoint, so that an endpoint without a queue is never passed over for one with a queue that costs more than the
-// prefill.
+// bonus is the part of the score that the prefill of a prefix is worth. It makes up for requests in flight, at most
+// maxAffinity, and for prompts in progress that take no longer than the steps which a cached prompt saves, all but one. It
+// is at most the part that stands for requests at the endpoint, so that an endpoint without a queue is never passed over for one
+// with a queue that costs more than the prefill.
 func (e *endpoint) bonus(q *Query, r *rule, now time.Time) float64 {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	requests := min(float64(q.Prompt)/requestTokens, maxAffinity)
 	share := max(1, e.place(r, now).share(int64(r.limits.Slots), r.limits.Slots))
-	return min(requests/float64(share), e.queueCost(r, now))
+	prompts := prefillCost * float64(min(max(0, q.Prompt-requestTokens), e.prefill)) / requestTokens
+	return min(requests/float64(share)+prompts, e.queueCost(r, now))
 }
--- a/pool/affinity_test.go
+++ b/pool/affinity_test.go
@@ -27,6 +27,41 @@
 	}
 }
 
+// Guards against a prefix that all requests share and that draws generating requests, which have no prompt in progress, to
+// one endpoint.
+func TestAffinityDoesNotHerdGenerating(t *testing.T) {
+	p, now := warmPool(8, 0)
+	for range 200 {
+		r, _, ok := p.Pick(Query{Service: testService, Version: "v0", Tokens: 100, Prefix: 7, Prompt: 1 << 20}, now)
+		if !ok {
+			t.Fatal("no room")
+		}
+		r.Progress("a", now)
+		now = now.Add(time.Millisecond)
+	}
+	least, most := int64(200), int64(0)
+	for _, s := range p.Dump(now, 8) {
+		least, most = min(least, s.InFlight), max(most, s.InFlight)
+	}
+	// Endpoints whose scores differ by less than sameCost count as equal.
+	if limit := float64(maxAffinity+1) + sameCost*64; float64(most-least) > limit {
+		t.Errorf("from %d to %d requests in flight; want a difference of at most %.0f", least, most, limit)
+	}
+}
+
+// Guards against a prompt of one step that waits for another one because of its prefix, and against a long one that is
+// processed anew elsewhere instead of waiting for a shorter time.
+func TestAffinityWaitsOnlyForSavedSteps(t *testing.T) {
+	p, now := warmPool(8, 0)
+	first, _, _ := p.Pick(Query{Service: testService, Version: "v0", Prefix: 7, Prompt: 2 * requestTokens}, now)
+	if r, _, _ := p.Pick(Query{Service: testService, Version: "v0", Prefix: 7, Prompt: requestTokens}, now); r.ID == first.ID {
+		t.Error("a prompt of one step waits for a prompt of two")
+	}
+	if r, _, _ := p.Pick(Query{Service: testService, Version: "v0", Prefix: 7, Prompt: 4 * requestTokens}, now); r.ID != first.ID {
+		t.Errorf("a prompt of four steps went to %s; its prefix is at %s", r.ID, first.ID)
+	}
+}
+
 // Guards against daemons that send the turns of a conversation to different endpoints, and conversations that all have
 // the same one.
 func TestAffinityAgreesAmongDaemons(t *testing.T) {
--- a/pool/pick_test.go
+++ b/pool/pick_test.go
@@ -75,6 +75,26 @@
 	}
 }
 
+// Guards against prompts that follow each other to one endpoint because of small differences of the load reports.
+func TestEqualEndpointsAreChosenInTurn(t *testing.T) {
+	p, now := warmPool(8, 0)
+	for i := range 8 {
+		p.Report(endpointHost(i, 1, 1).ID, engine.Load{Boot: "a", Completed: 100, Running: i % 4}, now)
+	}
+	chosen := map[string]int{}
+	for range 24 {
+		now = now.Add(time.Millisecond)
+		r, _, _ := p.Pick(Query{Service: testService, Version: "v0", Prompt: requestTokens}, now)
+		chosen[r.ID]++
+		r.Release(Succeeded, now)
+	}
+	for id, n := range chosen {
+		if n != 3 {
+			t.Errorf("%s was chosen %d times of 24 among 8", id, n)
+		}
+	}
+}
+
 // BenchmarkPick shows that the cost depends neither on the size of the fleet nor, with room, on that of the subset.
 func BenchmarkPick(b *testing.B) {
 	for _, size := range []struct{ subset, others int }{{8, 0}, {8, 800}, {64, 0}} {
