daemon, entry: the HTTP engine's routine log lines stay out of tests

Cause: only bramleyd gave the engine the daemon's logger. Daemons in tests and demos left the engine's own logger in place, whose lines hide the message of a failed test. Change: a daemon gives the engine its logger when it is made, once a process. Conclusion: the lines of bramleyd are as before.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -117,6 +117,7 @@
 }
 
 func build(s *settings.Settings, p Platform, engines engine.Client, log *logrus.Logger, m *observe.Metrics) *Daemon {
+	logEngine(log)
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Daemon{
 		settings: s, engines: engines, incarnation: s.ID + "-" + rand.Text()[:10],
--- a/daemon/main.go
+++ b/daemon/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"sync"
 	"syscall"
 
 	"github.com/lesismal/nbio/logging"
@@ -41,17 +42,23 @@
 	return exitOK
 }
 
-// NewLogger returns a logger that writes JSON lines to standard error. The HTTP engine logs to it too.
+// NewLogger returns a logger that writes JSON lines to standard error.
 func NewLogger(level string) *logrus.Logger {
 	log := logrus.New()
 	log.SetFormatter(&logrus.JSONFormatter{})
 	if l, err := logrus.ParseLevel(level); err == nil {
 		log.SetLevel(l)
 	}
-	logging.SetLogger(engineLogger{log.WithField("component", "nbio")})
 	return log
 }
 
+var engineLog sync.Once
+
+// logEngine has the HTTP engine log to the daemon's log. Its logger belongs to the process, so that the first daemon sets it.
+func logEngine(log *logrus.Logger) {
+	engineLog.Do(func() { logging.SetLogger(engineLogger{log.WithField("component", "nbio")}) })
+}
+
 // engineLogger passes the HTTP engine's log lines on. Its routine lines are debug lines here.
 type engineLogger struct{ log *logrus.Entry }
 
