claim, daemon, capacity: one wait that ends with its context

Cause: five packages had a function of their own for it, with four signatures. Change: the new package pause has For, which claim, daemon and capacity use. dispatch keeps its own, which returns typed errors, and chaos too. What differs: a wait whose context has ended returns its error also if the time to wait is zero or less; capacity chose at random between both there. The timer is stopped in daemon and capacity. Conclusion: claim returns as before, daemon goes on in both cases as before.

--- a/capacity/bills.go
+++ b/capacity/bills.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bramleytrail/bramleytrail/local"
+	"github.com/bramleytrail/bramleytrail/pause"
 )
 
 const (
@@ -43,7 +44,7 @@
 		if err != nil {
 			return err
 		}
-		if err := sleep(ctx, time.Second); err != nil { // the reply is read
+		if err := pause.For(ctx, time.Second); err != nil { // the reply is read
 			return err
 		}
 		after, err := f.sample(ctx, f.members[:1])
--- a/capacity/idle.go
+++ b/capacity/idle.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/bramleytrail/bramleytrail/local"
+	"github.com/bramleytrail/bramleytrail/pause"
 )
 
 const (
@@ -126,7 +127,7 @@
 	if err := f.waitHosts(ctx); err != nil {
 		return err
 	}
-	if err := sleep(ctx, settleTime); err != nil {
+	if err := pause.For(ctx, settleTime); err != nil {
 		return err
 	}
 	samples, err := f.window(ctx, r.window/2, nil)
@@ -144,7 +145,7 @@
 		if err := f.touch(ctx, n); err != nil {
 			return err
 		}
-		if err := sleep(ctx, step); err != nil {
+		if err := pause.For(ctx, step); err != nil {
 			return err
 		}
 	}
@@ -182,7 +183,7 @@
 	if err := f.waitReady(ctx, f.members); err != nil {
 		return err
 	}
-	if err := sleep(ctx, time.Second); err != nil {
+	if err := pause.For(ctx, time.Second); err != nil {
 		return err
 	}
 	return r.memoryPoints(ctx, f, f.members, "configuration,", x, px)
--- a/capacity/load.go
+++ b/capacity/load.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/bramleytrail/bramleytrail/local"
+	"github.com/bramleytrail/bramleytrail/pause"
 )
 
 const (
@@ -51,7 +52,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := sleep(ctx, settleTime); err != nil {
+	if err := pause.For(ctx, settleTime); err != nil {
 		f.abort()
 		return nil, err
 	}
@@ -122,7 +123,7 @@
 		if err != nil {
 			return err
 		}
-		if err := sleep(ctx, 2*delay); err != nil { // each stream has sent a token
+		if err := pause.For(ctx, 2*delay); err != nil { // each stream has sent a token
 			return err
 		}
 		if err := r.memoryPoints(ctx, f, f.members, "streams,", "streams in flight", float64(n)); err != nil {
--- a/capacity/process.go
+++ b/capacity/process.go
@@ -175,13 +175,3 @@
 	}
 	return data, nil
 }
-
-// sleep waits for a measuring window.
-func sleep(ctx context.Context, d time.Duration) error {
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(d):
-		return nil
-	}
-}
--- a/capacity/sample.go
+++ b/capacity/sample.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/bramleytrail/bramleytrail/pause"
 )
 
 // sample holds the figures of one daemon, or their differences over a window.
@@ -43,7 +45,7 @@
 			return nil, err
 		}
 	}
-	if err := sleep(ctx, d-time.Since(start)); err != nil {
+	if err := pause.For(ctx, d-time.Since(start)); err != nil {
 		return nil, err
 	}
 	cpu := make([]time.Duration, len(f.members))
--- a/capacity/storm.go
+++ b/capacity/storm.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/bramleytrail/bramleytrail/local"
+	"github.com/bramleytrail/bramleytrail/pause"
 )
 
 const (
@@ -31,7 +32,7 @@
 	if err := f.waitHosts(ctx); err != nil {
 		return err
 	}
-	if err := sleep(ctx, settleTime); err != nil {
+	if err := pause.For(ctx, settleTime); err != nil {
 		return err
 	}
 	storms := []struct {
@@ -62,7 +63,7 @@
 		if err := run(ctx); err != nil {
 			return err
 		}
-		return sleep(ctx, stormWindow-time.Since(start))
+		return pause.For(ctx, stormWindow-time.Since(start))
 	})
 	if err != nil {
 		return err
@@ -96,7 +97,7 @@
 	if err := f.outage(ctx, true, false); err != nil {
 		return err
 	}
-	if err := sleep(ctx, stormOutage); err != nil {
+	if err := pause.For(ctx, stormOutage); err != nil {
 		return err
 	}
 	return f.outage(ctx, false, false)
@@ -107,7 +108,7 @@
 		if _, err := f.publish(ctx, newSet(targetVersions, sampleTeams, fmt.Sprintf("storm-%d", i))); err != nil {
 			return err
 		}
-		if err := sleep(ctx, time.Second/stormPublishes); err != nil {
+		if err := pause.For(ctx, time.Second/stormPublishes); err != nil {
 			return err
 		}
 	}
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -19,6 +19,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/bramleytrail/bramleytrail/kv"
+	"github.com/bramleytrail/bramleytrail/pause"
 	"github.com/bramleytrail/bramleytrail/result"
 )
 
@@ -220,7 +221,7 @@
 	var cause error
 	conflict, uncertain, write, prev := false, false, true, uint64(0)
 	for try := range acquireTries {
-		if try > 0 && !sleep(ctx, acquirePause) {
+		if try > 0 && pause.For(ctx, acquirePause) != nil {
 			break
 		}
 		if write {
@@ -379,20 +380,9 @@
 		ctx, cancel := context.WithTimeout(c.filter.ctx, finishLimit)
 		defer cancel()
 		for !f(ctx) {
-			if !sleep(ctx, finishPause) {
+			if pause.For(ctx, finishPause) != nil {
 				return
 			}
 		}
 	})
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/claim/recall.go
+++ b/claim/recall.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/bramleytrail/bramleytrail/kv"
+	"github.com/bramleytrail/bramleytrail/pause"
 )
 
 const (
@@ -106,7 +107,7 @@
 // Run probes the service until ctx ends, and writes claims again that it has lost. A daemon with claims reads the one that
 // it wrote last; another one reads a key that does not exist and notices outages only.
 func (f *Filter) Run(ctx context.Context) {
-	for sleep(ctx, probeInterval) {
+	for pause.For(ctx, probeInterval) == nil {
 		k, own := f.recall.last(f.spec.Now())
 		if !own {
 			k.key = probeKey
@@ -168,7 +169,7 @@
 		if !errors.Is(err, kv.ErrUnavailable) { // else once more; a damaged record can't be settled
 			i--
 		}
-		if !sleep(ctx, recallPause) {
+		if pause.For(ctx, recallPause) != nil {
 			return
 		}
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -28,6 +28,7 @@
 	"github.com/bramleytrail/bramleytrail/kv/httpkv"
 	"github.com/bramleytrail/bramleytrail/ledger"
 	"github.com/bramleytrail/bramleytrail/observe"
+	"github.com/bramleytrail/bramleytrail/pause"
 	"github.com/bramleytrail/bramleytrail/peer"
 	"github.com/bramleytrail/bramleytrail/pipeline"
 	"github.com/bramleytrail/bramleytrail/poison"
@@ -353,7 +354,8 @@
 	return hostlist.Host{ID: d.settings.ID, Role: hostlist.RoleEntry, Domain: d.settings.Domain, Rack: d.settings.Rack, Addr: addr}
 }
 
-func (d *Daemon) sleep(t time.Duration) { sleep(d.ctx, t) }
+// sleep waits for t, or until the daemon stops.
+func (d *Daemon) sleep(t time.Duration) { _ = pause.For(d.ctx, t) }
 
 // writeSilentCopies writes the bills of daemons that have fallen silent.
 func (d *Daemon) writeSilentCopies() {
--- a/daemon/documents.go
+++ b/daemon/documents.go
@@ -15,6 +15,7 @@
 	"github.com/bramleytrail/bramleytrail/hostlist"
 	"github.com/bramleytrail/bramleytrail/kv"
 	"github.com/bramleytrail/bramleytrail/observe"
+	"github.com/bramleytrail/bramleytrail/pause"
 	"github.com/bramleytrail/bramleytrail/peer"
 )
 
@@ -352,12 +353,5 @@
 	}
 }
 
-func (d *documents) sleep(t time.Duration) { sleep(d.ctx, t) }
-
-// sleep waits for t, or until ctx ends.
-func sleep(ctx context.Context, t time.Duration) {
-	select {
-	case <-time.After(t):
-	case <-ctx.Done():
-	}
-}
+// sleep waits for t, or until the daemon stops.
+func (d *documents) sleep(t time.Duration) { _ = pause.For(d.ctx, t) }
