--- a/bench/latency_test.go
+++ b/bench/latency_test.go
@@ -21,7 +21,7 @@
 	return out
 }
 
-// skipUnderRace leaves the runs to the step of .ci/test without the race detector, which makes them ten times as long.
+// skipUnderRace leaves a test to the step of .ci/test without the race detector, which makes the runs ten times as long.
 func skipUnderRace(t *testing.T) {
 	if raceDetector {
 		t.Skip("runs without the race detector")
