peer: the wait for peers to know of a crash is measured under a fake clock

Cause: that a report of a crash waits for its peers, but for no more than 200 ms, was tested on sockets only, where a slow machine may take longer than that for a call. Change: TestCrashIsKnownWhenItsReportReturns checks both, exactly, with peers that are silent for 100 ms and for a minute. Conclusion: the test on sockets stays as it is.

--- a/peer/node_test.go
+++ b/peer/node_test.go
@@ -8,6 +8,7 @@
 	"maps"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -49,6 +50,7 @@
 	hosts    []hostlist.Host
 	nodes    []*peer.Node
 	handlers []*handler
+	tables   []*poison.Table
 }
 
 func newGroup(t *testing.T, daemons, domains int) *group {
@@ -60,13 +62,15 @@
 		h := hostlist.Host{ID: id, Addr: id, Role: hostlist.RoleEntry, Domain: fmt.Sprintf("domain-%d", i%domains), State: hostlist.StateLive}
 		hd := &handler{}
 		rng := rand.New(rand.NewPCG(1, uint64(i)))
+		table := poison.NewTable()
 		n, err := peer.New(peer.Spec{
-			Self: h, Handler: hd, Poison: poison.NewTable(), Log: log, Now: time.Now, Rand: rng.Int64N, Dial: g.net.Dial(id),
+			Self: h, Handler: hd, Poison: table, Log: log, Now: time.Now, Rand: rng.Int64N, Dial: g.net.Dial(id),
 		}, g.net.Listen(id))
 		if err != nil {
 			t.Fatal(err)
 		}
 		g.hosts, g.nodes, g.handlers = append(g.hosts, h), append(g.nodes, n), append(g.handlers, hd)
+		g.tables = append(g.tables, table)
 	}
 	for _, n := range g.nodes {
 		n.Start()
@@ -292,3 +296,30 @@
 		}
 	})
 }
+
+// Guards against a report of a crash that returns before the peers have the record, so that a repeat of the request through
+// a nearby daemon crashes one more endpoint, and against one that waits more than 200 ms for peers that are silent.
+func TestCrashIsKnownWhenItsReportReturns(t *testing.T) {
+	const longest = 200 * time.Millisecond
+	for _, silent := range []time.Duration{longest / 2, time.Minute} {
+		synctest.Test(t, func(t *testing.T) {
+			g := newGroup(t, 5, 1)
+			defer g.close()
+			time.Sleep(20 * time.Second)
+			g.net.SetMode(func(_, _ string) standin.Link { return standin.Freeze })
+			time.AfterFunc(silent, func() { g.net.SetMode(func(_, _ string) standin.Link { return standin.Pass }) })
+			start := time.Now()
+			g.nodes[0].ReportCrash(poison.Record{Fingerprint: 1, Crash: "endpoint/boot"})
+			if took := time.Since(start); took != min(silent, longest) {
+				t.Errorf("the report took %s with peers that are silent for %s", took, silent)
+			}
+			peers := g.nodes[0].Peers()
+			for i, h := range g.hosts {
+				if known := g.tables[i].Crashes(1, time.Now()) == 1; slices.Contains(peers, h.Addr) && known != (silent < longest) {
+					t.Errorf("after %s of silence, %s knows of the crash: %t", silent, h.ID, known)
+				}
+			}
+			time.Sleep(silent)
+		})
+	}
+}
