--- a/testreport/report_test.go
+++ b/testreport/report_test.go
@@ -21,21 +21,25 @@
 		want string
 	}{
 		"none": {
-			in:   events(passed, `{'Action':'output','Package':'p','Output':'PASS\n'}`, `{'Action':'output','Package':'p','Output':'ok  \tp\t1s\n'}`, `{'Action':'pass','Package':'p'}`),
+			in: events(passed, `{'Action':'output','Package':'p','Output':'PASS\n'}`,
+				`{'Action':'output','Package':'p','Output':'ok  \tp\t1s\n'}`, `{'Action':'pass','Package':'p'}`),
 			want: "ok  \tp\t1s\n",
 		},
 		"a test": {
 			in: events(passed, `{'Action':'run','Package':'p','Test':'TestB'}`, `{'Action':'output','Package':'p','Test':'TestB','Output':'wrong\n'}`,
 				`{'Action':'fail','Package':'p','Test':'TestB'}`, `{'Action':'output','Package':'p','Output':'FAIL\n'}`,
-				`{'Action':'output','Package':'p','Output':'FAIL\tp\t1s\n'}`, `{'Action':'fail','Package':'p'}`, `{'Action':'output','Package':'q','Output':'ok  \tq\t1s\n'}`),
+				`{'Action':'output','Package':'p','Output':'FAIL\tp\t1s\n'}`, `{'Action':'fail','Package':'p'}`,
+				`{'Action':'output','Package':'q','Output':'ok  \tq\t1s\n'}`),
 			want: "wrong\nFAIL\tp\t1s\nok  \tq\t1s\n\n== failed (1)\n-- p TestB\nwrong\n",
 		},
 		"a process that ends": {
-			in:   events(passed, `{'Action':'run','Package':'p','Test':'TestB'}`, `{'Action':'output','Package':'p','Output':'FAIL\tp\t1s\n'}`, `{'Action':'fail','Package':'p'}`),
+			in: events(passed, `{'Action':'run','Package':'p','Test':'TestB'}`,
+				`{'Action':'output','Package':'p','Output':'FAIL\tp\t1s\n'}`, `{'Action':'fail','Package':'p'}`),
 			want: "FAIL\tp\t1s\n    had not ended\n\n== failed (1)\n-- p TestB\n    had not ended\n",
 		},
 		"a package": {
-			in:   events(`{'ImportPath':'p [p.test]','Action':'build-output','Output':'undefined: x\n'}`, `{'Action':'fail','Package':'p'}`, `{'Action':'fail','Package':'q'}`),
+			in: events(`{'ImportPath':'p [p.test]','Action':'build-output','Output':'undefined: x\n'}`,
+				`{'Action':'fail','Package':'p'}`, `{'Action':'fail','Package':'q'}`),
 			want: "undefined: x\n\n== failed (2)\n-- p\nundefined: x\n-- q\n",
 		},
 		"a run that is cut off": {
