--- a/local/deployment.go
+++ b/local/deployment.go
@@ -37,6 +37,7 @@
 	DutyTTL     time.Duration // of daemons that are added from now on
 	CopyTimeout time.Duration // of daemons that are added from now on
 	Settle      time.Duration // of daemons that are added from now on
+	QueueWait   time.Duration // of daemons that are added from now on
 
 	name     string // another one for each deployment, as ports are used again
 	platform *standin.Server
@@ -56,7 +57,7 @@
 	}
 	return &Deployment{
 		Platform: p, PlatformURL: "http://" + srv.Addr, Engines: map[string]*standin.Engine{}, Plains: map[string]*standin.Plain{}, Log: log, DutyTTL: 900 * time.Millisecond, CopyTimeout: 500 * time.Millisecond,
-		name:     rand.Text(),
+		QueueWait: 2 * time.Second, name: rand.Text(),
 		platform: srv, servers: map[string]*standin.Server{},
 	}, nil
 }
@@ -91,7 +92,7 @@
 func (d *Deployment) Settings(id, domain string) *settings.Settings {
 	return &settings.Settings{
 		ID: id, Deployment: d.name, Domain: domain, Rack: id, Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", OperatorListen: "127.0.0.1:0",
-		Store: d.PlatformURL, Hosts: d.PlatformURL, MaxInFlight: 1000, MaxConnections: 1000, QueueWait: 2 * time.Second,
+		Store: d.PlatformURL, Hosts: d.PlatformURL, MaxInFlight: 1000, MaxConnections: 1000, QueueWait: d.QueueWait,
 		StallTimeout: 30 * time.Second, Settle: d.Settle, BillInterval: 500 * time.Millisecond, CopyTimeout: d.CopyTimeout,
 		ClaimWrites: 1000, PollsPerSecond: 50, Ratings: d.PlatformURL, Weights: d.PlatformURL, DutyTTL: d.DutyTTL,
 		EvidenceEvery: 100 * time.Millisecond, RatingEvery: 100 * time.Millisecond, ExploreShare: 0.05, ExploreCost: 0.05, LogLevel: "info", SessionKey: []byte(SessionKey),
