local: the test of stalled answers waits for the daemon to give room back

Cause: TestStalledAnswersGiveUpTheirEndpoint read the daemon's state as soon as no endpoint ran a stream. That may be before the last of the 10 requests has reached an endpoint, and the daemon gives room back after the endpoint has ended the stream. The failed runs show 1 and 3 requests in flight at that moment. Change: the test waits until 10 calls have begun and none runs, and then until the daemon holds no room. Conclusion: room that is never given back fails the test as before, after the package's limit for events that do not come.

--- a/local/slow_test.go
+++ b/local/slow_test.go
@@ -8,12 +8,14 @@
 	"net"
 	"net/http"
 	"runtime"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/bramleytrail/bramleytrail/pool"
 	"github.com/bramleytrail/bramleytrail/result"
 	"github.com/bramleytrail/bramleytrail/standin"
 )
@@ -63,7 +65,7 @@
 
 func startSlow(tb testing.TB) (context.Context, *Deployment) {
 	tb.Helper()
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithTimeout(context.Background(), watchdog)
 	tb.Cleanup(cancel)
 	d, err := New(nil)
 	if err != nil {
@@ -275,16 +277,17 @@
 		}
 		callers = append(callers, c)
 	}
-	if err := Wait(ctx, func() bool { return generated(d) > 0 && running(d) == 0 }); err != nil {
+	all := func(standin.Run) bool { return true }
+	if err := Wait(ctx, func() bool { return runs(d, all) >= len(callers) && running(d) == 0 }); err != nil {
 		t.Fatal(err)
 	}
 	if n := generated(d); n >= int64(len(callers))*slowTokens {
 		t.Errorf("%d tokens were generated for callers that read nothing", n)
 	}
-	for _, e := range dm.State().Endpoints {
-		if e.InFlight != 0 || e.Tokens != 0 {
-			t.Errorf("%s: %d in flight, %d tokens for callers that read nothing", e.ID, e.InFlight, e.Tokens)
-		}
+	if err := Wait(ctx, func() bool { // the daemon gives the room back after the endpoint has ended the stream
+		return !slices.ContainsFunc(dm.State().Endpoints, func(e pool.State) bool { return e.InFlight != 0 || e.Tokens != 0 })
+	}); err != nil {
+		t.Errorf("%+v: room is held for callers that read nothing", dm.State().Endpoints)
 	}
 	var wg sync.WaitGroup
 	for _, c := range callers {
