local: the tests of placement wait for events and fail if they do not come

Cause: they polled with time.Sleep until their context ended and went on in that case, so that a version that gets no request, or duties that nobody takes, passed. One looked at the tables of both failure domains when one of them may still load the version. Change: they wait for the version's first answer, for an endpoint ready in each failure domain, and for the other duties.

--- a/local/placement_test.go
+++ b/local/placement_test.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
+	"net/http"
 	"testing"
-	"time"
 
 	"github.com/bramleytrail/bramleytrail/kv"
 	"github.com/bramleytrail/bramleytrail/object"
+	"github.com/bramleytrail/bramleytrail/relay"
 	"github.com/bramleytrail/bramleytrail/standin"
 )
 
@@ -15,7 +16,7 @@
 
 func placementDeployment(t *testing.T, enabled bool) (*Deployment, context.Context) {
 	t.Helper()
-	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	ctx, cancel := context.WithTimeout(t.Context(), watchdog)
 	t.Cleanup(cancel)
 	d, err := New(nil)
 	if err != nil {
@@ -41,18 +42,17 @@
 func TestPlacementLoadsRolloutVersion(t *testing.T) {
 	d, ctx := placementDeployment(t, true)
 	client := NewClient(d.Daemons[0].Addr(), SampleKey)
-	for ctx.Err() == nil {
+	if err := Wait(ctx, func() bool {
 		answer, err := client.Chat(ctx, ChatBody("small", "hello", false), nil)
 		if err != nil {
 			t.Fatal(err)
 		}
-		if answer.Status != 200 {
+		if answer.Status != http.StatusOK {
 			t.Fatalf("status %d: the roll-out sends requests before its version has endpoints", answer.Status)
 		}
-		if answer.Header.Get("Bramley-Version") == newVersion {
-			break
-		}
-		time.Sleep(readyPoll)
+		return answer.Header.Get(relay.HeaderVersion) == newVersion
+	}); err != nil {
+		t.Fatal("the version under roll-out gets no request: ", err)
 	}
 	for name, e := range d.Engines {
 		for _, o := range e.Orders() {
@@ -61,10 +61,12 @@
 			}
 		}
 	}
-	for domain, table := range d.Daemons[0].State().Placement {
-		if s := table.Versions[newVersion]; s.Ready < 1 {
-			t.Errorf("%s: %+v", domain, s)
-		}
+	// One failure domain may have loaded the version before the other.
+	if err := Wait(ctx, func() bool {
+		tables := d.Daemons[0].State().Placement
+		return tables[SampleDomainA].Versions[newVersion].Ready > 0 && tables[SampleDomainB].Versions[newVersion].Ready > 0
+	}); err != nil {
+		t.Errorf("tables %+v: %v", d.Daemons[0].State().Placement, err)
 	}
 }
 
@@ -72,8 +74,10 @@
 // the key-value service for it.
 func TestPlacementIsOffByDefault(t *testing.T) {
 	d, ctx := placementDeployment(t, false)
-	for d.Platform.KV != nil && len(d.Daemons[0].State().Decisions.Duties)+len(d.Daemons[1].State().Decisions.Duties) < 2 && ctx.Err() == nil {
-		time.Sleep(readyPoll) // the other duties are taken
+	if err := Wait(ctx, func() bool {
+		return len(d.Daemons[0].State().Decisions.Duties)+len(d.Daemons[1].State().Decisions.Duties) >= 2
+	}); err != nil {
+		t.Fatal("the other duties are not taken: ", err)
 	}
 	entries, err := d.Platform.KV.List(ctx, kv.Range{Prefix: "duty/placement"})
 	if err != nil || len(entries.Entries) > 0 {
