local: the test of daemons over TLS reads a copy that stays

Cause: TestDaemonsOverTLS read the number of copies of bills at the second daemon, which gives a copy up when the bill is written, up to 500 ms after the answer. On a slow machine it read 0. With an interval of 1 ms (trial) it reads 0 in 5 of 5 runs; with a copy timeout of 1 ms (trial) it does not. Change: the daemons of the test write bills when they drain. Result: all tests of the package with the race detector, 3 copies at a time with GOMAXPROCS 1, 1 and 2 on a busy machine: 2 of 6 runs of the test failed before. After: 5 of 5 runs of it alone pass, and 20 of 20 with 4 copies at a time; alone it passed 20 of 20 before as well. Conclusion: the assertions are unchanged. The failure did not recur outside the whole package.

--- a/local/tls_test.go
+++ b/local/tls_test.go
@@ -86,6 +86,7 @@
 	own, foreign := newAuthority(t, "entry"), newAuthority(t, "entry")
 	add := func(id string, a *standin.Authority) *daemon.Daemon {
 		s := d.Settings(id, SampleDomainA)
+		s.BillInterval = time.Hour // copies are held until their bills are written
 		s.PeerTLSCert, s.PeerTLSKey, s.PeerTLSCA = a.Path("entry.crt"), a.Path("entry.key"), a.Path("ca.crt")
 		dm, err := d.AddDaemon(s)
 		if err != nil {
