poison: clear a request at all daemons

Cause: a request that got further than at its crashes was cleared only at the daemon that saw it. A crash record whose call failed, for example on a connection that had gone silent, was never sent again. Change: a record can say that its request is cleared. Daemons spread it as they spread crashes, and a daemon that starts gets both. A call for records that fails is made once more. Result: peer.TestClearedRequestIsKnownToAll: without the spread, four daemons of five refuse the request; with one call in place of two, those behind silent connections do. Conclusion: the promise that no other request is refused holds for repeats through other daemons.

--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -128,7 +128,7 @@
 	a.callsSinceProgress, a.exclude = 0, nil
 	if a.crashRecorded { // a request that crashes endpoints gets no further at the next one
 		a.crashRecorded = false
-		a.filter.spec.Poison.Clear(a.in.Fingerprint, a.filter.spec.Now())
+		a.filter.spec.OnClear(a.filter.spec.Poison.Clear(a.in.Fingerprint, a.filter.spec.Now()))
 	}
 	a.ran = result.RunDone
 	a.finished = ev.FinishReason != ""
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -45,6 +45,8 @@
 	// OnCrash tells the other daemons of a crash. It returns when the nearest ones know of it, or after a short time, so
 	// that a caller that repeats the request through another daemon finds the crash counted there.
 	OnCrash func(poison.Record)
+	// OnClear tells the other daemons that a request was not the cause of its crashes. It must not block.
+	OnClear func([]poison.Record)
 	Rand    func() uint64
 	// QueueWait bounds the time for which a request waits for room at an endpoint.
 	QueueWait time.Duration
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -112,7 +112,7 @@
 			f.Signal(s, v)
 		}
 	}})
-	f = New(Spec{Pool: p, Client: c, Poison: poison.NewTable(), OnCrash: func(poison.Record) {}, QueueWait: 2 * time.Second, Now: time.Now, Rand: random})
+	f = New(Spec{Pool: p, Client: c, Poison: poison.NewTable(), OnCrash: func(poison.Record) {}, OnClear: func([]poison.Record) {}, QueueWait: 2 * time.Second, Now: time.Now, Rand: random})
 	list := hostlist.List{Hosts: []hostlist.Host{{ID: "e", Role: hostlist.RoleEntry, Domain: "d"}}}
 	for i := range endpoints {
 		id := fmt.Sprint("llm-", i)
--- a/peer/node.go
+++ b/peer/node.go
@@ -303,6 +303,28 @@
 	}
 }
 
+// ReportCleared spreads records of crashes of which their request was not the cause.
+func (n *Node) ReportCleared(records []poison.Record) {
+	if len(records) > 0 {
+		n.spread(records)
+	}
+}
+
+// crashAttempts is the number of calls for a crash record to one peer. The first one may meet a connection that has gone
+// silent.
+const crashAttempts = 2
+
+// tellCrashes sends crash records to a peer.
+func (n *Node) tellCrashes(addr string, records []poison.Record) {
+	for range crashAttempts {
+		err := n.link(addr).call(n.ctx, callTimeout, "Crash", CrashArgs{records}, &Empty{})
+		if err == nil || n.ctx.Err() != nil {
+			return
+		}
+		n.spec.Log.WithError(err).Debug("crash record not delivered")
+	}
+}
+
 // spread sends crash records to all peers. The channel is closed when each has them or can't be reached.
 func (n *Node) spread(records []poison.Record) <-chan struct{} {
 	var wg sync.WaitGroup
@@ -310,9 +332,7 @@
 		wg.Add(1)
 		started := n.background(func() {
 			defer wg.Done()
-			if err := n.link(addr).call(n.ctx, callTimeout, "Crash", CrashArgs{records}, &Empty{}); err != nil {
-				n.spec.Log.WithError(err).Debug("crash record not delivered")
-			}
+			n.tellCrashes(addr, records)
 		})
 		if !started {
 			wg.Done()
--- a/peer/node_test.go
+++ b/peer/node_test.go
@@ -297,6 +297,36 @@
 	})
 }
 
+// Guards against a request that crashes no endpoint but was present at three crashes, and is refused at daemons other than
+// the one at which it got further; also if the records meet connections that have gone silent.
+func TestClearedRequestIsKnownToAll(t *testing.T) {
+	const fingerprint = 1
+	for _, silent := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			g := newGroup(t, 5, 1)
+			defer g.close()
+			time.Sleep(20 * time.Second)
+			for i := range poison.MaxCrashes {
+				g.nodes[0].ReportCrash(poison.Record{Fingerprint: fingerprint, Crash: fmt.Sprintf("endpoint/%d", i)})
+			}
+			time.Sleep(time.Second)
+			if !g.tables[1].Refused(fingerprint, time.Now()) {
+				t.Fatal("the crashes are not known")
+			}
+			if silent {
+				g.net.Silence()
+			}
+			g.nodes[0].ReportCleared(g.tables[0].Clear(fingerprint, time.Now()))
+			time.Sleep(20 * time.Second)
+			for i, table := range g.tables {
+				if table.Refused(fingerprint, time.Now()) {
+					t.Errorf("silent %t: daemon %d refuses the request", silent, i)
+				}
+			}
+		})
+	}
+}
+
 // Guards against a report of a crash that returns before the peers have the record, so that a repeat of the request through
 // a nearby daemon crashes one more endpoint, and against one that waits more than 200 ms for peers that are silent.
 func TestCrashIsKnownWhenItsReportReturns(t *testing.T) {
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -35,6 +35,8 @@
 	Crash       string // endpoint and its boot identity
 	// Isolated says that the request was the only one that could have caused the crash.
 	Isolated bool
+	// Cleared says that the request got further at another endpoint, so that it was not the cause.
+	Cleared bool
 }
 
 // Fingerprint identifies a request's content, so that a repeat through another host has the same one.
@@ -75,9 +77,9 @@
 	return t
 }
 
-// Add records a crash and reports whether that was new.
+// Add records a crash, or that its request was not the cause, and reports whether that was new.
 func (t *Table) Add(r Record, now time.Time) bool {
-	if r.Isolated {
+	if r.Isolated && !r.Cleared {
 		t.resolve(r, now)
 	} else if t.isResolved(r.Crash, now) {
 		return false
@@ -93,10 +95,15 @@
 	}
 	h.expires = now.Add(recordTTL)
 	same := func(c Record) bool { return c.Crash == r.Crash }
-	if slices.ContainsFunc(h.crashes, same) || slices.ContainsFunc(h.cleared, same) {
+	if slices.ContainsFunc(h.cleared, same) || !r.Cleared && slices.ContainsFunc(h.crashes, same) {
 		return false
 	}
-	h.crashes = append(h.crashes, r)
+	if r.Cleared {
+		h.crashes = slices.DeleteFunc(h.crashes, same)
+		h.cleared = append(h.cleared, r)
+	} else {
+		h.crashes = append(h.crashes, r)
+	}
 	return true
 }
 
@@ -154,15 +161,22 @@
 	return len(h.crashes)
 }
 
-// Clear records that the request got further than at its crashes, so that it was not their cause.
-func (t *Table) Clear(fingerprint uint64, now time.Time) {
+// Clear records that the request got further than at its crashes, so that it was not their cause. It returns what other
+// daemons have to add.
+func (t *Table) Clear(fingerprint uint64, now time.Time) []Record {
 	s := &t.shards[fingerprint%shardCount]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if h := s.records[fingerprint]; h != nil && !now.After(h.expires) {
-		h.cleared = append(h.cleared, h.crashes...)
-		h.crashes = nil
+	h := s.records[fingerprint]
+	if h == nil || now.After(h.expires) {
+		return nil
+	}
+	cleared := h.crashes
+	for i := range cleared {
+		cleared[i].Cleared = true
 	}
+	h.cleared, h.crashes = append(h.cleared, cleared...), nil
+	return cleared
 }
 
 // Refused reports whether the request has crashed too many endpoints to be run again.
@@ -185,7 +199,7 @@
 		s.mu.Lock()
 		for _, h := range s.records {
 			if !now.After(h.expires) {
-				out = append(out, h.crashes...)
+				out = append(append(out, h.crashes...), h.cleared...)
 			}
 		}
 		s.mu.Unlock()
