quality: mean ratings by regression on the confidence of answers

Cause: a quarter of the answers is rated, late, so that estimates of dear kinds keep wide bounds; their price is most of the cost beyond the oracle's. The confidence of an answer, known for all of them, explains a good part of the variance of ratings.

Change: a cell keeps the moments of rated answers with their confidence, and of the confidence of all answers. From 20 pairs on, the mean is that of the regression at the mean confidence of all answers, if its error is smaller than the ratings' own. Reports of at most 32 answers and the sums of all bring the confidence; the benchmark reports as six daemons do.

--- a/bench/choice.go
+++ b/bench/choice.go
@@ -145,6 +145,7 @@
 		o, ex := p.choose(r, now)
 		out := w.load.run(r, o, p.climbed)
 		t := &w.load.teams[r.team]
+		p.answered(r, t.kinds[r.kind].name, out)
 		if r.rated {
 			heap.Push(&pending, late{at: r.at + r.delay, rating: rating.Rating{RequestID: r.id, Version: out.label, Kind: t.kinds[r.kind].name, Score: out.score}})
 		}
--- a/bench/policy.go
+++ b/bench/policy.go
@@ -18,6 +18,8 @@
 	minConfidence = 0.68
 	// summaryInterval is the time between two summaries, as in a daemon.
 	summaryInterval = 30 * time.Second
+	// daemons is the number of daemons that report answers: that of the smallest deployment, because each report has a limit.
+	daemons = 6
 )
 
 // option is what may be chosen: the index of a model, or cascadeOption.
@@ -33,6 +35,8 @@
 	rate(r rating.Rating, now time.Time)
 	// climbed takes the decision on one answer of a cascade.
 	climbed(up bool)
+	// answered takes the confidence of an answer at its end.
+	answered(r *request, kind string, out outcome)
 }
 
 // fixed is a policy that learns nothing.
@@ -41,6 +45,7 @@
 func (f fixed) choose(r *request, _ time.Time) (option, bool) { return f(r), false }
 func (fixed) rate(rating.Rating, time.Time)                   {}
 func (fixed) climbed(bool)                                    {}
+func (fixed) answered(*request, string, outcome)              {}
 
 func always(o option) policy { return fixed(func(*request) option { return o }) }
 
@@ -60,6 +65,9 @@
 	estimates *quality.Estimates
 	summary   *quality.Summary
 	rates     *cascade.Rates
+	answers   [daemons]quality.Collector
+	next      int // daemon that gets the next request
+	recent    *quality.Recent
 	published time.Time
 }
 
@@ -69,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &chosen{load: l, view: view, estimates: &quality.Estimates{}, summary: quality.NewSummary(), rates: cascade.NewRates()}
+	c := &chosen{load: l, view: view, estimates: &quality.Estimates{}, summary: quality.NewSummary(), rates: cascade.NewRates(), recent: quality.NewRecent()}
 	c.filter = choose.New(choose.Spec{Estimator: c.estimates, ClimbRate: c.rates.Rate, Explore: choose.DefaultBudget})
 	return c, nil
 }
@@ -105,16 +113,33 @@
 	panic("bench: unknown version")
 }
 
-// publish hands a copy of the summary to the estimates, as the spreading of the document does.
+// publish hands a copy of the summary to the estimates, as the spreading of the document does. The reports of answers
+// arrive as often.
 func (c *chosen) publish(now time.Time) {
 	c.published = now
 	c.summary.Age(now)
+	for i := range c.answers {
+		report := c.answers[i].Take()
+		c.summary.Count(report)
+		c.recent.Add(report)
+	}
 	c.estimates.Set(c.summary.Clone())
 }
 
 func (c *chosen) rate(r rating.Rating, _ time.Time) {
+	if c.summary == nil {
+		return
+	}
+	c.summary.Add(r)
+	if x, ok := c.recent.Confidence(r.RequestID); ok {
+		c.summary.Pair(r, x)
+	}
+}
+
+func (c *chosen) answered(r *request, kind string, out outcome) {
 	if c.summary != nil {
-		c.summary.Add(r)
+		c.next = (c.next + 1) % daemons
+		c.answers[c.next].Add(r.id, kind, out.label, out.confidence)
 	}
 }
 
@@ -130,12 +155,14 @@
 	cost  float64
 	label string // under which the answer is rated
 	calls int
+	// confidence of the answer that is delivered, at its end
+	confidence float64
 }
 
 // run answers a request.
 func (l *Load) run(r *request, o option, climbed func(bool)) outcome {
 	if o != cascadeOption {
-		return outcome{score: r.answers[o].score, cost: l.cost(int(o), r.input, r.output), label: l.version(int(o)), calls: 1}
+		return outcome{score: r.answers[o].score, cost: l.cost(int(o), r.input, r.output), label: l.version(int(o)), calls: 1, confidence: r.answers[o].final}
 	}
 	spec := object.Cascade{Name: cascadeName, MinConfidence: minConfidence}
 	var out outcome
@@ -151,6 +178,7 @@
 		if reason == cascade.Confident {
 			out.cost += l.cost(m, r.input, r.output)
 			out.score, out.label = r.answers[m].score, spec.Label()+l.version(m)
+			out.confidence = r.answers[m].final
 			return out
 		}
 		out.cost += l.cost(m, r.input, src.sent)
--- a/quality/estimates.go
+++ b/quality/estimates.go
@@ -53,6 +53,9 @@
 	deviation := deviations * math.Sqrt(spread/(c.N+priorWeight))
 	if c.N >= firmRatings {
 		mean, margin := c.Sum/c.N, deviation/math.Sqrt(c.N)
+		if m, v, ok := c.controlled(); ok && deviations*math.Sqrt(v) < margin {
+			mean, margin = m, deviations*math.Sqrt(v)
+		}
 		return choose.Estimate{Mean: mean, Lower: mean - margin, Upper: mean + margin, N: c.N, Firm: true}
 	}
 	n := c.N + priorWeight
--- a/quality/summary.go
+++ b/quality/summary.go
@@ -42,11 +42,22 @@
 	// RecentN and RecentSum are the same with a shorter memory.
 	RecentN   float64 `json:"rn"`
 	RecentSum float64 `json:"rs"`
+
+	Paired  Paired  `json:"p,omitzero"`
+	Answers Answers `json:"a,omitzero"`
 }
 
 // scale multiplies the weight of all ratings.
 func (c Cell) scale(f float64) Cell {
-	return Cell{N: c.N * f, Sum: c.Sum * f, Sum2: c.Sum2 * f, RecentN: c.RecentN * f, RecentSum: c.RecentSum * f}
+	return Cell{N: c.N * f, Sum: c.Sum * f, Sum2: c.Sum2 * f, RecentN: c.RecentN * f, RecentSum: c.RecentSum * f, Paired: c.Paired.scale(f), Answers: c.Answers.scale(f)}
+}
+
+// merge adds the weights of another cell.
+func (c Cell) merge(o Cell) Cell {
+	c.N, c.Sum, c.Sum2 = c.N+o.N, c.Sum+o.Sum, c.Sum2+o.Sum2
+	c.RecentN, c.RecentSum = c.RecentN+o.RecentN, c.RecentSum+o.RecentSum
+	c.Paired, c.Answers = c.Paired.merge(o.Paired), c.Answers.merge(o.Answers)
+	return c
 }
 
 // add counts one score.
@@ -72,6 +83,7 @@
 	c.Sum2 += c.N * (mean*mean - old*old)
 	c.Sum = c.N * mean
 	c.RecentN, c.RecentSum = c.N, c.Sum
+	c.Paired, c.Answers = Paired{}, Answers{}
 	return c
 }
 
@@ -84,6 +96,7 @@
 // Summary is the state of all estimates. The cursor of the rating service is saved with it, so that a rating is counted
 // once whoever reads it.
 type Summary struct {
+	Holder  string                     `json:"holder,omitempty"` // address of the daemon that takes reports
 	Cursor  uint64                     `json:"cursor"`
 	Updated time.Time                  `json:"updated"` // time to which the cells are discounted
 	Cells   map[string]map[string]Cell `json:"cells"`   // by kind and label
@@ -125,6 +138,34 @@
 	s.Totals[version] = t
 }
 
+// Pair adds the confidence of an answer to its rating, which was added before.
+func (s *Summary) Pair(r rating.Rating, confidence float64) {
+	if !(r.Score >= 0 && r.Score <= 1) {
+		return
+	}
+	name, _ := label(r.Version)
+	kind := s.kind(r.Kind)
+	if c, ok := s.Cells[kind][name]; ok {
+		c.Paired = c.Paired.add(confidence, r.Score)
+		s.Cells[kind][name] = c
+	}
+}
+
+// Count adds the answers of a report. Kinds that have no ratings are not counted, so that their callers take no room from
+// others.
+func (s *Summary) Count(r Report) {
+	for _, x := range r.Cells {
+		cells, rated := s.Cells[s.kind(x.Kind)]
+		answers, ok := x.answers()
+		if !rated || !ok {
+			continue
+		}
+		c := cells[x.Label]
+		c.Answers = c.Answers.add(answers)
+		cells[x.Label] = c
+	}
+}
+
 func (s *Summary) kind(name string) string {
 	if name == "" {
 		name = identify.DefaultKind
@@ -148,7 +189,7 @@
 	for kind, cells := range s.Cells {
 		for l, c := range cells {
 			c = c.scale(f)
-			if c.N < minWeight {
+			if max(c.N, c.Answers.N+c.Answers.Without) < minWeight {
 				delete(cells, l)
 				continue
 			}
@@ -195,8 +236,8 @@
 		}
 		for l, c := range cells {
 			m := s.Cells[kind][l]
-			m = Cell{m.N + c.N, m.Sum + c.Sum, m.Sum2 + c.Sum2, m.RecentN + c.RecentN, m.RecentSum + c.RecentSum}
-			s.Cells[kind][l] = m.scale(min(1, memory/m.N))
+			m = m.merge(c)
+			s.Cells[kind][l] = m.scale(min(1, memory/max(1, m.N)))
 		}
 	}
 	for v, t := range o.Totals {
@@ -208,7 +249,7 @@
 // Clone returns a copy that shares nothing with s.
 func (s *Summary) Clone() *Summary {
 	c := NewSummary()
-	c.Cursor, c.Updated = s.Cursor, s.Updated
+	c.Holder, c.Cursor, c.Updated = s.Holder, s.Cursor, s.Updated
 	for kind, cells := range s.Cells {
 		c.Cells[kind] = make(map[string]Cell, len(cells))
 		for l, cell := range cells {
