quality: confidence of the answers corrects the declared quality

Cause: before its own ratings suffice, a cascade is taken to have no skill in telling doubtful answers, so that it is explored late and counts with a low quality in a mix.

Change: the pairs of all kinds and versions together give one line of rating over confidence. The declared quality, counted as 3 answers, is corrected by that line at the mean confidence of the cell's answers, rated or not.

--- a/quality/control.go
+++ b/quality/control.go
@@ -13,6 +13,11 @@
 	// answersMemory is the number of answers after which an older one counts 1/e. A quarter of the answers is rated, so
 	// that it is as long as that of the ratings.
 	answersMemory = 4 * memory
+	// minPooled is the effective number of pairs, of all kinds and labels together, from which the confidence of a cell's
+	// answers corrects the declared quality.
+	minPooled = 100
+	// priorAnswers is the number of answers that the declared quality counts as in this correction.
+	priorAnswers = 3
 	// maxWithout is the part of answers without confidence from which the others may not stand for all.
 	maxWithout = 0.05
 )
@@ -71,6 +76,16 @@
 	return l, true
 }
 
+// expect returns the quality that is assumed of a cell before its own ratings suffice: the declared one, corrected by the
+// confidence of its answers, which is known at once and for each answer.
+func (l line) expect(a Answers, declared float64) float64 {
+	if a.N == 0 || a.Without > maxWithout*(a.N+a.Without) {
+		return declared
+	}
+	expected := min(1, max(0, l.meanY+l.slope*(a.X/a.N-l.meanX)))
+	return (priorAnswers*declared + a.N*expected) / (priorAnswers + a.N)
+}
+
 // controlled returns the mean rating by regression on the confidence, at the mean confidence of all answers, and the
 // square of its standard error: that of the rated answers about the line, more if their mean confidence differs from that
 // of all answers, and that of the mean confidence of all answers.
--- a/quality/control_test.go
+++ b/quality/control_test.go
@@ -115,6 +115,15 @@
 	}
 }
 
+// Guards against a declared quality that stays the estimate although the confidence of the answers says otherwise.
+func TestConfidenceCorrectsTheDeclaredQuality(t *testing.T) {
+	s := answerMany(1, 1200, 0, true)
+	s.Count(Report{Cells: []ReportCell{{Kind: "k", Label: "poor", N: 30, Sum: 30 * 140, Sum2: 30 * 140 * 150}}})
+	if _, mean, _ := estimateOf(s, "poor", 0.9); mean > 0.6 {
+		t.Errorf("mean %.2f of a version whose answers have the confidence of bad ones; declared 0.9", mean)
+	}
+}
+
 // Guards against reports and tables of answers without a limit, and against a report of a peer that spoils the estimates.
 func TestReportsAreBounded(t *testing.T) {
 	var c Collector
--- a/quality/estimates.go
+++ b/quality/estimates.go
@@ -20,23 +20,50 @@
 )
 
 // Estimates implements choose.Estimator with the last summary that was set. Readers take no lock.
-type Estimates struct{ summary atomic.Pointer[Summary] }
+type Estimates struct{ current atomic.Pointer[current] }
+
+// current is a summary with what is computed from it once.
+type current struct {
+	summary *Summary
+	pool    line // of the pairs of all cells
+	pooled  bool
+}
 
 // Set replaces the summary, which must not be changed afterwards.
-func (e *Estimates) Set(s *Summary) { e.summary.Store(s) }
+func (e *Estimates) Set(s *Summary) {
+	var all Paired
+	for _, cells := range s.Cells {
+		for _, c := range cells {
+			all = all.merge(c.Paired)
+		}
+	}
+	c := &current{summary: s}
+	c.pool, c.pooled = all.line()
+	c.pooled = c.pooled && all.N >= minPooled
+	e.current.Store(c)
+}
 
 // Summary returns the summary in use, or nil before the first one.
-func (e *Estimates) Summary() *Summary { return e.summary.Load() }
+func (e *Estimates) Summary() *Summary {
+	if c := e.current.Load(); c != nil {
+		return c.summary
+	}
+	return nil
+}
 
 // Estimate implements choose.Estimator. Without ratings, the bounds are those of the declared quality alone.
 func (e *Estimates) Estimate(kind, label string, declared float64) choose.Estimate {
-	var c Cell
-	if s := e.summary.Load(); s != nil {
-		cells, ok := s.Cells[kind]
-		if !ok {
-			cells = s.Cells[otherKind]
-		}
-		c = cells[label]
+	now := e.current.Load()
+	if now == nil {
+		return Cell{}.estimate(declared)
+	}
+	cells, ok := now.summary.Cells[kind]
+	if !ok {
+		cells = now.summary.Cells[otherKind]
+	}
+	c := cells[label]
+	if now.pooled {
+		declared = now.pool.expect(c.Answers, declared)
 	}
 	return c.estimate(declared)
 }
