daemon: confidence of answers reaches the holder of the rating duty

Cause: the estimates can use the confidence of answers, but only the daemon that served an answer knows it.

Change: the pipeline notes the last confidence of a delivered answer. Each daemon counts its answers by kind and label, keeps a hash and the confidence of up to 32, and sends them to the holder at each rating interval, which the document quality names (Peer.Answers). The holder keeps the last 262,144 answers (6 MB) and pairs ratings with them. A lost report is not repeated.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -232,6 +232,7 @@
 		Observe: func(o pipeline.Outcome) {
 			d.metrics.Request(o)
 			d.countChoice(o)
+			d.decisions.answers.count(o)
 			d.recent.Add(o)
 			d.inFlight.Remove(o.RequestID)
 			if o.Err != nil {
--- a/daemon/decisions.go
+++ b/daemon/decisions.go
@@ -49,6 +49,7 @@
 	rollouts  rollout.Table
 	counter   *rollout.Counter
 	climbs    *cascade.Rates
+	answers   answers
 
 	mu    sync.Mutex
 	held  map[string]uint64             // fencing numbers of the duties that this daemon holds
@@ -129,6 +130,7 @@
 	if d.platform.Ratings != nil {
 		d.wg.Go(func() { d.holdDuty(dutyRating, d.startRating) })
 	}
+	d.wg.Go(d.sendAnswers)
 	d.wg.Go(func() { d.holdDuty(dutyRollout, d.startRollout) })
 	d.wg.Go(func() { d.holdDuty(dutyBills+d.settings.Domain, d.startCompaction) })
 	d.wg.Go(d.sendEvidence)
--- a/daemon/duties.go
+++ b/daemon/duties.go
@@ -116,6 +116,7 @@
 	daemon  *Daemon
 	state   *duty.State
 	summary *quality.Summary
+	recent  *quality.Recent // starts empty at each holder; ratings of earlier answers count without confidence
 	last    time.Time
 	dirty   bool
 }
@@ -125,16 +126,18 @@
 	if err != nil {
 		return nil, err
 	}
-	t := &ratingTerm{daemon: d, state: state, summary: quality.NewSummary(), dirty: true}
+	t := &ratingTerm{daemon: d, state: state, summary: quality.NewSummary(), recent: quality.NewRecent(), dirty: true}
 	if len(body) > 0 {
 		if t.summary, err = quality.Decode(body); err != nil {
 			return nil, err
 		}
 	}
+	t.summary.Holder = d.peerAddr
+	d.decisions.answers.setOpen(true)
 	return t, nil
 }
 
-func (t *ratingTerm) end() {}
+func (t *ratingTerm) end() { t.daemon.decisions.answers.setOpen(false) }
 
 func (t *ratingTerm) tick(ctx context.Context) error {
 	now := time.Now()
@@ -143,6 +146,10 @@
 	}
 	t.last = now
 	t.summary.Age(now.UTC())
+	for _, r := range t.daemon.decisions.answers.taken() {
+		t.recent.Add(r)
+		t.summary.Count(r)
+	}
 	readErr := t.read(ctx)
 	if !t.dirty {
 		return readErr
@@ -173,6 +180,9 @@
 		}
 		for _, r := range page.Ratings {
 			t.summary.Add(r)
+			if x, ok := t.recent.Confidence(r.RequestID); ok {
+				t.summary.Pair(r, x)
+			}
 		}
 		t.summary.Cursor, t.dirty = page.Next, true
 	}
--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -23,6 +23,7 @@
 	"github.com/bramleytrail/bramleytrail/observe"
 	"github.com/bramleytrail/bramleytrail/peer"
 	"github.com/bramleytrail/bramleytrail/poison"
+	"github.com/bramleytrail/bramleytrail/quality"
 	"github.com/bramleytrail/bramleytrail/rollout"
 	"github.com/bramleytrail/bramleytrail/standin"
 )
@@ -320,3 +321,4 @@
 
 func (docsHandler) KeepBills(ledger.Copy) (string, error) { return "", nil }
 func (docsHandler) TakeEvidence(rollout.Evidence) error   { return nil }
+func (docsHandler) TakeAnswers(quality.Report) error      { return nil }
--- a/daemon/handler.go
+++ b/daemon/handler.go
@@ -6,6 +6,7 @@
 
 	"github.com/bramleytrail/bramleytrail/ledger"
 	"github.com/bramleytrail/bramleytrail/peer"
+	"github.com/bramleytrail/bramleytrail/quality"
 	"github.com/bramleytrail/bramleytrail/rollout"
 )
 
@@ -34,3 +35,6 @@
 
 // TakeEvidence implements peer.Handler.
 func (h handler) TakeEvidence(e rollout.Evidence) error { return h.daemon.decisions.takeEvidence(e) }
+
+// TakeAnswers implements peer.Handler.
+func (h handler) TakeAnswers(r quality.Report) error { return h.daemon.decisions.answers.take(r) }
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -13,6 +13,7 @@
 	"github.com/bramleytrail/bramleytrail/hostlist"
 	"github.com/bramleytrail/bramleytrail/ledger"
 	"github.com/bramleytrail/bramleytrail/poison"
+	"github.com/bramleytrail/bramleytrail/quality"
 	"github.com/bramleytrail/bramleytrail/rollout"
 )
 
@@ -52,6 +53,7 @@
 func (nothing) OfferDocument(Document) error          { return nil }
 func (nothing) KeepBills(ledger.Copy) (string, error) { return "", nil }
 func (nothing) TakeEvidence(rollout.Evidence) error   { return nil }
+func (nothing) TakeAnswers(quality.Report) error      { return nil }
 
 func noDial(context.Context, string) (net.Conn, error) { return nil, net.ErrClosed }
 
--- a/peer/evidence.go
+++ b/peer/evidence.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/bramleytrail/bramleytrail/quality"
 	"github.com/bramleytrail/bramleytrail/rollout"
 )
 
@@ -10,3 +11,8 @@
 func (n *Node) SendEvidence(ctx context.Context, addr string, e rollout.Evidence) error {
 	return n.link(addr).call(ctx, callTimeout, "Evidence", EvidenceArgs{e}, &Empty{})
 }
+
+// SendAnswers sends counts of answers to the daemon that reads the ratings.
+func (n *Node) SendAnswers(ctx context.Context, addr string, r quality.Report) error {
+	return n.link(addr).call(ctx, callTimeout, "Answers", AnswersArgs{r}, &Empty{})
+}
--- a/peer/evidence_test.go
+++ b/peer/evidence_test.go
@@ -3,11 +3,13 @@
 import (
 	"bytes"
 	"encoding/gob"
+	"fmt"
 	"net/rpc"
 	"testing"
 	"time"
 
 	"github.com/bramleytrail/bramleytrail/object"
+	"github.com/bramleytrail/bramleytrail/quality"
 	"github.com/bramleytrail/bramleytrail/rollout"
 )
 
@@ -56,3 +58,31 @@
 		t.Fatal(err)
 	}
 }
+
+// maxAnswersBytes bounds a report of answers and the reply to it at the target: 18 B a second from each daemon.
+const maxAnswersBytes = 18 * 30
+
+// Guards against reports of answers that exceed a few bytes a second, at a small deployment and at the limit of answers.
+func TestAnswersSize(t *testing.T) {
+	for _, answers := range []int{12, 540} { // in 30 s
+		var out bytes.Buffer
+		enc := gob.NewEncoder(&out)
+		size := 0
+		for range 3 { // the first one describes the types
+			var c quality.Collector
+			for i := range answers {
+				c.Add(fmt.Sprint(i), fmt.Sprintf("kind-of-request-%d", i%3), fmt.Sprintf("model-%d-1", i%2), 0.5+float64(i%40)/100)
+			}
+			out.Reset()
+			encode(t, enc, &rpc.Request{ServiceMethod: serviceName + ".Answers", Seq: 1 << 20})
+			encode(t, enc, AnswersArgs{c.Take()})
+			encode(t, enc, &rpc.Response{ServiceMethod: serviceName + ".Answers", Seq: 1 << 20})
+			encode(t, enc, Empty{})
+			size = out.Len()
+		}
+		t.Logf("%d answers: %d bytes", answers, size)
+		if size > maxAnswersBytes {
+			t.Errorf("%d answers: report and reply of %d bytes, at most %d are allowed", answers, size, maxAnswersBytes)
+		}
+	}
+}
--- a/peer/message.go
+++ b/peer/message.go
@@ -5,6 +5,7 @@
 
 	"github.com/bramleytrail/bramleytrail/ledger"
 	"github.com/bramleytrail/bramleytrail/poison"
+	"github.com/bramleytrail/bramleytrail/quality"
 	"github.com/bramleytrail/bramleytrail/rollout"
 )
 
@@ -109,5 +110,8 @@
 // EvidenceArgs carries what a daemon has counted of versions under roll-out.
 type EvidenceArgs struct{ Evidence rollout.Evidence }
 
+// AnswersArgs carries what a daemon has counted of its answers.
+type AnswersArgs struct{ Report quality.Report }
+
 // Empty is a reply without content.
 type Empty struct{}
--- a/peer/node.go
+++ b/peer/node.go
@@ -17,6 +17,7 @@
 	"github.com/bramleytrail/bramleytrail/hostlist"
 	"github.com/bramleytrail/bramleytrail/ledger"
 	"github.com/bramleytrail/bramleytrail/poison"
+	"github.com/bramleytrail/bramleytrail/quality"
 	"github.com/bramleytrail/bramleytrail/rollout"
 )
 
@@ -33,6 +34,8 @@
 	KeepBills(ledger.Copy) (string, error)
 	// TakeEvidence takes another daemon's counts. It returns an error if this daemon does not evaluate roll-outs.
 	TakeEvidence(rollout.Evidence) error
+	// TakeAnswers takes another daemon's counts of answers. It returns an error if this daemon does not read ratings.
+	TakeAnswers(quality.Report) error
 }
 
 // Spec configures a Node.
--- a/peer/node_test.go
+++ b/peer/node_test.go
@@ -19,6 +19,7 @@
 	"github.com/bramleytrail/bramleytrail/ledger"
 	"github.com/bramleytrail/bramleytrail/peer"
 	"github.com/bramleytrail/bramleytrail/poison"
+	"github.com/bramleytrail/bramleytrail/quality"
 	"github.com/bramleytrail/bramleytrail/rollout"
 	"github.com/bramleytrail/bramleytrail/standin"
 )
@@ -43,6 +44,8 @@
 
 func (h *handler) TakeEvidence(rollout.Evidence) error { return nil }
 
+func (h *handler) TakeAnswers(quality.Report) error { return nil }
+
 // group is a set of nodes on a network in memory.
 type group struct {
 	net      *standin.MemNet
--- a/peer/service.go
+++ b/peer/service.go
@@ -70,3 +70,8 @@
 func (s *service) Evidence(args EvidenceArgs, _ *Empty) error {
 	return s.node.spec.Handler.TakeEvidence(args.Evidence)
 }
+
+// Answers takes a daemon's counts of its answers. It fails if this daemon does not hold the duty.
+func (s *service) Answers(args AnswersArgs, _ *Empty) error {
+	return s.node.spec.Handler.TakeAnswers(args.Report)
+}
--- a/pipeline/chat.go
+++ b/pipeline/chat.go
@@ -167,10 +167,15 @@
 // relay sends the answer, except for the end that the caller sees only after the bill is kept.
 func (s *chatStages) relay() error {
 	s.at(StageRelay)
+	source := &observed{Source: s.source}
+	defer func() {
+		s.outcome.RequestKind, s.outcome.RatedVersion = s.who.Kind, s.ratedVersion(s.answer.Version().Name)
+		s.outcome.Confidence = source.confidence
+	}()
 	meta := relay.Meta{ID: "chatcmpl-" + s.r.ID, Model: s.answer.Version().Name, Created: s.start.Unix(), PauseAfter: s.p.PauseAfter}
 	if !s.chat.Stream {
 		var err error
-		s.whole, err = relay.Collect(s.source, meta)
+		s.whole, err = relay.Collect(source, meta)
 		return err
 	}
 	h, err := s.header()
@@ -180,7 +185,7 @@
 	if err := s.caller.Begin(http.StatusOK, relay.StreamHeader(h)); err != nil {
 		return &result.Error{Code: result.CallerGone, Ran: result.RunDone, Err: err}
 	}
-	return relay.Stream(s.source, s.caller, meta)
+	return relay.Stream(source, s.caller, meta)
 }
 
 func (s *chatStages) header() (http.Header, error) {
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -52,7 +52,12 @@
 	Attempts  []dispatch.Attempt
 	Explored  bool // answered to learn about the version or cascade
 	Cascade   bool
-	Choice    *choose.Choice // nil for calls of plain services and requests that ended before the choice
+	// RequestKind, RatedVersion and Confidence say for what the answer is rated and how sure its model was; 0 if its engine
+	// reported no confidence. They are empty for calls of plain services.
+	RequestKind  string
+	RatedVersion string
+	Confidence   float64
+	Choice       *choose.Choice // nil for calls of plain services and requests that ended before the choice
 	ClaimHolder
 	Err error
 }
