--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -66,10 +66,6 @@
 type test struct {
 	metrics  [metricCount]comparison
 	block    versions // counts that the metrics don't include yet
-	span     block    // time of the new version's calls in it
-	newest   int64    // second included last
-	resumed  bool     // in a later term
-	carried  versions // calls of earlier terms, counted by daemons that report no seconds
 	total    versions
 	pending  timeline
 	crashes  map[uint64]bool
@@ -108,14 +104,10 @@
 		}
 		t := c.test(p.ID)
 		growth := versions{p.From.minus(before.From), p.To.minus(before.To), t.fresh(p.FromCrashes), t.fresh(p.ToCrashes)}
-		earlier := !ok && c.terms(p.ID) > 1 // growth includes calls of earlier terms, whose times are not known
-		switch {
-		case e.Through == 0 && earlier:
-			t.carry(growth)
-		case e.Through == 0:
-			t.take(instant{now.Unix(), growth})
-		default:
-			c.place(t, growth, p, s.through, e.Through, earlier, now.Unix())
+		if e.Through == 0 {
+			t.take(growth)
+		} else {
+			c.place(t.pending, growth, p, s.through, e.Through, now.Unix())
 		}
 		s.pairs[p.ID] = p
 	}
@@ -123,43 +115,9 @@
 	c.senders[e.Sender] = s
 }
 
-// terms returns the number of terms of a roll-out, this one included; 0 before its first evaluation.
-func (c *Controller) terms(id ID) int {
-	for _, r := range c.state.Records {
-		if r.ID == id {
-			return r.Terms
-		}
-	}
-	return 0
-}
-
-// take adds the counts of a second to the block.
-func (t *test) take(v instant) {
-	t.newest = max(t.newest, v.at)
-	if v.to.Answers > 0 && t.block.to.Answers == 0 {
-		t.span.first = t.newest
-	}
-	if v.to.Answers > 0 {
-		t.span.last = t.newest
-	}
-	t.block.add(v.versions)
-	t.total.add(v.versions)
-}
-
-// resume prepares the comparisons for a later term.
-func (t *test) resume() {
-	if t.resumed {
-		return
-	}
-	t.resumed = true
-	for m := range t.metrics {
-		t.metrics[m].resume()
-	}
-}
-
-// carry adds counts of earlier terms.
-func (t *test) carry(v versions) {
-	t.carried.add(v)
+// take adds counts to the block.
+func (t *test) take(v versions) {
+	t.block.add(v)
 	t.total.add(v)
 }
 
@@ -233,9 +191,6 @@
 		changed = true
 	}
 	t := c.test(id)
-	if rec.Terms > 1 {
-		t.resume()
-	}
 	due := t.pending.take(c.processed)
 	if rec.Halted {
 		return changed, false
@@ -261,7 +216,7 @@
 
 // process takes the counts of seconds in their order and evaluates the test after each of them, so that a value that
 // reaches the bound is not missed when later calls lower it. It stops at the bound.
-func (t *test) process(seconds []instant, bound float64) (value float64, worst int) {
+func (t *test) process(seconds []versions, bound float64) (value float64, worst int) {
 	t.includeCalls()
 	value, worst = t.value()
 	for _, v := range seconds {
@@ -277,36 +232,14 @@
 
 // includeCalls adds the block of calls to the comparisons, once it is large enough.
 func (t *test) includeCalls() {
-	if b := t.carried; large(b.from.Answers, b.to.Answers) {
-		t.carried = versions{}
-		for m, p := range b.callMetrics() {
-			t.metrics[m].untimed = t.metrics[m].untimed.plus(p.ratios(m))
-		}
-	}
-	if b := t.block; large(b.from.Answers, b.to.Answers) {
-		t.block = versions{}
-		for m, p := range b.callMetrics() {
-			t.metrics[m].add(p.ratios(m), p.new.failed > 0, t.span)
-		}
-	}
-}
-
-// outcomes are those of both versions in one metric.
-type outcomes struct{ old, new outcome }
-
-// ratios returns the likelihood ratios of a metric.
-func (o outcomes) ratios(m int) ratios {
-	o.old.failed, o.new.failed = min(o.old.failed, o.old.calls), min(o.new.failed, o.new.calls)
-	return metrics[m].compare(o.old, o.new)
-}
-
-// callMetrics returns the outcomes of the metrics that count calls, by metric.
-func (v *versions) callMetrics() map[int]outcomes {
-	return map[int]outcomes{
-		metricErrors:  {outcome{v.from.Answers, v.from.Errors}, outcome{v.to.Answers, v.to.Errors}},
-		metricCrashes: {outcome{v.from.Answers, v.fromCrashes}, outcome{v.to.Answers, v.toCrashes}},
-		metricSlow:    {outcome{v.from.Answers, v.from.Slow}, outcome{v.to.Answers, v.to.Slow}},
+	b := t.block
+	if !large(b.from.Answers, b.to.Answers) {
+		return
 	}
+	t.block = versions{}
+	t.compare(metricErrors, outcome{b.from.Answers, b.from.Errors}, outcome{b.to.Answers, b.to.Errors})
+	t.compare(metricCrashes, outcome{b.from.Answers, b.fromCrashes}, outcome{b.to.Answers, b.toCrashes})
+	t.compare(metricSlow, outcome{b.from.Answers, b.from.Slow}, outcome{b.to.Answers, b.to.Slow})
 }
 
 // includeRatings adds the new ratings to the comparison, once there are enough.
@@ -315,8 +248,7 @@
 		t.ratings, t.included = base, true
 	}
 	if from, to := growth(current[0], t.ratings[0]), growth(current[1], t.ratings[1]); large(from.calls, to.calls) {
-		c := &t.metrics[metricPoor]
-		c.untimed = c.untimed.plus(outcomes{from, to}.ratios(metricPoor))
+		t.compare(metricPoor, from, to)
 		t.ratings = current
 	}
 }
@@ -328,6 +260,11 @@
 	return old >= 50 && new >= 1 || old == 0 && new >= 20 || new >= 500
 }
 
+func (t *test) compare(m int, old, new outcome) {
+	old.failed, new.failed = min(old.failed, old.calls), min(new.failed, new.calls)
+	t.metrics[m].add(&metrics[m].hypothesis, old, new)
+}
+
 func growth(now, before Ratings) outcome {
 	if now.Rated < before.Rated || now.Poor < before.Poor {
 		return outcome{}
--- a/rollout/timeline.go
+++ b/rollout/timeline.go
@@ -30,20 +30,14 @@
 	return v
 }
 
-// instant holds the counts of one second.
-type instant struct {
-	at int64 // Unix time
-	versions
-}
-
 // take removes the seconds up to the given one and returns their counts in order.
-func (l timeline) take(through int64) []instant {
-	var out []instant
+func (l timeline) take(through int64) []versions {
+	var out []versions
 	for _, second := range slices.Sorted(maps.Keys(l)) {
 		if second > through {
 			break
 		}
-		out = append(out, instant{second, *l[second]})
+		out = append(out, *l[second])
 		delete(l, second)
 	}
 	return out
@@ -69,12 +63,11 @@
 	return max(through, now.Add(-watermark).Unix(), c.processed)
 }
 
-// place puts the growth of a sender's totals in the timeline, up to the second through. Seconds up to reported, which the
-// sender has reported before, are left out. Growth that no second explains is older than the sender's window; it joins the
-// first second that is open, as do seconds that arrive after the watermark. In a first report to the holder of a later
-// term, such growth and crashes are of earlier terms: they may hold any number of bursts and count in the totals only.
-func (c *Controller) place(t *test, growth versions, p Pair, reported, through int64, earlier bool, now int64) {
-	l, open := t.pending, c.processed+1
+// place puts the growth of a sender's totals in the timeline. Seconds that the sender has reported before are left out.
+// Growth that no second explains is older than the sender's window; it joins the first second that is open, as do
+// seconds that arrive after the watermark.
+func (c *Controller) place(l timeline, growth versions, p Pair, reported, through, now int64) {
+	open := c.processed + 1
 	rest := growth
 	if list, err := unpackSeconds(p.Seconds, through); err == nil {
 		list = slices.DeleteFunc(list, func(s Second) bool { return s.At <= reported })
@@ -90,10 +83,6 @@
 			rest.from, rest.to = growth.from.minus(sum.from), growth.to.minus(sum.to)
 		}
 	}
-	if earlier {
-		t.total.add(rest)
-		return
-	}
 	crashes := versions{fromCrashes: rest.fromCrashes, toCrashes: rest.toCrashes}
 	rest.fromCrashes, rest.toCrashes = 0, 0
 	if rest != (versions{}) {
