rollout: seconds of the new version are joined last

Cause: a report whose seconds need more than 12 bytes joined neighbouring seconds of both versions. A test that groups failures by time then sees a failure of the new version up to some seconds off, in another group. Change: packSeconds first joins the old version's calls alone, and those of both only if that does not fit. The form of the reports is the same. TestPackKeepsNewSeconds fails without the change.

--- a/rollout/seconds.go
+++ b/rollout/seconds.go
@@ -52,28 +52,52 @@
 }
 
 // packSeconds encodes the seconds up to through, newest first. Neighbouring seconds are joined, at the newest of them,
-// until the result fits in maxPackedSeconds. If nothing fits, because there are very many calls, the totals must do.
+// until the result fits in maxPackedSeconds. Those of the new version are joined last, since their times tell which failures
+// belong to one burst. If nothing fits, because there are very many calls, the totals must do.
 func packSeconds(list []Second, through int64) []byte {
-	for width := int64(1); width < 2*windowSeconds; width *= 2 {
-		if packed := appendSeconds(nil, joinSeconds(list, through, width), through); len(packed) <= maxPackedSeconds {
-			return packed
+	for _, both := range []bool{false, true} {
+		for width := int64(1); width < 2*windowSeconds; width *= 2 {
+			if packed := appendSeconds(nil, joinSeconds(list, through, width, both), through); len(packed) <= maxPackedSeconds {
+				return packed
+			}
 		}
 	}
 	return nil
 }
 
-// joinSeconds adds up the seconds of each stretch of the given width. The list and the result are newest first.
-func joinSeconds(list []Second, through, width int64) []Second {
+// joinSeconds adds up the seconds of each stretch of the given width, of the old version only or of both. The list and
+// the result are newest first.
+func joinSeconds(list []Second, through, width int64, both bool) []Second {
 	var out []Second
-	for _, s := range list {
-		s.At = through - (through-s.At)/width*width
+	add := func(s Second) {
 		if n := len(out); n > 0 && out[n-1].At == s.At {
 			out[n-1].From.add(s.From)
 			out[n-1].To.add(s.To)
-			continue
+			return
 		}
 		out = append(out, s)
 	}
+	newest, stretch := 0, int64(-1) // index and number of the current stretch
+	for _, s := range list {
+		joined := through - (through-s.At)/width*width
+		switch {
+		case both:
+			s.At = joined
+			add(s)
+		case joined == stretch:
+			out[newest].From.add(s.From)
+			if s.To != (Counts{}) {
+				add(Second{At: s.At, To: s.To})
+			}
+		default:
+			stretch = joined
+			add(Second{At: joined, From: s.From})
+			newest = len(out) - 1
+			if s.To != (Counts{}) {
+				add(Second{At: s.At, To: s.To})
+			}
+		}
+	}
 	return out
 }
 
--- a/rollout/timeline_test.go
+++ b/rollout/timeline_test.go
@@ -164,3 +164,23 @@
 		}
 	}
 }
+
+// Guards against calls of the new version that get the time of others although only those of the old version are too many.
+func TestPackKeepsNewSeconds(t *testing.T) {
+	var list []Second
+	for at := int64(100); at > 85; at-- {
+		list = append(list, Second{At: at, From: Counts{Answers: 1}})
+	}
+	list[3].To, list[8].To = Counts{Answers: 1}, Counts{Answers: 2, Errors: 1}
+	got, err := unpackSeconds(packSeconds(list, 100), 100)
+	from, to := uint64(0), map[int64]Counts{}
+	for _, s := range got {
+		from += s.From.Answers
+		if s.To != (Counts{}) {
+			to[s.At] = s.To
+		}
+	}
+	if want := map[int64]Counts{97: list[3].To, 92: list[8].To}; err != nil || from != 15 || !reflect.DeepEqual(to, want) {
+		t.Errorf("%d calls of the old version, %v of the new one, error %v", from, to, err)
+	}
+}
