bench: the fakes take cleared requests

Cause: dispatch calls OnClear since requests are cleared at all daemons; the benchmark's dispatch had none, and its runs ended with a nil pointer. Change: the benchmark sets it.

--- a/bench/latency_node.go
+++ b/bench/latency_node.go
@@ -81,7 +81,7 @@
 			n.filter.Signal(s, v)
 		}
 	}})
-	n.filter = dispatch.New(dispatch.Spec{Pool: n.pool, Client: r.fleet, Poison: poison.NewTable(), OnCrash: func(poison.Record) {},
+	n.filter = dispatch.New(dispatch.Spec{Pool: n.pool, Client: r.fleet, Poison: poison.NewTable(), OnCrash: func(poison.Record) {}, OnClear: func([]poison.Record) {},
 		QueueWait: 5 * time.Second, Now: time.Now, Rand: random, HedgeShare: r.variant.HedgeShare, OnHedge: r.hedged})
 	n.setView(view)
 	n.pool.SetHosts(list, time.Now())
