dispatch, memkv, chaos: one wait that ends with its context

Cause: three packages had a timer of their own that ends with a context, beside pause.For. Change: they call it. Conclusion: no second implementation is left in these packages.

--- a/chaos/workload.go
+++ b/chaos/workload.go
@@ -11,6 +11,7 @@
 
 	"github.com/bramleytrail/bramleytrail/identify"
 	"github.com/bramleytrail/bramleytrail/local"
+	"github.com/bramleytrail/bramleytrail/pause"
 	"github.com/bramleytrail/bramleytrail/relay"
 )
 
@@ -181,11 +182,4 @@
 	claimUnknown = "304"
 )
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-time.After(d):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
+func sleep(ctx context.Context, d time.Duration) bool { return pause.For(ctx, d) == nil }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -13,6 +13,7 @@
 	"github.com/bramleytrail/bramleytrail/config"
 	"github.com/bramleytrail/bramleytrail/engine"
 	"github.com/bramleytrail/bramleytrail/object"
+	"github.com/bramleytrail/bramleytrail/pause"
 	"github.com/bramleytrail/bramleytrail/poison"
 	"github.com/bramleytrail/bramleytrail/pool"
 	"github.com/bramleytrail/bramleytrail/queue"
@@ -193,14 +194,10 @@
 
 // sleep waits, or returns the reason why ctx ended.
 func sleep(ctx context.Context, d time.Duration, ran result.Ran) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
+	if pause.For(ctx, d) != nil {
 		return contextError(ctx, ran)
 	}
+	return nil
 }
 
 // callID names one model call of a request at an endpoint.
--- a/kv/memkv/unreliable.go
+++ b/kv/memkv/unreliable.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/bramleytrail/bramleytrail/kv"
+	"github.com/bramleytrail/bramleytrail/pause"
 )
 
 // UnreliableSpec configures an Unreliable store. Lost, LostReply and Late are parts of the calls, 0 to 1.
@@ -75,14 +76,7 @@
 	if d == 0 {
 		return ctx.Err()
 	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return pause.For(ctx, d)
 }
 
 // call runs f under the fate of one call. f must not depend on ctx: a call that reached the store takes effect even if
