observe, httpengine: dial functions as aliases

Change: both are aliases of the function type. Result: build, vet and linter pass; httpengine, entry and the failures alone of chaos, which use them, pass. Conclusion: the conversions are gone.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -116,7 +116,7 @@
 		p.Weights = weight.NewHTTPStoreWith(s.Weights, n.dialPlatform())
 	}
 	dial := n.dialEndpoint()
-	dial.Commands = httpengine.DialFunc(m.Dial(observe.KindLoad, observe.DialFunc(dial.Commands)))
+	dial.Commands = m.Dial(observe.KindLoad, dial.Commands)
 	d := build(s, p, httpengine.NewClientWith(dial), log, m)
 	d.network = n
 	return d
--- a/daemon/network.go
+++ b/daemon/network.go
@@ -29,7 +29,7 @@
 	if n == nil {
 		return httpengine.Sockets()
 	}
-	return httpengine.Over(httpengine.DialFunc(n.Dial))
+	return httpengine.Over(n.Dial)
 }
 
 // dialPeer returns the function that connects to other daemons from the address of a listener.
--- a/engine/httpengine/client.go
+++ b/engine/httpengine/client.go
@@ -54,7 +54,7 @@
 }
 
 // DialFunc opens a connection.
-type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+type DialFunc = func(ctx context.Context, network, addr string) (net.Conn, error)
 
 // Dialers are the functions that open the connections of a Client.
 type Dialers struct {
--- a/observe/bytes.go
+++ b/observe/bytes.go
@@ -17,7 +17,7 @@
 )
 
 // DialFunc opens a connection.
-type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+type DialFunc = func(ctx context.Context, network, addr string) (net.Conn, error)
 
 // ControlBytes counts control traffic of a kind. Direction is "in" or "out" as seen from this process. The figures are
 // bytes of payload on the connection, without the headers of TCP and IP.
