--- a/dispatch/routed.go
+++ b/dispatch/routed.go
@@ -22,9 +22,12 @@
 	silenceShare = 0.6
 	// minSilence bounds that time from below: an endpoint that is loaded takes so long now and then.
 	minSilence = 250 * time.Millisecond
-	// gapShare is the part of a stream's longest pause after which a silent stream goes on at another endpoint, so that the
-	// pause can still be kept.
-	gapShare = 0.7
+	// promptSilence is added to that time for each token of the prompt: a large model reads a long prompt in chunks beside
+	// other requests, at 20 tokens a millisecond and more.
+	promptSilence = 50 * time.Microsecond
+	// gapFactor is the multiple of a stream's longest pause after which a silent stream goes on at another endpoint. An
+	// endpoint that reads long prompts pauses its streams for about that time, and to go on elsewhere costs it a prompt more.
+	gapFactor = 2.0
 	// busyRetry is the time after which a caller may come back when an endpoint turned its request down.
 	busyRetry = 100 * time.Millisecond
 	// spareBudget is the part of the retry budget that is kept for failures: steps of a cascade leave it alone.
@@ -252,7 +255,7 @@
 	if !x.in.Route.MayRepeat() || x.sends+1 >= x.in.Route.Attempts || x.in.Route.Target <= 0 || x.budget.level() < 1 {
 		return nil
 	}
-	limit := max(minSilence, time.Duration(silenceShare*float64(x.in.Route.Target)))
+	limit := max(minSilence, time.Duration(silenceShare*float64(x.in.Route.Target))) + time.Duration(x.in.Prompt)*promptSilence
 	return time.AfterFunc(limit, func() { cancel(engine.ErrStalled) })
 }
 
@@ -330,7 +333,7 @@
 	if !r.Stream || !r.Resumable || r.Gap <= 0 || x.sends >= r.Attempts {
 		return 0
 	}
-	return time.Duration(gapShare * float64(r.Gap))
+	return time.Duration(gapFactor * float64(r.Gap))
 }
 
 // Stall ends the answer's exchange for lack of progress. Reads of its body fail from then on.
