pool: places routed requests by the pace of models, homes of prompt parts and slowness

Cause: the score mixed request sizes and models in one latency, and prefixes were known to the daemon that sent them only. A stream also ended when its caller's key was taken away while it was being resumed: the check of a request that was admitted is gone.

--- a/pipeline/routed.go
+++ b/pipeline/routed.go
@@ -7,7 +7,6 @@
 	"io"
 	"math"
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
@@ -198,7 +197,7 @@
 		Request: engine.RoutedRequest{
 			ID: s.r.ID, Method: s.r.Method, Host: m.Host, Target: s.r.Path, Header: s.r.Header, Body: s.r.Body, Team: s.team, Rank: s.rank(),
 		},
-		Query: pool.RoutedQuery{Parts: m.Parts, Target: s.route.Target},
+		Query: pool.RoutedQuery{Parts: m.Parts, Target: s.route.Target, Bytes: len(s.r.Body)},
 	}
 	if s.p.Routes.Releases != nil {
 		in.Query.Release, in.Query.NotRelease = s.p.Routes.Releases.Assign(s.view, s.service, s.session())
@@ -214,22 +213,9 @@
 	return xxhash.Sum64String(s.r.ID)
 }
 
-// renew checks the request under the newest configuration. Its service may change only before it was sent.
-func (s *routedStages) renew() (*config.View, error) {
-	view := s.p.Config.View()
-	if view == s.view {
-		return view, nil
-	}
-	path, _, _ := cutQuery(s.r.Path)
-	route := view.Route(s.r.Meta.Host, path)
-	if route == nil || !slices.ContainsFunc(route.Backends, func(b object.Backend) bool { return b.Service == s.service && b.Weight > 0 }) {
-		return nil, result.Newf(result.NoEndpoint, "The route has changed.").WithRetry(configRetry)
-	}
-	if view.TeamByKey(s.r.Meta.Key) == nil && !route.Public && len(view.Teams) > 0 {
-		return nil, result.Newf(result.Unauthenticated, "")
-	}
-	return view, nil
-}
+// renew returns the newest configuration, for the state of failure domains. The request itself was admitted: a key or
+// route that is taken away later ends no answer in progress.
+func (s *routedStages) renew() (*config.View, error) { return s.p.Config.View(), nil }
 
 // dispatch gets an answer, from a larger model if the one of a smaller is doubtful.
 func (s *routedStages) dispatch(ctx context.Context) error {
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -57,6 +57,7 @@
 	alone   bool // no other daemon may run a suspect at the endpoint
 	e       *endpoint
 	pool    *Pool
+	routed  routedWork
 }
 
 // Pick chooses an endpoint by the pool's policy and reserves room on it.
@@ -64,6 +65,9 @@
 	t := p.table.Load()
 	group := t.groups[groupKey{q.Service, q.Version}]
 	short := Shortage{Listed: len(group)}
+	if q.Routed != nil {
+		q.Routed.prepare(p, &q, group)
+	}
 	for try := 0; try < pickTries && len(group) > 0; try++ {
 		short = Shortage{Listed: len(group)}
 		best := p.best(group, &q, t, now, &short)
@@ -97,7 +101,7 @@
 			short.count(r, returns)
 			return candidate{}, false
 		}
-		return candidate{e, e.routedScore(q.Routed, now), e.chosen}, true
+		return candidate{e, e.routedScore(q, now), e.chosen}, true
 	}
 	if r := e.admits(q, rule, now); r != accepted {
 		short.count(r, e.ejected)
@@ -114,7 +118,7 @@
 		if r, _ := e.admitsRouted(q, rule, now); r != accepted {
 			return Reservation{}, false
 		}
-		e.reserveRouted(q.Routed, rule, now)
+		e.reserveRouted(q, rule, now)
 	} else if e.admits(q, rule, now) != accepted {
 		return Reservation{}, false
 	}
@@ -127,7 +131,7 @@
 	}
 	return Reservation{
 		ID: e.host.ID, Addr: e.host.Addr, Domain: e.host.Domain, service: q.Service, tokens: q.Tokens, prefill: q.Prompt,
-		suspect: q.Suspect, alone: q.Suspect && e.first(rule, now), e: e,
+		suspect: q.Suspect, alone: q.Suspect && e.first(rule, now), e: e, routed: reservedWork(q),
 	}, true
 }
 
@@ -207,6 +211,8 @@
 func (r *Reservation) prefilled() {
 	r.e.prefill -= r.prefill
 	r.prefill = 0
+	r.e.routed.work -= r.routed.work
+	r.routed.work = 0
 }
 
 // Boot returns the endpoint's last known boot identity.
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -42,6 +42,7 @@
 	shards [shardCount]sync.Mutex
 	table  atomic.Pointer[table]
 	turn   atomic.Uint64 // of RoundRobin
+	paces  *paces
 
 	mu      sync.Mutex // serialises rebuild
 	list    hostlist.List
@@ -76,7 +77,7 @@
 
 // New returns an empty pool.
 func New(spec Spec) *Pool {
-	p := &Pool{spec: spec, known: map[string]*endpoint{}, history: map[string]*limitHistory{}}
+	p := &Pool{spec: spec, known: map[string]*endpoint{}, history: map[string]*limitHistory{}, paces: newPaces()}
 	p.members = members{self: spec.Self, settle: spec.Settle, departed: map[string]departed{}}
 	p.table.Store(&table{})
 	return p
--- a/pool/routed.go
+++ b/pool/routed.go
@@ -13,20 +13,23 @@
 // slots: it compares what it knows of their load, which is its own requests exactly and those of the others as of the
 // last answer. Scores are milliseconds of expected delay.
 const (
-	// tokenDelay is the delay by one prompt token that the endpoint has to read first, in milliseconds: at 100 tokens a
-	// millisecond, the order of what a large accelerator reads.
-	tokenDelay = 0.01
 	// slotDelay is the delay by other requests that run in a batch, as a part of the latency at the last slot.
 	slotDelay = 1.0
-	// remoteShare is the part of the request's target by which an endpoint in another failure domain has to be better.
-	// Traffic between failure domains is dear.
-	remoteShare = 0.15
+	// batchHarm is the part of the time for reading a prompt by which it delays each request that runs beside it, summed up
+	// as a cost of the choice.
+	batchHarm = 0.1
+	// remoteDelay stands for the price of traffic between failure domains: a part for each request, and one for each
+	// kilobyte of it, in milliseconds.
+	remoteDelay, remoteKilobyte = 10.0, 2.0
+	// homeShare is the part of a prompt's shared tokens that count as cached at their home, the endpoint to which the
+	// daemons would all send them if they knew nothing else.
+	homeShare = 0.7
 	// sameWait is the difference of scores below which endpoints count as equal, in milliseconds.
 	sameWait = 2.0
 	// othersTTL is the age at which a reported load no longer counts; requests take about a second.
 	othersTTL = time.Second
-	// latencyTTL is the age at which a measured latency counts half. A slow endpoint is tried again after a few of them.
-	latencyTTL = 4 * time.Second
+	// slowTTL is the age at which a measured slowness counts half. A slow endpoint is tried again after a few of them.
+	slowTTL = 4 * time.Second
 	// partTTL is the age at which a prompt part that was sent to an endpoint is no longer taken for cached there.
 	partTTL = 15 * time.Second
 	// maxParts bounds the parts that are remembered for an endpoint.
@@ -53,16 +56,55 @@
 	Release, NotRelease string
 	// Target is the time within which the answer should begin.
 	Target time.Duration
+	Bytes  int // of the request's body
+
+	pace float64 // milliseconds for a prompt token
+	home uint64  // key of the endpoint that is the home of the prompt's shared parts, 0 for none
+}
+
+// prepare computes what is the same for all endpoints.
+func (q *RoutedQuery) prepare(p *Pool, all *Query, group []*endpoint) {
+	q.pace = p.paces.get(all.Service, q.Model)
+	q.home = 0
+	if len(q.Parts) < 2 {
+		return
+	}
+	key := partKey(q.Model, q.Parts[len(q.Parts)-2].ID) // the last part is the request's own
+	var best uint64
+	for _, e := range group {
+		if h := rendezvous(key, e.key); h >= best && q.releaseFits(e.host.Release) {
+			best, q.home = h, e.key
+		}
+	}
+}
+
+func (q *RoutedQuery) releaseFits(release string) bool {
+	return (q.Release == "" || release == q.Release) && (q.NotRelease == "" || release != q.NotRelease)
+}
+
+// routedWork is what a request adds to an endpoint until its answer begins.
+type routedWork struct {
+	service, model string
+	tokens         int64   // to be read
+	work           float64 // milliseconds
+}
+
+func reservedWork(q *Query) routedWork {
+	if q.Routed == nil {
+		return routedWork{}
+	}
+	return routedWork{q.Service, q.Routed.Model, q.Prompt, q.Routed.pace * float64(q.Prompt)}
 }
 
 // routedState is what a daemon knows of an endpoint of a routed service.
 type routedState struct {
 	others   int       // requests of other daemons at the last report
 	othersAt time.Time // of the report
-	first    float64   // moving average of the time to the first byte, in milliseconds
-	firstAt  time.Time // newest measurement
+	slow     float64   // moving average of the time to the first byte as a multiple of what the others take
+	slowAt   time.Time // newest measurement
 	parts    map[uint64]time.Time
 	cold     time.Time // until which the endpoint is cold by its own answers
+	work     float64   // milliseconds for the prompts of this daemon's requests that have no answer yet
 	failures float64   // moving average of failed requests, 0 to 1
 	streak   int       // answers lost since the last one that was not
 	tokens   float64   // requests that may be sent while it is cold
@@ -74,7 +116,7 @@
 func (e *endpoint) admitsRouted(q *Query, r *rule, now time.Time) (refusal, time.Time) {
 	rq := q.Routed
 	switch {
-	case rq.Release != "" && e.host.Release != rq.Release, rq.NotRelease != "" && e.host.Release == rq.NotRelease:
+	case !rq.releaseFits(e.host.Release):
 		return refusedRelease, time.Time{}
 	case rq.Model != "" && len(e.host.Models) > 0 && !slices.Contains(e.host.Models, rq.Model):
 		return refusedModel, time.Time{}
@@ -134,7 +176,10 @@
 }
 
 // reserveRouted notes what a request takes. Parts count as cached from when they are sent.
-func (e *endpoint) reserveRouted(q *RoutedQuery, r *rule, now time.Time) {
+func (e *endpoint) reserveRouted(all *Query, r *rule, now time.Time) {
+	q := all.Routed
+	all.Prompt = e.toRead(all, now)
+	e.routed.work += q.pace * float64(all.Prompt)
 	if rate := r.coldRate(); rate > 0 {
 		e.routed.tokens, e.routed.filled = e.coldTokens(rate, now)-1, now
 	}
@@ -156,19 +201,24 @@
 	}
 }
 
-// uncached returns the prompt tokens that the endpoint probably has to read. A part counts as cached only if all parts
+// toRead returns the prompt tokens that the endpoint probably has to read. A part counts as cached only if all parts
 // before it are.
-func (e *endpoint) uncached(q *RoutedQuery, now time.Time) int64 {
-	var sum int64
-	missing := false
-	for _, p := range q.Parts {
+func (e *endpoint) toRead(all *Query, now time.Time) int64 {
+	q := all.Routed
+	sum, shared := all.Prompt, int64(0)
+	for i, p := range q.Parts {
 		at, ok := e.routed.parts[partKey(q.Model, p.ID)]
-		missing = missing || !ok || now.Sub(at) > partTTL
-		if missing {
-			sum += p.Tokens
+		if !ok || now.Sub(at) > partTTL {
+			if e.key == q.home && i < len(q.Parts)-1 {
+				for _, rest := range q.Parts[i : len(q.Parts)-1] {
+					shared += rest.Tokens
+				}
+			}
+			break
 		}
+		sum -= p.Tokens
 	}
-	return sum
+	return max(0, sum-int64(homeShare*float64(shared)))
 }
 
 func (s *routedState) failed() {
@@ -181,27 +231,30 @@
 	s.streak = 0
 }
 
-func (e *endpoint) routedScore(q *RoutedQuery, now time.Time) float64 {
-	s := tokenDelay * float64(e.prefill+e.uncached(q, now))
-	first := e.latencyNow(now)
-	s += first
+// routedScore estimates the delay of the request at the endpoint, and the harm that it does there.
+func (e *endpoint) routedScore(all *Query, now time.Time) float64 {
+	q := all.Routed
+	read := q.pace * float64(e.toRead(all, now))
+	busy := float64(e.busy(now))
+	s := e.routed.work + read*(1+batchHarm*busy)
 	if e.host.Slots > 0 {
-		s += slotDelay * max(first, 1) * float64(e.busy(now)) / float64(e.host.Slots)
+		s += q.pace * paceTokens * slotDelay * busy / float64(e.host.Slots)
 	}
+	s = (s + q.pace*paceTokens) * e.slowness(now)
 	s += failDelay * e.routed.failures * float64(q.Target/time.Millisecond)
 	if !e.local {
-		s += remoteShare * float64(q.Target/time.Millisecond)
+		s += remoteDelay + remoteKilobyte*float64(q.Bytes)/1024
 	}
 	return s
 }
 
-// latencyNow returns the measured latency, fading with its age.
-func (e *endpoint) latencyNow(now time.Time) float64 {
-	if e.routed.firstAt.IsZero() {
-		return 0
+// slowness returns by how much the endpoint is slower than others, fading to 1 with its age.
+func (e *endpoint) slowness(now time.Time) float64 {
+	if e.routed.slowAt.IsZero() {
+		return 1
 	}
-	age := float64(now.Sub(e.routed.firstAt)) / float64(latencyTTL)
-	return e.routed.first / (1 + age*age)
+	age := float64(now.Sub(e.routed.slowAt)) / float64(slowTTL)
+	return 1 + (e.routed.slow-1)/(1+age*age)
 }
 
 // Answered records the header of an endpoint's answer: its latency, the load that it reports, and for how long it is cold.
@@ -212,12 +265,11 @@
 	defer e.mu.Unlock()
 	r.prefilled()
 	if measured {
-		ms := float64(latency) / float64(time.Millisecond)
-		if e.routed.firstAt.IsZero() {
-			e.routed.first = ms
-		}
-		e.routed.first += latencyAlpha * (ms - e.routed.first)
-		e.routed.firstAt = now
+		expected := r.pool.paces.get(r.routed.service, r.routed.model) * float64(r.routed.tokens+paceTokens)
+		r.pool.paces.observe(r.routed.service, r.routed.model, r.routed.tokens, latency)
+		e.routed.slow = e.slowness(now) // of old evidence, some is left
+		e.routed.slow += latencyAlpha * (float64(latency)/float64(time.Millisecond)/expected - e.routed.slow)
+		e.routed.slowAt = now
 	}
 	if load != nil {
 		e.routed.others = max(0, load.Running+load.Waiting-int(e.inFlight))
