pool: segments of endpoints for models and long prompts

Endpoints of a failure domain are divided into segments by the models' share of the work; the pace of a model is estimated by least squares; requests that run at an endpoint count as prompts that are about to be read.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -241,6 +241,10 @@
 	if v := g.config.View(); v != nil {
 		f["config"] = v.Revision.Number
 	}
+	if st := o.Stream; st != nil {
+		f["model"], f["endpoint"], f["prompt"], f["limit"], f["events"] = st.Model, st.Endpoint, st.Prompt, st.Limit, st.Events
+		f["gap_ms"], f["resumed"], f["first_ms"] = st.LongGap.Milliseconds(), st.Resumed, o.FirstByte.Milliseconds()
+	}
 	if o.Err == nil {
 		g.log.WithFields(f).Info("request answered")
 		return
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -62,7 +62,20 @@
 	Confidence   float64
 	Choice       *choose.Choice // nil for calls of plain services and requests that ended before the choice
 	ClaimHolder
-	Err error
+	// Stream describes a routed stream; nil for other answers.
+	Stream *StreamOutcome
+	Err    error
+}
+
+// StreamOutcome describes how a routed stream went.
+type StreamOutcome struct {
+	Model    string
+	Endpoint string
+	Prompt   int64 // tokens
+	Limit    int64 // tokens of the answer
+	Events   int
+	LongGap  time.Duration // longest time between two events
+	Resumed  int           // times that it went on at another endpoint
 }
 
 // entered holds what the first two stages give to the later ones.
--- a/pipeline/routed.go
+++ b/pipeline/routed.go
@@ -197,7 +197,7 @@
 		Request: engine.RoutedRequest{
 			ID: s.r.ID, Method: s.r.Method, Host: m.Host, Target: s.r.Path, Header: s.r.Header, Body: s.r.Body, Team: s.team, Rank: s.rank(),
 		},
-		Query: pool.RoutedQuery{Parts: m.Parts, Target: s.route.Target, Bytes: len(s.r.Body)},
+		Query: pool.RoutedQuery{Parts: m.Parts, Target: s.route.Target, Gap: s.route.Gap, Bytes: len(s.r.Body)},
 	}
 	if s.p.Routes.Releases != nil {
 		in.Query.Release, in.Query.NotRelease = s.p.Routes.Releases.Assign(s.view, s.service, s.session())
@@ -388,6 +388,7 @@
 // relayEvents sends a stream event by event. One that breaks goes on at another endpoint, with the header of the first.
 func (s *routedStages) relayEvents(ctx context.Context) error {
 	s.sent = s.r.Meta.After
+	s.outcome.Stream = &StreamOutcome{Model: s.modelName(), Endpoint: s.answer.Endpoint, Prompt: s.r.Meta.Prompt, Limit: s.r.Meta.MaxTokens}
 	begun := false
 	for {
 		err := s.copyEvents(ctx, &begun)
@@ -403,6 +404,8 @@
 // copyEvents sends the events of one endpoint's stream. It returns nil at the stream's end.
 func (s *routedStages) copyEvents(ctx context.Context, begun *bool) error {
 	events := relay.NewEventReader(s.answer.Body)
+	last := s.p.Now()
+	out := s.outcome.Stream
 	gap := s.watchGap()
 	defer gap.stop()
 	for {
@@ -432,6 +435,12 @@
 		}
 		s.sent = max(s.sent, number)
 		gap.reset()
+		now := s.p.Now()
+		if out.Events > 0 {
+			out.LongGap = max(out.LongGap, now.Sub(last))
+		}
+		out.Events++
+		last = now
 	}
 }
 
@@ -445,6 +454,7 @@
 		return cause
 	}
 	s.answer.Broken(cause)
+	s.outcome.Stream.Resumed++
 	for {
 		next, err := s.exchange.Do(s.modelName(), s.sent)
 		if err != nil {
--- a/pool/endpoint.go
+++ b/pool/endpoint.go
@@ -54,6 +54,8 @@
 	askedAt   time.Time // when a load report was last asked for
 	wanted    bool      // a request found the evidence too old
 	routed    routedState
+	position  int // among the endpoints of its service, failure domain and software version
+	alike     int // number of those
 }
 
 // capacity returns the number of requests that the endpoint can bear now, over all daemons. There is no ramp between the
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -66,7 +66,7 @@
 	group := t.groups[groupKey{q.Service, q.Version}]
 	short := Shortage{Listed: len(group)}
 	if q.Routed != nil {
-		q.Routed.prepare(p, &q, group)
+		q.Routed.prepare(p, &q, group, now)
 	}
 	for try := 0; try < pickTries && len(group) > 0; try++ {
 		short = Shortage{Listed: len(group)}
@@ -79,6 +79,9 @@
 		}
 		if r, ok := best.reserve(&q, t.rules[q.Service], now); ok {
 			r.pool = p
+			if q.Routed != nil {
+				p.mixes.add(q.Service, q.Routed.Model, q.Routed.pace.token, q.Routed.pace.token*float64(q.Prompt), now)
+			}
 			return r, short, true
 		}
 	}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -43,6 +43,7 @@
 	table  atomic.Pointer[table]
 	turn   atomic.Uint64 // of RoundRobin
 	paces  *paces
+	mixes  *mixes
 
 	mu      sync.Mutex // serialises rebuild
 	list    hostlist.List
@@ -77,7 +78,7 @@
 
 // New returns an empty pool.
 func New(spec Spec) *Pool {
-	p := &Pool{spec: spec, known: map[string]*endpoint{}, history: map[string]*limitHistory{}, paces: newPaces()}
+	p := &Pool{spec: spec, known: map[string]*endpoint{}, history: map[string]*limitHistory{}, paces: newPaces(), mixes: newMixes()}
 	p.members = members{self: spec.Self, settle: spec.Settle, departed: map[string]departed{}}
 	p.table.Store(&table{})
 	return p
@@ -165,6 +166,7 @@
 	}
 	p.keepBusy(known)
 	p.known = known
+	order(t.all)
 	p.table.Store(t)
 }
 
--- a/pool/routed.go
+++ b/pool/routed.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -13,6 +14,9 @@
 // slots: it compares what it knows of their load, which is its own requests exactly and those of the others as of the
 // last answer. Scores are milliseconds of expected delay.
 const (
+	// crowdDelay is the delay by each request that runs at the endpoint, as a part of the mean time for reading a prompt:
+	// others that are not known of are about to read theirs.
+	crowdDelay = 0.25
 	// slotDelay is the delay by other requests that run in a batch, as a part of the latency at the last slot.
 	slotDelay = 1.0
 	// batchHarm is the part of the time for reading a prompt by which it delays each request that runs beside it, summed up
@@ -58,13 +62,22 @@
 	Target time.Duration
 	Bytes  int // of the request's body
 
-	pace float64 // milliseconds for a prompt token
-	home uint64  // key of the endpoint that is the home of the prompt's shared parts, 0 for none
+	// Gap is the longest pause in a stream with which it is on time; 0 for other answers.
+	Gap time.Duration
+
+	pace     pace    // of the model
+	home     uint64  // key of the endpoint that is the home of the prompt's shared parts, 0 for none
+	from, to float64 // segment of the model
+	models   int     // in use
+	meanWork float64 // milliseconds for the prompt of a request
+	long     bool    // the prompt pauses the streams beside it
 }
 
 // prepare computes what is the same for all endpoints.
-func (q *RoutedQuery) prepare(p *Pool, all *Query, group []*endpoint) {
+func (q *RoutedQuery) prepare(p *Pool, all *Query, group []*endpoint, now time.Time) {
 	q.pace = p.paces.get(all.Service, q.Model)
+	q.from, q.to, q.models, q.meanWork = p.mixes.segment(all.Service, q.Model, now)
+	q.long = q.Gap > 0 && q.pace.token*float64(all.Prompt) > longShare*float64(q.Gap/time.Millisecond)
 	q.home = 0
 	if len(q.Parts) < 2 {
 		return
@@ -72,7 +85,7 @@
 	key := partKey(q.Model, q.Parts[len(q.Parts)-2].ID) // the last part is the request's own
 	var best uint64
 	for _, e := range group {
-		if h := rendezvous(key, e.key); h >= best && q.releaseFits(e.host.Release) {
+		if h := rendezvous(key, e.key); h >= best && q.releaseFits(e.host.Release) && e.inSegment(q) {
 			best, q.home = h, e.key
 		}
 	}
@@ -82,6 +95,28 @@
 	return (q.Release == "" || release == q.Release) && (q.NotRelease == "" || release != q.NotRelease)
 }
 
+// order numbers the endpoints of each service, failure domain and software version in the order of their keys.
+func order(all []*endpoint) {
+	type groupID struct{ service, domain, release string }
+	groups := map[groupID][]*endpoint{}
+	for _, e := range all {
+		k := groupID{e.host.Service, e.host.Domain, e.host.Release}
+		groups[k] = append(groups[k], e)
+	}
+	for _, list := range groups {
+		slices.SortFunc(list, func(a, b *endpoint) int { return cmp.Compare(a.key, b.key) })
+		for i, e := range list {
+			e.mu.Lock()
+			e.position, e.alike = i, len(list)
+			e.mu.Unlock()
+		}
+	}
+}
+
+func (e *endpoint) inSegment(q *RoutedQuery) bool {
+	return within(e.position, e.alike, q.from, q.to, q.models, q.long, q.Gap > 0 && q.to == 1)
+}
+
 // routedWork is what a request adds to an endpoint until its answer begins.
 type routedWork struct {
 	service, model string
@@ -93,7 +128,7 @@
 	if q.Routed == nil {
 		return routedWork{}
 	}
-	return routedWork{q.Service, q.Routed.Model, q.Prompt, q.Routed.pace * float64(q.Prompt)}
+	return routedWork{q.Service, q.Routed.Model, q.Prompt, q.Routed.pace.token * float64(q.Prompt)}
 }
 
 // routedState is what a daemon knows of an endpoint of a routed service.
@@ -179,7 +214,7 @@
 func (e *endpoint) reserveRouted(all *Query, r *rule, now time.Time) {
 	q := all.Routed
 	all.Prompt = e.toRead(all, now)
-	e.routed.work += q.pace * float64(all.Prompt)
+	e.routed.work += q.pace.token * float64(all.Prompt)
 	if rate := r.coldRate(); rate > 0 {
 		e.routed.tokens, e.routed.filled = e.coldTokens(rate, now)-1, now
 	}
@@ -234,14 +269,18 @@
 // routedScore estimates the delay of the request at the endpoint, and the harm that it does there.
 func (e *endpoint) routedScore(all *Query, now time.Time) float64 {
 	q := all.Routed
-	read := q.pace * float64(e.toRead(all, now))
+	read := q.pace.token * float64(e.toRead(all, now))
 	busy := float64(e.busy(now))
 	s := e.routed.work + read*(1+batchHarm*busy)
 	if e.host.Slots > 0 {
-		s += q.pace * paceTokens * slotDelay * busy / float64(e.host.Slots)
+		s += q.pace.base * slotDelay * busy / float64(e.host.Slots)
 	}
-	s = (s + q.pace*paceTokens) * e.slowness(now)
+	s = (s + q.pace.base) * e.slowness(now)
+	s += crowdDelay * q.meanWork * busy
 	s += failDelay * e.routed.failures * float64(q.Target/time.Millisecond)
+	if !e.inSegment(q) {
+		s += strayShare * float64(q.Target/time.Millisecond)
+	}
 	if !e.local {
 		s += remoteDelay + remoteKilobyte*float64(q.Bytes)/1024
 	}
@@ -265,7 +304,7 @@
 	defer e.mu.Unlock()
 	r.prefilled()
 	if measured {
-		expected := r.pool.paces.get(r.routed.service, r.routed.model) * float64(r.routed.tokens+paceTokens)
+		expected := r.pool.paces.get(r.routed.service, r.routed.model).of(r.routed.tokens)
 		r.pool.paces.observe(r.routed.service, r.routed.model, r.routed.tokens, latency)
 		e.routed.slow = e.slowness(now) // of old evidence, some is left
 		e.routed.slow += latencyAlpha * (float64(latency)/float64(time.Millisecond)/expected - e.routed.slow)
