--- a/pipeline/routed.go
+++ b/pipeline/routed.go
@@ -297,14 +297,12 @@
 // once can be asked for again.
 func (s *routedStages) relayBody(ctx context.Context) error {
 	for {
-		first := make([]byte, wholeBody)
-		n, err := io.ReadFull(s.answer.Body, first)
-		whole := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) && s.answer.Length < 0 || int64(n) == s.answer.Length
-		if err == nil || whole {
+		first, err := readStart(s.answer.Body)
+		if err == nil || err == io.EOF {
 			if err := s.begin(); err != nil {
 				return err
 			}
-			return s.relayRest(ctx, first[:n], whole)
+			return s.relayRest(ctx, first, err == io.EOF)
 		}
 		if err := s.again(ctx, err); err != nil {
 			return err
@@ -315,6 +313,20 @@
 // wholeBody is the size up to which an answer is read before it begins.
 const wholeBody = 8 << 10
 
+// readStart reads up to wholeBody bytes. It returns io.EOF if they are all there are. io.ReadFull would not do: it gives the
+// error of a cut body also for one that is merely short.
+func readStart(r io.Reader) ([]byte, error) {
+	start := make([]byte, 0, wholeBody)
+	for len(start) < cap(start) {
+		n, err := r.Read(start[len(start):cap(start)])
+		start = start[:len(start)+n]
+		if err != nil {
+			return start, err
+		}
+	}
+	return start, nil
+}
+
 // again asks another endpoint for an answer of which the caller has nothing yet.
 func (s *routedStages) again(ctx context.Context, cause error) error {
 	if ctx.Err() != nil {
