--- /dev/null
+++ b/gateway/view_test.go
@@ -0,0 +1,176 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/bramleytrail/bramleytrail/config"
+	"github.com/bramleytrail/bramleytrail/hostlist"
+	"github.com/bramleytrail/bramleytrail/kv"
+	"github.com/bramleytrail/bramleytrail/kv/memkv"
+	"github.com/bramleytrail/bramleytrail/object"
+	"github.com/bramleytrail/bramleytrail/observe"
+)
+
+// watchTimeout is the time after which a silent store's watch ends.
+const watchTimeout = 3500 * time.Millisecond
+
+// fakeStore is a key-value store that can fall silent.
+type fakeStore struct {
+	kv.Store
+	mu       sync.Mutex
+	silent   bool
+	revision uint64
+	reset    []kv.Entry // the next watch returns these as the whole content
+	calls    int
+}
+
+func (s *fakeStore) set(silent bool, reset []kv.Entry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent, s.reset = silent, reset
+}
+
+func (s *fakeStore) wait(ctx context.Context, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	<-ctx.Done()
+	return kv.ErrUnavailable
+}
+
+// Get implements kv.Store.
+func (s *fakeStore) Get(ctx context.Context, _ string) (kv.Entry, error) {
+	s.mu.Lock()
+	silent := s.silent
+	s.calls++
+	s.mu.Unlock()
+	if silent {
+		return kv.Entry{}, s.wait(ctx, time.Second)
+	}
+	return kv.Entry{}, kv.ErrNotFound
+}
+
+// Watch implements kv.Store. It returns at once when there is a new content, else after its time limit.
+func (s *fakeStore) Watch(ctx context.Context, _ string, _ uint64) (kv.Changes, error) {
+	for range 100 {
+		s.mu.Lock()
+		silent, reset := s.silent, s.reset
+		s.reset = nil
+		if reset != nil {
+			s.revision++
+		}
+		revision := s.revision
+		s.mu.Unlock()
+		switch {
+		case silent:
+			return kv.Changes{}, s.wait(ctx, watchTimeout)
+		case reset != nil:
+			return kv.Changes{Reset: true, Entries: reset, Revision: revision}, nil
+		}
+		_ = s.wait(ctx, 25*time.Millisecond)
+	}
+	return kv.Changes{Revision: s.revision}, nil
+}
+
+// fakeDocuments knows endpoints only, whose values are their addresses.
+type fakeDocuments struct{}
+
+func (fakeDocuments) Set(map[string]kv.Entry) (object.Set, uint64, bool, error) {
+	return object.Set{}, 0, false, nil
+}
+
+func (fakeDocuments) Endpoint(e kv.Entry, _ time.Time) (hostlist.Host, error) {
+	return hostlist.Host{ID: e.Key, Role: hostlist.RoleEndpoint, Service: "s", Domain: "a", Addr: string(e.Value), State: hostlist.StateLive, Release: "v1"}, nil
+}
+
+func (fakeDocuments) Kind(key string) Kind {
+	if key[0] == 'e' {
+		return KindEndpoint
+	}
+	return KindOther
+}
+
+func (fakeDocuments) Status(object.Release) (string, []byte, error) { return "", nil, nil }
+
+func testGateway(store kv.Store) *Gateway {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	g := New(Spec{Name: "d0", Domain: "a", CallerAddr: "127.0.0.1:0", ReadyAddr: "127.0.0.1:0", Grace: time.Second, MemoryBytes: 64 << 20, Store: store,
+		Documents: fakeDocuments{}, Log: log, Metrics: observe.NewMetrics()})
+	set := object.Set{FailureDomains: []object.FailureDomain{{Name: "a", State: object.DomainIn}}, Services: []object.Service{{Name: "s", Type: object.ServicePlain, Routed: &object.RoutedService{}}}}
+	g.config.Put(config.Index(config.Revision{Number: 1}, set))
+	return g
+}
+
+// Guards against a daemon that asks a silent store again only after the watch's own time limit, and then serves with an
+// old configuration after the store is back (CONFIG, nac-hulling trouble-3).
+func TestStoreNoticedSoonAfterItsReturn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeStore{reset: []kv.Entry{{Key: "e1", Value: []byte("a:1")}}}
+		g := testGateway(store)
+		go g.view.run()
+		time.Sleep(time.Second)
+		for _, outage := range []time.Duration{2 * time.Second, 7900 * time.Millisecond, 11300 * time.Millisecond} {
+			store.set(true, nil)
+			time.Sleep(watchTimeout + outage)
+			store.set(false, []kv.Entry{{Key: "e1", Value: []byte("a:1")}, {Key: "e2", Value: []byte("a:2")}})
+			back := time.Now()
+			for g.pool.Usable("s", "v1", time.Now()) < 2 {
+				time.Sleep(10 * time.Millisecond)
+			}
+			if d := time.Since(back); d > 1500*time.Millisecond {
+				t.Errorf("store noticed %v after its return", d)
+			}
+			store.set(false, []kv.Entry{{Key: "e1", Value: []byte("a:1")}})
+			time.Sleep(lapsedKeep + 3*time.Second)
+			if n := g.pool.Usable("s", "v1", time.Now()); n != 1 {
+				t.Errorf("%d endpoints after one is gone for longer than %v", n, lapsedKeep)
+			}
+		}
+		g.cancel()
+	})
+}
+
+// Guards against endpoints that are forgotten at once when their entries lapsed while the store was away.
+func TestLapsedEntriesStayForAWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeStore{reset: []kv.Entry{{Key: "e1", Value: []byte("a:1")}, {Key: "e2", Value: []byte("a:2")}}}
+		g := testGateway(store)
+		go g.view.run()
+		time.Sleep(time.Second)
+		store.set(false, []kv.Entry{})
+		time.Sleep(time.Second)
+		if n := g.pool.Usable("s", "v1", time.Now()); n != 2 {
+			t.Errorf("%d endpoints one second after their entries lapsed", n)
+		}
+		g.cancel()
+	})
+}
+
+// Guards against a membership that is lost for good when its lease lapses.
+func TestMembershipReturns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memkv.New()
+		g := testGateway(store)
+		go g.view.run()
+		go g.join()
+		time.Sleep(time.Second)
+		if n := g.members(); n != 1 {
+			t.Errorf("%d members", n)
+		}
+		if err := store.Revoke(t.Context(), kv.LeaseID(g.view.lease.Load())); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(3 * memberTTL)
+		if _, err := store.Get(t.Context(), memberPrefix+"d0"); err != nil {
+			t.Errorf("membership after its lease lapsed: %v", err)
+		}
+		g.cancel()
+	})
+}
--- /dev/null
+++ b/pool/routed_test.go
@@ -0,0 +1,234 @@
+package pool
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/bramleytrail/bramleytrail/config"
+	"github.com/bramleytrail/bramleytrail/engine"
+	"github.com/bramleytrail/bramleytrail/hostlist"
+	"github.com/bramleytrail/bramleytrail/object"
+)
+
+// routedPool returns the pool of a daemon before a routed service "llm" with n endpoints in each of two failure domains.
+func routedPool(self string, daemons, n int, coldPerSecond float64, now time.Time, change func(*hostlist.Host)) *Pool {
+	p := New(Spec{Self: self, Domain: "a", Settle: time.Second, Rand: func() uint64 { return 0 }})
+	set := object.Set{
+		FailureDomains: []object.FailureDomain{{Name: "a", State: object.DomainIn}, {Name: "b", State: object.DomainIn}},
+		Services:       []object.Service{{Name: "llm", Type: object.ServicePlain, Routed: &object.RoutedService{ColdPerSecond: coldPerSecond}}},
+	}
+	p.SetView(config.Index(config.Revision{Number: 1}, set), now)
+	var list hostlist.List
+	for i := range daemons {
+		list.Hosts = append(list.Hosts, hostlist.Host{ID: fmt.Sprintf("d%d", i), Role: hostlist.RoleEntry, Domain: "a"})
+	}
+	for _, domain := range []string{"a", "b"} {
+		for i := range n {
+			h := hostlist.Host{ID: fmt.Sprintf("%s%d", domain, i), Role: hostlist.RoleEndpoint, Domain: domain, State: hostlist.StateLive,
+				Addr: fmt.Sprintf("%s%d:1", domain, i), Service: "llm", Release: "v1", Slots: 8}
+			if change != nil {
+				change(&h)
+			}
+			list.Hosts = append(list.Hosts, h)
+		}
+	}
+	p.SetHosts(list, now)
+	return p
+}
+
+func routedQuery(model string, prompt int64, parts ...engine.Part) Query {
+	return Query{Service: "llm", Prompt: prompt, Routed: &RoutedQuery{Model: model, Parts: parts, Target: time.Second, Gap: time.Second}}
+}
+
+// Guards against daemons that together send a cold endpoint more than it bears in a second.
+func TestColdEndpointOverAllDaemons(t *testing.T) {
+	const daemons, limit = 9, 18.0
+	start := time.Unix(1000, 0)
+	cold := func(h *hostlist.Host) { h.ColdUntil = start.Add(time.Minute) }
+	sent := 0
+	var pools []*Pool
+	for i := range daemons {
+		pools = append(pools, routedPool(fmt.Sprintf("d%d", i), daemons, 1, limit, start, cold))
+	}
+	for ms := range 1000 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		for _, p := range pools {
+			q := routedQuery("m", 10)
+			q.Exclude = []string{"b0"}
+			if r, _, ok := p.Pick(q, now); ok {
+				sent++
+				r.Release(Succeeded, now)
+			}
+		}
+	}
+	if sent > limit {
+		t.Errorf("%d requests in a second, the endpoint bears %.0f", sent, limit)
+	}
+	if sent < limit/2 {
+		t.Errorf("%d requests in a second, half of %.0f are possible", sent, limit)
+	}
+}
+
+// Guards against a request on a version of the software that it must not reach.
+func TestReleaseRestriction(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := routedPool("d0", 1, 4, 0, now, func(h *hostlist.Host) {
+		if h.ID == "a1" || h.ID == "b2" {
+			h.Release = "v2"
+		}
+	})
+	for range 50 {
+		q := routedQuery("m", 10)
+		q.Routed.Release = "v2"
+		r, _, ok := p.Pick(q, now)
+		if !ok || r.SoftwareRelease() != "v2" {
+			t.Fatalf("%q for v2", r.ID)
+		}
+		r.Release(Succeeded, now)
+		q = routedQuery("m", 10)
+		q.Routed.NotRelease = "v2"
+		r, _, ok = p.Pick(q, now)
+		if !ok || r.SoftwareRelease() == "v2" {
+			t.Fatalf("%q for other versions than v2", r.ID)
+		}
+		r.Release(Succeeded, now)
+	}
+}
+
+// Guards against traffic between failure domains while the own endpoints are idle.
+func TestOwnDomainFirst(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := routedPool("d0", 1, 3, 0, now, nil)
+	for range 30 {
+		r, _, ok := p.Pick(routedQuery("m", 10), now)
+		if !ok || r.Domain != "a" {
+			t.Fatalf("endpoint %q in %q", r.ID, r.Domain)
+		}
+		r.Release(Succeeded, now)
+	}
+}
+
+// Guards against daemons that send prompts with the same parts to different endpoints, where each reads them again.
+func TestDaemonsAgreeOnHome(t *testing.T) {
+	now := time.Unix(1000, 0)
+	agree := 0
+	for i := range 40 {
+		parts := []engine.Part{{ID: 1, Tokens: 500}, {ID: uint64(100 + i), Tokens: 5000}, {ID: uint64(9000 + i), Tokens: 500}}
+		first, _, _ := routedPool("d0", 2, 4, 0, now, nil).Pick(routedQuery("m", 6000, parts...), now)
+		second, _, _ := routedPool("d1", 2, 4, 0, now, nil).Pick(routedQuery("m", 6000, parts...), now)
+		if first.ID == second.ID {
+			agree++
+		}
+	}
+	if agree != 40 {
+		t.Errorf("%d of 40 prompts have the same endpoint at two daemons", agree)
+	}
+}
+
+// Guards against an endpoint that is several times slower than the others and gets as many requests.
+func TestSlowEndpointGetsLess(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := routedPool("d0", 1, 3, 0, now, nil)
+	counts := map[string]int{}
+	for range 300 {
+		r, _, ok := p.Pick(routedQuery("", 0), now)
+		if !ok {
+			t.Fatal("no endpoint")
+		}
+		counts[r.ID]++
+		latency := 30 * time.Millisecond
+		if r.ID == "a0" {
+			latency *= 5
+		}
+		now = now.Add(20 * time.Millisecond)
+		r.Answered(latency, true, nil, 0, now)
+		r.Release(Succeeded, now)
+	}
+	if counts["a0"] > 300/10 {
+		t.Errorf("the slow endpoint got %v of 300", counts)
+	}
+	if counts["a0"] == 0 {
+		t.Error("the slow endpoint is never tried again")
+	}
+}
+
+// Guards against an endpoint that loses many answers and gets as many requests.
+func TestFailingEndpointGetsLess(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := routedPool("d0", 1, 3, 0, now, nil)
+	counts := map[string]int{}
+	for i := range 300 {
+		r, _, ok := p.Pick(routedQuery("", 0), now)
+		if !ok {
+			t.Fatal("no endpoint")
+		}
+		counts[r.ID]++
+		now = now.Add(20 * time.Millisecond)
+		if r.ID == "a0" && i%2 == 0 {
+			r.Release(Dropped, now)
+			continue
+		}
+		r.Release(Succeeded, now)
+	}
+	if counts["a0"] > 300/5 {
+		t.Errorf("the failing endpoint got %v of 300", counts)
+	}
+}
+
+// Guards against a full endpoint that is sent more, as other daemons' requests are known from its answers.
+func TestOthersRequestsCount(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := routedPool("d0", 1, 1, 0, now, nil)
+	r, _, _ := p.Pick(routedQuery("m", 10), now)
+	r.Answered(time.Millisecond, true, &engine.SlotLoad{Running: 8, Slots: 8}, 0, now)
+	if next, _, ok := p.Pick(routedQuery("m", 10), now); ok && next.ID == r.ID {
+		t.Errorf("a full endpoint was chosen again")
+	}
+	later := now.Add(2 * othersTTL)
+	if _, _, ok := p.Pick(routedQuery("m", 10), later); !ok {
+		t.Error("no endpoint after the report is old")
+	}
+}
+
+// Guards against a model without an endpoint, and against segments that overlap.
+func TestSegments(t *testing.T) {
+	for n := 2; n <= 12; n++ {
+		for share := 0.01; share < 1; share += 0.07 {
+			for position := range n {
+				small := within(position, n, 0, share, 2, false, false)
+				large := within(position, n, share, 1, 2, false, false)
+				if small == large {
+					t.Errorf("position %d of %d at %.2f: small %v, large %v", position, n, share, small, large)
+				}
+			}
+			for _, long := range []bool{true, false} {
+				count := 0
+				for position := range n {
+					if within(position, n, share, 1, 2, long, true) {
+						count++
+					}
+				}
+				if count == 0 {
+					t.Errorf("no endpoint of %d for the large model at %.2f, long %v", n, share, long)
+				}
+			}
+		}
+	}
+	if !within(0, 1, 0.5, 1, 2, true, true) {
+		t.Error("the only endpoint is in no segment")
+	}
+}
+
+// Guards against a pace that takes the fixed part of the time for the prompt's.
+func TestPace(t *testing.T) {
+	p := newPaces()
+	for i := range 400 {
+		tokens := int64(i * 37 % 5000)
+		p.observe("llm", "m", tokens, time.Duration(50+0.02*float64(tokens))*time.Millisecond)
+	}
+	got := p.get("llm", "m")
+	if got.base < 40 || got.base > 60 || got.token < 0.015 || got.token > 0.025 {
+		t.Errorf("pace %+v, want 50 ms and 0.02 ms a token", got)
+	}
+}
--- /dev/null
+++ b/relay/events_test.go
@@ -0,0 +1,63 @@
+package relay
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"testing"
+)
+
+func readEvents(r io.Reader) (whole string, numbers []int64, err error) {
+	er := NewEventReader(r)
+	var b strings.Builder
+	for {
+		event, n, err := er.Next()
+		if err != nil {
+			return b.String(), numbers, err
+		}
+		b.Write(event)
+		numbers = append(numbers, n)
+	}
+}
+
+// Guards against a torn event that is passed on, and events that are changed on the way.
+func TestEventReader(t *testing.T) {
+	for name, tc := range map[string]struct {
+		in, out string
+		numbers []int64
+		err     error
+	}{
+		"whole":          {"id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", []int64{1, 2}, io.EOF},
+		"torn line":      {"id: 1\ndata: a\n\nid: 2\nda", "id: 1\ndata: a\n\n", []int64{1}, io.ErrUnexpectedEOF},
+		"torn event":     {"id: 1\ndata: a\n\nid: 2\ndata: b\n", "id: 1\ndata: a\n\n", []int64{1}, io.ErrUnexpectedEOF},
+		"carriage":       {"id: 7\r\ndata: a\r\n\r\n", "id: 7\r\ndata: a\r\n\r\n", []int64{7}, io.EOF},
+		"without number": {"data: a\n\n", "data: a\n\n", []int64{0}, io.EOF},
+		"blank lines":    {"\n\nid: 1\n\n\n", "id: 1\n\n", []int64{1}, io.EOF},
+		"bad number":     {"id: x\n\n", "", nil, ErrEvent},
+		"empty":          {"", "", nil, io.EOF},
+		"long":           {"id: 1\ndata: " + strings.Repeat("a", 10000) + "\n\n", "id: 1\ndata: " + strings.Repeat("a", 10000) + "\n\n", []int64{1}, io.EOF},
+		"too long":       {strings.Repeat("a", maxEventBytes+1), "", nil, ErrEvent},
+	} {
+		out, numbers, err := readEvents(strings.NewReader(tc.in))
+		if out != tc.out || len(numbers) != len(tc.numbers) || !errors.Is(err, tc.err) {
+			t.Errorf("%s: %.40q %v %v", name, out, numbers, err)
+		}
+		for i := range min(len(numbers), len(tc.numbers)) {
+			if numbers[i] != tc.numbers[i] {
+				t.Errorf("%s: numbers %v", name, numbers)
+			}
+		}
+	}
+}
+
+// FuzzEventReader guards against a panic, and against bytes that were not sent.
+func FuzzEventReader(f *testing.F) {
+	f.Add("id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
+	f.Add("\r\n\r\nid:\n\n")
+	f.Fuzz(func(t *testing.T, in string) {
+		out, _, err := readEvents(strings.NewReader(in))
+		if err == nil || len(out) > len(in) {
+			t.Errorf("%q from %q, %v", out, in, err)
+		}
+	})
+}
