gateway: sessions in use keep their version during a trial; watches bounded by the settings

The daemons now tell each other by datagrams which sessions of the trial's share are in use, for the time of a session before the trial begins, and which phase a release has reached. Tried and given up: watches of 20 s with renewals of the lease as the sign of life.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/bramleytrail/bramleytrail/entry"
 	"github.com/bramleytrail/bramleytrail/hostlist"
 	"github.com/bramleytrail/bramleytrail/kv"
+	"github.com/bramleytrail/bramleytrail/notice"
 	"github.com/bramleytrail/bramleytrail/object"
 	"github.com/bramleytrail/bramleytrail/observe"
 	"github.com/bramleytrail/bramleytrail/pipeline"
@@ -50,9 +51,8 @@
 	// budgetShare is the part of the operators' retry budget that is used, since requests and retries are counted at
 	// different times.
 	budgetShare = 0.8
-	// memberTTL is the lease of this daemon's entry, renewed memberRenewals times within it.
-	memberTTL      = 6 * time.Second
-	memberRenewals = 3
+	// memberTTL is the lease of this daemon's entry; it is renewed several times within it.
+	memberTTL = 6 * time.Second
 	// settle is the time within which every daemon has seen a change of the members.
 	settle = 2 * time.Second
 )
@@ -86,6 +86,9 @@
 	CallerAddr  string
 	ReadyAddr   string
 	MetricsAddr string
+	PeerAddr    string        // for messages between daemons; empty for none
+	SessionGap  time.Duration // between requests that belong to one session
+	Propagation time.Duration // within which a change has to be in force
 	Grace       time.Duration // from the signal to stop until the process has to end
 	MemoryBytes int64
 	// RetryRatio and RetryReserve bound the further attempts of all daemons at a service.
@@ -118,6 +121,7 @@
 	ready    *http.Server
 	metrics  *http.Server
 	leaving  atomic.Bool
+	notices  atomic.Pointer[notice.Exchange] // nil until Start, or without an address
 	ctx      context.Context
 	cancel   context.CancelFunc
 	wg       sync.WaitGroup
@@ -176,6 +180,13 @@
 	if err := g.entry.Start(); err != nil {
 		return err
 	}
+	if g.spec.PeerAddr != "" {
+		x, err := notice.Listen(g.spec.PeerAddr, g.releases.hear)
+		if err != nil {
+			return err
+		}
+		g.notices.Store(x)
+	}
 	g.wg.Go(g.view.run)
 	g.wg.Go(g.join)
 	g.wg.Go(g.releases.run)
@@ -232,6 +243,9 @@
 	}
 	g.cancel()
 	g.view.leave()
+	if x := g.notices.Load(); x != nil {
+		x.Close()
+	}
 	g.log.WithField("seconds", time.Since(start).Seconds()).Info("daemon stopped")
 	return err
 }
--- a/gateway/releases.go
+++ b/gateway/releases.go
@@ -11,6 +11,7 @@
 
 	"github.com/bramleytrail/bramleytrail/config"
 	"github.com/bramleytrail/bramleytrail/kv"
+	"github.com/bramleytrail/bramleytrail/notice"
 	"github.com/bramleytrail/bramleytrail/object"
 	"github.com/bramleytrail/bramleytrail/pause"
 	"github.com/bramleytrail/bramleytrail/release"
@@ -23,6 +24,8 @@
 	rankDelay = 1200 * time.Millisecond
 	// evidencePause is the least time between two writes of a daemon's evidence.
 	evidencePause = 2 * time.Second
+	// sessionMargin is added to the time within which requests belong to one session, for messages on their way.
+	sessionMargin = 500 * time.Millisecond
 	// reportAt is the part of a release's duration at which daemons tell what they have seen, before the decision.
 	reportAt = 0.45
 )
@@ -49,7 +52,8 @@
 	written  release.Evidence // as last written
 	writtenAt,
 	due time.Time // when this daemon writes a decision that it has made
-	pending release.Phase
+	pending  release.Phase
+	sessions *release.Sessions // in use on the old version
 }
 
 // releases follows the releases of services.
@@ -86,13 +90,83 @@
 		}
 		return "", ""
 	case release.Trial:
-		if !again && release.OnTrial(session, r.g.spec.ExposureShare) && r.g.pool.Usable(service, rel.Target, time.Now()) > 0 {
+		if !again && r.onTrial(rel, session, time.Now()) {
 			return rel.Target, ""
 		}
 	}
 	return "", rel.Target
 }
 
+// onTrial reports whether a session goes to the new version first. Those that are in use on the old version stay there.
+// For the time within which requests belong to one session, the daemons only tell each other which are in use.
+func (r *releases) onTrial(rel *object.Release, session uint64, now time.Time) bool {
+	if !release.OnTrial(session, r.g.spec.ExposureShare) || r.g.pool.Usable(rel.Service, rel.Target, now) == 0 {
+		return false
+	}
+	r.mu.Lock()
+	t := r.tracked[rel.Service]
+	r.mu.Unlock()
+	if t == nil || t.order != rel.Order || now.Sub(t.seen) < r.g.spec.SessionGap+sessionMargin {
+		return false
+	}
+	return !t.sessions.InUse(session, now)
+}
+
+// Used implements pipeline.Releases.
+func (r *releases) Used(service, version string, session uint64, limit time.Duration, ended bool) {
+	r.mu.Lock()
+	t := r.tracked[service]
+	r.mu.Unlock()
+	if t == nil || version == t.target || !release.OnTrial(session, r.g.spec.ExposureShare) {
+		return
+	}
+	r.mu.Lock()
+	phase := t.phase
+	r.mu.Unlock()
+	if phase != release.Trial {
+		return
+	}
+	use := r.g.spec.SessionGap + sessionMargin
+	if !ended {
+		use += limit
+	}
+	now := time.Now()
+	t.sessions.Use(session, now.Add(use), now)
+	r.tell(notice.Message{Service: service, Order: t.order, Session: session, For: use})
+}
+
+func (r *releases) tell(m notice.Message) {
+	x := r.g.notices.Load()
+	if x == nil {
+		return
+	}
+	if err := x.Send(m); err != nil {
+		r.g.log.WithField("service", m.Service).WithError(err).Debug("message to the other daemons not sent")
+	}
+}
+
+// hear takes a message of another daemon.
+func (r *releases) hear(m notice.Message) {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := r.tracked[m.Service]
+	if t == nil || t.order != m.Order {
+		return
+	}
+	if m.Phase == "" {
+		t.sessions.Use(m.Session, now.Add(min(m.For, maxUse)), now)
+		return
+	}
+	if p := release.Phase(m.Phase); p == release.Moved && t.phase == release.Trial || p == release.Reverted && t.phase != release.Completed && t.phase != p {
+		r.g.log.WithField("service", m.Service).WithField("order", m.Order).WithField("phase", t.phase).WithField("next", p).Info("release's phase heard")
+		t.phase = p
+	}
+}
+
+// maxUse bounds the time for which a message keeps a session on the old version.
+const maxUse = time.Minute
+
 func (r *releases) phase(rel *object.Release) release.Phase {
 	switch rel.State {
 	case object.ReleaseCompleted:
@@ -152,6 +226,7 @@
 	shared := r.sharedPhase(rel)
 	total := r.total(rel, t)
 	r.mu.Lock()
+	before := t.phase
 	if t.phase != release.Reverted && t.phase != release.Completed && later(shared, t.phase) {
 		r.log(rel, t, shared, total).Info("release's phase learned")
 		t.phase = shared
@@ -165,8 +240,11 @@
 		t.pending = next
 		t.due = now.Add(time.Duration(r.g.view.rank()) * rankDelay)
 	}
-	due := !now.Before(t.due)
+	due, after := !now.Before(t.due), t.phase
 	r.mu.Unlock()
+	if after != before {
+		r.tell(notice.Message{Service: rel.Service, Order: rel.Order, Phase: string(after)})
+	}
 	r.writeEvidence(rel, t, now)
 	if due {
 		r.write(rel, t, next, total)
@@ -178,7 +256,7 @@
 	defer r.mu.Unlock()
 	t := r.tracked[rel.Service]
 	if t == nil || t.order != rel.Order {
-		t = &tracked{order: rel.Order, target: rel.Target, seen: now, phase: release.Trial}
+		t = &tracked{order: rel.Order, target: rel.Target, seen: now, phase: release.Trial, sessions: release.NewSessions()}
 		r.tracked[rel.Service] = t
 		r.g.log.WithField("service", rel.Service).WithField("target", rel.Target).WithField("order", rel.Order).Info("release ordered")
 	}
@@ -297,9 +375,16 @@
 		r.g.log.WithError(err).Error("phase not encoded")
 		return
 	}
-	if r.cas(releaseKey(rel.Service), value, 0) {
-		r.log(rel, t, next, total).Info("release's phase written")
+	if !r.cas(releaseKey(rel.Service), value, 0) {
+		return
 	}
+	r.mu.Lock()
+	r.log(rel, t, next, total).Info("release's phase written")
+	if t.phase == release.Trial {
+		t.phase = next
+	}
+	r.mu.Unlock()
+	r.tell(notice.Message{Service: rel.Service, Order: rel.Order, Phase: string(next)})
 }
 
 // cas writes a value if the entry is as this daemon knows it.
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -17,6 +17,9 @@
 	"github.com/bramleytrail/bramleytrail/pause"
 )
 
+// memberSeparator stands between the failure domain and the address in a member's entry.
+const memberSeparator = " "
+
 // Keys of the gateway in the store.
 const (
 	ownPrefix     = "bramleytrail/"
@@ -25,8 +28,13 @@
 )
 
 const (
-	// watchPause is the least time between two watches. Changes in quick succession cost one call together.
+	// watchShare is the part of the time within which a change has to be in force that may pass between two watches, so that
+	// changes in quick succession cost one call together; watchPause applies if that time is not known.
+	watchShare = 0.2
 	watchPause = 250 * time.Millisecond
+	// livenessPause is the time between two renewals of the membership, which also show that the store answers. A renewal
+	// costs a tenth of a watch.
+	livenessPause = 1500 * time.Millisecond
 	// retryFirst and retryMost are the pauses after a failed call of the store.
 	retryFirst, retryMost = 150 * time.Millisecond, 600 * time.Millisecond
 	// probeTimeout bounds the call that finds out whether a lost store is back. A watch would wait for longer than its
@@ -52,10 +60,11 @@
 	confirmed atomic.Int64 // Unix nanoseconds of the last answer of the store
 	hasList   atomic.Bool
 	lease     atomic.Uint64
+	suspected chan struct{} // another call of the store failed
 }
 
 func newStoreView(g *Gateway) *storeView {
-	return &storeView{g: g, operator: map[string]kv.Entry{}, endpoints: map[string]hostlist.Host{}, own: map[string]kv.Entry{}, lapsed: map[string]time.Time{}}
+	return &storeView{g: g, operator: map[string]kv.Entry{}, endpoints: map[string]hostlist.Host{}, own: map[string]kv.Entry{}, lapsed: map[string]time.Time{}, suspected: make(chan struct{}, 1)}
 }
 
 // listed reports whether the store's content was read since the start.
@@ -89,7 +98,7 @@
 			err = v.probe()
 		}
 		if err == nil {
-			changes, err = v.g.spec.Store.Watch(v.g.ctx, "", revision)
+			changes, err = v.watch(revision)
 		}
 		if err != nil {
 			if v.g.ctx.Err() != nil {
@@ -110,12 +119,48 @@
 		v.confirmed.Store(time.Now().UnixNano())
 		v.apply(changes, time.Now())
 		v.hasList.Store(true)
-		if rest := watchPause - time.Since(start); rest > 0 {
+		if rest := v.pause() - time.Since(start); rest > 0 {
 			_ = pause.For(v.g.ctx, rest)
 		}
 	}
 }
 
+// pause returns the least time between two watches.
+func (v *storeView) pause() time.Duration {
+	if p := v.g.spec.Propagation; p > 0 {
+		return time.Duration(watchShare * float64(p))
+	}
+	return watchPause
+}
+
+// watch waits for changes. It gives up when another call shows that the store does not answer.
+func (v *storeView) watch(revision uint64) (kv.Changes, error) {
+	select {
+	case <-v.suspected: // of before
+	default:
+	}
+	ctx, cancel := context.WithCancel(v.g.ctx)
+	defer cancel()
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		select {
+		case <-v.suspected:
+			cancel()
+		case <-done:
+		}
+	}()
+	return v.g.spec.Store.Watch(ctx, "", revision)
+}
+
+// suspect notes that a call of the store failed.
+func (v *storeView) suspect() {
+	select {
+	case v.suspected <- struct{}{}:
+	default:
+	}
+}
+
 // probe reports whether the store answers.
 func (v *storeView) probe() error {
 	ctx, cancel := context.WithTimeout(v.g.ctx, probeTimeout)
@@ -147,12 +192,27 @@
 	}
 	if changed[KindEndpoint] || changed[KindOther] || expired {
 		v.g.pool.SetHosts(hostlist.List{Hosts: hosts}, now)
+		v.setPeers(hosts)
 	}
 	if len(c.Entries) > 0 {
 		v.g.releases.signal()
 	}
 }
 
+func (v *storeView) setPeers(hosts []hostlist.Host) {
+	x := v.g.notices.Load()
+	if x == nil {
+		return
+	}
+	var addrs []string
+	for _, h := range hosts {
+		if h.Role == hostlist.RoleEntry && h.ID != v.g.spec.Name && h.Addr != "" {
+			addrs = append(addrs, h.Addr)
+		}
+	}
+	x.SetPeers(addrs)
+}
+
 // reset forgets what a new list may lack. Endpoints stay in use for a time.
 func (v *storeView) reset(now time.Time) {
 	v.operator = map[string]kv.Entry{}
@@ -241,7 +301,8 @@
 	list := slices.Collect(maps.Values(v.endpoints))
 	for key, e := range v.own {
 		if id, ok := strings.CutPrefix(key, memberPrefix); ok {
-			list = append(list, hostlist.Host{ID: id, Role: hostlist.RoleEntry, Domain: string(e.Value), State: hostlist.StateLive})
+			domain, addr, _ := strings.Cut(string(e.Value), memberSeparator)
+			list = append(list, hostlist.Host{ID: id, Role: hostlist.RoleEntry, Domain: domain, Addr: addr, State: hostlist.StateLive})
 		}
 	}
 	slices.SortFunc(list, func(a, b hostlist.Host) int { return strings.Compare(a.ID, b.ID) })
@@ -311,6 +372,7 @@
 	for g.ctx.Err() == nil {
 		lease, err := g.enter()
 		if err != nil {
+			g.view.suspect()
 			_ = pause.For(g.ctx, wait)
 			wait = min(retryMost, 2*wait)
 			continue
@@ -331,24 +393,33 @@
 	if e, ok := g.view.entry(key); ok {
 		prev = e.Revision
 	}
-	_, err = g.spec.Store.CAS(g.ctx, key, []byte(g.spec.Domain), prev, lease)
+	_, err = g.spec.Store.CAS(g.ctx, key, []byte(g.spec.Domain+memberSeparator+g.spec.PeerAddr), prev, lease)
 	return lease, err
 }
 
 // keep renews the lease until it has ended.
 func (g *Gateway) keep(lease kv.LeaseID) {
 	for {
-		if pause.For(g.ctx, memberTTL/memberRenewals) != nil {
+		if pause.For(g.ctx, livenessPause) != nil {
 			return
 		}
-		err := g.spec.Store.KeepAlive(g.ctx, lease)
-		if err == kv.ErrNoLease {
+		err := g.renew(lease)
+		if errors.Is(err, kv.ErrNoLease) {
 			g.log.Info("membership lapsed")
 			return
 		}
+		if err != nil {
+			g.view.suspect()
+		}
 	}
 }
 
+func (g *Gateway) renew(lease kv.LeaseID) error {
+	ctx, cancel := context.WithTimeout(g.ctx, probeTimeout)
+	defer cancel()
+	return g.spec.Store.KeepAlive(ctx, lease)
+}
+
 // leave ends this daemon's membership.
 func (v *storeView) leave() {
 	lease := v.lease.Load()
--- a/gateway/view_test.go
+++ b/gateway/view_test.go
@@ -14,8 +14,10 @@
 	"github.com/bramleytrail/bramleytrail/hostlist"
 	"github.com/bramleytrail/bramleytrail/kv"
 	"github.com/bramleytrail/bramleytrail/kv/memkv"
+	"github.com/bramleytrail/bramleytrail/notice"
 	"github.com/bramleytrail/bramleytrail/object"
 	"github.com/bramleytrail/bramleytrail/observe"
+	"github.com/bramleytrail/bramleytrail/release"
 )
 
 // watchTimeout is the time after which a silent store's watch ends.
@@ -174,3 +176,92 @@
 		g.cancel()
 	})
 }
+
+// trialGateway is a gateway with a release of service "s" under way, to which one endpoint of each version belongs.
+func trialGateway(t *testing.T) (*Gateway, *object.Release) {
+	t.Helper()
+	store := &fakeStore{reset: []kv.Entry{{Key: "e1", Value: []byte("a:1")}}}
+	g := testGateway(store)
+	g.spec.ExposureShare, g.spec.SessionGap = 1, 2*time.Second
+	rel := &object.Release{Service: "s", Target: "v2", Duration: time.Minute, State: object.ReleaseRunning, Order: 7}
+	g.pool.SetHosts(hostlist.List{Hosts: []hostlist.Host{
+		{ID: "e1", Role: hostlist.RoleEndpoint, Service: "s", Domain: "a", Addr: "a:1", State: hostlist.StateLive, Release: "v1"},
+		{ID: "e2", Role: hostlist.RoleEndpoint, Service: "s", Domain: "a", Addr: "a:2", State: hostlist.StateLive, Release: "v2"},
+	}}, time.Now())
+	g.releases.track(rel, time.Now())
+	return g, rel
+}
+
+// trialSession returns a session that belongs to the share on trial.
+func trialSession(g *Gateway) uint64 {
+	for s := uint64(1); ; s++ {
+		if release.OnTrial(s, g.spec.ExposureShare) {
+			return s
+		}
+	}
+}
+
+// Guards against a session that changes its version while it is in use, also at another daemon (PINNED, nac-hulling-grown
+// quiet-1 --small).
+func TestTrialLeavesSessionsInUse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, rel := trialGateway(t)
+		session := trialSession(g)
+		view := config.Index(config.Revision{Number: 2}, object.Set{Releases: []object.Release{*rel}})
+		onTrial := func() bool {
+			only, _ := g.releases.Assign(view, "s", session, false)
+			return only == "v2"
+		}
+		if onTrial() {
+			t.Error("on trial before the daemons could tell each other which sessions are in use")
+		}
+		time.Sleep(3 * time.Second)
+		g.releases.hear(notice.Message{Service: "s", Order: 7, Session: session, For: 4 * time.Second})
+		if onTrial() {
+			t.Error("a session that another daemon serves on the old version is on trial")
+		}
+		g.releases.hear(notice.Message{Service: "s", Order: 6, Session: session, For: time.Minute})
+		time.Sleep(4 * time.Second)
+		if !onTrial() {
+			t.Error("a session that is no longer in use is not on trial")
+		}
+		if only, not := g.releases.Assign(view, "s", session, true); only != "" || not != "v2" {
+			t.Errorf("after a failure the session goes to %q, not to %q", only, not)
+		}
+		g.releases.Used("s", "v1", session, 5*time.Second, false)
+		if onTrial() {
+			t.Error("a session with a request on the old version is on trial")
+		}
+		g.releases.hear(notice.Message{Service: "s", Order: 7, Phase: string(release.Moved)})
+		if !onTrial() {
+			t.Error("a session stays on the old version after all were moved")
+		}
+		g.releases.hear(notice.Message{Service: "s", Order: 7, Phase: string(release.Reverted)})
+		if onTrial() {
+			t.Error("a session goes to a version that was taken back")
+		}
+		g.releases.hear(notice.Message{Service: "s", Order: 7, Phase: string(release.Moved)})
+		if onTrial() {
+			t.Error("an old message brings back a version that was taken back")
+		}
+		g.cancel()
+	})
+}
+
+// Guards against a version that goes on although this daemon alone has seen that it fails.
+func TestBadReleaseTakenBackAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, rel := trialGateway(t)
+		for range 20 {
+			g.releases.Count("s", "v1", false, 100*time.Millisecond)
+		}
+		for i := range 8 {
+			g.releases.Count("s", "v2", i%2 == 0, 100*time.Millisecond)
+		}
+		g.releases.step(rel, time.Now())
+		if p := g.releases.phase(rel); p != release.Reverted {
+			t.Errorf("phase %s", p)
+		}
+		g.cancel()
+	})
+}
--- a/pipeline/routed.go
+++ b/pipeline/routed.go
@@ -43,6 +43,8 @@
 	// Assign returns the versions to which a request is restricted, see pool.RoutedQuery. One that is sent again goes to no
 	// version that is on trial.
 	Assign(view *config.View, service string, session uint64, again bool) (release, notRelease string)
+	// Used records that a session is in use on a version: from an attempt on, for the given time at most, and when it ended.
+	Used(service, release string, session uint64, limit time.Duration, ended bool)
 	// Count records the outcome of an answer.
 	Count(service, release string, failed bool, latency time.Duration)
 }
@@ -95,7 +97,10 @@
 		if err := s.dispatch(ctx); err != nil {
 			return err
 		}
-		defer func() { s.answer.Close() }()
+		defer func() {
+			s.answer.Close()
+			s.used(s.answer.Release, true)
+		}()
 		return s.relay(ctx)
 	})
 	return p.reportError(err, r, c)
@@ -251,6 +256,14 @@
 	if r := s.p.Routes.Releases; r != nil {
 		r.Count(s.service, a.Release, failed, latency)
 	}
+	s.used(a.Release, false)
+}
+
+// used tells that the request's session is in use on a version.
+func (s *routedStages) used(release string, ended bool) {
+	if r := s.p.Routes.Releases; r != nil && len(s.r.Meta.Parts) > 0 {
+		r.Used(s.service, release, s.session(), s.route.Timeout, ended)
+	}
 }
 
 // climb drops a doubtful answer if a larger model may be asked.
