--- a/gateway/view_test.go
+++ b/gateway/view_test.go
@@ -180,8 +180,7 @@
 // trialGateway is a gateway with a release of service "s" under way, to which one endpoint of each version belongs.
 func trialGateway(t *testing.T) (*Gateway, *object.Release) {
 	t.Helper()
-	store := &fakeStore{reset: []kv.Entry{{Key: "e1", Value: []byte("a:1")}}}
-	g := testGateway(store)
+	g := testGateway(memkv.New())
 	g.spec.ExposureShare, g.spec.SessionGap = 1, 2*time.Second
 	rel := &object.Release{Service: "s", Target: "v2", Duration: time.Minute, State: object.ReleaseRunning, Order: 7}
 	g.pool.SetHosts(hostlist.List{Hosts: []hostlist.Host{
