pool, dispatch: a larger model only if its answer is in time; all endpoints compared

Cause: of a large group only 16 endpoints were compared, few of which are in the request's failure domain and segment; a larger model was asked although its answer would be late. Ejections are logged and attempts counted by outcome.

--- a/dispatch/routed.go
+++ b/dispatch/routed.go
@@ -60,6 +60,7 @@
 // RoutedAttempt describes an attempt at an endpoint.
 type RoutedAttempt struct {
 	Request  string
+	Service  string
 	Endpoint string
 	Addr     string
 	Release  string
@@ -121,10 +122,17 @@
 // Ran says whether the request may have run.
 func (x *Exchange) Ran() result.Ran { return x.ran }
 
-// MayClimb reports whether another step of a cascade is within the route's attempts and the budget. One attempt and a
-// part of the budget are kept for failures.
-func (x *Exchange) MayClimb() bool {
-	return x.sends < x.in.Route.Attempts && x.budget.share() > spareBudget
+// MayClimb reports whether a step of a cascade to a model is within the route's attempts and the budget, of which a part is
+// kept for failures, and would probably begin its answer within the target. The answer at hand is in time.
+func (x *Exchange) MayClimb(model string, started time.Time) bool {
+	if x.sends+1 >= x.in.Route.Attempts || x.budget.share() <= spareBudget {
+		return false
+	}
+	routed := x.in.Query
+	routed.Model = model
+	now := x.filter.spec.Now()
+	r, _, ok := x.filter.spec.Pool.Pick(pool.Query{Service: x.in.Service, Prompt: x.in.Prompt, Exclude: x.exclude, Routed: &routed, Dry: true}, now)
+	return ok && (x.in.Route.Target <= 0 || now.Sub(started)+r.Expected <= x.in.Route.Target)
 }
 
 // Do sends the request to an endpoint until one answers. With a model of its own, the request is a step of a cascade.
@@ -258,7 +266,7 @@
 	if x.in.Trace == nil {
 		return
 	}
-	t := RoutedAttempt{Request: x.in.Request.ID, Endpoint: r.ID, Addr: r.Addr, Release: r.SoftwareRelease(), Model: x.in.Request.Model, Latency: latency, After: x.in.Request.After, Err: err}
+	t := RoutedAttempt{Request: x.in.Request.ID, Service: x.in.Service, Endpoint: r.ID, Addr: r.Addr, Release: r.SoftwareRelease(), Model: x.in.Request.Model, Latency: latency, After: x.in.Request.After, Err: err}
 	if resp != nil {
 		t.Status = resp.Status
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -135,7 +135,7 @@
 		admit: admit.New(admit.Spec{MaxInFlight: maxInFlight, MaxBytes: int64(bodyShare * float64(s.MemoryBytes))}),
 	}
 	debug.SetMemoryLimit(int64(heapShare * float64(s.MemoryBytes)))
-	g.pool = pool.New(pool.Spec{Self: s.Name, Domain: s.Domain, Settle: settle, Rand: mathrand.Uint64, OnRoom: g.signalRoom})
+	g.pool = pool.New(pool.Spec{Self: s.Name, Domain: s.Domain, Settle: settle, Rand: mathrand.Uint64, OnRoom: g.signalRoom, OnEject: g.ejected})
 	g.dispatch = dispatch.New(dispatch.Spec{
 		Pool: g.pool, Poison: g.poison, Router: s.Router, Rand: mathrand.Uint64, QueueWait: queueWait, Now: time.Now,
 		RetryRatio: budgetShare * s.RetryRatio, RetryReserve: func() float64 { return budgetShare * s.RetryReserve / float64(max(1, g.members())) },
@@ -282,10 +282,36 @@
 	if a.Err != nil {
 		e = e.WithError(a.Err)
 	}
-	g.spec.Metrics.Counter("bramley_attempts_total").Inc()
+	g.spec.Metrics.Counter(fmt.Sprintf(`bramley_attempts_total{service=%q,outcome=%q}`, a.Service, attemptOutcome(a))).Inc()
+	g.spec.Metrics.Histogram(fmt.Sprintf(`bramley_attempt_seconds{service=%q}`, a.Service)).Update(a.Latency.Seconds())
 	e.Info("attempt")
 }
 
+// attemptOutcome is the label of an attempt's outcome in the metrics.
+func attemptOutcome(a dispatch.RoutedAttempt) string {
+	switch {
+	case errors.Is(a.Err, engine.ErrUnreachable):
+		return "unreachable"
+	case errors.Is(a.Err, engine.ErrBusy):
+		return "busy"
+	case errors.Is(a.Err, engine.ErrMisdirected):
+		return "misdirected"
+	case errors.Is(a.Err, engine.ErrStalled):
+		return "silent"
+	case a.Err != nil:
+		return "broken"
+	case a.Status >= http.StatusInternalServerError:
+		return "failed"
+	default:
+		return "answered"
+	}
+}
+
+func (g *Gateway) ejected(id string, failures int, wait time.Duration) {
+	g.spec.Metrics.Counter("bramley_ejections_total").Inc()
+	g.log.WithFields(logrus.Fields{"endpoint": id, "failures": failures, "for_ms": wait.Milliseconds()}).Info("endpoint ejected")
+}
+
 func (g *Gateway) climbed(request, from, to string, confidence float64) {
 	g.spec.Metrics.Counter("bramley_climbs_total").Inc()
 	g.log.WithFields(logrus.Fields{"request": request, "from": from, "to": to, "confidence": confidence, "threshold": g.spec.Confidence}).Info("doubtful answer dropped")
--- a/pipeline/routed.go
+++ b/pipeline/routed.go
@@ -272,7 +272,7 @@
 		return false
 	}
 	next := s.p.Routes.Steps.Next(s.route, s.r.Meta, s.model, a.Confidence)
-	if next < 0 || !s.exchange.MayClimb() {
+	if next < 0 || !s.exchange.MayClimb(s.route.Models[next], s.start) {
 		return false
 	}
 	if s.p.Routes.Climbed != nil {
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -31,6 +31,8 @@
 	Dry bool
 	// Routed describes a request of a route; nil for other work.
 	Routed *RoutedQuery
+
+	expected time.Duration // of the endpoint that was chosen for a routed request
 }
 
 // Shortage says why no endpoint was chosen. It counts the endpoints refused for each reason.
@@ -47,17 +49,19 @@
 
 // Reservation holds an endpoint's slot and tokens for one request.
 type Reservation struct {
-	ID      string
-	Addr    string
-	Domain  string
-	service string
-	tokens  int64
-	prefill int64 // prompt tokens until the first token
-	suspect bool
-	alone   bool // no other daemon may run a suspect at the endpoint
-	e       *endpoint
-	pool    *Pool
-	routed  routedWork
+	ID     string
+	Addr   string
+	Domain string
+	// Expected is the time until a routed request's answer probably begins. It is set for a Dry query only.
+	Expected time.Duration
+	service  string
+	tokens   int64
+	prefill  int64 // prompt tokens until the first token
+	suspect  bool
+	alone    bool // no other daemon may run a suspect at the endpoint
+	e        *endpoint
+	pool     *Pool
+	routed   routedWork
 }
 
 // Pick chooses an endpoint by the pool's policy and reserves room on it.
@@ -75,7 +79,7 @@
 			break
 		}
 		if q.Dry {
-			return Reservation{}, short, true
+			return Reservation{Expected: q.expected}, short, true
 		}
 		if r, ok := best.reserve(&q, t.rules[q.Service], now); ok {
 			r.pool = p
@@ -104,13 +108,14 @@
 			short.count(r, returns)
 			return candidate{}, false
 		}
-		return candidate{e, e.routedScore(q, now), e.chosen}, true
+		score, wait := e.routedScore(q, now)
+		return candidate{e: e, score: score, chosen: e.chosen, wait: wait}, true
 	}
 	if r := e.admits(q, rule, now); r != accepted {
 		short.count(r, e.ejected)
 		return candidate{}, false
 	}
-	return candidate{e, e.score(rule, now), e.chosen}, true
+	return candidate{e: e, score: e.score(rule, now), chosen: e.chosen}, true
 }
 
 // reserve checks the limits again, since another request may have taken the room in the meantime.
@@ -282,8 +287,12 @@
 	case Broken, TimedOut:
 		e.fail(now)
 	}
-	versions := e.host.Versions
+	versions, ejected := e.host.Versions, e.ejected
+	id, failures := e.host.ID, e.failures
 	e.mu.Unlock()
+	if r.pool.spec.OnEject != nil && ejected.After(now) && (o == Broken || o == TimedOut || o == Dropped) {
+		r.pool.spec.OnEject(id, failures, ejected.Sub(now))
+	}
 	r.pool.signal(r.service, versions)
 }
 
--- a/pool/policy.go
+++ b/pool/policy.go
@@ -30,11 +30,15 @@
 type candidate struct {
 	e      *endpoint
 	score  float64
-	chosen time.Time // when this daemon last sent it a request
+	chosen time.Time     // when this daemon last sent it a request
+	wait   time.Duration // until a routed request's answer probably begins
 }
 
 // best returns the endpoint that the policy chooses, or nil if none admits the request.
 func (p *Pool) best(group []*endpoint, q *Query, t *table, now time.Time, short *Shortage) *endpoint {
+	if q.Routed != nil {
+		return p.bestRouted(group, q, t, now, short)
+	}
 	start, compared := p.order(len(group))
 	var list [maxCompared]candidate
 	n := 0
@@ -85,9 +89,6 @@
 		return best
 	}
 	limit := best.score + sameCost
-	if list[0].e.host.Slots > 0 { // scores of routed requests are milliseconds
-		limit = best.score + sameWait
-	}
 	for i := range list {
 		if c := &list[i]; c.score < limit && c.chosen.Before(best.chosen) {
 			best = c
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -34,6 +34,9 @@
 	// OnRoom, if set, is called when an endpoint of the service may have got room, or any endpoint if service is empty.
 	// versions are those that the endpoint serves. No lock of the pool is held.
 	OnRoom func(service string, versions []string)
+	// OnEject, if set, is called when an endpoint gets no requests for a time after failures in a row. No lock of the pool
+	// is held.
+	OnEject func(id string, failures int, wait time.Duration)
 }
 
 // Pool is the endpoint table of a daemon.
--- a/pool/routed.go
+++ b/pool/routed.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -266,25 +267,45 @@
 	s.streak = 0
 }
 
-// routedScore estimates the delay of the request at the endpoint, and the harm that it does there.
-func (e *endpoint) routedScore(all *Query, now time.Time) float64 {
+// bestRouted compares all endpoints, since few of a large group are in the request's segment and failure domain. Among those
+// with the same score it takes the one that was chosen the longest time ago.
+func (p *Pool) bestRouted(group []*endpoint, q *Query, t *table, now time.Time, short *Shortage) *endpoint {
+	var best candidate
+	for _, e := range group {
+		c, ok := e.consider(q, t.view, t.rules[q.Service], now, short)
+		if !ok {
+			continue
+		}
+		closer := c.score < best.score-sameWait
+		same := math.Abs(c.score-best.score) <= sameWait
+		if best.e == nil || closer || same && c.chosen.Before(best.chosen) {
+			best = c
+		}
+	}
+	q.expected = best.wait
+	return best.e
+}
+
+// routedScore estimates the delay of the request at the endpoint with the harm that it does there, and the delay alone.
+func (e *endpoint) routedScore(all *Query, now time.Time) (score float64, wait time.Duration) {
 	q := all.Routed
+	target := float64(q.Target / time.Millisecond)
 	read := q.pace.token * float64(e.toRead(all, now))
 	busy := float64(e.busy(now))
-	s := e.routed.work + read*(1+batchHarm*busy)
+	delay := e.routed.work + read + q.pace.base
 	if e.host.Slots > 0 {
-		s += q.pace.base * slotDelay * busy / float64(e.host.Slots)
+		delay += q.pace.base * slotDelay * busy / float64(e.host.Slots)
 	}
-	s = (s + q.pace.base) * e.slowness(now)
-	s += crowdDelay * q.meanWork * busy
-	s += failDelay * e.routed.failures * float64(q.Target/time.Millisecond)
+	slow := e.slowness(now)
+	delay *= slow
+	s := delay + slow*read*batchHarm*busy + crowdDelay*q.meanWork*busy + failDelay*e.routed.failures*target
 	if !e.inSegment(q) {
-		s += strayShare * float64(q.Target/time.Millisecond)
+		s += strayShare * target
 	}
 	if !e.local {
 		s += remoteDelay + remoteKilobyte*float64(q.Bytes)/1024
 	}
-	return s
+	return s, time.Duration(delay * float64(time.Millisecond))
 }
 
 // slowness returns by how much the endpoint is slower than others, fading to 1 with its age.
