cascade: a ladder that learns the gain of a middle model; answers that end in time

Cause: long answers of the largest model did not end before the deadline, and its prompts are the largest part of the engines' work, 3 to 4 times that of a middle model. The ladder asks the smallest model that will probably be confident enough, from the gain between two models' confidences for the same requests; a step whose answer would end late is left out.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/bramleytrail/bramleytrail/admit"
+	"github.com/bramleytrail/bramleytrail/cascade"
 	"github.com/bramleytrail/bramleytrail/config"
 	"github.com/bramleytrail/bramleytrail/dispatch"
 	"github.com/bramleytrail/bramleytrail/engine"
@@ -30,6 +31,7 @@
 	"github.com/bramleytrail/bramleytrail/pipeline"
 	"github.com/bramleytrail/bramleytrail/poison"
 	"github.com/bramleytrail/bramleytrail/pool"
+	"github.com/bramleytrail/bramleytrail/relay"
 	"github.com/bramleytrail/bramleytrail/result"
 )
 
@@ -147,7 +149,7 @@
 		Addr: s.CallerAddr, MaxConnections: 2 * maxInFlight, StallTimeout: stallTimeout, Config: g.config, Ready: g.Ready, Protocol: s.Protocol,
 		Pipeline: &pipeline.Pipeline{
 			Config: g.config, Admit: g.admit, Dispatch: g.dispatch, Now: time.Now, Begin: func(*pipeline.Progress) {}, Observe: g.observe,
-			Routes: &pipeline.Routes{Releases: g.releases, Steps: pipeline.ConfidenceSteps{Threshold: s.Confidence}, Attempt: g.attempt, Climbed: g.climbed},
+			Routes: &pipeline.Routes{Releases: g.releases, Ladder: cascade.NewLadder(s.Confidence), Paces: relay.NewPaces(), Attempt: g.attempt, Climbed: g.climbed},
 		},
 	})
 	return g
--- a/object/object.go
+++ b/object/object.go
@@ -87,6 +87,8 @@
 	// ColdPerSecond is the number of requests a second that an endpoint bears while it is cold, over all daemons; 0 if it
 	// bears as many as a warm one.
 	ColdPerSecond float64 `json:"coldPerSecond,omitempty"`
+	// TokensPerEvent is the number of tokens that one event of a stream holds; 0 if it is not known.
+	TokensPerEvent int `json:"tokensPerEvent,omitempty"`
 	// Costs are the models' prices per 1,000 tokens of an answer.
 	Costs map[string]float64 `json:"costs,omitempty"`
 }
--- a/pipeline/routed.go
+++ b/pipeline/routed.go
@@ -5,13 +5,13 @@
 	"errors"
 	"fmt"
 	"io"
-	"math"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/bramleytrail/bramleytrail/cascade"
 	"github.com/bramleytrail/bramleytrail/config"
 	"github.com/bramleytrail/bramleytrail/dispatch"
 	"github.com/bramleytrail/bramleytrail/engine"
@@ -34,6 +34,7 @@
 	Model     string
 	Prompt    int64 // tokens
 	MaxTokens int64 // limit of the answer
+	Expected  int64 // caller's estimate of the answer's tokens, 0 for none
 	Parts     []engine.Part
 	After     int64 // last event that the caller has of a stream that broke, 0 for none
 }
@@ -49,18 +50,13 @@
 	Count(service, release string, failed bool, latency time.Duration)
 }
 
-// Steps decides on the cascade of a route's models.
-type Steps interface {
-	// First returns the index of the model that is asked first.
-	First(route *object.Route, meta *Metadata) int
-	// Next returns the index of the model that is asked after the answer of one with a confidence, or -1 to keep the answer.
-	Next(route *object.Route, meta *Metadata, model int, confidence float64) int
-}
-
 // Routes holds what serves the requests of routes.
 type Routes struct {
 	Releases Releases // nil for none
-	Steps    Steps
+	// Ladder chooses among a route's models by the confidence of their answers.
+	Ladder *cascade.Ladder
+	// Paces estimates how long streams take.
+	Paces *relay.Paces
 	// Attempt is called with the end of each attempt at an endpoint; it may be nil.
 	Attempt func(dispatch.RoutedAttempt)
 	// Climbed is called when an answer is dropped for a larger model's; it may be nil.
@@ -74,14 +70,17 @@
 	r      *Request
 	caller relay.Caller
 
-	route    *object.Route
-	team     string // empty for a public route without a key
-	service  string
-	model    int // index in route.Models
-	exchange *dispatch.Exchange
-	answer   *dispatch.RoutedAnswer
-	sent     int64 // number of the last event that the caller has
-	began    time.Time
+	route   *object.Route
+	team    string // empty for a public route without a key
+	service string
+	model   int // index in route.Models
+	asked   int // index of the model that was asked before
+	// confidence is that of the answer of the model that was asked before.
+	confidence float64
+	exchange   *dispatch.Exchange
+	answer     *dispatch.RoutedAnswer
+	sent       int64 // number of the last event that the caller has
+	began      time.Time
 }
 
 // Route serves a request of a route.
@@ -152,9 +151,6 @@
 	s.service = backend(s.route, xxhash.Sum64String(s.r.ID))
 	s.outcome.Version = s.service
 	s.update(func(p *Position) { p.Target = s.service })
-	if s.cascades() {
-		s.model = s.p.Routes.Steps.First(s.route, s.r.Meta)
-	}
 }
 
 // cascades reports whether the router chooses the model.
@@ -241,7 +237,7 @@
 		if failed && answer.Retry() {
 			continue
 		}
-		if !failed && s.climb(answer) {
+		if !failed && s.climb(ctx, answer) {
 			continue
 		}
 		answer.Keep()
@@ -267,12 +263,16 @@
 }
 
 // climb drops a doubtful answer if a larger model may be asked.
-func (s *routedStages) climb(a *dispatch.RoutedAnswer) bool {
+func (s *routedStages) climb(ctx context.Context, a *dispatch.RoutedAnswer) bool {
 	if !s.cascades() || !a.HasConfidence || !s.route.MayRepeat() || s.r.Meta.After > 0 {
 		return false
 	}
-	next := s.p.Routes.Steps.Next(s.route, s.r.Meta, s.model, a.Confidence)
-	if next < 0 || !s.exchange.MayClimb(s.route.Models[next], s.start) {
+	ladder := s.p.Routes.Ladder
+	if s.model > s.asked {
+		ladder.Compare(s.route.Models, s.asked, s.confidence, s.model, a.Confidence)
+	}
+	next := ladder.Next(s.route.Models, s.model, a.Confidence)
+	if next < 0 || !s.exchange.MayClimb(s.route.Models[next], s.start) || !s.endsInTime(ctx, s.route.Models[next]) {
 		return false
 	}
 	if s.p.Routes.Climbed != nil {
@@ -281,10 +281,30 @@
 	a.Keep()
 	a.Cancelled()
 	a.Close()
-	s.model = next
+	s.asked, s.confidence, s.model = s.model, a.Confidence, next
 	return true
 }
 
+// endsInTime reports whether a model's answer of the expected length would probably end before the deadline.
+func (s *routedStages) endsInTime(ctx context.Context, model string) bool {
+	deadline, ok := ctx.Deadline()
+	svc := s.view.Services[s.service]
+	if !ok || svc == nil || svc.Routed == nil || svc.Routed.TokensPerEvent <= 0 {
+		return true
+	}
+	tokens := s.r.Meta.Expected
+	if tokens <= 0 {
+		return true
+	}
+	events := float64(tokens) / float64(svc.Routed.TokensPerEvent)
+	took := s.p.Routes.Paces.Of(s.service, model) * lengthMargin * events
+	return s.p.Now().Add(time.Duration(took * float64(time.Millisecond))).Before(deadline)
+}
+
+// lengthMargin is by how much longer than expected an answer may take: callers' estimates of the length are right at the
+// median only, and the pace varies with what runs beside the stream.
+const lengthMargin = 1.5
+
 // relay sends the answer on.
 func (s *routedStages) relay(ctx context.Context) error {
 	s.at(StageRelay)
@@ -467,6 +487,7 @@
 		now := s.p.Now()
 		if out.Events > 0 {
 			out.LongGap = max(out.LongGap, now.Sub(last))
+			s.p.Routes.Paces.Observe(s.service, out.Model, now.Sub(last))
 		}
 		out.Events++
 		last = now
@@ -504,18 +525,3 @@
 		}
 	}
 }
-
-// ConfidenceSteps asks the smallest model first, and the largest if its confidence is below a threshold.
-type ConfidenceSteps struct{ Threshold float64 }
-
-// First implements Steps.
-func (ConfidenceSteps) First(*object.Route, *Metadata) int { return 0 }
-
-// Next implements Steps.
-func (c ConfidenceSteps) Next(route *object.Route, _ *Metadata, model int, confidence float64) int {
-	last := len(route.Models) - 1
-	if model >= last || confidence >= c.Threshold || math.IsNaN(confidence) {
-		return -1
-	}
-	return last
-}
