--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -240,8 +240,9 @@
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(g.spec.Grace-stopReserve))
 	defer cancel()
 	err := g.entry.Finish(ctx)
-	if err != nil {
-		err = errors.Join(err, g.entry.Shutdown(ctx))
+	if errors.Is(err, context.DeadlineExceeded) {
+		g.log.WithField("requests", g.admit.InFlight()).Warn("streams cut at the end of the grace period")
+		err = g.entry.Shutdown(ctx)
 	}
 	g.cancel()
 	g.view.leave()
