--- a/dispatch/budget.go
+++ b/dispatch/budget.go
@@ -46,28 +46,3 @@
 	b.tokens--
 	return true
 }
-
-// level returns the number of saved retries.
-func (b *budget) level() float64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.tokens
-}
-
-// share returns the part of the reserve that is saved.
-func (b *budget) share() float64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.reserve <= 0 {
-		return 0
-	}
-	return b.tokens / b.reserve
-}
-
-// setReserve changes the largest number that is saved.
-func (b *budget) setReserve(reserve float64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.reserve = reserve
-	b.tokens = min(b.tokens, reserve)
-}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -68,6 +68,8 @@
 	// largest number that is saved, which depends on the number of daemons.
 	RetryRatio   float64
 	RetryReserve func() float64
+	// RetryWindow is the time over which they are counted.
+	RetryWindow time.Duration
 }
 
 // CallResult describes a finished model call.
@@ -86,7 +88,7 @@
 	hedges *budget
 	queue  *queue.Queue
 
-	budgets     sync.Map // *budget by routed service
+	budgets     sync.Map // *windowBudget by routed service
 	firstTokens firstTokens
 }
 
--- a/dispatch/routed.go
+++ b/dispatch/routed.go
@@ -34,7 +34,7 @@
 	// busyRetry is the time after which a caller may come back when an endpoint turned its request down.
 	busyRetry = 100 * time.Millisecond
 	// spareBudget is the part of the retry budget that is kept for failures: steps of a cascade leave it alone.
-	spareBudget = 0.3
+	spareBudget = 0.2
 )
 
 // RoutedInput is a request of a route.
@@ -76,7 +76,7 @@
 	filter *Filter
 	ctx    context.Context
 	in     RoutedInput
-	budget *budget
+	budget *windowBudget
 
 	sends   int // at endpoints that may have run or refused the request
 	exclude []string
@@ -100,20 +100,19 @@
 
 // NewExchange begins a routed request.
 func (f *Filter) NewExchange(ctx context.Context, in RoutedInput) *Exchange {
-	b := f.serviceBudget(in.Service)
-	b.deposit()
-	return &Exchange{filter: f, ctx: ctx, in: in, budget: b}
+	return &Exchange{filter: f, ctx: ctx, in: in, budget: f.serviceBudget(in.Service)}
 }
 
-// serviceBudget returns the retry budget of a routed service.
-func (f *Filter) serviceBudget(service string) *budget {
+// serviceBudget returns the retry budget of a routed service after it has counted a request.
+func (f *Filter) serviceBudget(service string) *windowBudget {
 	reserve := f.spec.RetryReserve()
 	b, ok := f.budgets.Load(service)
 	if !ok {
-		b, _ = f.budgets.LoadOrStore(service, newBudget(f.spec.RetryRatio, reserve))
+		b, _ = f.budgets.LoadOrStore(service, newWindowBudget(f.spec.RetryRatio, reserve, f.spec.RetryWindow))
 	}
-	b.(*budget).setReserve(reserve)
-	return b.(*budget)
+	budget := b.(*windowBudget)
+	budget.deposit(reserve, f.spec.Now())
+	return budget
 }
 
 // Sends returns the number of endpoints to which the request was sent.
@@ -123,16 +122,24 @@
 func (x *Exchange) Ran() result.Ran { return x.ran }
 
 // MayClimb reports whether a step of a cascade to a model is within the route's attempts and the budget, of which a part is
-// kept for failures, and would probably begin its answer within the target. The answer at hand is in time.
+// kept for failures, and would probably begin its answer within the target. The answer at hand is in time, and is dropped
+// only when the next one is paid for.
 func (x *Exchange) MayClimb(model string, started time.Time) bool {
-	if x.sends+1 >= x.in.Route.Attempts || x.budget.share() <= spareBudget {
+	if x.sends+1 >= x.in.Route.Attempts {
 		return false
 	}
 	routed := x.in.Query
 	routed.Model = model
 	now := x.filter.spec.Now()
 	r, _, ok := x.filter.spec.Pool.Pick(pool.Query{Service: x.in.Service, Prompt: x.in.Prompt, Exclude: x.exclude, Routed: &routed, Dry: true}, now)
-	return ok && (x.in.Route.Target <= 0 || now.Sub(started)+r.Expected <= x.in.Route.Target)
+	if !ok || x.in.Route.Target > 0 && now.Sub(started)+r.Expected > x.in.Route.Target {
+		return false
+	}
+	if !x.budget.withdraw(spareBudget) {
+		return false
+	}
+	x.prepaid.Store(true)
+	return true
 }
 
 // Do sends the request to an endpoint until one answers. With a model of its own, the request is a step of a cascade.
@@ -164,7 +171,7 @@
 	if x.sends == 0 {
 		return nil
 	}
-	if x.sends >= x.in.Route.Attempts || !x.prepaid.Swap(false) && !x.budget.withdraw() {
+	if x.sends >= x.in.Route.Attempts || !x.prepaid.Swap(false) && !x.budget.withdraw(0) {
 		return &result.Error{Code: x.failedCode(), Ran: x.ran, RetryAfter: busyRetry, Detail: "The attempts or the retry budget are used up."}
 	}
 	return nil
@@ -312,7 +319,7 @@
 	}
 	elsewhere := x.elsewhere(current)
 	timer := time.AfterFunc(limit, func() {
-		if elsewhere() && x.budget.withdraw() {
+		if elsewhere() && x.budget.withdraw(0) {
 			x.prepaid.Store(true)
 			cancel(engine.ErrStalled)
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -52,7 +52,7 @@
 	stopReserve = 700 * time.Millisecond
 	// budgetShare is the part of the operators' retry budget that is used, since requests and retries are counted at
 	// different times.
-	budgetShare = 0.8
+	budgetShare = 0.9
 	// memberTTL is the lease of this daemon's entry; it is renewed several times within it.
 	memberTTL = 6 * time.Second
 	// settle is the time within which every daemon has seen a change of the members.
@@ -95,6 +95,7 @@
 	MemoryBytes int64
 	// RetryRatio and RetryReserve bound the further attempts of all daemons at a service.
 	RetryRatio, RetryReserve float64
+	RetryWindow              time.Duration // over which they are counted
 	// ExposureShare bounds the requests that a version on trial gets.
 	ExposureShare float64
 	// Confidence is the confidence below which a small model's answer is dropped for the largest one's.
@@ -140,7 +141,7 @@
 	g.pool = pool.New(pool.Spec{Self: s.Name, Domain: s.Domain, Settle: settle, Rand: mathrand.Uint64, OnRoom: g.signalRoom, OnEject: g.ejected})
 	g.dispatch = dispatch.New(dispatch.Spec{
 		Pool: g.pool, Poison: g.poison, Router: s.Router, Rand: mathrand.Uint64, QueueWait: queueWait, Now: time.Now,
-		RetryRatio: budgetShare * s.RetryRatio, RetryReserve: func() float64 { return budgetShare * s.RetryReserve / float64(max(1, g.members())) },
+		RetryRatio: budgetShare * s.RetryRatio, RetryWindow: s.RetryWindow, RetryReserve: func() float64 { return budgetShare * s.RetryReserve / float64(max(1, g.members())) },
 	})
 	g.releases = newReleases(g)
 	g.config.OnChange(func(v *config.View) { g.pool.SetView(v, time.Now()) })
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -152,7 +152,9 @@
 }
 
 const (
-	configRetry = 2 * time.Second
+	// configRetry is the time after which a caller may retry at a daemon without a configuration: it gets one within half a
+	// second of its start unless the store is away.
+	configRetry = 500 * time.Millisecond
 	billRetry   = 5 * time.Second
 )
 
