--- a/gateway/releases.go
+++ b/gateway/releases.go
@@ -22,12 +22,10 @@
 	releaseStep = 300 * time.Millisecond
 	// rankDelay is the time by which each daemon waits for the one before it to write a decision that all can make.
 	rankDelay = 1200 * time.Millisecond
-	// evidencePause is the least time between two writes of a daemon's evidence.
-	evidencePause = 2 * time.Second
+	// evidencePause is the time between two messages with a daemon's evidence. A lost message is made up for by the next.
+	evidencePause = time.Second
 	// sessionMargin is added to the time within which requests belong to one session, for messages on their way.
 	sessionMargin = 500 * time.Millisecond
-	// reportAt is the part of a release's duration at which daemons tell what they have seen, before the decision.
-	reportAt = 0.45
 )
 
 // progress is the state of a release that all daemons share.
@@ -36,22 +34,17 @@
 	Phase release.Phase `json:"phase"`
 }
 
-// report is one daemon's evidence of a release.
-type report struct {
-	Order    uint64           `json:"order"`
-	Evidence release.Evidence `json:"evidence"`
-}
-
 // tracked is what this daemon knows of the newest release of a service.
 type tracked struct {
 	order    uint64
 	target   string
 	seen     time.Time // when this daemon first saw the order
 	phase    release.Phase
-	evidence release.Evidence // this daemon's own
-	written  release.Evidence // as last written
-	writtenAt,
-	due time.Time // when this daemon writes a decision that it has made
+	evidence release.Evidence            // this daemon's own
+	others   map[string]release.Evidence // of the other daemons, by name
+	told     release.Evidence            // as last sent
+	toldAt   time.Time
+	due      time.Time // when this daemon writes a decision that it has made
 	pending  release.Phase
 	sessions *release.Sessions // in use on the old version
 }
@@ -154,6 +147,12 @@
 	if t == nil || t.order != m.Order {
 		return
 	}
+	if m.From != "" {
+		if e, ok := release.FromNumbers(m.Evidence); ok && len(t.others) < maxReporters {
+			t.others[m.From] = e
+		}
+		return
+	}
 	if m.Phase == "" {
 		t.sessions.Use(m.Session, now.Add(min(m.For, maxUse)), now)
 		return
@@ -164,6 +163,9 @@
 	}
 }
 
+// maxReporters bounds the daemons whose evidence is kept; the target has 370.
+const maxReporters = 1024
+
 // maxUse bounds the time for which a message keeps a session on the old version.
 const maxUse = time.Minute
 
@@ -224,7 +226,7 @@
 func (r *releases) step(rel *object.Release, now time.Time) {
 	t := r.track(rel, now)
 	shared := r.sharedPhase(rel)
-	total := r.total(rel, t)
+	total := r.total(t)
 	r.mu.Lock()
 	before := t.phase
 	if t.phase != release.Reverted && t.phase != release.Completed && later(shared, t.phase) {
@@ -245,7 +247,7 @@
 	if after != before {
 		r.tell(notice.Message{Service: rel.Service, Order: rel.Order, Phase: string(after)})
 	}
-	r.writeEvidence(rel, t, now)
+	r.tellEvidence(rel, t, now)
 	if due {
 		r.write(rel, t, next, total)
 	}
@@ -256,7 +258,7 @@
 	defer r.mu.Unlock()
 	t := r.tracked[rel.Service]
 	if t == nil || t.order != rel.Order {
-		t = &tracked{order: rel.Order, target: rel.Target, seen: now, phase: release.Trial, sessions: release.NewSessions()}
+		t = &tracked{order: rel.Order, target: rel.Target, seen: now, phase: release.Trial, others: map[string]release.Evidence{}, sessions: release.NewSessions()}
 		r.tracked[rel.Service] = t
 		r.g.log.WithField("service", rel.Service).WithField("target", rel.Target).WithField("order", rel.Order).Info("release ordered")
 	}
@@ -269,8 +271,6 @@
 
 func releaseKey(service string) string { return releasePrefix + service + "/phase" }
 
-func reportPrefix(service string) string { return releasePrefix + service + "/seen/" }
-
 // sharedPhase returns the phase that the daemons agreed on.
 func (r *releases) sharedPhase(rel *object.Release) release.Phase {
 	switch rel.State {
@@ -291,53 +291,27 @@
 }
 
 // total returns the evidence of all daemons.
-func (r *releases) total(rel *object.Release, t *tracked) release.Evidence {
+func (r *releases) total(t *tracked) release.Evidence {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	sum := t.evidence
-	r.mu.Unlock()
-	self := reportPrefix(rel.Service) + r.g.spec.Name
-	for _, e := range r.g.view.entries(reportPrefix(rel.Service)) {
-		var rep report
-		if e.Key == self {
-			continue
-		}
-		if err := json.Unmarshal(e.Value, &rep); err != nil {
-			r.g.log.WithField("key", e.Key).WithError(err).Warn("evidence not used")
-			continue
-		}
-		if rep.Order == rel.Order {
-			sum.Add(rep.Evidence)
-		}
+	for _, e := range t.others {
+		sum.Add(e)
 	}
 	return sum
 }
 
-// writeEvidence tells the other daemons what this one has seen: when failures of the new version doubled, and once before
-// the decision.
-func (r *releases) writeEvidence(rel *object.Release, t *tracked, now time.Time) {
+// tellEvidence tells the other daemons what this one has seen since the last message.
+func (r *releases) tellEvidence(rel *object.Release, t *tracked, now time.Time) {
 	r.mu.Lock()
-	ev, old := t.evidence, t.written
-	doubled := ev.New.Failures > 0 && ev.New.Failures >= 2*old.New.Failures
-	elapsed := now.Sub(t.seen)
-	first := old.New.Answers == 0 && ev.New.Answers > 0 && float64(elapsed) >= reportAt*float64(rel.Duration)
-	write := (doubled || first) && now.Sub(t.writtenAt) >= evidencePause && rel.State == object.ReleaseRunning
-	if write {
-		t.writtenAt = now
+	ev := t.evidence
+	due := rel.State == object.ReleaseRunning && ev.New.Answers > t.told.New.Answers && now.Sub(t.toldAt) >= evidencePause
+	if due {
+		t.told, t.toldAt = ev, now
 	}
 	r.mu.Unlock()
-	if !write {
-		return
-	}
-	value, err := json.Marshal(report{rel.Order, ev})
-	if err != nil {
-		r.g.log.WithError(err).Error("evidence not encoded")
-		return
-	}
-	key := reportPrefix(rel.Service) + r.g.spec.Name
-	if r.cas(key, value, kv.LeaseID(r.g.view.lease.Load())) {
-		r.mu.Lock()
-		t.written = ev
-		r.mu.Unlock()
+	if due {
+		r.tell(notice.Message{Service: rel.Service, Order: rel.Order, From: r.g.spec.Name, Evidence: ev.Numbers()})
 	}
 }
 
@@ -364,7 +338,7 @@
 		r.g.log.WithError(err).Error("state of the release not encoded")
 		return
 	}
-	if r.cas(key, value, 0) {
+	if r.cas(key, value) {
 		r.log(rel, t, next, total).Info("state of the release written")
 	}
 }
@@ -375,7 +349,7 @@
 		r.g.log.WithError(err).Error("phase not encoded")
 		return
 	}
-	if !r.cas(releaseKey(rel.Service), value, 0) {
+	if !r.cas(releaseKey(rel.Service), value) {
 		return
 	}
 	r.mu.Lock()
@@ -388,12 +362,12 @@
 }
 
 // cas writes a value if the entry is as this daemon knows it.
-func (r *releases) cas(key string, value []byte, lease kv.LeaseID) bool {
+func (r *releases) cas(key string, value []byte) bool {
 	var prev uint64
 	if e, ok := r.g.view.entry(key); ok {
 		prev = e.Revision
 	}
-	_, err := r.g.spec.Store.CAS(r.g.ctx, key, value, prev, lease)
+	_, err := r.g.spec.Store.CAS(r.g.ctx, key, value, prev, 0)
 	if err != nil && !errors.Is(err, kv.ErrConflict) {
 		r.g.log.WithField("key", key).WithError(err).Warn("store not written")
 	}
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -340,19 +340,6 @@
 	return e, ok
 }
 
-// entries returns the gateway's own entries below a prefix.
-func (v *storeView) entries(prefix string) []kv.Entry {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	var list []kv.Entry
-	for key, e := range v.own {
-		if strings.HasPrefix(key, prefix) {
-			list = append(list, e)
-		}
-	}
-	return list
-}
-
 // rank returns the place of this daemon among the members, 0 for the first one.
 func (v *storeView) rank() int {
 	v.mu.Lock()
--- a/gateway/view_test.go
+++ b/gateway/view_test.go
@@ -247,6 +247,30 @@
 	})
 }
 
+// Guards against evidence of other daemons that is not counted, or counted twice, or made up.
+func TestEvidenceOfOtherDaemons(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, rel := trialGateway(t)
+		bad := release.Evidence{New: release.Counts{Answers: 4, Failures: 1}, Old: release.Counts{Answers: 50}}
+		for range 5 { // repeated, from one daemon
+			g.releases.hear(notice.Message{Service: "s", Order: 7, From: "d1", Evidence: bad.Numbers()})
+		}
+		g.releases.hear(notice.Message{Service: "s", Order: 7, From: "d9", Evidence: [6]int64{-4, 9}})
+		g.releases.hear(notice.Message{Service: "s", Order: 6, From: "d8", Evidence: bad.Numbers()})
+		g.releases.step(rel, time.Now())
+		if p := g.releases.phase(rel); p != release.Trial {
+			t.Errorf("phase %s after one failure", p)
+		}
+		g.releases.hear(notice.Message{Service: "s", Order: 7, From: "d2", Evidence: bad.Numbers()})
+		g.releases.hear(notice.Message{Service: "s", Order: 7, From: "d3", Evidence: bad.Numbers()})
+		g.releases.step(rel, time.Now())
+		if p := g.releases.phase(rel); p != release.Reverted {
+			t.Errorf("phase %s after three failures of 12 at three daemons", p)
+		}
+		g.cancel()
+	})
+}
+
 // Guards against a version that goes on although this daemon alone has seen that it fails.
 func TestBadReleaseTakenBackAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -22,6 +22,10 @@
 	Order   uint64 `msgpack:"o,omitempty"`
 	// Phase is a phase that the release has reached; empty for a message about a session.
 	Phase string `msgpack:"p,omitempty"`
+	// From is the daemon whose evidence of the release the message holds: answers, failures and the sum of latencies, of
+	// the new version and of the old one.
+	From     string   `msgpack:"f,omitempty"`
+	Evidence [6]int64 `msgpack:"e,omitempty"`
 	// Session is in use on the old version for the given time.
 	Session uint64        `msgpack:"n,omitempty"`
 	For     time.Duration `msgpack:"t,omitempty"`
--- a/pool/endpoint.go
+++ b/pool/endpoint.go
@@ -54,8 +54,9 @@
 	askedAt   time.Time // when a load report was last asked for
 	wanted    bool      // a request found the evidence too old
 	routed    routedState
-	position  int // among the endpoints of its service, failure domain and software version
-	alike     int // number of those
+	position  int     // among the endpoints of its service, failure domain and software version
+	alike     int     // number of those
+	stagger   float64 // from 0 to 1, different for each daemon
 }
 
 // capacity returns the number of requests that the endpoint can bear now, over all daemons. There is no ramp between the
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -126,7 +126,7 @@
 		if r, _ := e.admitsRouted(q, rule, now); r != accepted {
 			return Reservation{}, false
 		}
-		e.reserveRouted(q, rule, now)
+		e.reserveRouted(q, now)
 	} else if e.admits(q, rule, now) != accepted {
 		return Reservation{}, false
 	}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -194,6 +194,7 @@
 	if e == nil || e.host.Addr != h.Addr {
 		key := xxhash.Sum64String(h.ID)
 		e = &endpoint{key: key, mu: &p.shards[key%shardCount]}
+		e.stagger = float64(rendezvous(xxhash.Sum64String(p.spec.Self), key)>>11) / (1 << 53)
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/pool/routed.go
+++ b/pool/routed.go
@@ -39,11 +39,8 @@
 	partTTL = 15 * time.Second
 	// maxParts bounds the parts that are remembered for an endpoint.
 	maxParts = 512
-	// coldBurst is the number of requests that a daemon may send to a cold endpoint at once.
-	coldBurst = 1.0
-	// coldShare is the part of a cold endpoint's limit that all daemons together use, since their clocks and the arrival of
-	// requests vary.
-	coldShare = 0.7
+	// coldShare is the part of a cold endpoint's limit that all daemons together use, since the arrival of requests varies.
+	coldShare = 0.8
 	// failAlpha is the weight of the newest outcome in the moving average of failures.
 	failAlpha = 0.15
 	// failDelay is the part of the target by which an endpoint that always fails counts as slower. A failed request is
@@ -191,33 +188,32 @@
 	return coldShare * r.routed.ColdPerSecond / float64(max(1, r.daemons))
 }
 
-// coldWait returns the time until a cold endpoint may get a request of this daemon, 0 if it may now.
+// coldWait returns the time until a cold endpoint may get a request of this daemon, 0 if it may now. The daemons' first
+// requests are spread over the time that each earns one in, by a fraction that differs with daemon and endpoint.
 func (e *endpoint) coldWait(r *rule, now time.Time) time.Duration {
 	rate := r.coldRate()
 	if rate == 0 || !e.isCold(now) {
+		e.routed.filled = time.Time{}
 		return 0
 	}
-	missing := coldBurst - e.coldTokens(rate, now)
-	if missing <= 0 {
-		return 0
-	}
-	return time.Duration(missing / rate * float64(time.Second))
-}
-
-func (e *endpoint) coldTokens(rate float64, now time.Time) float64 {
 	if e.routed.filled.IsZero() {
-		return coldBurst
+		e.routed.tokens, e.routed.filled = e.stagger, now
+	}
+	e.routed.tokens = min(1, e.routed.tokens+rate*now.Sub(e.routed.filled).Seconds())
+	e.routed.filled = now
+	if e.routed.tokens >= 1 {
+		return 0
 	}
-	return min(coldBurst, e.routed.tokens+rate*now.Sub(e.routed.filled).Seconds())
+	return time.Duration((1 - e.routed.tokens) / rate * float64(time.Second))
 }
 
 // reserveRouted notes what a request takes. Parts count as cached from when they are sent.
-func (e *endpoint) reserveRouted(all *Query, r *rule, now time.Time) {
+func (e *endpoint) reserveRouted(all *Query, now time.Time) {
 	q := all.Routed
 	all.Prompt = e.toRead(all, now)
 	e.routed.work += q.pace.token * float64(all.Prompt)
-	if rate := r.coldRate(); rate > 0 {
-		e.routed.tokens, e.routed.filled = e.coldTokens(rate, now)-1, now
+	if !e.routed.filled.IsZero() { // it is cold
+		e.routed.tokens--
 	}
 	if len(q.Parts) == 0 {
 		return
--- a/release/release.go
+++ b/release/release.go
@@ -31,9 +31,9 @@
 
 // Counts are the answers of one version.
 type Counts struct {
-	Answers  int64         `json:"answers"`
-	Failures int64         `json:"failures"`
-	Latency  time.Duration `json:"latency"` // sum over the answers that did not fail
+	Answers  int64
+	Failures int64
+	Latency  time.Duration // sum over the answers that did not fail
 }
 
 // Add adds other counts.
@@ -58,9 +58,22 @@
 }
 
 // Evidence is what daemons have seen of a release.
-type Evidence struct {
-	New Counts `json:"new"`
-	Old Counts `json:"old"`
+type Evidence struct{ New, Old Counts }
+
+// Numbers returns the evidence as numbers, for messages.
+func (e Evidence) Numbers() [6]int64 {
+	return [6]int64{e.New.Answers, e.New.Failures, int64(e.New.Latency), e.Old.Answers, e.Old.Failures, int64(e.Old.Latency)}
+}
+
+// FromNumbers returns the evidence of a message. Numbers that no daemon can have are not evidence.
+func FromNumbers(n [6]int64) (Evidence, bool) {
+	e := Evidence{Counts{n[0], n[1], time.Duration(n[2])}, Counts{n[3], n[4], time.Duration(n[5])}}
+	for _, c := range []Counts{e.New, e.Old} {
+		if c.Answers < 0 || c.Failures < 0 || c.Failures > c.Answers || c.Latency < 0 {
+			return Evidence{}, false
+		}
+	}
+	return e, true
 }
 
 // Add adds other evidence.
