--- a/gateway/releases.go
+++ b/gateway/releases.go
@@ -21,7 +21,7 @@
 	// releaseStep is the interval at which releases are looked at.
 	releaseStep = 300 * time.Millisecond
 	// rankDelay is the time by which each daemon waits for the one before it to write a decision that all can make.
-	rankDelay = 1200 * time.Millisecond
+	rankDelay = 800 * time.Millisecond
 	// evidencePause is the time between two messages with a daemon's evidence. A lost message is made up for by the next.
 	evidencePause = time.Second
 	// sessionMargin is added to the time within which requests belong to one session, for messages on their way.
@@ -38,7 +38,8 @@
 type tracked struct {
 	order    uint64
 	target   string
-	seen     time.Time // when this daemon first saw the order
+	seen     time.Time // when the first daemon saw the order, as far as this one knows
+	heard    time.Time // since when this daemon hears which sessions are in use
 	phase    release.Phase
 	evidence release.Evidence            // this daemon's own
 	others   map[string]release.Evidence // of the other daemons, by name
@@ -99,7 +100,7 @@
 	r.mu.Lock()
 	t := r.tracked[rel.Service]
 	r.mu.Unlock()
-	if t == nil || t.order != rel.Order || now.Sub(t.seen) < r.g.spec.SessionGap+sessionMargin {
+	if t == nil || t.order != rel.Order || now.Sub(t.heard) < r.g.spec.SessionGap+sessionMargin {
 		return false
 	}
 	return !t.sessions.InUse(session, now)
@@ -129,6 +130,11 @@
 }
 
 func (r *releases) tell(m notice.Message) {
+	r.mu.Lock()
+	if t := r.tracked[m.Service]; t != nil && t.order == m.Order {
+		m.Age = time.Since(t.seen)
+	}
+	r.mu.Unlock()
 	x := r.g.notices.Load()
 	if x == nil {
 		return
@@ -147,6 +153,9 @@
 	if t == nil || t.order != m.Order {
 		return
 	}
+	if first := now.Add(-min(m.Age, maxAge)); first.Before(t.seen) { // this daemon has started since
+		t.seen = first
+	}
 	if m.From != "" {
 		if e, ok := release.FromNumbers(m.Evidence); ok && len(t.others) < maxReporters {
 			t.others[m.From] = e
@@ -163,6 +172,9 @@
 	}
 }
 
+// maxAge bounds the age of an order that a message may state.
+const maxAge = 24 * time.Hour
+
 // maxReporters bounds the daemons whose evidence is kept; the target has 370.
 const maxReporters = 1024
 
@@ -258,7 +270,7 @@
 	defer r.mu.Unlock()
 	t := r.tracked[rel.Service]
 	if t == nil || t.order != rel.Order {
-		t = &tracked{order: rel.Order, target: rel.Target, seen: now, phase: release.Trial, others: map[string]release.Evidence{}, sessions: release.NewSessions()}
+		t = &tracked{order: rel.Order, target: rel.Target, seen: now, heard: now, phase: release.Trial, others: map[string]release.Evidence{}, sessions: release.NewSessions()}
 		r.tracked[rel.Service] = t
 		r.g.log.WithField("service", rel.Service).WithField("target", rel.Target).WithField("order", rel.Order).Info("release ordered")
 	}
--- a/gateway/view_test.go
+++ b/gateway/view_test.go
@@ -271,6 +271,25 @@
 	})
 }
 
+// Guards against a release that is late because daemons started during it and count its time anew (gdct-lampdesk scale-1).
+func TestReleaseAgeAfterStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, rel := trialGateway(t)
+		rel.Duration = 20 * time.Second
+		for range 40 {
+			g.releases.Count("s", "v1", false, 100*time.Millisecond)
+			g.releases.Count("s", "v2", false, 100*time.Millisecond)
+		}
+		g.releases.hear(notice.Message{Service: "s", Order: 7, From: "d1", Age: 15 * time.Second})
+		g.releases.step(rel, time.Now())
+		g.releases.step(rel, time.Now())
+		if p := g.releases.phase(rel); p != release.Moved {
+			t.Errorf("phase %s 15 s after an order for 20 s", p)
+		}
+		g.cancel()
+	})
+}
+
 // Guards against a version that goes on although this daemon alone has seen that it fails.
 func TestBadReleaseTakenBackAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -20,6 +20,8 @@
 	// Service and Order name a release.
 	Service string `msgpack:"s,omitempty"`
 	Order   uint64 `msgpack:"o,omitempty"`
+	// Age is the time since the order, as the sender knows it.
+	Age time.Duration `msgpack:"a,omitempty"`
 	// Phase is a phase that the release has reached; empty for a message about a session.
 	Phase string `msgpack:"p,omitempty"`
 	// From is the daemon whose evidence of the release the message holds: answers, failures and the sum of latencies, of
@@ -113,7 +115,7 @@
 // decode reads a message. Bytes of others are passed over.
 func decode(data []byte) (Message, bool) {
 	var m Message
-	if err := msgpack.Unmarshal(data, &m); err != nil || m.Service == "" || m.For < 0 {
+	if err := msgpack.Unmarshal(data, &m); err != nil || m.Service == "" || m.For < 0 || m.Age < 0 {
 		return Message{}, false
 	}
 	return m, true
--- a/release/release.go
+++ b/release/release.go
@@ -15,7 +15,7 @@
 	trialShare = 0.6
 	// decideAt is the part of the duration after which a sound version gets all requests, completeAt the part after which
 	// the old endpoints may go. Streams that began on them end in between.
-	decideAt, completeAt = 0.55, 0.82
+	decideAt, completeAt = 0.52, 0.78
 	// minAnswers is the number of answers of the new version without which it is not taken for sound.
 	minAnswers = 10
 	// minFailures is the number of failures from which a version may be taken for bad.
