--- a/dispatch/routed.go
+++ b/dispatch/routed.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"slices"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -42,7 +41,7 @@
 	View    *config.View
 	Route   *object.Route
 	Service string // chosen among the route's backends
-	Weight  string // team that the request counts for in the queue
+	Team    string // that the request counts for in the queue; empty for a public route without a key
 	Rank    int
 	Request engine.RoutedRequest
 	Query   pool.RoutedQuery
@@ -115,12 +114,6 @@
 	return budget
 }
 
-// Sends returns the number of endpoints to which the request was sent.
-func (x *Exchange) Sends() int { return x.sends }
-
-// Ran says whether the request may have run.
-func (x *Exchange) Ran() result.Ran { return x.ran }
-
 // MayClimb reports whether a step of a cascade to a model is within the route's attempts and the budget, of which a part is
 // kept for failures, and would probably begin its answer within the target. The answer at hand is in time, and is dropped
 // only when the next one is paid for.
@@ -202,7 +195,10 @@
 	}
 	x.in.Query.Release, x.in.Query.NotRelease = x.in.Assign(x.in.View, len(x.exclude) > 0)
 	query := pool.Query{Service: x.in.Service, Prompt: x.in.Prompt, Exclude: x.exclude, Routed: &x.in.Query}
-	w := want{view: x.in.View, team: x.in.Weight, priority: maxRank - min(maxRank, x.in.Rank), longest: x.queueWait(), queries: []pool.Query{query}, fingerprint: x.in.Fingerprint}
+	w := want{
+		view: x.in.View, team: x.in.Team, priority: maxRank - min(maxRank, x.in.Rank), longest: x.queueWait(),
+		queries: []pool.Query{query}, fingerprint: x.in.Fingerprint,
+	}
 	w.renew = func(w *want) error {
 		if x.in.Renew == nil {
 			return nil
@@ -273,7 +269,10 @@
 	if x.in.Trace == nil {
 		return
 	}
-	t := RoutedAttempt{Request: x.in.Request.ID, Service: x.in.Service, Endpoint: r.ID, Addr: r.Addr, Release: r.SoftwareRelease(), Model: x.in.Request.Model, Latency: latency, After: x.in.Request.After, Err: err}
+	t := RoutedAttempt{
+		Request: x.in.Request.ID, Service: x.in.Service, Endpoint: r.ID, Addr: r.Addr, Release: r.SoftwareRelease(),
+		Model: x.in.Request.Model, Latency: latency, After: x.in.Request.After, Err: err,
+	}
 	if resp != nil {
 		t.Status = resp.Status
 	}
@@ -298,12 +297,9 @@
 	if !r.Stream || r.Gap <= 0 || x.sends >= r.Attempts {
 		return func() {}, func() bool { return false }
 	}
-	var mu sync.Mutex
 	limit := time.Duration(gapFactor * float64(r.Gap))
 	end := x.patience(a.Endpoint, limit, a.cancel)
 	event = func() {
-		mu.Lock()
-		defer mu.Unlock()
 		if !end() {
 			end = x.patience(a.Endpoint, limit, a.cancel)
 		}
@@ -311,8 +307,8 @@
 	return event, func() bool { return end() }
 }
 
-// patience cancels an attempt at the current endpoint after a limit if another one may follow and the budget has room for it, which is taken at
-// once. An endpoint that is merely slow is waited for otherwise.
+// patience cancels an attempt at the current endpoint after a limit if another one may follow and the budget has room for
+// it, which is taken at once. An endpoint that is merely slow is waited for otherwise.
 func (x *Exchange) patience(current string, limit time.Duration, cancel context.CancelCauseFunc) (stop func() bool) {
 	if !x.in.Route.MayRepeat() {
 		return func() bool { return false }
--- a/gateway/releases.go
+++ b/gateway/releases.go
@@ -270,7 +270,10 @@
 	defer r.mu.Unlock()
 	t := r.tracked[rel.Service]
 	if t == nil || t.order != rel.Order {
-		t = &tracked{order: rel.Order, target: rel.Target, seen: now, heard: now, phase: release.Trial, others: map[string]release.Evidence{}, sessions: release.NewSessions()}
+		t = &tracked{
+			order: rel.Order, target: rel.Target, seen: now, heard: now, phase: release.Trial,
+			others: map[string]release.Evidence{}, sessions: release.NewSessions(),
+		}
 		r.tracked[rel.Service] = t
 		r.g.log.WithField("service", rel.Service).WithField("target", rel.Target).WithField("order", rel.Order).Info("release ordered")
 	}
--- a/pipeline/routed.go
+++ b/pipeline/routed.go
@@ -190,7 +190,7 @@
 func (s *routedStages) input() dispatch.RoutedInput {
 	m := s.r.Meta
 	in := dispatch.RoutedInput{
-		View: s.view, Route: s.route, Service: s.service, Weight: s.team, Rank: s.rank(), Prompt: m.Prompt,
+		View: s.view, Route: s.route, Service: s.service, Team: s.team, Rank: s.rank(), Prompt: m.Prompt,
 		Fingerprint: poison.Fingerprint(s.team+"\x00"+s.r.Path, s.r.Body), Renew: s.renew, Trace: s.p.Routes.Attempt,
 		Request: engine.RoutedRequest{
 			ID: s.r.ID, Method: s.r.Method, Host: m.Host, Target: s.r.Path, Header: s.r.Header, Body: s.r.Body, Team: s.team, Rank: s.rank(),
