--- a/pipeline/routed.go
+++ b/pipeline/routed.go
@@ -76,7 +76,6 @@
 	exchange   *dispatch.Exchange
 	answer     *dispatch.RoutedAnswer
 	sent       int64 // number of the last event that the caller has
-	began      time.Time
 }
 
 // Route serves a request of a route.
