--- a/kv/httpkv/client.go
+++ b/kv/httpkv/client.go
@@ -27,6 +27,8 @@
 	base  string
 	agent string // User-Agent header; the library's own if empty
 	http  *http.Client
+	// timeout bounds every call except a watch.
+	timeout time.Duration
 }
 
 // NewClient returns a client of the service at base, for example http://127.0.0.1:7000.
@@ -36,7 +38,7 @@
 // stand for the library's own.
 func NewClientWith(base, agent string, dial func(ctx context.Context, network, addr string) (net.Conn, error)) *Client {
 	t := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute}
-	return &Client{base: base, agent: agent, http: &http.Client{Transport: t}}
+	return &Client{base: base, agent: agent, http: &http.Client{Transport: t}, timeout: callTimeout}
 }
 
 // Close drops idle connections.
@@ -121,7 +123,7 @@
 }
 
 func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	return c.do(ctx, method, path, in, out)
 }
