local: the test of slow callers waits longer for them than it takes to start them

Cause: TestSlowCallers failed once beside a load average of 18 ("condition not reached" after 300 s). The deployment cuts callers that read nothing for 30 s; beside such load the 210 stalled streams take longer to start, the first ones are cut, and the test waits for all to run. Reproduced with a limit of 1 s on a scratch copy: the same message, 0 of 210 streams running.

Change: the limit is a field of the deployment, and the test sets it to its watchdog. The limit is not what the test checks; all its checks and bounds stay.

--- a/local/deployment.go
+++ b/local/deployment.go
@@ -43,6 +43,7 @@
 	Settle      time.Duration // of daemons that are added from now on
 	CacheMoves  int           // of daemons that are added from now on; 0 for none
 	QueueWait   time.Duration // of daemons that are added from now on
+	Stall       time.Duration // for which callers of daemons that are added from now on may read nothing
 
 	name     string // another one for each deployment, as ports are used again
 	platform *standin.Server
@@ -63,7 +64,8 @@
 	p := standin.NewPlatform()
 	d := &Deployment{
 		Platform: p, Engines: map[string]*standin.Engine{}, Plains: map[string]*standin.Plain{}, Log: log, Memory: memory,
-		DutyTTL: 900 * time.Millisecond, CopyTimeout: 500 * time.Millisecond, QueueWait: 2 * time.Second, name: rand.Text(), servers: map[string]*standin.Server{},
+		DutyTTL: 900 * time.Millisecond, CopyTimeout: 500 * time.Millisecond, QueueWait: 2 * time.Second, Stall: 30 * time.Second,
+		name: rand.Text(), servers: map[string]*standin.Server{},
 	}
 	srv, err := d.serve(platformHost, p.Handler())
 	if err != nil {
@@ -104,7 +106,7 @@
 	return &settings.Settings{
 		ID: id, Deployment: d.name, Domain: domain, Rack: id, Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", OperatorListen: "127.0.0.1:0",
 		Store: d.PlatformURL, Hosts: d.PlatformURL, MaxInFlight: 1000, MaxConnections: 1000, QueueWait: d.QueueWait,
-		StallTimeout: 30 * time.Second, Settle: d.Settle, BillInterval: 500 * time.Millisecond, CopyTimeout: d.CopyTimeout,
+		StallTimeout: d.Stall, Settle: d.Settle, BillInterval: 500 * time.Millisecond, CopyTimeout: d.CopyTimeout,
 		CacheMoves: d.CacheMoves, CachePerSource: 1, CacheMoveBytes: 1 << 30, CacheMoveTime: cacheMoveTime,
 		ClaimWrites: 1000, PollsPerSecond: 50, Ratings: d.PlatformURL, Weights: d.PlatformURL, DutyTTL: d.DutyTTL,
 		EvidenceEvery: 100 * time.Millisecond, RatingEvery: 100 * time.Millisecond, ExploreShare: 0.05, ExploreCost: 0.05, LogLevel: "info", SessionKey: []byte(SessionKey),
--- a/local/slow_test.go
+++ b/local/slow_test.go
@@ -76,6 +76,7 @@
 		tb.Fatal(err)
 	}
 	tb.Cleanup(d.Stop)
+	d.Stall = watchdog // on a busy machine it takes long until all streams stand
 	set := SampleSet()
 	set.Services[0].Limits.Slots, set.Services[0].Limits.ColdSlots, set.Services[0].Limits.Tokens = 1000, 1000, 100_000_000
 	set.Teams[0].Limits.MaxTokens = 2 * slowTokens
