dispatch: a prompt that was read is taken off its endpoint's work once

The reservation was passed by value to the function that records an answer's header, so that the work of its prompt was taken off once there and once more at the end. The sum became negative, and more so the more requests an endpoint had had.

Change: it is passed by reference. TestReadPromptsLeaveNoWork fails before (-50 ms left). The state dump shows the work.

--- a/dispatch/routed.go
+++ b/dispatch/routed.go
@@ -243,7 +243,7 @@
 	}
 	x.trace(r, resp, latency, err)
 	if resp != nil {
-		x.answered(r, resp, latency, err)
+		x.answered(&r, resp, latency, err)
 	}
 	if err != nil {
 		cancel(err)
@@ -253,7 +253,7 @@
 }
 
 // answered tells the pool what the answer's header says. The latency of an error says nothing of the endpoint's speed.
-func (x *Exchange) answered(r pool.Reservation, resp *engine.RoutedResponse, latency time.Duration, err error) {
+func (x *Exchange) answered(r *pool.Reservation, resp *engine.RoutedResponse, latency time.Duration, err error) {
 	measured := err == nil && resp.Status < 400
 	r.Answered(latency, measured, resp.Load, resp.Cold, x.filter.spec.Now())
 }
--- /dev/null
+++ b/dispatch/routed_test.go
@@ -0,0 +1,74 @@
+package dispatch
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/bramleytrail/bramleytrail/config"
+	"github.com/bramleytrail/bramleytrail/engine"
+	"github.com/bramleytrail/bramleytrail/hostlist"
+	"github.com/bramleytrail/bramleytrail/object"
+	"github.com/bramleytrail/bramleytrail/poison"
+	"github.com/bramleytrail/bramleytrail/pool"
+)
+
+// routerFunc answers routed requests.
+type routerFunc func(ctx context.Context, addr string, r *engine.RoutedRequest) (*engine.RoutedResponse, error)
+
+func (f routerFunc) Route(ctx context.Context, addr string, r *engine.RoutedRequest) (*engine.RoutedResponse, error) {
+	return f(ctx, addr, r)
+}
+
+func answerOK(context.Context, string, *engine.RoutedRequest) (*engine.RoutedResponse, error) {
+	return &engine.RoutedResponse{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("x")), Length: 1}, nil
+}
+
+// routedFilter returns a filter before two endpoints of a service in each of two failure domains, and a request to it.
+func routedFilter(t *testing.T, router engine.Router) (*Filter, RoutedInput) {
+	t.Helper()
+	p := pool.New(pool.Spec{Self: "d", Domain: "a", Settle: time.Second, Rand: func() uint64 { return 0 }})
+	set := object.Set{
+		FailureDomains: []object.FailureDomain{{Name: "a", State: object.DomainIn}, {Name: "b", State: object.DomainIn}},
+		Services:       []object.Service{{Name: "llm", Type: object.ServicePlain, Routed: &object.RoutedService{}}},
+	}
+	view := config.Index(config.Revision{Number: 1}, set)
+	p.SetView(view, time.Now())
+	list := hostlist.List{Hosts: []hostlist.Host{{ID: "d", Role: hostlist.RoleEntry, Domain: "a"}}}
+	for _, id := range []string{"a0", "a1", "b0", "b1"} {
+		list.Hosts = append(list.Hosts, hostlist.Host{ID: id, Role: hostlist.RoleEndpoint, Domain: id[:1], State: hostlist.StateLive, Addr: id, Service: "llm", Slots: 8})
+	}
+	p.SetHosts(list, time.Now())
+	f := New(Spec{
+		Pool: p, Poison: poison.NewTable(), Router: router, Rand: func() uint64 { return 0 }, QueueWait: time.Second, Now: time.Now,
+		RetryRatio: 1, RetryWindow: 10 * time.Second, RetryReserve: func() float64 { return 100 },
+	})
+	return f, RoutedInput{
+		View: view, Service: "llm", Prompt: 1000, Request: engine.RoutedRequest{ID: "r", Header: http.Header{}},
+		Route:  &object.Route{Stream: true, Resumable: true, Attempts: 3, Target: time.Second, Gap: time.Second, Backends: []object.Backend{{Service: "llm", Weight: 1}}},
+		Query:  pool.RoutedQuery{Model: "m", Target: time.Second, Gap: time.Second},
+		Assign: func(*config.View, bool) (string, string) { return "", "" },
+	}
+}
+
+// Guards against prompts that are taken off an endpoint's work twice, when the answer begins and when it ends: the endpoint
+// that had the most requests would then look like the least loaded one.
+func TestReadPromptsLeaveNoWork(t *testing.T) {
+	f, in := routedFilter(t, routerFunc(answerOK))
+	for range 5 {
+		answer, err := f.NewExchange(context.Background(), in).Do("m", 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		answer.Keep()
+		answer.Close()
+	}
+	for _, s := range f.spec.Pool.Dump(time.Now(), 10) {
+		if s.Reading != 0 || s.InFlight != 0 {
+			t.Errorf("%s: %g ms of prompts and %d requests are left", s.ID, s.Reading, s.InFlight)
+		}
+	}
+}
--- a/pool/poll.go
+++ b/pool/poll.go
@@ -66,6 +66,8 @@
 	Failures  int         `json:"failures"`
 	Ejected   bool        `json:"ejected"`
 	Load      engine.Load `json:"load"`
+	// Reading is the time for the prompts of this daemon's routed requests that have no answer yet, in milliseconds.
+	Reading float64 `json:"reading"`
 }
 
 // Dump returns the state of up to limit endpoints.
@@ -79,7 +81,7 @@
 		s := State{
 			ID: e.host.ID, Addr: e.host.Addr, Domain: e.host.Domain, Service: e.host.Service, Versions: e.host.Versions,
 			Rank: place.rank, Members: place.members(r.limits.Slots), Slots: e.slotShare(r, now), InFlight: e.inFlight, Tokens: e.tokens,
-			Boot: e.boot, Completed: e.completed, Failures: e.failures, Ejected: now.Before(e.ejected), Load: e.load,
+			Boot: e.boot, Completed: e.completed, Failures: e.failures, Ejected: now.Before(e.ejected), Load: e.load, Reading: e.routed.work,
 		}
 		e.mu.Unlock()
 		out = append(out, s)
