pool, dispatch: a failure domain that is cut off is avoided as a whole

Change: failures to connect in time or to answer, at two endpoints of a domain with no answer from there in between, stand for the domain. Its endpoints count as slower by the request's target, one request a second may go there, and a request or stream that is silent there is given up after 250 ms, or after one pause of the stream.

--- a/dispatch/routed.go
+++ b/dispatch/routed.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -231,7 +233,7 @@
 	}
 	req.Once = !x.in.Route.MayRepeat()
 	ctx, cancel := context.WithCancelCause(x.ctx)
-	silence := x.limitSilence(r.ID, cancel)
+	silence := x.limitSilence(&r, cancel)
 	resp, err := x.filter.spec.Router.Route(ctx, r.Addr, &req)
 	if silence.Stop() && err == nil {
 		_ = resp.Body.Close() // it is given up
@@ -273,12 +275,12 @@
 }
 
 // limitSilence ends an attempt whose answer does not begin in time, if another endpoint may run the request.
-func (x *Exchange) limitSilence(current string, cancel context.CancelCauseFunc) *SilenceLimit {
+func (x *Exchange) limitSilence(r *pool.Reservation, cancel context.CancelCauseFunc) *SilenceLimit {
 	if x.in.Route.Target <= 0 || x.sends+1 >= x.in.Route.Attempts {
 		return nil
 	}
 	limit := max(minSilence, time.Duration(silenceShare*float64(x.in.Route.Target))) + time.Duration(x.in.Prompt)*promptSilence
-	return x.patience(current, limit, cancel)
+	return x.patience(r, minSilence, limit, cancel)
 }
 
 // LimitGaps ends a stream that brings no event for too long, if it may go on at another endpoint.
@@ -288,42 +290,85 @@
 	if !r.Stream || r.Gap <= 0 || x.sends >= r.Attempts {
 		return nil
 	}
-	return x.patience(a.Endpoint, time.Duration(gapFactor*float64(r.Gap)), a.cancel)
+	return x.patience(&a.room, r.Gap, time.Duration(gapFactor*float64(r.Gap)), a.cancel)
 }
 
 // SilenceLimit ends an attempt that brings nothing for a time. A nil one ends nothing.
 type SilenceLimit struct {
-	exchange *Exchange
-	limit    time.Duration
-	timer    *time.Timer
+	exchange  *Exchange
+	room      pool.Reservation
+	elsewhere func() bool
+	cancel    context.CancelCauseFunc
+	early     time.Duration // from which a silent endpoint is given up if its failure domain is cut off
+	limit     time.Duration
+
+	mu      sync.Mutex
+	timer   *time.Timer
+	since   time.Time // newest progress
+	stopped bool
+	ended   bool // it has ended the attempt
+}
+
+// patience ends an attempt after a limit if another endpoint may follow and the budget has room for it, which is taken at
+// once. An endpoint that is merely slow is waited for otherwise. One whose failure domain is cut off will not answer: it is
+// given up after the early limit.
+func (x *Exchange) patience(r *pool.Reservation, early, limit time.Duration, cancel context.CancelCauseFunc) *SilenceLimit {
+	if !x.in.Route.MayRepeat() {
+		return nil
+	}
+	l := &SilenceLimit{
+		exchange: x, room: *r, elsewhere: x.elsewhere(r.ID), cancel: cancel, early: min(early, limit), limit: limit, since: x.filter.spec.Now(),
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.timer = time.AfterFunc(l.early, l.check)
+	return l
+}
+
+// check ends the attempt if it is time, and looks again later otherwise.
+func (l *SilenceLimit) check() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.stopped || l.ended {
+		return
+	}
+	now := l.exchange.filter.spec.Now()
+	rest := l.limit - now.Sub(l.since)
+	if rest > 0 && !l.room.CutOff(now) || !l.elsewhere() || !l.exchange.budget.withdraw(0) {
+		if rest <= 0 || rest > l.early {
+			rest = l.early
+		}
+		l.timer.Reset(rest)
+		return
+	}
+	l.ended = true
+	l.exchange.prepaid.Store(true)
+	l.cancel(engine.ErrStalled)
 }
 
 // Progress begins the time anew.
 func (l *SilenceLimit) Progress() {
-	if l != nil && !l.Stop() {
-		l.timer.Reset(l.limit)
+	if l == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.stopped && !l.ended {
+		l.since = l.exchange.filter.spec.Now()
+		l.timer.Reset(l.early)
 	}
 }
 
 // Stop ends the limit and reports whether it has ended the attempt.
 func (l *SilenceLimit) Stop() bool {
-	return l != nil && !l.timer.Stop() && l.exchange.prepaid.Load()
-}
-
-// patience cancels an attempt at the current endpoint after a limit if another one may follow and the budget has room for
-// it, which is taken at once. An endpoint that is merely slow is waited for otherwise.
-func (x *Exchange) patience(current string, limit time.Duration, cancel context.CancelCauseFunc) *SilenceLimit {
-	if !x.in.Route.MayRepeat() {
-		return nil
+	if l == nil {
+		return false
 	}
-	elsewhere := x.elsewhere(current)
-	timer := time.AfterFunc(limit, func() {
-		if elsewhere() && x.budget.withdraw(0) {
-			x.prepaid.Store(true)
-			cancel(engine.ErrStalled)
-		}
-	})
-	return &SilenceLimit{x, limit, timer}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stopped = true
+	l.timer.Stop()
+	return l.ended
 }
 
 // elsewhere returns a function that reports whether another endpoint has room for the request as it is now. The function
@@ -353,7 +398,7 @@
 	}
 	switch {
 	case errors.Is(err, engine.ErrUnreachable):
-		r.Release(pool.Broken, now)
+		r.Release(unreachable(err), now)
 		return nil
 	case errors.Is(err, engine.ErrMisdirected):
 		x.sends++
@@ -366,7 +411,7 @@
 	}
 	x.sends++
 	x.ran = max(x.ran, result.RunUnknown)
-	r.Release(pool.Dropped, now)
+	r.Release(routedOutcome(err, 0), now)
 	if !x.in.Route.MayRepeat() {
 		code := result.EndpointFailed
 		if errors.Is(err, engine.ErrStalled) {
@@ -417,6 +462,15 @@
 	a.room.Release(routedOutcome(a.err, a.Status), a.exchange.filter.spec.Now())
 }
 
+// unreachable tells an endpoint whose host refuses connections from one that does not answer, which may be cut off.
+func unreachable(err error) pool.Outcome {
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		return pool.Unreached
+	}
+	return pool.Broken
+}
+
 func routedOutcome(err error, status int) pool.Outcome {
 	switch {
 	case errors.Is(err, engine.ErrFailed) || err == nil && status >= 500:
@@ -425,6 +479,8 @@
 		return pool.Succeeded
 	case errors.Is(err, errCancelled):
 		return pool.Cancelled
+	case errors.Is(err, engine.ErrStalled):
+		return pool.Silent
 	default:
 		return pool.Dropped
 	}
--- a/dispatch/routed_test.go
+++ b/dispatch/routed_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/bramleytrail/bramleytrail/config"
@@ -72,3 +73,74 @@
 		}
 	}
 }
+
+// silence never answers.
+func silence(ctx context.Context, _ string, _ *engine.RoutedRequest) (*engine.RoutedResponse, error) {
+	<-ctx.Done()
+	return nil, context.Cause(ctx)
+}
+
+// Guards against requests that wait for the whole limit at an endpoint whose failure domain is known to be cut off.
+func TestSilentDomainIsGivenUpEarly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var sent []string
+		f, in := routedFilter(t, routerFunc(func(ctx context.Context, addr string, r *engine.RoutedRequest) (*engine.RoutedResponse, error) {
+			if sent = append(sent, addr); addr[0] == 'a' {
+				return silence(ctx, addr, r)
+			}
+			return answerOK(ctx, addr, r)
+		}))
+		ask := func() time.Duration {
+			start := time.Now()
+			answer, err := f.NewExchange(context.Background(), in).Do("m", 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			answer.Keep()
+			answer.Close()
+			return time.Since(start)
+		}
+		first := ask()
+		if want := time.Duration(silenceShare * float64(in.Route.Target)); first < want {
+			t.Fatalf("a silent endpoint was given up after %v, before its limit of %v", first, want)
+		}
+		if sent[0][0] != 'a' || sent[len(sent)-1][0] != 'b' {
+			t.Fatalf("sent to %v", sent)
+		}
+		sent = nil
+		if second := ask(); second > minSilence {
+			t.Errorf("the second request took %v, sent to %v", second, sent)
+		}
+	})
+}
+
+// Guards against a limit that ends an attempt after it was stopped, and against a budget that is charged for it.
+func TestStoppedLimitEndsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, in := routedFilter(t, routerFunc(answerOK))
+		answer, err := f.NewExchange(context.Background(), in).Do("m", 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		limit := answer.LimitGaps()
+		before := answer.exchange.budget.level()
+		if limit.Stop() {
+			t.Error("the limit has ended the attempt at once")
+		}
+		time.Sleep(10 * in.Route.Gap)
+		if after := answer.exchange.budget.level(); after != before {
+			t.Errorf("budget %g, before %g", after, before)
+		}
+		answer.Close()
+		next, err := f.NewExchange(context.Background(), in).Do("m", 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		limit = next.LimitGaps()
+		time.Sleep(time.Duration(gapFactor*float64(in.Route.Gap)) + time.Millisecond)
+		if !limit.Stop() {
+			t.Error("a silent stream was not given up")
+		}
+		next.Close()
+	})
+}
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -84,6 +84,7 @@
 		if r, ok := best.reserve(&q, t.rules[q.Service], now); ok {
 			r.pool = p
 			if q.Routed != nil {
+				p.reach.probed(r.Domain, now)
 				p.mixes.add(q.Service, q.Routed.Model, q.Routed.pace.token, q.Routed.pace.token*float64(q.Prompt), now)
 			}
 			return r, short, true
@@ -109,7 +110,7 @@
 			return candidate{}, false
 		}
 		score, wait := e.routedScore(q, now)
-		return candidate{e: e, score: score, chosen: e.chosen, wait: wait}, true
+		return candidate{e: e, domain: e.host.Domain, score: score, chosen: e.chosen, wait: wait}, true
 	}
 	if r := e.admits(q, rule, now); r != accepted {
 		short.count(r, e.ejected)
@@ -183,6 +184,8 @@
 	Cancelled         // the caller left
 	Dropped           // a routed request has no whole answer, which says little about the endpoint by itself
 	Errored           // the endpoint answered a routed request with a failure of its own
+	Unreached         // no connection to a routed request's endpoint in time, as Broken
+	Silent            // nothing of a routed request's answer in time, as Dropped
 )
 
 // Opened records that the endpoint answered a request that was sent at a time, with the latency of the answer's header.
@@ -276,7 +279,7 @@
 		e.routed.succeeded()
 	case Errored:
 		e.routed.failed()
-	case Dropped:
+	case Dropped, Silent:
 		if e.routed.failed(); e.routed.streak >= ejectStreak {
 			e.fail(now)
 		}
@@ -284,13 +287,16 @@
 		if until := now.Add(busyBackoff); until.After(e.ejected) {
 			e.ejected = until
 		}
-	case Broken, TimedOut:
+	case Broken, TimedOut, Unreached:
 		e.fail(now)
 	}
 	versions, ejected := e.host.Versions, e.ejected
 	id, failures := e.host.ID, e.failures
 	e.mu.Unlock()
-	if r.pool.spec.OnEject != nil && ejected.After(now) && (o == Broken || o == TimedOut || o == Dropped) {
+	if o == Unreached || o == Silent {
+		r.pool.reach.lost(r.Domain, id, now)
+	}
+	if r.pool.spec.OnEject != nil && ejected.After(now) && o != Succeeded && o != Busy {
 		r.pool.spec.OnEject(id, failures, ejected.Sub(now))
 	}
 	r.pool.signal(r.service, versions)
--- a/pool/policy.go
+++ b/pool/policy.go
@@ -29,6 +29,7 @@
 // candidate is an endpoint that admits a request.
 type candidate struct {
 	e      *endpoint
+	domain string
 	score  float64
 	chosen time.Time     // when this daemon last sent it a request
 	wait   time.Duration // until a routed request's answer probably begins
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -47,6 +47,7 @@
 	turn   atomic.Uint64 // of RoundRobin
 	paces  *paces
 	mixes  *mixes
+	reach  *reach
 
 	mu      sync.Mutex // serialises rebuild
 	list    hostlist.List
@@ -81,7 +82,7 @@
 
 // New returns an empty pool.
 func New(spec Spec) *Pool {
-	p := &Pool{spec: spec, known: map[string]*endpoint{}, history: map[string]*limitHistory{}, paces: newPaces(), mixes: newMixes()}
+	p := &Pool{spec: spec, known: map[string]*endpoint{}, history: map[string]*limitHistory{}, paces: newPaces(), mixes: newMixes(), reach: newReach()}
 	p.members = members{self: spec.Self, settle: spec.Settle, departed: map[string]departed{}}
 	p.table.Store(&table{})
 	return p
--- a/pool/routed.go
+++ b/pool/routed.go
@@ -267,11 +267,15 @@
 // with the same score it takes the one that was chosen the longest time ago.
 func (p *Pool) bestRouted(group []*endpoint, q *Query, t *table, now time.Time, short *Shortage) *endpoint {
 	var best candidate
+	quiet := p.reach.quiet()
 	for _, e := range group {
 		c, ok := e.consider(q, t.view, t.rules[q.Service], now, short)
 		if !ok {
 			continue
 		}
+		if !quiet && p.reach.cutOff(c.domain, now) {
+			c.score += unreachedDelay * float64(q.Routed.Target/time.Millisecond)
+		}
 		closer := c.score < best.score-sameWait
 		same := math.Abs(c.score-best.score) <= sameWait
 		if best.e == nil || closer || same && c.chosen.Before(best.chosen) {
@@ -316,6 +320,7 @@
 // Answered records the header of an endpoint's answer: its latency, the load that it reports, and for how long it is cold.
 // A measured of false leaves the latency out, for answers that say nothing about the endpoint's speed.
 func (r *Reservation) Answered(latency time.Duration, measured bool, load *engine.SlotLoad, cold time.Duration, now time.Time) {
+	r.pool.reach.answered(r.Domain)
 	e := r.e
 	e.mu.Lock()
 	defer e.mu.Unlock()
