gateway: daemons tell each other what they learn from the store

Change: the first daemon waits at the store and tells the others each change by datagram. They ask only if nothing came for half of the time within which a change has to be in force. Operators' documents are left to each daemon. A message counts only if it follows what is in force without a gap and comes from a daemon's address. TestToldChanges, TestToldDaemonsLeaveTheStoreAlone and notice.TestChangesOfStrangers fail before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -185,7 +185,7 @@
 		return err
 	}
 	if g.spec.PeerAddr != "" {
-		x, err := notice.Listen(g.spec.PeerAddr, g.releases.hear)
+		x, err := notice.Listen(g.spec.PeerAddr, g.hear)
 		if err != nil {
 			return err
 		}
@@ -198,6 +198,15 @@
 	return nil
 }
 
+// hear takes a message of another daemon.
+func (g *Gateway) hear(m notice.Message) {
+	if m.Revision > 0 {
+		g.view.hear(m)
+		return
+	}
+	g.releases.hear(m)
+}
+
 func (g *Gateway) serveReady() error {
 	g.ready = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		if !g.Ready() {
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	mathrand "math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -13,6 +14,7 @@
 	"github.com/bramleytrail/bramleytrail/config"
 	"github.com/bramleytrail/bramleytrail/hostlist"
 	"github.com/bramleytrail/bramleytrail/kv"
+	"github.com/bramleytrail/bramleytrail/notice"
 	"github.com/bramleytrail/bramleytrail/object"
 	"github.com/bramleytrail/bramleytrail/pause"
 )
@@ -20,6 +22,10 @@
 // memberSeparator stands between the failure domain and the address in a member's entry.
 const memberSeparator = " "
 
+// maxTold bounds the messages about the store that wait for the daemon. A call takes a second at most; more than a few daemons
+// tell something within it only if each of them asks by itself.
+const maxTold = 256
+
 // Keys of the gateway in the store.
 const (
 	ownPrefix     = "bramleytrail/"
@@ -28,10 +34,17 @@
 )
 
 const (
-	// watchShare is the part of the time within which a change has to be in force that may pass between two watches, so that
-	// changes in quick succession cost one call together; watchPause applies if that time is not known.
-	watchShare = 0.2
+	// watchShare is the part of the time within which a change has to be in force that may pass between two calls for
+	// changes: half of it is left for the call and for a busy host. watchPause applies if that time is not known.
+	watchShare = 0.5
 	watchPause = 250 * time.Millisecond
+	// watchJitter is the part of that time by which the daemons differ at random, so that the first one can tell the others
+	// before they ask too.
+	watchJitter = 0.2
+	// leadPause and leadWait are the parts of that time for which the first daemon pauses, and then waits at the store for a
+	// change. Together they end before the others' pauses: those hear of each change within leadPause, and ask by themselves
+	// only if they do not hear from the first one.
+	leadPause, leadWait = 0.3, 0.35
 	// livenessPause is the time between two renewals of the membership, which also show that the store answers. A renewal
 	// costs a tenth of a watch.
 	livenessPause = 1500 * time.Millisecond
@@ -62,6 +75,7 @@
 	hasList   atomic.Bool
 	lease     atomic.Uint64
 	suspected chan struct{} // another call of the store failed
+	told      chan toldChanges
 
 	// Of run alone:
 	revision uint64    // of the newest change in force, 0 before the first list
@@ -69,7 +83,7 @@
 }
 
 func newStoreView(g *Gateway) *storeView {
-	return &storeView{g: g, operator: map[string]kv.Entry{}, endpoints: map[string]hostlist.Host{}, own: map[string]kv.Entry{}, lapsed: map[string]time.Time{}, suspected: make(chan struct{}, 1)}
+	return &storeView{g: g, operator: map[string]kv.Entry{}, endpoints: map[string]hostlist.Host{}, own: map[string]kv.Entry{}, lapsed: map[string]time.Time{}, suspected: make(chan struct{}, 1), told: make(chan toldChanges, maxTold)}
 }
 
 // listed reports whether the store's content was read since the start.
@@ -96,7 +110,8 @@
 	wait := retryFirst
 	for v.g.ctx.Err() == nil {
 		asked := time.Now()
-		changes, err := v.ask(lost)
+		leads := v.leads()
+		changes, err := v.ask(lost, leads)
 		if err != nil {
 			if v.g.ctx.Err() != nil {
 				return
@@ -114,23 +129,34 @@
 			v.g.log.WithField("dependency", "store").WithField("revision", changes.Revision).Info("dependency regained")
 			v.regained = time.Now()
 		}
+		after, fresh := v.revision, !lost
 		lost, wait = false, retryFirst
 		v.follow(changes, time.Now())
 		v.hasList.Store(true)
-		v.rest(asked.Add(v.pause()), lost)
+		if fresh { // what lapsed during an outage is for each daemon to judge
+			v.tell(after, changes, asked)
+		}
+		v.rest(asked.Add(v.pause(leads)), lost)
 	}
 }
 
 // ask reads the changes since the last ones. A store that was lost is probed first.
-func (v *storeView) ask(lost bool) (kv.Changes, error) {
+func (v *storeView) ask(lost, leads bool) (kv.Changes, error) {
 	if lost && v.revision > 0 {
 		if err := v.probe(); err != nil {
 			return kv.Changes{}, err
 		}
 	}
-	return v.watch(v.revision)
+	wait := time.Duration(0)
+	if leads && !lost {
+		wait = time.Duration(leadWait * float64(v.longestPause()))
+	}
+	return v.watch(v.revision, wait)
 }
 
+// leads reports whether this daemon is the first one, which follows the store for the others.
+func (v *storeView) leads() bool { return v.listed() && v.rank() == 0 }
+
 // follow puts changes in force that follow those in force.
 func (v *storeView) follow(c kv.Changes, now time.Time) {
 	if v.revision > 0 && now.Sub(v.regained) < lapsedKeep {
@@ -171,8 +197,8 @@
 	})
 }
 
-// rest pauses until the next call is due, or until another call finds the store away. Endpoints whose time to come back is
-// over are dropped in the meantime.
+// rest pauses until the next call is due, or until another call finds the store away. What other daemons tell of the store
+// puts the call off. Endpoints whose time to come back is over are dropped in the meantime.
 func (v *storeView) rest(due time.Time, lost bool) {
 	suspected := v.suspected
 	if lost {
@@ -183,6 +209,12 @@
 		select {
 		case <-timer.C:
 			v.apply(kv.Changes{}, time.Now())
+		case m := <-v.told:
+			if v.believe(m.Message, now) {
+				if next := m.arrived.Add(v.pause(v.leads()) - m.Age); next.After(due) {
+					due = next
+				}
+			}
 		case <-suspected:
 			due = now
 		case <-v.g.ctx.Done():
@@ -192,6 +224,56 @@
 	}
 }
 
+// tell spreads changes to the other daemons, so that few of them have to ask the store. Operators' documents are left to each daemon: they are rare, large, and say who may do what.
+func (v *storeView) tell(after uint64, c kv.Changes, asked time.Time) {
+	x := v.g.notices.Load()
+	if x == nil || c.Reset {
+		return
+	}
+	m := notice.Message{Revision: c.Revision, After: after}
+	for _, e := range c.Entries {
+		if v.g.spec.Documents.Kind(e.Key) == KindOperator {
+			return
+		}
+		m.Changes = append(m.Changes, notice.Change{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted})
+	}
+	m.Age = time.Since(asked)
+	if err := x.Send(m); err != nil {
+		v.g.log.WithError(err).Debug("changes not told to the other daemons")
+	}
+}
+
+// toldChanges is a message with the time of its arrival.
+type toldChanges struct {
+	notice.Message
+	arrived time.Time
+}
+
+// hear takes what another daemon tells of the store. A message that finds too many others waiting is dropped: the next call
+// brings what it held.
+func (v *storeView) hear(m notice.Message) {
+	select {
+	case v.told <- toldChanges{m, time.Now()}:
+	default:
+	}
+}
+
+// believe puts told changes in force if they follow those in force without a gap. It reports whether the daemon is now up to
+// date as of the message.
+func (v *storeView) believe(m notice.Message, now time.Time) bool {
+	if v.revision == 0 || m.After > v.revision || m.Revision < v.revision {
+		return false
+	}
+	c := kv.Changes{Revision: m.Revision}
+	for _, e := range m.Changes {
+		if e.Revision > v.revision && v.g.spec.Documents.Kind(e.Key) != KindOperator {
+			c.Entries = append(c.Entries, kv.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted})
+		}
+	}
+	v.follow(c, now)
+	return true
+}
+
 // nextLapse returns the time at which an endpoint is dropped next if that is before a limit, else the limit.
 func (v *storeView) nextLapse(limit time.Time) time.Time {
 	v.mu.Lock()
@@ -204,16 +286,25 @@
 	return limit
 }
 
-// pause returns the least time between two watches.
-func (v *storeView) pause() time.Duration {
-	if p := v.g.spec.Propagation; p > 0 {
-		return time.Duration(watchShare * float64(p))
+// pause returns the time from one call for changes until the next.
+func (v *storeView) pause(leads bool) time.Duration {
+	share := 1 - watchJitter*mathrand.Float64()
+	if leads {
+		share = leadPause
+	}
+	return time.Duration(share * float64(v.longestPause()))
+}
+
+// longestPause returns the longest time from one call for changes until the next.
+func (v *storeView) longestPause() time.Duration {
+	if d := v.g.spec.Propagation; d > 0 {
+		return time.Duration(watchShare * float64(d))
 	}
 	return watchPause
 }
 
 // watch waits for changes. It gives up when another call shows that the store does not answer.
-func (v *storeView) watch(revision uint64) (kv.Changes, error) {
+func (v *storeView) watch(revision uint64, wait time.Duration) (kv.Changes, error) {
 	select {
 	case <-v.suspected: // of before
 	default:
@@ -229,6 +320,9 @@
 		case <-done:
 		}
 	}()
+	if w, ok := v.g.spec.Store.(kv.Waiter); ok {
+		return w.WatchFor(ctx, "", revision, wait)
+	}
 	return v.g.spec.Store.Watch(ctx, "", revision)
 }
 
--- a/gateway/view_test.go
+++ b/gateway/view_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -219,6 +220,98 @@
 	})
 }
 
+// fakeTold returns a message about the store.
+func fakeTold(after, revision uint64, changes ...notice.Change) notice.Message {
+	return notice.Message{After: after, Revision: revision, Changes: changes}
+}
+
+// Guards against changes that other daemons tell and that are lost, put in force with a gap before them, out of order, or
+// without a list of one's own; and against operators' documents that are taken from another daemon.
+func TestToldChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := testGateway(memkv.New())
+		v := g.view
+		endpoint := func(n uint64, addr string) notice.Change {
+			return notice.Change{Key: "e1", Value: []byte(addr), Revision: n}
+		}
+		usable := func() int { return g.pool.Usable("s", "v1", time.Now()) }
+		if v.believe(fakeTold(0, 5, endpoint(5, "a:1")), time.Now()) || usable() != 0 {
+			t.Error("a daemon without a list of its own believed another one")
+		}
+		v.follow(kv.Changes{Reset: true, Revision: 5, Entries: []kv.Entry{{Key: "e1", Value: []byte("a:1"), Revision: 4}}}, time.Now())
+		for _, c := range []struct {
+			name string
+			m    notice.Message
+			ok   bool
+			want uint64 // revision in force after it
+			n    int
+		}{
+			{"with a gap", fakeTold(6, 7, notice.Change{Key: "e1", Revision: 7, Deleted: true}), false, 5, 1},
+			{"up to date", fakeTold(5, 5), true, 5, 1},
+			{"next", fakeTold(5, 6, notice.Change{Key: "e2", Value: []byte("a:2"), Revision: 6}), true, 6, 2},
+			{"overlapping", fakeTold(4, 8, endpoint(5, "old:1"), notice.Change{Key: "e2", Revision: 8, Deleted: true}), true, 8, 1},
+			{"older", fakeTold(4, 7, notice.Change{Key: "e1", Revision: 7, Deleted: true}), false, 8, 1},
+		} {
+			if ok := v.believe(c.m, time.Now()); ok != c.ok || v.revision != c.want || usable() != c.n {
+				t.Errorf("%s: believed %v, revision %d with %d endpoints", c.name, ok, v.revision, usable())
+			}
+		}
+		if h := v.endpoints["e1"]; h.Addr != "a:1" {
+			t.Errorf("an older entry of the endpoint was used: %+v", h)
+		}
+		g.cancel()
+	})
+}
+
+// countedStore counts the calls for changes.
+type countedStore struct {
+	kv.Store
+	calls atomic.Int64
+}
+
+// Watch implements kv.Store without waiting.
+func (s *countedStore) Watch(ctx context.Context, prefix string, after uint64) (kv.Changes, error) {
+	s.calls.Add(1)
+	ctx, cancel := context.WithTimeout(ctx, time.Millisecond)
+	defer cancel()
+	c, err := s.Store.Watch(ctx, prefix, after)
+	if err != nil && ctx.Err() != nil {
+		return kv.Changes{Revision: after}, nil
+	}
+	return c, err
+}
+
+// Guards against daemons of a failure domain that each ask the store for changes although one has just told the others, and
+// against daemons that rely on a word that does not come.
+func TestToldDaemonsLeaveTheStoreAlone(t *testing.T) {
+	const propagation, span = 2 * time.Second, 20 * time.Second
+	for _, told := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			store := &countedStore{Store: memkv.New()}
+			revision, err := store.CAS(t.Context(), memberPrefix+"a", nil, 0, 0) // the first daemon is another one
+			if err != nil {
+				t.Fatal(err)
+			}
+			g := testGateway(store)
+			g.spec.Propagation = propagation
+			go g.view.run()
+			time.Sleep(100 * time.Millisecond)
+			store.calls.Store(0)
+			for range int(span / (100 * time.Millisecond)) {
+				time.Sleep(100 * time.Millisecond)
+				if told {
+					g.view.hear(fakeTold(revision, revision))
+				}
+			}
+			n := store.calls.Load()
+			if most := int64(span / (propagation / 4)); told && n > 0 || !told && (n < int64(span/propagation) || n > most) {
+				t.Errorf("told %v: %d calls in %v", told, n, span)
+			}
+			g.cancel()
+		})
+	}
+}
+
 // Guards against a membership that is lost for good when its lease lapses.
 func TestMembershipReturns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/kv/kv.go
+++ b/kv/kv.go
@@ -19,6 +19,12 @@
 // MaxValueBytes is the platform's limit on one value.
 const MaxValueBytes = 1 << 20
 
+// Waiter is a Store whose watches wait for as long as they are told to.
+type Waiter interface {
+	// WatchFor is Watch with a limit to the wait for changes; 0 asks for those that there are.
+	WatchFor(ctx context.Context, prefix string, after uint64, wait time.Duration) (Changes, error)
+}
+
 // LeaseID identifies a lease. Zero means no lease.
 type LeaseID uint64
 
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -6,14 +6,18 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 )
 
-// maxBytes bounds a message. It fits in one datagram on every link.
-const maxBytes = 512
+// maxBytes bounds a message. A datagram of this size is sent in a few packets.
+const maxBytes = 8 << 10
+
+// maxChanges bounds the changes in one message.
+const maxChanges = 64
 
 // Message is what daemons tell each other. Unused fields are left out.
 type Message struct {
@@ -31,6 +35,19 @@
 	// Session is in use on the old version for the given time.
 	Session uint64        `msgpack:"n,omitempty"`
 	For     time.Duration `msgpack:"t,omitempty"`
+	// Revision is that of the store's content at the sender, Age before the message was sent. Changes are those after the
+	// revision After, without gaps; there are none if both are the same.
+	Revision uint64   `msgpack:"r,omitempty"`
+	After    uint64   `msgpack:"u,omitempty"`
+	Changes  []Change `msgpack:"c,omitempty"`
+}
+
+// Change is a change of an entry of the store.
+type Change struct {
+	Key      string `msgpack:"k"`
+	Value    []byte `msgpack:"v,omitempty"`
+	Revision uint64 `msgpack:"r"`
+	Deleted  bool   `msgpack:"d,omitempty"`
 }
 
 // Exchange sends and receives messages.
@@ -75,6 +92,12 @@
 
 // Send sends a message to all other daemons. The first error is returned; the others get the message all the same.
 func (x *Exchange) Send(m Message) error {
+	x.mu.Lock()
+	peers := x.peers
+	x.mu.Unlock()
+	if len(peers) == 0 {
+		return nil
+	}
 	data, err := msgpack.Marshal(&m)
 	if err != nil {
 		return fmt.Errorf("encode message: %w", err)
@@ -82,9 +105,6 @@
 	if len(data) > maxBytes {
 		return fmt.Errorf("message of %d bytes, the limit is %d", len(data), maxBytes)
 	}
-	x.mu.Lock()
-	peers := x.peers
-	x.mu.Unlock()
 	for _, p := range peers {
 		if _, sendErr := x.conn.WriteToUDP(data, p); sendErr != nil && err == nil {
 			err = fmt.Errorf("send message: %w", sendErr)
@@ -99,24 +119,34 @@
 func (x *Exchange) run() {
 	buf := make([]byte, maxBytes)
 	for {
-		n, _, err := x.conn.ReadFromUDP(buf)
+		n, from, err := x.conn.ReadFromUDP(buf)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
 		if err != nil {
 			continue // of one datagram, such as a peer that is gone
 		}
-		if m, ok := decode(buf[:n]); ok {
+		if m, ok := decode(buf[:n]); ok && (m.Revision == 0 || x.isPeer(from)) {
 			x.receive(m)
 		}
 	}
 }
 
+// isPeer reports whether an address is that of another daemon. Nobody else's word on the store counts.
+func (x *Exchange) isPeer(from *net.UDPAddr) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return slices.ContainsFunc(x.peers, func(p *net.UDPAddr) bool { return p.Port == from.Port && p.IP.Equal(from.IP) })
+}
+
 // decode reads a message. Bytes of others are passed over.
 func decode(data []byte) (Message, bool) {
 	var m Message
-	if err := msgpack.Unmarshal(data, &m); err != nil || m.Service == "" || m.For < 0 || m.Age < 0 {
+	if err := msgpack.Unmarshal(data, &m); err != nil || m.For < 0 || m.Age < 0 {
 		return Message{}, false
 	}
-	return m, true
+	if m.Revision > 0 {
+		return m, m.After <= m.Revision && len(m.Changes) <= maxChanges
+	}
+	return m, m.Service != ""
 }
--- a/notice/notice_test.go
+++ b/notice/notice_test.go
@@ -1,6 +1,7 @@
 package notice
 
 import (
+	"reflect"
 	"testing"
 	"time"
 )
@@ -29,7 +30,7 @@
 		t.Fatal(err)
 	}
 	for range 2 {
-		if m := <-got; m != want {
+		if m := <-got; !reflect.DeepEqual(m, want) {
 			t.Errorf("got %+v", m)
 		}
 	}
@@ -38,11 +39,40 @@
 	}
 }
 
+// Guards against changes of the store that are believed from an address that is no daemon's.
+func TestChangesOfStrangers(t *testing.T) {
+	got := make(chan Message, 10)
+	receiver, err := Listen("127.0.0.1:0", func(m Message) { got <- m })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer receiver.Close()
+	var senders []*Exchange // the first one is a stranger
+	for range 2 {
+		x, err := Listen("127.0.0.1:0", func(Message) {})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer x.Close()
+		x.SetPeers([]string{receiver.Addr()})
+		senders = append(senders, x)
+	}
+	receiver.SetPeers([]string{senders[1].Addr()})
+	for i, x := range senders {
+		if err := x.Send(Message{Revision: 9, After: 8, Changes: []Change{{Key: "k", Value: []byte{byte(i)}, Revision: 9}}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if m := <-got; m.Revision != 9 || len(m.Changes) != 1 || m.Changes[0].Value[0] != 1 {
+		t.Errorf("got %+v", m)
+	}
+}
+
 // FuzzDecode guards against a panic on datagrams of others.
 func FuzzDecode(f *testing.F) {
 	f.Add([]byte{0x81, 0xa1, 's', 0xa1, 'x'})
 	f.Fuzz(func(t *testing.T, data []byte) {
-		if m, ok := decode(data); ok && m.Service == "" {
+		if m, ok := decode(data); ok && m.Service == "" && m.Revision == 0 {
 			t.Errorf("%+v", m)
 		}
 	})
--- a/observe/store.go
+++ b/observe/store.go
@@ -43,12 +43,24 @@
 
 // Watch implements kv.Store.
 func (s Store) Watch(ctx context.Context, prefix string, after uint64) (c kv.Changes, err error) {
-	defer func(t time.Time) {
-		if ctx.Err() != nil {
-			s.observe("watch", t, nil) // ended by the watcher, which is how a watch without a change ends
-			return
-		}
-		s.observe("watch", t, err)
-	}(time.Now())
+	defer func(t time.Time) { s.watched(ctx, t, err) }(time.Now())
 	return s.Store.Watch(ctx, prefix, after)
 }
+
+// WatchFor implements kv.Waiter. A store that is none decides itself how long it waits.
+func (s Store) WatchFor(ctx context.Context, prefix string, after uint64, wait time.Duration) (c kv.Changes, err error) {
+	w, ok := s.Store.(kv.Waiter)
+	if !ok {
+		return s.Watch(ctx, prefix, after)
+	}
+	defer func(t time.Time) { s.watched(ctx, t, err) }(time.Now())
+	return w.WatchFor(ctx, prefix, after, wait)
+}
+
+// watched counts a watch. One that its watcher has ended did not fail: that is how a watch without a change ends.
+func (s Store) watched(ctx context.Context, start time.Time, err error) {
+	if ctx.Err() != nil {
+		err = nil
+	}
+	s.observe("watch", start, err)
+}
