pool, gateway: daemons announce long prompts to the endpoint's failure domain

A daemon knew of its own prompts only.

Change: a daemon that sends a prompt which takes 20 ms and more to read tells the daemons of the endpoint's domain by datagram; they count it as work that runs off with time. TestAnnouncedPrompts fails before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -140,7 +140,7 @@
 		admit: admit.New(admit.Spec{MaxInFlight: maxInFlight, MaxBytes: int64(bodyShare * float64(s.MemoryBytes))}),
 	}
 	debug.SetMemoryLimit(int64(heapShare * float64(s.MemoryBytes)))
-	g.pool = pool.New(pool.Spec{Self: s.Name, Domain: s.Domain, Settle: settle, RestartKnown: s.Heartbeat + s.Propagation, Rand: mathrand.Uint64, OnRoom: g.signalRoom, OnEject: g.ejected})
+	g.pool = pool.New(pool.Spec{Self: s.Name, Domain: s.Domain, Settle: settle, RestartKnown: s.Heartbeat + s.Propagation, Rand: mathrand.Uint64, OnRoom: g.signalRoom, OnEject: g.ejected, OnWork: g.announce})
 	g.dispatch = dispatch.New(dispatch.Spec{
 		Pool: g.pool, Poison: g.poison, Router: s.Router, Rand: mathrand.Uint64, QueueWait: queueWait, Now: time.Now,
 		RetryRatio: budgetShare * s.RetryRatio, RetryWindow: s.RetryWindow, RetryReserve: func() float64 { return budgetShare * s.RetryReserve / float64(max(1, g.members())) },
@@ -201,11 +201,25 @@
 
 // hear takes a message of another daemon.
 func (g *Gateway) hear(m notice.Message) {
-	if m.Revision > 0 {
+	switch {
+	case m.Revision > 0:
 		g.view.hear(m)
+	case m.Endpoint != "":
+		g.pool.Announced(m.Endpoint, m.Work, time.Now())
+	default:
+		g.releases.hear(m)
+	}
+}
+
+// announce tells the daemons of an endpoint's failure domain, most of whose requests go there, that it gets a long prompt.
+func (g *Gateway) announce(r pool.Reservation, work time.Duration) {
+	x := g.notices.Load()
+	if x == nil {
 		return
 	}
-	g.releases.hear(m)
+	if err := x.SendIn(r.Domain, notice.Message{Service: r.Service(), Endpoint: r.ID, Work: work}); err != nil {
+		g.log.WithField("endpoint", r.ID).WithError(err).Debug("prompt not announced to the other daemons")
+	}
 }
 
 func (g *Gateway) serveReady() error {
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -383,13 +383,13 @@
 	if x == nil {
 		return
 	}
-	var addrs []string
+	domains := map[string]string{}
 	for _, h := range hosts {
 		if h.Role == hostlist.RoleEntry && h.ID != v.g.spec.Name && h.Addr != "" {
-			addrs = append(addrs, h.Addr)
+			domains[h.Addr] = h.Domain
 		}
 	}
-	x.SetPeers(addrs)
+	x.SetPeers(domains)
 }
 
 // reset forgets what a new list may lack. Endpoints stay in use for a time.
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -35,6 +35,9 @@
 	// Session is in use on the old version for the given time.
 	Session uint64        `msgpack:"n,omitempty"`
 	For     time.Duration `msgpack:"t,omitempty"`
+	// Endpoint gets a prompt that takes Work to read.
+	Endpoint string        `msgpack:"d,omitempty"`
+	Work     time.Duration `msgpack:"w,omitempty"`
 	// Revision is that of the store's content at the sender, Age before the message was sent. Changes are those after the
 	// revision After, without gaps; there are none if both are the same.
 	Revision uint64   `msgpack:"r,omitempty"`
@@ -56,7 +59,13 @@
 	receive func(Message)
 
 	mu    sync.Mutex
-	peers []*net.UDPAddr
+	peers []peer
+}
+
+// peer is another daemon.
+type peer struct {
+	addr   *net.UDPAddr
+	domain string
 }
 
 // Listen opens a port. Messages are given to receive, one at a time.
@@ -77,12 +86,12 @@
 // Addr returns the address that Listen opened.
 func (x *Exchange) Addr() string { return x.conn.LocalAddr().String() }
 
-// SetPeers replaces the addresses of the other daemons. Those that are no address are left out.
-func (x *Exchange) SetPeers(addrs []string) {
-	var peers []*net.UDPAddr
-	for _, a := range addrs {
+// SetPeers replaces the other daemons: the failure domain of each address. Those that are no address are left out.
+func (x *Exchange) SetPeers(domains map[string]string) {
+	var peers []peer
+	for a, domain := range domains {
 		if udp, err := net.ResolveUDPAddr("udp4", a); err == nil && a != x.Addr() {
-			peers = append(peers, udp)
+			peers = append(peers, peer{udp, domain})
 		}
 	}
 	x.mu.Lock()
@@ -91,13 +100,13 @@
 }
 
 // Send sends a message to all other daemons. The first error is returned; the others get the message all the same.
-func (x *Exchange) Send(m Message) error {
+func (x *Exchange) Send(m Message) error { return x.SendIn("", m) }
+
+// SendIn is Send to the daemons of one failure domain.
+func (x *Exchange) SendIn(domain string, m Message) error {
 	x.mu.Lock()
 	peers := x.peers
 	x.mu.Unlock()
-	if len(peers) == 0 {
-		return nil
-	}
 	data, err := msgpack.Marshal(&m)
 	if err != nil {
 		return fmt.Errorf("encode message: %w", err)
@@ -106,7 +115,10 @@
 		return fmt.Errorf("message of %d bytes, the limit is %d", len(data), maxBytes)
 	}
 	for _, p := range peers {
-		if _, sendErr := x.conn.WriteToUDP(data, p); sendErr != nil && err == nil {
+		if domain != "" && p.domain != domain {
+			continue
+		}
+		if _, sendErr := x.conn.WriteToUDP(data, p.addr); sendErr != nil && err == nil {
 			err = fmt.Errorf("send message: %w", sendErr)
 		}
 	}
@@ -136,13 +148,13 @@
 func (x *Exchange) isPeer(from *net.UDPAddr) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return slices.ContainsFunc(x.peers, func(p *net.UDPAddr) bool { return p.Port == from.Port && p.IP.Equal(from.IP) })
+	return slices.ContainsFunc(x.peers, func(p peer) bool { return p.addr.Port == from.Port && p.addr.IP.Equal(from.IP) })
 }
 
 // decode reads a message. Bytes of others are passed over.
 func decode(data []byte) (Message, bool) {
 	var m Message
-	if err := msgpack.Unmarshal(data, &m); err != nil || m.For < 0 || m.Age < 0 {
+	if err := msgpack.Unmarshal(data, &m); err != nil || m.For < 0 || m.Age < 0 || m.Work < 0 {
 		return Message{}, false
 	}
 	if m.Revision > 0 {
--- a/notice/notice_test.go
+++ b/notice/notice_test.go
@@ -1,6 +1,7 @@
 package notice
 
 import (
+	"errors"
 	"reflect"
 	"testing"
 	"time"
@@ -15,14 +16,14 @@
 		t.Fatal(err)
 	}
 	defer sender.Close()
-	addrs := []string{"no address", sender.Addr()}
-	for range 2 {
+	addrs := map[string]string{"no address": "a", sender.Addr(): "a"}
+	for _, domain := range []string{"a", "b"} {
 		x, err := Listen("127.0.0.1:0", func(m Message) { got <- m })
 		if err != nil {
 			t.Fatal(err)
 		}
 		defer x.Close()
-		addrs = append(addrs, x.Addr())
+		addrs[x.Addr()] = domain
 	}
 	sender.SetPeers(addrs)
 	want := Message{Service: "s", Order: 7, Session: 1 << 63, For: 5 * time.Second}
@@ -34,6 +35,12 @@
 			t.Errorf("got %+v", m)
 		}
 	}
+	if err := errors.Join(sender.SendIn("c", want), sender.SendIn("b", Message{Service: "b"})); err != nil {
+		t.Fatal(err)
+	}
+	if m := <-got; m.Service != "b" {
+		t.Errorf("got %+v", m)
+	}
 	if len(own) > 0 {
 		t.Error("the sender got its own message")
 	}
@@ -54,10 +61,10 @@
 			t.Fatal(err)
 		}
 		defer x.Close()
-		x.SetPeers([]string{receiver.Addr()})
+		x.SetPeers(map[string]string{receiver.Addr(): "a"})
 		senders = append(senders, x)
 	}
-	receiver.SetPeers([]string{senders[1].Addr()})
+	receiver.SetPeers(map[string]string{senders[1].Addr(): "a"})
 	for i, x := range senders {
 		if err := x.Send(Message{Revision: 9, After: 8, Changes: []Change{{Key: "k", Value: []byte{byte(i)}, Revision: 9}}}); err != nil {
 			t.Fatal(err)
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -33,6 +33,9 @@
 	Policy Policy
 	// Affinity lets an endpoint that probably holds a prompt's prefix go first, with LeastCost only.
 	Affinity bool
+	// OnWork, if set, is called when a routed request with a long prompt is sent to an endpoint, with the time that reading
+	// it probably takes. No lock of the pool is held.
+	OnWork func(r Reservation, work time.Duration)
 	// OnRoom, if set, is called when an endpoint of the service may have got room, or any endpoint if service is empty.
 	// versions are those that the endpoint serves. No lock of the pool is held.
 	OnRoom func(service string, versions []string)
--- a/pool/routed.go
+++ b/pool/routed.go
@@ -46,6 +46,11 @@
 	// failDelay is the part of the target by which an endpoint that always fails counts as slower. A failed request is
 	// sent again, or lost if it may run once only.
 	failDelay = 2.0
+	// announcedWork is the time for reading a prompt from which the other daemons are told of it. Shorter ones pass before
+	// a daemon would decide differently.
+	announcedWork = 20 * time.Millisecond
+	// maxRemoteWork bounds what is believed of other daemons' prompts at an endpoint.
+	maxRemoteWork = 10 * time.Second
 	// ejectStreak is the number of answers lost in a row after which an endpoint gets no requests for a time.
 	ejectStreak = 3
 )
@@ -142,6 +147,8 @@
 	streak   int       // answers lost since the last one that was not
 	tokens   float64   // requests that may be sent while it is cold
 	filled   time.Time // when tokens was computed
+	remote   float64   // milliseconds for prompts of other daemons, at remoteAt
+	remoteAt time.Time // when remote was computed
 	down     bool      // it could not be reached since its last answer, so that it may have started anew
 	unsure   time.Time // until which the list may not show yet that it has
 }
@@ -237,6 +244,33 @@
 	}
 }
 
+// announce tells of a request with a long prompt.
+func (p *Pool) announce(r Reservation) {
+	if work := time.Duration(r.routed.work * float64(time.Millisecond)); p.spec.OnWork != nil && work >= announcedWork {
+		p.spec.OnWork(r, work)
+	}
+}
+
+// Announced records that another daemon has sent an endpoint a prompt that takes some time to read.
+func (p *Pool) Announced(id string, work time.Duration, now time.Time) {
+	e := p.table.Load().byID[id]
+	if e == nil {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.routed.remote = e.routed.remoteWork(now) + float64(min(work, maxRemoteWork))/float64(time.Millisecond)
+	e.routed.remoteAt = now
+}
+
+// remoteWork returns what is left of the time for the prompts of other daemons, if the endpoint reads them without a pause.
+func (s *routedState) remoteWork(now time.Time) float64 {
+	return max(0, s.remote-float64(now.Sub(s.remoteAt))/float64(time.Millisecond))
+}
+
+// Service returns the service of the endpoint.
+func (r *Reservation) Service() string { return r.service }
+
 // toRead returns the prompt tokens that the endpoint probably has to read. A part counts as cached only if all parts
 // before it are.
 func (e *endpoint) toRead(all *Query, now time.Time) int64 {
@@ -301,6 +335,7 @@
 		delay += q.pace.base * slotDelay * busy / float64(e.host.Slots)
 	}
 	slow := e.slowness(now)
+	delay += e.routed.remoteWork(now)
 	delay *= slow
 	s := delay + slow*read*batchHarm*busy + crowdDelay*q.meanWork*busy + failDelay*e.routed.failures*target
 	if !e.inSegment(q) {
--- a/pool/routed_test.go
+++ b/pool/routed_test.go
@@ -285,3 +285,31 @@
 		t.Errorf("%d of 200 requests after the list would show a new start", n)
 	}
 }
+
+// Guards against daemons that send long prompts to the same endpoint because each knows only of its own.
+func TestAnnouncedPrompts(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := routedPool("d0", 3, 2, 0, now, nil) // a0 and a1 are near
+	var told []time.Duration
+	p.spec.OnWork = func(_ Reservation, work time.Duration) { told = append(told, work) }
+	first := pickFor(t, p, now, Cancelled, "b0", "b1")
+	p.Announced(first, 200*time.Millisecond, now)
+	for range 3 {
+		if id := pickFor(t, p, now.Add(time.Millisecond), Cancelled, "b0", "b1"); id == first {
+			t.Error("a request goes behind a long prompt of another daemon")
+		}
+	}
+	if len(told) > 0 {
+		t.Errorf("prompts of 10 tokens were announced: %v", told)
+	}
+	if id := pickFor(t, p, now.Add(time.Second), Cancelled, "b0", "b1"); id != first {
+		t.Errorf("%s chosen: the prompt at %s was read long ago", id, first)
+	}
+	q := routedQuery("m", 10_000)
+	r, _, ok := p.Pick(q, now)
+	if !ok || len(told) != 1 || told[0] < announcedWork {
+		t.Errorf("%v announced of a prompt of 10,000 tokens", told)
+	}
+	r.Release(Cancelled, now)
+	p.Announced("unknown", time.Second, now)
+}
