pool: daemons go on to a full share of an endpoint that was cold one after the other

The limit holds for each second, and the last one begins while the endpoint is cold.

Change: the limit is kept for one second more, and for up to another one that differs by daemon and endpoint. TestEndOfColdTimeOverAllDaemons fails before.

--- a/pool/routed.go
+++ b/pool/routed.go
@@ -41,6 +41,10 @@
 	maxParts = 512
 	// coldShare is the part of a cold endpoint's limit that all daemons together use, since the arrival of requests varies.
 	coldShare = 0.8
+	// coldTail is added to the time for which an endpoint is cold: its limit holds for a second, and the last one begins
+	// while it is cold. Daemons learn of that time together; coldSpread is the time within which they go on to a full share
+	// one after the other, since an endpoint that was cold looks the least loaded to all of them.
+	coldTail, coldSpread = time.Second, time.Second
 	// failAlpha is the weight of the newest outcome in the moving average of failures.
 	failAlpha = 0.15
 	// failDelay is the part of the target by which an endpoint that always fails counts as slower. A failed request is
@@ -188,7 +192,8 @@
 // isCold reports whether the endpoint has started a short time ago, as far as is known. One that could not be reached may
 // have started anew: it is taken for cold until the list would show it.
 func (e *endpoint) isCold(now time.Time) bool {
-	return now.Before(e.host.ColdUntil) || now.Before(e.routed.cold) || e.routed.down || now.Before(e.routed.unsure)
+	tail := coldTail + time.Duration(e.stagger*float64(coldSpread))
+	return now.Before(e.host.ColdUntil.Add(tail)) || now.Before(e.routed.cold.Add(tail)) || e.routed.down || now.Before(e.routed.unsure)
 }
 
 // coldRate returns this daemon's part of the requests a second that a cold endpoint bears.
--- a/pool/routed_test.go
+++ b/pool/routed_test.go
@@ -313,3 +313,38 @@
 	r.Release(Cancelled, now)
 	p.Announced("unknown", time.Second, now)
 }
+
+// Guards against daemons that all prefer an endpoint at the moment when its cold time ends, so that it gets more than a cold
+// one bears within the last second of that time (FAILBACK, gdct-lampdesk-grown fresh-0ffd, 38 requests of 32 allowed).
+func TestEndOfColdTimeOverAllDaemons(t *testing.T) {
+	const limit, daemons, tick = 18.0, 58, 10 * time.Millisecond
+	start := time.Unix(1000, 0)
+	end := start.Add(2 * time.Second)
+	var pools []*Pool
+	for i := range daemons {
+		pools = append(pools, routedPool(fmt.Sprintf("d%d", i), daemons, 1, limit, start, func(h *hostlist.Host) { h.ColdUntil = end }))
+	}
+	sent := 0
+	after := 0
+	for now := start; now.Before(end.Add(4 * time.Second)); now = now.Add(tick) {
+		for _, p := range pools {
+			q := routedQuery("m", 10)
+			q.Exclude = []string{"b0"}
+			if r, _, ok := p.Pick(q, now); ok {
+				switch {
+				case now.After(end.Add(-500*time.Millisecond)) && now.Before(end.Add(500*time.Millisecond)):
+					sent++
+				case now.After(end.Add(3 * time.Second)):
+					after++
+				}
+				r.Release(Succeeded, now)
+			}
+		}
+	}
+	if sent > limit*1.5+5 {
+		t.Errorf("%d requests in the second around the end of the cold time, the endpoint bears %.0f", sent, limit)
+	}
+	if want := daemons * int(time.Second/tick) * 9 / 10; after < want {
+		t.Errorf("%d requests a second after the cold time, want %d", after, want)
+	}
+}
