--- a/chaos/main.go
+++ b/chaos/main.go
@@ -44,7 +44,7 @@
 // Main runs a series of random failures and returns the exit code: 0 if every invariant held, 1 if not.
 func Main(args []string) int {
 	o := Options{}
-	if code, done := settings.ParseOptions("bramleychaos", args, &o); done {
+	if code, done := settings.ParseOptions("bramleysoak embedded", args, &o); done {
 		return code
 	}
 	daemon.NewLogger("error")
@@ -52,7 +52,7 @@
 	defer stop()
 	failed, err := Random(ctx, RandomSpec{Seed: o.Seed, Runs: o.Runs, MaxFaults: o.Faults, MaxHold: o.MaxHold}, os.Stdout)
 	if err != nil {
-		fmt.Fprintf(os.Stderr, "bramleychaos: %v\n", err)
+		fmt.Fprintf(os.Stderr, "bramleysoak embedded: %v\n", err)
 		return exitFailure
 	}
 	fmt.Printf("%d of %d runs violated an invariant\n", failed, o.Runs)
--- a/cmd/bramleysoak/main.go
+++ b/cmd/bramleysoak/main.go
@@ -1,10 +1,19 @@
-// Command bramleysoak runs real daemons as processes under random faults, see package soak.
+// Command bramleysoak runs daemons under random faults from a seed and checks the promises: as processes on the users'
+// platform, see package soak, or with the argument "embedded" in one process with the chat and plain interfaces, see package
+// chaos.
 package main
 
 import (
 	"os"
 
+	"github.com/bramleytrail/bramleytrail/chaos"
 	"github.com/bramleytrail/bramleytrail/platform/soak"
 )
 
-func main() { os.Exit(soak.Main(os.Args[1:])) }
+func main() {
+	args := os.Args[1:]
+	if len(args) > 0 && args[0] == "embedded" {
+		os.Exit(chaos.Main(args[1:]))
+	}
+	os.Exit(soak.Main(args))
+}
