pool: an endpoint that was silent for a time counts as busy for as long, at all daemons

Change: a request that is given up before its answer began is told to the daemons of the endpoint's domain like a prompt that takes as long to read as the endpoint was silent, and counts so at its own daemon. TestSilentEndpointIsTold fails before.

--- a/pool/pick.go
+++ b/pool/pick.go
@@ -62,6 +62,7 @@
 	e        *endpoint
 	pool     *Pool
 	routed   routedWork
+	since    time.Time
 }
 
 // Pick chooses an endpoint by the pool's policy and reserves room on it.
@@ -141,7 +142,7 @@
 	}
 	return Reservation{
 		ID: e.host.ID, Addr: e.host.Addr, Domain: e.host.Domain, service: q.Service, tokens: q.Tokens, prefill: q.Prompt,
-		suspect: q.Suspect, alone: q.Suspect && e.first(rule, now), e: e, routed: reservedWork(q),
+		suspect: q.Suspect, alone: q.Suspect && e.first(rule, now), e: e, routed: reservedWork(q), since: now,
 	}, true
 }
 
@@ -267,9 +268,14 @@
 // Release ends the reservation. It must be called exactly once.
 func (r *Reservation) Release(o Outcome, now time.Time) {
 	e := r.e
+	silence := time.Duration(0) // of an endpoint that has not begun an answer
+	if o == Silent && r.routed.work > 0 {
+		silence = min(now.Sub(r.since), maxRemoteWork)
+	}
 	e.mu.Lock()
 	e.inFlight--
 	e.tokens -= r.tokens
+	e.routed.overloaded(silence, now)
 	r.prefilled()
 	if r.suspect {
 		e.suspects--
@@ -297,6 +303,9 @@
 	if o == Unreached || o == Silent {
 		r.pool.reach.lost(r.Domain, id, now)
 	}
+	if silence > 0 && r.pool.spec.OnWork != nil {
+		r.pool.spec.OnWork(*r, silence)
+	}
 	if r.pool.spec.OnEject != nil && ejected.After(now) && o != Succeeded && o != Busy {
 		r.pool.spec.OnEject(id, failures, ejected.Sub(now))
 	}
--- a/pool/routed.go
+++ b/pool/routed.go
@@ -268,6 +268,14 @@
 	e.routed.remoteAt = now
 }
 
+// overloaded records that the endpoint had not begun an answer after a time: what it reads is not known, but it will probably
+// take as long again.
+func (s *routedState) overloaded(silence time.Duration, now time.Time) {
+	if ms := float64(silence) / float64(time.Millisecond); ms > s.remoteWork(now) {
+		s.remote, s.remoteAt = ms, now
+	}
+}
+
 // remoteWork returns what is left of the time for the prompts of other daemons, if the endpoint reads them without a pause.
 func (s *routedState) remoteWork(now time.Time) float64 {
 	return max(0, s.remote-float64(now.Sub(s.remoteAt))/float64(time.Millisecond))
--- a/pool/routed_test.go
+++ b/pool/routed_test.go
@@ -314,6 +314,34 @@
 	p.Announced("unknown", time.Second, now)
 }
 
+// Guards against an endpoint that is overloaded and gets requests from each of many daemons until each has waited there in
+// vain (gdct-lampdesk-grown fresh-0ffd: 40 requests in 8 s, 29 given up after 1.5 s and more).
+func TestSilentEndpointIsTold(t *testing.T) {
+	const limit = time.Second
+	now := time.Unix(1000, 0)
+	p := routedPool("d0", 58, 2, 0, now, nil)
+	var told time.Duration
+	p.spec.OnWork = func(_ Reservation, work time.Duration) { told = work }
+	q := routedQuery("m", 10)
+	q.Exclude = []string{"b0", "b1"}
+	r, _, ok := p.Pick(q, now)
+	if !ok {
+		t.Fatal("no endpoint")
+	}
+	r.Release(Silent, now.Add(limit))
+	if told != limit {
+		t.Errorf("told of %v, the endpoint was silent for %v", told, limit)
+	}
+	if id := pickFor(t, p, now.Add(limit+limit/2), Cancelled, "b0", "b1"); id == r.ID {
+		t.Error("the endpoint that was silent is asked again at once")
+	}
+	other := routedPool("d1", 58, 2, 0, now, nil)
+	other.Announced(r.ID, told, now.Add(limit))
+	if id := pickFor(t, other, now.Add(limit+limit/2), Cancelled, "b0", "b1"); id == r.ID {
+		t.Error("another daemon asks the endpoint that was silent")
+	}
+}
+
 // Guards against daemons that all prefer an endpoint at the moment when its cold time ends, so that it gets more than a cold
 // one bears within the last second of that time (FAILBACK, gdct-lampdesk-grown fresh-0ffd, 38 requests of 32 allowed).
 func TestEndOfColdTimeOverAllDaemons(t *testing.T) {
