gateway: few daemons tell changes of the store, and announcements of prompts are bounded

A round of changes of 3,000 endpoints did not fit in a message, so that nobody heard of it, each daemon asked by itself, and each told all the others; and each long prompt was told to all daemons of the endpoint's domain.

Change: only the first daemon of each failure domain tells; changes are split into messages in the order of their revisions; announcements go to the own domain only, up to 4 kB a second for each daemon. TestManyChangesAreToldInOrder fails before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	"github.com/bramleytrail/bramleytrail/admit"
 	"github.com/bramleytrail/bramleytrail/cascade"
@@ -129,6 +130,7 @@
 	notices   atomic.Pointer[notice.Exchange] // nil until Start, or without an address
 	ctx       context.Context
 	cancel    context.CancelFunc
+	announced *rate.Limiter // bytes of announced prompts
 	wg        sync.WaitGroup
 }
 
@@ -139,6 +141,7 @@
 		spec: s, log: s.Log.WithFields(logrus.Fields{"daemon": s.Name, "domain": s.Domain}), config: &config.Holder{}, poison: poison.NewTable(), ctx: ctx, cancel: cancel,
 		admit: admit.New(admit.Spec{MaxInFlight: maxInFlight, MaxBytes: int64(bodyShare * float64(s.MemoryBytes))}),
 	}
+	g.announced = rate.NewLimiter(announcedBytes, announcedBytes)
 	debug.SetMemoryLimit(int64(heapShare * float64(s.MemoryBytes)))
 	g.pool = pool.New(pool.Spec{Self: s.Name, Domain: s.Domain, Settle: settle, RestartKnown: s.Heartbeat + s.Propagation, Rand: mathrand.Uint64, OnRoom: g.signalRoom, OnEject: g.ejected, OnWork: g.announce})
 	g.dispatch = dispatch.New(dispatch.Spec{
@@ -211,10 +214,18 @@
 	}
 }
 
-// announce tells the daemons of an endpoint's failure domain, most of whose requests go there, that it gets a long prompt.
+// announcedBytes bounds what a daemon sends a second to announce prompts, below the 5 KB a second that control may take.
+// announceSize is that of one message, with the headers of a datagram.
+const (
+	announcedBytes = 4000
+	announceSize   = 120
+)
+
+// announce tells the daemons of this one's failure domain that an endpoint there gets a long prompt. Most of their requests go
+// there, and messages within a domain cost nothing. What exceeds the limit is left out.
 func (g *Gateway) announce(r pool.Reservation, work time.Duration) {
 	x := g.notices.Load()
-	if x == nil {
+	if x == nil || r.Domain != g.spec.Domain || !g.announced.AllowN(time.Now(), announceSize*g.view.near()) {
 		return
 	}
 	if err := x.SendIn(r.Domain, notice.Message{Service: r.Service(), Endpoint: r.ID, Work: work}); err != nil {
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"maps"
@@ -26,6 +27,9 @@
 // tell something within it only if each of them asks by itself.
 const maxTold = 256
 
+// messageBytes bounds the keys and values in one message about the store; the rest of a datagram is for its framing.
+const messageBytes = notice.MaxBytes / 2
+
 // Keys of the gateway in the store.
 const (
 	ownPrefix     = "bramleytrail/"
@@ -104,6 +108,20 @@
 	return max(1, v.count)
 }
 
+// near returns the number of other daemons in this one's failure domain.
+func (v *storeView) near() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	n := 0
+	for key, e := range v.own {
+		domain, _, _ := strings.Cut(string(e.Value), memberSeparator)
+		if strings.HasPrefix(key, memberPrefix) && key != memberPrefix+v.g.spec.Name && domain == v.g.spec.Domain {
+			n++
+		}
+	}
+	return n
+}
+
 // run follows the store until the daemon stops.
 func (v *storeView) run() {
 	lost, logged := true, false // nothing was read yet
@@ -224,23 +242,59 @@
 	}
 }
 
-// tell spreads changes to the other daemons, so that few of them have to ask the store. Operators' documents are left to each daemon: they are rare, large, and say who may do what.
+// tells reports whether this daemon tells the others what it learns: the first one of each failure domain does. If each did
+// that asks by itself, messages would grow with the square of the daemons whenever the first one is silent.
+func (v *storeView) tells() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for key, e := range v.own {
+		id, member := strings.CutPrefix(key, memberPrefix)
+		domain, _, _ := strings.Cut(string(e.Value), memberSeparator)
+		if member && domain == v.g.spec.Domain && id < v.g.spec.Name {
+			return false
+		}
+	}
+	return true
+}
+
+// tell spreads changes to the other daemons, so that few of them have to ask the store. Operators' documents are left to each
+// daemon: they are rare, large, and say who may do what.
 func (v *storeView) tell(after uint64, c kv.Changes, asked time.Time) {
 	x := v.g.notices.Load()
-	if x == nil || c.Reset {
+	if x == nil || c.Reset || !v.tells() {
 		return
 	}
-	m := notice.Message{Revision: c.Revision, After: after}
-	for _, e := range c.Entries {
-		if v.g.spec.Documents.Kind(e.Key) == KindOperator {
+	for _, m := range v.messages(after, c) {
+		m.Age = time.Since(asked)
+		if err := x.Send(m); err != nil {
+			v.g.log.WithError(err).Debug("changes not told to the other daemons")
 			return
 		}
-		m.Changes = append(m.Changes, notice.Change{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted})
 	}
-	m.Age = time.Since(asked)
-	if err := x.Send(m); err != nil {
-		v.g.log.WithError(err).Debug("changes not told to the other daemons")
+}
+
+// messages returns changes in messages that each fit in a datagram, in the order of their revisions; none if operators'
+// documents are among them.
+func (v *storeView) messages(after uint64, c kv.Changes) []notice.Message {
+	entries := slices.SortedStableFunc(slices.Values(c.Entries), func(a, b kv.Entry) int { return cmp.Compare(a.Revision, b.Revision) })
+	m := notice.Message{After: after, Revision: c.Revision}
+	var out []notice.Message
+	size := 0
+	for _, e := range entries {
+		if v.g.spec.Documents.Kind(e.Key) == KindOperator {
+			return nil
+		}
+		bytes := len(e.Key) + len(e.Value)
+		if last := len(m.Changes) - 1; last >= 0 && m.Changes[last].Revision < e.Revision && (size+bytes > messageBytes || last+1 == notice.MaxChanges) {
+			full := m
+			full.Revision = m.Changes[last].Revision
+			out = append(out, full)
+			m, size = notice.Message{After: full.Revision, Revision: c.Revision}, 0
+		}
+		m.Changes = append(m.Changes, notice.Change{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted})
+		size += bytes
 	}
+	return append(out, m)
 }
 
 // toldChanges is a message with the time of its arrival.
--- a/gateway/view_test.go
+++ b/gateway/view_test.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -10,6 +12,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/bramleytrail/bramleytrail/config"
 	"github.com/bramleytrail/bramleytrail/hostlist"
@@ -263,6 +266,52 @@
 	})
 }
 
+// Guards against changes that do not fit in one message and are not told at all, or told so that a receiver takes a part for the
+// whole; and against messages that grow with the square of the daemons, since each tells all others.
+func TestManyChangesAreToldInOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sender, receiver := testGateway(memkv.New()).view, testGateway(memkv.New()).view
+		receiver.revision = 100
+		var c kv.Changes
+		for i := range 300 {
+			c.Entries = append(c.Entries, kv.Entry{Key: fmt.Sprintf("e%03d", i), Value: bytes.Repeat([]byte("x"), 200), Revision: uint64(400 - i)})
+		}
+		c.Revision = 400
+		list := sender.messages(100, c)
+		if len(list) < 2 {
+			t.Fatalf("%d messages for 300 changes of 200 bytes", len(list))
+		}
+		for i, m := range list {
+			if data, err := msgpack.Marshal(&m); err != nil || len(data) > notice.MaxBytes || len(m.Changes) > notice.MaxChanges {
+				t.Errorf("message %d: %d changes in %d bytes, %v", i, len(m.Changes), len(data), err)
+			}
+			if !receiver.believe(m, time.Now()) {
+				t.Errorf("message %d not believed", i)
+			}
+		}
+		if receiver.revision != 400 || len(receiver.endpoints) != 300 {
+			t.Errorf("revision %d with %d endpoints", receiver.revision, len(receiver.endpoints))
+		}
+		receiver.revision = 100
+		if receiver.believe(list[1], time.Now()) {
+			t.Error("the second message was believed without the first")
+		}
+		member := func(name, domain string) kv.Entry {
+			return kv.Entry{Key: memberPrefix + name, Value: []byte(domain + " a:1")}
+		}
+		for _, e := range []kv.Entry{member("d0", "a"), member("c0", "b"), member("d1", "a")} {
+			sender.own[e.Key] = e
+		}
+		if !sender.tells() || sender.near() != 1 {
+			t.Errorf("the first daemon of its domain tells: %v; %d others are near", sender.tells(), sender.near())
+		}
+		sender.own[memberPrefix+"a0"] = member("a0", "a")
+		if sender.tells() {
+			t.Error("the second daemon of its domain tells the others")
+		}
+	})
+}
+
 // countedStore counts the calls for changes.
 type countedStore struct {
 	kv.Store
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -13,11 +13,11 @@
 	"github.com/vmihailenco/msgpack/v5"
 )
 
-// maxBytes bounds a message. A datagram of this size is sent in a few packets.
-const maxBytes = 8 << 10
+// MaxBytes bounds a message. A datagram of this size is sent in a few packets.
+const MaxBytes = 8 << 10
 
-// maxChanges bounds the changes in one message.
-const maxChanges = 64
+// MaxChanges bounds the changes in one message.
+const MaxChanges = 64
 
 // Message is what daemons tell each other. Unused fields are left out.
 type Message struct {
@@ -111,8 +111,8 @@
 	if err != nil {
 		return fmt.Errorf("encode message: %w", err)
 	}
-	if len(data) > maxBytes {
-		return fmt.Errorf("message of %d bytes, the limit is %d", len(data), maxBytes)
+	if len(data) > MaxBytes {
+		return fmt.Errorf("message of %d bytes, the limit is %d", len(data), MaxBytes)
 	}
 	for _, p := range peers {
 		if domain != "" && p.domain != domain {
@@ -129,7 +129,7 @@
 func (x *Exchange) Close() { _ = x.conn.Close() }
 
 func (x *Exchange) run() {
-	buf := make([]byte, maxBytes)
+	buf := make([]byte, MaxBytes)
 	for {
 		n, from, err := x.conn.ReadFromUDP(buf)
 		if errors.Is(err, net.ErrClosed) {
@@ -158,7 +158,7 @@
 		return Message{}, false
 	}
 	if m.Revision > 0 {
-		return m, m.After <= m.Revision && len(m.Changes) <= maxChanges
+		return m, m.After <= m.Revision && len(m.Changes) <= MaxChanges
 	}
 	return m, m.Service != ""
 }
