--- a/dispatch/routed.go
+++ b/dispatch/routed.go
@@ -69,7 +69,9 @@
 	Status   int // 0 if there was no answer
 	Latency  time.Duration
 	After    int64
-	Err      error
+	// Confidence is that of the answer, nil if it states none.
+	Confidence *float64
+	Err        error
 }
 
 // Exchange is a routed request with what its attempts have used up. It is used by one goroutine.
@@ -270,6 +272,9 @@
 	}
 	if resp != nil {
 		t.Status = resp.Status
+		if resp.HasConfidence {
+			t.Confidence = &resp.Confidence
+		}
 	}
 	x.in.Trace(t)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -321,6 +321,9 @@
 	if a.After > 0 {
 		f["after"] = a.After
 	}
+	if a.Confidence != nil {
+		f["confidence"] = *a.Confidence
+	}
 	e := g.log.WithFields(f)
 	if a.Err != nil {
 		e = e.WithError(a.Err)
