--- a/testreport/report.go
+++ b/testreport/report.go
@@ -15,6 +15,10 @@
 // maxLines is the number of lines of each failed test that the closing list repeats. A goroutine dump has thousands.
 const maxLines = 40
 
+// maxTail is the number of lines of a package that are shown if its process ends in the middle of tests: a reason that the
+// process itself gives may stand under any of them, also under one that has passed.
+const maxTail = 30
+
 // event is one line of `go test -json`, see `go doc test2json`.
 type event struct {
 	Action     string
@@ -36,6 +40,7 @@
 type report struct {
 	out    io.Writer
 	held   map[test][]string
+	tail   map[string][]string // last lines of each package that runs, of whichever test
 	failed []failure
 }
 
@@ -43,7 +48,7 @@
 // the errors of in and out; failed tests are none.
 func Print(in io.Reader, out io.Writer) error {
 	buffered := bufio.NewWriter(out)
-	r := report{out: buffered, held: map[test][]string{}}
+	r := report{out: buffered, held: map[test][]string{}, tail: map[string][]string{}}
 	lines := bufio.NewReader(in)
 	for {
 		line, err := lines.ReadString('\n')
@@ -73,6 +78,9 @@
 	case "run":
 		r.held[t] = nil
 	case "output":
+		if tail := append(r.tail[t.pkg], e.Output); !isResult(e.Output) {
+			r.tail[t.pkg] = tail[max(0, len(tail)-maxTail):]
+		}
 		r.output(t, e.Output)
 	case "build-output":
 		r.output(test{pkg: strings.Fields(e.ImportPath + " ?")[0]}, e.Output)
@@ -89,13 +97,18 @@
 	case strings.HasPrefix(line, "=== "): // the start of a test, or a change between parallel ones
 	case t.name != "":
 		r.held[t] = append(r.held[t], line)
-	case strings.HasPrefix(line, "ok  \t") || strings.HasPrefix(line, "FAIL\t") || strings.HasPrefix(line, "?   \t"):
+	case isResult(line):
 		r.print(line)
 	case line != "PASS\n" && line != "FAIL\n":
 		r.held[t] = append(r.held[t], line)
 	}
 }
 
+// isResult reports whether a line tells the result of a package.
+func isResult(line string) bool {
+	return strings.HasPrefix(line, "ok  \t") || strings.HasPrefix(line, "FAIL\t") || strings.HasPrefix(line, "?   \t")
+}
+
 // fail reports a failed test, or a failed package.
 func (r *report) fail(t test) {
 	if t.name == "" {
@@ -112,12 +125,17 @@
 
 // failRunning reports the tests of a package that had begun when its process ended.
 func (r *report) failRunning(pkg string) {
+	cut := false
 	for _, t := range r.sorted() {
 		if t.pkg == pkg && t.name != "" {
 			r.held[t] = append(r.held[t], "    had not ended\n")
 			r.fail(t)
+			cut = true
 		}
 	}
+	if whole := (test{pkg: pkg}); cut && len(r.held[whole]) == 0 {
+		r.held[whole] = r.tail[pkg]
+	}
 }
 
 func (r *report) hasFailed(pkg string) bool {
--- a/testreport/report_test.go
+++ b/testreport/report_test.go
@@ -35,7 +35,13 @@
 		"a process that ends": {
 			in: events(passed, `{'Action':'run','Package':'p','Test':'TestB'}`,
 				`{'Action':'output','Package':'p','Output':'FAIL\tp\t1s\n'}`, `{'Action':'fail','Package':'p'}`),
-			want: "FAIL\tp\t1s\n    had not ended\n\n== failed (1)\n-- p TestB\n    had not ended\n",
+			want: "FAIL\tp\t1s\n    had not ended\n=== RUN   TestA\nnoise\n\n== failed (2)\n-- p TestB\n    had not ended\n-- p\n=== RUN   TestA\nnoise\n",
+		},
+		"a process that ends for a reason told under a test that has passed": {
+			in: events(`{'Action':'run','Package':'p','Test':'TestB'}`, `{'Action':'run','Package':'p','Test':'TestA'}`,
+				`{'Action':'pass','Package':'p','Test':'TestA'}`, `{'Action':'output','Package':'p','Test':'TestB','Output':'=== CONT  TestB\n'}`,
+				`{'Action':'output','Package':'p','Output':'FAIL\tp\t1s\n'}`, `{'Action':'fail','Package':'p'}`),
+			want: "FAIL\tp\t1s\n    had not ended\n=== CONT  TestB\n\n== failed (2)\n-- p TestB\n    had not ended\n-- p\n=== CONT  TestB\n",
 		},
 		"a package": {
 			in: events(`{'ImportPath':'p [p.test]','Action':'build-output','Output':'undefined: x\n'}`,
