--- a/gateway/view.go
+++ b/gateway/view.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"maps"
@@ -17,26 +16,9 @@
 	"github.com/bramleytrail/bramleytrail/config"
 	"github.com/bramleytrail/bramleytrail/hostlist"
 	"github.com/bramleytrail/bramleytrail/kv"
-	"github.com/bramleytrail/bramleytrail/notice"
 	"github.com/bramleytrail/bramleytrail/object"
-	"github.com/bramleytrail/bramleytrail/pause"
 )
 
-// memberSeparator stands between the failure domain and the address in a member's entry.
-const memberSeparator = " "
-
-// maxTold bounds the messages about the store that wait for the daemon. A call takes a second at most; more than a few daemons
-// tell something within it only if each of them asks by itself.
-const maxTold = 256
-
-// maxToldBytes bounds the bytes a second that a daemon takes to tell the others of the store, a tenth of a link of 10 Mbit/s, and
-// messageFrame is about what a message takes beside its changes, and a change beside its key and value. Few daemons tell;
-// before thousands of endpoints that change all the time, each daemon has to ask by itself.
-const maxToldBytes, messageFrame = 100_000, 60
-
-// messageBytes bounds the keys and values in one message about the store; the rest of a datagram is for its framing.
-const messageBytes = notice.MaxBytes / 2
-
 // Keys of the gateway in the store.
 const (
 	ownPrefix     = "bramleytrail/"
@@ -110,26 +92,6 @@
 	return time.Duration(time.Now().UnixNano() - at)
 }
 
-func (v *storeView) members() int {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return max(1, v.count)
-}
-
-// near returns the number of other daemons in this one's failure domain.
-func (v *storeView) near() int {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	n := 0
-	for key, e := range v.own {
-		domain, _, _ := strings.Cut(string(e.Value), memberSeparator)
-		if strings.HasPrefix(key, memberPrefix) && key != memberPrefix+v.g.spec.Name && domain == v.g.spec.Domain {
-			n++
-		}
-	}
-	return n
-}
-
 // run follows the store until the daemon stops.
 func (v *storeView) run() {
 	lost, logged := true, false // nothing was read yet
@@ -250,104 +212,6 @@
 	}
 }
 
-// tells reports whether this daemon tells the others what it learns: the first one of each failure domain does. If each did
-// that asks by itself, messages would grow with the square of the daemons whenever the first one is silent.
-func (v *storeView) tells() bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	for key, e := range v.own {
-		id, member := strings.CutPrefix(key, memberPrefix)
-		domain, _, _ := strings.Cut(string(e.Value), memberSeparator)
-		if member && domain == v.g.spec.Domain && id < v.g.spec.Name {
-			return false
-		}
-	}
-	return true
-}
-
-// tell spreads changes to the other daemons, so that few of them have to ask the store. Operators' documents are left to each
-// daemon: they are rare, large, and say who may do what.
-func (v *storeView) tell(after uint64, c kv.Changes, asked time.Time) {
-	x := v.g.notices.Load()
-	if x == nil || c.Reset || !v.tells() {
-		return
-	}
-	for _, m := range v.messages(after, c) {
-		if !v.toldBytes.AllowN(time.Now(), v.tellSize(m)) {
-			return // the others ask by themselves
-		}
-		m.Age = time.Since(asked)
-		if err := x.Send(m); err != nil {
-			v.g.log.WithError(err).Debug("changes not told to the other daemons")
-			return
-		}
-	}
-}
-
-// tellSize returns about how many bytes it takes to tell a message to all other daemons.
-func (v *storeView) tellSize(m notice.Message) int {
-	bytes := messageFrame
-	for _, c := range m.Changes {
-		bytes += messageFrame + len(c.Key) + len(c.Value)
-	}
-	return bytes * (v.members() - 1)
-}
-
-// messages returns changes in messages that each fit in a datagram, in the order of their revisions; none if operators'
-// documents are among them.
-func (v *storeView) messages(after uint64, c kv.Changes) []notice.Message {
-	entries := slices.SortedStableFunc(slices.Values(c.Entries), func(a, b kv.Entry) int { return cmp.Compare(a.Revision, b.Revision) })
-	m := notice.Message{After: after, Revision: c.Revision}
-	var out []notice.Message
-	size := 0
-	for _, e := range entries {
-		if v.g.spec.Documents.Kind(e.Key) == KindOperator {
-			return nil
-		}
-		bytes := len(e.Key) + len(e.Value)
-		if last := len(m.Changes) - 1; last >= 0 && m.Changes[last].Revision < e.Revision && (size+bytes > messageBytes || last+1 == notice.MaxChanges) {
-			full := m
-			full.Revision = m.Changes[last].Revision
-			out = append(out, full)
-			m, size = notice.Message{After: full.Revision, Revision: c.Revision}, 0
-		}
-		m.Changes = append(m.Changes, notice.Change{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted})
-		size += bytes
-	}
-	return append(out, m)
-}
-
-// toldChanges is a message with the time of its arrival.
-type toldChanges struct {
-	notice.Message
-	arrived time.Time
-}
-
-// hear takes what another daemon tells of the store. A message that finds too many others waiting is dropped: the next call
-// brings what it held.
-func (v *storeView) hear(m notice.Message) {
-	select {
-	case v.told <- toldChanges{m, time.Now()}:
-	default:
-	}
-}
-
-// believe puts told changes in force if they follow those in force without a gap. It reports whether the daemon is now up to
-// date as of the message.
-func (v *storeView) believe(m notice.Message, now time.Time) bool {
-	if v.revision == 0 || m.After > v.revision || m.Revision < v.revision {
-		return false
-	}
-	c := kv.Changes{Revision: m.Revision}
-	for _, e := range m.Changes {
-		if e.Revision > v.revision && v.g.spec.Documents.Kind(e.Key) != KindOperator {
-			c.Entries = append(c.Entries, kv.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted})
-		}
-	}
-	v.follow(c, now)
-	return true
-}
-
 // nextLapse returns the time at which an endpoint is dropped next if that is before a limit, else the limit.
 func (v *storeView) nextLapse(limit time.Time) time.Time {
 	v.mu.Lock()
@@ -502,16 +366,6 @@
 	m[e.Key] = e
 }
 
-func countMembers(own map[string]kv.Entry) int {
-	n := 0
-	for key := range own {
-		if strings.HasPrefix(key, memberPrefix) {
-			n++
-		}
-	}
-	return n
-}
-
 func (v *storeView) applyEndpoint(e kv.Entry, now time.Time) {
 	old, known := v.endpoints[e.Key]
 	delete(v.lapsed, e.Key)
@@ -593,95 +447,6 @@
 	return e, ok
 }
 
-// rank returns the place of this daemon among the members, 0 for the first one.
-func (v *storeView) rank() int {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	n := 0
-	for key := range v.own {
-		if id, ok := strings.CutPrefix(key, memberPrefix); ok && id < v.g.spec.Name {
-			n++
-		}
-	}
-	return n
-}
-
-// join keeps this daemon's entry among the members.
-func (g *Gateway) join() {
-	wait := retryFirst
-	for g.ctx.Err() == nil {
-		lease, err := g.enter()
-		if err != nil {
-			if errors.Is(err, kv.ErrUnavailable) {
-				g.view.suspect()
-			}
-			g.log.WithError(err).Info("membership not entered")
-			_ = pause.For(g.ctx, wait)
-			wait = min(retryMost, 2*wait)
-			continue
-		}
-		wait = retryFirst
-		g.view.lease.Store(uint64(lease))
-		g.keep(lease)
-	}
-}
-
-// enter writes this daemon's entry. That of an earlier process, whose lease has not ended yet, is replaced.
-func (g *Gateway) enter() (kv.LeaseID, error) {
-	lease, err := g.spec.Store.Grant(g.ctx, memberTTL)
-	if err != nil {
-		return 0, err
-	}
-	key := memberPrefix + g.spec.Name
-	value := []byte(g.spec.Domain + memberSeparator + g.spec.PeerAddr)
-	_, err = g.spec.Store.CAS(g.ctx, key, value, 0, lease)
-	if !errors.Is(err, kv.ErrConflict) {
-		return lease, err
-	}
-	old, err := g.spec.Store.Get(g.ctx, key)
-	if err != nil && !errors.Is(err, kv.ErrNotFound) {
-		return lease, err
-	}
-	_, err = g.spec.Store.CAS(g.ctx, key, value, old.Revision, lease)
-	return lease, err
-}
-
-// keep renews the lease until it has ended.
-func (g *Gateway) keep(lease kv.LeaseID) {
-	for {
-		if pause.For(g.ctx, livenessPause) != nil {
-			return
-		}
-		err := g.renew(lease)
-		if errors.Is(err, kv.ErrNoLease) {
-			g.log.Info("membership lapsed")
-			return
-		}
-		if errors.Is(err, kv.ErrUnavailable) {
-			g.view.suspect()
-		}
-	}
-}
-
-func (g *Gateway) renew(lease kv.LeaseID) error {
-	ctx, cancel := context.WithTimeout(g.ctx, probeTimeout)
-	defer cancel()
-	return g.spec.Store.KeepAlive(ctx, lease)
-}
-
-// leave ends this daemon's membership.
-func (v *storeView) leave() {
-	lease := v.lease.Load()
-	if lease == 0 {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), retryFirst)
-	defer cancel()
-	if err := v.g.spec.Store.Revoke(ctx, kv.LeaseID(lease)); err != nil {
-		v.g.log.WithError(err).Info("membership not ended; it lapses")
-	}
-}
-
 // releaseOf returns the release of a service in a view, or nil.
 func releaseOf(view *config.View, service string) *object.Release {
 	if view == nil {
