--- a/gateway/members.go
+++ b/gateway/members.go
@@ -18,43 +18,40 @@
 	return max(1, v.count)
 }
 
-// near returns the number of other daemons in this one's failure domain.
-func (v *storeView) near() int {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	n := 0
-	for key, e := range v.own {
-		domain, _, _ := strings.Cut(string(e.Value), memberSeparator)
-		if strings.HasPrefix(key, memberPrefix) && key != memberPrefix+v.g.spec.Name && domain == v.g.spec.Domain {
-			n++
-		}
-	}
-	return n
-}
+// member is a daemon's entry.
+type member struct{ id, domain, addr string }
 
-func countMembers(own map[string]kv.Entry) int {
-	n := 0
-	for key := range own {
-		if strings.HasPrefix(key, memberPrefix) {
-			n++
+// eachMember calls f with each daemon among the entries, in no order.
+func eachMember(own map[string]kv.Entry, f func(member)) {
+	for key, e := range own {
+		if id, ok := strings.CutPrefix(key, memberPrefix); ok {
+			domain, addr, _ := strings.Cut(string(e.Value), memberSeparator)
+			f(member{id, domain, addr})
 		}
 	}
-	return n
 }
 
-// rank returns the place of this daemon among the members, 0 for the first one.
-func (v *storeView) rank() int {
+// countOf returns the number of daemons that a condition holds for.
+func (v *storeView) countOf(ok func(member) bool) int {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	n := 0
-	for key := range v.own {
-		if id, ok := strings.CutPrefix(key, memberPrefix); ok && id < v.g.spec.Name {
+	eachMember(v.own, func(m member) {
+		if ok(m) {
 			n++
 		}
-	}
+	})
 	return n
 }
 
+// near returns the number of other daemons in this one's failure domain.
+func (v *storeView) near() int {
+	return v.countOf(func(m member) bool { return m.domain == v.g.spec.Domain && m.id != v.g.spec.Name })
+}
+
+// rank returns the place of this daemon among the members, 0 for the first one.
+func (v *storeView) rank() int { return v.countOf(func(m member) bool { return m.id < v.g.spec.Name }) }
+
 // join keeps this daemon's entry among the members.
 func (g *Gateway) join() {
 	wait := retryFirst
--- a/gateway/releases.go
+++ b/gateway/releases.go
@@ -181,12 +181,20 @@
 // maxUse bounds the time for which a message keeps a session on the old version.
 const maxUse = time.Minute
 
-func (r *releases) phase(rel *object.Release) release.Phase {
+// announcedPhase returns the last phase of a release if the operators have been told that it has ended.
+func announcedPhase(rel *object.Release) (p release.Phase, ended bool) {
 	switch rel.State {
 	case object.ReleaseCompleted:
-		return release.Completed
+		return release.Completed, true
 	case object.ReleaseRolledBack:
-		return release.Reverted
+		return release.Reverted, true
+	}
+	return "", false
+}
+
+func (r *releases) phase(rel *object.Release) release.Phase {
+	if p, ok := announcedPhase(rel); ok {
+		return p
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -288,11 +296,8 @@
 
 // sharedPhase returns the phase that the daemons agreed on.
 func (r *releases) sharedPhase(rel *object.Release) release.Phase {
-	switch rel.State {
-	case object.ReleaseCompleted:
-		return release.Completed
-	case object.ReleaseRolledBack:
-		return release.Reverted
+	if p, ok := announcedPhase(rel); ok {
+		return p
 	}
 	e, ok := r.g.view.entry(releaseKey(rel.Service))
 	if !ok {
--- a/gateway/told.go
+++ b/gateway/told.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/bramleytrail/bramleytrail/kv"
@@ -25,16 +24,7 @@
 // tells reports whether this daemon tells the others what it learns: the first one of each failure domain does. If each did
 // that asks by itself, messages would grow with the square of the daemons whenever the first one is silent.
 func (v *storeView) tells() bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	for key, e := range v.own {
-		id, member := strings.CutPrefix(key, memberPrefix)
-		domain, _, _ := strings.Cut(string(e.Value), memberSeparator)
-		if member && domain == v.g.spec.Domain && id < v.g.spec.Name {
-			return false
-		}
-	}
-	return true
+	return v.countOf(func(m member) bool { return m.domain == v.g.spec.Domain && m.id < v.g.spec.Name }) == 0
 }
 
 // tell spreads changes to the other daemons, so that few of them have to ask the store. Operators' documents are left to each
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -52,8 +52,8 @@
 	lapsedKeep = 1800 * time.Millisecond
 )
 
-// storeView is what the daemon knows of the store's content. It is kept by one watch; while the store is away, it stays
-// as it is.
+// storeView is what the daemon knows of the store's content. It follows the store's changes, as this daemon asks for
+// them or another one tells them; while the store is away, it stays as it is.
 type storeView struct {
 	g *Gateway
 
@@ -180,8 +180,8 @@
 		v.g.log.WithField("endpoints", kept).WithField("for_ms", lapsedKeep.Milliseconds()).Info("entries of endpoints lapsed during the store's outage")
 	}
 	return slices.DeleteFunc(slices.Clone(entries), func(e kv.Entry) bool {
-		_, endpoint := gone[e.Key]
-		return endpoint && e.Deleted || gone[e.Key]
+		removed, endpoint := gone[e.Key]
+		return endpoint && (e.Deleted || removed)
 	})
 }
 
@@ -352,7 +352,8 @@
 	default:
 		if strings.HasPrefix(e.Key, ownPrefix) {
 			put(v.own, e)
-			v.count = countMembers(v.own)
+			v.count = 0
+			eachMember(v.own, func(member) { v.count++ })
 		}
 		return KindOther
 	}
@@ -406,12 +407,9 @@
 // hosts returns the endpoints and daemons.
 func (v *storeView) hosts() []hostlist.Host {
 	list := slices.Collect(maps.Values(v.endpoints))
-	for key, e := range v.own {
-		if id, ok := strings.CutPrefix(key, memberPrefix); ok {
-			domain, addr, _ := strings.Cut(string(e.Value), memberSeparator)
-			list = append(list, hostlist.Host{ID: id, Role: hostlist.RoleEntry, Domain: domain, Addr: addr, State: hostlist.StateLive})
-		}
-	}
+	eachMember(v.own, func(m member) {
+		list = append(list, hostlist.Host{ID: m.id, Role: hostlist.RoleEntry, Domain: m.domain, Addr: m.addr, State: hostlist.StateLive})
+	})
 	slices.SortFunc(list, func(a, b hostlist.Host) int { return strings.Compare(a.ID, b.ID) })
 	return list
 }
