httpconn: what an endpoint sends beside its answer is bounded

Cause: net/http reads a status line, headers and interim answers to their end, and an answer to another request was copied to its end. An endpoint that never ends them held a daemon's connection until the deadline and up to 524 MB of heap in two seconds; the smallest hosts have 112 MB. Change: a guard between the connection and net/http's reader counts bytes and lines of the heads of an exchange, and bytes of an answer that is passed over. Past a limit the connection is closed and the attempt fails as for any broken answer.

--- a/engine/httpconn/pool.go
+++ b/engine/httpconn/pool.go
@@ -17,6 +17,7 @@
 
 const (
 	readBuffer  = 4 << 10
+	lineBuffer  = 1 << 10 // longer lines of a head are put together from several reads
 	writeBuffer = 2 << 10
 	// inlineBody is the size up to which a body is written before the response is read. A longer one is written meanwhile,
 	// since an endpoint may answer before it has read all of it.
@@ -32,7 +33,9 @@
 	MaxIdle int
 	// IdleTimeout is the time after which an idle connection is not used any more.
 	IdleTimeout time.Duration
-	Now         func() time.Time
+	// Limits bound what an endpoint may send beside the body of its answer; zero fields stand for DefaultLimits.
+	Limits Limits
+	Now    func() time.Time
 }
 
 // Pool keeps connections. It may be used by several goroutines.
@@ -43,12 +46,16 @@
 }
 
 // New returns an empty pool.
-func New(spec Spec) *Pool { return &Pool{spec: spec, idle: map[string][]*conn{}} }
+func New(spec Spec) *Pool {
+	spec.Limits = spec.Limits.withDefaults()
+	return &Pool{spec: spec, idle: map[string][]*conn{}}
+}
 
 type conn struct {
 	net.Conn
 	addr   string
-	reader *bufio.Reader
+	guard  *guard        // between the connection and reader
+	reader *bufio.Reader // of the guard
 	writer *bufio.Writer
 	since  time.Time // idle since
 	until  time.Time // not used any more after; zero for the pool's limit
@@ -118,9 +125,13 @@
 	if err != nil {
 		return nil, &DialError{err}
 	}
-	return &conn{Conn: raw, addr: addr, reader: bufio.NewReaderSize(raw, readBuffer), writer: bufio.NewWriterSize(raw, writeBuffer)}, nil
+	g := &guard{conn: bufio.NewReaderSize(raw, readBuffer)}
+	return &conn{Conn: raw, addr: addr, guard: g, reader: bufio.NewReaderSize(g, lineBuffer), writer: bufio.NewWriterSize(raw, writeBuffer)}, nil
 }
 
+// buffered returns the bytes that were received and not yet read.
+func (c *conn) buffered() int { return c.reader.Buffered() + c.guard.conn.Buffered() }
+
 // pop returns the connection that was used last, which is the most likely one to be alive.
 func (p *Pool) pop(addr string) *conn {
 	p.mu.Lock()
@@ -138,7 +149,7 @@
 	if now.Sub(c.since) >= limit || !c.until.IsZero() && !now.Before(c.until) {
 		return false
 	}
-	return c.reader.Buffered() == 0 && quiet(c.Conn)
+	return c.buffered() == 0 && quiet(c.Conn)
 }
 
 func (p *Pool) give(c *conn) {
@@ -194,6 +205,7 @@
 		return nil, err
 	}
 	req := &http.Request{Method: r.Method}
+	x.conn.guard.begin(x.pool.spec.Limits)
 	for try := 0; ; try++ {
 		resp, err := x.read(req)
 		if err != nil {
@@ -206,6 +218,7 @@
 		if try > 0 || resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			return nil, errForeign
 		}
+		x.conn.guard.part = foreignBody
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 			return nil, fmt.Errorf("%w: %w", errForeign, err)
 		}
@@ -214,6 +227,8 @@
 
 // read returns the next final response.
 func (x *exchange) read(req *http.Request) (*http.Response, error) {
+	x.conn.guard.part = head
+	defer func() { x.conn.guard.part = ownBody }()
 	for {
 		resp, err := http.ReadResponse(x.conn.reader, req)
 		if err != nil || resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
@@ -289,7 +304,7 @@
 	}
 	free := x.stop() // false if ctx has ended and the connection is closed
 	now := x.pool.spec.Now()
-	if !whole || writing || !free || x.conn.reader.Buffered() > 0 || !x.conn.until.IsZero() && !now.Before(x.conn.until) {
+	if !whole || writing || !free || x.conn.buffered() > 0 || !x.conn.until.IsZero() && !now.Before(x.conn.until) {
 		_ = x.conn.Close()
 		return
 	}
