pool: daemons that know nothing of two endpoints begin with different ones

Cause: among endpoints of the same score the one that was chosen longest ago was taken, and of those never chosen the first in the list, which is the same at all daemons. Before 16 endpoints a daemon of 195 has chosen few of them, so that all of them sent their first requests, and long prompts, to the same ones. Change: of endpoints that were not chosen yet, each daemon begins with another one, by a hash of both.

--- a/pool/routed.go
+++ b/pool/routed.go
@@ -314,8 +314,13 @@
 	s.streak = 0
 }
 
-// bestRouted compares all endpoints, since few of a large group are in the request's segment and failure domain. Among those
-// with the same score it takes the one that was chosen the longest time ago.
+// before reports whether an endpoint is taken before another one of the same score: the one that was chosen the longest time
+// ago. Of those that were not chosen yet, most of them at a daemon with few requests, each daemon begins with another one.
+func (c *candidate) before(other *candidate) bool {
+	return cmp.Or(c.chosen.Compare(other.chosen), cmp.Compare(c.e.stagger, other.e.stagger)) < 0
+}
+
+// bestRouted compares all endpoints, since few of a large group are in the request's segment and failure domain.
 func (p *Pool) bestRouted(group []*endpoint, q *Query, t *table, now time.Time, short *Shortage) *endpoint {
 	var best candidate
 	quiet := p.reach.quiet()
@@ -329,7 +334,7 @@
 		}
 		closer := c.score < best.score-sameWait
 		same := math.Abs(c.score-best.score) <= sameWait
-		if best.e == nil || closer || same && c.chosen.Before(best.chosen) {
+		if best.e == nil || closer || same && c.before(&best) {
 			best = c
 		}
 	}
