gateway: announcements of prompts do not stop at 34 daemons in a failure domain

Cause: an announcement to all daemons of the domain had to fit in a burst of 4,000 bytes, so that a daemon with 34 neighbours and more announced nothing. Change: the limit is a part of the host's link, as the settings state it, and counts announcements; one always fits.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -95,6 +95,7 @@
 	Heartbeat   time.Duration // between two writes of an endpoint's entry
 	Grace       time.Duration // from the signal to stop until the process has to end
 	MemoryBytes int64
+	LinkBytes   int64 // a second that the host's link carries, 0 if it is not known
 	// RetryRatio and RetryReserve bound the further attempts of all daemons at a service.
 	RetryRatio, RetryReserve float64
 	RetryWindow              time.Duration // over which they are counted
@@ -130,7 +131,7 @@
 	notices   atomic.Pointer[notice.Exchange] // nil until Start, or without an address
 	ctx       context.Context
 	cancel    context.CancelFunc
-	announced *rate.Limiter // bytes of announced prompts
+	announced *rate.Limiter // announcements of prompts
 	wg        sync.WaitGroup
 }
 
@@ -141,7 +142,7 @@
 		spec: s, log: s.Log.WithFields(logrus.Fields{"daemon": s.Name, "domain": s.Domain}), config: &config.Holder{}, poison: poison.NewTable(), ctx: ctx, cancel: cancel,
 		admit: admit.New(admit.Spec{MaxInFlight: maxInFlight, MaxBytes: int64(bodyShare * float64(s.MemoryBytes))}),
 	}
-	g.announced = rate.NewLimiter(announcedBytes, announcedBytes)
+	g.announced = newAnnounceLimiter()
 	debug.SetMemoryLimit(int64(heapShare * float64(s.MemoryBytes)))
 	g.pool = pool.New(pool.Spec{Self: s.Name, Domain: s.Domain, Settle: settle, RestartKnown: s.Heartbeat + s.Propagation, Rand: mathrand.Uint64, OnRoom: g.signalRoom, OnEject: g.ejected, OnWork: g.announce})
 	g.dispatch = dispatch.New(dispatch.Spec{
@@ -214,18 +215,29 @@
 	}
 }
 
-// announcedBytes bounds what a daemon sends a second to announce prompts, below the 5 KB a second that control may take.
-// announceSize is that of one message, with the headers of a datagram.
 const (
-	announcedBytes = 4000
-	announceSize   = 120
+	// announcedShare is the part of the host's link that announcements of prompts may take. They stay within the failure
+	// domain. leastAnnounced applies to slow links, in bytes a second.
+	announcedShare, leastAnnounced = 0.02, 4000
+	// announceSize is the size of an announcement in bytes, with the headers of a datagram.
+	announceSize = 120
 )
 
+// announceLimit returns the announcements a second that a daemon makes to a number of others, and how many of them at once: at
+// least one, so that the number of daemons changes how often it announces but never whether.
+func announceLimit(linkBytes int64, others int) (perSecond rate.Limit, burst int) {
+	perSecond = rate.Limit(max(leastAnnounced, announcedShare*float64(linkBytes)) / announceSize / float64(max(1, others)))
+	return perSecond, max(1, int(perSecond))
+}
+
+// newAnnounceLimiter returns a limiter that mayAnnounce sets for the number of daemons.
+func newAnnounceLimiter() *rate.Limiter { return rate.NewLimiter(0, 1) }
+
 // announce tells the daemons of this one's failure domain that an endpoint there gets a long prompt. Most of their requests go
-// there, and messages within a domain cost nothing. What exceeds the limit is left out.
+// there. What exceeds the limit is left out.
 func (g *Gateway) announce(r pool.Reservation, work time.Duration) {
 	x := g.notices.Load()
-	if x == nil || r.Domain != g.spec.Domain || !g.announced.AllowN(time.Now(), announceSize*g.view.near()) {
+	if x == nil || r.Domain != g.spec.Domain || !g.mayAnnounce(g.view.near(), time.Now()) {
 		return
 	}
 	if err := x.SendIn(r.Domain, notice.Message{Service: r.Service(), Endpoint: r.ID, Work: work}); err != nil {
@@ -233,6 +245,16 @@
 	}
 }
 
+// mayAnnounce takes one announcement to a number of daemons from the limit.
+func (g *Gateway) mayAnnounce(others int, now time.Time) bool {
+	perSecond, burst := announceLimit(g.spec.LinkBytes, others)
+	if perSecond != g.announced.Limit() {
+		g.announced.SetLimitAt(now, perSecond)
+		g.announced.SetBurstAt(now, burst)
+	}
+	return g.announced.AllowN(now, 1)
+}
+
 func (g *Gateway) serveReady() error {
 	g.ready = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		if !g.Ready() {
