--- a/gateway/announce_test.go
+++ b/gateway/announce_test.go
@@ -22,7 +22,7 @@
 				}
 			}
 			bytes := float64(announced * announceSize * others)
-			once := limit + float64(announceSize*others) // at once, before the rate counts
+			once := limit + float64(announceSize*others)                                  // at once, before the rate counts
 			most := min(seconds*limit/float64(announceSize*others), 1000*seconds/everyMs) // that the limit allows
 			if float64(announced) < max(1, most/2) {
 				t.Errorf("link of %d bytes a second, %d others: %d announced in %d s, the limit allows %.1f", link, others, announced, seconds, most)
