notice, gateway: few messages cross the border of a failure domain

Cause: each daemon sent its messages to each other one. Change: a message for all goes to the sender's own domain and to two daemons of each other one, which pass it on. The evidence of a release is summed up by the first daemons of each domain, which tell the other domains the sum. A daemon that was frozen and passes on old words on the store does not put off the calls of others: messages of one sender are numbered. Only the first daemon of all tells other domains of the store; while it is silent, the first one of each domain tells its own. TestFewMessagesCrossADomainsBorder, TestMessagesReachAllDomains, TestOldWordOnTheStoreIsNotCurrent.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -129,6 +129,7 @@
 	readyAddr string
 	leaving   atomic.Bool
 	notices   atomic.Pointer[notice.Exchange] // nil until Start, or without an address
+	born      time.Time                       // when the process began
 	ctx       context.Context
 	cancel    context.CancelFunc
 	announced *rate.Limiter // announcements of prompts
@@ -139,7 +140,7 @@
 func New(s Spec) *Gateway {
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &Gateway{
-		spec: s, log: s.Log.WithFields(logrus.Fields{"daemon": s.Name, "domain": s.Domain}), config: &config.Holder{}, poison: poison.NewTable(), ctx: ctx, cancel: cancel,
+		spec: s, log: s.Log.WithFields(logrus.Fields{"daemon": s.Name, "domain": s.Domain}), config: &config.Holder{}, poison: poison.NewTable(), born: time.Now(), ctx: ctx, cancel: cancel,
 		admit: admit.New(admit.Spec{MaxInFlight: maxInFlight, MaxBytes: int64(bodyShare * float64(s.MemoryBytes))}),
 	}
 	g.announced = newAnnounceLimiter()
@@ -205,6 +206,9 @@
 
 // hear takes a message of another daemon.
 func (g *Gateway) hear(m notice.Message) {
+	if m.Relay {
+		g.passOn(m)
+	}
 	switch {
 	case m.Revision > 0:
 		g.view.hear(m)
--- a/gateway/releases.go
+++ b/gateway/releases.go
@@ -22,8 +22,9 @@
 	releaseStep = 300 * time.Millisecond
 	// rankDelay is the time by which each daemon waits for the one before it to write a decision that all can make.
 	rankDelay = 800 * time.Millisecond
-	// evidencePause is the time between two messages with a daemon's evidence. A lost message is made up for by the next.
-	evidencePause = time.Second
+	// evidencePause is the time between two messages with a daemon's evidence, or that of its failure domain, which pass one
+	// after the other. A lost message is made up for by the next.
+	evidencePause = 500 * time.Millisecond
 	// sessionMargin is added to the time within which requests belong to one session, for messages on their way.
 	sessionMargin = 500 * time.Millisecond
 )
@@ -42,8 +43,10 @@
 	heard    time.Time // since when this daemon hears which sessions are in use
 	phase    release.Phase
 	evidence release.Evidence            // this daemon's own
-	others   map[string]release.Evidence // of the other daemons, by name
-	told     release.Evidence            // as last sent
+	others   map[string]release.Evidence // of the other daemons of the failure domain, by name
+	domains  map[string]release.Evidence // of the daemons of other failure domains together
+	told     release.Evidence            // own evidence as last sent
+	toldNear release.Evidence            // evidence of the failure domain as last sent
 	toldAt   time.Time
 	due      time.Time // when this daemon writes a decision that it has made
 	pending  release.Phase
@@ -157,9 +160,7 @@
 		t.seen = first
 	}
 	if m.From != "" {
-		if e, ok := release.FromNumbers(m.Evidence); ok && len(t.others) < maxReporters {
-			t.others[m.From] = e
-		}
+		t.learn(m)
 		return
 	}
 	if m.Phase == "" {
@@ -172,6 +173,21 @@
 	}
 }
 
+// learn keeps evidence of other daemons. Several tell that of a failure domain; it only grows.
+func (t *tracked) learn(m notice.Message) {
+	e, ok := release.FromNumbers(m.Evidence)
+	if !ok || len(t.others)+len(t.domains) >= maxReporters {
+		return
+	}
+	if m.Domain == "" {
+		t.others[m.From] = e
+		return
+	}
+	if old := t.domains[m.Domain]; e.New.Answers+e.Old.Answers >= old.New.Answers+old.Old.Answers {
+		t.domains[m.Domain] = e
+	}
+}
+
 // maxAge bounds the age of an order that a message may state.
 const maxAge = 24 * time.Hour
 
@@ -280,7 +296,7 @@
 	if t == nil || t.order != rel.Order {
 		t = &tracked{
 			order: rel.Order, target: rel.Target, seen: now, heard: now, phase: release.Trial,
-			others: map[string]release.Evidence{}, sessions: release.NewSessions(),
+			others: map[string]release.Evidence{}, domains: map[string]release.Evidence{}, sessions: release.NewSessions(),
 		}
 		r.tracked[rel.Service] = t
 		r.g.log.WithField("service", rel.Service).WithField("target", rel.Target).WithField("order", rel.Order).Info("release ordered")
@@ -312,6 +328,17 @@
 
 // total returns the evidence of all daemons.
 func (r *releases) total(t *tracked) release.Evidence {
+	sum := r.near(t)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, e := range t.domains {
+		sum.Add(e)
+	}
+	return sum
+}
+
+// near returns the evidence of the failure domain's daemons.
+func (r *releases) near(t *tracked) release.Evidence {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	sum := t.evidence
@@ -321,17 +348,32 @@
 	return sum
 }
 
-// tellEvidence tells the other daemons what this one has seen since the last message.
+// tellEvidence tells the other daemons of the failure domain what this one has seen, and the other domains what all of this one
+// have seen, if that is more than at the last message. The first daemons of the domain do the latter.
 func (r *releases) tellEvidence(rel *object.Release, t *tracked, now time.Time) {
-	r.mu.Lock()
-	ev := t.evidence
-	due := rel.State == object.ReleaseRunning && ev.New.Answers > t.told.New.Answers && now.Sub(t.toldAt) >= evidencePause
-	if due {
-		t.told, t.toldAt = ev, now
+	x := r.g.notices.Load()
+	if x == nil || rel.State != object.ReleaseRunning || now.Sub(t.toldAt) < evidencePause {
+		return
 	}
+	t.toldAt = now
+	near := r.near(t)
+	r.mu.Lock()
+	own := t.evidence
+	m := notice.Message{Service: rel.Service, Order: rel.Order, From: r.g.spec.Name, Age: time.Since(t.seen)}
 	r.mu.Unlock()
-	if due {
-		r.tell(notice.Message{Service: rel.Service, Order: rel.Order, From: r.g.spec.Name, Evidence: ev.Numbers()})
+	var err error
+	if own.New.Answers > t.told.New.Answers {
+		t.told = own
+		m.Evidence = own.Numbers()
+		err = x.SendIn(r.g.spec.Domain, m)
+	}
+	if near.New.Answers > t.toldNear.New.Answers && r.g.view.nearRank() < notice.Relays {
+		t.toldNear = near
+		m.Evidence, m.Domain = near.Numbers(), r.g.spec.Domain
+		err = errors.Join(err, x.SendBeyond(r.g.spec.Domain, m))
+	}
+	if err != nil {
+		r.g.log.WithField("service", rel.Service).WithError(err).Debug("evidence not sent to the other daemons")
 	}
 }
 
--- a/gateway/told.go
+++ b/gateway/told.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"slices"
 	"time"
 
@@ -23,36 +24,94 @@
 
 // tells reports whether this daemon tells the others what it learns: the first one of each failure domain does. If each did
 // that asks by itself, messages would grow with the square of the daemons whenever the first one is silent.
-func (v *storeView) tells() bool {
-	return v.countOf(func(m member) bool { return m.domain == v.g.spec.Domain && m.id < v.g.spec.Name }) == 0
+func (v *storeView) tells() bool { return v.nearRank() == 0 }
+
+// nearRank is the place of this daemon among those of its failure domain, 0 for the first one.
+func (v *storeView) nearRank() int {
+	return v.countOf(func(m member) bool { return m.domain == v.g.spec.Domain && m.id < v.g.spec.Name })
 }
 
-// tell spreads changes to the other daemons, so that few of them have to ask the store. Operators' documents are left to each
-// daemon: they are rare, large, and say who may do what.
+// tell spreads changes to the other daemons, so that few of them have to ask the store: the first daemon of all to each failure
+// domain, another one to its own. Operators' documents are left to each daemon: they are rare, large, and say who may do what.
 func (v *storeView) tell(after uint64, c kv.Changes, asked time.Time) {
 	x := v.g.notices.Load()
 	if x == nil || c.Reset || !v.tells() {
 		return
 	}
+	first := v.rank() == 0
 	for _, m := range v.messages(after, c) {
-		if !v.toldBytes.AllowN(time.Now(), v.tellSize(m)) {
+		m.From, m.Asked = v.g.spec.Name, int64(asked.Sub(v.g.born))+v.g.born.UnixNano() // grows though the time of day is set back
+		if !v.mayTell(m, first) {
 			return // the others ask by themselves
 		}
 		m.Age = time.Since(asked)
-		if err := x.Send(m); err != nil {
+		err := x.SendIn(v.g.spec.Domain, m)
+		if first {
+			err = errors.Join(err, x.SendBeyond(v.g.spec.Domain, m))
+		}
+		if err != nil {
 			v.g.log.WithError(err).Debug("changes not told to the other daemons")
 			return
 		}
 	}
 }
 
-// tellSize returns about how many bytes it takes to tell a message to all other daemons.
-func (v *storeView) tellSize(m notice.Message) int {
+// mayTell takes the bytes of a message about the store from the limit.
+func (v *storeView) mayTell(m notice.Message, beyond bool) bool {
+	copies := v.near()
+	if beyond {
+		copies += v.relays()
+	}
+	return v.toldBytes.AllowN(time.Now(), copies*messageSize(m))
+}
+
+// relays returns the number of daemons of other failure domains that pass messages on.
+func (v *storeView) relays() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	domains := map[string]int{}
+	eachMember(v.own, func(m member) { domains[m.domain]++ })
+	n := 0
+	for domain, daemons := range domains {
+		if domain != v.g.spec.Domain {
+			n += min(daemons, notice.Relays)
+		}
+	}
+	return n
+}
+
+// messageSize returns about how many bytes a message about the store takes.
+func messageSize(m notice.Message) int {
 	bytes := messageFrame
 	for _, c := range m.Changes {
 		bytes += messageFrame + len(c.Key) + len(c.Value)
 	}
-	return bytes * (v.members() - 1)
+	return bytes
+}
+
+// passOn sends a message that has come from another failure domain to the daemons of this one.
+func (g *Gateway) passOn(m notice.Message) {
+	m.Relay = false
+	x := g.notices.Load()
+	if x == nil || m.Revision > 0 && !g.view.mayTell(m, false) {
+		return
+	}
+	if err := x.SendIn(g.spec.Domain, m); err != nil {
+		g.log.WithError(err).Debug("message not passed on to the other daemons")
+	}
+}
+
+// current reports whether no newer message about the store of the same sender has come before. A daemon that was frozen passes on
+// what has become old in the meantime.
+func (v *storeView) current(m notice.Message) bool {
+	if m.Asked < v.newest[m.From] {
+		return false
+	}
+	if len(v.newest) >= maxTold {
+		clear(v.newest)
+	}
+	v.newest[m.From] = m.Asked
+	return true
 }
 
 // messages returns changes in messages that each fit in a datagram, in the order of their revisions; none if operators'
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -16,6 +16,7 @@
 	"github.com/bramleytrail/bramleytrail/config"
 	"github.com/bramleytrail/bramleytrail/hostlist"
 	"github.com/bramleytrail/bramleytrail/kv"
+	"github.com/bramleytrail/bramleytrail/notice"
 	"github.com/bramleytrail/bramleytrail/object"
 )
 
@@ -72,12 +73,13 @@
 	toldBytes *rate.Limiter
 
 	// Of run alone:
-	revision uint64    // of the newest change in force, 0 before the first list
-	regained time.Time // when the store answered again after its last outage
+	revision uint64           // of the newest change in force, 0 before the first list
+	regained time.Time        // when the store answered again after its last outage
+	newest   map[string]int64 // of the messages about the store, by their sender
 }
 
 func newStoreView(g *Gateway) *storeView {
-	return &storeView{g: g, operator: map[string]kv.Entry{}, endpoints: map[string]hostlist.Host{}, own: map[string]kv.Entry{}, lapsed: map[string]time.Time{}, suspected: make(chan struct{}, 1), told: make(chan toldChanges, maxTold), toldBytes: rate.NewLimiter(maxToldBytes, 2*maxToldBytes)}
+	return &storeView{g: g, operator: map[string]kv.Entry{}, endpoints: map[string]hostlist.Host{}, own: map[string]kv.Entry{}, lapsed: map[string]time.Time{}, suspected: make(chan struct{}, 1), told: make(chan toldChanges, maxTold), newest: map[string]int64{}, toldBytes: rate.NewLimiter(maxToldBytes, 2*maxToldBytes)}
 }
 
 // listed reports whether the store's content was read since the start.
@@ -198,7 +200,7 @@
 		case <-timer.C:
 			v.apply(kv.Changes{}, time.Now())
 		case m := <-v.told:
-			if v.believe(m.Message, now) {
+			if current := v.current(m.Message); v.believe(m.Message, now) && current {
 				if next := m.arrived.Add(v.pause(v.leads()) - m.Age); next.After(due) {
 					due = next
 				}
@@ -321,13 +323,13 @@
 	if x == nil {
 		return
 	}
-	domains := map[string]string{}
+	var peers []notice.Peer
 	for _, h := range hosts {
 		if h.Role == hostlist.RoleEntry && h.ID != v.g.spec.Name && h.Addr != "" {
-			domains[h.Addr] = h.Domain
+			peers = append(peers, notice.Peer{Name: h.ID, Domain: h.Domain, Addr: h.Addr})
 		}
 	}
-	x.SetPeers(domains)
+	x.SetPeers(peers)
 }
 
 // reset forgets what a new list may lack. Endpoints stay in use for a time.
--- a/gateway/view_test.go
+++ b/gateway/view_test.go
@@ -317,13 +317,16 @@
 func TestToldBytesAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		v := testGateway(memkv.New()).view
-		v.count = 300
+		for i := range 300 {
+			key := fmt.Sprintf("%sd%03d", memberPrefix, i)
+			v.own[key] = kv.Entry{Key: key, Value: fmt.Appendf(nil, "%c a:1", 'a'+i%5)}
+		}
 		m := notice.Message{Revision: 2, After: 1, Changes: []notice.Change{{Key: "servers/i-0123456789", Value: make([]byte, 200), Revision: 2}}}
 		const span = 20 * time.Second
 		sent := 0
 		for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-			if n := v.tellSize(m); v.toldBytes.AllowN(time.Now(), n) {
-				sent += n
+			if v.mayTell(m, true) {
+				sent += (v.near() + v.relays()) * messageSize(m)
 			}
 		}
 		if limit := maxToldBytes * int(span/time.Second+2); sent == 0 || sent > limit {
@@ -332,6 +335,72 @@
 	})
 }
 
+// Guards against a daemon that was frozen and passes on what has become old: its word on the store, which then changes nothing,
+// would put off the calls of daemons that are behind.
+func TestOldWordOnTheStoreIsNotCurrent(t *testing.T) {
+	v := testGateway(memkv.New()).view
+	for i, c := range []struct {
+		from    string
+		asked   int64
+		current bool
+	}{
+		{"a", 10, true}, {"a", 10, true}, {"a", 20, true}, {"a", 10, false}, {"b", 5, true}, {"a", 20, true}, {"a", 21, true}, {"b", 4, false},
+	} {
+		if got := v.current(notice.Message{From: c.from, Asked: c.asked}); got != c.current {
+			t.Errorf("message %d: current %v", i, got)
+		}
+	}
+}
+
+// Guards against daemons of other failure domains that hear nothing of the store, or of a release, because few of them are sent
+// the message; and against bytes between domains that grow with the number of daemons.
+func TestMessagesReachAllDomains(t *testing.T) {
+	const domains, each = 3, 4
+	type arrival struct {
+		daemon string
+		from   string
+	}
+	got := make(chan arrival, 1000)
+	var daemons []*Gateway
+	var entries []kv.Entry
+	for i := range domains * each {
+		g := testGateway(memkv.New())
+		g.spec.Name, g.spec.Domain = fmt.Sprintf("d%02d", i), fmt.Sprintf("domain%d", i%domains)
+		x, err := notice.Listen("127.0.0.1:0", func(m notice.Message) {
+			g.hear(m)
+			if !m.Relay {
+				got <- arrival{g.spec.Name, m.From}
+			}
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer x.Close()
+		g.notices.Store(x)
+		daemons = append(daemons, g)
+		entries = append(entries, kv.Entry{Key: memberPrefix + g.spec.Name, Value: []byte(g.spec.Domain + " " + x.Addr()), Revision: uint64(i + 1)})
+	}
+	for _, g := range daemons {
+		g.view.follow(kv.Changes{Reset: true, Revision: 100, Entries: entries}, time.Now())
+	}
+	change := kv.Changes{Revision: 101, Entries: []kv.Entry{{Key: "e1", Value: []byte("a:1"), Revision: 101}}}
+	daemons[0].view.tell(100, change, time.Now())
+	heard := map[string]int{}
+	for len(heard) < domains*each-1 { // a daemon that is not told lets the test time out
+		a := <-got
+		heard[a.daemon]++
+	}
+	if heard["d00"] > 0 {
+		t.Error("the sender got its own message")
+	}
+	for _, g := range daemons[1:] {
+		m := <-g.view.told
+		if !g.view.believe(m.Message, time.Now()) || g.view.revision != 101 {
+			t.Errorf("%s did not take the change over: revision %d", g.spec.Name, g.view.revision)
+		}
+	}
+}
+
 // countedStore counts the calls for changes.
 type countedStore struct {
 	kv.Store
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -32,6 +33,10 @@
 	// the new version and of the old one.
 	From     string   `msgpack:"f,omitempty"`
 	Evidence [6]int64 `msgpack:"e,omitempty"`
+	// Domain is the failure domain whose daemons' evidence is summed up in the message; empty for that of From alone.
+	Domain string `msgpack:"b,omitempty"`
+	// Relay asks the receiver to pass the message on within its failure domain.
+	Relay bool `msgpack:"l,omitempty"`
 	// Session is in use on the old version for the given time.
 	Session uint64        `msgpack:"n,omitempty"`
 	For     time.Duration `msgpack:"t,omitempty"`
@@ -43,6 +48,8 @@
 	Revision uint64   `msgpack:"r,omitempty"`
 	After    uint64   `msgpack:"u,omitempty"`
 	Changes  []Change `msgpack:"c,omitempty"`
+	// Asked orders the messages about the store of one sender, From.
+	Asked int64 `msgpack:"k,omitempty"`
 }
 
 // Change is a change of an entry of the store.
@@ -62,12 +69,19 @@
 	peers []peer
 }
 
-// peer is another daemon.
+// Peer is another daemon.
+type Peer struct{ Name, Domain, Addr string }
+
 type peer struct {
-	addr   *net.UDPAddr
-	domain string
+	Peer
+	addr  *net.UDPAddr
+	relay bool // one of the first of its failure domain
 }
 
+// Relays is the number of daemons of a failure domain that messages are sent to if the others get them from these. Two of
+// them make up for one that is frozen or cut off.
+const Relays = 2
+
 // Listen opens a port. Messages are given to receive, one at a time.
 func Listen(addr string, receive func(Message)) (*Exchange, error) {
 	udp, err := net.ResolveUDPAddr("udp4", addr)
@@ -86,13 +100,18 @@
 // Addr returns the address that Listen opened.
 func (x *Exchange) Addr() string { return x.conn.LocalAddr().String() }
 
-// SetPeers replaces the other daemons: the failure domain of each address. Those that are no address are left out.
-func (x *Exchange) SetPeers(domains map[string]string) {
+// SetPeers replaces the other daemons. Those without an address are left out.
+func (x *Exchange) SetPeers(all []Peer) {
+	all = slices.SortedFunc(slices.Values(all), func(a, b Peer) int { return strings.Compare(a.Name, b.Name) })
 	var peers []peer
-	for a, domain := range domains {
-		if udp, err := net.ResolveUDPAddr("udp4", a); err == nil && a != x.Addr() {
-			peers = append(peers, peer{udp, domain})
+	inDomain := map[string]int{}
+	for _, p := range all {
+		udp, err := net.ResolveUDPAddr("udp4", p.Addr)
+		if err != nil || p.Addr == x.Addr() {
+			continue
 		}
+		peers = append(peers, peer{p, udp, inDomain[p.Domain] < Relays})
+		inDomain[p.Domain]++
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -100,10 +119,21 @@
 }
 
 // Send sends a message to all other daemons. The first error is returned; the others get the message all the same.
-func (x *Exchange) Send(m Message) error { return x.SendIn("", m) }
+func (x *Exchange) Send(m Message) error { return x.send(m, func(peer) bool { return true }) }
 
 // SendIn is Send to the daemons of one failure domain.
 func (x *Exchange) SendIn(domain string, m Message) error {
+	return x.send(m, func(p peer) bool { return p.Domain == domain })
+}
+
+// SendBeyond is Send to the daemons of all failure domains but one. Few daemons of each get the message and pass it on, so that
+// the bytes between domains do not grow with the number of daemons.
+func (x *Exchange) SendBeyond(domain string, m Message) error {
+	m.Relay = true
+	return x.send(m, func(p peer) bool { return p.relay && p.Domain != domain })
+}
+
+func (x *Exchange) send(m Message, to func(peer) bool) error {
 	x.mu.Lock()
 	peers := x.peers
 	x.mu.Unlock()
@@ -115,7 +145,7 @@
 		return fmt.Errorf("message of %d bytes, the limit is %d", len(data), MaxBytes)
 	}
 	for _, p := range peers {
-		if domain != "" && p.domain != domain {
+		if !to(p) {
 			continue
 		}
 		if _, sendErr := x.conn.WriteToUDP(data, p.addr); sendErr != nil && err == nil {
@@ -138,13 +168,13 @@
 		if err != nil {
 			continue // of one datagram, such as a peer that is gone
 		}
-		if m, ok := decode(buf[:n]); ok && (m.Revision == 0 || x.isPeer(from)) {
+		if m, ok := decode(buf[:n]); ok && (m.Revision == 0 && !m.Relay || x.isPeer(from)) {
 			x.receive(m)
 		}
 	}
 }
 
-// isPeer reports whether an address is that of another daemon. Nobody else's word on the store counts.
+// isPeer reports whether an address is that of another daemon. Nobody else's word on the store counts, or is passed on.
 func (x *Exchange) isPeer(from *net.UDPAddr) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/notice/notice_test.go
+++ b/notice/notice_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"fmt"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 )
@@ -16,16 +18,16 @@
 		t.Fatal(err)
 	}
 	defer sender.Close()
-	addrs := map[string]string{"no address": "a", sender.Addr(): "a"}
+	peers := []Peer{{"none", "a", "no address"}, {"self", "a", sender.Addr()}}
 	for _, domain := range []string{"a", "b"} {
 		x, err := Listen("127.0.0.1:0", func(m Message) { got <- m })
 		if err != nil {
 			t.Fatal(err)
 		}
 		defer x.Close()
-		addrs[x.Addr()] = domain
+		peers = append(peers, Peer{domain + "1", domain, x.Addr()})
 	}
-	sender.SetPeers(addrs)
+	sender.SetPeers(peers)
 	want := Message{Service: "s", Order: 7, Session: 1 << 63, For: 5 * time.Second}
 	if err := sender.Send(want); err != nil {
 		t.Fatal(err)
@@ -61,10 +63,10 @@
 			t.Fatal(err)
 		}
 		defer x.Close()
-		x.SetPeers(map[string]string{receiver.Addr(): "a"})
+		x.SetPeers([]Peer{{"r", "a", receiver.Addr()}})
 		senders = append(senders, x)
 	}
-	receiver.SetPeers(map[string]string{senders[1].Addr(): "a"})
+	receiver.SetPeers([]Peer{{"s", "a", senders[1].Addr()}})
 	for i, x := range senders {
 		if err := x.Send(Message{Revision: 9, After: 8, Changes: []Change{{Key: "k", Value: []byte{byte(i)}, Revision: 9}}}); err != nil {
 			t.Fatal(err)
@@ -75,6 +77,70 @@
 	}
 }
 
+// Guards against messages between failure domains that grow with the number of daemons (nac-hulling-large: 84 MB in 34 s).
+func TestFewMessagesCrossADomainsBorder(t *testing.T) {
+	const each = 39
+	got := make(chan string, 5*each)
+	sender, err := Listen("127.0.0.1:0", func(Message) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer sender.Close()
+	var peers []Peer
+	for _, domain := range []string{"a", "b", "c"} {
+		for i := range each {
+			name := fmt.Sprintf("%s%02d", domain, i)
+			x, err := Listen("127.0.0.1:0", func(m Message) {
+				if !m.Relay {
+					t.Errorf("%s is not asked to pass the message on", name)
+				}
+				got <- name
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer x.Close()
+			x.SetPeers([]Peer{{"s", "a", sender.Addr()}})
+			peers = append(peers, Peer{name, domain, x.Addr()})
+		}
+	}
+	slices.Reverse(peers) // the order of the list does not matter
+	sender.SetPeers(peers)
+	if err := sender.SendBeyond("a", Message{Service: "s"}); err != nil {
+		t.Fatal(err)
+	}
+	var names []string
+	for range 2 * Relays {
+		names = append(names, <-got)
+	}
+	slices.Sort(names)
+	if want := []string{"b00", "b01", "c00", "c01"}; !slices.Equal(names, want) || len(got) > 0 {
+		t.Errorf("%v got the message and %d more, want %v", names, len(got), want)
+	}
+}
+
+// Guards against a stranger whose message the daemons multiply.
+func TestStrangersMessageIsNotPassedOn(t *testing.T) {
+	got := make(chan Message, 10)
+	receiver, err := Listen("127.0.0.1:0", func(m Message) { got <- m })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer receiver.Close()
+	stranger, err := Listen("127.0.0.1:0", func(Message) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stranger.Close()
+	stranger.SetPeers([]Peer{{"r", "a", receiver.Addr()}})
+	if err := errors.Join(stranger.SendBeyond("b", Message{Service: "relayed"}), stranger.Send(Message{Service: "plain"})); err != nil {
+		t.Fatal(err)
+	}
+	if m := <-got; m.Service != "plain" {
+		t.Errorf("got %+v", m)
+	}
+}
+
 // FuzzDecode guards against a panic on datagrams of others.
 func FuzzDecode(f *testing.F) {
 	f.Add([]byte{0x81, 0xa1, 's', 0xa1, 'x'})
