gateway: a changed document is read cheaply when another daemon tells of it

Cause: operators' documents were not told at all, since they say who may do what. Each change of one had every daemon ask the store for changes, at the full price. One that is older than the word is not used; the daemon then asks as before. An older document never replaces a newer one.

--- a/gateway/told.go
+++ b/gateway/told.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"errors"
 	"slices"
 	"time"
@@ -32,7 +33,7 @@
 }
 
 // tell spreads changes to the other daemons, so that few of them have to ask the store: the first daemon of all to each failure
-// domain, another one to its own. Operators' documents are left to each daemon: they are rare, large, and say who may do what.
+// domain, another one to its own.
 func (v *storeView) tell(after uint64, c kv.Changes, asked time.Time) {
 	x := v.g.notices.Load()
 	if x == nil || c.Reset || !v.tells() {
@@ -114,8 +115,8 @@
 	return true
 }
 
-// messages returns changes in messages that each fit in a datagram, in the order of their revisions; none if operators'
-// documents are among them.
+// messages returns changes in messages that each fit in a datagram, in the order of their revisions. Of operators' documents,
+// only the revision is told: they say who may do what, so that each daemon reads them from the store itself.
 func (v *storeView) messages(after uint64, c kv.Changes) []notice.Message {
 	entries := slices.SortedStableFunc(slices.Values(c.Entries), func(a, b kv.Entry) int { return cmp.Compare(a.Revision, b.Revision) })
 	m := notice.Message{After: after, Revision: c.Revision}
@@ -123,7 +124,7 @@
 	size := 0
 	for _, e := range entries {
 		if v.g.spec.Documents.Kind(e.Key) == KindOperator {
-			return nil
+			e.Value = nil
 		}
 		bytes := len(e.Key) + len(e.Value)
 		if last := len(m.Changes) - 1; last >= 0 && m.Changes[last].Revision < e.Revision && (size+bytes > messageBytes || last+1 == notice.MaxChanges) {
@@ -161,10 +162,38 @@
 	}
 	c := kv.Changes{Revision: m.Revision}
 	for _, e := range m.Changes {
-		if e.Revision > v.revision && v.g.spec.Documents.Kind(e.Key) != KindOperator {
-			c.Entries = append(c.Entries, kv.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted})
+		if e.Revision <= v.revision {
+			continue
 		}
+		entry := kv.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted}
+		if v.g.spec.Documents.Kind(e.Key) == KindOperator {
+			var ok bool
+			if entry, ok = v.readOperator(e); !ok {
+				return false
+			}
+		}
+		c.Entries = append(c.Entries, entry)
 	}
 	v.follow(c, now)
 	return true
 }
+
+// readOperator reads an operators' document that has changed by another daemon's word. The cheap read may be older than the word;
+// it is then not used, and the daemon learns of the change by its next call for changes.
+func (v *storeView) readOperator(told notice.Change) (kv.Entry, bool) {
+	store, ok := v.g.spec.Store.(kv.StaleReader)
+	if !ok {
+		return kv.Entry{}, false
+	}
+	ctx, cancel := context.WithTimeout(v.g.ctx, probeTimeout)
+	defer cancel()
+	e, err := store.GetStale(ctx, told.Key)
+	if _, known := v.entry(told.Key); errors.Is(err, kv.ErrNotFound) && told.Deleted && known {
+		return kv.Entry{Key: told.Key, Revision: told.Revision, Deleted: true}, true
+	}
+	read := err == nil && e.Revision >= told.Revision
+	if !read {
+		v.g.log.WithField("key", told.Key).WithField("told", told.Revision).WithField("read", e.Revision).WithError(err).Info("changed document not read")
+	}
+	return e, read
+}
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -361,7 +361,12 @@
 	}
 }
 
+// put applies a change. One that is older than the entry is left out: a document may have been read after another daemon told
+// of an earlier change of it.
 func put(m map[string]kv.Entry, e kv.Entry) {
+	if old, ok := m[e.Key]; ok && old.Revision > e.Revision {
+		return
+	}
 	if e.Deleted {
 		delete(m, e.Key)
 		return
--- a/gateway/view_test.go
+++ b/gateway/view_test.go
@@ -111,8 +111,11 @@
 }
 
 func (fakeDocuments) Kind(key string) Kind {
-	if key[0] == 'e' {
+	switch key[0] {
+	case 'e':
 		return KindEndpoint
+	case 'o':
+		return KindOperator
 	}
 	return KindOther
 }
@@ -335,6 +338,58 @@
 	})
 }
 
+// staleStore gives what it holds to stale reads.
+type staleStore struct {
+	kv.Store
+	entry kv.Entry
+	err   error
+}
+
+// GetStale implements kv.StaleReader.
+func (s *staleStore) GetStale(context.Context, string) (kv.Entry, error) { return s.entry, s.err }
+
+// Guards against operators' documents that are taken from another daemon's word, or from a read that is older than the word; and
+// against a call for changes by each daemon whenever a document changes.
+func TestOperatorsDocumentsAreReadFromTheStore(t *testing.T) {
+	held := kv.Entry{Key: "o1", Value: []byte("held"), Revision: 4}
+	for _, c := range []struct {
+		name     string
+		told     notice.Change
+		read     kv.Entry
+		err      error
+		believed bool
+		want     string // value in force; empty for none
+	}{
+		{"read", notice.Change{Key: "o1", Revision: 6, Value: []byte("word")}, kv.Entry{Key: "o1", Value: []byte("read"), Revision: 6}, nil, true, "read"},
+		{"newer than the word", notice.Change{Key: "o1", Revision: 6}, kv.Entry{Key: "o1", Value: []byte("newer"), Revision: 9}, nil, true, "newer"},
+		{"old read", notice.Change{Key: "o1", Revision: 6, Value: []byte("word")}, held, nil, false, "held"},
+		{"store away", notice.Change{Key: "o1", Revision: 6, Value: []byte("word")}, kv.Entry{}, kv.ErrUnavailable, false, "held"},
+		{"removed", notice.Change{Key: "o1", Revision: 6, Deleted: true}, kv.Entry{}, kv.ErrNotFound, true, ""},
+		{"said to be removed", notice.Change{Key: "o1", Revision: 6, Deleted: true}, held, nil, false, "held"},
+		{"new and not there yet", notice.Change{Key: "o1", Revision: 6}, kv.Entry{}, kv.ErrNotFound, false, "held"},
+	} {
+		v := testGateway(&staleStore{memkv.New(), c.read, c.err}).view
+		v.follow(kv.Changes{Reset: true, Revision: 5, Entries: []kv.Entry{held}}, time.Now())
+		if got := v.believe(fakeTold(5, 6, c.told), time.Now()); got != c.believed {
+			t.Errorf("%s: believed %v", c.name, got)
+		}
+		if got := string(v.operator["o1"].Value); got != c.want {
+			t.Errorf("%s: %q in force, want %q", c.name, got, c.want)
+		}
+	}
+	v := testGateway(memkv.New()).view
+	for _, m := range v.messages(5, kv.Changes{Revision: 6, Entries: []kv.Entry{{Key: "o1", Value: []byte("secret"), Revision: 6}}}) {
+		if len(m.Changes) != 1 || m.Changes[0].Value != nil {
+			t.Errorf("told %+v", m.Changes)
+		}
+	}
+	put(v.operator, kv.Entry{Key: "o1", Value: []byte("newer"), Revision: 9})
+	put(v.operator, kv.Entry{Key: "o1", Value: []byte("older"), Revision: 7})
+	if got := string(v.operator["o1"].Value); got != "newer" {
+		t.Errorf("%q in force after an older read", got)
+	}
+}
+
 // Guards against a daemon that was frozen and passes on what has become old: its word on the store, which then changes nothing,
 // would put off the calls of daemons that are behind.
 func TestOldWordOnTheStoreIsNotCurrent(t *testing.T) {
--- a/kv/kv.go
+++ b/kv/kv.go
@@ -25,6 +25,12 @@
 	WatchFor(ctx context.Context, prefix string, after uint64, wait time.Duration) (Changes, error)
 }
 
+// StaleReader is a Store with cheaper reads that may be some seconds old.
+type StaleReader interface {
+	// GetStale is Get of a state that the store had some seconds ago at the most.
+	GetStale(ctx context.Context, key string) (Entry, error)
+}
+
 // LeaseID identifies a lease. Zero means no lease.
 type LeaseID uint64
 
--- a/observe/store.go
+++ b/observe/store.go
@@ -23,6 +23,16 @@
 	return s.Store.Get(ctx, key)
 }
 
+// GetStale implements kv.StaleReader. A store that is none reads as Get does.
+func (s Store) GetStale(ctx context.Context, key string) (e kv.Entry, err error) {
+	r, ok := s.Store.(kv.StaleReader)
+	if !ok {
+		return s.Get(ctx, key)
+	}
+	defer func(t time.Time) { s.observe("get_stale", t, err) }(time.Now())
+	return r.GetStale(ctx, key)
+}
+
 // CAS implements kv.Store.
 func (s Store) CAS(ctx context.Context, key string, value []byte, prev uint64, lease kv.LeaseID) (rev uint64, err error) {
 	defer func(t time.Time) { s.observe("cas", t, err) }(time.Now())
