gateway: an outage of the store and a start cost few calls

Cause: each daemon looked for a lost store by a read at the full price, and read its own earlier entry once more when it started. Change: the renewal of the lease, at a tenth, finds out whether the store is back; a daemon that starts enters with the revision that its list showed. Measured: TestOutageCostsFewCalls, 343 tenths of a read for an outage of 20 s before, at most 100 after; TestStartCostsFewCalls, 50 and 30.

--- a/gateway/members.go
+++ b/gateway/members.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"strings"
+	"time"
 
 	"github.com/bramleytrail/bramleytrail/kv"
 	"github.com/bramleytrail/bramleytrail/pause"
@@ -52,8 +53,18 @@
 // rank returns the place of this daemon among the members, 0 for the first one.
 func (v *storeView) rank() int { return v.countOf(func(m member) bool { return m.id < v.g.spec.Name }) }
 
+// firstListWait bounds the time for which a daemon that starts waits to see the entry of an earlier process.
+const firstListWait = time.Second
+
 // join keeps this daemon's entry among the members.
 func (g *Gateway) join() {
+	timer := time.NewTimer(firstListWait)
+	select {
+	case <-g.view.firstList:
+	case <-timer.C:
+	case <-g.ctx.Done():
+	}
+	timer.Stop()
 	wait := retryFirst
 	for g.ctx.Err() == nil {
 		lease, err := g.enter()
@@ -80,7 +91,8 @@
 	}
 	key := memberPrefix + g.spec.Name
 	value := []byte(g.spec.Domain + memberSeparator + g.spec.PeerAddr)
-	_, err = g.spec.Store.CAS(g.ctx, key, value, 0, lease)
+	known, _ := g.view.entry(key)
+	_, err = g.spec.Store.CAS(g.ctx, key, value, known.Revision, lease)
 	if !errors.Is(err, kv.ErrConflict) {
 		return lease, err
 	}
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -67,6 +67,7 @@
 
 	confirmed atomic.Int64 // Unix nanoseconds of the last answer of the store
 	hasList   atomic.Bool
+	firstList chan struct{} // closed when hasList becomes true
 	lease     atomic.Uint64
 	suspected chan struct{} // another call of the store failed
 	told      chan toldChanges
@@ -79,7 +80,11 @@
 }
 
 func newStoreView(g *Gateway) *storeView {
-	return &storeView{g: g, operator: map[string]kv.Entry{}, endpoints: map[string]hostlist.Host{}, own: map[string]kv.Entry{}, lapsed: map[string]time.Time{}, suspected: make(chan struct{}, 1), told: make(chan toldChanges, maxTold), newest: map[string]int64{}, toldBytes: rate.NewLimiter(maxToldBytes, 2*maxToldBytes)}
+	return &storeView{
+		g: g, operator: map[string]kv.Entry{}, endpoints: map[string]hostlist.Host{}, own: map[string]kv.Entry{}, lapsed: map[string]time.Time{},
+		suspected: make(chan struct{}, 1), firstList: make(chan struct{}), told: make(chan toldChanges, maxTold), newest: map[string]int64{},
+		toldBytes: rate.NewLimiter(maxToldBytes, 2*maxToldBytes),
+	}
 }
 
 // listed reports whether the store's content was read since the start.
@@ -122,7 +127,9 @@
 		after, fresh := v.revision, !lost
 		lost, wait = false, retryFirst
 		v.follow(changes, time.Now())
-		v.hasList.Store(true)
+		if !v.hasList.Swap(true) {
+			close(v.firstList)
+		}
 		if fresh { // what lapsed during an outage is for each daemon to judge
 			v.tell(after, changes, asked)
 		}
@@ -274,10 +281,18 @@
 	}
 }
 
-// probe reports whether the store answers.
+// probe reports whether the store answers. The renewal of a lease costs a tenth of a read, and shows that also if the lease has
+// ended.
 func (v *storeView) probe() error {
 	ctx, cancel := context.WithTimeout(v.g.ctx, probeTimeout)
 	defer cancel()
+	if lease := kv.LeaseID(v.lease.Load()); lease != 0 {
+		err := v.g.spec.Store.KeepAlive(ctx, lease)
+		if errors.Is(err, kv.ErrNoLease) {
+			return nil
+		}
+		return err
+	}
 	_, err := v.g.spec.Store.Get(ctx, memberPrefix+v.g.spec.Name)
 	if errors.Is(err, kv.ErrNotFound) {
 		return nil
--- a/gateway/view_test.go
+++ b/gateway/view_test.go
@@ -505,6 +505,119 @@
 	}
 }
 
+// meteredStore counts its calls as the platform prices them, in tenths of a read, also while it is away.
+type meteredStore struct {
+	kv.Store
+	away   atomic.Bool
+	tenths atomic.Int64
+}
+
+func (s *meteredStore) call(tenths int64) error {
+	s.tenths.Add(tenths)
+	if s.away.Load() {
+		return kv.ErrUnavailable
+	}
+	return nil
+}
+
+// Get implements kv.Store.
+func (s *meteredStore) Get(ctx context.Context, key string) (kv.Entry, error) {
+	if err := s.call(10); err != nil {
+		return kv.Entry{}, err
+	}
+	return s.Store.Get(ctx, key)
+}
+
+// CAS implements kv.Store.
+func (s *meteredStore) CAS(ctx context.Context, key string, value []byte, prev uint64, lease kv.LeaseID) (uint64, error) {
+	if err := s.call(10); err != nil {
+		return 0, err
+	}
+	return s.Store.CAS(ctx, key, value, prev, lease)
+}
+
+// Grant implements kv.Store.
+func (s *meteredStore) Grant(ctx context.Context, ttl time.Duration) (kv.LeaseID, error) {
+	if err := s.call(10); err != nil {
+		return 0, err
+	}
+	return s.Store.Grant(ctx, ttl)
+}
+
+// KeepAlive implements kv.Store.
+func (s *meteredStore) KeepAlive(ctx context.Context, id kv.LeaseID) error {
+	if err := s.call(1); err != nil {
+		return err
+	}
+	return s.Store.KeepAlive(ctx, id)
+}
+
+// Watch implements kv.Store without waiting.
+func (s *meteredStore) Watch(ctx context.Context, prefix string, after uint64) (kv.Changes, error) {
+	if err := s.call(10); err != nil {
+		return kv.Changes{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Millisecond)
+	defer cancel()
+	c, err := s.Store.Watch(ctx, prefix, after)
+	if err != nil && ctx.Err() != nil {
+		return kv.Changes{Revision: after}, nil
+	}
+	return c, err
+}
+
+// Guards against daemons that ask a store which is away, or refuses their host, with calls at the full price: hundreds of them
+// paid more for an outage than for the rest of the day (nac-hulling-large trouble-3, 11,664 calls).
+func TestOutageCostsFewCalls(t *testing.T) {
+	const outage, leastTenths, mostTenths = 20 * time.Second, 10, 100
+	synctest.Test(t, func(t *testing.T) {
+		store := &meteredStore{Store: memkv.New()}
+		g := testGateway(store)
+		g.spec.Propagation = 4 * time.Second
+		go g.view.run()
+		go g.join()
+		time.Sleep(3 * time.Second)
+		store.away.Store(true)
+		time.Sleep(2 * time.Second) // it is noticed
+		store.tenths.Store(0)
+		time.Sleep(outage)
+		if n := store.tenths.Load(); n < leastTenths || n > mostTenths {
+			t.Errorf("an outage of %v costs %d tenths of a read", outage, n)
+		}
+		store.away.Store(false)
+		time.Sleep(2 * time.Second)
+		if age := g.view.age(); age > 2*time.Second {
+			t.Errorf("the store was last heard of %v ago", age)
+		}
+		g.cancel()
+	})
+}
+
+// Guards against a daemon that reads the entry of its earlier process once more before it replaces it.
+func TestStartCostsFewCalls(t *testing.T) {
+	const mostTenths = 3 * 10 // the list, the lease, the entry
+	synctest.Test(t, func(t *testing.T) {
+		inner := memkv.New()
+		lease, err := inner.Grant(t.Context(), memberTTL)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := inner.CAS(t.Context(), memberPrefix+"d0", []byte("a"), 0, lease); err != nil {
+			t.Fatal(err)
+		}
+		store := &meteredStore{Store: inner}
+		g := testGateway(store)
+		g.spec.Propagation = 4 * time.Second
+		go g.view.run()
+		go g.join()
+		time.Sleep(500 * time.Millisecond)
+		if n := store.tenths.Load(); n > mostTenths || g.view.lease.Load() == 0 {
+			t.Errorf("a start costs %d tenths of a read, lease %d", n, g.view.lease.Load())
+		}
+		g.cancel()
+	})
+}
+
 // Guards against a membership that is lost for good when its lease lapses.
 func TestMembershipReturns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
