gateway: the first daemon of a domain asks the store before the others do

Cause: while the first daemon of all is silent, all daemons asked at about the same time, so that what the first one of a domain tells came too late. Measured: TestFirstOfADomainAsksBeforeTheOthers.

--- a/gateway/view.go
+++ b/gateway/view.go
@@ -39,6 +39,9 @@
 	// change. Together they end before the others' pauses: those hear of each change within leadPause, and ask by themselves
 	// only if they do not hear from the first one.
 	leadPause, leadWait = 0.3, 0.35
+	// nearPause is that part for the first daemon of each failure domain: while the first one of all is silent, the others hear
+	// from it before they would ask.
+	nearPause = 0.7
 	// livenessPause is the time between two renewals of the membership, which also show that the store answers. A renewal
 	// costs a tenth of a watch.
 	livenessPause = 1500 * time.Millisecond
@@ -236,8 +239,11 @@
 // pause returns the time from one call for changes until the next.
 func (v *storeView) pause(leads bool) time.Duration {
 	share := 1 - watchJitter*mathrand.Float64()
-	if leads {
+	switch {
+	case leads:
 		share = leadPause
+	case v.listed() && v.nearRank() == 0:
+		share = nearPause
 	}
 	return time.Duration(share * float64(v.longestPause()))
 }
--- a/gateway/view_test.go
+++ b/gateway/view_test.go
@@ -618,6 +618,28 @@
 	})
 }
 
+// Guards against daemons that each ask the store while the first one of all is silent: the first one of each failure domain asks
+// before the others do, which then hear from it.
+func TestFirstOfADomainAsksBeforeTheOthers(t *testing.T) {
+	g := testGateway(memkv.New())
+	g.spec.Name, g.spec.Propagation = "d1", 4*time.Second
+	member := func(name, domain string) kv.Entry {
+		return kv.Entry{Key: memberPrefix + name, Value: []byte(domain + " a:1"), Revision: 1}
+	}
+	g.view.hasList.Store(true)
+	g.view.follow(kv.Changes{Reset: true, Revision: 5, Entries: []kv.Entry{member("c0", "b"), member("d1", "a"), member("d2", "a")}}, time.Now())
+	near := g.view.pause(g.view.leads())
+	g.spec.Name = "d2"
+	for range 1000 {
+		if other := g.view.pause(g.view.leads()); other <= near || other > g.view.longestPause() {
+			t.Fatalf("the first daemon of the domain asks after %v, another one after %v, at most %v", near, other, g.view.longestPause())
+		}
+	}
+	if lead := time.Duration((leadPause + leadWait) * float64(g.view.longestPause())); near <= lead {
+		t.Errorf("the first daemon of a domain asks after %v, though that of all tells each %v at most", near, lead)
+	}
+}
+
 // Guards against a membership that is lost for good when its lease lapses.
 func TestMembershipReturns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
