notice: messages are passed on in batches; sessions and phases of releases too

Cause: sessions in use were still sent to each daemon of each domain. A daemon that passes them on one by one would send thousands of datagrams a second. Change: what is passed on within 50 ms is sent as one datagram.

--- a/gateway/releases.go
+++ b/gateway/releases.go
@@ -142,7 +142,7 @@
 	if x == nil {
 		return
 	}
-	if err := x.Send(m); err != nil {
+	if err := x.SendAll(r.g.spec.Domain, m); err != nil {
 		r.g.log.WithField("service", m.Service).WithError(err).Debug("message to the other daemons not sent")
 	}
 }
--- a/gateway/told.go
+++ b/gateway/told.go
@@ -46,11 +46,11 @@
 			return // the others ask by themselves
 		}
 		m.Age = time.Since(asked)
-		err := x.SendIn(v.g.spec.Domain, m)
+		send := x.SendIn
 		if first {
-			err = errors.Join(err, x.SendBeyond(v.g.spec.Domain, m))
+			send = x.SendAll
 		}
-		if err != nil {
+		if err := send(v.g.spec.Domain, m); err != nil {
 			v.g.log.WithError(err).Debug("changes not told to the other daemons")
 			return
 		}
@@ -97,7 +97,7 @@
 	if x == nil || m.Revision > 0 && !g.view.mayTell(m, false) {
 		return
 	}
-	if err := x.SendIn(g.spec.Domain, m); err != nil {
+	if err := x.SendSoon(g.spec.Domain, m); err != nil {
 		g.log.WithError(err).Debug("message not passed on to the other daemons")
 	}
 }
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -50,6 +50,8 @@
 	Changes  []Change `msgpack:"c,omitempty"`
 	// Asked orders the messages about the store of one sender, From.
 	Asked int64 `msgpack:"k,omitempty"`
+	// Batch holds messages that are sent together; the other fields are then unused.
+	Batch []Message `msgpack:"g,omitempty"`
 }
 
 // Change is a change of an entry of the store.
@@ -67,6 +69,11 @@
 
 	mu    sync.Mutex
 	peers []peer
+
+	batchMu   sync.Mutex
+	batch     []Message // that wait to be sent together to the daemons of batchIn
+	batchSize int       // bytes
+	batchIn   string
 }
 
 // Peer is another daemon.
@@ -82,6 +89,9 @@
 // them make up for one that is frozen or cut off.
 const Relays = 2
 
+// batchPause is the time for which a message waits for others that are sent together with it.
+const batchPause = 50 * time.Millisecond
+
 // Listen opens a port. Messages are given to receive, one at a time.
 func Listen(addr string, receive func(Message)) (*Exchange, error) {
 	udp, err := net.ResolveUDPAddr("udp4", addr)
@@ -118,21 +128,68 @@
 	x.peers = peers
 }
 
-// Send sends a message to all other daemons. The first error is returned; the others get the message all the same.
-func (x *Exchange) Send(m Message) error { return x.send(m, func(peer) bool { return true }) }
+// SendAll sends a message to all other daemons, of which domain is the sender's failure domain. The first error is returned; the
+// others get the message all the same.
+func (x *Exchange) SendAll(domain string, m Message) error {
+	return errors.Join(x.SendIn(domain, m), x.SendBeyond(domain, m))
+}
 
-// SendIn is Send to the daemons of one failure domain.
+// SendIn sends a message to the daemons of one failure domain.
 func (x *Exchange) SendIn(domain string, m Message) error {
 	return x.send(m, func(p peer) bool { return p.Domain == domain })
 }
 
-// SendBeyond is Send to the daemons of all failure domains but one. Few daemons of each get the message and pass it on, so that
+// SendBeyond sends a message to the daemons of all failure domains but one. Few daemons of each get the message and pass it on, so that
 // the bytes between domains do not grow with the number of daemons.
 func (x *Exchange) SendBeyond(domain string, m Message) error {
 	m.Relay = true
 	return x.send(m, func(p peer) bool { return p.relay && p.Domain != domain })
 }
 
+// SendSoon is SendIn with a delay, after which all messages that have come meanwhile are sent as one. A daemon that passes messages on
+// so sends few datagrams, however many daemons there are. Errors are those of earlier messages.
+func (x *Exchange) SendSoon(domain string, m Message) error {
+	data, err := msgpack.Marshal(&m)
+	if err != nil {
+		return fmt.Errorf("encode message: %w", err)
+	}
+	x.batchMu.Lock()
+	defer x.batchMu.Unlock()
+	if len(x.batch) > 0 && (x.batchIn != domain || x.batchSize+len(data) > batchBytes) {
+		err = x.sendBatch()
+	}
+	if len(x.batch) == 0 {
+		x.batchIn = domain
+		time.AfterFunc(batchPause, x.flush)
+	}
+	x.batch = append(x.batch, m)
+	x.batchSize += len(data)
+	return err
+}
+
+// batchBytes bounds the messages that are sent together, with room for what holds them together.
+const batchBytes = MaxBytes * 3 / 4
+
+func (x *Exchange) flush() {
+	x.batchMu.Lock()
+	defer x.batchMu.Unlock()
+	_ = x.sendBatch() // the messages are one-way: what is lost is made up for by later ones
+}
+
+// sendBatch sends what waits. Its caller holds batchMu.
+func (x *Exchange) sendBatch() error {
+	list := x.batch
+	x.batch, x.batchSize = nil, 0
+	switch len(list) {
+	case 0:
+		return nil
+	case 1:
+		return x.SendIn(x.batchIn, list[0])
+	default:
+		return x.SendIn(x.batchIn, Message{Batch: list})
+	}
+}
+
 func (x *Exchange) send(m Message, to func(peer) bool) error {
 	x.mu.Lock()
 	peers := x.peers
@@ -168,7 +225,7 @@
 		if err != nil {
 			continue // of one datagram, such as a peer that is gone
 		}
-		if m, ok := decode(buf[:n]); ok && (m.Revision == 0 && !m.Relay || x.isPeer(from)) {
+		for _, m := range decode(buf[:n], x.isPeer(from)) {
 			x.receive(m)
 		}
 	}
@@ -181,14 +238,29 @@
 	return slices.ContainsFunc(x.peers, func(p peer) bool { return p.addr.Port == from.Port && p.addr.IP.Equal(from.IP) })
 }
 
-// decode reads a message. Bytes of others are passed over.
-func decode(data []byte) (Message, bool) {
+// decode reads the messages of a datagram. Bytes of others are passed over, and of a sender that is no peer, all that concerns the
+// store or would be passed on.
+func decode(data []byte, peer bool) []Message {
 	var m Message
-	if err := msgpack.Unmarshal(data, &m); err != nil || m.For < 0 || m.Age < 0 || m.Work < 0 {
-		return Message{}, false
+	if err := msgpack.Unmarshal(data, &m); err != nil {
+		return nil
+	}
+	list := m.Batch
+	if len(list) == 0 {
+		list = []Message{m}
+	}
+	return slices.DeleteFunc(list, func(inner Message) bool {
+		special := inner.Revision > 0 || inner.Relay || len(m.Batch) > 0
+		return !inner.valid() || special && !peer || inner.Relay && len(m.Batch) > 0
+	})
+}
+
+func (m *Message) valid() bool {
+	if m.For < 0 || m.Age < 0 || m.Work < 0 || len(m.Batch) > 0 {
+		return false
 	}
 	if m.Revision > 0 {
-		return m, m.After <= m.Revision && len(m.Changes) <= MaxChanges
+		return m.After <= m.Revision && len(m.Changes) <= MaxChanges
 	}
-	return m, m.Service != ""
+	return m.Service != ""
 }
