gateway: daemons that start or lose the store together leave it alone

A new document is not yet there when a cheap read follows the word on it at once. While the store is away, each of 39 daemons of a domain went on probing and renewing, all of it priced. Change: a daemon leads only when its own entry is listed. The limit is a part of the host's link. Cheap reads are tried four times within 0.6 s. While the store is away, its lease is renewed by the probes only, which become rarer with the daemons of the domain, and the one that finds the store back tells them.

--- a/gateway/members.go
+++ b/gateway/members.go
@@ -110,6 +110,9 @@
 		if pause.For(g.ctx, livenessPause) != nil {
 			return
 		}
+		if g.view.lost.Load() {
+			continue // the call that finds out whether the store is back renews the lease
+		}
 		err := g.renew(lease)
 		if errors.Is(err, kv.ErrNoLease) {
 			g.log.Info("membership lapsed")
--- a/gateway/told.go
+++ b/gateway/told.go
@@ -7,18 +7,35 @@
 	"slices"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/bramleytrail/bramleytrail/kv"
 	"github.com/bramleytrail/bramleytrail/notice"
+	"github.com/bramleytrail/bramleytrail/pause"
 )
 
 // maxTold bounds the messages about the store that wait for the daemon. A call takes a second at most; more than a few daemons
 // tell something within it only if each of them asks by itself.
 const maxTold = 256
 
-// maxToldBytes bounds the bytes a second that a daemon takes to tell the others of the store, less than a tenth of a link of 10 Mbit/s, and
-// messageFrame is about what a message takes beside its changes, and a change beside its key and value. Few daemons tell;
-// before thousands of endpoints that change all the time, each daemon has to ask by itself.
-const maxToldBytes, messageFrame = 100_000, 60
+const (
+	// toldShare is the part of the host's link that messages about the store may take, and toldBurst the time of the whole link that
+	// they may take at once, when all daemons start or return. leastTold applies if the link is not known, in bytes a second. Before
+	// thousands of endpoints that change all the time, each daemon has to ask by itself.
+	toldShare, toldBurst, leastTold = 0.08, 500 * time.Millisecond, 100_000
+	// messageFrame is about what a message takes beside its changes, and a change beside its key and value, in bytes.
+	messageFrame = 60
+	// staleTries and stalePause bound the cheap reads of a document until one is as new as the word on it.
+	staleTries, stalePause = 4, 200 * time.Millisecond
+)
+
+// toldLimiter returns the limit to the bytes that a daemon takes to tell the others of the store.
+func toldLimiter(linkBytes int64) *rate.Limiter {
+	if linkBytes <= 0 {
+		return rate.NewLimiter(leastTold, 2*leastTold)
+	}
+	return rate.NewLimiter(rate.Limit(toldShare*float64(linkBytes)), int(toldBurst.Seconds()*float64(linkBytes)))
+}
 
 // messageBytes bounds the keys and values in one message about the store; the rest of a datagram is for its framing.
 const messageBytes = notice.MaxBytes / 2
@@ -185,15 +202,40 @@
 	if !ok {
 		return kv.Entry{}, false
 	}
+	var e kv.Entry
+	var err error
+	for try := range staleTries {
+		if try > 0 && pause.For(v.g.ctx, stalePause) != nil {
+			break
+		}
+		e, err = v.getStale(store, told.Key)
+		if _, known := v.entry(told.Key); errors.Is(err, kv.ErrNotFound) && told.Deleted && known {
+			return kv.Entry{Key: told.Key, Revision: told.Revision, Deleted: true}, true
+		}
+		if err == nil && e.Revision >= told.Revision {
+			return e, true
+		}
+		if err != nil && !errors.Is(err, kv.ErrNotFound) {
+			break
+		}
+	}
+	v.g.log.WithField("key", told.Key).WithField("told", told.Revision).WithField("read", e.Revision).WithError(err).Info("changed document not read")
+	return kv.Entry{}, false
+}
+
+func (v *storeView) getStale(store kv.StaleReader, key string) (kv.Entry, error) {
 	ctx, cancel := context.WithTimeout(v.g.ctx, probeTimeout)
 	defer cancel()
-	e, err := store.GetStale(ctx, told.Key)
-	if _, known := v.entry(told.Key); errors.Is(err, kv.ErrNotFound) && told.Deleted && known {
-		return kv.Entry{Key: told.Key, Revision: told.Revision, Deleted: true}, true
+	return store.GetStale(ctx, key)
+}
+
+// tellRegained tells the daemons of the failure domain that the store answers again.
+func (v *storeView) tellRegained(revision uint64) {
+	x := v.g.notices.Load()
+	if x == nil {
+		return
 	}
-	read := err == nil && e.Revision >= told.Revision
-	if !read {
-		v.g.log.WithField("key", told.Key).WithField("told", told.Revision).WithField("read", e.Revision).WithError(err).Info("changed document not read")
+	if err := x.SendIn(v.g.spec.Domain, notice.Message{From: v.g.spec.Name, Revision: revision, After: revision, Regained: true}); err != nil {
+		v.g.log.WithError(err).Debug("return of the store not told to the other daemons")
 	}
-	return e, read
 }
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -47,6 +47,9 @@
 	livenessPause = 1500 * time.Millisecond
 	// retryFirst and retryMost are the pauses after a failed call of the store.
 	retryFirst, retryMost = 150 * time.Millisecond, 600 * time.Millisecond
+	// retrySpread is added to the longest pause for each daemon of the failure domain, so that their calls to a store that is away
+	// do not grow with their number. The one that finds it back tells the others.
+	retrySpread = 100 * time.Millisecond
 	// probeTimeout bounds the call that finds out whether a lost store is back. A watch would wait for longer than its
 	// outage lasts.
 	probeTimeout = 600 * time.Millisecond
@@ -71,6 +74,7 @@
 	confirmed atomic.Int64 // Unix nanoseconds of the last answer of the store
 	hasList   atomic.Bool
 	firstList chan struct{} // closed when hasList becomes true
+	lost      atomic.Bool
 	lease     atomic.Uint64
 	suspected chan struct{} // another call of the store failed
 	told      chan toldChanges
@@ -86,7 +90,7 @@
 	return &storeView{
 		g: g, operator: map[string]kv.Entry{}, endpoints: map[string]hostlist.Host{}, own: map[string]kv.Entry{}, lapsed: map[string]time.Time{},
 		suspected: make(chan struct{}, 1), firstList: make(chan struct{}), told: make(chan toldChanges, maxTold), newest: map[string]int64{},
-		toldBytes: rate.NewLimiter(maxToldBytes, 2*maxToldBytes),
+		toldBytes: toldLimiter(g.spec.LinkBytes),
 	}
 }
 
@@ -119,16 +123,19 @@
 				v.g.log.WithField("dependency", "store").WithField("revision", v.revision).WithError(err).Warn("dependency lost")
 			}
 			lost = true
+			v.lost.Store(true)
 			v.rest(time.Now().Add(wait), lost)
-			wait = min(retryMost, 2*wait)
+			wait = min(v.longestRetry(), 2*wait)
 			continue
 		}
 		if lost {
 			v.g.log.WithField("dependency", "store").WithField("revision", changes.Revision).Info("dependency regained")
 			v.regained = time.Now()
+			v.tellRegained(changes.Revision)
 		}
 		after, fresh := v.revision, !lost
 		lost, wait = false, retryFirst
+		v.lost.Store(false)
 		v.follow(changes, time.Now())
 		if !v.hasList.Swap(true) {
 			close(v.firstList)
@@ -154,8 +161,12 @@
 	return v.watch(v.revision, wait)
 }
 
-// leads reports whether this daemon is the first one, which follows the store for the others.
-func (v *storeView) leads() bool { return v.listed() && v.rank() == 0 }
+// leads reports whether this daemon is the first one, which follows the store for the others. One whose own entry is not listed
+// yet does not know the others either: when all start at once, each of them would lead.
+func (v *storeView) leads() bool {
+	_, entered := v.entry(memberPrefix + v.g.spec.Name)
+	return entered && v.rank() == 0
+}
 
 // follow puts changes in force that follow those in force.
 func (v *storeView) follow(c kv.Changes, now time.Time) {
@@ -210,10 +221,12 @@
 		case <-timer.C:
 			v.apply(kv.Changes{}, time.Now())
 		case m := <-v.told:
-			if current := v.current(m.Message); v.believe(m.Message, now) && current {
-				if next := m.arrived.Add(v.pause(v.leads()) - m.Age); next.After(due) {
-					due = next
+			if m.Regained {
+				if lost {
+					due = now
 				}
+			} else if next, ok := v.putOff(m, now); ok && next.After(due) {
+				due = next
 			}
 		case <-suspected:
 			due = now
@@ -224,6 +237,15 @@
 	}
 }
 
+// putOff puts told changes in force and returns the time at which the daemon has to ask by itself if it hears nothing more.
+func (v *storeView) putOff(m toldChanges, now time.Time) (time.Time, bool) {
+	current := v.current(m.Message)
+	if !v.believe(m.Message, now) || !current {
+		return time.Time{}, false
+	}
+	return m.arrived.Add(v.pause(v.leads()) - m.Age), true
+}
+
 // nextLapse returns the time at which an endpoint is dropped next if that is before a limit, else the limit.
 func (v *storeView) nextLapse(limit time.Time) time.Time {
 	v.mu.Lock()
@@ -236,6 +258,14 @@
 	return limit
 }
 
+// longestRetry returns the longest pause after a failed call. The first daemon of a failure domain does not wait for the others.
+func (v *storeView) longestRetry() time.Duration {
+	if v.nearRank() == 0 {
+		return retryMost
+	}
+	return max(retryMost, min(retrySpread*time.Duration(v.near()+1), v.longestPause()))
+}
+
 // pause returns the time from one call for changes until the next.
 func (v *storeView) pause(leads bool) time.Duration {
 	share := 1 - watchJitter*mathrand.Float64()
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -50,6 +50,8 @@
 	Changes  []Change `msgpack:"c,omitempty"`
 	// Asked orders the messages about the store of one sender, From.
 	Asked int64 `msgpack:"k,omitempty"`
+	// Regained says that the store answers the sender again.
+	Regained bool `msgpack:"y,omitempty"`
 	// Batch holds messages that are sent together; the other fields are then unused.
 	Batch []Message `msgpack:"g,omitempty"`
 }
