pool, gateway: daemons of a failure domain share what their requests have shown

Cause: a daemon of 195 takes 3.4 requests a second. From them alone it estimated how fast each model reads and how the work divides among models and long prompts: thin, late after each start, and otherwise than its neighbours, so that their segments overlapped. Change: the estimates are decaying sums that can be added. Each daemon sends its own to its failure domain, where messages cost nothing, once a second, four times in the first seconds, less often from 40 neighbours on; choices use the sum of all.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -200,6 +200,7 @@
 	g.wg.Go(g.view.run)
 	g.wg.Go(g.join)
 	g.wg.Go(g.releases.run)
+	g.wg.Go(g.shareEstimates)
 	g.log.WithFields(logrus.Fields{"listen": g.spec.CallerAddr, "ready": g.spec.ReadyAddr, "metrics": g.spec.MetricsAddr}).Info("daemon started")
 	return nil
 }
@@ -212,6 +213,8 @@
 	switch {
 	case m.Revision > 0:
 		g.view.hear(m)
+	case len(m.Estimates) > 0:
+		g.pool.Learn(m.From, m.Estimates, time.Now())
 	case m.Endpoint != "":
 		g.pool.Announced(m.Endpoint, m.Work, time.Now())
 	default:
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/bramleytrail/bramleytrail/pool"
 )
 
 // MaxBytes bounds a message. A datagram of this size is sent in a few packets.
@@ -50,6 +52,8 @@
 	Changes  []Change `msgpack:"c,omitempty"`
 	// Asked orders the messages about the store of one sender, From.
 	Asked int64 `msgpack:"k,omitempty"`
+	// Estimates are what the requests of the daemon From have shown.
+	Estimates []pool.Estimate `msgpack:"x,omitempty"`
 	// Regained says that the store answers the sender again.
 	Regained bool `msgpack:"y,omitempty"`
 	// Batch holds messages that are sent together; the other fields are then unused.
@@ -241,7 +245,7 @@
 }
 
 // decode reads the messages of a datagram. Bytes of others are passed over, and of a sender that is no peer, all that concerns the
-// store or would be passed on.
+// store, would be passed on or changes choices of endpoints.
 func decode(data []byte, peer bool) []Message {
 	var m Message
 	if err := msgpack.Unmarshal(data, &m); err != nil {
@@ -252,7 +256,7 @@
 		list = []Message{m}
 	}
 	return slices.DeleteFunc(list, func(inner Message) bool {
-		special := inner.Revision > 0 || inner.Relay || len(m.Batch) > 0
+		special := inner.Revision > 0 || inner.Relay || len(inner.Estimates) > 0 || len(m.Batch) > 0
 		return !inner.valid() || special && !peer || inner.Relay && len(m.Batch) > 0
 	})
 }
@@ -264,5 +268,5 @@
 	if m.Revision > 0 {
 		return m.After <= m.Revision && len(m.Changes) <= MaxChanges
 	}
-	return m.Service != ""
+	return m.Service != "" || m.From != "" && len(m.Estimates) > 0
 }
--- a/notice/notice_test.go
+++ b/notice/notice_test.go
@@ -185,7 +185,7 @@
 	f.Fuzz(func(t *testing.T, data []byte) {
 		for _, peer := range []bool{true, false} {
 			for _, m := range decode(data, peer) {
-				if m.Service == "" && m.Revision == 0 || len(m.Batch) > 0 || !peer && (m.Revision > 0 || m.Relay) {
+				if m.Service == "" && m.Revision == 0 && len(m.Estimates) == 0 || len(m.Batch) > 0 || !peer && (m.Revision > 0 || m.Relay || len(m.Estimates) > 0) {
 					t.Errorf("peer %v: %+v", peer, m)
 				}
 			}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -50,10 +50,10 @@
 	shards [shardCount]sync.Mutex
 	table  atomic.Pointer[table]
 	turn   atomic.Uint64 // of RoundRobin
-	paces  *paces
-	mixes  *mixes
 	reach  *reach
 
+	estimates *estimates // of the models of routed services
+
 	mu      sync.Mutex // serialises rebuild
 	list    hostlist.List
 	view    *config.View
@@ -87,7 +87,7 @@
 
 // New returns an empty pool.
 func New(spec Spec) *Pool {
-	p := &Pool{spec: spec, known: map[string]*endpoint{}, history: map[string]*limitHistory{}, paces: newPaces(), mixes: newMixes(), reach: newReach()}
+	p := &Pool{spec: spec, known: map[string]*endpoint{}, history: map[string]*limitHistory{}, estimates: newEstimates(), reach: newReach()}
 	p.members = members{self: spec.Self, settle: spec.Settle, departed: map[string]departed{}}
 	p.table.Store(&table{})
 	return p
--- a/pool/routed.go
+++ b/pool/routed.go
@@ -81,8 +81,8 @@
 
 // prepare computes what is the same for all endpoints.
 func (q *RoutedQuery) prepare(p *Pool, all *Query, group []*endpoint, now time.Time) {
-	q.pace = p.paces.get(all.Service, q.Model)
-	q.segment, q.meanWork = p.mixes.segment(all.Service, q.Model, now)
+	q.pace = p.estimates.pace(all.Service, q.Model)
+	q.segment, q.meanWork = p.estimates.segment(all.Service, q.Model, now)
 	q.long = q.Gap > 0 && q.pace.token*float64(all.Prompt) > longShare*float64(q.Gap/time.Millisecond)
 	q.home = 0
 	if len(q.Parts) < 2 {
@@ -389,8 +389,8 @@
 		e.routed.down, e.routed.unsure = false, now.Add(r.pool.spec.RestartKnown)
 	}
 	if measured {
-		expected := r.pool.paces.get(r.routed.service, r.routed.model).of(r.routed.tokens)
-		r.pool.paces.observe(r.routed.service, r.routed.model, r.routed.tokens, latency)
+		expected := r.pool.estimates.pace(r.routed.service, r.routed.model).of(r.routed.tokens)
+		r.pool.estimates.observe(r.routed.service, r.routed.model, r.routed.tokens, latency, now)
 		e.routed.slow = e.slowness(now) // of old evidence, some is left
 		e.routed.slow += latencyAlpha * (float64(latency)/float64(time.Millisecond)/expected - e.routed.slow)
 		e.routed.slowAt = now
--- a/pool/routed_test.go
+++ b/pool/routed_test.go
@@ -267,12 +267,13 @@
 
 // Guards against a pace that takes the fixed part of the time for the prompt's.
 func TestPace(t *testing.T) {
-	p := newPaces()
+	p := newEstimates()
+	now := time.Unix(1000, 0)
 	for i := range 400 {
 		tokens := int64(i * 37 % 5000)
-		p.observe("llm", "m", tokens, time.Duration(50+0.02*float64(tokens))*time.Millisecond)
+		p.observe("llm", "m", tokens, time.Duration(50+0.02*float64(tokens))*time.Millisecond, now.Add(time.Duration(i)*50*time.Millisecond))
 	}
-	got := p.get("llm", "m")
+	got := p.pace("llm", "m")
 	if got.base < 40 || got.base > 60 || got.token < 0.015 || got.token > 0.025 {
 		t.Errorf("pace %+v, want 50 ms and 0.02 ms a token", got)
 	}
