gateway: a daemon that can't read a changed document asks the store at once

Cause: a cheap read that stays older than another daemon's word on a change, as during a loss of the store's history, was tried for 0.6 s, and the daemon then waited for its next call for changes. Change: it asks at once.

--- a/gateway/told.go
+++ b/gateway/told.go
@@ -186,6 +186,7 @@
 		if v.g.spec.Documents.Kind(e.Key) == KindOperator {
 			var ok bool
 			if entry, ok = v.readOperator(e); !ok {
+				v.behind = true
 				return false
 			}
 		}
@@ -196,7 +197,7 @@
 }
 
 // readOperator reads an operators' document that has changed by another daemon's word. The cheap read may be older than the word;
-// it is then not used, and the daemon learns of the change by its next call for changes.
+// it is then not used, and the daemon asks the store for the changes at once.
 func (v *storeView) readOperator(told notice.Change) (kv.Entry, bool) {
 	store, ok := v.g.spec.Store.(kv.StaleReader)
 	if !ok {
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -84,6 +84,7 @@
 	revision uint64           // of the newest change in force, 0 before the first list
 	regained time.Time        // when the store answered again after its last outage
 	newest   map[string]int64 // of the messages about the store, by their sender
+	behind   bool             // a document has changed that could not be read
 }
 
 func newStoreView(g *Gateway) *storeView {
@@ -133,6 +134,7 @@
 			v.regained = time.Now()
 			v.tellRegained(changes.Revision)
 		}
+		v.behind = false
 		after, fresh := v.revision, !lost
 		lost, wait = false, retryFirst
 		v.lost.Store(false)
@@ -228,6 +230,9 @@
 			} else if next, ok := v.putOff(m, now); ok && next.After(due) {
 				due = next
 			}
+			if v.behind {
+				due = now
+			}
 		case <-suspected:
 			due = now
 		case <-v.g.ctx.Done():
--- a/gateway/view_test.go
+++ b/gateway/view_test.go
@@ -370,8 +370,8 @@
 	} {
 		v := testGateway(&staleStore{memkv.New(), c.read, c.err}).view
 		v.follow(kv.Changes{Reset: true, Revision: 5, Entries: []kv.Entry{held}}, time.Now())
-		if got := v.believe(fakeTold(5, 6, c.told), time.Now()); got != c.believed {
-			t.Errorf("%s: believed %v", c.name, got)
+		if got := v.believe(fakeTold(5, 6, c.told), time.Now()); got != c.believed || v.behind == c.believed {
+			t.Errorf("%s: believed %v, asks the store at once: %v", c.name, got, v.behind)
 		}
 		if got := string(v.operator["o1"].Value); got != c.want {
 			t.Errorf("%s: %q in force, want %q", c.name, got, c.want)
