relay, pipeline: only data keeps a stream alive; events and answers are bounded

Cause: the limit of silence of a stream began anew with each event, also with comments and fields without data. An endpoint that had stalled and sent a comment now and then was never given up before the caller's deadline. An event could hold 1 MiB, so that a hundred endpoints that never end one took 100 MiB. A request without deadline on a route without timeout had no end. Change: only events with data count as progress; an event has 64 KiB at most, an answer ten minutes if nothing else bounds it. Measured: TestSlowStreamLivesAndDrippingOneEnds plays six kinds of streams on one clock; without the change comments and events without data are not given up.

--- a/dispatch/routed_test.go
+++ b/dispatch/routed_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,6 +17,7 @@
 	"github.com/bramleytrail/bramleytrail/object"
 	"github.com/bramleytrail/bramleytrail/poison"
 	"github.com/bramleytrail/bramleytrail/pool"
+	"github.com/bramleytrail/bramleytrail/relay"
 )
 
 // routerFunc answers routed requests.
@@ -114,6 +117,69 @@
 	})
 }
 
+// Guards against a slow but sound stream that is cut, and against one that sends a byte or a comment now and then and never ends. Both
+// run on the same clock.
+func TestSlowStreamLivesAndDrippingOneEnds(t *testing.T) {
+	const events = 8
+	for name, c := range map[string]struct {
+		parts []string // sent one after the other, again and again
+		pause float64  // between them, in gaps of the route
+		ends  bool
+	}{
+		"slow":     {[]string{"id: N\ndata: x\n\n"}, gapFactor - 1, false},
+		"in parts": {[]string{"id: N\n", "data: x\n\n"}, (gapFactor - 1) / 2, false},
+		"bytes":    {[]string{"x"}, 0.5, true},
+		"comments": {[]string{": still here\n\n"}, 0.5, true},
+		"no data":  {[]string{"event: keep\n\n"}, 0.5, true},
+		"silent":   {[]string{""}, 0.5, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r, w := io.Pipe()
+				f, in := routedFilter(t, routerFunc(func(ctx context.Context, _ string, _ *engine.RoutedRequest) (*engine.RoutedResponse, error) {
+					context.AfterFunc(ctx, func() { _ = r.CloseWithError(context.Cause(ctx)) })
+					return &engine.RoutedResponse{Status: http.StatusOK, Header: http.Header{}, Body: r}, nil
+				}))
+				var writer sync.WaitGroup
+				writer.Go(func() {
+					defer w.Close()
+					for n := 1; n <= 4*events; n++ {
+						for _, part := range c.parts {
+							time.Sleep(time.Duration(c.pause * float64(in.Route.Gap)))
+							if _, err := io.WriteString(w, strings.ReplaceAll(part, "N", strconv.Itoa(n))); err != nil {
+								return
+							}
+						}
+					}
+				})
+				answer, err := f.NewExchange(context.Background(), in).Do("m", 0)
+				if err != nil {
+					t.Fatal(err)
+				}
+				limit := answer.LimitGaps()
+				start, seen := time.Now(), 0
+				reader := relay.NewEventReader(answer.Body)
+				for seen < events {
+					event, _, err := reader.Next()
+					if err != nil {
+						break
+					}
+					if relay.Advances(event) {
+						limit.Progress()
+						seen++
+					}
+				}
+				if took, longest := time.Since(start), time.Duration((gapFactor+1)*float64(in.Route.Gap)); limit.Stop() != c.ends || c.ends && took > longest {
+					t.Errorf("given up: %v, after %v and %d events", !c.ends, took, seen)
+				}
+				answer.Broken(io.ErrUnexpectedEOF)
+				_ = r.Close()
+				writer.Wait()
+			})
+		})
+	}
+}
+
 // Guards against a limit that ends an attempt after it was stopped, and against a budget that is charged for it.
 func TestStoppedLimitEndsNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pipeline/routed.go
+++ b/pipeline/routed.go
@@ -120,6 +120,10 @@
 	return s.permit.Charge(s.team, int64(len(s.r.Body)))
 }
 
+// longestAnswer bounds an answer if neither its caller nor its route states a time: an endpoint that never ends one does not hold a
+// connection for ever.
+const longestAnswer = 10 * time.Minute
+
 // limit bounds the request by the caller's deadline and the route's timeout, counted from its arrival.
 func (s *routedStages) limit(ctx context.Context) (context.Context, context.CancelFunc) {
 	left := s.route.Timeout
@@ -127,7 +131,7 @@
 		left = d
 	}
 	if left <= 0 {
-		return context.WithCancel(ctx)
+		left = longestAnswer
 	}
 	return context.WithDeadline(ctx, s.start.Add(left))
 }
--- a/pipeline/routedrelay.go
+++ b/pipeline/routedrelay.go
@@ -190,6 +190,9 @@
 			return fmt.Errorf("%w: %w", errCallerWrite, err)
 		}
 		s.sent = max(s.sent, number)
+		if !relay.Advances(event) {
+			continue
+		}
 		silence.Progress()
 		now := s.p.Now()
 		if out.Events > 0 {
--- a/relay/events.go
+++ b/relay/events.go
@@ -11,8 +11,9 @@
 
 const (
 	eventBuffer = 4 << 10
-	// maxEventBytes bounds one event of a stream; it is held until it is whole.
-	maxEventBytes = 1 << 20
+	// maxEventBytes bounds one event of a stream; it is held until it is whole. With it, hundreds of endpoints that never end an
+	// event do not exhaust a small host.
+	maxEventBytes = 64 << 10
 )
 
 // ErrEvent says that a stream holds something that is not an event.
@@ -59,6 +60,17 @@
 	}
 }
 
+// Advances reports whether an event brings a part of the answer. Comments and fields without data, which a server may send to keep a
+// connection open, do not.
+func Advances(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if bytes.HasPrefix(line, []byte("data:")) {
+			return true
+		}
+	}
+	return false
+}
+
 // eventNumber returns the value of an event's id field.
 func eventNumber(event []byte) (int64, error) {
 	for line := range bytes.Lines(event) {
--- a/relay/events_test.go
+++ b/relay/events_test.go
@@ -61,3 +61,14 @@
 		}
 	})
 }
+
+// Guards against a stream that counts as alive because its server sends comments or empty events.
+func TestAdvances(t *testing.T) {
+	for event, want := range map[string]bool{
+		"id: 1\ndata: x\n\n": true, "data:\n\n": true, ": ping\n\n": false, "event: keep\n\n": false, "id: 7\n\n": false, ":data: x\n\n": false,
+	} {
+		if got := Advances([]byte(event)); got != want {
+			t.Errorf("%q: %v", event, got)
+		}
+	}
+}
