dispatch, pool: daemons of a failure domain share the retry budget

Cause: the budget for further attempts is divided among the daemons. Change: daemons count further attempts in the estimates that they share.

--- a/dispatch/routed.go
+++ b/dispatch/routed.go
@@ -111,7 +111,9 @@
 	reserve := f.spec.RetryReserve()
 	b, ok := f.budgets.Load(service)
 	if !ok {
-		b, _ = f.budgets.LoadOrStore(service, newWindowBudget(f.spec.RetryRatio, reserve, f.spec.RetryWindow))
+		b, _ = f.budgets.LoadOrStore(service, newWindowBudget(f.spec.RetryRatio, reserve, f.spec.RetryWindow, func(now time.Time) pool.Attempts {
+			return f.spec.Pool.Attempts(service, now)
+		}))
 	}
 	budget := b.(*windowBudget)
 	budget.deposit(reserve, f.spec.Now())
@@ -132,7 +134,7 @@
 	if !ok || x.in.Route.Target > 0 && now.Sub(started)+r.Expected > x.in.Route.Target {
 		return false
 	}
-	if !x.budget.withdraw(spareBudget) {
+	if !x.budget.withdraw(spareBudget, now) {
 		return false
 	}
 	x.prepaid.Store(true)
@@ -168,7 +170,7 @@
 	if x.sends == 0 {
 		return nil
 	}
-	if x.sends >= x.in.Route.Attempts || !x.prepaid.Swap(false) && !x.budget.withdraw(0) {
+	if x.sends >= x.in.Route.Attempts || !x.prepaid.Swap(false) && !x.budget.withdraw(0, x.filter.spec.Now()) {
 		return &result.Error{Code: x.failedCode(), Ran: x.ran, RetryAfter: busyRetry, Detail: "The attempts or the retry budget are used up."}
 	}
 	return nil
@@ -190,6 +192,7 @@
 		}
 		x.in.View = view
 	}
+	x.in.Query.Repeat = x.sends > 0
 	x.in.Query.Release, x.in.Query.NotRelease = x.in.Assign(x.in.View, len(x.exclude) > 0)
 	query := pool.Query{Service: x.in.Service, Prompt: x.in.Prompt, Exclude: x.exclude, Routed: &x.in.Query}
 	w := want{
@@ -339,7 +342,7 @@
 	}
 	now := l.exchange.filter.spec.Now()
 	rest := l.limit - now.Sub(l.since)
-	if rest > 0 && !l.room.CutOff(now) || !l.elsewhere() || !l.exchange.budget.withdraw(0) {
+	if rest > 0 && !l.room.CutOff(now) || !l.elsewhere() || !l.exchange.budget.withdraw(0, now) {
 		if rest <= 0 || rest > l.early {
 			rest = l.early
 		}
@@ -430,7 +433,7 @@
 // Retry gives up an answer that the endpoint itself calls a failure and reports whether another endpoint may be tried.
 func (a *RoutedAnswer) Retry() bool {
 	x := a.exchange
-	if !x.in.Route.MayRepeat() || x.sends+1 >= x.in.Route.Attempts || x.budget.level() < 1 {
+	if !x.in.Route.MayRepeat() || x.sends+1 >= x.in.Route.Attempts || !x.budget.has(x.filter.spec.Now()) {
 		return false
 	}
 	a.Keep()
--- a/pool/estimates.go
+++ b/pool/estimates.go
@@ -40,15 +40,16 @@
 	Y       float64 `msgpack:"y"`
 	XX      float64 `msgpack:"u"`
 	XY      float64 `msgpack:"v"`
-	// Requests counts requests that were sent, Work and Long sum up the milliseconds for reading their prompts, and for the long
+	// Requests counts requests that were sent, Repeats those of them that had been sent before. Work and Long sum up the milliseconds for reading their prompts, and for the long
 	// ones among them.
 	Requests float64 `msgpack:"r"`
+	Repeats  float64 `msgpack:"q"`
 	Work     float64 `msgpack:"w"`
 	Long     float64 `msgpack:"l"`
 }
 
 func (e *Estimate) scale(by float64) {
-	for _, f := range []*float64{&e.Answers, &e.X, &e.Y, &e.XX, &e.XY, &e.Requests, &e.Work, &e.Long} {
+	for _, f := range []*float64{&e.Answers, &e.X, &e.Y, &e.XX, &e.XY, &e.Requests, &e.Repeats, &e.Work, &e.Long} {
 		*f *= by
 	}
 }
@@ -60,13 +61,14 @@
 	e.XX += o.XX
 	e.XY += o.XY
 	e.Requests += o.Requests
+	e.Repeats += o.Repeats
 	e.Work += o.Work
 	e.Long += o.Long
 }
 
 // valid reports whether the sums are numbers that requests can have.
 func (e *Estimate) valid() bool {
-	for _, f := range []float64{e.Answers, e.X, e.Y, e.XX, e.XY, e.Requests, e.Work, e.Long} {
+	for _, f := range []float64{e.Answers, e.X, e.Y, e.XX, e.XY, e.Requests, e.Repeats, e.Work, e.Long} {
 		if !(f >= 0 && f <= math.MaxFloat32) { // not a number either
 			return false
 		}
@@ -143,9 +145,12 @@
 }
 
 // sent records a request with the time for reading its prompt, in milliseconds.
-func (s *estimates) sent(service, model string, long bool, ms float64, now time.Time) {
+func (s *estimates) sent(service, model string, long, repeat bool, ms float64, now time.Time) {
 	s.change(service, model, now, func(d *decaying) {
 		d.Requests++
+		if repeat {
+			d.Repeats++
+		}
 		d.Work += ms
 		if long {
 			d.Long += ms
@@ -273,6 +278,33 @@
 	return segment{0, 1, len(parts), 0}, mean
 }
 
+// Attempts counts what the daemons of a failure domain have sent to a service, as decaying sums.
+type Attempts struct {
+	First   float64 // first attempts of requests
+	Repeats float64 // further ones
+	Daemons int     // that they are of
+}
+
+// attempts returns the attempts at a service within about the last window.
+func (s *estimates) attempts(service string, now time.Time) Attempts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := Attempts{Daemons: 1 + len(s.peers)}
+	for k, d := range s.all {
+		if k.service == service {
+			d.to(now)
+			a.First += d.Requests - d.Repeats
+			a.Repeats += d.Repeats
+		}
+	}
+	return a
+}
+
+// Attempts returns what the daemons of the failure domain have sent to a service, with a weight that falls to 1/e in ten seconds.
+func (p *Pool) Attempts(service string, now time.Time) Attempts {
+	return p.estimates.attempts(service, now)
+}
+
 // Estimates returns what this daemon's requests have shown, for the other daemons of its failure domain.
 func (p *Pool) Estimates(now time.Time) []Estimate { return p.estimates.told(now) }
 
--- a/pool/estimates_test.go
+++ b/pool/estimates_test.go
@@ -21,7 +21,7 @@
 			model, ms = "large", 100
 		}
 		tokens := int64(1000 + i%7*1000)
-		d.sent("llm", model, i%27 == 0, ms, now)
+		d.sent("llm", model, i%27 == 0, i%4 == 0, ms, now)
 		d.observe("llm", model, tokens, time.Duration(ms/1000*float64(tokens)*float64(time.Millisecond)), now)
 	}
 	now := start.Add(2 * time.Second)
@@ -45,6 +45,9 @@
 			t.Errorf("daemon %d: pace %+v", i, p)
 		}
 	}
+	if a := daemons[7].attempts("llm", now); a.Daemons != len(daemons) || math.Abs(a.Repeats/a.First-1.0/3) > 0.02 {
+		t.Errorf("attempts of all daemons %+v", a)
+	}
 	d := daemons[0]
 	d.learn("new", nil, now.Add(peerForgotten+time.Second))
 	if n := len(d.peers); n != 1 {
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -87,7 +87,7 @@
 			if q.Routed != nil {
 				p.reach.probed(r.Domain, now)
 				p.announce(r)
-				p.estimates.sent(q.Service, q.Routed.Model, q.Routed.long, q.Routed.pace.token*float64(q.Prompt), now)
+				p.estimates.sent(q.Service, q.Routed.Model, q.Routed.long, q.Routed.Repeat, q.Routed.pace.token*float64(q.Prompt), now)
 			}
 			return r, short, true
 		}
--- a/pool/routed.go
+++ b/pool/routed.go
@@ -68,6 +68,8 @@
 	// Target is the time within which the answer should begin.
 	Target time.Duration
 	Bytes  int // of the request's body
+	// Repeat says that the request was sent before.
+	Repeat bool
 
 	// Gap is the longest pause in a stream with which it is on time; 0 for other answers.
 	Gap time.Duration
