gateway: a short grace period leaves time for requests in flight

Cause: of the grace period, 0.7 s were kept for the end of the process, and half of it, at most 2.2 s, passed before the port closed. With 1 s nothing was left: requests that had just been accepted were cut. Change: a fifth of the grace period is kept at most.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -49,8 +49,8 @@
 	// leaveNotice is the time for which a stopping daemon still takes connections: the balancer asks once a second and
 	// stops after two refusals.
 	leaveNotice = 2200 * time.Millisecond
-	// stopReserve is kept of the grace period for the end of the process.
-	stopReserve = 700 * time.Millisecond
+	// stopReserve is kept of the grace period for the end of the process, at most stopReserveShare of it.
+	stopReserve, stopReserveShare = 700 * time.Millisecond, 0.2
 	// budgetShare is the part of the operators' retry budget that is used, since requests and retries are counted at
 	// different times.
 	budgetShare = 0.9
@@ -306,7 +306,8 @@
 	g.entry.Leave()
 	g.log.Info("daemon is leaving")
 	time.Sleep(min(leaveNotice, g.spec.Grace/2))
-	ctx, cancel := context.WithDeadline(context.Background(), start.Add(g.spec.Grace-stopReserve))
+	reserve := min(stopReserve, time.Duration(stopReserveShare*float64(g.spec.Grace)))
+	ctx, cancel := context.WithDeadline(context.Background(), start.Add(g.spec.Grace-reserve))
 	defer cancel()
 	err := g.entry.Finish(ctx)
 	if errors.Is(err, context.DeadlineExceeded) {
