gateway: endpoints that leave soon after an outage are gone in time

Cause: a removal within 1.8 s after an outage of the store was taken for a lapsed lease, and the endpoint stayed in use for 1.8 s from then. Change: such endpoints stay until 1.8 s after the daemon found the store back. Measured: TestLeaveSoonAfterAnOutage, which fails before.

--- a/gateway/view.go
+++ b/gateway/view.go
@@ -130,7 +130,8 @@
 }
 
 // keepLapsed takes the endpoints' removals out of the changes after an outage: their leases may have ended because the store
-// was away. They stay in use for a time.
+// was away. They stay in use until those that live have had time to come back, counted from the store's return: an endpoint may
+// also have left since.
 func (v *storeView) keepLapsed(entries []kv.Entry, now time.Time) []kv.Entry {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -146,12 +147,12 @@
 			continue
 		}
 		if _, waits := v.lapsed[key]; !waits {
-			v.lapsed[key] = now.Add(lapsedKeep)
+			v.lapsed[key] = v.regained.Add(lapsedKeep)
 			kept++
 		}
 	}
 	if kept > 0 {
-		v.g.log.WithField("endpoints", kept).WithField("for_ms", lapsedKeep.Milliseconds()).Info("entries of endpoints lapsed during the store's outage")
+		v.g.log.WithField("endpoints", kept).WithField("for_ms", v.regained.Add(lapsedKeep).Sub(now).Milliseconds()).Info("entries of endpoints lapsed during the store's outage")
 	}
 	return slices.DeleteFunc(slices.Clone(entries), func(e kv.Entry) bool {
 		removed, endpoint := gone[e.Key]
--- a/gateway/view_test.go
+++ b/gateway/view_test.go
@@ -206,6 +206,32 @@
 	})
 }
 
+// Guards against an endpoint that leaves soon after an outage and is taken for one whose entry lapsed with the store: it stayed in use for
+// the whole time from then, past the bound for endpoints that leave (DRAIN, nac-hulling, deploy/days/turned-away.toml --vary --seed
+// 1017348058013).
+func TestLeaveSoonAfterAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeStore{quick: true, reset: []kv.Entry{{Key: "e1", Value: []byte("a:1")}, {Key: "e2", Value: []byte("a:2")}}}
+		g := testGateway(store)
+		go g.view.run()
+		time.Sleep(time.Second)
+		store.set(true, nil)
+		time.Sleep(2 * watchTimeout)
+		store.set(false, nil)
+		for g.view.lost.Load() {
+			time.Sleep(10 * time.Millisecond)
+		}
+		back := time.Now()
+		time.Sleep(lapsedKeep - 500*time.Millisecond)
+		store.change([]kv.Entry{{Key: "e1", Deleted: true}})
+		time.Sleep(time.Until(back.Add(lapsedKeep + 100*time.Millisecond)))
+		if n := g.pool.Usable("s", "v1", time.Now()); n != 1 {
+			t.Errorf("%d endpoints after the time in which those that live are back", n)
+		}
+		g.cancel()
+	})
+}
+
 // Guards against endpoints that stay in use while nothing changes although their time to come back is over.
 func TestLapsedEntriesEndInTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
