gateway: the state of a release is logged under its lock

Cause: writeDecision read the phase for its log line without the lock under which receive writes it. Change: the line is logged under the lock. TestDecisionWrittenWhilePhaseChanges runs both at once, 200 times; under the race detector.

--- a/gateway/releases.go
+++ b/gateway/releases.go
@@ -416,7 +416,9 @@
 		return
 	}
 	if r.cas(key, value) {
+		r.mu.Lock()
 		r.log(rel, t, next, total).Info("state of the release written")
+		r.mu.Unlock()
 	}
 }
 
@@ -453,7 +455,7 @@
 	return err == nil
 }
 
-// log returns a log entry with fields for a release, its phases and the evidence e.
+// log returns a log entry with fields for a release, its phases and the evidence e. The caller holds r.mu.
 func (r *releases) log(rel *object.Release, t *trackedRelease, next release.Phase, e release.Evidence) *logrus.Entry {
 	return r.g.log.WithFields(logrus.Fields{
 		"service": rel.Service, "target": rel.TargetVersion, "order": rel.Order, "phase": t.phase, "next": next,
