cascade: a larger model is asked if a good answer is worth its price

Change: the escalator compares the expected loss from a poor answer (its chance is a normal distribution around the even confidence, whose spread is learned from pairs; two answers are averaged) with the price of the next one (declared cost, prompt tokens that the endpoint which would serve it has not cached, expected tokens of the answer), and a middle model's price also with what its confidence would then decide. Attempts are logged with wait, expected latency and uncached tokens, dropped answers with value and price.

--- a/dispatch/routed.go
+++ b/dispatch/routed.go
@@ -69,7 +69,11 @@
 	Release     string // software version that the endpoint runs
 	Model       string
 	Status      int           // HTTP status of the answer, 0 if there was none
+	Wait        time.Duration // for capacity, before the attempt
+	Expected    time.Duration // expected latency
 	Latency     time.Duration // until the header of the answer, or the failure
+	Prompt      int64         // tokens
+	Uncached    int64         // prompt tokens that the endpoint was expected to process
 	LastEventID int64         // ID of the last event that the caller had before the attempt, 0 for none
 	// Confidence is the model's confidence in the answer; nil if it states none.
 	Confidence *float64
@@ -83,8 +87,9 @@
 	in     RoutedInput
 	budget *windowBudget
 
-	attempts int      // attempts at endpoints that ran, may have run or refused the request
-	exclude  []string // IDs of the endpoints that failed
+	wait     time.Duration // for capacity, before the current attempt
+	attempts int           // attempts at endpoints that ran, may have run or refused the request
+	exclude  []string      // IDs of the endpoints that failed
 	ran      result.Ran
 	// prepaid is set if the budget was already charged for the next attempt.
 	prepaid atomic.Bool
@@ -122,22 +127,33 @@
 	return budget
 }
 
-// MayEscalate reports whether a cascade may ask another model: the route's attempts and the retry budget allow it,
-// apart from the part that is reserved for failures, and the answer would probably begin within the route's target,
-// counted from started. If so, the budget is charged at once, because the answer at hand is on time and must not be
-// dropped unless the next attempt is certain.
-func (x *Exchange) MayEscalate(model string, started time.Time) bool {
-	if x.attempts+1 >= x.in.Route.Attempts {
-		return false
+// Quote describes the answer that another model would probably give.
+type Quote struct {
+	Delay    time.Duration // until it begins
+	Uncached int64         // prompt tokens that its endpoint would have to process
+}
+
+// Quote estimates the answer of another model. It returns false if the route's attempts or a lack of capacity forbid the
+// call.
+func (x *Exchange) Quote(model string) (Quote, bool) {
+	if x.RemainingCalls() < 1 {
+		return Quote{}, false
 	}
 	routed := x.in.Query
 	routed.Model = model
-	now := x.filter.spec.Now()
-	r, _, ok := x.filter.spec.Pool.Pick(pool.Query{Service: x.in.Service, Prompt: x.in.Prompt, Exclude: x.exclude, Routed: &routed, DryRun: true}, now)
-	if !ok || x.in.Route.TargetLatency > 0 && now.Sub(started)+r.ExpectedDelay > x.in.Route.TargetLatency {
-		return false
-	}
-	if !x.budget.withdraw(failureBudgetShare, now) {
+	r, _, ok := x.filter.spec.Pool.Pick(pool.Query{Service: x.in.Service, Prompt: x.in.Prompt, Exclude: x.exclude, Routed: &routed, DryRun: true}, x.filter.spec.Now())
+	return Quote{r.ExpectedDelay, r.ExpectedUncached}, ok
+}
+
+// RemainingCalls returns the number of further attempts that the route allows while an answer that has not been counted
+// with CountRun is at hand.
+func (x *Exchange) RemainingCalls() int { return x.in.Route.Attempts - x.attempts - 1 }
+
+// ReserveEscalation charges the retry budget for the next attempt, which a cascade makes, and reports whether the budget
+// allows it. The part of the budget that is reserved for failures is left. The budget is charged at once because the
+// answer at hand is on time and must not be dropped unless the next attempt is certain.
+func (x *Exchange) ReserveEscalation() bool {
+	if !x.budget.withdraw(failureBudgetShare, x.filter.spec.Now()) {
 		return false
 	}
 	x.prepaid.Store(true)
@@ -154,10 +170,12 @@
 		if err := x.checkAttempt(); err != nil {
 			return nil, err
 		}
+		start := x.filter.spec.Now()
 		r, err := x.reserve()
 		if err != nil {
 			return nil, withRan(err, x.ran)
 		}
+		x.wait = x.filter.spec.Now().Sub(start)
 		answer, err := x.attempt(r)
 		if err == nil {
 			return answer, nil
@@ -282,7 +300,7 @@
 	}
 	t := RoutedAttempt{
 		Request: x.in.Request.ID, Service: x.in.Service, Endpoint: r.ID, Addr: r.Addr, Release: r.SoftwareRelease(),
-		Model: x.in.Request.Model, Latency: latency, LastEventID: x.in.Request.LastEvent, Err: err,
+		Model: x.in.Request.Model, Wait: x.wait, Expected: r.ExpectedDelay, Latency: latency, Prompt: x.in.Prompt, Uncached: r.ExpectedUncached, LastEventID: x.in.Request.LastEvent, Err: err,
 	}
 	if resp != nil {
 		t.Status = resp.Status
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -105,8 +105,10 @@
 	RetryWindow              time.Duration // over which requests and retries are counted
 	// ExposureShare is the largest share of the requests that a version in its canary phase gets.
 	ExposureShare float64
-	// Confidence is the threshold below which a small model's answer is discarded and a larger model is asked.
-	Confidence float64
+	// EvenConfidence is the confidence at which a model's answer is as likely poor as good.
+	EvenConfidence float64
+	// AnswerValue is the value of a good answer as a multiple of the largest model's tariff, see cascade.Value.
+	AnswerValue float64
 
 	Store     kv.Store
 	Router    engine.Router
@@ -161,7 +163,7 @@
 		Addr: s.CallerAddr, MaxConnections: 2 * maxInFlight, StallTimeout: stallTimeout, Config: g.config, Ready: g.Ready, Protocol: s.Protocol,
 		Pipeline: &pipeline.Pipeline{
 			Config: g.config, Admit: g.admit, Dispatch: g.dispatch, Now: time.Now, OnStart: func(*pipeline.Progress) {}, OnFinish: g.recordOutcome,
-			Routes: &pipeline.Routes{Releases: g.releases, Escalator: cascade.NewEscalator(s.Confidence), EventIntervals: relay.NewEventIntervals(), OnAttempt: g.recordAttempt, OnEscalate: g.recordEscalation},
+			Routes: &pipeline.Routes{Releases: g.releases, Escalator: cascade.NewEscalator(s.EvenConfidence), AnswerValue: s.AnswerValue, EventIntervals: relay.NewEventIntervals(), OnAttempt: g.recordAttempt, OnEscalate: g.recordEscalation},
 		},
 	})
 	return g
@@ -336,6 +338,12 @@
 	if v := g.config.View(); v != nil {
 		f["config"] = v.Revision.Number
 	}
+	if r := o.Route; r != nil {
+		f["route"], f["target_ms"] = r.Name, r.TargetLatency.Milliseconds()
+		if r.TargetGap > 0 {
+			f["max_gap_ms"] = r.TargetGap.Milliseconds()
+		}
+	}
 	if st := o.Stream; st != nil {
 		f["model"], f["endpoint"], f["prompt"], f["limit"], f["events"] = st.Model, st.Endpoint, st.Prompt, st.MaxTokens, st.Events
 		f["release"], f["session"] = st.Release, strconv.FormatUint(st.Session, 16)
@@ -351,9 +359,9 @@
 }
 
 func (g *Gateway) recordAttempt(a dispatch.RoutedAttempt) {
-	f := logrus.Fields{"request": a.Request, "endpoint": a.Endpoint, "addr": a.Addr, "release": a.Release, "status": a.Status, "ms": a.Latency.Milliseconds(), "endpoints_age_ms": g.view.age().Milliseconds()}
+	f := logrus.Fields{"request": a.Request, "endpoint": a.Endpoint, "addr": a.Addr, "release": a.Release, "status": a.Status, "ms": a.Latency.Milliseconds(), "wait_ms": a.Wait.Milliseconds(), "expected_ms": a.Expected.Milliseconds(), "endpoints_age_ms": g.view.age().Milliseconds()}
 	if a.Model != "" {
-		f["model"] = a.Model
+		f["model"], f["prompt"], f["uncached"] = a.Model, a.Prompt, a.Uncached
 	}
 	if a.LastEventID > 0 {
 		f["after"] = a.LastEventID
@@ -395,9 +403,10 @@
 	g.log.WithFields(logrus.Fields{"endpoint": id, "failures": failures, "for_ms": wait.Milliseconds()}).Info("endpoint ejected")
 }
 
-func (g *Gateway) recordEscalation(request, from, to string, confidence float64) {
+func (g *Gateway) recordEscalation(e pipeline.EscalationOutcome) {
 	g.spec.Metrics.Counter("bramley_climbs_total").Inc()
-	g.log.WithFields(logrus.Fields{"request": request, "from": from, "to": to, "confidence": confidence, "threshold": g.spec.Confidence}).Info("doubtful answer dropped")
+	g.log.WithFields(logrus.Fields{"request": e.Request, "from": e.From, "to": e.To, "confidence": e.Confidence, "value": e.Value, "price": e.Price}).
+		Info("doubtful answer dropped")
 }
 
 var _ pipeline.Releases = (*releases)(nil)
--- a/object/object.go
+++ b/object/object.go
@@ -88,6 +88,19 @@
 	ColdPerSecond float64 `json:"coldPerSecond,omitempty"`
 	// TokensPerEvent is the number of tokens in one event of a stream; 0 if unknown.
 	TokensPerEvent int `json:"tokensPerEvent,omitempty"`
+	// Tariffs are the tariffs of the service's models, by name. A model without one has no declared price.
+	Tariffs map[string]Tariff `json:"tariffs,omitempty"`
+}
+
+// Tariff is what a model charges for a request, in the operators' unit of cost.
+type Tariff struct {
+	Read      float64 `json:"read"`      // for each prompt token that it processes
+	Generated float64 `json:"generated"` // for each token of the answer
+}
+
+// Price returns the price of an answer with the given numbers of processed prompt tokens and generated tokens.
+func (t Tariff) Price(read, generated int64) float64 {
+	return t.Read*float64(read) + t.Generated*float64(generated)
 }
 
 // Placement controls how the versions of a service are placed on its endpoints.
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -49,8 +49,9 @@
 type Outcome struct {
 	RequestID string
 	Team      string
-	Kind      string // "chat", "plain" or "routed"
-	Version   string // version that answered; the service for plain calls and requests of routes
+	Kind      string        // "chat", "plain" or "routed"
+	Version   string        // version that answered; the service for plain calls and requests of routes
+	Route     *object.Route // nil if the request is not one of a route
 	Code      result.Code
 	FirstByte time.Duration // from the arrival until the answer began; 0 if none did
 	Total     time.Duration // from the arrival until the end
--- a/pipeline/routed.go
+++ b/pipeline/routed.go
@@ -1,7 +1,9 @@
 package pipeline
 
 import (
+	"cmp"
 	"context"
+	"math"
 	"net/http"
 	"strings"
 	"time"
@@ -51,15 +53,26 @@
 // Routes holds what only requests of routes need.
 type Routes struct {
 	Releases Releases // nil if there are no releases
-	// Escalator chooses among the models of a route by the confidence in their answers.
+	// Escalator chooses among the models of a route by the confidence in their answers and their prices.
 	Escalator *cascade.Escalator
+	// AnswerValue is the value of a good answer as a multiple of the largest model's tariff, see cascade.Value.
+	AnswerValue float64
 	// EventIntervals estimates how long streams take.
 	EventIntervals *relay.EventIntervals
 	// OnAttempt is called at the end of each attempt at an endpoint; it may be nil.
 	OnAttempt func(dispatch.RoutedAttempt)
-	// OnEscalate is called when the answer of model from is dropped to ask the larger model to; it may be nil. request is an
-	// ID, confidence is that of the dropped answer.
-	OnEscalate func(request, from, to string, confidence float64)
+	// OnEscalate is called when an answer is dropped to ask a larger model; it may be nil.
+	OnEscalate func(EscalationOutcome)
+}
+
+// EscalationOutcome describes an answer that was dropped to ask a larger model.
+type EscalationOutcome struct {
+	Request    string // ID
+	From, To   string // models
+	Confidence float64
+	// Value is what a good answer is worth, and Price the expected price of that of the larger model, in the operators' unit
+	// of cost.
+	Value, Price float64
 }
 
 // routedStages holds the state of one request of a route. Its methods are the stages.
@@ -69,16 +82,14 @@
 	r      *Request
 	caller relay.Caller
 
-	route     *object.Route
-	team      string // empty for a public route without a key
-	service   string
-	model     int // index in route.Models
-	prevModel int // index of the model that was asked before model; equal to model if there is none
-	// prevConfidence is the confidence in the answer of prevModel.
-	prevConfidence float64
-	exchange       *dispatch.Exchange
-	answer         *dispatch.RoutedAnswer
-	lastEventID    int64 // ID of the last event that was sent to the caller
+	route       *object.Route
+	team        string // empty for a public route without a key
+	service     string
+	model       int              // index in route.Models
+	answers     []cascade.Answer // of the models of a cascade so far
+	exchange    *dispatch.Exchange
+	answer      *dispatch.RoutedAnswer
+	lastEventID int64 // ID of the last event that was sent to the caller
 }
 
 // Route serves a request of a route, for which r.Meta must be set, and sends the answer, or an error response, to c. It returns
@@ -112,6 +123,7 @@
 	if s.route = s.view.Route(s.r.Meta.Host, path); s.route == nil {
 		return result.Newf(result.UnknownService, "No route of host %q.", s.r.Meta.Host)
 	}
+	s.outcome.Route = s.route
 	team := s.view.TeamByKey(s.r.Meta.APIKey)
 	if team == nil && !s.route.Public && len(s.view.Teams) > 0 {
 		return result.Newf(result.Unauthenticated, "")
@@ -266,40 +278,66 @@
 }
 
 // escalate drops a doubtful answer if a larger model may be asked, and reports whether it did; the next attempt then asks that
-// model. The answer is kept if the request must not be repeated or resumes a stream, if the limits of the exchange forbid
-// another attempt, or if the larger model's answer would probably end after the deadline.
+// model. The answer is kept if the request must not be repeated or resumes a stream, if the limits of the exchange forbid another attempt, or if
+// the larger model's answer would probably begin after the route's target or end after the deadline.
 func (s *routedStages) escalate(ctx context.Context, a *dispatch.RoutedAnswer) bool {
 	if !s.isCascade() || !a.HasConfidence || !s.route.MayRepeat() || s.r.Meta.LastEventID > 0 {
 		return false
 	}
 	escalator := s.p.Routes.Escalator
-	if s.model > s.prevModel {
-		escalator.RecordPair(s.route.Models, s.prevModel, s.prevConfidence, s.model, a.Confidence)
+	s.answers = append(s.answers, cascade.Answer{Model: s.model, Confidence: a.Confidence})
+	if n := len(s.answers); n > 1 {
+		escalator.RecordPair(s.route.Models, s.answers[n-2], s.answers[n-1])
 	}
-	next := escalator.Next(s.route.Models, s.model, a.Confidence)
-	if next < 0 || !s.exchange.MayEscalate(s.route.Models[next], s.start) || !s.fitsDeadline(ctx, s.route.Models[next]) {
+	e := s.escalation(ctx)
+	next := escalator.Next(e)
+	if next < 0 || !s.exchange.ReserveEscalation() {
 		return false
 	}
 	if s.p.Routes.OnEscalate != nil {
-		s.p.Routes.OnEscalate(s.r.ID, s.modelName(), s.route.Models[next], a.Confidence)
+		s.p.Routes.OnEscalate(EscalationOutcome{s.r.ID, s.modelName(), s.route.Models[next], a.Confidence, e.Value, e.Price(next)})
 	}
 	a.CountRun()
 	a.MarkCancelled()
 	a.Close()
-	s.prevModel, s.prevConfidence, s.model = s.model, a.Confidence, next
+	s.model = next
 	return true
 }
 
-// fitsDeadline reports whether a model's answer of the expected length would probably end before the deadline. It is true if
-// there is no deadline or the length can't be estimated.
-func (s *routedStages) fitsDeadline(ctx context.Context, model string) bool {
+// escalation describes the request and the answers so far to the escalator.
+func (s *routedStages) escalation(ctx context.Context) cascade.Escalation {
+	var service object.RoutedService
+	if svc := s.view.Services[s.service]; svc != nil && svc.Routed != nil {
+		service = *svc.Routed
+	}
+	tariffs := cascade.Tariffs(&service, s.route.Models)
+	answerTokens := s.remainingTokens(service.TokensPerEvent)
+	return cascade.Escalation{
+		Models: s.route.Models, Answers: s.answers, MaxCalls: s.exchange.RemainingCalls(),
+		Value: cascade.Value(s.p.Routes.AnswerValue, tariffs[len(tariffs)-1], s.r.Meta.Prompt, answerTokens),
+		Price: func(model int) float64 {
+			quote, ok := s.exchange.Quote(s.route.Models[model])
+			late := s.route.TargetLatency > 0 && s.p.Now().Sub(s.start)+quote.Delay > s.route.TargetLatency
+			if !ok || late || !s.fitsDeadline(ctx, s.route.Models[model], answerTokens) {
+				return math.Inf(1)
+			}
+			return tariffs[model].Price(quote.Uncached, answerTokens)
+		},
+	}
+}
+
+// remainingTokens returns the expected number of tokens of the answer that the caller has not received. Without the caller's
+// estimate, the answer is expected to be as long as the limit allows.
+func (s *routedStages) remainingTokens(tokensPerEvent int) int64 {
+	return max(1, cmp.Or(s.r.Meta.ExpectedTokens, s.r.Meta.MaxTokens)-s.r.Meta.LastEventID*int64(tokensPerEvent))
+}
+
+// fitsDeadline reports whether a model's answer with the given number of tokens would probably end before the deadline. It is
+// true if there is no deadline, or if the caller gave no estimate of the length or the length of an event is not known.
+func (s *routedStages) fitsDeadline(ctx context.Context, model string, tokens int64) bool {
 	deadline, ok := ctx.Deadline()
 	svc := s.view.Services[s.service]
-	if !ok || svc == nil || svc.Routed == nil || svc.Routed.TokensPerEvent <= 0 {
-		return true
-	}
-	tokens := s.r.Meta.ExpectedTokens
-	if tokens <= 0 {
+	if !ok || svc == nil || svc.Routed == nil || svc.Routed.TokensPerEvent <= 0 || s.r.Meta.ExpectedTokens <= 0 {
 		return true
 	}
 	events := float64(tokens) / float64(svc.Routed.TokensPerEvent)
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -33,7 +33,8 @@
 	// Routed describes the request of a route; nil for other requests.
 	Routed *RoutedQuery
 
-	expectedDelay time.Duration // expected delay at the endpoint chosen for a routed request
+	expectedDelay    time.Duration // expected delay at the endpoint chosen for a routed request
+	expectedUncached int64         // prompt tokens that this endpoint probably has to process
 }
 
 // Shortage counts why the endpoints of a group could not be chosen.
@@ -54,17 +55,19 @@
 	ID     string
 	Addr   string
 	Domain string
-	// ExpectedDelay is the expected time until the answer to a routed request begins. Only DryRun queries set it.
-	ExpectedDelay time.Duration
-	service       string
-	tokens        int64
-	prefillTokens int64 // prompt tokens in prefill; 0 after the first token
-	suspect       bool
-	exclusive     bool // no other daemon may have a suspect at the endpoint
-	endpoint      *endpoint
-	pool          *Pool
-	pending       pendingPrefill
-	reservedAt    time.Time
+	// ExpectedDelay is the expected time until the answer to a routed request begins, and ExpectedUncached the number of
+	// prompt tokens that the endpoint probably has to process.
+	ExpectedDelay    time.Duration
+	ExpectedUncached int64
+	service          string
+	tokens           int64
+	prefillTokens    int64 // prompt tokens in prefill; 0 after the first token
+	suspect          bool
+	exclusive        bool // no other daemon may have a suspect at the endpoint
+	endpoint         *endpoint
+	pool             *Pool
+	pending          pendingPrefill
+	reservedAt       time.Time
 }
 
 // Pick selects an endpoint by the pool's policy and reserves capacity there. It returns false if no endpoint can take
@@ -83,7 +86,7 @@
 			break
 		}
 		if q.DryRun {
-			return Reservation{ExpectedDelay: q.expectedDelay}, shortage, true
+			return Reservation{ExpectedDelay: q.expectedDelay, ExpectedUncached: q.expectedUncached}, shortage, true
 		}
 		if r, ok := best.reserve(&q, t.rules[q.Service], now); ok {
 			r.pool = p
@@ -115,8 +118,9 @@
 			shortage.count(r, retryAt)
 			return candidate{}, false
 		}
-		score, delay := e.routedScore(q, now)
-		return candidate{e: e, domain: e.host.Domain, score: score, lastChosen: e.lastChosen, delay: delay}, true
+		uncached := e.uncachedTokens(q, now)
+		score, delay := e.routedScore(q, uncached, now)
+		return candidate{e: e, domain: e.host.Domain, score: score, lastChosen: e.lastChosen, delay: delay, uncached: uncached}, true
 	}
 	if r := e.checkAdmission(q, rules, now); r != accepted {
 		shortage.count(r, e.ejectedUntil)
@@ -147,6 +151,7 @@
 	return Reservation{
 		ID: e.host.ID, Addr: e.host.Addr, Domain: e.host.Domain, service: q.Service, tokens: q.Tokens, prefillTokens: q.Prompt,
 		suspect: q.Suspect, exclusive: q.Suspect && e.hasRankZero(rules, now), endpoint: e, pending: pendingPrefillOf(q), reservedAt: now,
+		ExpectedDelay: q.expectedDelay, ExpectedUncached: q.Prompt,
 	}, true
 }
 
--- a/pool/policy.go
+++ b/pool/policy.go
@@ -33,6 +33,7 @@
 	score      float64
 	lastChosen time.Time     // when this daemon last sent a request to it
 	delay      time.Duration // expected time until a routed answer begins
+	uncached   int64         // prompt tokens of a routed request that the endpoint probably has to process
 }
 
 // selectEndpoint returns the endpoint that the policy selects, or nil if none can take the request.
--- a/pool/routed.go
+++ b/pool/routed.go
@@ -361,16 +361,16 @@
 			best = c
 		}
 	}
-	q.expectedDelay = best.delay
+	q.expectedDelay, q.expectedUncached = best.delay, best.uncached
 	return best.e
 }
 
-// routedScore returns the cost of sending the request to the endpoint, in milliseconds, and its expected delay. The
-// cost also includes the delay for other requests, and penalties for failures, other segments and other domains.
-func (e *endpoint) routedScore(query *Query, now time.Time) (score float64, expected time.Duration) {
+// routedScore returns the cost of sending the request to the endpoint, in milliseconds, and its expected delay. uncached is
+// the number of prompt tokens that the endpoint has to process. The cost also includes the delay for other requests, and penalties for failures, other segments and other domains.
+func (e *endpoint) routedScore(query *Query, uncached int64, now time.Time) (score float64, expected time.Duration) {
 	q := query.Routed
 	target := float64(q.Target / time.Millisecond)
-	prefill := q.latency.tokenMs * float64(e.uncachedTokens(query, now))
+	prefill := q.latency.tokenMs * float64(uncached)
 	requests := float64(e.estimatedRequests(now))
 	delay := e.routed.prefillMs + prefill + q.latency.baseMs
 	if e.host.Slots > 0 {
