ctl: losses explains from log lines why requests were late or failed

Change: bramleyctl losses reads the lines of one or more daemons: late requests by cause and failed ones by code for each route, answers by confidence and uncached prompt tokens for each model, attempts without an answer by error.

--- a/ctl/doc.go
+++ b/ctl/doc.go
@@ -1,3 +1,3 @@
 // Package ctl implements bramleyctl, the operators' command line: it validates and publishes configurations, shows the state of
-// daemons, and reads and prunes stored bills and claims.
+// daemons, reads and prunes stored bills and claims, and evaluates logs.
 package ctl
--- a/ctl/main.go
+++ b/ctl/main.go
@@ -125,6 +125,7 @@
 		{"placement", "Show where versions are placed and the orders under way", &placementCommand{app: a}},
 		{"bills", "Show the bills that are stored, merged by request", &billsCommand{app: a}},
 		{"prune", "Remove old claims and bills from the key-value service", &pruneCommand{app: a}},
+		{"losses", "Explain from log lines why requests of routes were late or failed", &lossesCommand{app: a}},
 		{"codes", "List the result codes", &codesCommand{app: a}},
 		{"key", "Make a bearer key for a team, or hash one", &keyCommand{app: a}},
 	}
