pool, dispatch: one file for each decision about routed requests

Cause: pool/routed.go and dispatch/routed.go held admission, cost, cache knowledge, timers and state in one file each. The recording of a prompt's parts is a method of its own. Checked: the tests of both packages pass.

--- a/dispatch/routed.go
+++ b/dispatch/routed.go
@@ -3,9 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
-	"slices"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -20,23 +17,8 @@
 	// minRemainingTime is the minimum time until the deadline with which a request is sent to an endpoint: in less, no
 	// answer arrives over the network.
 	minRemainingTime = 20 * time.Millisecond
-	// stallTargetShare is the fraction of the route's target after which an attempt whose answer has not begun counts
-	// as stalled and another endpoint is tried, if the request may run again.
-	stallTargetShare = 0.6
-	// minStallTimeout is the lower bound of that time: loaded endpoints occasionally take as long. It applies alone if
-	// the endpoint's failure domain is unreachable.
-	minStallTimeout = 250 * time.Millisecond
-	// stallTimeoutPerToken is added to that time for each token of the prompt: the prefill of a long prompt by a large
-	// model runs in chunks between those of other requests, at 20 tokens a millisecond or more.
-	stallTimeoutPerToken = 50 * time.Microsecond
-	// gapTimeoutFactor is the multiple of the route's gap after which a stalled stream is continued at another
-	// endpoint. An endpoint with long prompts in prefill occasionally pauses its streams for two gaps, and a
-	// continuation costs another prefill and may fail. The loss of an endpoint is found earlier, by its connection.
-	gapTimeoutFactor = 4.0
 	// busyRetryAfter is the delay after which a caller is told to retry if the attempts or the retry budget run out.
 	busyRetryAfter = 100 * time.Millisecond
-	// failureBudgetShare is the fraction of the retry budget that is reserved for failures: cascades don't use it.
-	failureBudgetShare = 0.2
 )
 
 // RoutedInput is a request of a route.
@@ -95,19 +77,6 @@
 	prepaid atomic.Bool
 }
 
-// RoutedAnswer is an endpoint's answer to a routed request. The caller must close it.
-type RoutedAnswer struct {
-	*engine.RoutedResponse
-	Endpoint string
-	Release  string
-
-	exchange    *Exchange
-	reservation pool.Reservation
-	cancel      context.CancelCauseFunc
-	err         error
-	closed      bool
-}
-
 // NewExchange prepares a routed request and counts it for the retry budget of its service. It sends nothing.
 func (f *Filter) NewExchange(ctx context.Context, in RoutedInput) *Exchange {
 	return &Exchange{filter: f, ctx: ctx, in: in, budget: f.serviceBudget(in.Service)}
@@ -127,39 +96,6 @@
 	return budget
 }
 
-// Quote describes the answer that another model would probably give.
-type Quote struct {
-	Delay    time.Duration // until it begins
-	Uncached int64         // prompt tokens that its endpoint would have to process
-}
-
-// Quote estimates the answer of another model. It returns false if the route's attempts or a lack of capacity forbid the
-// call.
-func (x *Exchange) Quote(model string) (Quote, bool) {
-	if x.RemainingCalls() < 1 {
-		return Quote{}, false
-	}
-	routed := x.in.Query
-	routed.Model = model
-	r, _, ok := x.filter.spec.Pool.Pick(pool.Query{Service: x.in.Service, Prompt: x.in.Prompt, Exclude: x.exclude, Routed: &routed, DryRun: true}, x.filter.spec.Now())
-	return Quote{r.ExpectedDelay, r.ExpectedUncached}, ok
-}
-
-// RemainingCalls returns the number of further attempts that the route allows while an answer that has not been counted
-// with CountRun is at hand.
-func (x *Exchange) RemainingCalls() int { return x.in.Route.Attempts - x.attempts - 1 }
-
-// ReserveEscalation charges the retry budget for the next attempt, which a cascade makes, and reports whether the budget
-// allows it. The part of the budget that is reserved for failures is left. The budget is charged at once because the
-// answer at hand is on time and must not be dropped unless the next attempt is certain.
-func (x *Exchange) ReserveEscalation() bool {
-	if !x.budget.withdraw(failureBudgetShare, x.filter.spec.Now()) {
-		return false
-	}
-	x.prepaid.Store(true)
-	return true
-}
-
 // Do sends the request to endpoints until one answers, for the given model and after the event with the given ID, 0
 // for the whole answer. The answer may have an error status. Errors are those of Refresh or *result.Error values,
 // which say whether an endpoint may have run the request.
@@ -311,122 +247,6 @@
 	x.in.OnAttempt(t)
 }
 
-// startAnswerTimer starts a timer that cancels an attempt if its answer does not begin in time and another endpoint may
-// run the request. It returns nil if the route has no target or allows no further attempt.
-func (x *Exchange) startAnswerTimer(r *pool.Reservation, cancel context.CancelCauseFunc) *StallTimer {
-	if x.in.Route.TargetLatency <= 0 || x.attempts+1 >= x.in.Route.Attempts {
-		return nil
-	}
-	timeout := max(minStallTimeout, time.Duration(stallTargetShare*float64(x.in.Route.TargetLatency))) + time.Duration(x.in.Prompt)*stallTimeoutPerToken
-	return x.startStallTimer(r, minStallTimeout, timeout, cancel)
-}
-
-// StartGapTimer starts a timer that cancels the stream if there is no progress for too long and another endpoint can
-// continue it. The caller must report each event with Progress and stop the timer. The timer is nil if the route does
-// not allow a continuation.
-func (a *RoutedAnswer) StartGapTimer() *StallTimer {
-	x := a.exchange
-	r := x.in.Route
-	if !r.Stream || r.TargetGap <= 0 || x.attempts >= r.Attempts {
-		return nil
-	}
-	return x.startStallTimer(&a.reservation, r.TargetGap, time.Duration(gapTimeoutFactor*float64(r.TargetGap)), a.cancel)
-}
-
-// StallTimer cancels an attempt that makes no progress for a time, if another endpoint can take over. Its methods may
-// be called on a nil StallTimer, which never fires. It is safe for concurrent use.
-type StallTimer struct {
-	exchange       *Exchange
-	reservation    pool.Reservation
-	hasAlternative func() bool
-	cancel         context.CancelCauseFunc
-	earlyTimeout   time.Duration // applies if the endpoint's failure domain is unreachable
-	timeout        time.Duration
-
-	mu           sync.Mutex
-	timer        *time.Timer
-	lastProgress time.Time
-	stopped      bool
-	fired        bool // the attempt was cancelled
-}
-
-// startStallTimer starts a timer that cancels an attempt after timeout, if another endpoint has capacity and the retry
-// budget allows another attempt, for which it is charged at once. Otherwise the endpoint may be merely slow, and the
-// timer waits for it. An endpoint whose failure domain is unreachable will not answer; it is given up after
-// earlyTimeout. The timer is nil if the request must not run again.
-func (x *Exchange) startStallTimer(r *pool.Reservation, earlyTimeout, timeout time.Duration, cancel context.CancelCauseFunc) *StallTimer {
-	if !x.in.Route.MayRepeat() {
-		return nil
-	}
-	t := &StallTimer{
-		exchange: x, reservation: *r, hasAlternative: x.hasAlternative(r.ID), cancel: cancel, earlyTimeout: min(earlyTimeout, timeout), timeout: timeout, lastProgress: x.filter.spec.Now(),
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.timer = time.AfterFunc(t.earlyTimeout, t.check)
-	return t
-}
-
-// check cancels the attempt if it has timed out, or its endpoint's failure domain is unreachable, and another endpoint
-// can take over. Otherwise it schedules the next check.
-func (t *StallTimer) check() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.stopped || t.fired {
-		return
-	}
-	now := t.exchange.filter.spec.Now()
-	remaining := t.timeout - now.Sub(t.lastProgress)
-	if remaining > 0 && !t.reservation.DomainUnreachable(now) || !t.hasAlternative() || !t.exchange.budget.withdraw(0, now) {
-		if remaining <= 0 || remaining > t.earlyTimeout {
-			remaining = t.earlyTimeout
-		}
-		t.timer.Reset(remaining)
-		return
-	}
-	t.fired = true
-	t.exchange.prepaid.Store(true)
-	t.cancel(engine.ErrStalled)
-}
-
-// Progress records progress of the attempt and restarts the timeout.
-func (t *StallTimer) Progress() {
-	if t == nil {
-		return
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if !t.stopped && !t.fired {
-		t.lastProgress = t.exchange.filter.spec.Now()
-		t.timer.Reset(t.earlyTimeout)
-	}
-}
-
-// Stop stops the timer and reports whether it has cancelled the attempt.
-func (t *StallTimer) Stop() bool {
-	if t == nil {
-		return false
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.stopped = true
-	t.timer.Stop()
-	return t.fired
-}
-
-// hasAlternative returns a function that reports whether an endpoint other than current and those that failed has
-// capacity for the request. The function uses a copy of the request's present state, so that another goroutine may call
-// it.
-func (x *Exchange) hasAlternative(current string) func() bool {
-	exclude := append(slices.Clone(x.exclude), current)
-	routed := x.in.Query
-	return func() bool {
-		query := pool.Query{Service: x.in.Service, Prompt: x.in.Prompt, Exclude: exclude, Routed: &routed, DryRun: true}
-		_, _, ok := x.filter.spec.Pool.Pick(query, x.filter.spec.Now())
-		return ok
-	}
-}
-
 // handleFailure releases the reservation of a failed attempt and records what the failure says about the endpoint and
 // the request. It returns nil if another endpoint may be tried.
 func (x *Exchange) handleFailure(r pool.Reservation, err error) error {
@@ -466,76 +286,3 @@
 	}
 	return nil
 }
-
-// Retry closes an answer that reports a failure of the endpoint itself if another endpoint may be tried, and reports
-// whether that is so. The caller then calls Exchange.Do again.
-func (a *RoutedAnswer) Retry() bool {
-	x := a.exchange
-	if !x.in.Route.MayRepeat() || x.attempts+1 >= x.in.Route.Attempts || !x.budget.canWithdraw(x.filter.spec.Now()) {
-		return false
-	}
-	a.CountRun()
-	x.exclude = append(x.exclude, a.Endpoint)
-	a.err = engine.ErrFailed
-	a.Close()
-	return true
-}
-
-// CountRun records that the endpoint ran the request: the answer counts as an attempt whether the caller gets it or a
-// cascade drops it.
-func (a *RoutedAnswer) CountRun() {
-	a.exchange.attempts++
-	a.exchange.ran = result.DidRun
-}
-
-// Fail closes an answer that ended early with err, and excludes its endpoint from further attempts.
-func (a *RoutedAnswer) Fail(err error) {
-	a.err = err
-	x := a.exchange
-	if !slices.Contains(x.exclude, a.Endpoint) {
-		x.exclude = append(x.exclude, a.Endpoint)
-	}
-	a.Close()
-}
-
-// Close closes the answer's body and releases the reservation. Further calls do nothing.
-func (a *RoutedAnswer) Close() {
-	if a.closed {
-		return
-	}
-	a.closed = true
-	_ = a.Body.Close() // the body reports its errors when it is read
-	a.cancel(nil)
-	a.reservation.Release(routedOutcome(a.err, a.Status), a.exchange.filter.spec.Now())
-}
-
-// unreachableOutcome returns the outcome of an attempt without a connection. It distinguishes an endpoint whose host
-// refuses connections from one that does not respond, whose failure domain may be unreachable.
-func unreachableOutcome(err error) pool.Outcome {
-	var timeout net.Error
-	if errors.As(err, &timeout) && timeout.Timeout() {
-		return pool.ConnectTimedOut
-	}
-	return pool.ConnectionFailed
-}
-
-// routedOutcome returns the outcome that the pool records for a routed attempt that ended with an error or an HTTP
-// status.
-func routedOutcome(err error, status int) pool.Outcome {
-	switch {
-	case errors.Is(err, engine.ErrFailed) || err == nil && status >= 500:
-		return pool.EndpointError
-	case err == nil:
-		return pool.Succeeded
-	case errors.Is(err, errCancelled):
-		return pool.Cancelled
-	case errors.Is(err, engine.ErrStalled):
-		return pool.Stalled
-	default:
-		return pool.Incomplete
-	}
-}
-
-// MarkCancelled records, before Close, that the answer is no longer needed because its caller has left or a cascade
-// drops it. Its end then says nothing about the endpoint.
-func (a *RoutedAnswer) MarkCancelled() { a.err = errCancelled }
--- /dev/null
+++ b/dispatch/routedanswer.go
@@ -0,0 +1,98 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"net"
+	"slices"
+
+	"github.com/bramleytrail/bramleytrail/engine"
+	"github.com/bramleytrail/bramleytrail/pool"
+	"github.com/bramleytrail/bramleytrail/result"
+)
+
+// RoutedAnswer is an endpoint's answer to a routed request. The caller must close it.
+type RoutedAnswer struct {
+	*engine.RoutedResponse
+	Endpoint string
+	Release  string
+
+	exchange    *Exchange
+	reservation pool.Reservation
+	cancel      context.CancelCauseFunc
+	err         error
+	closed      bool
+}
+
+// Retry closes an answer that reports a failure of the endpoint itself if another endpoint may be tried, and reports
+// whether that is so. The caller then calls Exchange.Do again.
+func (a *RoutedAnswer) Retry() bool {
+	x := a.exchange
+	if !x.in.Route.MayRepeat() || x.attempts+1 >= x.in.Route.Attempts || !x.budget.canWithdraw(x.filter.spec.Now()) {
+		return false
+	}
+	a.CountRun()
+	x.exclude = append(x.exclude, a.Endpoint)
+	a.err = engine.ErrFailed
+	a.Close()
+	return true
+}
+
+// CountRun records that the endpoint ran the request: the answer counts as an attempt whether the caller gets it or a
+// cascade drops it.
+func (a *RoutedAnswer) CountRun() {
+	a.exchange.attempts++
+	a.exchange.ran = result.DidRun
+}
+
+// Fail closes an answer that ended early with err, and excludes its endpoint from further attempts.
+func (a *RoutedAnswer) Fail(err error) {
+	a.err = err
+	x := a.exchange
+	if !slices.Contains(x.exclude, a.Endpoint) {
+		x.exclude = append(x.exclude, a.Endpoint)
+	}
+	a.Close()
+}
+
+// Close closes the answer's body and releases the reservation. Further calls do nothing.
+func (a *RoutedAnswer) Close() {
+	if a.closed {
+		return
+	}
+	a.closed = true
+	_ = a.Body.Close() // the body reports its errors when it is read
+	a.cancel(nil)
+	a.reservation.Release(routedOutcome(a.err, a.Status), a.exchange.filter.spec.Now())
+}
+
+// unreachableOutcome returns the outcome of an attempt without a connection. It distinguishes an endpoint whose host
+// refuses connections from one that does not respond, whose failure domain may be unreachable.
+func unreachableOutcome(err error) pool.Outcome {
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		return pool.ConnectTimedOut
+	}
+	return pool.ConnectionFailed
+}
+
+// routedOutcome returns the outcome that the pool records for a routed attempt that ended with an error or an HTTP
+// status.
+func routedOutcome(err error, status int) pool.Outcome {
+	switch {
+	case errors.Is(err, engine.ErrFailed) || err == nil && status >= 500:
+		return pool.EndpointError
+	case err == nil:
+		return pool.Succeeded
+	case errors.Is(err, errCancelled):
+		return pool.Cancelled
+	case errors.Is(err, engine.ErrStalled):
+		return pool.Stalled
+	default:
+		return pool.Incomplete
+	}
+}
+
+// MarkCancelled records, before Close, that the answer is no longer needed because its caller has left or a cascade
+// drops it. Its end then says nothing about the endpoint.
+func (a *RoutedAnswer) MarkCancelled() { a.err = errCancelled }
--- /dev/null
+++ b/pool/routedstate.go
@@ -0,0 +1,97 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/bramleytrail/bramleytrail/engine"
+)
+
+const (
+	// failureAlpha is the weight of the latest outcome in the moving average of failures.
+	failureAlpha = 0.15
+	// ejectStreak is the number of consecutive failed answers from which an incomplete one ejects the endpoint.
+	ejectStreak = 3
+)
+
+// pendingPrefill is the prefill work that a request adds to an endpoint until its answer begins.
+type pendingPrefill struct {
+	service, model string
+	tokens         int64   // uncached prompt tokens
+	prefillMs      float64 // expected prefill time in milliseconds
+}
+
+func pendingPrefillOf(q *Query) pendingPrefill {
+	if q.Routed == nil {
+		return pendingPrefill{}
+	}
+	return pendingPrefill{q.Service, q.Routed.Model, q.Prompt, q.Routed.latency.tokenMs * float64(q.Prompt)}
+}
+
+// routedState is what this daemon knows about an endpoint of a routed service.
+type routedState struct {
+	peerRequests   int       // requests of other daemons according to the last report
+	peerRequestsAt time.Time // time of that report
+	slowdown       float64   // moving average of the latency as a multiple of the expected one
+	slowdownAt     time.Time // time of the latest measurement
+	cachedParts    map[uint64]time.Time
+	coldUntil      time.Time // cold until this time according to the endpoint
+	prefillMs      float64   // expected prefill time of this daemon's unanswered requests, in milliseconds
+	failureRate    float64   // moving average, 0 to 1
+	failureStreak  int       // consecutive failed answers
+	coldTokens     float64   // token bucket of requests while the endpoint is cold
+	coldTokensAt   time.Time // when coldTokens was computed; zero while the endpoint is warm
+	peerPrefillMs  float64   // prefill time of other daemons' prompts at peerPrefillAt, in milliseconds
+	peerPrefillAt  time.Time // when peerPrefillMs was computed
+	down           bool      // ejected for failures since its last answer, so it may have restarted
+	maybeColdUntil time.Time // before this time, the host list may not show a restart yet
+}
+
+// reserveRouted records the work of a request at the endpoint and sets query.Prompt to the uncached tokens. Prompt parts
+// count as cached from the time they are sent.
+func (e *endpoint) reserveRouted(query *Query, now time.Time) {
+	q := query.Routed
+	query.Prompt = e.uncachedTokens(query, now)
+	e.routed.prefillMs += q.latency.tokenMs * float64(query.Prompt)
+	if !e.routed.coldTokensAt.IsZero() { // the endpoint is cold
+		e.routed.coldTokens--
+	}
+	e.routed.recordParts(q, now)
+}
+
+func (s *routedState) countFailure() {
+	s.failureRate += failureAlpha * (1 - s.failureRate)
+	s.failureStreak++
+}
+
+func (s *routedState) countSuccess() {
+	s.failureRate -= failureAlpha * s.failureRate
+	s.failureStreak = 0
+}
+
+// RecordRoutedHeader records the header of a routed answer: its latency, the load that the endpoint reports (nil if
+// none), and how long the endpoint stays cold. If measured is false, the latency is ignored because it says nothing
+// about the endpoint's speed.
+func (r *Reservation) RecordRoutedHeader(latency time.Duration, measured bool, load *engine.SlotLoad, cold time.Duration, now time.Time) {
+	r.pool.reachability.recordAnswer(r.Domain)
+	e := r.endpoint
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r.endPrefill()
+	if e.routed.down {
+		e.routed.down, e.routed.maybeColdUntil = false, now.Add(r.pool.spec.RestartDetection)
+	}
+	if measured {
+		expected := r.pool.estimates.latencyModel(r.pending.service, r.pending.model).predict(r.pending.tokens)
+		r.pool.estimates.recordLatency(r.pending.service, r.pending.model, r.pending.tokens, latency, now)
+		e.routed.slowdown = e.currentSlowdown(now) // earlier measurements keep part of their effect
+		e.routed.slowdown += latencyAlpha * (float64(latency)/float64(time.Millisecond)/expected - e.routed.slowdown)
+		e.routed.slowdownAt = now
+	}
+	if load != nil {
+		e.routed.peerRequests = max(0, load.Running+load.Waiting-int(e.inFlight))
+		e.routed.peerRequestsAt = now
+	}
+	if until := now.Add(cold); cold > 0 && until.After(e.routed.coldUntil) {
+		e.routed.coldUntil = until
+	}
+}
--- a/pool/segment.go
+++ b/pool/segment.go
@@ -1,6 +1,10 @@
 package pool
 
-import "math"
+import (
+	"cmp"
+	"math"
+	"slices"
+)
 
 // An endpoint that serves several models computes a part of each in every step, so the streams of a small model are as
 // slow there as those of the largest one. Long prompts pause the streams beside them in the same way. The endpoints of
@@ -46,3 +50,29 @@
 	}
 	return position >= first && position < last
 }
+
+// assignPositions numbers the endpoints of each service, failure domain and software version by their keys.
+func assignPositions(all []*endpoint) {
+	type groupID struct{ service, domain, release string }
+	groups := map[groupID][]*endpoint{}
+	for _, e := range all {
+		k := groupID{e.host.Service, e.host.Domain, e.host.Release}
+		groups[k] = append(groups[k], e)
+	}
+	for _, list := range groups {
+		slices.SortFunc(list, func(a, b *endpoint) int { return cmp.Compare(a.key, b.key) })
+		for i, e := range list {
+			e.mu.Lock()
+			e.position, e.groupSize = i, len(list)
+			e.mu.Unlock()
+		}
+	}
+}
+
+func (e *endpoint) inSegment(q *RoutedQuery) bool {
+	s := q.segment
+	if q.Gap <= 0 { // no stream that a long prompt could pause
+		s.longWork = 0
+	}
+	return s.includes(e.position, e.groupSize, q.long)
+}
