pipeline, cascade: a quote is asked once, and an invalid confidence teaches nothing

A confidence of NaN would have spoiled the learned gain and spread. Change: prices are kept for the decision at hand; clipped covers NaN. TestInvalidConfidenceIsNotLearned. Resumed streams don't escalate, so the expected length is that of the whole answer.

--- a/cascade/escalator.go
+++ b/cascade/escalator.go
@@ -65,7 +65,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	poor := e.margin(&r, current.Model).poorChance()
+	poor := e.estimateMargin(&r, current.Model).poorChance()
 	if poor < minPoorChance {
 		return -1
 	}
@@ -85,7 +85,7 @@
 // remainingCost returns the expected cost after a call to a larger model: its answer is poor too, or its confidence gives
 // reason to call the largest model.
 func (e *Escalator) remainingCost(r *Escalation, model, largest int) float64 {
-	m := e.margin(r, model)
+	m := e.estimateMargin(r, model)
 	if model == largest || r.MaxCalls < 2 {
 		return m.poorChance() * r.Value
 	}
@@ -124,10 +124,10 @@
 	return margin{m.mean + z*math.Sqrt(m.variance-remaining), remaining}
 }
 
-// margin returns a model's margin for the request, given the answers so far. A confidence at the end of the scale is
+// estimateMargin returns a model's margin for the request, given the answers so far. A confidence at the end of the scale is
 // clipped: how far it is from the next model's is unknown, so only the largest model is expected to do better. e.mu must be
 // held.
-func (e *Escalator) margin(r *Escalation, model int) margin {
+func (e *Escalator) estimateMargin(r *Escalation, model int) margin {
 	current := r.Answers[len(r.Answers)-1]
 	if clipped(current.Confidence) {
 		if model == len(r.Models)-1 {
@@ -145,8 +145,9 @@
 	return margin{sum/n - e.evenConfidence, e.variance / n}
 }
 
-// clipped reports whether a confidence is at an end of the scale, beyond which models do not distinguish.
-func clipped(confidence float64) bool { return confidence <= 0 || confidence >= 1 }
+// clipped reports whether a confidence is at an end of the scale, beyond which models do not distinguish. An invalid one
+// (NaN) counts as clipped.
+func clipped(confidence float64) bool { return !(confidence > 0 && confidence < 1) }
 
 // gain returns the expected difference in confidence between two models. The largest model is the best that the operators
 // offer, so its answer is expected to be good until pairs say otherwise. e.mu must be held.
--- a/cascade/escalator_test.go
+++ b/cascade/escalator_test.go
@@ -70,6 +70,18 @@
 	}
 }
 
+// Guards against an invalid confidence of one answer that spoils what is learned for all later requests.
+func TestInvalidConfidenceIsNotLearned(t *testing.T) {
+	e := NewEscalator(0.5)
+	r := Escalation{modelFamily, []Answer{{0, 0.3}}, 2, 1, flatPrices(0, 0.1, 0.2)}
+	want := e.Next(r)
+	e.RecordPair(modelFamily, Answer{0, math.NaN()}, Answer{2, 0.5})
+	e.RecordPair(modelFamily, Answer{0, 0.3}, Answer{2, math.NaN()})
+	if got := e.Next(r); got != want {
+		t.Errorf("next model is %d after invalid confidences, %d before", got, want)
+	}
+}
+
 // simulatedFamily is a family of models with requests of random difficulty, in [0, 1]. A model's answer is good if its
 // skill is at least the difficulty; its confidence falls with the difficulty and scatters.
 type simulatedFamily struct {
--- a/pipeline/routed.go
+++ b/pipeline/routed.go
@@ -278,8 +278,8 @@
 }
 
 // escalate drops a doubtful answer if a larger model may be asked, and reports whether it did; the next attempt then asks that
-// model. The answer is kept if the request must not be repeated or resumes a stream, if the limits of the exchange forbid another attempt, or if
-// the larger model's answer would probably begin after the route's target or end after the deadline.
+// model. The answer is kept if the request must not be repeated or resumes a stream, if the limits of the exchange forbid
+// another attempt, or if the larger model's answer would probably begin after the route's target or end after the deadline.
 func (s *routedStages) escalate(ctx context.Context, a *dispatch.RoutedAnswer) bool {
 	if !s.isCascade() || !a.HasConfidence || !s.route.MayRepeat() || s.r.Meta.LastEventID > 0 {
 		return false
@@ -311,25 +311,31 @@
 		service = *svc.Routed
 	}
 	tariffs := cascade.Tariffs(&service, s.route.Models)
-	answerTokens := s.remainingTokens(service.TokensPerEvent)
+	answerTokens := max(1, cmp.Or(s.r.Meta.ExpectedTokens, s.r.Meta.MaxTokens))
+	prices := map[int]float64{}
 	return cascade.Escalation{
 		Models: s.route.Models, Answers: s.answers, MaxCalls: s.exchange.RemainingCalls(),
 		Value: cascade.Value(s.p.Routes.AnswerValue, tariffs[len(tariffs)-1], s.r.Meta.Prompt, answerTokens),
 		Price: func(model int) float64 {
-			quote, ok := s.exchange.Quote(s.route.Models[model])
-			late := s.route.TargetLatency > 0 && s.p.Now().Sub(s.start)+quote.Delay > s.route.TargetLatency
-			if !ok || late || !s.fitsDeadline(ctx, s.route.Models[model], answerTokens) {
-				return math.Inf(1)
+			price, known := prices[model]
+			if !known {
+				price = s.escalationPrice(ctx, s.route.Models[model], tariffs[model], answerTokens)
+				prices[model] = price
 			}
-			return tariffs[model].Price(quote.Uncached, answerTokens)
+			return price
 		},
 	}
 }
 
-// remainingTokens returns the expected number of tokens of the answer that the caller has not received. Without the caller's
-// estimate, the answer is expected to be as long as the limit allows.
-func (s *routedStages) remainingTokens(tokensPerEvent int) int64 {
-	return max(1, cmp.Or(s.r.Meta.ExpectedTokens, s.r.Meta.MaxTokens)-s.r.Meta.LastEventID*int64(tokensPerEvent))
+// escalationPrice returns the expected price of a larger model's answer, or +Inf if it can't be asked or its answer would
+// probably be late.
+func (s *routedStages) escalationPrice(ctx context.Context, model string, tariff object.Tariff, answerTokens int64) float64 {
+	quote, ok := s.exchange.Quote(model)
+	late := s.route.TargetLatency > 0 && s.p.Now().Sub(s.start)+quote.Delay > s.route.TargetLatency
+	if !ok || late || !s.fitsDeadline(ctx, model, answerTokens) {
+		return math.Inf(1)
+	}
+	return tariff.Price(quote.Uncached, answerTokens)
 }
 
 // fitsDeadline reports whether a model's answer with the given number of tokens would probably end before the deadline. It is
