--- a/cascade/escalator.go
+++ b/cascade/escalator.go
@@ -20,7 +20,8 @@
 // Escalator decides whether a request escalates, and to which larger model of a family. It derives the chance that an
 // answer is poor from its confidence and weighs the value of a good answer against the price of another call. It learns
 // how much more confident a larger model is than a smaller one about the same request, and how widely confidences
-// scatter. Lists of models are ordered from the smallest to the largest. It is safe for concurrent use.
+// scatter. It answers a load of requests that differ in length, worth and difficulty, of which the difficulty is not known.
+// Lists of models are ordered from the smallest to the largest. It is safe for concurrent use.
 type Escalator struct {
 	evenConfidence float64
 
--- a/pool/peerprefill.go
+++ b/pool/peerprefill.go
@@ -1,8 +1,6 @@
 package pool
 
-import (
-	"time"
-)
+import "time"
 
 const (
 	// minAnnouncedPrefill is the prefill time from which a prompt is announced to other daemons. Shorter ones end
--- a/pool/routedcost.go
+++ b/pool/routedcost.go
@@ -2,7 +2,10 @@
 
 import "time"
 
-// Scores of endpoints of routed services are milliseconds of expected delay.
+// The cost of an endpoint is the delay, in milliseconds, that a request has there and causes there, plus what stands for the
+// price of its traffic and of tokens that another endpoint may have cached. It answers a load of few long prompts among many
+// short ones, of which each daemon sees a part: an endpoint that is busy or far away is taken only if it saves more than it
+// costs.
 const (
 	// contentionDelay is the delay for each request running at the endpoint, as a fraction of the mean prefill time:
 	// requests that this daemon does not know of may be about to start their prefill there.
