gateway: lines about a release give latencies, age and the sources of its evidence; attempts their service

Slow versions, lost evidence and a plan that relies on detection could not be told apart from the logs. The lines about a release now give the mean latency of both versions, the age of the order, and how many peers and domains the evidence comes from; attempts give their service and, if they failed, the fingerprint of the content.

--- a/dispatch/routed.go
+++ b/dispatch/routed.go
@@ -57,6 +57,7 @@
 	Prompt      int64         // tokens
 	Uncached    int64         // prompt tokens that the endpoint was expected to process
 	LastEventID int64         // ID of the last event that the caller had before the attempt, 0 for none
+	Fingerprint uint64        // of the request's content
 	// Confidence is the model's confidence in the answer; nil if it states none.
 	Confidence *float64
 	Err        error
@@ -237,6 +238,7 @@
 	t := RoutedAttempt{
 		Request: x.in.Request.ID, Service: x.in.Service, Endpoint: r.ID, Addr: r.Addr, Release: r.SoftwareRelease(),
 		Model: x.in.Request.Model, Wait: x.wait, Expected: r.ExpectedDelay, Latency: latency, Prompt: x.in.Prompt, Uncached: r.ExpectedUncached, LastEventID: x.in.Request.LastEvent, Err: err,
+		Fingerprint: x.in.Fingerprint,
 	}
 	if resp != nil {
 		t.Status = resp.Status
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -359,7 +359,7 @@
 }
 
 func (g *Gateway) recordAttempt(a dispatch.RoutedAttempt) {
-	f := logrus.Fields{"request": a.Request, "endpoint": a.Endpoint, "addr": a.Addr, "release": a.Release, "status": a.Status, "ms": a.Latency.Milliseconds(), "wait_ms": a.Wait.Milliseconds(), "expected_ms": a.Expected.Milliseconds(), "endpoints_age_ms": g.view.age().Milliseconds()}
+	f := logrus.Fields{"request": a.Request, "service": a.Service, "endpoint": a.Endpoint, "addr": a.Addr, "release": a.Release, "status": a.Status, "ms": a.Latency.Milliseconds(), "wait_ms": a.Wait.Milliseconds(), "expected_ms": a.Expected.Milliseconds(), "endpoints_age_ms": g.view.age().Milliseconds()}
 	if a.Model != "" {
 		f["model"], f["prompt"], f["uncached"] = a.Model, a.Prompt, a.Uncached
 	}
@@ -371,7 +371,7 @@
 	}
 	e := g.log.WithFields(f)
 	if a.Err != nil {
-		e = e.WithError(a.Err)
+		e = e.WithError(a.Err).WithField("fingerprint", strconv.FormatUint(a.Fingerprint, 16))
 	}
 	g.spec.Metrics.Counter(fmt.Sprintf(`bramley_attempts_total{service=%q,outcome=%q}`, a.Service, attemptOutcome(a))).Inc()
 	g.spec.Metrics.Histogram(fmt.Sprintf(`bramley_attempt_seconds{service=%q}`, a.Service)).Update(a.Latency.Seconds())
--- a/gateway/releases.go
+++ b/gateway/releases.go
@@ -460,5 +460,8 @@
 	return r.g.log.WithFields(logrus.Fields{
 		"service": rel.Service, "target": rel.TargetVersion, "order": rel.Order, "phase": t.phase, "next": next,
 		"new": fmt.Sprintf("%d/%d failed", e.New.Failures, e.New.Answers), "old": fmt.Sprintf("%d/%d failed", e.Old.Failures, e.Old.Answers),
+		"new_mean_ms": e.New.MeanLatency().Milliseconds(), "old_mean_ms": e.Old.MeanLatency().Milliseconds(),
+		"age_ms": time.Since(t.firstSeen).Milliseconds(), "duration_ms": rel.Duration.Milliseconds(),
+		"peers": len(t.peers), "other_domains": len(t.otherDomains),
 	})
 }
--- a/release/release.go
+++ b/release/release.go
@@ -51,8 +51,8 @@
 	return float64(c.Failures) / float64(c.Answers)
 }
 
-// meanLatency returns the mean over the successful answers, 0 if there are none.
-func (c Counts) meanLatency() time.Duration {
+// MeanLatency returns the mean over the successful answers, 0 if there are none.
+func (c Counts) MeanLatency() time.Duration {
 	if ok := c.Answers - c.Failures; ok > 0 {
 		return c.Latency / time.Duration(ok)
 	}
@@ -90,8 +90,8 @@
 		return true
 	}
 	succeeded := e.New.Answers - e.New.Failures
-	oldLatency := e.Old.meanLatency()
-	return succeeded >= minLatencyAnswers && oldLatency > 0 && float64(e.New.meanLatency()) >= latencyRatio*float64(oldLatency)
+	oldLatency := e.Old.MeanLatency()
+	return succeeded >= minLatencyAnswers && oldLatency > 0 && float64(e.New.MeanLatency()) >= latencyRatio*float64(oldLatency)
 }
 
 // Phase is the progress of a release. Its values are sent and stored.
