release: exposure is bounded by the plan of a release; versions are compared by route, endpoint, latency and pace

Cause: a version was promoted at 52 % of its time whatever the limit was, so that the limit held only if the test found the version before. The test compared failure rates and mean latencies over all kinds of requests with fixed differences; it did not see streams whose events were slow, answers that were still outstanding, nor what restarted daemons had counted. Class: a safety limit that rests on detection.

Change: all requests follow only when what remains of the time fits into the limit (release.go). Outstanding attempts count as slow as soon as they are. A promoted version is completed only if its answers speak for it, if need be after its deadline. A restart takes no evidence away.

The tests of the gateway use the new form of evidence.

A version that is only bad under a load that the limit does not let it have can't be told from a sound one before its completion.

--- a/dispatch/routed.go
+++ b/dispatch/routed.go
@@ -38,13 +38,14 @@
 	Assign func(view *config.View, retry bool) (required, excluded string)
 	// Refresh returns the newest configuration, or an error if it no longer allows the request. Nil keeps View.
 	Refresh func() (*config.View, error)
-	// OnAttempt is called at the end of each attempt; it may be nil.
-	OnAttempt func(RoutedAttempt)
+	// OnSend is called when an attempt begins, and OnAttempt at its end; they may be nil.
+	OnSend, OnAttempt func(RoutedAttempt)
 }
 
 // RoutedAttempt describes an attempt to get an answer from an endpoint.
 type RoutedAttempt struct {
 	Request     string // ID
+	Route       string
 	Service     string
 	Endpoint    string // ID
 	Addr        string
@@ -61,6 +62,8 @@
 	// Confidence is the model's confidence in the answer; nil if it states none.
 	Confidence *float64
 	Err        error
+	// Abandoned says that the attempt failed because its caller left or its time was over.
+	Abandoned bool
 }
 
 // Exchange is a routed request with the limits and the state of its attempts. It must be used by one goroutine.
@@ -202,6 +205,9 @@
 	}
 	req.AtMostOnce = !x.in.Route.MayRepeat()
 	ctx, cancel := context.WithCancelCause(x.ctx)
+	if x.in.OnSend != nil {
+		x.in.OnSend(x.describeAttempt(&r))
+	}
 	stallTimer := x.startAnswerTimer(&r, cancel)
 	resp, err := x.filter.spec.Router.Route(ctx, r.Addr, &req)
 	if stallTimer.Stop() && err == nil {
@@ -230,16 +236,22 @@
 	r.RecordRoutedHeader(latency, measured, resp.Load, resp.ColdFor, x.filter.spec.Now())
 }
 
+// describeAttempt describes an attempt that has not ended.
+func (x *Exchange) describeAttempt(r *pool.Reservation) RoutedAttempt {
+	return RoutedAttempt{
+		Request: x.in.Request.ID, Route: x.in.Route.Name, Service: x.in.Service, Endpoint: r.ID, Addr: r.Addr, Release: r.SoftwareRelease(),
+		Model: x.in.Request.Model, Wait: x.wait, Expected: r.ExpectedDelay, Prompt: x.in.Prompt, Uncached: r.ExpectedUncached, LastEventID: x.in.Request.LastEvent,
+		Fingerprint: x.in.Fingerprint,
+	}
+}
+
 // reportAttempt passes the end of an attempt to OnAttempt. resp is nil if there was no answer.
 func (x *Exchange) reportAttempt(r pool.Reservation, resp *engine.RoutedResponse, latency time.Duration, err error) {
 	if x.in.OnAttempt == nil {
 		return
 	}
-	t := RoutedAttempt{
-		Request: x.in.Request.ID, Service: x.in.Service, Endpoint: r.ID, Addr: r.Addr, Release: r.SoftwareRelease(),
-		Model: x.in.Request.Model, Wait: x.wait, Expected: r.ExpectedDelay, Latency: latency, Prompt: x.in.Prompt, Uncached: r.ExpectedUncached, LastEventID: x.in.Request.LastEvent, Err: err,
-		Fingerprint: x.in.Fingerprint,
-	}
+	t := x.describeAttempt(&r)
+	t.Latency, t.Err, t.Abandoned = latency, err, err != nil && x.ctx.Err() != nil
 	if resp != nil {
 		t.Status = resp.Status
 		if resp.HasConfidence {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -34,6 +34,7 @@
 	"github.com/bramleytrail/bramleytrail/poison"
 	"github.com/bramleytrail/bramleytrail/pool"
 	"github.com/bramleytrail/bramleytrail/relay"
+	"github.com/bramleytrail/bramleytrail/release"
 	"github.com/bramleytrail/bramleytrail/result"
 )
 
@@ -103,8 +104,8 @@
 	// budget that accumulates over all daemons.
 	RetryRatio, RetryReserve float64
 	RetryWindow              time.Duration // over which requests and retries are counted
-	// ExposureShare is the largest share of the requests that a version in its canary phase gets.
-	ExposureShare float64
+	// Exposure bounds the requests that a regressed version may get until the deadline of its release.
+	Exposure release.Limit
 	// EvenConfidence is the confidence at which a model's answer is as likely poor as good.
 	EvenConfidence float64
 	// AnswerValue is the value of a good answer as a multiple of the largest model's tariff, see cascade.Value.
@@ -163,7 +164,7 @@
 		Addr: s.CallerAddr, MaxConnections: 2 * maxInFlight, StallTimeout: stallTimeout, Config: g.config, Ready: g.Ready, Protocol: s.Protocol,
 		Pipeline: &pipeline.Pipeline{
 			Config: g.config, Admit: g.admit, Dispatch: g.dispatch, Now: time.Now, OnStart: func(*pipeline.Progress) {}, OnFinish: g.recordOutcome,
-			Routes: &pipeline.Routes{Releases: g.releases, Escalator: cascade.NewEscalator(s.EvenConfidence), AnswerValue: s.AnswerValue, EventIntervals: relay.NewEventIntervals(), OnAttempt: g.recordAttempt, OnEscalate: g.recordEscalation},
+			Routes: &pipeline.Routes{Releases: g.releases, Escalator: cascade.NewEscalator(s.EvenConfidence), AnswerValue: s.AnswerValue, EventIntervals: relay.NewEventIntervals(), OnSend: g.releases.begin, OnAttempt: g.recordAttempt, OnEscalate: g.recordEscalation},
 		},
 	})
 	return g
@@ -359,6 +360,7 @@
 }
 
 func (g *Gateway) recordAttempt(a dispatch.RoutedAttempt) {
+	g.releases.end(a)
 	f := logrus.Fields{"request": a.Request, "service": a.Service, "endpoint": a.Endpoint, "addr": a.Addr, "release": a.Release, "status": a.Status, "ms": a.Latency.Milliseconds(), "wait_ms": a.Wait.Milliseconds(), "expected_ms": a.Expected.Milliseconds(), "endpoints_age_ms": g.view.age().Milliseconds()}
 	if a.Model != "" {
 		f["model"], f["prompt"], f["uncached"] = a.Model, a.Prompt, a.Uncached
--- a/gateway/releases.go
+++ b/gateway/releases.go
@@ -18,14 +18,12 @@
 )
 
 const (
-	// evaluateInterval is the longest time between two evaluations of a release.
-	evaluateInterval = 300 * time.Millisecond
+	// evaluateInterval is the longest time between two evaluations of a release, and promotedInterval that while a version is
+	// promoted, when each delay reaches all requests.
+	evaluateInterval, promotedInterval = 300 * time.Millisecond, 100 * time.Millisecond
 	// writeDelayPerRank is the time for which a daemon delays the write of a decision, for each daemon of lower rank. All daemons
 	// can make the decision, but one write is enough.
 	writeDelayPerRank = 800 * time.Millisecond
-	// evidenceInterval is the shortest time between two messages with a daemon's evidence. The evidence of its failure domain is
-	// sent at the same times. Messages hold running totals, so that a lost one is made up for by the next.
-	evidenceInterval = 500 * time.Millisecond
 	// sessionMargin is added to Spec.SessionGap for messages that are still in transit.
 	sessionMargin = 500 * time.Millisecond
 )
@@ -37,20 +35,17 @@
 }
 
 // trackedRelease is this daemon's state of the newest release of a service. Fields that change are guarded by releases.mu, except
-// for sentOwn, sentDomain and sentAt, which only run uses, and sessions, which has its own lock.
+// sessions, which has its own lock.
 type trackedRelease struct {
 	order        uint64
 	target       string
 	firstSeen    time.Time // when the first daemon saw the order, as far as known here
 	trackedSince time.Time // since when this daemon is notified which sessions are in use
 	phase        release.Phase
-	evidence     release.Evidence            // of this daemon
-	peers        map[string]release.Evidence // by name, of the other daemons of the failure domain
-	otherDomains map[string]release.Evidence // by name of the domain, of all daemons there
-	sentOwn      release.Evidence            // this daemon's evidence as last sent
-	sentDomain   release.Evidence            // the failure domain's evidence as last sent
-	sentAt       time.Time
-	due          time.Time // when this daemon writes the pending decision
+	evidence     releaseEvidence
+	atPromotion  release.Evidence // of all daemons, from before the promotion
+	promotedAt   time.Time        // zero before the promotion
+	due          time.Time        // when this daemon writes the pending decision
 	pending      release.Phase
 	sessions     *release.Sessions // that are in use on the old version
 }
@@ -61,12 +56,14 @@
 	g    *Gateway
 	wake chan struct{}
 
+	baselines *baselines
+
 	mu      sync.Mutex
 	tracked map[string]*trackedRelease // by service
 }
 
 func newReleases(g *Gateway) *releases {
-	return &releases{g: g, wake: make(chan struct{}, 1), tracked: map[string]*trackedRelease{}}
+	return &releases{g: g, wake: make(chan struct{}, 1), baselines: &baselines{release.NewBaseline(), release.NewBaseline()}, tracked: map[string]*trackedRelease{}}
 }
 
 // signal requests an evaluation of all releases, which run makes soon.
@@ -78,7 +75,7 @@
 }
 
 // Assign implements pipeline.Releases.
-func (r *releases) Assign(view *config.View, service string, session uint64, retry bool) (required, excluded string) {
+func (r *releases) Assign(view *config.View, service string, session uint64, isSession, retry bool) (required, excluded string) {
 	rel := releaseOf(view, service)
 	if rel == nil {
 		return "", ""
@@ -90,27 +87,30 @@
 		}
 		return "", ""
 	case release.Canary:
-		if !retry && r.inCanary(rel, session, time.Now()) {
+		if !retry && r.inCanary(rel, session, isSession, time.Now()) {
 			return rel.TargetVersion, ""
 		}
 	}
 	return "", rel.TargetVersion
 }
 
-// inCanary reports whether a session goes to the new version in the canary phase. Sessions that are in use on the old version
+// inCanary reports whether a request goes to the new version in the canary phase. Sessions that are in use on the old version
 // stay there. For Spec.SessionGap after this daemon learned of the release, no session goes to the new version: the daemons
 // only notify each other of the sessions in use.
-func (r *releases) inCanary(rel *object.Release, session uint64, now time.Time) bool {
-	if !release.InCanary(session, r.g.spec.ExposureShare) || r.g.pool.CountUsable(rel.Service, rel.TargetVersion, now) == 0 {
+func (r *releases) inCanary(rel *object.Release, session uint64, isSession bool, now time.Time) bool {
+	if !release.InCanary(session, isSession, r.g.spec.Exposure.Share) || r.g.pool.CountUsable(rel.Service, rel.TargetVersion, now) == 0 {
 		return false
 	}
 	r.mu.Lock()
 	t := r.tracked[rel.Service]
 	r.mu.Unlock()
-	if t == nil || t.order != rel.Order || now.Sub(t.trackedSince) < r.g.spec.SessionGap+sessionMargin {
+	switch {
+	case t == nil || t.order != rel.Order:
 		return false
+	case !isSession:
+		return true
 	}
-	return !t.sessions.InUse(session, now)
+	return now.Sub(t.trackedSince) >= r.g.spec.SessionGap+sessionMargin && !t.sessions.InUse(session, now)
 }
 
 // Used implements pipeline.Releases.
@@ -118,7 +118,7 @@
 	r.mu.Lock()
 	t := r.tracked[service]
 	r.mu.Unlock()
-	if t == nil || version == t.target || !release.InCanary(session, r.g.spec.ExposureShare) {
+	if t == nil || version == t.target || !release.InCanary(session, true, r.g.spec.Exposure.Share) {
 		return
 	}
 	r.mu.Lock()
@@ -166,7 +166,9 @@
 		t.firstSeen = first
 	}
 	if m.From != "" {
-		t.addEvidence(m)
+		if err := t.evidence.receive(m, r.g.spec.Domain); err != nil {
+			r.g.log.WithField("service", m.Service).WithField("from", m.From).WithError(err).Debug("evidence of a peer is not valid")
+		}
 		return
 	}
 	if m.Phase == "" {
@@ -175,32 +177,21 @@
 	}
 	if p := release.Phase(m.Phase); p == release.Promoted && t.phase == release.Canary || p == release.Reverted && t.phase != release.Completed && t.phase != p {
 		r.g.log.WithField("service", m.Service).WithField("order", m.Order).WithField("phase", t.phase).WithField("next", p).Info("release's phase heard")
-		t.phase = p
+		r.enter(t, p)
 	}
 }
 
-// addEvidence keeps the evidence of another daemon or failure domain. That of a domain is sent by several daemons and only grows,
-// so the larger one is kept. Evidence with impossible numbers, or above maxEvidenceSources, is ignored.
-func (t *trackedRelease) addEvidence(m notice.Message) {
-	e, ok := release.DecodeEvidence(m.Evidence)
-	if !ok || len(t.peers)+len(t.otherDomains) >= maxEvidenceSources {
-		return
-	}
-	if m.Domain == "" {
-		t.peers[m.From] = e
-		return
-	}
-	if old := t.otherDomains[m.Domain]; e.New.Answers+e.Old.Answers >= old.New.Answers+old.Old.Answers {
-		t.otherDomains[m.Domain] = e
+// enter changes the phase. The caller holds releases.mu.
+func (r *releases) enter(t *trackedRelease, p release.Phase) {
+	if p == release.Promoted && t.phase == release.Canary {
+		t.atPromotion, t.promotedAt = t.evidence.total(r.baselines, time.Now()), time.Now()
 	}
+	t.phase = p
 }
 
 // maxOrderAge is the largest age of an order that is accepted from a message.
 const maxOrderAge = 24 * time.Hour
 
-// maxEvidenceSources bounds the daemons and failure domains whose evidence is kept. The target deployment has 370 daemons.
-const maxEvidenceSources = 1024
-
 // maxSessionHold is the longest time for which a message keeps a session on the old version.
 const maxSessionHold = time.Minute
 
@@ -228,26 +219,6 @@
 	return release.Canary
 }
 
-// Count implements pipeline.Releases.
-func (r *releases) Count(service, version string, failed bool, latency time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	t := r.tracked[service]
-	if t == nil || t.phase == release.Completed || t.phase == release.Reverted {
-		return
-	}
-	c := &t.evidence.Old
-	if version == t.target {
-		c = &t.evidence.New
-	}
-	c.Answers++
-	if failed {
-		c.Failures++
-		return
-	}
-	c.Latency += latency
-}
-
 // run evaluates all releases at intervals and after changes in the store, until the daemon stops.
 func (r *releases) run() {
 	for r.g.ctx.Err() == nil {
@@ -256,7 +227,7 @@
 				r.evaluate(rel, time.Now())
 			}
 		}
-		timer := time.NewTimer(evaluateInterval)
+		timer := time.NewTimer(r.interval())
 		select {
 		case <-timer.C:
 		case <-r.wake:
@@ -267,22 +238,34 @@
 	}
 }
 
+// interval returns the time until the next evaluation.
+func (r *releases) interval() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, t := range r.tracked {
+		if t.phase == release.Promoted {
+			return promotedInterval
+		}
+	}
+	return evaluateInterval
+}
+
 // evaluate decides on the next phase of a release, and writes the decision when this daemon's turn has come. A revert takes effect
 // on this daemon at once.
 func (r *releases) evaluate(rel *object.Release, now time.Time) {
 	t := r.track(rel, now)
 	stored := r.storedPhase(rel)
-	total := r.total(t)
+	endpoints := r.g.pool.CountUsable(rel.Service, rel.TargetVersion, now)
 	r.mu.Lock()
 	before := t.phase
 	if t.phase != release.Reverted && t.phase != release.Completed && isLater(stored, t.phase) {
-		r.log(rel, t, stored, total).Info("release's phase learned")
-		t.phase = stored
+		r.log(rel, t, stored).Info("release's phase learned")
+		r.enter(t, stored)
 	}
-	next := release.NextPhase(t.phase, total, rel, now.Sub(t.firstSeen))
+	next := release.NextPhase(r.state(t, now, endpoints), rel, r.g.spec.Exposure)
 	if next == release.Reverted && t.phase != next { // a revert does not wait for other daemons
-		r.log(rel, t, next, total).Warn("release taken back")
-		t.phase = next
+		r.log(rel, t, next).Warn("release taken back")
+		r.enter(t, next)
 	}
 	if next != t.pending {
 		t.pending = next
@@ -295,7 +278,15 @@
 	}
 	r.sendEvidence(rel, t, now)
 	if due {
-		r.writeDecision(rel, t, next, total)
+		r.writeDecision(rel, t, next)
+	}
+}
+
+// state returns what is known about the release. The caller holds releases.mu.
+func (r *releases) state(t *trackedRelease, now time.Time, endpoints int) release.State {
+	total := t.evidence.total(r.baselines, now)
+	return release.State{
+		Phase: t.phase, Elapsed: now.Sub(t.firstSeen), Evidence: total, AtPromotion: t.atPromotion, PromotedAt: t.promotedAt.Sub(t.firstSeen), Rate: t.evidence.rate(total.Requests, now), Endpoints: endpoints,
 	}
 }
 
@@ -307,7 +298,7 @@
 	if t == nil || t.order != rel.Order {
 		t = &trackedRelease{
 			order: rel.Order, target: rel.TargetVersion, firstSeen: now, trackedSince: now, phase: release.Canary,
-			peers: map[string]release.Evidence{}, otherDomains: map[string]release.Evidence{}, sessions: release.NewSessions(),
+			evidence: newReleaseEvidence(), sessions: release.NewSessions(),
 		}
 		r.tracked[rel.Service] = t
 		r.g.log.WithField("service", rel.Service).WithField("target", rel.TargetVersion).WithField("order", rel.Order).Info("release ordered")
@@ -340,60 +331,8 @@
 	return p.Phase
 }
 
-// total returns the evidence of all daemons.
-func (r *releases) total(t *trackedRelease) release.Evidence {
-	sum := r.domainEvidence(t)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, e := range t.otherDomains {
-		sum.Add(e)
-	}
-	return sum
-}
-
-// domainEvidence returns the evidence of all daemons of the failure domain.
-func (r *releases) domainEvidence(t *trackedRelease) release.Evidence {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	sum := t.evidence
-	for _, e := range t.peers {
-		sum.Add(e)
-	}
-	return sum
-}
-
-// sendEvidence sends this daemon's evidence to the peers of its failure domain, and the whole domain's evidence to the other
-// domains, each only if it has grown since the last message. Only the first notice.RelaysPerDomain daemons of a domain send
-// the latter.
-func (r *releases) sendEvidence(rel *object.Release, t *trackedRelease, now time.Time) {
-	x := r.g.exchange.Load()
-	if x == nil || rel.State != object.ReleaseRunning || now.Sub(t.sentAt) < evidenceInterval {
-		return
-	}
-	t.sentAt = now
-	domainEvidence := r.domainEvidence(t)
-	r.mu.Lock()
-	own := t.evidence
-	m := notice.Message{Service: rel.Service, Order: rel.Order, From: r.g.spec.Name, Age: time.Since(t.firstSeen)}
-	r.mu.Unlock()
-	var err error
-	if own.New.Answers > t.sentOwn.New.Answers {
-		t.sentOwn = own
-		m.Evidence = own.Encode()
-		err = x.SendToDomain(r.g.spec.Domain, m)
-	}
-	if domainEvidence.New.Answers > t.sentDomain.New.Answers && r.g.view.domainRank() < notice.RelaysPerDomain {
-		t.sentDomain = domainEvidence
-		m.Evidence, m.Domain = domainEvidence.Encode(), r.g.spec.Domain
-		err = errors.Join(err, x.SendToOtherDomains(r.g.spec.Domain, m))
-	}
-	if err != nil {
-		r.g.log.WithField("service", rel.Service).WithError(err).Debug("sending evidence to peers failed")
-	}
-}
-
 // writeDecision stores a decision: the phase for the other daemons, and the state of the release for the operators.
-func (r *releases) writeDecision(rel *object.Release, t *trackedRelease, next release.Phase, total release.Evidence) {
+func (r *releases) writeDecision(rel *object.Release, t *trackedRelease, next release.Phase) {
 	state := rel.State
 	switch next {
 	case release.Completed:
@@ -402,7 +341,7 @@
 		state = object.ReleaseRolledBack
 	case release.Promoted:
 		if r.storedPhase(rel) == release.Canary {
-			r.writePhase(rel, t, next, total)
+			r.writePhase(rel, t, next)
 		}
 	}
 	if state == rel.State && rel.Announced {
@@ -417,13 +356,13 @@
 	}
 	if r.cas(key, value) {
 		r.mu.Lock()
-		r.log(rel, t, next, total).Info("state of the release written")
+		r.log(rel, t, next).Info("state of the release written")
 		r.mu.Unlock()
 	}
 }
 
 // writePhase stores the phase for the other daemons, adopts it and broadcasts it.
-func (r *releases) writePhase(rel *object.Release, t *trackedRelease, next release.Phase, total release.Evidence) {
+func (r *releases) writePhase(rel *object.Release, t *trackedRelease, next release.Phase) {
 	value, err := json.Marshal(phaseRecord{rel.Order, next})
 	if err != nil {
 		r.g.log.WithError(err).Error("encoding the release's phase failed")
@@ -433,9 +372,9 @@
 		return
 	}
 	r.mu.Lock()
-	r.log(rel, t, next, total).Info("release's phase written")
+	r.log(rel, t, next).Info("release's phase written")
 	if t.phase == release.Canary {
-		t.phase = next
+		r.enter(t, next)
 	}
 	r.mu.Unlock()
 	r.broadcast(notice.Message{Service: rel.Service, Order: rel.Order, Phase: string(next)})
@@ -455,13 +394,16 @@
 	return err == nil
 }
 
-// log returns a log entry with fields for a release, its phases and the evidence e. The caller holds r.mu.
-func (r *releases) log(rel *object.Release, t *trackedRelease, next release.Phase, e release.Evidence) *logrus.Entry {
+// log returns a log entry with fields for a release, its phases and its evidence. The caller holds r.mu.
+func (r *releases) log(rel *object.Release, t *trackedRelease, next release.Phase) *logrus.Entry {
+	total := t.evidence.total(r.baselines, time.Now())
+	newVersion, old := total.Totals()
 	return r.g.log.WithFields(logrus.Fields{
 		"service": rel.Service, "target": rel.TargetVersion, "order": rel.Order, "phase": t.phase, "next": next,
-		"new": fmt.Sprintf("%d/%d failed", e.New.Failures, e.New.Answers), "old": fmt.Sprintf("%d/%d failed", e.Old.Failures, e.Old.Answers),
-		"new_mean_ms": e.New.MeanLatency().Milliseconds(), "old_mean_ms": e.Old.MeanLatency().Milliseconds(),
-		"age_ms": time.Since(t.firstSeen).Milliseconds(), "duration_ms": rel.Duration.Milliseconds(),
-		"peers": len(t.peers), "other_domains": len(t.otherDomains),
+		"new": fmt.Sprintf("%d/%d failed", newVersion.Failures, newVersion.Answers), "old": fmt.Sprintf("%d/%d failed", old.Failures, old.Answers),
+		"slow": newVersion.Latency.String(), "slow_streams": newVersion.Interval.String(), "exposed": fmt.Sprintf("%d/%d", total.Exposed, total.Requests),
+		"suspicion": total.Suspicion(r.g.pool.CountUsable(rel.Service, rel.TargetVersion, time.Now())),
+		"age_ms":    time.Since(t.firstSeen).Milliseconds(), "duration_ms": rel.Duration.Milliseconds(),
+		"peers": len(t.evidence.peers), "other_domains": len(t.evidence.otherDomains),
 	})
 }
--- a/gateway/releases_test.go
+++ b/gateway/releases_test.go
@@ -35,7 +35,7 @@
 		})
 		wg.Go(func() {
 			<-start
-			g.releases.writeDecision(rel, tracked, release.Canary, release.Evidence{})
+			g.releases.writeDecision(rel, tracked, release.Canary)
 		})
 		close(start)
 		wg.Wait()
--- a/gateway/view_test.go
+++ b/gateway/view_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -15,6 +16,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/bramleytrail/bramleytrail/config"
+	"github.com/bramleytrail/bramleytrail/dispatch"
 	"github.com/bramleytrail/bramleytrail/hostlist"
 	"github.com/bramleytrail/bramleytrail/kv"
 	"github.com/bramleytrail/bramleytrail/kv/memkv"
@@ -752,7 +754,7 @@
 func canaryGateway(t *testing.T) (*Gateway, *object.Release) {
 	t.Helper()
 	g := testGateway(memkv.New())
-	g.spec.ExposureShare, g.spec.SessionGap = 1, 2*time.Second
+	g.spec.Exposure, g.spec.SessionGap = release.Limit{Share: 1}, 2*time.Second
 	rel := &object.Release{Service: "s", TargetVersion: "v2", Duration: time.Minute, State: object.ReleaseRunning, Order: 7}
 	g.pool.SetHosts(hostlist.List{Hosts: []hostlist.Host{
 		{ID: "e1", Role: hostlist.RoleEndpoint, Service: "s", Domain: "a", Addr: "a:1", State: hostlist.StateLive, Release: "v1"},
@@ -765,7 +767,7 @@
 // canarySession returns a session that belongs to the canary share.
 func canarySession(g *Gateway) uint64 {
 	for s := uint64(1); ; s++ {
-		if release.InCanary(s, g.spec.ExposureShare) {
+		if release.InCanary(s, true, g.spec.Exposure.Share) {
 			return s
 		}
 	}
@@ -778,7 +780,7 @@
 		session := canarySession(g)
 		view := config.Index(config.Revision{Number: 2}, object.Set{Releases: []object.Release{*rel}})
 		inCanary := func() bool {
-			only, _ := g.releases.Assign(view, "s", session, false)
+			only, _ := g.releases.Assign(view, "s", session, true, false)
 			return only == "v2"
 		}
 		if inCanary() {
@@ -794,7 +796,7 @@
 		if !inCanary() {
 			t.Error("a session that is no longer in use is not in the canary")
 		}
-		if only, not := g.releases.Assign(view, "s", session, true); only != "" || not != "v2" {
+		if only, not := g.releases.Assign(view, "s", session, true, true); only != "" || not != "v2" {
 			t.Errorf("a retry is restricted to %q and excluded from %q, want \"\" and \"v2\"", only, not)
 		}
 		g.releases.Used("s", "v1", session, 5*time.Second, false)
@@ -817,25 +819,52 @@
 	})
 }
 
+// attempt is the result of an attempt at an endpoint of the service "s".
+func attempt(version, endpoint string, failed bool) dispatch.RoutedAttempt {
+	a := dispatch.RoutedAttempt{Route: "r", Service: "s", Release: version, Endpoint: endpoint, Status: 200, Latency: 100 * time.Millisecond}
+	if failed {
+		a.Status = 500
+	}
+	return a
+}
+
+// sendAttempt records the beginning and the end of an attempt.
+func sendAttempt(g *Gateway, a dispatch.RoutedAttempt) {
+	g.releases.begin(a)
+	g.releases.end(a)
+}
+
+// peerEvidenceOf returns the evidence of a daemon whose old version answered 50 requests, and whose new one failed some.
+func peerEvidenceOf(answers, failures int) release.Evidence {
+	e := release.Evidence{Requests: int64(50 + answers), Exposed: int64(answers)}
+	for range 50 {
+		e.Record(release.Answer{Route: "r"})
+	}
+	for i := range answers {
+		e.Record(release.Answer{Route: "r", Endpoint: strconv.Itoa(i), New: true, Failed: i < failures})
+	}
+	return e
+}
+
 // Guards against evidence of other daemons that is ignored or counted twice, and against impossible evidence that is counted.
 func TestEvidenceOfOtherDaemons(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g, rel := canaryGateway(t)
-		bad := release.Evidence{New: release.Counts{Answers: 4, Failures: 1}, Old: release.Counts{Answers: 50}}
+		bad := peerEvidenceOf(6, 2)
 		for range 5 { // the same evidence again from one daemon
 			g.releases.receive(notice.Message{Service: "s", Order: 7, From: "d1", Evidence: bad.Encode()})
 		}
-		g.releases.receive(notice.Message{Service: "s", Order: 7, From: "d9", Evidence: [6]int64{-4, 9}})
+		g.releases.receive(notice.Message{Service: "s", Order: 7, From: "d9", Evidence: []byte{1, 9}})
 		g.releases.receive(notice.Message{Service: "s", Order: 6, From: "d8", Evidence: bad.Encode()})
 		g.releases.evaluate(rel, time.Now())
 		if p := g.releases.phase(rel); p != release.Canary {
-			t.Errorf("phase %s after one failure, want %s", p, release.Canary)
+			t.Errorf("phase %s after two failures, want %s", p, release.Canary)
 		}
 		g.releases.receive(notice.Message{Service: "s", Order: 7, From: "d2", Evidence: bad.Encode()})
 		g.releases.receive(notice.Message{Service: "s", Order: 7, From: "d3", Evidence: bad.Encode()})
 		g.releases.evaluate(rel, time.Now())
 		if p := g.releases.phase(rel); p != release.Reverted {
-			t.Errorf("phase %s after 3 of 12 answers failed at three daemons, want %s", p, release.Reverted)
+			t.Errorf("phase %s after 6 of 18 answers failed at three daemons, want %s", p, release.Reverted)
 		}
 		g.cancel()
 	})
@@ -846,16 +875,47 @@
 	synctest.Test(t, func(t *testing.T) {
 		g, rel := canaryGateway(t)
 		rel.Duration = 20 * time.Second
-		for range 40 {
-			g.releases.Count("s", "v1", false, 100*time.Millisecond)
-			g.releases.Count("s", "v2", false, 100*time.Millisecond)
+		for i := range 400 {
+			sendAttempt(g, attempt("v1", "", false))
+			if i < 20 {
+				sendAttempt(g, attempt("v2", strconv.Itoa(i), false))
+			}
 		}
-		g.releases.receive(notice.Message{Service: "s", Order: 7, From: "d1", Age: 15 * time.Second})
+		g.releases.receive(notice.Message{Service: "s", Order: 7, From: "d1", Age: 19 * time.Second})
 		g.releases.evaluate(rel, time.Now())
 		g.releases.evaluate(rel, time.Now())
 		if p := g.releases.phase(rel); p != release.Promoted {
-			t.Errorf("phase %s 15 s after an order with a duration of 20 s, want %s", p, release.Promoted)
+			t.Errorf("phase %s 19 s after an order with a duration of 20 s, want %s", p, release.Promoted)
+		}
+		g.cancel()
+	})
+}
+
+// Guards against evidence that a restart of its daemon, or of this one, takes away.
+func TestEvidenceSurvivesRestarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, rel := canaryGateway(t)
+		total := func() int64 {
+			g.releases.mu.Lock()
+			defer g.releases.mu.Unlock()
+			return g.releases.tracked["s"].evidence.total(g.releases.baselines, time.Now()).Requests
+		}
+		for _, m := range []struct {
+			incarnation int64
+			answers     int
+			want        int64
+		}{{1, 6, 56}, {1, 8, 58}, {1, 6, 58}, {2, 2, 58 + 52}, {1, 9, 58 + 52}, {2, 4, 58 + 54}} {
+			g.releases.receive(notice.Message{Service: "s", Order: 7, From: "d1", Incarnation: m.incarnation, Evidence: peerEvidenceOf(m.answers, 0).Encode()})
+			if got := total(); got != m.want {
+				t.Errorf("%d requests after those of incarnation %d with %d answers, want %d", got, m.incarnation, m.answers, m.want)
+			}
+		}
+		all := peerEvidenceOf(400, 0)
+		g.releases.receive(notice.Message{Service: "s", Order: 7, From: "d1", Domain: g.spec.Domain, Evidence: all.Encode()})
+		if got := total(); got != all.Requests {
+			t.Errorf("%d requests although the domain's other daemons know of %d", got, all.Requests)
 		}
+		_ = rel
 		g.cancel()
 	})
 }
@@ -864,11 +924,11 @@
 func TestBadReleaseTakenBackAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g, rel := canaryGateway(t)
-		for range 20 {
-			g.releases.Count("s", "v1", false, 100*time.Millisecond)
+		for range 60 {
+			sendAttempt(g, attempt("v1", "", false))
 		}
 		for i := range 8 {
-			g.releases.Count("s", "v2", i%2 == 0, 100*time.Millisecond)
+			sendAttempt(g, attempt("v2", strconv.Itoa(i), i%2 == 0))
 		}
 		g.releases.evaluate(rel, time.Now())
 		if p := g.releases.phase(rel); p != release.Reverted {
@@ -877,3 +937,28 @@
 		g.cancel()
 	})
 }
+
+// Guards against slow answers that count only when they come, and so are missed until it is too late.
+func TestUnansweredAttemptsCountAsSlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, rel := canaryGateway(t)
+		for range 60 {
+			sendAttempt(g, attempt("v1", "", false))
+		}
+		for i := range 12 {
+			a := attempt("v2", strconv.Itoa(i), false)
+			a.Request = strconv.Itoa(i)
+			g.releases.begin(a)
+		}
+		g.releases.evaluate(rel, time.Now())
+		if p := g.releases.phase(rel); p != release.Canary {
+			t.Errorf("phase %s when the requests have just been sent, want %s", p, release.Canary)
+		}
+		time.Sleep(time.Second)
+		g.releases.evaluate(rel, time.Now())
+		if p := g.releases.phase(rel); p != release.Reverted {
+			t.Errorf("phase %s with 12 of 12 answers outstanding for ten times the usual latency, want %s", p, release.Reverted)
+		}
+		g.cancel()
+	})
+}
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -32,11 +32,12 @@
 	Age time.Duration `msgpack:"a,omitempty"`
 	// Phase is the phase that the release has reached; empty for a message about a session.
 	Phase string `msgpack:"p,omitempty"`
-	// From is the sending daemon, for a message about the store, with Evidence or with Estimates. Evidence of the release is the
-	// number of answers, the number of failures and the sum of latencies in nanoseconds, first of the new version, then of the
-	// old one.
-	From     string   `msgpack:"f,omitempty"`
-	Evidence [6]int64 `msgpack:"e,omitempty"`
+	// From is the sending daemon, for a message about the store, with Evidence or with Estimates. Evidence of the release is
+	// encoded as package release does.
+	From     string `msgpack:"f,omitempty"`
+	Evidence []byte `msgpack:"v,omitempty"`
+	// Incarnation is the time at which From started, in Unix nanoseconds, for a message with Evidence.
+	Incarnation int64 `msgpack:"i,omitempty"`
 	// Domain is the failure domain whose daemons' evidence is summed up in Evidence; empty if it is that of From alone.
 	Domain string `msgpack:"b,omitempty"`
 	// Relay asks the receiver to forward the message to the daemons of its failure domain.
--- a/pipeline/routed.go
+++ b/pipeline/routed.go
@@ -41,15 +41,28 @@
 // Releases decides which version of a service's software serves a request. Implementations must be safe for concurrent use.
 type Releases interface {
 	// Assign returns the version that must serve the next attempt of a request, and the one that must not; empty strings for
-	// no restriction. A retry never goes to a version in its canary phase.
-	Assign(view *config.View, service string, session uint64, retry bool) (required, excluded string)
+	// no restriction. isSession says that session identifies a session and not only the request. A retry never goes to a version
+	// in its canary phase.
+	Assign(view *config.View, service string, session uint64, isSession, retry bool) (required, excluded string)
 	// Used records that a session is in use on a version. It is called with each answer of an endpoint, when the request may
 	// take up to limit longer, and with ended set at the end of the request.
 	Used(service, version string, session uint64, limit time.Duration, ended bool)
-	// Count records the result of an attempt that got an answer, and the time until its header.
-	Count(service, version string, failed bool, latency time.Duration)
+	// BeginStream records the first event of a stream. RecordPace records the mean time between its events, once it has had
+	// PaceIntervals of them or has ended; 0 says that there were too few.
+	BeginStream(s Stream)
+	RecordPace(s Stream, interval time.Duration)
 }
 
+// Stream identifies a stream of an endpoint.
+type Stream struct{ Request, Service, Version, Route, Model, Endpoint string }
+
+const (
+	// PaceIntervals is the number of intervals between events after which the pace of a stream is recorded.
+	PaceIntervals = 4
+	// minPaceIntervals is the smallest number of intervals whose mean says something about an endpoint.
+	minPaceIntervals = 2
+)
+
 // Routes holds what only requests of routes need.
 type Routes struct {
 	Releases Releases // nil if there are no releases
@@ -59,8 +72,8 @@
 	AnswerValue float64
 	// EventIntervals estimates how long streams take.
 	EventIntervals *relay.EventIntervals
-	// OnAttempt is called at the end of each attempt at an endpoint; it may be nil.
-	OnAttempt func(dispatch.RoutedAttempt)
+	// OnSend is called when an attempt at an endpoint begins, and OnAttempt at its end; they may be nil.
+	OnSend, OnAttempt func(dispatch.RoutedAttempt)
 	// OnEscalate is called when an answer is dropped to ask a larger model; it may be nil.
 	OnEscalate func(EscalationOutcome)
 }
@@ -207,7 +220,7 @@
 	m := s.r.Meta
 	in := dispatch.RoutedInput{
 		View: s.view, Route: s.route, Service: s.service, Team: s.team, Rank: s.rank(), Prompt: m.Prompt,
-		Fingerprint: poison.Fingerprint(s.team+"\x00"+s.r.Path, s.r.Body), Refresh: s.refresh, OnAttempt: s.p.Routes.OnAttempt,
+		Fingerprint: poison.Fingerprint(s.team+"\x00"+s.r.Path, s.r.Body), Refresh: s.refresh, OnSend: s.p.Routes.OnSend, OnAttempt: s.p.Routes.OnAttempt,
 		Request: engine.RoutedRequest{
 			ID: s.r.ID, Method: s.r.Method, Host: m.Host, Target: s.r.Path, Header: s.r.Header, Body: s.r.Body, Team: s.team, Rank: s.rank(),
 		},
@@ -217,7 +230,7 @@
 		if s.p.Routes.Releases == nil {
 			return "", ""
 		}
-		return s.p.Routes.Releases.Assign(view, s.service, s.sessionHash(), retry)
+		return s.p.Routes.Releases.Assign(view, s.service, s.sessionHash(), s.inSession(), retry)
 	}
 	return in
 }
@@ -231,6 +244,9 @@
 	return xxhash.Sum64String(s.r.ID)
 }
 
+// inSession reports whether the request belongs to a session.
+func (s *routedStages) inSession() bool { return len(s.r.Meta.Parts) > 0 }
+
 // refresh returns the newest configuration, which has the current state of failure domains. It never fails: the request was
 // admitted, and the removal of its key or route must not end an answer in progress.
 func (s *routedStages) refresh() (*config.View, error) { return s.p.Config.View(), nil }
@@ -241,13 +257,12 @@
 	s.setStage(StageDispatch)
 	s.exchange = s.p.Dispatch.NewExchange(ctx, s.input())
 	for {
-		attemptStart := s.p.Now()
 		answer, err := s.exchange.Do(s.modelName(), s.r.Meta.LastEventID)
 		if err != nil {
 			return err
 		}
 		failed := answer.Status >= http.StatusInternalServerError
-		s.recordAnswer(answer, failed, s.p.Now().Sub(attemptStart))
+		s.recordSessionUse(answer.Release, false)
 		if failed && answer.Retry() {
 			continue
 		}
@@ -262,17 +277,9 @@
 	return nil
 }
 
-// recordAnswer reports an answer of an endpoint, and the use of the session, to Releases.
-func (s *routedStages) recordAnswer(a *dispatch.RoutedAnswer, failed bool, latency time.Duration) {
-	if r := s.p.Routes.Releases; r != nil {
-		r.Count(s.service, a.Release, failed, latency)
-	}
-	s.recordSessionUse(a.Release, false)
-}
-
 // recordSessionUse reports to Releases that the session is in use on a version, or that this request's use has ended.
 func (s *routedStages) recordSessionUse(version string, ended bool) {
-	if r := s.p.Routes.Releases; r != nil && len(s.r.Meta.Parts) > 0 {
+	if r := s.p.Routes.Releases; r != nil && s.inSession() {
 		r.Used(s.service, version, s.sessionHash(), s.route.Timeout, ended)
 	}
 }
--- a/pipeline/routedrelay.go
+++ b/pipeline/routedrelay.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/bramleytrail/bramleytrail/relay"
 	"github.com/bramleytrail/bramleytrail/result"
@@ -176,6 +177,8 @@
 	stream := s.outcome.Stream
 	stallTimer := s.answer.StartGapTimer()
 	defer stallTimer.Stop()
+	pace := s.newPace()
+	defer pace.end()
 	for {
 		event, id, err := events.Next()
 		switch {
@@ -213,6 +216,7 @@
 		}
 		stream.Events++
 		last = now
+		pace.event(now)
 	}
 }
 
@@ -248,3 +252,42 @@
 		}
 	}
 }
+
+// pace measures the time between the first events of an endpoint's stream, and reports it to Releases once.
+type pace struct {
+	releases        Releases // nil after the report, or if there are none
+	stream          Stream
+	events          int
+	first, lastSeen time.Time
+}
+
+func (s *routedStages) newPace() *pace {
+	return &pace{releases: s.p.Routes.Releases, stream: Stream{s.r.ID, s.service, s.answer.Release, s.route.Name, s.modelName(), s.answer.Endpoint}}
+}
+
+// event records an event.
+func (p *pace) event(now time.Time) {
+	if p.releases == nil {
+		return
+	}
+	if p.events++; p.events == 1 {
+		p.first = now
+		p.releases.BeginStream(p.stream)
+	}
+	if p.lastSeen = now; p.events > PaceIntervals {
+		p.end()
+	}
+}
+
+// end reports the pace if there were events and it was not reported before.
+func (p *pace) end() {
+	if p.releases == nil || p.events == 0 {
+		return
+	}
+	interval := time.Duration(0)
+	if n := p.events - 1; n >= minPaceIntervals {
+		interval = p.lastSeen.Sub(p.first) / time.Duration(n)
+	}
+	p.releases.RecordPace(p.stream, interval)
+	p.releases = nil
+}
--- a/release/release.go
+++ b/release/release.go
@@ -1,6 +1,10 @@
 // Package release decides how a service's requests shift to endpoints that run a new version of its software: which share
 // of the sessions is in the canary, when all requests follow, and when the release is rolled back. Decisions are pure
 // functions of the evidence that all daemons report.
+//
+// A version that is sound until it gets all requests can't be recognised before. The plan therefore keeps the number of
+// requests that reach a version until its deadline within the operators' limit even if nothing is ever found: all requests
+// follow only when what remains of the time fits into the limit.
 package release
 
 import (
@@ -10,89 +14,29 @@
 )
 
 const (
-	// canaryShare is the part of the operators' exposure limit that the canary uses. The rest is a reserve for daemons that
-	// have not received a decision yet.
-	canaryShare = 0.6
-	// promoteAt is the part of the release's duration after which a healthy version gets all requests; completeAt is the
-	// part after which the old endpoints may be removed. Streams that began on them end in between.
-	promoteAt, completeAt = 0.52, 0.78
-	// minAnswers is the number of answers of the new version that are required to promote it.
-	minAnswers = 10
-	// minFailures is the number of failures that are required to roll a version back for its failure rate.
-	minFailures = 3
-	// failureExcess is the difference between the versions' failure rates at which the new one is rolled back.
-	failureExcess = 0.15
-	// latencyRatio is the ratio of the versions' mean latencies at which the new one is rolled back. Endpoints that have
-	// just started are slower for some seconds, but by less than this.
-	latencyRatio = 3.0
-	// minLatencyAnswers is the number of successful answers of the new version that are required to compare latencies.
-	minLatencyAnswers = 8
+	// sessionCanaryShare and canaryShare are the parts of the operators' exposure limit that the canary gets of the requests
+	// that belong to sessions, and of the others. Sessions in use stay on the old version, so that fewer of theirs arrive.
+	sessionCanaryShare, canaryShare = 0.6, 0.3
+	// plannedShare and plannedSlack are the parts of the exposure limit that the plan of a release uses. The rest is for
+	// growing traffic and for daemons that have not received a decision yet.
+	plannedShare, plannedSlack = 0.85, 0.65
+	// promoteFrom is the part of the release's duration before which sessions in use never change their version.
+	promoteFrom = 0.52
+	// promoteReserve is the part of the duration before the deadline in which a version that is not suspicious is promoted
+	// whatever the traffic does.
+	promoteReserve = 0.06
+	// completeReserve is the part of the duration that is left for writing the completion, within its bounds.
+	completeReserve, minCompleteReserve, maxCompleteReserve = 0.03, 700 * time.Millisecond, 5 * time.Second
+	// minPromoted is the part of the duration for which all requests go to the new version before it is completed, unless it has
+	// given enoughAnswers by then.
+	minPromoted, enoughAnswers = 0.04, 30
+	// minAnswers is the number of answers of the new version that are required to promote it before promoteReserve.
+	minAnswers = 3
 )
 
-// Counts holds the results of one version's answers.
-type Counts struct {
-	Answers  int64
-	Failures int64
-	Latency  time.Duration // sum over the answers that did not fail
-}
-
-// Add adds o to c.
-func (c *Counts) Add(o Counts) {
-	c.Answers += o.Answers
-	c.Failures += o.Failures
-	c.Latency += o.Latency
-}
-
-// failureRate returns the share of answers that failed, 0 without answers.
-func (c Counts) failureRate() float64 {
-	if c.Answers == 0 {
-		return 0
-	}
-	return float64(c.Failures) / float64(c.Answers)
-}
-
-// MeanLatency returns the mean over the successful answers, 0 if there are none.
-func (c Counts) MeanLatency() time.Duration {
-	if ok := c.Answers - c.Failures; ok > 0 {
-		return c.Latency / time.Duration(ok)
-	}
-	return 0
-}
-
-// Evidence holds the results of both versions during a release, of one or more daemons.
-type Evidence struct{ New, Old Counts }
-
-// Encode returns the evidence in the form in which messages carry it.
-func (e Evidence) Encode() [6]int64 {
-	return [6]int64{e.New.Answers, e.New.Failures, int64(e.New.Latency), e.Old.Answers, e.Old.Failures, int64(e.Old.Latency)}
-}
-
-// DecodeEvidence decodes the result of Encode. It returns false for impossible counts.
-func DecodeEvidence(n [6]int64) (Evidence, bool) {
-	e := Evidence{Counts{n[0], n[1], time.Duration(n[2])}, Counts{n[3], n[4], time.Duration(n[5])}}
-	for _, c := range []Counts{e.New, e.Old} {
-		if c.Answers < 0 || c.Failures < 0 || c.Failures > c.Answers || c.Latency < 0 {
-			return Evidence{}, false
-		}
-	}
-	return e, true
-}
-
-// Add adds o to e.
-func (e *Evidence) Add(o Evidence) {
-	e.New.Add(o.New)
-	e.Old.Add(o.Old)
-}
-
-// Regressed reports whether the new version fails clearly more often than the old one, or is much slower.
-func (e Evidence) Regressed() bool {
-	if e.New.Failures >= minFailures && e.New.failureRate() >= e.Old.failureRate()+failureExcess {
-		return true
-	}
-	succeeded := e.New.Answers - e.New.Failures
-	oldLatency := e.Old.MeanLatency()
-	return succeeded >= minLatencyAnswers && oldLatency > 0 && float64(e.New.MeanLatency()) >= latencyRatio*float64(oldLatency)
-}
+// Limit bounds the requests that a regressed version may get between the order of its release and its deadline: Share of all
+// requests of the service, plus Slack.
+type Limit struct{ Share, Slack float64 }
 
 // Phase is the progress of a release. Its values are sent and stored.
 type Phase string
@@ -105,29 +49,84 @@
 	Reverted  Phase = "reverted"  // none
 )
 
-// NextPhase returns the phase that follows p, or p itself if it is not over. Elapsed is the time since the release was
-// ordered.
-func NextPhase(p Phase, e Evidence, r *object.Release, elapsed time.Duration) Phase {
-	if p == Completed || p == Reverted {
-		return p
+// State is what is known about a release when the next phase is decided.
+type State struct {
+	Phase   Phase
+	Elapsed time.Duration // since the release was ordered
+	// Evidence is that of all daemons, AtPromotion the part of it from before the promotion.
+	Evidence, AtPromotion Evidence
+	PromotedAt            time.Duration // time of the promotion after the order
+	Rate                  float64       // requests a second of the service, at present
+	Endpoints             int           // usable endpoints of the new version
+}
+
+// NextPhase returns the phase that follows s.Phase, or s.Phase itself if it is not over.
+//
+// A version is completed only if the evidence since its promotion shows no sign of a regression. An uncertain one stays as it
+// is, beyond its deadline if need be, until the evidence decides.
+func NextPhase(s State, r *object.Release, limit Limit) Phase {
+	if s.Phase == Completed || s.Phase == Reverted {
+		return s.Phase
 	}
-	if e.Regressed() {
+	suspicion := s.suspicion()
+	if suspicion >= revertSuspicion {
 		return Reverted
 	}
-	fraction := float64(elapsed) / float64(max(1, r.Duration))
 	switch {
-	case p == Canary && fraction >= promoteAt && e.New.Answers >= minAnswers:
+	case s.Phase == Canary && suspicion < promoteSuspicion && s.mayPromote(r, limit):
 		return Promoted
-	case p == Promoted && fraction >= completeAt:
+	case s.Phase == Promoted && s.Elapsed >= completeAt(r) && s.Evidence.tried() && s.seenEnough(r):
 		return Completed
 	}
-	return p
+	return s.Phase
+}
+
+// suspicion returns the larger of the suspicions by all evidence and by that since the promotion.
+func (s State) suspicion() float64 {
+	suspicion := s.Evidence.Suspicion(s.Endpoints)
+	if s.Phase == Promoted {
+		suspicion = max(suspicion, s.Evidence.since(s.AtPromotion).Suspicion(s.Endpoints))
+	}
+	return suspicion
+}
+
+// seenEnough reports whether a promoted version has been seen long enough, or in enough answers, and that they don't speak for a
+// regression.
+func (s State) seenEnough(r *object.Release) bool {
+	since := s.Evidence.since(s.AtPromotion)
+	tried := s.Elapsed-s.PromotedAt >= time.Duration(minPromoted*float64(r.Duration)) || since.newAnswers() >= enoughAnswers
+	return tried && !since.Unproven(s.Endpoints) && !s.Evidence.Unproven(s.Endpoints)
+}
+
+// mayPromote reports whether the new version may get all requests until the deadline.
+func (s State) mayPromote(r *object.Release, limit Limit) bool {
+	if s.Elapsed < time.Duration(promoteFrom*float64(r.Duration)) || s.Endpoints == 0 {
+		return false
+	}
+	remaining := max(0, r.Duration-s.Elapsed)
+	if float64(remaining) <= promoteReserve*float64(r.Duration) {
+		return true
+	}
+	rate := max(s.Rate, float64(s.Evidence.Requests)/max(1, s.Elapsed.Seconds()))
+	upcoming := rate * remaining.Seconds()
+	allowed := plannedShare*limit.Share*(float64(s.Evidence.Requests)+upcoming) + plannedSlack*limit.Slack
+	return s.Evidence.newAnswers() >= minAnswers && float64(s.Evidence.Exposed)+upcoming <= allowed
+}
+
+// completeAt returns the time after the order at which a promoted version is completed.
+func completeAt(r *object.Release) time.Duration {
+	reserve := min(max(time.Duration(completeReserve*float64(r.Duration)), minCompleteReserve), maxCompleteReserve)
+	return max(r.Duration-reserve, time.Duration((1-promoteReserve/2)*float64(r.Duration)))
 }
 
-// InCanary reports whether a session belongs to the share that goes to the new version first. Exposure is the operators'
-// limit of that share, in [0, 1]. All daemons get the same result.
-func InCanary(session uint64, exposure float64) bool {
-	return float64(mixBits(session)>>11)/(1<<53) < canaryShare*exposure
+// InCanary reports whether a request belongs to the share that goes to the new version first. id is that of its session or,
+// if it has none, its own. Exposure is the operators' limit of that share, in [0, 1]. All daemons get the same result.
+func InCanary(id uint64, isSession bool, exposure float64) bool {
+	share := canaryShare
+	if isSession {
+		share = sessionCanaryShare
+	}
+	return float64(mixBits(id)>>11)/(1<<53) < share*exposure
 }
 
 // mixBits distributes session IDs that are not random over all values. It is the finalizer of SplitMix64.
