dispatch, gateway, poison: a request that crashes endpoints is refused at all daemons

Cause: the path of routed requests asked the table of crashes, but nothing on it recorded one, and daemons did not tell each other. Class: a guard that is read where nothing writes it.

Change: when an attempt breaks off and the endpoint's address then refuses connections, the crash counts against team, path and body. After three crashes the request is refused with 503 (suspect_request) and the time of the next trial; one daemon lets it run once more after 20 s, then ever later. A complete answer clears it.

Before: 24 and 12 endpoints crash in TestCrashingRequestIsRefused. TestHonestRequestBesideCrashesMayComeAgain passes before and after.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -65,6 +65,9 @@
 	OnHedge func(HedgeOutcome)
 	// CacheMover moves KV caches of sessions between endpoints; nil disables moves.
 	CacheMover *cachemove.Mover
+	// IsDown reports whether the host of an endpoint refuses connections, as it does once the endpoint's process has ended. It is
+	// asked when the connection of a routed request broke; nil disables the detection of crashes.
+	IsDown func(ctx context.Context, addr string) bool
 	// Router sends routed requests; nil if there are no routes.
 	Router engine.Router
 	// RetryRatio is the number of retries that each routed request adds to the budget of its service. RetryReserve
--- a/dispatch/routed.go
+++ b/dispatch/routed.go
@@ -129,8 +129,8 @@
 // checkAttempt returns an error if crashes, the route's attempts or the retry budget forbid another attempt. It charges
 // the budget for attempts after the first one.
 func (x *Exchange) checkAttempt() error {
-	if x.filter.spec.Poison.Refused(x.in.Fingerprint, x.filter.spec.Now()) {
-		return &result.Error{Code: result.PoisonRequest, Ran: x.ran}
+	if err := x.checkCrashes(); err != nil {
+		return err
 	}
 	if x.attempts == 0 {
 		return nil
@@ -290,6 +290,7 @@
 	}
 	x.attempts++
 	x.ran = max(x.ran, result.RunUnknown)
+	x.recordCrash(&r, err)
 	r.Release(routedOutcome(err, 0), now)
 	if !x.in.Route.MayRepeat() {
 		code := result.EndpointFailed
--- a/dispatch/routedanswer.go
+++ b/dispatch/routedanswer.go
@@ -49,6 +49,7 @@
 func (a *RoutedAnswer) Fail(err error) {
 	a.err = err
 	x := a.exchange
+	x.recordCrash(&a.reservation, err)
 	if !slices.Contains(x.exclude, a.Endpoint) {
 		x.exclude = append(x.exclude, a.Endpoint)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -113,6 +113,7 @@
 
 	Store     kv.Store
 	Router    engine.Router
+	IsDown    func(ctx context.Context, addr string) bool // see dispatch.Spec
 	Documents Documents
 	Protocol  entry.Protocol
 	Log       *logrus.Logger
@@ -131,6 +132,7 @@
 	poison        *poison.Table
 	view          *storeView
 	releases      *releases
+	crashes       *crashReports
 	readyServer   *http.Server
 	metricsServer *http.Server
 	readyAddr     string
@@ -153,8 +155,9 @@
 	g.announcements = newAnnounceLimiter()
 	debug.SetMemoryLimit(int64(heapMemoryShare * float64(s.MemoryBytes)))
 	g.pool = pool.New(pool.Spec{Self: s.Name, Domain: s.Domain, Settle: settleTime, RestartDetection: s.Heartbeat + s.Propagation, Rand: mathrand.Uint64, OnCapacity: g.signalCapacity, OnEject: g.recordEjection, OnPrefill: g.announcePrompt})
+	g.crashes = newCrashReports(g)
 	g.dispatch = dispatch.New(dispatch.Spec{
-		Pool: g.pool, Poison: g.poison, Router: s.Router, Rand: mathrand.Uint64, QueueWait: queueWait, Now: time.Now,
+		Pool: g.pool, Poison: g.poison, OnCrash: g.crashes.add, OnClear: g.crashes.clear, IsDown: s.IsDown, Router: s.Router, Rand: mathrand.Uint64, QueueWait: queueWait, Now: time.Now,
 		RetryRatio: retryBudgetShare * s.RetryRatio, RetryWindow: s.RetryWindow, RetryReserve: func() float64 { return retryBudgetShare * s.RetryReserve / float64(max(1, g.members())) },
 	})
 	g.releases = newReleases(g)
@@ -209,6 +212,7 @@
 	g.wg.Go(g.maintainMembership)
 	g.wg.Go(g.releases.run)
 	g.wg.Go(g.shareEstimates)
+	g.wg.Go(g.crashes.run)
 	g.log.WithFields(logrus.Fields{"listen": g.spec.CallerAddr, "ready": g.spec.ReadyAddr, "metrics": g.spec.MetricsAddr}).Info("daemon started")
 	return nil
 }
@@ -221,6 +225,8 @@
 	switch {
 	case m.Revision > 0:
 		g.view.receive(m)
+	case len(m.Crashes) > 0:
+		g.crashes.receive(m.Crashes)
 	case len(m.Estimates) > 0:
 		g.pool.SetPeerEstimates(m.From, m.Estimates, time.Now())
 	case m.Endpoint != "":
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -13,6 +13,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/bramleytrail/bramleytrail/poison"
 	"github.com/bramleytrail/bramleytrail/pool"
 )
 
@@ -22,6 +23,9 @@
 // MaxChanges is the largest number of changes in one message.
 const MaxChanges = 64
 
+// MaxCrashes is the largest number of crash records in one message.
+const MaxCrashes = 64
+
 // Message is a message from one daemon to others. It is about a release, an endpoint, changes in the store or estimates; the fields
 // of the other subjects are zero and are omitted from the encoding.
 type Message struct {
@@ -58,6 +62,8 @@
 	PolledAt int64 `msgpack:"k,omitempty"`
 	// Estimates are derived from the requests of the daemon From.
 	Estimates []pool.Estimate `msgpack:"x,omitempty"`
+	// Crashes are records of the daemon From about requests at endpoints that crashed.
+	Crashes []poison.Record `msgpack:"h,omitempty"`
 	// StoreRecovered says that the store answers the sender again after an outage.
 	StoreRecovered bool `msgpack:"y,omitempty"`
 	// Batch holds messages that are sent as one; the other fields are then unused.
@@ -248,8 +254,8 @@
 	}
 }
 
-// isPeer reports whether an address is that of a known daemon. Only such a daemon's messages about the store and estimates are
-// accepted, and only its messages are relayed.
+// isPeer reports whether an address is that of a known daemon. Only such a daemon's messages about the store, estimates and
+// crashes are accepted, and only its messages are relayed.
 func (x *Exchange) isPeer(from *net.UDPAddr) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -257,7 +263,7 @@
 }
 
 // decode returns the valid messages of a datagram. It ignores datagrams that are not messages. If the sender is not a known
-// daemon, it also drops messages about the store, with estimates, to be relayed, or in a batch.
+// daemon, it also drops messages about the store, with estimates or crashes, to be relayed, or in a batch.
 func decode(data []byte, fromPeer bool) []Message {
 	var m Message
 	if err := msgpack.Unmarshal(data, &m); err != nil {
@@ -268,7 +274,7 @@
 		list = []Message{m}
 	}
 	return slices.DeleteFunc(list, func(inner Message) bool {
-		peerOnly := inner.Revision > 0 || inner.Relay || len(inner.Estimates) > 0 || len(m.Batch) > 0
+		peerOnly := inner.Revision > 0 || inner.Relay || len(inner.Estimates) > 0 || len(inner.Crashes) > 0 || len(m.Batch) > 0
 		return !inner.valid() || peerOnly && !fromPeer || inner.Relay && len(m.Batch) > 0
 	})
 }
@@ -281,5 +287,5 @@
 	if m.Revision > 0 {
 		return m.After <= m.Revision && len(m.Changes) <= MaxChanges
 	}
-	return m.Service != "" || m.From != "" && len(m.Estimates) > 0
+	return m.Service != "" || m.From != "" && (len(m.Estimates) > 0 || len(m.Crashes) > 0 && len(m.Crashes) <= MaxCrashes)
 }
--- a/pipeline/routedrelay.go
+++ b/pipeline/routedrelay.go
@@ -106,6 +106,7 @@
 
 // endAnswer completes the body.
 func (s *routedStages) endAnswer() error {
+	s.answer.Complete()
 	if err := s.caller.End(); err != nil {
 		return &result.Error{Code: result.CallerGone, Ran: result.DidRun, Err: err}
 	}
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -1,6 +1,9 @@
 // Package poison tracks poison requests, which crash the endpoints that run them, so that such a request crashes only a
 // small number of endpoints across all daemons before it is refused.
 //
+// A routed request is opaque, and an honest one may meet several crashes that are not its own. A complete answer therefore
+// clears it for good, and while it is refused, it is tried again after ever longer times, by one daemon at a time.
+//
 // A crash interrupts every request in flight at the endpoint, although only one of them may be the cause. After one crash,
 // a request is retried at another endpoint like any other. After two, it runs only at endpoints where no other such suspect
 // runs. A third crash then has only one possible cause, and clears the other requests that it interrupted.
@@ -23,20 +26,29 @@
 	// IsolateAfter is the number of crashes after which a request runs only at endpoints without another such request.
 	IsolateAfter = 2
 	// recordTTL is the time for which a request's crashes count after the last one.
-	recordTTL  = 10 * time.Minute
-	shardCount = 16
+	recordTTL = 10 * time.Minute
+	// firstTrial is the time after the last crash from which Admit lets a refused request run once more. It doubles with each
+	// crash beyond MaxCrashes, up to maxTrialDoublings times.
+	firstTrial        = 20 * time.Second
+	maxTrialDoublings = 5
+	shardCount        = 16
 	// maxRecords bounds the number of requests in a table, which is almost empty with 16 host failures a day.
 	maxRecords = 1 << 14
 )
 
 // Record states that a request was in flight at an endpoint that crashed, or that it was not the cause of that crash.
 type Record struct {
-	Fingerprint uint64 // of the request
-	Crash       string // ID of the crash: the endpoint's ID and its boot ID
+	Fingerprint uint64 `msgpack:"f"` // of the request
+	// Crash is the ID of the crash: the endpoint's ID and its boot ID.
+	Crash string `msgpack:"c,omitempty"`
 	// Isolated says that the request was the only one that could have caused the crash.
-	Isolated bool
+	Isolated bool `msgpack:"i,omitempty"`
 	// Cleared says that the request got further at another endpoint, and so was not the cause.
-	Cleared bool
+	Cleared bool `msgpack:"l,omitempty"`
+	// Answered says that a cleared request got a complete answer.
+	Answered bool `msgpack:"a,omitempty"`
+	// Trial says that a refused request runs once more at a daemon. The other fields but the fingerprint are empty then.
+	Trial bool `msgpack:"t,omitempty"`
 }
 
 // Fingerprint returns a hash of a request's team and content. A retry of the request through another host has the same
@@ -68,6 +80,24 @@
 	crashes []Record
 	cleared []Record // crashes of which the request was not the cause
 	expires time.Time
+	triedAt time.Time // of the last crash or trial
+}
+
+// isRefused reports whether the request was in flight at too many crashes. Those that a complete answer has cleared don't count.
+func (h *history) isRefused() bool {
+	total := len(h.crashes)
+	for _, r := range h.cleared {
+		if !r.Answered {
+			total++
+		}
+	}
+	return len(h.crashes) >= MaxCrashes || total >= maxTotalCrashes
+}
+
+// nextTrial returns the time from which the refused request may run once more.
+func (h *history) nextTrial() time.Time {
+	doublings := min(max(0, len(h.crashes)-MaxCrashes), maxTrialDoublings)
+	return h.triedAt.Add(firstTrial << doublings)
 }
 
 // NewTable returns an empty table.
@@ -81,6 +111,9 @@
 
 // Add adds a record, of this daemon or another one, and reports whether it was new.
 func (t *Table) Add(r Record, now time.Time) bool {
+	if r.Trial {
+		return t.recordTrial(r.Fingerprint, now)
+	}
 	if r.Isolated && !r.Cleared {
 		t.resolve(r, now)
 	} else if t.isResolved(r.Crash, now) {
@@ -105,10 +138,41 @@
 		h.cleared = append(h.cleared, r)
 	} else {
 		h.crashes = append(h.crashes, r)
+		h.triedAt = now
 	}
 	return true
 }
 
+// recordTrial records that a daemon lets a refused request run once more, and reports whether the request is known.
+func (t *Table) recordTrial(fingerprint uint64, now time.Time) bool {
+	s := &t.shards[fingerprint%shardCount]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := s.histories[fingerprint]
+	if h == nil || now.After(h.expires) {
+		return false
+	}
+	h.triedAt = now
+	return true
+}
+
+// Admit reports whether a request may run. A refused one may run once more from time to time; trial then tells the caller to send
+// a Record with Trial to the other daemons. wait is the time until the next trial of a request that may not run.
+func (t *Table) Admit(fingerprint uint64, now time.Time) (ok, trial bool, wait time.Duration) {
+	s := &t.shards[fingerprint%shardCount]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := s.histories[fingerprint]
+	if h == nil || now.After(h.expires) || !h.isRefused() {
+		return true, false, 0
+	}
+	if wait := h.nextTrial().Sub(now); wait > 0 {
+		return false, false, wait
+	}
+	h.triedAt = now
+	return true, true, 0
+}
+
 // resolve marks r's crash as caused by r's request, and removes the crash from all other requests.
 func (t *Table) resolve(r Record, now time.Time) {
 	t.mu.Lock()
@@ -167,6 +231,16 @@
 // Clear records that the request got further than at its crashes, and so was not their cause. It returns the records that
 // other daemons must add.
 func (t *Table) Clear(fingerprint uint64, now time.Time) []Record {
+	return t.clear(fingerprint, now, false)
+}
+
+// ClearAnswered records that the request got a complete answer, and so was not the cause of any crash. It returns the records that
+// other daemons must add.
+func (t *Table) ClearAnswered(fingerprint uint64, now time.Time) []Record {
+	return t.clear(fingerprint, now, true)
+}
+
+func (t *Table) clear(fingerprint uint64, now time.Time, answered bool) []Record {
 	s := &t.shards[fingerprint%shardCount]
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -176,7 +250,7 @@
 	}
 	cleared := h.crashes
 	for i := range cleared {
-		cleared[i].Cleared = true
+		cleared[i].Cleared, cleared[i].Answered = true, answered
 	}
 	h.cleared, h.crashes = append(h.cleared, cleared...), nil
 	return cleared
@@ -191,7 +265,7 @@
 	if h == nil || now.After(h.expires) {
 		return false
 	}
-	return len(h.crashes) >= MaxCrashes || len(h.crashes)+len(h.cleared) >= maxTotalCrashes
+	return h.isRefused()
 }
 
 // Records returns all records that have not expired, for daemons that have just started.
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -62,6 +62,7 @@
 	service          string
 	tokens           int64
 	prefillTokens    int64 // prompt tokens in prefill; 0 after the first token
+	Started          int64 // start time of the endpoint's process, see hostlist.Host
 	suspect          bool
 	exclusive        bool // no other daemon may have a suspect at the endpoint
 	endpoint         *endpoint
@@ -150,7 +151,7 @@
 	}
 	return Reservation{
 		ID: e.host.ID, Addr: e.host.Addr, Domain: e.host.Domain, service: q.Service, tokens: q.Tokens, prefillTokens: q.Prompt,
-		suspect: q.Suspect, exclusive: q.Suspect && e.hasRankZero(rules, now), endpoint: e, pending: pendingPrefillOf(q), reservedAt: now,
+		Started: e.host.Started, suspect: q.Suspect, exclusive: q.Suspect && e.hasRankZero(rules, now), endpoint: e, pending: pendingPrefillOf(q), reservedAt: now,
 		ExpectedDelay: q.expectedDelay, ExpectedUncached: q.Prompt,
 	}, true
 }
