httpconn, platform: a response that does not name its request is not believed on a kept connection

Here a refusal with the earlier ID was discarded before, but one without an ID was taken for that of the running request: the caller was told that it had not run, or it ran at a second endpoint. Requests that may run once use new connections and were safe; repeatable ones and streams were not. Class: the absence of a mark taken as agreement.

On a connection that was used before, a response without the ID now ends the exchange as one to another request.

--- a/engine/httpconn/pool.go
+++ b/engine/httpconn/pool.go
@@ -60,6 +60,7 @@
 	writer    *bufio.Writer
 	idleSince time.Time // when it was last put into the pool
 	expires   time.Time // not used from this time on; zero if only Spec.IdleTimeout applies
+	used      bool      // for an earlier request
 }
 
 // DialError means that no connection could be opened, so that nothing was sent.
@@ -83,6 +84,9 @@
 	// Matches reports whether a response belongs to the request; nil accepts every response. The first response that does
 	// not match is discarded, as the late response to an earlier request on the connection; after a second one, Do fails.
 	Matches func(*http.Response) bool
+	// Unnamed reports whether a response does not say to which request it belongs; nil means that none is like that. On a
+	// connection that was used before, it may be an earlier response sent once more: Do fails, since the request may run.
+	Unnamed func(*http.Response) bool
 }
 
 // errMismatch means that the responses on the connection do not belong to the request.
@@ -120,6 +124,7 @@
 			break
 		}
 		if c.usable(p.spec.Now(), p.spec.IdleTimeout) {
+			c.used = true
 			return c, nil
 		}
 		_ = c.Close()
@@ -219,6 +224,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if x.conn.used && r.Unnamed != nil && r.Unnamed(resp) {
+			return nil, errMismatch
+		}
 		if r.Matches == nil || r.Matches(resp) {
 			x.wrapBody(resp)
 			return resp, nil
