pool, platform: endpoints that say that they leave, or ask for a pause, get no requests

New on the users' pages: an endpoint that leaves says so in all its answers (Server-Leaving: 1), and one that turns a request away with 503 may ask for a pause (Retry-After, seconds). What a process says holds for that process, in this daemon, whatever the list says and even if its entry lapses and returns; a new process starts afresh. While all endpoints want a pause, requests that can't wait for its end are refused at once with the time to come back.

--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -160,6 +160,6 @@
 		queue.Infeasible: "Waiting is useless.",
 	}[r.Reason]
 	retry := min(max(r.Wait, defaultRetryAfter), maxRetryAfter)
-	return result.Newf(result.NoEndpoint, "%s Of %d endpoints, %d are out of service, %d failed, %d are full, %d lack memory, %d are too small for the request, %d gave no report.",
-		reason, s.Listed, s.DomainOut, s.Ejected, s.Full, s.TokensFull, s.TooLarge, s.Stale).WithRetryAfter(retry)
+	return result.Newf(result.NoEndpoint, "%s Of %d endpoints, %d are out of service, %d are leaving, %d failed or want no requests now, %d are full, %d lack memory, %d are too small for the request, %d gave no report.",
+		reason, s.Listed, s.DomainOut, s.Leaving, s.Ejected, s.Full, s.TokensFull, s.TooLarge, s.Stale).WithRetryAfter(retry)
 }
--- a/dispatch/routed.go
+++ b/dispatch/routed.go
@@ -233,7 +233,9 @@
 // nothing about the endpoint's speed.
 func (x *Exchange) recordAnswer(r *pool.Reservation, resp *engine.RoutedResponse, latency time.Duration, err error) {
 	measured := err == nil && resp.Status < 400
-	r.RecordRoutedHeader(latency, measured, resp.Load, resp.ColdFor, x.filter.spec.Now())
+	now := x.filter.spec.Now()
+	r.RecordRoutedHeader(latency, measured, resp.Load, resp.ColdFor, now)
+	r.RecordStatement(resp.Leaving, resp.BusyFor, now)
 }
 
 // describeAttempt describes an attempt that has not ended.
--- a/engine/routed.go
+++ b/engine/routed.go
@@ -60,6 +60,8 @@
 	HasConfidence bool
 	Load          *SlotLoad     // nil if the endpoint does not report it
 	ColdFor       time.Duration // time for which the endpoint stays cold, 0 if it is warm or does not report it
+	Leaving       bool          // the endpoint leaves and wants no more requests
+	BusyFor       time.Duration // time for which an endpoint that refused the request wants no more, 0 for none
 }
 
 // SlotLoad is the load that an endpoint reports with a response: running requests, waiting requests and its total
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -39,7 +39,7 @@
 
 // Shortage counts why the endpoints of a group could not be chosen.
 type Shortage struct {
-	Listed, DomainOut, Ejected, Full, TokensFull, TooLarge, Stale, Suspect, Excluded int
+	Listed, DomainOut, Leaving, Ejected, Full, TokensFull, TooLarge, Stale, Suspect, Excluded int
 	// RetryAt is the earliest time at which an ejected endpoint, or a cold one over its rate, may be used again;
 	// zero if there is none.
 	RetryAt time.Time
@@ -179,6 +179,8 @@
 		if s.RetryAt.IsZero() || retryAt.Before(s.RetryAt) {
 			s.RetryAt = retryAt
 		}
+	case refusedLeaving:
+		s.Leaving++
 	case refusedRelease, refusedModel:
 		s.Excluded++
 	}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -55,7 +55,8 @@
 	roundRobin   atomic.Uint64 // next index for RoundRobin
 	reachability *reachability
 
-	estimates *estimates // for the models of routed services
+	estimates  *estimates // for the models of routed services
+	statements *statements
 
 	mu        sync.Mutex // serializes rebuild
 	list      hostlist.List
@@ -92,7 +93,7 @@
 
 // New returns a pool without endpoints. Call SetView and SetHosts to fill it.
 func New(spec Spec) *Pool {
-	p := &Pool{spec: spec, endpoints: map[string]*endpoint{}, history: map[string]*limitHistory{}, estimates: newEstimates(), reachability: newReachability()}
+	p := &Pool{spec: spec, endpoints: map[string]*endpoint{}, history: map[string]*limitHistory{}, estimates: newEstimates(), statements: newStatements(), reachability: newReachability()}
 	p.members = members{self: spec.Self, settle: spec.Settle, departed: map[string]departedDaemon{}}
 	p.table.Store(&table{})
 	return p
@@ -208,12 +209,14 @@
 		key := xxhash.Sum64String(h.ID)
 		e = &endpoint{key: key, mu: &p.shards[key%shardCount]}
 		e.stagger = float64(rendezvous(xxhash.Sum64String(p.spec.Self), key)>>11) / (1 << 53)
+		e.stated = p.statements.of(h.ID, h.Started)
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if h.Started != e.host.Started && e.host.ID != "" { // the process restarted with the same ID
 		e.routed = routedState{}
 		e.failures, e.ejectedUntil = 0, time.Time{}
+		e.stated = p.statements.of(h.ID, h.Started)
 	}
 	e.host = h
 	e.local = h.Domain == p.spec.Domain
--- a/pool/routed.go
+++ b/pool/routed.go
@@ -102,7 +102,7 @@
 	t := p.table.Load()
 	for _, e := range t.groups[groupKey{service, ""}] {
 		e.mu.Lock()
-		if e.host.Release == release && !now.Before(e.ejectedUntil) && t.view.DomainInService(e.host.Domain) {
+		if e.host.Release == release && !e.stated.leaving && !now.Before(e.ejectedUntil) && !now.Before(e.stated.busyUntil) && t.view.DomainInService(e.host.Domain) {
 			n++
 		}
 		e.mu.Unlock()
--- a/pool/routedadmission.go
+++ b/pool/routedadmission.go
@@ -27,8 +27,10 @@
 		return refusedRelease, time.Time{}
 	case routed.Model != "" && len(e.host.Models) > 0 && !slices.Contains(e.host.Models, routed.Model):
 		return refusedModel, time.Time{}
-	case now.Before(e.ejectedUntil):
-		return refusedEjected, e.ejectedUntil
+	case e.stated.leaving:
+		return refusedLeaving, time.Time{}
+	case now.Before(e.ejectedUntil) || now.Before(e.stated.busyUntil):
+		return refusedEjected, later(e.ejectedUntil, e.stated.busyUntil)
 	case q.Suspect && e.suspects > 0:
 		return refusedSuspect, time.Time{}
 	}
@@ -86,3 +88,11 @@
 	}
 	return time.Duration((1 - e.routed.coldTokens) / rate * float64(time.Second))
 }
+
+// later returns the later one of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
