--- a/release/release.go
+++ b/release/release.go
@@ -24,9 +24,10 @@
 	promoteFrom = 0.52
 	// promoteReserve is the part of the duration before the deadline in which a version that is not suspicious is promoted
 	// whatever the traffic does.
-	promoteReserve = 0.06
-	// completeReserve is the part of the duration that is left for writing the completion, within its bounds.
-	completeReserve, minCompleteReserve, maxCompleteReserve = 0.03, 700 * time.Millisecond, 5 * time.Second
+	promoteReserve = 0.07
+	// completeReserve is the part of the duration that is left for writing the completion, and for the operators to see it, within
+	// its bounds.
+	completeReserve, minCompleteReserve, maxCompleteReserve = 0.045, 800 * time.Millisecond, 5 * time.Second
 	// minPromoted is the part of the duration for which all requests go to the new version before it is completed, unless it has
 	// given enoughAnswers by then.
 	minPromoted, enoughAnswers = 0.04, 30
@@ -113,10 +114,11 @@
 	return s.Evidence.newAnswers() >= minAnswers && float64(s.Evidence.Exposed)+upcoming <= allowed
 }
 
-// completeAt returns the time after the order at which a promoted version is completed.
+// completeAt returns the time after the order at which a promoted version is completed: late, since each answer until then counts,
+// and old endpoints finish their streams.
 func completeAt(r *object.Release) time.Duration {
-	reserve := min(max(time.Duration(completeReserve*float64(r.Duration)), minCompleteReserve), maxCompleteReserve)
-	return max(r.Duration-reserve, time.Duration((1-promoteReserve/2)*float64(r.Duration)))
+	reserve := time.Duration(completeReserve * float64(r.Duration))
+	return r.Duration - min(max(reserve, minCompleteReserve), maxCompleteReserve, r.Duration/4)
 }
 
 // InCanary reports whether a request belongs to the share that goes to the new version first. id is that of its session or,
