release: a strict limit on exposure delays the promotion

Found in reading: the plan promoted a version 7 % of its time before the deadline whatever the limit was, so that a limit below 7 % was exceeded by the plan itself. Class: a constant that fits the limits of today. It is now at most half of the limit's share. TestStrictLimitDelaysPromotion failed before (promoted with 6 % of the time left and a limit of 4 %) and passes now; nothing changes at 15 %.

--- a/release/release.go
+++ b/release/release.go
@@ -105,7 +105,7 @@
 		return false
 	}
 	remaining := max(0, r.Duration-s.Elapsed)
-	if float64(remaining) <= promoteReserve*float64(r.Duration) {
+	if float64(remaining) <= min(promoteReserve, limit.Share/2)*float64(r.Duration) { // a strict limit leaves less time
 		return true
 	}
 	rate := max(s.Rate, float64(s.Evidence.Requests)/max(1, s.Elapsed.Seconds()))
--- a/release/release_test.go
+++ b/release/release_test.go
@@ -158,3 +158,16 @@
 		t.Errorf("suspicion %.1f by streams that take three times as long in the mean", s)
 	}
 }
+
+// Guards against a strict limit that is exceeded because a version is promoted at a fixed time before its deadline.
+func TestStrictLimitDelaysPromotion(t *testing.T) {
+	rel := &object.Release{Service: "s", TargetVersion: "v2", Duration: 20 * time.Second}
+	s := State{Phase: Canary, Elapsed: 18800 * time.Millisecond, Evidence: evidence(5, 0, 0, 300, 3), Endpoints: 3}
+	if got := NextPhase(s, rel, Limit{Share: 0.04}); got != Canary {
+		t.Errorf("%s with 6 %% of the time left and a limit of 4 %%, want %s", got, Canary)
+	}
+	s.Elapsed = 19700 * time.Millisecond
+	if got := NextPhase(s, rel, Limit{Share: 0.04}); got != Promoted {
+		t.Errorf("%s with 1.5 %% of the time left and a limit of 4 %%, want %s", got, Promoted)
+	}
+}
