review: bodies that are arriving exhaust the memory of a host

A daemon reads bodies before it counts them towards its limit, so a tenant that uploads documents of the allowed size at 7.5 times its usual rate makes it exceed its host's memory. Its end cuts calls that were passed on.

How: review/3/run.sh runs two daemons with the memory of the site; the script kills a process that exceeds it, as the platform does, and starts it again. Calls on kept connections that ran and got no answer are counted.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -17,6 +17,7 @@
 var cases = map[string]func(rec *record, trouble bool) (bool, error){
 	"release": release,
 	"events":  longEvents,
+	"uploads": uploads,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
