review: idle connections beyond the operator's limit keep new callers out

The operator's limit for idle connections is decoded and not used. Connections stay open for two minutes, and a daemon with 3,000 of them accepts no more, while it says that it is ready.

When all have been idle for longer than the limit, eight new callers try for 5 s.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -16,6 +16,7 @@
 // cases are the scripted cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(rec *record, trouble bool) (bool, error){
 	"release": release,
+	"idle":    idle,
 	"events":  longEvents,
 	"uploads": uploads,
 }
