review: a 503 of a server that ran the call reaches the caller as a refusal

Shown: REFUSED. A call that may run once has run, the server fails it with 503 without saying that it has not run, and the daemon passes the 503 on, which promises the caller that it has not.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -18,6 +18,7 @@
 	"release": release,
 	"idle":    idle,
 	"events":  longEvents,
+	"refused": refused,
 	"uploads": uploads,
 }
 
