--- a/review/harness/world.go
+++ b/review/harness/world.go
@@ -95,9 +95,7 @@
 		d.signal(syscall.SIGCONT)
 		<-d.ended()
 	}
-	if os.Getenv("KEEP") == "" {
-		_ = os.RemoveAll(w.dir) // left-over files in the temporary folder do no harm
-	}
+	_ = os.RemoveAll(w.dir) // left-over files in the temporary folder do no harm
 }
 
 // endpoint is a server of a service, with its entry in the store.
