gateway, release: the stored end of a release is final

What callers saw: after a completed release, daemons that the store had turned away wrote rolled_back over completed, the others wrote completed over that, 31 times in 9 s.

Cause: a daemon kept its own final phase whatever the store said, and wrote it on the condition of the newest revision that it had read, which always held.

Change: a stored end is adopted and never overwritten. A state is written only over the state on which the decision was based, and only while the order is the same. A completion that peers announce, which is stored by then, overrules a daemon's own revert.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -77,6 +77,8 @@
 	Kind(key string) Kind
 	// Status encodes the entry that shows the state of a release to operators.
 	Status(r object.Release) (key string, value []byte, err error)
+	// OrderKey returns the key of the operators' order to release a version of a service.
+	OrderKey(service string) string
 }
 
 // Kind says what an entry of the store holds.
--- a/gateway/releases.go
+++ b/gateway/releases.go
@@ -175,7 +175,7 @@
 		t.sessions.MarkInUse(m.Session, now.Add(min(m.InUseFor, maxSessionHold)), now)
 		return
 	}
-	if p := release.Phase(m.Phase); p == release.Promoted && t.phase == release.Canary || p == release.Reverted && t.phase != release.Completed && t.phase != p {
+	if p := release.Hear(t.phase, release.Phase(m.Phase)); p != t.phase {
 		r.g.log.WithField("service", m.Service).WithField("order", m.Order).WithField("phase", t.phase).WithField("next", p).Info("release's phase heard")
 		r.enter(t, p)
 	}
@@ -254,13 +254,13 @@
 // on this daemon at once.
 func (r *releases) evaluate(rel *object.Release, now time.Time) {
 	t := r.track(rel, now)
-	stored := r.storedPhase(rel)
+	stored, ended := r.storedPhase(rel)
 	endpoints := r.g.pool.CountUsable(rel.Service, rel.TargetVersion, now)
 	r.mu.Lock()
 	before := t.phase
-	if t.phase != release.Reverted && t.phase != release.Completed && isLater(stored, t.phase) {
-		r.log(rel, t, stored).Info("release's phase learned")
-		r.enter(t, stored)
+	if p := release.Learn(t.phase, stored, ended); p != t.phase {
+		r.log(rel, t, p).Info("release's phase learned")
+		r.enter(t, p)
 	}
 	next := release.NextPhase(r.state(t, now, endpoints), rel, r.g.spec.Exposure)
 	if next == release.Reverted && t.phase != next { // a revert does not wait for other daemons
@@ -277,7 +277,7 @@
 		r.broadcast(notice.Message{Service: rel.Service, Order: rel.Order, Phase: string(after)})
 	}
 	r.sendEvidence(rel, t, now)
-	if due {
+	if due && !ended && after != release.Completed { // this daemon or another one has read the completion from the store
 		r.writeDecision(rel, t, next)
 	}
 }
@@ -306,29 +306,24 @@
 	return t
 }
 
-var phaseOrder = map[release.Phase]int{release.Canary: 0, release.Promoted: 1, release.Completed: 2, release.Reverted: 3}
-
-// isLater reports whether phase a comes after phase b.
-func isLater(a, b release.Phase) bool { return phaseOrder[a] > phaseOrder[b] }
-
 // releaseKey returns the key of the phaseRecord of a service's release.
 func releaseKey(service string) string { return releasePrefix + service + "/phase" }
 
-// storedPhase returns the phase that the daemons have agreed on: the final one if the release has ended, else that of the
-// phaseRecord in the store.
-func (r *releases) storedPhase(rel *object.Release) release.Phase {
+// storedPhase returns the phase that the daemons have agreed on, and whether the release has ended: the final one if it has, else that
+// of the phaseRecord in the store.
+func (r *releases) storedPhase(rel *object.Release) (p release.Phase, ended bool) {
 	if p, ok := finalPhase(rel); ok {
-		return p
+		return p, true
 	}
 	e, ok := r.g.view.entry(releaseKey(rel.Service))
 	if !ok {
-		return release.Canary
+		return release.Canary, false
 	}
-	var p phaseRecord
-	if err := json.Unmarshal(e.Value, &p); err != nil || p.Order != rel.Order {
-		return release.Canary // the record is damaged or of an earlier order
+	var record phaseRecord
+	if err := json.Unmarshal(e.Value, &record); err != nil || record.Order != rel.Order {
+		return release.Canary, false // the record is damaged or of an earlier order
 	}
-	return p.Phase
+	return record.Phase, false
 }
 
 // writeDecision stores a decision: the phase for the other daemons, and the state of the release for the operators.
@@ -340,7 +335,7 @@
 	case release.Reverted:
 		state = object.ReleaseRolledBack
 	case release.Promoted:
-		if r.storedPhase(rel) == release.Canary {
+		if stored, _ := r.storedPhase(rel); stored == release.Canary {
 			r.writePhase(rel, t, next)
 		}
 	}
@@ -354,7 +349,7 @@
 		r.g.log.WithError(err).Error("encoding the release's state failed")
 		return
 	}
-	if r.cas(key, value) {
+	if r.storeState(rel, key, value) {
 		r.mu.Lock()
 		r.log(rel, t, next).Info("state of the release written")
 		r.mu.Unlock()
@@ -380,6 +375,19 @@
 	r.broadcast(notice.Message{Service: rel.Service, Order: rel.Order, Phase: string(next)})
 }
 
+// storeState writes the state of a release over the one on which the decision was made, if the order is still in force. A decision on an
+// older state must not replace a newer one: the platform acts on each.
+func (r *releases) storeState(rel *object.Release, key string, value []byte) bool {
+	store, ok := r.g.spec.Store.(kv.ConditionalWriter)
+	if !ok {
+		_, err := r.g.spec.Store.CAS(r.g.ctx, key, value, rel.StateRevision, 0)
+		return r.written(key, err)
+	}
+	order := kv.Condition{Key: r.g.spec.Documents.OrderKey(rel.Service), Revision: rel.Order}
+	_, err := store.CASIf(r.g.ctx, order, key, value, rel.StateRevision, 0)
+	return r.written(key, err)
+}
+
 // cas writes a value if the entry still has the revision that this daemon knows. It returns false if another daemon was first or
 // the call failed.
 func (r *releases) cas(key string, value []byte) bool {
@@ -388,6 +396,11 @@
 		prev = e.Revision
 	}
 	_, err := r.g.spec.Store.CAS(r.g.ctx, key, value, prev, 0)
+	return r.written(key, err)
+}
+
+// written reports whether a write succeeded, and logs its failure unless another daemon was first.
+func (r *releases) written(key string, err error) bool {
 	if err != nil && !errors.Is(err, kv.ErrConflict) {
 		r.g.log.WithField("key", key).WithError(err).Warn("writing to the store failed")
 	}
--- a/gateway/view_test.go
+++ b/gateway/view_test.go
@@ -126,6 +126,8 @@
 
 func (fakeDocuments) Status(object.Release) (string, []byte, error) { return "", nil, nil }
 
+func (fakeDocuments) OrderKey(string) string { return "" }
+
 // testGateway returns a gateway of daemon "d0" in failure domain "a", with a plain service "s".
 func testGateway(store kv.Store) *Gateway {
 	log := logrus.New()
--- a/kv/kv.go
+++ b/kv/kv.go
@@ -32,6 +32,18 @@
 	GetStale(ctx context.Context, key string) (Entry, error)
 }
 
+// Condition is met while the entry of a key has a revision; revision 0 requires that the key does not exist.
+type Condition struct {
+	Key      string
+	Revision uint64
+}
+
+// ConditionalWriter is a Store whose writes can depend on other entries than the one that is written.
+type ConditionalWriter interface {
+	// CASIf is CAS that also returns ErrConflict, and writes nothing, if the condition is not met.
+	CASIf(ctx context.Context, c Condition, key string, value []byte, prev uint64, lease LeaseID) (uint64, error)
+}
+
 // LeaseID identifies a lease. Zero means no lease.
 type LeaseID uint64
 
--- a/kv/memkv/store.go
+++ b/kv/memkv/store.go
@@ -63,24 +63,29 @@
 
 // CAS implements kv.Store.
 func (s *Store) CAS(ctx context.Context, key string, value []byte, prev uint64, id kv.LeaseID) (uint64, error) {
+	return s.CASIf(ctx, kv.Condition{Key: key, Revision: prev}, key, value, prev, id)
+}
+
+// CASIf implements kv.ConditionalWriter.
+func (s *Store) CASIf(ctx context.Context, c kv.Condition, key string, value []byte, prev uint64, id kv.LeaseID) (uint64, error) {
 	if err := s.Faults.beforeCall(ctx, CallCAS); err != nil {
 		return 0, err
 	}
-	rev, err := s.cas(key, value, prev, id)
+	rev, err := s.cas(c, key, value, prev, id)
 	if err != nil {
 		return 0, err
 	}
 	return rev, s.Faults.afterWrite(ctx, key)
 }
 
-func (s *Store) cas(key string, value []byte, prev uint64, id kv.LeaseID) (uint64, error) {
+func (s *Store) cas(c kv.Condition, key string, value []byte, prev uint64, id kv.LeaseID) (uint64, error) {
 	if len(value) > kv.MaxValueBytes {
 		return 0, kv.ErrTooLarge
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expireLeases()
-	if s.entries[key].Revision != prev {
+	if s.entries[key].Revision != prev || s.entries[c.Key].Revision != c.Revision {
 		return 0, kv.ErrConflict
 	}
 	if id != 0 {
--- a/object/route.go
+++ b/object/route.go
@@ -69,6 +69,8 @@
 	State         ReleaseState  `json:"state"`
 	// Order identifies the operators' order, so that a later order for the same version is a different release.
 	Order uint64 `json:"order"`
+	// StateRevision is the revision of the entry with the state, 0 if there is none yet. A new state is only stored over that entry.
+	StateRevision uint64 `json:"stateRevision,omitempty"`
 	// Announced means that the state has been reported to the operators.
 	Announced bool `json:"announced,omitempty"`
 }
--- a/observe/store.go
+++ b/observe/store.go
@@ -39,6 +39,16 @@
 	return s.Store.CAS(ctx, key, value, prev, lease)
 }
 
+// CASIf implements kv.ConditionalWriter. If the wrapped store does not, the condition is not checked.
+func (s InstrumentedStore) CASIf(ctx context.Context, c kv.Condition, key string, value []byte, prev uint64, lease kv.LeaseID) (rev uint64, err error) {
+	w, ok := s.Store.(kv.ConditionalWriter)
+	if !ok {
+		return s.CAS(ctx, key, value, prev, lease)
+	}
+	defer func(t time.Time) { s.record("cas", t, err) }(time.Now())
+	return w.CASIf(ctx, c, key, value, prev, lease)
+}
+
 // Delete implements kv.Store.
 func (s InstrumentedStore) Delete(ctx context.Context, key string, prev uint64) (err error) {
 	defer func(t time.Time) { s.record("delete", t, err) }(time.Now())
--- a/release/release.go
+++ b/release/release.go
@@ -50,6 +50,33 @@
 	Reverted  Phase = "reverted"  // none
 )
 
+// phaseOrder is the order in which phases follow each other.
+var phaseOrder = map[Phase]int{Canary: 0, Promoted: 1, Completed: 2, Reverted: 3}
+
+// isFinal reports whether no phase follows p.
+func (p Phase) isFinal() bool { return p == Completed || p == Reverted }
+
+// Learn returns the phase of a daemon in phase own after it has read the stored one. ended says that the store holds an end of the release that
+// the operators have been shown. Such an end is in force whatever the daemon found out by itself: endpoints have been stopped because of it.
+func Learn(own, stored Phase, ended bool) Phase {
+	if ended || !own.isFinal() && phaseOrder[stored] > phaseOrder[own] {
+		return stored
+	}
+	return own
+}
+
+// Hear returns the phase of a daemon in phase own after another daemon has announced one. A completion is announced only once it is
+// stored, so it is final; a revert takes effect before that.
+func Hear(own, announced Phase) Phase {
+	switch {
+	case announced == Completed,
+		announced == Promoted && own == Canary,
+		announced == Reverted && own != Completed:
+		return announced
+	}
+	return own
+}
+
 // State is what is known about a release when the next phase is decided.
 type State struct {
 	Phase   Phase
@@ -66,7 +93,7 @@
 // A version is completed only if the evidence since its promotion shows no sign of a regression. An uncertain one stays as it
 // is, beyond its deadline if need be, until the evidence decides.
 func NextPhase(s State, r *object.Release, limit Limit) Phase {
-	if s.Phase == Completed || s.Phase == Reverted {
+	if s.Phase.isFinal() {
 		return s.Phase
 	}
 	suspicion := s.suspicion()
