relay: a line that fills the read buffer does not end its event

Cause: EventReader looked for the blank line in what the last read returned; behind a full buffer that is only the rest of a line.

Change: it looks at the line from its start.

--- a/relay/events.go
+++ b/relay/events.go
@@ -36,27 +36,29 @@
 // event, and ErrMalformedEvent for an event that is too large or has an invalid ID.
 func (r *EventReader) Next() (event []byte, id int64, err error) {
 	r.event = r.event[:0]
+	lineStart := 0 // in r.event, of the line that is being read
 	for {
-		line, err := r.reader.ReadSlice('\n')
-		r.event = append(r.event, line...)
+		part, err := r.reader.ReadSlice('\n')
+		r.event = append(r.event, part...)
 		switch {
 		case len(r.event) > maxEventBytes:
 			return nil, 0, fmt.Errorf("%w: larger than %d bytes", ErrMalformedEvent, maxEventBytes)
 		case errors.Is(err, bufio.ErrBufferFull):
-			continue
+			continue // the line goes on
 		case err == io.EOF && len(r.event) > 0:
 			return nil, 0, io.ErrUnexpectedEOF
 		case err != nil:
 			return nil, 0, err
 		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
-			if len(r.event) == len(line) { // blank lines between events
-				r.event = r.event[:0]
-				continue
-			}
+		isBlank := len(bytes.TrimRight(r.event[lineStart:], "\r\n")) == 0
+		switch {
+		case isBlank && lineStart == 0: // between events
+			r.event = r.event[:0]
+		case isBlank:
 			id, err := eventID(r.event)
 			return r.event, id, err
 		}
+		lineStart = len(r.event)
 	}
 }
 
--- a/relay/events_test.go
+++ b/relay/events_test.go
@@ -3,8 +3,10 @@
 import (
 	"errors"
 	"io"
+	"slices"
 	"strings"
 	"testing"
+	"testing/iotest"
 )
 
 // readEvents returns the text and the IDs of all events in r, and the error that ended it.
@@ -51,6 +53,25 @@
 	}
 }
 
+// Guards against lines that are cut where the read buffer is full: the end of the line was taken for the blank line that ends the event, and
+// the event was joined to the next one.
+func TestLinesAroundTheBufferSize(t *testing.T) {
+	for _, lineBreak := range []string{"\n", "\r\n"} {
+		for _, size := range []int{eventBufferSize, 2 * eventBufferSize, 15 * eventBufferSize} {
+			for n := size - 3; n <= size+3; n++ {
+				long := "data: " + strings.Repeat("a", n-len("data: "))
+				in := strings.ReplaceAll("id: 1\n"+long+"\n\nid: 2\n"+long+"\ndata: b\n\nid: 3\ndata: c\n\n", "\n", lineBreak)
+				for name, reader := range map[string]io.Reader{"at once": strings.NewReader(in), "byte by byte": iotest.OneByteReader(strings.NewReader(in))} {
+					out, ids, err := readEvents(reader)
+					if err != io.EOF || out != in || !slices.Equal(ids, []int64{1, 2, 3}) {
+						t.Errorf("line of %d bytes ended by %q, read %s: %d of %d bytes in events %v, error %v", n, lineBreak, name, len(out), len(in), ids, err)
+					}
+				}
+			}
+		}
+	}
+}
+
 // FuzzEventReader guards against panics and against events that have more bytes than the stream.
 func FuzzEventReader(f *testing.F) {
 	f.Add("id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
