pipeline, dispatch, platform: only a refusal that an endpoint states reaches callers as one

Cause: 408, 421, 429 and 503 were held back only in the router's own errors. An endpoint's answer with such a status was passed on unchanged, and any 421 was taken for the refusal of another endpoint.

Change: such an answer is a failure of the endpoint unless it states that the request has not run. What may be repeated is tried elsewhere, other callers get 502 without seal. Plain services of bramleyd no longer set the router's headers, and such a status of theirs comes with Bramley-Ran: unknown.

--- a/dispatch/routed.go
+++ b/dispatch/routed.go
@@ -68,6 +68,9 @@
 	Abandoned bool
 }
 
+// IsFailure reports whether the attempt got an answer that reports a failure of the endpoint itself.
+func (a *RoutedAttempt) IsFailure() bool { return isFailure(a.Status) }
+
 // Exchange is a routed request with the limits and the state of its attempts. It must be used by one goroutine.
 type Exchange struct {
 	filter *Filter
--- a/dispatch/routedanswer.go
+++ b/dispatch/routedanswer.go
@@ -26,6 +26,13 @@
 	survival    survival
 }
 
+// IsFailure reports whether the answer reports a failure of the endpoint itself.
+func (a *RoutedAnswer) IsFailure() bool { return isFailure(a.Status) }
+
+// isFailure reports whether a status is that of a failed endpoint. A refusal counts as one if the endpoint does not state that it has not run the
+// request: such a statement is an error of the attempt, and no answer.
+func isFailure(status int) bool { return status >= 500 || result.PromisesNotRun(status) }
+
 // Retry closes an answer that reports a failure of the endpoint itself if another endpoint may be tried, and reports
 // whether that is so. The caller then calls Exchange.Do again.
 func (a *RoutedAnswer) Retry() bool {
@@ -105,7 +112,7 @@
 // status.
 func routedOutcome(err error, status int) pool.Outcome {
 	switch {
-	case errors.Is(err, engine.ErrFailed) || err == nil && status >= 500:
+	case errors.Is(err, engine.ErrFailed) || err == nil && isFailure(status):
 		return pool.EndpointError
 	case err == nil:
 		return pool.Succeeded
--- a/dispatch/routedcrash.go
+++ b/dispatch/routedcrash.go
@@ -157,7 +157,7 @@
 // prompt. The end of a resumed stream to which this endpoint added nothing does not show that.
 func (a *RoutedAnswer) Complete() {
 	x := a.exchange
-	if a.Status >= 500 || x.in.Request.LastEvent > 0 && a.survival.begunAt.IsZero() {
+	if a.IsFailure() || x.in.Request.LastEvent > 0 && a.survival.begunAt.IsZero() {
 		return
 	}
 	spec := &x.filter.spec
--- a/gateway/releaseevidence.go
+++ b/gateway/releaseevidence.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"net/http"
 	"time"
 
 	"github.com/bramleytrail/bramleytrail/dispatch"
@@ -189,7 +188,7 @@
 // version, and neither does one whose caller left, unless it was slow by then.
 func (r *releases) end(a dispatch.RoutedAttempt) {
 	judged := !errors.Is(a.Err, engine.ErrUnreachable) && !errors.Is(a.Err, engine.ErrBusy) && !errors.Is(a.Err, engine.ErrMisdirected)
-	failed := (a.Err != nil || a.Status >= http.StatusInternalServerError) && !a.Abandoned
+	failed := (a.Err != nil || a.IsFailure()) && !a.Abandoned
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t, isNew := r.runningFor(a.Service, a.Release)
--- a/pipeline/plain.go
+++ b/pipeline/plain.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strings"
 
 	"github.com/bramleytrail/bramleytrail/bill"
 	"github.com/bramleytrail/bramleytrail/claim"
@@ -153,16 +154,22 @@
 	return nil
 }
 
+// routerHeaderPrefix is the prefix of the headers in which the router makes statements to callers, as opposed to endpoints.
+const routerHeaderPrefix = "Bramley-"
+
 // relay sends the answer except for its end, and keeps up to claim.MaxBodyBytes bytes of the body.
 func (s *plainStages) relay() error {
 	s.setStage(StageRelay)
 	s.respHeader = s.r.answerHeader()
 	for name, values := range s.answer.Header {
-		if name == "Connection" || name == "Transfer-Encoding" || name == "Content-Length" || name == "Keep-Alive" {
+		if name == "Connection" || name == "Transfer-Encoding" || name == "Content-Length" || name == "Keep-Alive" || strings.HasPrefix(name, routerHeaderPrefix) {
 			continue
 		}
 		s.respHeader[name] = values
 	}
+	if result.PromisesNotRun(s.answer.Status) { // only the router can promise that
+		s.respHeader.Set(relay.HeaderRan, result.RunUnknown.String())
+	}
 	err := s.caller.Begin(s.answer.Status, s.respHeader)
 	if err != nil {
 		err = &result.Error{Code: result.CallerGone, Ran: result.DidRun, Err: err}
--- a/pipeline/routed.go
+++ b/pipeline/routed.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"math"
-	"net/http"
 	"strings"
 	"time"
 
@@ -280,7 +279,7 @@
 		if err != nil {
 			return err
 		}
-		failed := answer.Status >= http.StatusInternalServerError
+		failed := answer.IsFailure()
 		s.recordSessionUse(answer.Release, false)
 		if failed && answer.Retry() {
 			continue
--- a/pipeline/routedrelay.go
+++ b/pipeline/routedrelay.go
@@ -23,8 +23,11 @@
 }
 
 // beginAnswer sends the status and header. The header has a Content-Length if the length of the answer is known, except for
-// routes with streams.
+// routes with streams. A status that promises that the request has not run is not sent, since the endpoint may have run it.
 func (s *routedStages) beginAnswer() error {
+	if result.PromisesNotRun(s.answer.Status) {
+		return &result.Error{Code: result.EndpointFailed, Ran: result.RunUnknown, Err: fmt.Errorf("status %d of an endpoint that may have run the request", s.answer.Status)}
+	}
 	h := s.answer.Header
 	if s.answer.Length >= 0 && !s.route.Stream {
 		h.Set("Content-Length", strconv.FormatInt(s.answer.Length, 10))
--- a/standin/plain.go
+++ b/standin/plain.go
@@ -30,6 +30,7 @@
 	runs          []PlainRun
 	repliesToDrop int
 	repliesToCut  int
+	failStatus    int           // of the replies to executed calls; 0 for a success
 	held          chan struct{} // if not nil, calls wait for its close before they reply
 	down          bool
 }
@@ -51,6 +52,13 @@
 	p.repliesToCut = n
 }
 
+// FailWith makes calls execute and then reply with a status, and with the statement that they did not run. 0 ends this.
+func (p *PlainService) FailWith(status int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.failStatus = status
+}
+
 // SetDown makes the service drop the connection of every request before it executes anything, and of calls in progress instead
 // of a reply.
 func (p *PlainService) SetDown(down bool) {
@@ -109,7 +117,7 @@
 	}
 	p.mu.Lock()
 	p.runs = append(p.runs, PlainRun{Key: r.Header.Get("Idempotency-Key"), Method: r.Method, Path: r.URL.RequestURI(), Body: string(body), Team: r.Header.Get("Bramley-Team")})
-	drop, held := p.repliesToDrop > 0, p.held
+	drop, held, status := p.repliesToDrop > 0, p.held, p.failStatus
 	if drop {
 		p.repliesToDrop--
 	}
@@ -131,6 +139,10 @@
 	if cut {
 		sendPartialReply(w, reply)
 	}
+	if status != 0 {
+		w.Header().Set("Bramley-Ran", "no")
+		w.WriteHeader(status)
+	}
 	replyJSON(w, reply)
 }
 
