httpengine, peer, hostlist, rating, weight: bytes without end don't fill the memory

What operators of similar systems saw: a faulty endpoint sent bytes without end, the machine kept them all and ran out of memory.

Here it could happen in three places: an event of an engine whose lines are short (only a line was bounded), answers of the host list, the rating service and the weight store (not bounded at all), and messages between daemons (1 GiB, the limit of gob, also after decompression).

Change: each has a limit. An event of an engine may have 64 KiB in all its lines.

--- a/engine/httpengine/stream.go
+++ b/engine/httpengine/stream.go
@@ -16,8 +16,8 @@
 // streamBufSize is the size in bytes of a stream's read buffer; an event has about 200 bytes.
 const streamBufSize = 1 << 10
 
-// maxLineBytes limits one line of an event stream.
-const maxLineBytes = 64 << 10
+// maxEventBytes limits the lines of one event of a stream in total. An engine that never ends an event must not fill the daemon's memory.
+const maxEventBytes = 64 << 10
 
 var doneMarker = []byte("[DONE]")
 
@@ -62,16 +62,19 @@
 // readEvent returns the id and data of the next event that has data. A body that ends without the [DONE] marker is a
 // broken stream, even if its HTTP framing is complete.
 func (s *stream) readEvent() (id, data []byte, err error) {
+	remaining := maxEventBytes
 	for {
-		line, err := s.readLine()
+		line, read, err := s.readLine(remaining)
 		if err != nil {
 			return nil, nil, err
 		}
+		remaining -= read
 		switch {
 		case len(line) == 0:
 			if data != nil {
 				return id, data, nil
 			}
+			remaining = maxEventBytes
 		case bytes.HasPrefix(line, []byte("id:")):
 			id = append([]byte(nil), bytes.TrimSpace(line[3:])...)
 		case bytes.HasPrefix(line, []byte("data:")):
@@ -80,19 +83,19 @@
 	}
 }
 
-func (s *stream) readLine() ([]byte, error) {
-	var line []byte
+// readLine returns the next line without its line break, and the number of bytes read. It fails if these are more than limit.
+func (s *stream) readLine(limit int) (line []byte, read int, err error) {
 	for {
 		part, err := s.reader.ReadSlice('\n')
 		line = append(line, part...)
 		switch {
+		case len(line) > limit:
+			return nil, 0, fmt.Errorf("%w: event of the stream exceeds %d bytes", engine.ErrBroken, maxEventBytes)
 		case err == nil:
-			return bytes.TrimRight(line, "\r\n"), nil
+			return bytes.TrimRight(line, "\r\n"), len(line), nil
 		case !errors.Is(err, bufio.ErrBufferFull):
 			s.onError()
-			return nil, fmt.Errorf("%w: %w", engine.ErrBroken, err)
-		case len(line) > maxLineBytes:
-			return nil, fmt.Errorf("%w: line of the event stream exceeds %d bytes", engine.ErrBroken, maxLineBytes)
+			return nil, 0, fmt.Errorf("%w: %w", engine.ErrBroken, err)
 		}
 	}
 }
--- a/hostlist/http.go
+++ b/hostlist/http.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -32,6 +33,9 @@
 // Close closes idle connections.
 func (s *HTTPSource) Close() { s.http.CloseIdleConnections() }
 
+// maxListBytes bounds the decompressed host list.
+const maxListBytes = 16 << 20
+
 // List implements Source.
 func (s *HTTPSource) List(ctx context.Context, known uint64) (List, error) {
 	var list List
@@ -50,7 +54,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return list, fmt.Errorf("read host list: HTTP status %d", resp.StatusCode)
 	}
-	if err := json.NewDecoder(resp.Body).Decode(&list); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxListBytes)).Decode(&list); err != nil {
 		return list, fmt.Errorf("decode host list: %w", err)
 	}
 	return list, nil
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -5,6 +5,7 @@
 	"compress/flate"
 	"encoding/gob"
 	"fmt"
+	"io"
 	"net"
 	"net/rpc"
 	"strings"
@@ -72,6 +73,7 @@
 	conn    *meteredConn
 	traffic Traffic
 	reader  *bufio.Reader
+	message *messageReader // from which dec reads
 	dec     *gob.Decoder
 	enc     *gob.Encoder
 	writer  *bufio.Writer
@@ -95,7 +97,41 @@
 	c.compressor = compressorPool.Get().(*flate.Writer)
 	c.compressor.Reset(c.writer)
 	c.enc = gob.NewEncoder(c.compressor)
-	c.dec = gob.NewDecoder(flate.NewReader(c.reader))
+	c.decodeFrom(flate.NewReader(c.reader))
+}
+
+// maxMessageBytes bounds a decompressed message. gob itself would accept a gigabyte.
+const maxMessageBytes = 16 << 20
+
+// errMessageTooLarge means that a peer sent more than maxMessageBytes.
+var errMessageTooLarge = fmt.Errorf("peer: message of more than %d bytes", maxMessageBytes)
+
+// messageReader reads messages and bounds the size of each.
+type messageReader struct {
+	source    io.Reader
+	remaining int // bytes of the current message
+}
+
+// Read implements io.Reader.
+func (r *messageReader) Read(p []byte) (int, error) {
+	if r.remaining <= 0 {
+		return 0, errMessageTooLarge
+	}
+	n, err := r.source.Read(p[:min(len(p), r.remaining)])
+	r.remaining -= n
+	return n, err
+}
+
+// decodeFrom makes the codec read its messages from a connection.
+func (c *codec) decodeFrom(r io.Reader) {
+	c.message = &messageReader{source: r}
+	c.dec = gob.NewDecoder(c.message)
+}
+
+// readHeader decodes the header of the next message.
+func (c *codec) readHeader(header any) error {
+	c.message.remaining = maxMessageBytes
+	return c.dec.Decode(header)
 }
 
 // negotiate waits for the first byte of the client and enables compression if it is compressedMarker.
@@ -111,7 +147,8 @@
 		c.compress()
 		return err
 	}
-	c.enc, c.dec = gob.NewEncoder(c.writer), gob.NewDecoder(c.reader)
+	c.enc = gob.NewEncoder(c.writer)
+	c.decodeFrom(c.reader)
 	return nil
 }
 
@@ -190,7 +227,7 @@
 
 // ReadResponseHeader implements rpc.ClientCodec.
 func (c clientCodec) ReadResponseHeader(r *rpc.Response) error {
-	if err := c.dec.Decode(r); err != nil {
+	if err := c.readHeader(r); err != nil {
 		return err
 	}
 	c.mu.Lock()
@@ -213,7 +250,7 @@
 			return err
 		}
 	}
-	if err := c.dec.Decode(r); err != nil {
+	if err := c.readHeader(r); err != nil {
 		return err
 	}
 	c.readMethod = r.ServiceMethod
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -106,6 +106,31 @@
 	}
 }
 
+// Guards against a peer whose message has no end, or takes far more memory than bytes on the connection: the daemon would keep all of it.
+func TestLargestMessageIsBounded(t *testing.T) {
+	for name, connect := range map[string]func(net.Conn) *rpc.Client{
+		"compressed":   func(c net.Conn) *rpc.Client { return rpc.NewClientWithCodec(newClientCodec(c, nil)) },
+		"uncompressed": func(c net.Conn) *rpc.Client { return rpc.NewClient(c) },
+	} {
+		for _, size := range []int{maxMessageBytes / 2, 2 * maxMessageBytes} {
+			n, err := New(Spec{Self: hostlist.Host{ID: "a"}, Handler: nopHandler{}, Poison: poison.NewTable(), Now: time.Now, Dial: noDial}, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			a, b := net.Pipe()
+			var wg sync.WaitGroup
+			wg.Go(func() { n.server.ServeCodec(serverCodec{newCodec(b, nil)}) })
+			c := connect(a)
+			err = c.Call(serviceName+".Digest", DigestArgs{From: strings.Repeat("x", size)}, &DigestReply{})
+			if accepted := err == nil; accepted != (size < maxMessageBytes) {
+				t.Errorf("%s message of %d bytes: error %v", name, size, err)
+			}
+			_ = c.Close()
+			wg.Wait()
+		}
+	}
+}
+
 // Guards against a server that can't talk to daemons of an earlier version, which do not compress their connections.
 // Both versions run during a rolling upgrade.
 func TestServerAcceptsUncompressedClients(t *testing.T) {
--- a/rating/http.go
+++ b/rating/http.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -31,6 +32,9 @@
 	return &HTTPSource{baseURL: baseURL, client: &http.Client{Transport: transport, Timeout: callTimeout}}
 }
 
+// maxPageBytes bounds a page of ratings.
+const maxPageBytes = 16 << 20
+
 // After implements Source.
 func (s *HTTPSource) After(ctx context.Context, cursor uint64, limit int) (Page, error) {
 	var page Page
@@ -47,7 +51,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return page, fmt.Errorf("rating service: read ratings after %d: unexpected status %d", cursor, resp.StatusCode)
 	}
-	if err := json.NewDecoder(resp.Body).Decode(&page); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxPageBytes)).Decode(&page); err != nil {
 		return page, fmt.Errorf("rating service: decode ratings after %d: %w", cursor, err)
 	}
 	return page, nil
--- a/weight/http.go
+++ b/weight/http.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -29,6 +30,9 @@
 	return &HTTPStore{baseURL: baseURL, client: &http.Client{Transport: transport, Timeout: callTimeout}}
 }
 
+// maxTicketBytes bounds the answer to a reservation.
+const maxTicketBytes = 64 << 10
+
 // Reserve implements Store.
 func (s *HTTPStore) Reserve(ctx context.Context, version string) (Ticket, error) {
 	var ticket Ticket
@@ -48,7 +52,7 @@
 	default:
 		return ticket, fmt.Errorf("weight store: reserve load of version %q: unexpected status %d", version, resp.StatusCode)
 	}
-	if err := json.NewDecoder(resp.Body).Decode(&ticket); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxTicketBytes)).Decode(&ticket); err != nil {
 		return ticket, fmt.Errorf("weight store: decode ticket for version %q: %w", version, err)
 	}
 	return ticket, nil
