relay, pipeline: events larger than the buffer are passed on in parts

What callers saw: a stream with an event of more than 64 KiB was cut there, at each endpoint, and never completed.

Cause: the reader held an event until it was complete, and took one that filled its buffer for malformed.

Change: an event that fills the buffer and whose ID is known is passed on in parts. A stream that breaks off within it ends visibly incomplete and is not continued, since a part of the event was sent. Smaller events are still sent only when they are complete.

--- a/pipeline/routedrelay.go
+++ b/pipeline/routedrelay.go
@@ -196,6 +196,9 @@
 			return err
 		case id > 0 && id <= s.lastEventID:
 			empty = false
+			if err := copyRest(events, io.Discard); err != nil {
+				return err
+			}
 			continue // sent before the stream broke
 		case id > 0 && s.lastEventID > 0 && id != s.lastEventID+1:
 			return fmt.Errorf("%w: event %d follows event %d", relay.ErrMalformedEvent, id, s.lastEventID)
@@ -214,8 +217,12 @@
 		if _, err := s.caller.Write(event); err != nil {
 			return fmt.Errorf("%w: %w", errCallerWrite, err)
 		}
+		hasData := relay.HasData(event)
+		if err := copyRest(events, callerWriter{s.caller}); err != nil {
+			return fmt.Errorf("%w: %w", errTornEvent, err)
+		}
 		s.lastEventID = max(s.lastEventID, id)
-		if !relay.HasData(event) {
+		if !hasData {
 			continue
 		}
 		stallTimer.Progress()
@@ -231,6 +238,24 @@
 	}
 }
 
+// copyRest copies the parts of an event that follow its first one, if there are any.
+func copyRest(events *relay.EventReader, w io.Writer) error {
+	for events.Continues() {
+		part, _, err := events.Next()
+		if err != nil {
+			return err
+		}
+		if _, err := w.Write(part); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// errTornEvent is wrapped by the error of a stream that broke off within an event of which a part was sent. It can't be continued: the caller would
+// get that part twice.
+var errTornEvent = errors.New("stream broke off within a large event")
+
 // maxHeldBytes bounds the events without data before the first one with data.
 const maxHeldBytes = 16 << 10
 
@@ -252,7 +277,7 @@
 // resume continues a stream that failed with cause at another endpoint, after the last event that was sent. begun says that
 // the header was sent. It fails if the caller left, the deadline passed, or the route does not allow streams to be resumed.
 func (s *routedStages) resume(ctx context.Context, begun bool, cause error) error {
-	if errors.Is(cause, errCallerWrite) || ctx.Err() != nil || !s.route.Resumable {
+	if errors.Is(cause, errCallerWrite) || errors.Is(cause, errTornEvent) || ctx.Err() != nil || !s.route.Resumable {
 		return s.abortAnswer(ctx, cause)
 	}
 	var e *result.Error
--- a/relay/events_test.go
+++ b/relay/events_test.go
@@ -37,9 +37,11 @@
 		"without number": {"data: a\n\n", "data: a\n\n", []int64{0}, io.EOF},
 		"blank lines":    {"\n\nid: 1\n\n\n", "id: 1\n\n", []int64{1}, io.EOF},
 		"bad number":     {"id: x\n\n", "", nil, ErrMalformedEvent},
+		"ID behind data": {"data: " + strings.Repeat("a", maxEventBytes) + "\nid: 1\n\n", "", nil, ErrMalformedEvent},
 		"empty":          {"", "", nil, io.EOF},
 		"long":           {"id: 1\ndata: " + strings.Repeat("a", 10000) + "\n\n", "id: 1\ndata: " + strings.Repeat("a", 10000) + "\n\n", []int64{1}, io.EOF},
 		"too long":       {strings.Repeat("a", maxEventBytes+1), "", nil, ErrMalformedEvent},
+		"no ID in time":  {strings.Repeat("event: a\n", maxEventBytes/9+1) + "id: 1\ndata: a\n\n", "", nil, ErrMalformedEvent},
 	} {
 		out, numbers, err := readEvents(strings.NewReader(tc.in))
 		if out != tc.out || len(numbers) != len(tc.numbers) || !errors.Is(err, tc.err) {
@@ -72,6 +74,48 @@
 	}
 }
 
+// Guards against events larger than the reader's buffer that are cut, or whose parts are taken for events of their own.
+func TestEventsLargerThanTheBuffer(t *testing.T) {
+	for _, size := range []int{maxEventBytes - 20, maxEventBytes, 3 * maxEventBytes, 10*maxEventBytes + 1} {
+		for name, large := range map[string]string{
+			"one line":   "id: 2\ndata: " + strings.Repeat("a", size) + "\n\n",
+			"many lines": "id: 2\n" + strings.Repeat("data: a\n", size/8) + "\n",
+			"two fields": "id: 2\ndata: " + strings.Repeat("a", size) + "\nretry: 1\n\n",
+		} {
+			in := "id: 1\ndata: a\n\n" + large + "id: 3\ndata: b\n\n"
+			r := NewEventReader(strings.NewReader(in))
+			var out strings.Builder
+			var ids []int64
+			inEvent := false
+			for {
+				part, id, err := r.Next()
+				if err == io.EOF {
+					break
+				}
+				if err != nil || len(part) > maxEventBytes+eventBufferSize {
+					t.Fatalf("%s of %d bytes: part of %d bytes, error %v", name, size, len(part), err)
+				}
+				out.Write(part)
+				if !inEvent {
+					ids = append(ids, id)
+				}
+				inEvent = r.Continues()
+			}
+			if out.String() != in || !slices.Equal(ids, []int64{1, 2, 3}) || inEvent {
+				t.Errorf("%s of %d bytes: %d of %d bytes in events %v, still in an event: %t", name, size, out.Len(), len(in), ids, inEvent)
+			}
+			torn := NewEventReader(strings.NewReader(in[:len("id: 1\ndata: a\n\n")+len(large)-1]))
+			err := error(nil)
+			for err == nil {
+				_, _, err = torn.Next()
+			}
+			if err != io.ErrUnexpectedEOF {
+				t.Errorf("%s of %d bytes without its end: error %v, want %v", name, size, err, io.ErrUnexpectedEOF)
+			}
+		}
+	}
+}
+
 // FuzzEventReader guards against panics and against events that have more bytes than the stream.
 func FuzzEventReader(f *testing.F) {
 	f.Add("id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
