notice, gateway: messages between daemons are counted and logged by kind

Nothing told whether the messages of a relay or those that it receives fill its link. Counters by kind and direction, and a line when messages of a second exceed a tenth of the link in one direction.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -139,6 +139,7 @@
 	releases      *releases
 	crashes       *crashReports
 	suspects      *suspect.Keeper
+	traffic       *peerTraffic
 	readyServer   *http.Server
 	metricsServer *http.Server
 	readyAddr     string
@@ -164,6 +165,7 @@
 	debug.SetMemoryLimit(int64(heapMemoryShare * float64(s.MemoryBytes)))
 	g.pool = pool.New(pool.Spec{Self: s.Name, Domain: s.Domain, Settle: settleTime, RestartDetection: s.Heartbeat + s.Propagation, Rand: mathrand.Uint64, OnCapacity: g.signalCapacity, OnEject: g.recordEjection, OnPrefill: g.announcePrompt})
 	g.crashes = newCrashReports(g)
+	g.traffic = newPeerTraffic(g)
 	g.suspects = g.newSuspects()
 	g.dispatch = dispatch.New(dispatch.Spec{
 		Pool: g.pool, Poison: g.poison, OnCrash: g.crashes.add, OnClear: g.crashes.clear, IsDown: s.IsDown, GrantTrial: g.suspects.Grant, Router: s.Router, Rand: mathrand.Uint64, QueueWait: queueWait, Now: time.Now,
@@ -226,7 +228,7 @@
 		return err
 	}
 	if g.spec.PeerAddr != "" {
-		x, err := notice.Listen(g.spec.PeerAddr, g.receive)
+		x, err := notice.Open(g.spec.PeerAddr, g.traffic.spec(g.receive))
 		if err != nil {
 			return err
 		}
@@ -237,6 +239,7 @@
 	g.wg.Go(g.releases.run)
 	g.wg.Go(g.shareEstimates)
 	g.wg.Go(g.crashes.run)
+	g.wg.Go(g.traffic.run)
 	g.wg.Go(func() { g.suspects.Run(g.ctx) })
 	g.log.WithFields(logrus.Fields{"listen": g.spec.CallerAddr, "ready": g.spec.ReadyAddr, "metrics": g.spec.MetricsAddr}).Info("daemon started")
 	return nil
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -78,10 +78,26 @@
 	Deleted  bool   `msgpack:"d,omitempty"`
 }
 
+// PacketConn sends and receives datagrams. *net.UDPConn implements it.
+type PacketConn interface {
+	ReadFromUDP(b []byte) (int, *net.UDPAddr, error)
+	WriteToUDP(b []byte, addr *net.UDPAddr) (int, error)
+	LocalAddr() net.Addr
+	Close() error
+}
+
+// Spec configures an Exchange.
+type Spec struct {
+	// Handle is called with each valid message, one at a time.
+	Handle func(Message)
+	// OnSend and OnReceive are called with each datagram and its size in bytes, without the headers of UDP and IP. They may be nil.
+	OnSend, OnReceive func(k Kind, bytes int)
+}
+
 // Exchange sends messages to other daemons and receives theirs on one UDP port. Its methods may be called concurrently.
 type Exchange struct {
-	conn   *net.UDPConn
-	handle func(Message)
+	conn PacketConn
+	spec Spec
 
 	mu    sync.Mutex
 	peers []peer
@@ -112,6 +128,11 @@
 // Listen opens a UDP port and starts receiving. It calls handle with each valid message, one at a time. The caller has to Close the
 // exchange.
 func Listen(addr string, handle func(Message)) (*Exchange, error) {
+	return Open(addr, Spec{Handle: handle})
+}
+
+// Open is like Listen, with a Spec.
+func Open(addr string, s Spec) (*Exchange, error) {
 	udp, err := net.ResolveUDPAddr("udp4", addr)
 	if err != nil {
 		return nil, fmt.Errorf("resolve address for peer messages: %w", err)
@@ -120,9 +141,21 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for peer messages: %w", err)
 	}
-	x := &Exchange{conn: conn, handle: handle}
+	return New(conn, s), nil
+}
+
+// New starts receiving on a connection, which the exchange owns from then on. The caller has to Close the exchange.
+func New(conn PacketConn, s Spec) *Exchange {
+	nothing := func(Kind, int) {}
+	if s.OnSend == nil {
+		s.OnSend = nothing
+	}
+	if s.OnReceive == nil {
+		s.OnReceive = nothing
+	}
+	x := &Exchange{conn: conn, spec: s}
 	go x.receiveLoop()
-	return x, nil
+	return x
 }
 
 // Addr returns the local address.
@@ -227,6 +260,7 @@
 		if !match(p) {
 			continue
 		}
+		x.spec.OnSend(m.Kind(), len(data))
 		if _, sendErr := x.conn.WriteToUDP(data, p.addr); sendErr != nil && err == nil {
 			err = fmt.Errorf("send message to peer %s: %w", p.Name, sendErr)
 		}
@@ -248,8 +282,12 @@
 		if err != nil {
 			continue // concerns one datagram, such as an ICMP error for a peer that is gone
 		}
-		for _, m := range decode(buf[:n], x.isPeer(from)) {
-			x.handle(m)
+		list := decode(buf[:n], x.isPeer(from))
+		if len(list) > 0 {
+			x.spec.OnReceive(list[0].Kind(), n)
+		}
+		for _, m := range list {
+			x.spec.Handle(m)
 		}
 	}
 }
