--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -228,7 +228,7 @@
 		return err
 	}
 	if g.spec.PeerAddr != "" {
-		x, err := notice.Open(g.spec.PeerAddr, g.traffic.spec(g.receive))
+		x, err := notice.Open(g.spec.PeerAddr, g.exchangeSpec())
 		if err != nil {
 			return err
 		}
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -87,6 +87,11 @@
 	}
 }
 
+// memberValue returns the value of this daemon's membership entry.
+func (g *Gateway) memberValue() []byte {
+	return []byte(g.spec.Domain + memberSeparator + g.spec.PeerAddr)
+}
+
 // register writes this daemon's membership entry under a new lease, which it returns. An entry of an earlier process of the same
 // name, whose lease has not expired yet, is replaced.
 func (g *Gateway) register() (kv.LeaseID, error) {
@@ -95,7 +100,7 @@
 		return 0, err
 	}
 	key := memberPrefix + g.spec.Name
-	value := []byte(g.spec.Domain + memberSeparator + g.spec.PeerAddr)
+	value := g.memberValue()
 	previous, _ := g.view.entry(key)
 	_, err = g.spec.Store.CAS(g.ctx, key, value, previous.Revision, lease)
 	if !errors.Is(err, kv.ErrConflict) {
--- a/gateway/peertraffic.go
+++ b/gateway/peertraffic.go
@@ -48,10 +48,11 @@
 	}
 }
 
-// spec returns the specification of an exchange whose messages are counted.
-func (t *peerTraffic) spec(handle func(notice.Message)) notice.Spec {
+// exchangeSpec returns the specification of this daemon's exchange, whose messages are counted.
+func (g *Gateway) exchangeSpec() notice.Spec {
+	t := g.traffic
 	return notice.Spec{
-		Handle: handle,
+		Handle: g.receive,
 		OnSend: func(k notice.Kind, n int) { t.out[k].add(n) }, OnReceive: func(k notice.Kind, n int) { t.in[k].add(n) },
 	}
 }
