notice, gateway: messages between daemons are bounded, in all and by kind

Callers got 404 from hosts that had a confirmed configuration up to 9 s late. These hosts relay messages of other failure domains on links of 10 Mbit/s. When endpoints crash, each daemon sent each record four times to all, and each daemon that knows one of its prompt parts answered each record, four times; relays were the first two daemons of a domain in the order of names. Relays sent 1.5 to 2.4 MB a second for nine seconds on links that carry 1.25, so that connections to the store and to endpoints failed. Only changes of the store had a limit.

- notice.outbox decides what is sent when: a quarter of the link for all, a share and a longest wait for each kind, in the order of rank.
- Relays are drawn for each message by the square of the bandwidth that daemons state in their membership entries.
Daemons of earlier versions ignore messages from an entry with a bandwidth and poll.
- Reports in favor of prompt parts are collected by part, sent once by a daemon that did not see the answer itself.
A complete answer replaces the record of the crash.
Repeated records have a lower rank.
- The leader and the duties go to the daemons with the fastest links, then by name.

--- a/gateway/members.go
+++ b/gateway/members.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"strconv"
 	"strings"
 	"time"
 
@@ -10,7 +12,7 @@
 	"github.com/bramleytrail/bramleytrail/pause"
 )
 
-// memberSeparator separates the failure domain from the address in the value of a membership entry.
+// memberSeparator separates the failure domain, the address and the bandwidth in the value of a membership entry.
 const memberSeparator = " "
 
 // members returns the number of daemons that are registered in the store, at least 1.
@@ -20,19 +22,39 @@
 	return max(1, v.memberCount)
 }
 
-// member is a decoded membership entry. addr is the address for messages between daemons, empty for none.
-type member struct{ id, domain, addr string }
+// member is a decoded membership entry. addr is the address for messages between daemons, empty for none. linkBytes is the bandwidth of
+// the host's link in bytes a second, 0 if not known.
+type member struct {
+	id, domain, addr string
+	linkBytes        int64
+}
+
+// precedes reports whether a member is before another one in the order in which daemons lead and take on duties: those that can send
+// most are first.
+func (m member) precedes(other member) bool {
+	return cmp.Or(cmp.Compare(other.linkBytes, m.linkBytes), strings.Compare(m.id, other.id)) < 0
+}
 
 // eachMember calls f for each membership entry, in no particular order.
 func eachMember(entries map[string]kv.Entry, f func(member)) {
 	for key, e := range entries {
 		if id, ok := strings.CutPrefix(key, memberPrefix); ok {
-			domain, addr, _ := strings.Cut(string(e.Value), memberSeparator)
-			f(member{id, domain, addr})
+			f(decodeMember(id, string(e.Value)))
 		}
 	}
 }
 
+// decodeMember decodes the value of a membership entry. The bandwidth is left out by daemons that do not know it.
+func decodeMember(id, value string) member {
+	domain, rest, _ := strings.Cut(value, memberSeparator)
+	addr, link, _ := strings.Cut(rest, memberSeparator)
+	m := member{id: id, domain: domain, addr: addr}
+	if n, err := strconv.ParseInt(link, 10, 64); err == nil && n > 0 {
+		m.linkBytes = n
+	}
+	return m
+}
+
 // countMembers returns the number of daemons for which match returns true.
 func (v *storeView) countMembers(match func(member) bool) int {
 	v.mu.Lock()
@@ -51,9 +73,10 @@
 	return v.countMembers(func(m member) bool { return m.domain == v.g.spec.Domain && m.id != v.g.spec.Name })
 }
 
-// rank returns the position of this daemon among all members in the order of names, 0 for the first.
+// rank returns the position of this daemon among all members in their order, 0 for the first.
 func (v *storeView) rank() int {
-	return v.countMembers(func(m member) bool { return m.id < v.g.spec.Name })
+	self := v.g.self()
+	return v.countMembers(func(m member) bool { return m.precedes(self) })
 }
 
 // firstLoadTimeout is the longest time for which a daemon waits for the store's content before it registers. The content shows
@@ -87,9 +110,18 @@
 	}
 }
 
+// self returns this daemon as a member.
+func (g *Gateway) self() member {
+	return member{g.spec.Name, g.spec.Domain, g.spec.PeerAddr, g.spec.LinkBytes}
+}
+
 // memberValue returns the value of this daemon's membership entry.
 func (g *Gateway) memberValue() []byte {
-	return []byte(g.spec.Domain + memberSeparator + g.spec.PeerAddr)
+	value := g.spec.Domain + memberSeparator + g.spec.PeerAddr
+	if g.spec.LinkBytes > 0 {
+		value += memberSeparator + strconv.FormatInt(g.spec.LinkBytes, 10)
+	}
+	return []byte(value)
 }
 
 // register writes this daemon's membership entry under a new lease, which it returns. An entry of an earlier process of the same
--- a/gateway/notify.go
+++ b/gateway/notify.go
@@ -7,8 +7,6 @@
 	"slices"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"github.com/bramleytrail/bramleytrail/kv"
 	"github.com/bramleytrail/bramleytrail/notice"
 	"github.com/bramleytrail/bramleytrail/pause"
@@ -19,38 +17,22 @@
 // them polls the store.
 const maxPendingNotifications = 256
 
-const (
-	// notifyLinkShare is the fraction of the host's link that notifications of store changes may use. notifyBurst is the burst
-	// that they may use, as time on the full link, when all daemons start or return. defaultNotifyBytesPerSecond applies if the
-	// bandwidth is not known. With thousands of endpoints that change all the time, the limit is exceeded and each daemon polls.
-	notifyLinkShare, notifyBurst, defaultNotifyBytesPerSecond = 0.08, 500 * time.Millisecond, 100_000
-	// messageOverhead is the approximate size in bytes of a message without its changes, and of a change without its key and
-	// value.
-	messageOverhead = 60
-	// staleReadShare is the part of the longest poll interval in which the cheap, possibly stale reads of changed documents must end, and
-	// staleReadInterval the pause between two of them. The rest of the time within which a document must be in force is for a poll.
-	staleReadShare, staleReadInterval = 0.5, 200 * time.Millisecond
-)
-
-// newNotifyLimiter returns a limiter of the bytes that a daemon sends in notifications of store changes.
-func newNotifyLimiter(linkBytes int64) *rate.Limiter {
-	if linkBytes <= 0 {
-		return rate.NewLimiter(defaultNotifyBytesPerSecond, 2*defaultNotifyBytesPerSecond)
-	}
-	return rate.NewLimiter(rate.Limit(notifyLinkShare*float64(linkBytes)), int(notifyBurst.Seconds()*float64(linkBytes)))
-}
+// staleReadShare is the part of the longest poll interval in which the cheap, possibly stale reads of changed documents must end, and
+// staleReadInterval the pause between two of them. The rest of the time within which a document must be in force is for a poll.
+const staleReadShare, staleReadInterval = 0.5, 200 * time.Millisecond
 
 // maxPayloadBytes bounds the keys and values in one notification; the rest of the datagram is for the encoding.
 const maxPayloadBytes = notice.MaxMessageBytes / 2
 
-// isDomainLeader reports whether this daemon is the first one of its failure domain in the order of names. Only domain leaders
+// isDomainLeader reports whether this daemon is the first one of its failure domain in the order of members. Only domain leaders
 // notify others of the changes that they read: if each daemon that polls did so, the messages would grow with the square of the
 // number of daemons whenever the leader is unresponsive.
 func (v *storeView) isDomainLeader() bool { return v.domainRank() == 0 }
 
-// domainRank returns the position of this daemon among those of its failure domain in the order of names, 0 for the first.
+// domainRank returns the position of this daemon among those of its failure domain in the order of members, 0 for the first.
 func (v *storeView) domainRank() int {
-	return v.countMembers(func(m member) bool { return m.domain == v.g.spec.Domain && m.id < v.g.spec.Name })
+	self := v.g.self()
+	return v.countMembers(func(m member) bool { return m.domain == self.domain && m.precedes(self) })
 }
 
 // notifyPeers sends changes after a revision to other daemons, so that few of them have to poll the store. The leader sends them
@@ -61,63 +43,26 @@
 	if x == nil || c.Reset || !v.isDomainLeader() {
 		return
 	}
-	isLeader := v.rank() == 0
-	for _, m := range v.splitChanges(after, c) {
+	list := v.splitChanges(after, c)
+	for i := range list {
+		m := &list[i]
 		m.From, m.PolledAt = v.g.spec.Name, int64(polledAt.Sub(v.g.startedAt))+v.g.startedAt.UnixNano() // monotonic, even if the wall clock is set back
-		if !v.allowNotification(m, isLeader) {
-			return // the others poll the store
-		}
 		m.Age = time.Since(polledAt)
-		send := x.SendToDomain
-		if isLeader {
-			send = x.SendAll
-		}
-		if err := send(v.g.spec.Domain, m); err != nil {
-			v.g.log.WithError(err).Debug("sending store changes to peers failed")
-			return
-		}
 	}
-}
-
-// allowNotification reports whether the limit allows sending a notification to the peers of the failure domain now, and to the
-// relays of the other domains if otherDomains is set. If so, it counts the bytes of all copies.
-func (v *storeView) allowNotification(m notice.Message, otherDomains bool) bool {
-	copies := v.domainPeers()
-	if otherDomains {
-		copies += v.relayCount()
+	send := x.SendToDomain
+	if v.rank() == 0 {
+		send = x.SendAll
 	}
-	return v.notifyLimiter.AllowN(time.Now(), copies*messageSize(m))
-}
-
-// relayCount returns the number of daemons in other failure domains that relay messages within their domains.
-func (v *storeView) relayCount() int {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	domains := map[string]int{}
-	eachMember(v.ownEntries, func(m member) { domains[m.domain]++ })
-	n := 0
-	for domain, daemons := range domains {
-		if domain != v.g.spec.Domain {
-			n += min(daemons, notice.RelaysPerDomain)
-		}
+	if err := send(v.g.spec.Domain, list...); err != nil {
+		v.g.log.WithError(err).Debug("sending store changes to peers failed")
 	}
-	return n
-}
-
-// messageSize returns the approximate size of a notification in bytes.
-func messageSize(m notice.Message) int {
-	bytes := messageOverhead
-	for _, c := range m.Changes {
-		bytes += messageOverhead + len(c.Key) + len(c.Value)
-	}
-	return bytes
 }
 
 // relayMessage forwards a message from another failure domain to the daemons of this one.
 func (g *Gateway) relayMessage(m notice.Message) {
 	m.Relay = false
 	x := g.exchange.Load()
-	if x == nil || m.Revision > 0 && !g.view.allowNotification(m, false) {
+	if x == nil {
 		return
 	}
 	if err := x.SendBatched(g.spec.Domain, m); err != nil {
--- a/gateway/peertraffic.go
+++ b/gateway/peertraffic.go
@@ -24,6 +24,8 @@
 type peerTraffic struct {
 	g        *Gateway
 	out, in  map[notice.Kind]*trafficCounter
+	dropped  map[notice.Kind]*metrics.Counter
+	logged   uint64 // dropped messages, as of loggedAt
 	loggedAt time.Time
 }
 
@@ -34,9 +36,10 @@
 }
 
 func newPeerTraffic(g *Gateway) *peerTraffic {
-	t := &peerTraffic{g: g, out: map[notice.Kind]*trafficCounter{}, in: map[notice.Kind]*trafficCounter{}, loggedAt: time.Now()}
+	t := &peerTraffic{g: g, out: map[notice.Kind]*trafficCounter{}, in: map[notice.Kind]*trafficCounter{}, dropped: map[notice.Kind]*metrics.Counter{}, loggedAt: time.Now()}
 	for _, k := range notice.Kinds() {
 		t.out[k], t.in[k] = t.counter(k, "out"), t.counter(k, "in")
+		t.dropped[k] = g.spec.Metrics.Counter(fmt.Sprintf(`bramley_control_dropped_total{kind="notice/%s"}`, k))
 	}
 	return t
 }
@@ -52,8 +55,9 @@
 func (g *Gateway) exchangeSpec() notice.Spec {
 	t := g.traffic
 	return notice.Spec{
-		Handle: g.receive,
+		Handle: g.receive, Domain: g.spec.Domain, LinkBytes: g.spec.LinkBytes,
 		OnSend: func(k notice.Kind, n int) { t.out[k].add(n) }, OnReceive: func(k notice.Kind, n int) { t.in[k].add(n) },
+		OnDrop: func(k notice.Kind, copies int) { t.dropped[k].Add(copies) },
 	}
 }
 
@@ -71,7 +75,7 @@
 	}
 }
 
-// log logs the messages since the last call if they use much of the link.
+// log logs the messages since the last call if they use much of the link or some were dropped.
 func (t *peerTraffic) log(now time.Time) {
 	seconds := now.Sub(t.loggedAt).Seconds()
 	t.loggedAt = now
@@ -81,10 +85,16 @@
 	if limit <= 0 {
 		limit = loggedBytesPerSecond
 	}
-	if float64(max(sent, received)) < limit*seconds {
+	var dropped uint64
+	for _, c := range t.dropped {
+		dropped += c.Get()
+	}
+	since := dropped - t.logged
+	t.logged = dropped
+	if float64(max(sent, received)) < limit*seconds && since == 0 {
 		return
 	}
-	f["sent_bytes"], f["received_bytes"], f["seconds"], f["link_bytes_per_second"] = sent, received, seconds, t.g.spec.LinkBytes
+	f["dropped"], f["sent_bytes"], f["received_bytes"], f["seconds"], f["link_bytes_per_second"] = since, sent, received, seconds, t.g.spec.LinkBytes
 	t.g.log.WithFields(f).Info("messages between daemons")
 }
 
--- /dev/null
+++ b/gateway/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package gateway
+
+const raceEnabled = true
--- a/gateway/releases.go
+++ b/gateway/releases.go
@@ -133,7 +133,7 @@
 	}
 	now := time.Now()
 	t.sessions.MarkInUse(session, now.Add(inUseFor), now)
-	r.broadcast(notice.Message{Service: service, Order: t.order, Session: session, InUseFor: inUseFor})
+	r.broadcast(notice.Message{Service: service, Order: t.order, Session: session, InUseFor: inUseFor, Minor: ended})
 }
 
 // broadcast sends a message about a release to all other daemons, with the age of the order.
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -8,8 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"github.com/bramleytrail/bramleytrail/config"
 	"github.com/bramleytrail/bramleytrail/hostlist"
 	"github.com/bramleytrail/bramleytrail/kv"
@@ -52,7 +50,6 @@
 	lease         atomic.Uint64 // of this daemon's membership entry, 0 before it is registered
 	callFailed    chan struct{} // a call of the store outside run has failed
 	notifications chan notification
-	notifyLimiter *rate.Limiter
 
 	// Used by run only:
 	revision    uint64           // of the newest change in force, 0 before the first read
@@ -65,7 +62,6 @@
 	return &storeView{
 		g: g, operatorDocs: map[string]kv.Entry{}, endpoints: map[string]hostlist.Host{}, ownEntries: map[string]kv.Entry{}, lapsed: map[string]time.Time{},
 		callFailed: make(chan struct{}, 1), firstLoad: make(chan struct{}), notifications: make(chan notification, maxPendingNotifications), newestPoll: map[string]int64{},
-		notifyLimiter: newNotifyLimiter(g.spec.LinkBytes),
 	}
 }
 
@@ -204,7 +200,9 @@
 	}
 	if hostsChanged {
 		v.g.pool.SetHosts(hostlist.List{Hosts: hosts}, now)
-		v.setPeers(hosts)
+	}
+	if changed[KindOther] {
+		v.setPeers()
 	}
 	if len(c.Entries) > 0 {
 		v.g.releases.signal()
@@ -212,17 +210,19 @@
 }
 
 // setPeers passes the addresses of the other daemons to the message exchange.
-func (v *storeView) setPeers(hosts []hostlist.Host) {
+func (v *storeView) setPeers() {
 	x := v.g.exchange.Load()
 	if x == nil {
 		return
 	}
 	var peers []notice.Peer
-	for _, h := range hosts {
-		if h.Role == hostlist.RoleEntry && h.ID != v.g.spec.Name && h.Addr != "" {
-			peers = append(peers, notice.Peer{Name: h.ID, Domain: h.Domain, Addr: h.Addr})
+	v.mu.Lock()
+	eachMember(v.ownEntries, func(m member) {
+		if m.id != v.g.spec.Name && m.addr != "" {
+			peers = append(peers, notice.Peer{Name: m.id, Domain: m.domain, Addr: m.addr, LinkBytes: m.linkBytes})
 		}
-	}
+	})
+	v.mu.Unlock()
 	x.SetPeers(peers)
 }
 
