poison: the crash with most evidence yields when the table is full

A prompt part that crashes endpoints goes on doing so while a failure domain ends: the records of thousands of requests in flight there displace the few of the part, since the oldest yielded. Now half of the evidence of the crash with most of it yields. TestCrashingPartIsRefusedWhileDomainEnds failed before.

--- a/poison/parts.go
+++ b/poison/parts.go
@@ -10,7 +10,7 @@
 const (
 	// maxParts bounds the parts of a record. The last ones are kept: the first are shared by most requests, and known to be sound.
 	maxParts = 16
-	// maxSightings bounds the evidence that is kept. The oldest yields.
+	// maxSightings bounds the evidence that is kept. That of the crash with most of it yields: it says least about each of its requests.
 	maxSightings = 2048
 	// maxKnownParts bounds the parts that are remembered as sound, and those that survived, each twice over.
 	maxKnownParts = 1 << 14
@@ -163,7 +163,7 @@
 		return false
 	}
 	if len(t.sightings) >= maxSightings {
-		t.sightings = t.sightings[1:]
+		t.sightings = thin(t.sightings)
 	}
 	t.sightings = append(t.sightings, x)
 	t.active.Store(true)
@@ -177,6 +177,26 @@
 	return true
 }
 
+// thin removes the oldest half of the sightings of the crash that has most of them.
+func thin(list []*sighting) []*sighting {
+	counts := map[string]int{}
+	most := ""
+	for _, x := range list {
+		counts[x.crash]++
+		if n := counts[x.crash]; n > counts[most] {
+			most = x.crash
+		}
+	}
+	drop := (counts[most] + 1) / 2
+	return slices.DeleteFunc(list, func(x *sighting) bool {
+		if x.crash != most || drop == 0 {
+			return false
+		}
+		drop--
+		return true
+	})
+}
+
 // notify calls the function for new evidence.
 func (t *PartTable) notify() {
 	if f := t.onReview.Load(); f != nil {
--- a/poison/parts_test.go
+++ b/poison/parts_test.go
@@ -52,6 +52,22 @@
 	checkVerdict(t, table, testStart.Add(time.Minute), PartsAllowed, 9)
 }
 
+// Guards against evidence against a part that is lost when a failure domain with thousands of requests in flight ends.
+func TestCrashingPartIsRefusedWhileDomainEnds(t *testing.T) {
+	table := NewPartTable()
+	const endpoints, requests = 150, 10_000
+	storm := func(from, to int, now time.Time) {
+		for i := from; i < to; i++ {
+			crashUnder(table, fmt.Sprint("lost ", i%endpoints), uint64(1000+i), now, uint64(1000+i))
+		}
+	}
+	storm(0, 100, testStart)
+	now := sequence(table, minRounds-2, testStart.Add(time.Millisecond), 9)
+	storm(100, requests, now)
+	last := sequence(table, 2, now.Add(200*time.Millisecond), 9)
+	checkVerdict(t, table, last.Add(evidenceDelay), PartsRefused, 9)
+}
+
 // Guards against requests that all take longer than the time between two crashes, so that no request is sent after a crash.
 func TestSlowCrashesAreEnough(t *testing.T) {
 	table := NewPartTable()
