gateway, pipeline: a route is not denied for good by a configuration that may be outdated

Callers got 404 from hosts that could not reach the store while a newer configuration with their route was in force elsewhere. A daemon did not ask how old its own was. While it is older than the time in which a change must be in force, or a changed document is known and not read yet, an unknown route or key is now answered 503 with Retry-After (code 107), so that callers try another host.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -176,14 +176,19 @@
 	g.view = newStoreView(g)
 	g.entry = entry.New(entry.Spec{
 		Addr: s.CallerAddr, MaxConnections: 2 * maxInFlight, StallTimeout: stallTimeout, Config: g.config, Ready: g.Ready, Protocol: s.Protocol,
-		Pipeline: &pipeline.Pipeline{
-			Config: g.config, Admit: g.admit, Dispatch: g.dispatch, Closing: g.closing, Now: time.Now, OnStart: func(*pipeline.Progress) {}, OnFinish: g.recordOutcome,
-			Routes: &pipeline.Routes{Releases: g.releases, Escalator: cascade.NewEscalator(s.EvenConfidence), AnswerValue: s.AnswerValue, EventIntervals: relay.NewEventIntervals(), OnSend: g.releases.begin, OnAttempt: g.recordAttempt, OnBroken: g.recordBroken, OnEscalate: g.recordEscalation},
-		},
+		Pipeline: g.newPipeline(),
 	})
 	return g
 }
 
+// newPipeline returns the stages of a request.
+func (g *Gateway) newPipeline() *pipeline.Pipeline {
+	return &pipeline.Pipeline{
+		Config: g.config, Admit: g.admit, Dispatch: g.dispatch, Closing: g.closing, Now: time.Now, OnStart: func(*pipeline.Progress) {}, OnFinish: g.recordOutcome,
+		Routes: &pipeline.Routes{Releases: g.releases, Escalator: cascade.NewEscalator(g.spec.EvenConfidence), AnswerValue: g.spec.AnswerValue, EventIntervals: relay.NewEventIntervals(), MayBeBehind: func() bool { return g.view.mayBeBehind() }, OnSend: g.releases.begin, OnAttempt: g.recordAttempt, OnBroken: g.recordBroken, OnEscalate: g.recordEscalation},
+	}
+}
+
 // newSuspects returns the keeper of the refused prompt parts. The view of the store reads the entry, like all others.
 func (g *Gateway) newSuspects() *suspect.Keeper {
 	g.spec.Metrics.Gauge("bramley_refused_part_sets", func() float64 { return float64(len(g.poison.Parts.Refused())) })
--- a/gateway/notify.go
+++ b/gateway/notify.go
@@ -136,6 +136,7 @@
 		}
 		entry := kv.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted}
 		if v.g.spec.Documents.Kind(e.Key) == KindOperator {
+			v.docPending.Store(true)
 			var ok bool
 			if entry, ok = v.readOperatorDoc(e, readUntil); !ok {
 				v.pollNow = true
@@ -145,6 +146,7 @@
 		c.Entries = append(c.Entries, entry)
 	}
 	v.advance(c, now)
+	v.noteCurrent(now.Add(-m.Age))
 	return true
 }
 
--- a/gateway/poll.go
+++ b/gateway/poll.go
@@ -97,7 +97,9 @@
 // further notification, and false if the notification does not defer the poll.
 func (v *storeView) acceptAndDefer(m notification, now time.Time) (time.Time, bool) {
 	isNewest := v.isNewest(m.Message)
-	if !v.accept(m.Message, now) || !isNewest {
+	aged := m.Message
+	aged.Age += now.Sub(m.receivedAt)
+	if !v.accept(aged, now) || !isNewest {
 		return time.Time{}, false
 	}
 	return m.receivedAt.Add(v.pollInterval(v.isLeader()) - m.Age), true
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -44,6 +44,8 @@
 	listed       []hostlist.Host      // endpoints that are new or have a new address, among the changes being applied
 
 	confirmedAt   atomic.Int64 // last answer of the store in Unix nanoseconds, 0 if there was none
+	currentAt     atomic.Int64 // time at which the content in force was the store's, in nanoseconds since Gateway.startedAt
+	docPending    atomic.Bool  // a changed document is known and not in force yet
 	isLoaded      atomic.Bool
 	firstLoad     chan struct{} // closed when isLoaded becomes true
 	unavailable   atomic.Bool   // run's last call failed
@@ -77,6 +79,12 @@
 	return time.Duration(time.Now().UnixNano() - at)
 }
 
+// mayBeBehind reports whether the store may have newer documents of the operators than those in force, for longer than a change may take.
+func (v *storeView) mayBeBehind() bool {
+	limit := v.g.spec.Propagation
+	return v.docPending.Load() || limit > 0 && time.Since(v.g.startedAt)-time.Duration(v.currentAt.Load()) > limit
+}
+
 // run keeps the view up to date until the daemon stops.
 func (v *storeView) run() {
 	unavailable, logged := true, false // treated as unavailable until the first read
@@ -109,6 +117,7 @@
 		unavailable, wait = false, firstRetryDelay
 		v.unavailable.Store(false)
 		v.advance(changes, time.Now())
+		v.noteCurrent(polledAt)
 		if !v.isLoaded.Swap(true) {
 			close(v.firstLoad)
 		}
@@ -119,6 +128,14 @@
 	}
 }
 
+// noteCurrent records that the content in force was the store's at a time, or later.
+func (v *storeView) noteCurrent(at time.Time) {
+	if since := int64(at.Sub(v.g.startedAt)); since > v.currentAt.Load() {
+		v.currentAt.Store(since)
+	}
+	v.docPending.Store(false)
+}
+
 // advance applies changes that follow the revision in force, and moves the view to their revision.
 func (v *storeView) advance(c kv.Changes, now time.Time) {
 	if v.revision > 0 && now.Sub(v.recoveredAt) < lapsedGrace {
--- a/pipeline/routed.go
+++ b/pipeline/routed.go
@@ -71,6 +71,8 @@
 	AnswerValue float64
 	// EventIntervals estimates how long streams take.
 	EventIntervals *relay.EventIntervals
+	// MayBeBehind reports whether a newer configuration than the one in force may exist; nil for never.
+	MayBeBehind func() bool
 	// OnSend is called when an attempt at an endpoint begins, and OnAttempt at its end; they may be nil.
 	OnSend, OnAttempt func(dispatch.RoutedAttempt)
 	// OnBroken is called when the connection of an attempt broke; it may be nil.
@@ -142,12 +144,12 @@
 	s.setStage(StageIdentify)
 	path, _, _ := strings.Cut(s.r.Path, "?")
 	if s.route = s.view.Route(s.r.Meta.Host, path); s.route == nil {
-		return result.Newf(result.UnknownService, "No route of host %q.", s.r.Meta.Host)
+		return s.deny(result.Newf(result.UnknownService, "No route of host %q.", s.r.Meta.Host))
 	}
 	s.outcome.Route = s.route
 	team := s.view.TeamByKey(s.r.Meta.APIKey)
 	if team == nil && !s.route.Public && len(s.view.Teams) > 0 {
-		return result.Newf(result.Unauthenticated, "")
+		return s.deny(result.Newf(result.Unauthenticated, ""))
 	}
 	if team != nil {
 		s.team = team.Name
@@ -157,6 +159,14 @@
 	return s.permit.Charge(s.team, int64(len(s.r.Body)))
 }
 
+// deny returns an error that says for good that the request is not allowed, or one for the time being if a newer configuration may allow it.
+func (s *routedStages) deny(final error) error {
+	if behind := s.p.Routes.MayBeBehind; behind != nil && behind() {
+		return result.Newf(result.OutdatedConfig, "").WithRetryAfter(noConfigRetryAfter)
+	}
+	return final
+}
+
 // defaultTimeout bounds a request if neither its caller nor its route has a time limit, so that an endpoint that never ends
 // its answer does not hold a connection forever.
 const defaultTimeout = 10 * time.Minute
--- a/result/code.go
+++ b/result/code.go
@@ -15,6 +15,7 @@
 	BadRequest       Code = 104
 	NoConfiguration  Code = 105
 	DeadlineExceeded Code = 106
+	OutdatedConfig   Code = 107
 
 	Unauthenticated Code = 201
 	TeamRate        Code = 202
@@ -76,6 +77,7 @@
 	{BadRequest, "bad_request", http.StatusBadRequest, typeInvalid, "The request can't be parsed or lacks a required field."},
 	{NoConfiguration, "no_configuration", http.StatusServiceUnavailable, typeServer, "The daemon has not received a configuration yet."},
 	{DeadlineExceeded, "deadline_exceeded", http.StatusGatewayTimeout, typeServer, "The caller's deadline passed."},
+	{OutdatedConfig, "outdated_configuration", http.StatusServiceUnavailable, typeServer, "The configuration in force at the daemon does not allow the request, but a newer one may exist."},
 	{Unauthenticated, "unauthenticated", http.StatusUnauthorized, typeAuth, "The bearer key is missing or belongs to no team."},
 	{TeamRate, "team_rate", http.StatusTooManyRequests, typeRate, "The team's request rate is exhausted."},
 	{TeamConcurrency, "team_concurrency", http.StatusTooManyRequests, typeRate, "The team's limit on concurrent requests is reached."},
