--- a/kv/kv.go
+++ b/kv/kv.go
@@ -26,12 +26,6 @@
 	WatchFor(ctx context.Context, prefix string, after uint64, wait time.Duration) (Changes, error)
 }
 
-// StaleReader is a Store that also offers cheaper reads whose result may be some seconds old.
-type StaleReader interface {
-	// GetStale is Get on a state of the store that may be a few seconds old.
-	GetStale(ctx context.Context, key string) (Entry, error)
-}
-
 // Condition is met while the entry of a key has a revision; revision 0 requires that the key does not exist.
 type Condition struct {
 	Key      string
--- a/observe/store.go
+++ b/observe/store.go
@@ -23,16 +23,6 @@
 	return s.Store.Get(ctx, key)
 }
 
-// GetStale implements kv.StaleReader. If the wrapped store does not, GetStale is the same as Get.
-func (s InstrumentedStore) GetStale(ctx context.Context, key string) (e kv.Entry, err error) {
-	r, ok := s.Store.(kv.StaleReader)
-	if !ok {
-		return s.Get(ctx, key)
-	}
-	defer func(t time.Time) { s.record("get_stale", t, err) }(time.Now())
-	return r.GetStale(ctx, key)
-}
-
 // CAS implements kv.Store.
 func (s InstrumentedStore) CAS(ctx context.Context, key string, value []byte, prev uint64, lease kv.LeaseID) (rev uint64, err error) {
 	defer func(t time.Time) { s.record("cas", t, err) }(time.Now())
