gateway, poison: crash records are bounded by the number of daemons, suspects first

At 370 daemons that lose a failure domain with 19,520 requests in flight, all daemons let a prompt part run that had crashed 5 endpoints: 80 of 100 crash records and 88 of 100 reports in favor of requests and parts were dropped by the bound on messages, whichever they were, since all daemons together sent seven times as much as each can relay.

Records are now limited where they arise, to the part of a daemon in what all can receive, the newest first; those of requests that met another crash, or with a part of one before they were sent, are exempt. Daemons that know a part to be sound wait for exponentially distributed times, so that a few report it instead of some 25.

--- a/gateway/crashreports.go
+++ b/gateway/crashreports.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	mathrand "math/rand/v2"
 	"slices"
 	"strconv"
@@ -8,6 +9,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	"github.com/bramleytrail/bramleytrail/notice"
 	"github.com/bramleytrail/bramleytrail/pause"
@@ -24,9 +26,15 @@
 	reportInterval = 20 * time.Millisecond
 	// maxPendingReports bounds the records, and the prompt parts, that wait to be sent. A crash interrupts the requests in an endpoint's slots.
 	maxPendingReports = 4096
-	// clearDelayPerPeer is the time per daemon over which reports in favor of parts are spread, and reportValidity the time
+	// reportsPerSecond is the number of records about first crashes, and of minor ones, that all daemons together send in a second: as many as
+	// each of them can receive and relay on the slowest link within the bounds of package notice. Each daemon may send its part of them,
+	// and at once that of reportBurst, but at least minReportBurst.
+	reportsPerSecond, reportBurst, minReportBurst = 300, 2 * time.Second, 2
+	// maxReportDelay is the time after which a record is dropped that could not be sent.
+	maxReportDelay = 2 * time.Second
+	// maxClearDelay is the longest time for which a daemon leaves it to others to report a part as sound, and reportValidity the time
 	// for which the report of one daemon makes those of the others unnecessary.
-	clearDelayPerPeer, reportValidity = 2 * time.Millisecond, 2 * time.Second
+	maxClearDelay, reportValidity = 600 * time.Millisecond, 2 * time.Second
 	// partsPerRecord is the largest number of parts in a record in their favor.
 	partsPerRecord = 16
 )
@@ -37,6 +45,8 @@
 
 	mu      sync.Mutex
 	pending []pendingReport
+	first   *rate.Limiter          // of records about first crashes
+	minor   *rate.Limiter          // of records that are repeated or in favor of requests
 	parts   map[uint64]pendingPart // prompt parts in favor of which a record will be sent
 	cleared map[uint64]clearedPart // prompt parts in favor of which other daemons sent a record
 	wake    chan struct{}
@@ -46,9 +56,13 @@
 type pendingReport struct {
 	record poison.Record
 	first  time.Time
-	sent   int // number of times
+	sent   int  // number of times, those included in which a limit did not allow it
+	told   bool // it was sent at least once
 }
 
+// dueAt returns the time at which the record is due next.
+func (p *pendingReport) dueAt() time.Time { return p.first.Add(p.delays()[p.sent]) }
+
 // delays returns the times after first at which the record is sent.
 func (p *pendingReport) delays() []time.Duration {
 	if p.record.Cleared {
@@ -71,7 +85,7 @@
 }
 
 func newCrashReports(g *Gateway) *crashReports {
-	return &crashReports{g: g, parts: map[uint64]pendingPart{}, cleared: map[uint64]clearedPart{}, wake: make(chan struct{}, 1)}
+	return &crashReports{g: g, first: rate.NewLimiter(reportLimit(1)), minor: rate.NewLimiter(reportLimit(1)), parts: map[uint64]pendingPart{}, cleared: map[uint64]clearedPart{}, wake: make(chan struct{}, 1)}
 }
 
 // add reports a crash, or the trial of a refused request, that this daemon has seen.
@@ -105,7 +119,7 @@
 	if r.Answered {
 		c.pending = slices.DeleteFunc(c.pending, func(p pendingReport) bool {
 			same := !p.record.Cleared && p.record.Fingerprint == r.Fingerprint && p.record.Crash == r.Crash
-			told = told && (!same || p.sent > 0)
+			told = told && (!same || p.told)
 			return same
 		})
 	}
@@ -151,9 +165,11 @@
 	}
 }
 
-// clearDelay returns the time for which this daemon leaves it to others to report a part as sound, since most daemons know the same parts.
+// clearDelay returns the time for which this daemon leaves it to others to report a part as sound, since most daemons know the same parts. Short
+// times are exponentially rarer the more daemons there are, so that few of them report before they have received the first report.
 func (c *crashReports) clearDelay() time.Duration {
-	return mathrand.N(reportInterval + time.Duration(c.g.members())*clearDelayPerPeer)
+	spread := math.Log(float64(c.g.members())) + 1
+	return time.Duration(math.Log1p(mathrand.Float64()*math.Expm1(spread)) / spread * float64(maxClearDelay))
 }
 
 // noteCleared records that another daemon reported something in favor of parts.
@@ -196,31 +212,56 @@
 // repeated or in favor of requests or parts.
 type reportBatch struct{ suspect, first, minor []poison.Record }
 
-// due returns the records about requests that must be sent now, and the time at which the next one is due; zero if there are none.
+// due returns the records about requests that must be sent now, and the time at which the next one is due; zero if there are none. Records of
+// suspects are always sent; of the others the newest, as many as the limits allow.
 func (c *crashReports) due(now time.Time) (b reportBatch, next time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	kept := c.pending[:0]
-	for _, p := range c.pending {
-		delays := p.delays()
-		if !now.Before(p.first.Add(delays[p.sent])) {
-			c.collect(&b, p, now)
-			p.sent++
-		}
-		if p.sent == len(delays) {
+	c.setLimits(now)
+	for i := len(c.pending) - 1; i >= 0; i-- {
+		p := &c.pending[i]
+		if at := p.dueAt(); now.Before(at) || !c.collect(&b, p, now) && now.Sub(at) < maxReportDelay {
 			continue
 		}
-		kept = append(kept, p)
-		if at := p.first.Add(delays[p.sent]); next.IsZero() || at.Before(next) {
+		p.sent++
+	}
+	c.pending = slices.DeleteFunc(c.pending, func(p pendingReport) bool { return p.sent >= len(p.delays()) })
+	for _, p := range c.pending {
+		if at := p.dueAt(); next.IsZero() || at.Before(next) {
 			next = at
 		}
 	}
-	c.pending = kept
+	if !next.IsZero() && !next.After(now) { // the limits did not allow it
+		next = c.retryAt(now)
+	}
 	return b, next
 }
 
-// collect adds a record to those that are sent now, without the parts that have turned out to be sound.
-func (c *crashReports) collect(b *reportBatch, p pendingReport, now time.Time) {
+// setLimits adapts the limits to the number of daemons. The caller holds mu.
+func (c *crashReports) setLimits(now time.Time) {
+	perSecond, burst := reportLimit(c.g.members())
+	for _, l := range []*rate.Limiter{c.first, c.minor} {
+		if perSecond != l.Limit() {
+			l.SetLimitAt(now, perSecond)
+			l.SetBurstAt(now, burst)
+		}
+	}
+}
+
+// reportLimit returns the rate and the burst of a daemon's records, given the number of daemons.
+func reportLimit(daemons int) (perSecond rate.Limit, burst int) {
+	perSecond = rate.Limit(reportsPerSecond / float64(daemons))
+	return perSecond, max(minReportBurst, int(float64(perSecond)*reportBurst.Seconds()))
+}
+
+// retryAt returns the time at which the limits may allow another record.
+func (c *crashReports) retryAt(now time.Time) time.Time {
+	return now.Add(time.Duration(float64(time.Second) / float64(c.minor.Limit())))
+}
+
+// collect adds a record to those that are sent now, without the parts that have turned out to be sound. It returns false if a limit does not allow
+// that. The caller holds mu.
+func (c *crashReports) collect(b *reportBatch, p *pendingReport, now time.Time) bool {
 	r := p.record
 	if r.Crash != "" {
 		r.Ago += now.Sub(p.first)
@@ -229,55 +270,75 @@
 		r.Parts = c.g.poison.Parts.Suspicious(r.Parts)
 	}
 	switch {
-	case !r.Cleared && (r.Trial || r.Isolated || c.g.poison.Crashes(r.Fingerprint, now) >= poison.IsolateAfter):
+	case c.isSuspect(r, now):
 		b.suspect = append(b.suspect, r)
 	case r.Cleared || p.sent > 0:
+		if !c.minor.AllowN(now, 1) {
+			return false
+		}
 		b.minor = append(b.minor, r)
 	default:
+		if !c.first.AllowN(now, 1) {
+			return false
+		}
 		b.first = append(b.first, r)
 	}
+	p.told = true
+	return true
+}
+
+// isSuspect reports whether other daemons have to know of a record soon: the request, or one with a part of its prompt, met another crash
+// before, or a refused request runs once more.
+func (c *crashReports) isSuspect(r poison.Record, now time.Time) bool {
+	return !r.Cleared && (r.Trial || r.Isolated || c.g.poison.Crashes(r.Fingerprint, now) >= poison.IsolateAfter || c.g.poison.Parts.Recurs(r, now))
 }
 
-// dueParts returns records in favor of the prompt parts that must be reported now, and the time at which the next one is due; zero if there
-// are none.
+// dueParts returns records in favor of the prompt parts that must be reported now, as many as the limit allows, and the time at which the next
+// one is due; zero if there are none.
 func (c *crashReports) dueParts(now time.Time) (records []poison.Record, next time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var sound, survived []uint64
+	due := map[bool][]uint64{} // by whether the parts are sound
 	for part, p := range c.parts {
 		known := c.cleared[part]
-		told := known.at.After(p.due.Add(-reportValidity)) && (known.sound || !p.sound)
 		switch {
-		case told:
+		case known.at.After(p.due.Add(-reportValidity)) && (known.sound || !p.sound), now.Sub(p.due) > maxReportDelay:
 			delete(c.parts, part)
-			continue
-		case now.Before(p.due):
-		case p.sound:
-			sound = append(sound, part)
-		default:
-			survived = append(survived, part)
-		}
-		if !now.Before(p.due) {
-			if p.again == 0 {
-				delete(c.parts, part)
-				continue
-			}
-			p.due, p.again = p.due.Add(clearDelays[len(clearDelays)-p.again]), p.again-1
-			c.parts[part] = p
-		}
-		if next.IsZero() || p.due.Before(next) {
+		case !now.Before(p.due):
+			due[p.sound] = append(due[p.sound], part)
+		case next.IsZero() || p.due.Before(next):
 			next = p.due
 		}
 	}
-	for chunk := range slices.Chunk(sound, partsPerRecord) {
-		records = append(records, poison.Record{Sound: true, Parts: chunk})
-	}
-	for chunk := range slices.Chunk(survived, partsPerRecord) {
-		records = append(records, poison.Record{Survived: true, Parts: chunk})
+	for _, sound := range []bool{true, false} {
+		for chunk := range slices.Chunk(due[sound], partsPerRecord) {
+			if !c.minor.AllowN(now, 1) {
+				return records, c.retryAt(now)
+			}
+			records = append(records, poison.Record{Sound: sound, Survived: !sound, Parts: chunk})
+			for _, part := range chunk {
+				again := c.sentPart(part)
+				if !again.IsZero() && (next.IsZero() || again.Before(next)) {
+					next = again
+				}
+			}
+		}
 	}
 	return records, next
 }
 
+// sentPart records that a part was reported, and returns the time at which it is due again; zero if it is not. The caller holds mu.
+func (c *crashReports) sentPart(part uint64) time.Time {
+	p := c.parts[part]
+	if p.again == 0 {
+		delete(c.parts, part)
+		return time.Time{}
+	}
+	p.due, p.again = p.due.Add(clearDelays[len(clearDelays)-p.again]), p.again-1
+	c.parts[part] = p
+	return p.due
+}
+
 // send sends records to all other daemons.
 func (c *crashReports) send(b reportBatch) {
 	x := c.g.exchange.Load()
--- a/poison/parts.go
+++ b/poison/parts.go
@@ -204,6 +204,14 @@
 	}
 }
 
+// Recurs reports whether a request with a part of the record's was in flight at another crash before the record's request was sent.
+func (t *PartTable) Recurs(r Record, now time.Time) bool {
+	sent := now.Add(-r.Ago - r.Ran)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.ContainsFunc(t.sightings, func(x *sighting) bool { return x.crash != r.Crash && x.at.Before(sent) && intersects(x.parts, r.Parts) })
+}
+
 // acquit adds a record in favor of parts, and reports whether it was new. The caller holds mu.
 func (t *PartTable) acquit(r Record, now time.Time) bool {
 	list := &t.survived
--- a/poison/parts_test.go
+++ b/poison/parts_test.go
@@ -68,6 +68,22 @@
 	checkVerdict(t, table, last.Add(evidenceDelay), PartsRefused, 9)
 }
 
+// Guards against records of a part that goes on crashing endpoints which are sent no sooner than those of a lost failure domain.
+func TestRequestSentAfterACrashOfItsPartRecurs(t *testing.T) {
+	table := NewPartTable()
+	crashUnder(table, "a", 1, testStart, 9)
+	for _, tc := range []struct {
+		crash string
+		part  uint64
+		ran   time.Duration
+		want  bool
+	}{{"b", 9, 100 * time.Millisecond, true}, {"b", 9, 2 * time.Second, false}, {"b", 8, 100 * time.Millisecond, false}, {"a", 9, 100 * time.Millisecond, false}} {
+		if got := table.Recurs(Record{Crash: tc.crash, Parts: []uint64{tc.part}, Ran: tc.ran}, testStart.Add(time.Second)); got != tc.want {
+			t.Errorf("%+v: recurs %t", tc, got)
+		}
+	}
+}
+
 // Guards against requests that all take longer than the time between two crashes, so that no request is sent after a crash.
 func TestSlowCrashesAreEnough(t *testing.T) {
 	table := NewPartTable()
