notice: a message waits for its own bound only

Found in reading and by TestMessageWaitsForItsOwnBoundOnly: the timer of a kind that waits was not advanced for another kind, so that a phase could wait for the bound of prompts; buckets of a new exchange were empty; the age of a message that was relayed in a batch could go below zero, and the receivers dropped it.

--- a/notice/notice.go
+++ b/notice/notice.go
@@ -122,17 +122,18 @@
 	mu      sync.Mutex
 	peers   *peers
 	outbox  outbox
-	timer   *time.Timer     // calls drain when the next copy may be sent, nil if none waits
+	timer   *time.Timer     // calls drain at wakeAt
+	wakeAt  time.Time       // zero if nothing waits
 	batches map[Kind]*batch // that collect messages
 	closed  bool
 }
 
 // batch holds messages of one kind that are sent as one to the daemons of a failure domain.
 type batch struct {
-	domain string
-	list   []Message
-	size   int // sum of the encoded sizes in bytes
-	at     time.Time
+	domain  string
+	list    []Message
+	arrived []time.Time // when each of list was added
+	size    int         // sum of the encoded sizes in bytes
 }
 
 // batchDelay is the time for which SendBatched collects messages.
@@ -228,7 +229,7 @@
 		b = nil
 	}
 	if b == nil {
-		b = &batch{domain: domain, at: time.Now()}
+		b = &batch{domain: domain}
 		x.batches[kind] = b
 		time.AfterFunc(batchDelay, func() {
 			x.mu.Lock()
@@ -238,7 +239,7 @@
 			}
 		})
 	}
-	b.list = append(b.list, m.delayed(b.at.Sub(time.Now()))) // counted from the start of the batch
+	b.list, b.arrived = append(b.list, m), append(b.arrived, time.Now())
 	b.size += len(data)
 	return err
 }
@@ -250,11 +251,14 @@
 func (x *Exchange) flush(kind Kind) error {
 	b := x.batches[kind]
 	delete(x.batches, kind)
+	for i := range b.list {
+		b.list[i] = b.list[i].delayed(time.Since(b.arrived[i]))
+	}
 	m := Message{Batch: b.list}
 	if len(b.list) == 1 {
 		m = b.list[0]
 	}
-	return x.send(x.peers.in(b.domain), []Message{m.delayed(time.Since(b.at))})
+	return x.send(x.peers.in(b.domain), []Message{m})
 }
 
 // encode returns a message as it is sent.
@@ -313,19 +317,32 @@
 	}
 }
 
-// arrange calls drain after a time, unless wait is 0. The caller holds mu.
+// arrange calls drain after a time, or earlier if that was arranged before. A time of 0 stands for never. The caller holds mu.
 func (x *Exchange) arrange(wait time.Duration) {
-	if wait == 0 || x.timer != nil {
+	if wait == 0 {
 		return
 	}
-	x.timer = time.AfterFunc(max(wait, minPause), func() {
-		x.mu.Lock()
-		defer x.mu.Unlock()
-		x.timer = nil
-		if !x.closed {
-			_ = x.drain() // the error concerns one of many copies
-		}
-	})
+	wait = max(wait, minPause)
+	at := time.Now().Add(wait)
+	switch {
+	case x.timer == nil:
+		x.timer = time.AfterFunc(wait, x.wake)
+	case !x.wakeAt.IsZero() && x.wakeAt.Before(at):
+		return
+	default:
+		x.timer.Reset(wait)
+	}
+	x.wakeAt = at
+}
+
+// wake sends what has waited.
+func (x *Exchange) wake() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.wakeAt = time.Time{}
+	if !x.closed {
+		_ = x.drain() // the error concerns one of many copies
+	}
 }
 
 // Close closes the port and ends receiving. Messages that still wait are lost.
--- a/notice/outbox.go
+++ b/notice/outbox.go
@@ -65,11 +65,11 @@
 // setRate changes the rate and the size, which is also what a new bucket holds.
 func (b *bucket) setRate(rate, size float64, now time.Time) {
 	if b.at.IsZero() {
-		b.tokens = size
+		*b = bucket{rate: rate, size: size, tokens: size, at: now}
+		return
 	}
 	b.fill(now)
-	b.rate, b.size = rate, size
-	b.tokens = min(b.tokens, size)
+	b.rate, b.size, b.tokens = rate, size, min(b.tokens, size)
 }
 
 func (b *bucket) fill(now time.Time) {
--- a/notice/outbox_test.go
+++ b/notice/outbox_test.go
@@ -165,6 +165,38 @@
 	}
 }
 
+// Guards against a message that waits for the bound of another kind, and against times of relayed messages that go below zero.
+func TestMessageWaitsForItsOwnBoundOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sent := map[Kind]int{}
+		conn := &recorder{closed: make(chan struct{})}
+		x := New(conn, Spec{Handle: func(Message) {}, Domain: "0", LinkBytes: slowestLink, OnSend: func(k Kind, _ int) { sent[k]++ }})
+		defer x.Close()
+		x.SetPeers(manyPeers(1, 40, slowestLink))
+		for range 400 {
+			_ = x.SendToDomain("0", sampleMessages[KindPrompt])
+		}
+		time.Sleep(90 * time.Millisecond)
+		phase := sampleMessages[KindPhase]
+		phase.Age = time.Millisecond
+		if err := x.SendBatched("0", phase); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Millisecond)
+		if err := x.SendBatched("0", phase); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(batchDelay)
+		synctest.Wait()
+		if sent[KindPhase] != 40 {
+			t.Errorf("%d datagrams of a phase, want 40", sent[KindPhase])
+		}
+		if data, err := encode(phase.delayed(time.Second)); err != nil || len(decode(data, true)) != 1 {
+			t.Errorf("delayed message is not valid: %v", err)
+		}
+	})
+}
+
 // Guards against relays that are always the same daemons, whatever their links bear.
 func TestRelaysAreDrawnByBandwidth(t *testing.T) {
 	peers := manyPeers(2, 10, slowestLink)
