--- a/notice/relays.go
+++ b/notice/relays.go
@@ -43,7 +43,10 @@
 			p.domains[peer.Domain] = d
 		}
 		d.addrs = append(d.addrs, addr)
-		link := max(1, float64(peer.LinkBytes))
+		link := float64(peer.LinkBytes)
+		if link <= 0 {
+			link = slowestLink
+		}
 		d.weights, d.sum = append(d.weights, link*link), d.sum+link*link
 		p.known[addr.String()] = true
 	}
