peer: crash records are sent by one call at a time to each peer

bramleyd sent each crash record in a call of its own to each peer, and passed each new one on in the same way. When a failure domain is lost, the calls exhaust the memory of a daemon and its link.

--- a/peer/node.go
+++ b/peer/node.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	"github.com/bramleytrail/bramleytrail/hostlist"
 	"github.com/bramleytrail/bramleytrail/ledger"
@@ -85,6 +86,9 @@
 	diffs      map[string]map[DocumentID][]byte // cached differences to the newest version, by name and base
 	fetchWhole map[string]bool                  // documents of which the next fetch must request the whole
 
+	crashQueues  map[string]*crashQueue // by address of the peer
+	crashLimiter *rate.Limiter
+
 	offerMu sync.Mutex // serializes offer
 	wg      sync.WaitGroup
 	ctx     context.Context
@@ -105,7 +109,7 @@
 		conns: map[net.Conn]bool{}, copyHolders: map[string]copyHolder{}, election: newWatcherElection(spec.Self.ID, spec.Now()),
 		notified: map[string]uint64{}, exchanges: map[string]*exchange{}, fetches: map[string]*fetch{},
 		expected: map[string]expectedDoc{}, rejected: map[DocumentID]bool{}, history: map[string][]Document{}, diffs: map[string]map[DocumentID][]byte{},
-		fetchWhole: map[string]bool{}, ctx: ctx, cancel: cancel,
+		fetchWhole: map[string]bool{}, crashQueues: map[string]*crashQueue{}, crashLimiter: newCrashLimiter(), ctx: ctx, cancel: cancel,
 	}
 	if err := n.server.RegisterName(serviceName, &service{n}); err != nil {
 		cancel()
@@ -300,61 +304,3 @@
 	}
 	return !n.closed
 }
-
-// crashReportTimeout limits how long ReportCrash waits for the peers to confirm a crash record.
-const crashReportTimeout = 200 * time.Millisecond
-
-// ReportCrash records a crash and broadcasts the record. It returns when the peers have confirmed the record, or after
-// crashReportTimeout, so that a client that retries its request through another host reaches a daemon that knows of the
-// crash.
-func (n *Node) ReportCrash(r poison.Record) {
-	n.spec.Poison.Add(r, n.spec.Now())
-	delivered := n.broadcastCrashes([]poison.Record{r})
-	select {
-	case <-delivered:
-	case <-time.After(crashReportTimeout):
-	case <-n.ctx.Done():
-	}
-}
-
-// ReportCleared broadcasts the records of crashes that turned out not to be caused by their request. It doesn't wait
-// for the peers.
-func (n *Node) ReportCleared(records []poison.Record) {
-	if len(records) > 0 {
-		n.broadcastCrashes(records)
-	}
-}
-
-// maxCrashAttempts is the number of attempts to send a crash record to one peer. The first one may use an established
-// connection that no longer delivers anything.
-const maxCrashAttempts = 2
-
-// sendCrashes sends crash records to a peer, with up to maxCrashAttempts attempts.
-func (n *Node) sendCrashes(addr string, records []poison.Record) {
-	for range maxCrashAttempts {
-		err := n.link(addr).call(n.ctx, callTimeout, "Crash", CrashArgs{records}, &Empty{})
-		if err == nil || n.ctx.Err() != nil {
-			return
-		}
-		n.spec.Log.WithError(err).Debug("crash records not delivered to peer")
-	}
-}
-
-// broadcastCrashes sends crash records to all peers in the background. The returned channel is closed when each peer
-// has confirmed them or all attempts to reach it have failed.
-func (n *Node) broadcastCrashes(records []poison.Record) <-chan struct{} {
-	var wg sync.WaitGroup
-	for _, addr := range n.Peers() {
-		wg.Add(1)
-		started := n.background(func() {
-			defer wg.Done()
-			n.sendCrashes(addr, records)
-		})
-		if !started {
-			wg.Done()
-		}
-	}
-	done := make(chan struct{})
-	go func() { wg.Wait(); close(done) }()
-	return done
-}
