--- a/gateway/messages_test.go
+++ b/gateway/messages_test.go
@@ -229,6 +229,9 @@
 func (f *messageFleet) report(t *testing.T) {
 	var backlog, arriving time.Duration
 	var out, in int
+	network := f.conns[0].net
+	network.mu.Lock()
+	defer network.mu.Unlock()
 	for _, c := range f.conns {
 		backlog, arriving = max(backlog, c.out.maxBacklog), max(arriving, c.to.maxBacklog)
 		out, in = max(out, c.out.max), max(in, c.to.max)
--- a/notice/outbox_test.go
+++ b/notice/outbox_test.go
@@ -76,7 +76,6 @@
 				bytes, dropped := map[Kind]int{}, 0
 				x := New(conn, Spec{Handle: func(Message) {}, Domain: "0", LinkBytes: slowestLink,
 					OnSend: func(k Kind, n int) { bytes[k] += n + headerBytes }, OnDrop: func(_ Kind, copies int) { dropped += copies }})
-				defer x.Close()
 				x.SetPeers(manyPeers(5, daemons, slowestLink))
 				for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(pause) {
 					for _, k := range Kinds() {
@@ -87,6 +86,7 @@
 						}
 					}
 				}
+				x.Close() // nothing is sent from here on
 				seconds, sum := (span + burst).Seconds(), 0
 				for k, n := range bytes {
 					sum += n
