platform: load reports with a fourth figure are used

The header X-Replica-Load of some services has a fourth figure, the time that work currently takes on the machine in percent of the usual time. parseLoad required exactly three figures, so where there were four, the running and waiting requests were not used either.

The pool keeps the latest slowness of each endpoint with its time, and Pool.ReportsSpeed tells whether endpoints of a service report it.

--- a/pool/endpoint.go
+++ b/pool/endpoint.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/bramleytrail/bramleytrail/engine"
@@ -81,6 +82,7 @@
 	departedUntil time.Time             // departed daemons count until this time
 	routed        *object.RoutedService // nil for services without routes
 	daemons       int                   // daemons that use the service's endpoints, including those that departed recently
+	slownessAt    *atomic.Int64         // Unix time in nanoseconds of the latest report of an endpoint's slowness; 0 for none
 }
 
 // currentAssignment returns the assignment that determines this daemon's shares now.
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -67,10 +67,12 @@
 	history   map[string]*limitHistory // by service
 }
 
-// limitHistory holds a service's limits and the previous ones that other daemons may still apply.
+// limitHistory holds what stays of a service when the table is rebuilt: its limits, the previous ones that other daemons
+// may still apply, and the time of the latest speed report.
 type limitHistory struct {
-	current limits
-	earlier []expiringLimits
+	current    limits
+	earlier    []expiringLimits
+	slownessAt atomic.Int64 // see serviceRules
 }
 
 type expiringLimits struct {
@@ -163,7 +165,7 @@
 	for name := range p.view.Services {
 		h := p.history[name]
 		t.rules[name] = &serviceRules{limits: h.current, earlier: h.earlier, sharesFrom: p.members.joinTime(), departedUntil: departedUntil,
-			routed: p.view.Services[name].Routed, daemons: len(withDeparted)}
+			routed: p.view.Services[name].Routed, daemons: len(withDeparted), slownessAt: &h.slownessAt}
 	}
 	endpoints := make(map[string]*endpoint, len(p.endpoints))
 	for _, h := range p.list.Hosts {
--- a/pool/routed_test.go
+++ b/pool/routed_test.go
@@ -410,3 +410,26 @@
 		t.Errorf("%d requests in the last second, after the cold time; want at least %d", after, want)
 	}
 }
+
+// Guards against reports with a speed whose load is not used, and a service that is taken for one that reports it.
+func TestReportsWithSpeed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := routedPool("d0", 1, 1, 0, now, nil)
+	q := routedQuery("m", 10)
+	q.Exclude = []string{"b0"}
+	r, _, ok := p.Pick(q, now)
+	if !ok || p.ReportsSpeed("llm", now) {
+		t.Fatal("no endpoint, or a speed without a report")
+	}
+	r.RecordRoutedHeader(time.Millisecond, true, &engine.SlotLoad{Running: 7, Waiting: engine.UnknownLoad, Slots: engine.UnknownLoad}, 0, now)
+	if p.ReportsSpeed("llm", now) {
+		t.Error("a report without a speed counts as one with it")
+	}
+	r.RecordRoutedHeader(time.Millisecond, true, &engine.SlotLoad{Running: 9, Slots: 8, Slowness: 2.5}, 0, now)
+	if _, _, ok := p.Pick(q, now); ok {
+		t.Error("a full endpoint is chosen")
+	}
+	if !p.ReportsSpeed("llm", now) || p.ReportsSpeed("other", now) || p.ReportsSpeed("llm", now.Add(2*slownessTTL)) {
+		t.Error("wrong services count as reporting their speed")
+	}
+}
--- a/pool/routedstate.go
+++ b/pool/routedstate.go
@@ -44,6 +44,8 @@
 	peerPrefillAt  time.Time // when peerPrefillMs was computed
 	down           bool      // ejected for failures since its last answer, so it may have restarted
 	maybeColdUntil time.Time // before this time, the host list may not show a restart yet
+	slowness       float64   // latest reported slowness, see engine.SlotLoad
+	slownessAt     time.Time // time of that report
 }
 
 // reserveRouted records the work of a request at the endpoint and sets query.Prompt to the uncached tokens. Prompt parts
@@ -88,10 +90,39 @@
 		e.routed.slowdownAt = now
 	}
 	if load != nil {
-		e.routed.peerRequests = max(0, load.Running+load.Waiting-int(e.inFlight))
-		e.routed.peerRequestsAt = now
+		r.recordLoad(load, now)
 	}
 	if until := now.Add(cold); cold > 0 && until.After(e.routed.coldUntil) {
 		e.routed.coldUntil = until
 	}
 }
+
+// recordLoad records a load report that came with an answer. The caller holds the lock of the endpoint.
+func (r *Reservation) recordLoad(load *engine.SlotLoad, now time.Time) {
+	e := r.endpoint
+	if load.Running >= 0 {
+		e.routed.peerRequests = max(0, load.Running+max(0, load.Waiting)-int(e.inFlight))
+		e.routed.peerRequestsAt = now
+	}
+	if load.Slowness > 0 {
+		e.routed.slowness, e.routed.slownessAt = load.Slowness, now
+		if rules := r.pool.table.Load().rules[r.service]; rules != nil {
+			rules.slownessAt.Store(now.UnixNano())
+		}
+	}
+}
+
+// slownessTTL is the time for which a service counts as one whose endpoints report their speed after the latest report.
+// It bridges pauses between requests; with traffic, reports come with each answer.
+const slownessTTL = time.Minute
+
+// ReportsSpeed reports whether endpoints of the service report their current speed.
+func (p *Pool) ReportsSpeed(service string, now time.Time) bool {
+	rules := p.table.Load().rules[service]
+	return rules != nil && rules.reportsSpeed(now)
+}
+
+func (r *serviceRules) reportsSpeed(now time.Time) bool {
+	at := r.slownessAt.Load()
+	return at != 0 && now.UnixNano()-at < int64(slownessTTL)
+}
