duty: decision of a term, and the clock of leases

A holder whose calls are not protected by compare-and-swap needs a rule for when it may act. BootTime is the clock of these leases: the monotonic one does not advance while a host is suspended. The token is computed in one function, so that revisions with an era need one change.

Checked by the tests of duty, daemon and placement build unchanged.

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -20,9 +20,11 @@
 type Spec struct {
 	Store kv.Store
 	Name  string
+	Key   string        // of the lease's entry in the store; keyPrefix and Name if empty
 	Owner string        // incarnation of the daemon
 	TTL   time.Duration // time to live of the lease
-	Now   func() time.Time
+	// Now returns the time by which the lease expires. A holder whose actions are not protected by compare-and-swap needs BootTime.
+	Now func() time.Time
 }
 
 // Duty is a daemon's candidacy for a named job, and its lease while it holds the job. AcquireOrRenew and Release must not
@@ -34,10 +36,26 @@
 	lease   kv.LeaseID
 	fence   uint64 // 0 if not held
 	expires time.Time
+	// acquired is the time at which this daemon learned that it holds the duty.
+	acquired time.Time
 }
 
 // New returns a duty that is not held.
-func New(spec Spec) *Duty { return &Duty{spec: spec} }
+func New(spec Spec) *Duty {
+	if spec.Key == "" {
+		spec.Key = keyPrefix + spec.Name
+	}
+	return &Duty{spec: spec}
+}
+
+// token returns the fencing token of the term whose acquisition was written at a revision.
+func token(revision uint64) uint64 { return revision }
+
+// eraShift is the number of bits of a token below its era.
+const eraShift = 40
+
+// Era returns the era of the store in which a token was acquired.
+func Era(token uint64) uint64 { return token >> eraShift }
 
 // RenewInterval returns the time between calls of AcquireOrRenew.
 func (d *Duty) RenewInterval() time.Duration { return d.spec.TTL / renewalsPerTTL }
@@ -59,6 +77,14 @@
 	return d.fence, d.expires
 }
 
+// Term returns what Term.Check needs to know of the lease: the token, the time of the acquisition and the expiry. It is zero if
+// the duty is not held.
+func (d *Duty) Term() Term {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return Term{Token: d.fence, Acquired: d.acquired, Expires: d.expires}
+}
+
 // AcquireOrRenew renews the lease, or tries to acquire the duty if the daemon does not hold it. It reports whether the
 // daemon holds the duty, which it may even after an error.
 func (d *Duty) AcquireOrRenew(ctx context.Context) (bool, error) {
@@ -88,8 +114,7 @@
 
 // acquire reads the key before it writes, so that a candidate costs only one read per interval while the duty is held.
 func (d *Duty) acquire(ctx context.Context) (bool, error) {
-	key := keyPrefix + d.spec.Name
-	if _, err := d.spec.Store.Get(ctx, key); !errors.Is(err, kv.ErrNotFound) {
+	if _, err := d.spec.Store.Get(ctx, d.spec.Key); !errors.Is(err, kv.ErrNotFound) {
 		return false, err
 	}
 	start := d.spec.Now()
@@ -97,7 +122,7 @@
 	if err != nil {
 		return false, fmt.Errorf("grant lease for duty %s: %w", d.spec.Name, err)
 	}
-	fence, err := d.spec.Store.CAS(ctx, key, []byte(d.spec.Owner), 0, lease)
+	revision, err := d.spec.Store.CAS(ctx, d.spec.Key, []byte(d.spec.Owner), 0, lease)
 	if err != nil {
 		_ = d.spec.Store.Revoke(ctx, lease) // otherwise it expires
 		if errors.Is(err, kv.ErrConflict) {
@@ -106,7 +131,7 @@
 		return false, fmt.Errorf("acquire duty %s: %w", d.spec.Name, err)
 	}
 	d.mu.Lock()
-	d.lease, d.fence, d.expires = lease, fence, start.Add(d.spec.TTL)
+	d.lease, d.fence, d.expires, d.acquired = lease, token(revision), start.Add(d.spec.TTL), d.spec.Now()
 	d.mu.Unlock()
 	return true, nil
 }
@@ -114,9 +139,13 @@
 func (d *Duty) clear() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.lease, d.fence, d.expires = 0, 0, time.Time{}
+	d.lease, d.fence, d.expires, d.acquired = 0, 0, time.Time{}, time.Time{}
 }
 
+// Drop gives up the duty without a call of the store. It is for a lease of an earlier era of the store, whose ID may now be that
+// of another daemon's lease.
+func (d *Duty) Drop() { d.clear() }
+
 // Release gives up the duty and revokes its lease, so that the next holder need not wait for the lease to expire. If the
 // store can't be reached, the lease expires at the end of its TTL.
 func (d *Duty) Release(ctx context.Context) {
