notice: message kind for reports to the holder of duties

Reports of usage and demand go to one daemon, so SendToPeer sends to a name. The kind has its own share of the link, and ranks after the evidence of releases. The tests of kinds, bounds, ranks and waiting times include it.

Checked by go test ./notice.

--- a/notice/kind.go
+++ b/notice/kind.go
@@ -14,6 +14,7 @@
 	KindSuspect               // crash records of requests that met several crashes
 	KindCrash                 // other crash records
 	KindEvidence              // evidence of a release
+	KindDuty                  // report to the holder of the deployment's duties
 	KindClear                 // crash records that are repeated, and records in favor of requests or prompt parts
 	KindIdle                  // session that is no longer in use
 	KindEstimates             // estimates of one daemon
@@ -33,7 +34,7 @@
 const totalShare = 0.25
 
 // bounds of the kinds. What is dropped is made up for: the next poll reads changes of the store; phases are in the store too; records of
-// crashes are repeated; evidence and estimates are running totals; a session that is not reported as idle stays in use for longer.
+// crashes are repeated; evidence and estimates are running totals, and so are the counts of duties; a session that is not reported as idle stays in use for longer.
 var bounds = [kinds]bound{
 	KindPhase:     {"phase", 0.02, 2 * time.Second},
 	KindChanges:   {"changes", 0.15, time.Second},
@@ -41,6 +42,7 @@
 	KindSuspect:   {"suspect", 0.04, 2 * time.Second},
 	KindCrash:     {"crash", 0.06, time.Second},
 	KindEvidence:  {"evidence", 0.1, 1500 * time.Millisecond},
+	KindDuty:      {"duty", 0.08, 800 * time.Millisecond},
 	KindClear:     {"clear", 0.05, time.Second},
 	KindIdle:      {"idle", 0.03, 500 * time.Millisecond},
 	KindEstimates: {"estimates", 0.06, time.Second},
@@ -64,6 +66,8 @@
 	switch {
 	case len(m.Batch) > 0:
 		return m.Batch[0].Kind()
+	case m.Duty != nil:
+		return KindDuty
 	case m.Revision > 0:
 		return KindChanges
 	case len(m.Crashes) > 0 && m.Minor:
@@ -92,6 +96,11 @@
 	if m.Age > 0 || m.Revision > 0 {
 		m.Age += wait
 	}
+	if m.Duty != nil {
+		d := *m.Duty
+		d.Waited += wait
+		m.Duty = &d
+	}
 	if len(m.Crashes) > 0 {
 		m.Crashes = append(m.Crashes[:0:0], m.Crashes...)
 		for i := range m.Crashes {
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -15,6 +15,8 @@
 
 	"github.com/bramleytrail/bramleytrail/poison"
 	"github.com/bramleytrail/bramleytrail/pool"
+	"github.com/bramleytrail/bramleytrail/scaling"
+	"github.com/bramleytrail/bramleytrail/usage"
 )
 
 // MaxMessageBytes is the largest encoded size of a message. A datagram of this size is sent in a few packets.
@@ -70,6 +72,8 @@
 	Minor   bool `msgpack:"m,omitempty"`
 	// StoreRecovered says that the store answers the sender again after an outage.
 	StoreRecovered bool `msgpack:"y,omitempty"`
+	// Duty is a report to the holder of the deployment's duties.
+	Duty *Duty `msgpack:"q,omitempty"`
 	// Batch holds messages that are sent as one; the other fields are then unused.
 	Batch []Message `msgpack:"g,omitempty"`
 }
@@ -82,6 +86,24 @@
 	Deleted  bool   `msgpack:"d,omitempty"`
 }
 
+// Duty is what a daemon reports to the holder of the deployment's duties, or a part of it.
+type Duty struct {
+	From        string `msgpack:"f"`
+	Incarnation int64  `msgpack:"i"` // start of From in Unix nanoseconds
+	// At is From's estimate of true time in Unix nanoseconds when it made the report, the time Waited before it was sent. Adjusted is
+	// the number of corrections of the estimate.
+	At       int64         `msgpack:"a"`
+	Waited   time.Duration `msgpack:"w,omitempty"`
+	Adjusted int           `msgpack:"j,omitempty"`
+	// Usage holds counts of requests. Demands is the load of services; HasDemands says that the report is about it, even if there is none.
+	Usage      []usage.Window   `msgpack:"u,omitempty"`
+	Demands    []scaling.Demand `msgpack:"d,omitempty"`
+	HasDemands bool             `msgpack:"h,omitempty"`
+	// Correction is sent by the holder: the receiver's estimate is to be corrected by it, if that has been corrected Adjusted times
+	// before.
+	Correction time.Duration `msgpack:"c,omitempty"`
+}
+
 // PacketConn sends and receives datagrams. *net.UDPConn implements it.
 type PacketConn interface {
 	ReadFromUDP(b []byte) (int, *net.UDPAddr, error)
@@ -201,6 +223,16 @@
 	return x.send(x.peers.in(domain), list)
 }
 
+// SendToPeer sends messages to one daemon. They are dropped if it is not known.
+func (x *Exchange) SendToPeer(name string, list ...Message) error {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if addr := x.peers.names[name]; addr != nil {
+		return x.send([]*net.UDPAddr{addr}, list)
+	}
+	return nil
+}
+
 // SendToOtherDomains sends messages to all failure domains except the given one. They go only to some relays of each domain, which
 // forward them there, so that the traffic between domains does not grow with the number of daemons.
 func (x *Exchange) SendToOtherDomains(domain string, list ...Message) error {
@@ -374,8 +406,8 @@
 	}
 }
 
-// isPeer reports whether an address is that of a known daemon. Only such a daemon's messages about the store, estimates and
-// crashes are accepted, and only its messages are relayed.
+// isPeer reports whether an address is that of a known daemon. Only such a daemon's messages about the store, estimates,
+// duties and crashes are accepted, and only its messages are relayed.
 func (x *Exchange) isPeer(from *net.UDPAddr) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -383,7 +415,7 @@
 }
 
 // decode returns the valid messages of a datagram. It ignores datagrams that are not messages. If the sender is not a known
-// daemon, it also drops messages about the store, with estimates or crashes, to be relayed, or in a batch.
+// daemon, it also drops messages about the store, with estimates, crashes or reports, to be relayed, or in a batch.
 func decode(data []byte, fromPeer bool) []Message {
 	var m Message
 	if err := msgpack.Unmarshal(data, &m); err != nil {
@@ -394,7 +426,7 @@
 		list = []Message{m}
 	}
 	return slices.DeleteFunc(list, func(inner Message) bool {
-		peerOnly := inner.Revision > 0 || inner.Relay || len(inner.Estimates) > 0 || len(inner.Crashes) > 0 || len(m.Batch) > 0
+		peerOnly := inner.Revision > 0 || inner.Duty != nil || inner.Relay || len(inner.Estimates) > 0 || len(inner.Crashes) > 0 || len(m.Batch) > 0
 		return !inner.valid() || peerOnly && !fromPeer || inner.Relay && len(m.Batch) > 0
 	})
 }
@@ -404,6 +436,9 @@
 	if m.InUseFor < 0 || m.Age < 0 || m.Work < 0 || len(m.Batch) > 0 {
 		return false
 	}
+	if m.Duty != nil {
+		return m.Duty.From != "" && m.Duty.Waited >= 0
+	}
 	if m.Revision > 0 {
 		return m.After <= m.Revision && len(m.Changes) <= MaxChanges
 	}
--- a/notice/outbox_test.go
+++ b/notice/outbox_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/bramleytrail/bramleytrail/poison"
 	"github.com/bramleytrail/bramleytrail/pool"
+	"github.com/bramleytrail/bramleytrail/usage"
 )
 
 // sampleMessages has a message of each kind.
@@ -20,6 +21,7 @@
 	KindSuspect:   {From: "d", Suspect: true, Crashes: []poison.Record{{Fingerprint: 1, Crash: "i/1"}}},
 	KindCrash:     {From: "d", Crashes: []poison.Record{{Fingerprint: 1, Crash: "i/1"}}},
 	KindEvidence:  {From: "d", Service: "s", Order: 1, Evidence: make([]byte, 500)},
+	KindDuty:      {Duty: &Duty{From: "d", Usage: []usage.Window{{Number: 1, Counts: map[string]int{"team": 1}, Total: 1}}}},
 	KindClear:     {From: "d", Minor: true, Crashes: []poison.Record{{Sound: true, Parts: []uint64{1}}}},
 	KindIdle:      {Service: "s", Order: 1, Session: 1, InUseFor: time.Second, Minor: true},
 	KindEstimates: {From: "d", Estimates: []pool.Estimate{{Service: "s"}}},
@@ -108,7 +110,7 @@
 	now := time.Now()
 	o.setBase(slowestLink, now)
 	to := newPeers(manyPeers(1, 60, slowestLink), "").in("0")
-	order := []Kind{KindPrompt, KindEstimates, KindIdle, KindClear, KindEvidence, KindCrash, KindSuspect, KindSession, KindChanges, KindPhase}
+	order := []Kind{KindPrompt, KindEstimates, KindIdle, KindClear, KindDuty, KindEvidence, KindCrash, KindSuspect, KindSession, KindChanges, KindPhase}
 	for range 20 {
 		for _, k := range order {
 			o.add(sampleMessages[k], make([]byte, 100), to, now)
@@ -144,6 +146,7 @@
 	for kind, m := range map[Kind]Message{
 		KindChanges: {Revision: 2, After: 1, Age: time.Second},
 		KindCrash:   {From: "d", Crashes: []poison.Record{{Fingerprint: 1, Crash: "i/1", Ago: time.Second}}},
+		KindDuty:    {Duty: &Duty{From: "d", Waited: time.Second}},
 	} {
 		data, err := encode(m)
 		if err != nil {
@@ -156,8 +159,11 @@
 			t.Fatalf("%v: %v", kind, list)
 		}
 		got := list[0].Age
-		if kind == KindCrash {
+		switch kind {
+		case KindCrash:
 			got = list[0].Crashes[0].Ago
+		case KindDuty:
+			got = list[0].Duty.Waited
 		}
 		if got != time.Second+wait {
 			t.Errorf("%v: %v after %v, want %v", kind, got, wait, time.Second+wait)
--- a/notice/relays.go
+++ b/notice/relays.go
@@ -20,6 +20,7 @@
 type peers struct {
 	domains map[string]*domain
 	known   map[string]bool // addresses
+	names   map[string]*net.UDPAddr
 }
 
 // domain holds the daemons of a failure domain in the order of names.
@@ -31,7 +32,7 @@
 
 // newPeers returns the peers in a list. Those without a valid address, and the one with the address self, are left out.
 func newPeers(all []Peer, self string) *peers {
-	p := &peers{domains: map[string]*domain{}, known: map[string]bool{}}
+	p := &peers{domains: map[string]*domain{}, known: map[string]bool{}, names: map[string]*net.UDPAddr{}}
 	for _, peer := range slices.SortedFunc(slices.Values(all), func(a, b Peer) int { return strings.Compare(a.Name, b.Name) }) {
 		addr, err := net.ResolveUDPAddr("udp4", peer.Addr)
 		if err != nil || peer.Addr == self {
@@ -49,6 +50,7 @@
 		}
 		d.weights, d.sum = append(d.weights, link*link), d.sum+link*link
 		p.known[addr.String()] = true
+		p.names[peer.Name] = addr
 	}
 	return p
 }
