pipeline: callback at the first answer of a request

Routes.OnAnswer is called with the header of the first answer from an endpoint that ran the request; retries and larger models of a cascade do not call it again.

--- a/pipeline/routed.go
+++ b/pipeline/routed.go
@@ -75,6 +75,9 @@
 	MayBeBehind func() bool
 	// OnSend is called when an attempt at an endpoint begins, and OnAttempt at its end; they may be nil.
 	OnSend, OnAttempt func(dispatch.RoutedAttempt)
+	// OnAnswer is called once for a request, when the header of its first answer has arrived from an endpoint that ran it. Endpoints send it with
+	// the first event or byte of the answer. It may be nil.
+	OnAnswer func(team string)
 	// OnBroken is called when the connection of an attempt broke; it may be nil.
 	OnBroken func(dispatch.BrokenAttempt)
 	// OnEscalate is called when an answer is dropped to ask a larger model; it may be nil.
@@ -106,6 +109,7 @@
 	exchange    *dispatch.Exchange
 	answer      *dispatch.RoutedAnswer
 	lastEventID int64 // ID of the last event that was sent to the caller
+	answered    bool  // OnAnswer was called
 }
 
 // Route serves a request of a route, for which r.Meta must be set, and sends the answer, or an error response, to c. It returns
@@ -289,6 +293,7 @@
 		if err != nil {
 			return err
 		}
+		s.recordAnswered()
 		failed := answer.IsFailure()
 		s.recordSessionUse(answer.Release, false)
 		if failed && answer.Retry() {
@@ -305,6 +310,15 @@
 	return nil
 }
 
+// recordAnswered reports the first answer of the request. Further ones, of a retry or of a larger model, are not reported.
+func (s *routedStages) recordAnswered() {
+	if s.answered || s.p.Routes.OnAnswer == nil {
+		return
+	}
+	s.answered = true
+	s.p.Routes.OnAnswer(s.team)
+}
+
 // recordSessionUse reports to Releases that the session is in use on a version, or that this request's use has ended.
 func (s *routedStages) recordSessionUse(version string, ended bool) {
 	if r := s.p.Routes.Releases; r != nil && s.inSession() {
