usage: send windows that the record skips

The record may contain a window but not the one before, whose reports were late. The next holder took both for done, and did not count the second as missed. It also counted each window again that an earlier one had missed.

--- a/usage/ledger.go
+++ b/usage/ledger.go
@@ -112,7 +112,6 @@
 			if l.closed[w.Number] == nil {
 				l.closed[w.Number] = &closedWindow{Window: w, stored: true, tried: true}
 			}
-			l.next = max(l.next, w.Number+1)
 		}
 	}
 	if record == nil && era > 0 || record != nil && record.Era != era {
@@ -268,7 +267,7 @@
 
 // Record returns what must be stored before the closed windows may be sent.
 func (l *Ledger) Record(holder string, era uint64) Record {
-	r := Record{Holder: holder, Era: era, First: l.first, Windows: []Window{}}
+	r := Record{Holder: holder, Era: era, First: max(l.first, l.next), Windows: []Window{}} // nothing more is said of windows below next
 	for _, k := range slices.Sorted(maps.Keys(l.closed)) {
 		if c := l.closed[k]; c.Counts != nil {
 			r.Windows = append(r.Windows, c.Window)
