usage: bound the windows that a report may open

Until a window was stored, a report of a daemon whose clock is wrong lowered the first window without a bound, and each one since then was closed, logged and counted as missed.

--- a/usage/ledger.go
+++ b/usage/ledger.go
@@ -87,7 +87,7 @@
 // NewLedger returns a ledger of a daemon that started at a time.
 func NewLedger(s Spec, started time.Time) *Ledger {
 	first := WindowOf(started, s.Window)
-	return &Ledger{spec: s, reports: map[int64]map[source]*observed{}, closed: map[int64]*closedWindow{}, first: first, next: first, newest: map[string]int64{}}
+	return &Ledger{spec: s, collecting: started, reports: map[int64]map[source]*observed{}, closed: map[int64]*closedWindow{}, first: first, next: first, newest: map[string]int64{}}
 }
 
 // maxListed bounds the windows that Close lists as not sent after a long time without a holder.
@@ -125,7 +125,8 @@
 func (l *Ledger) Receive(r Report) {
 	l.newest[r.Daemon] = max(l.newest[r.Daemon], r.Incarnation)
 	if !l.hasRecord { // nothing was sent before: the window in which the first daemon started is reported too
-		l.first = min(l.first, max(WindowOf(time.Unix(0, r.Incarnation), l.spec.Window), WindowOf(r.At.Add(-l.spec.Late), l.spec.Window)))
+		oldest := WindowOf(l.collecting.Add(-l.spec.Late), l.spec.Window) // the daemon's clock may be wrong by years
+		l.first = min(l.first, max(WindowOf(time.Unix(0, r.Incarnation), l.spec.Window), oldest))
 		l.next = min(l.next, l.first)
 	}
 	key := source{r.Daemon, r.Incarnation}
