selection: the choice of an endpoint for routed requests is one decision

The choice was spread over eight files of pool and evaluated under the locks of the endpoints, so that it could be tested and explained only together with the pool's state.

Reading the estimates for a choice does not allocate any more.

--- a/pool/affinity.go
+++ b/pool/affinity.go
@@ -1,6 +1,10 @@
 package pool
 
-import "time"
+import (
+	"time"
+
+	"github.com/bramleytrail/bramleytrail/selection"
+)
 
 const (
 	// prefillStepTokens is the number of prompt tokens that an engine with continuous batching processes in one step.
@@ -17,7 +21,7 @@
 	var first, second *endpoint
 	var firstHash, secondHash uint64
 	for _, e := range group {
-		switch h := rendezvous(q.Prefix, e.key); {
+		switch h := selection.Rendezvous(q.Prefix, e.key); {
 		case first == nil || h > firstHash:
 			second, secondHash = first, firstHash
 			first, firstHash = e, h
--- a/pool/endpoint.go
+++ b/pool/endpoint.go
@@ -8,6 +8,7 @@
 	"github.com/bramleytrail/bramleytrail/engine"
 	"github.com/bramleytrail/bramleytrail/hostlist"
 	"github.com/bramleytrail/bramleytrail/object"
+	"github.com/bramleytrail/bramleytrail/selection"
 )
 
 const (
@@ -56,10 +57,9 @@
 	polledAt               time.Time     // when a load report was last requested
 	pollWanted             bool          // a request needs a newer load report
 	routed                 routedState
-	stated                 statement // what the endpoint's process has said about itself
-	position               int       // index in its group: the endpoints of its service, failure domain and software version
-	groupSize              int       // number of endpoints in that group
-	stagger                float64   // fraction in [0, 1) that differs for each daemon and endpoint
+	stated                 statement           // what the endpoint's process has said about itself
+	properties             *selection.Endpoint // replaced, never modified
+	stagger                float64             // fraction in [0, 1) that differs for each daemon and endpoint
 }
 
 // capacity returns the number of concurrent requests that the endpoint can take now from all daemons together. It jumps
@@ -123,7 +123,7 @@
 	return n
 }
 
-// refusal is the reason why an endpoint can't take a request.
+// refusal is the reason why an endpoint can't take a request of a service without routes.
 type refusal int
 
 const (
@@ -134,10 +134,6 @@
 	refusedTooLarge
 	refusedStale
 	refusedSuspect
-	refusedCold    // the endpoint is cold and this daemon's share of its request rate is used up
-	refusedRelease // the request excludes the endpoint's software version
-	refusedModel   // the endpoint does not serve the model
-	refusedLeaving // the endpoint has said that it leaves
 )
 
 // checkAdmission returns accepted if the endpoint can take the request of a service without routes, or the reason why it
--- a/pool/estimates.go
+++ b/pool/estimates.go
@@ -6,6 +6,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/bramleytrail/bramleytrail/selection"
 )
 
 const (
@@ -169,7 +171,11 @@
 }
 
 func (s *estimates) latencyModelOf(k modelKey) latencyModel {
-	d := s.totals[k]
+	return s.totals[k].usableModel()
+}
+
+// usableModel returns the latency model, with initial values until minLatencySamples answers were measured.
+func (d *decayingEstimate) usableModel() latencyModel {
 	if d == nil || d.samples < minLatencySamples {
 		return latencyModel{initialBaseMs, initialTokenMs}
 	}
@@ -245,19 +251,20 @@
 // segment returns the range of the endpoints that a model prefers. The models are sorted by their time per token, and
 // each gets a range in proportion to its work. The range of the slowest model is split between its long prompts and the
 // others. segment also returns the mean prefill time of the service's requests in milliseconds.
-func (s *estimates) segment(service, model string, now time.Time) (seg segment, mean float64) {
+func (s *estimates) segment(service, model string, now time.Time) (seg selection.Segment, mean float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	type modelWork struct {
 		*decayingEstimate
 		msPerToken float64
 	}
-	var work []modelWork
+	var buffer [8]modelWork // more models than a service usually has
+	work := buffer[:0]
 	total, requests := 0.0, 0.0
 	for k, d := range s.totals {
 		if k.service == service {
 			d.decayTo(now)
-			work = append(work, modelWork{d, s.latencyModelOf(k).tokenMs})
+			work = append(work, modelWork{d, d.usableModel().tokenMs})
 			total += d.PrefillMs
 			requests += d.Requests
 		}
@@ -266,7 +273,7 @@
 		return cmp.Or(cmp.Compare(a.msPerToken, b.msPerToken), cmp.Compare(a.Model, b.Model))
 	})
 	if total <= 0 || requests <= 0 {
-		return segment{0, 1, 1, 0}, 0
+		return selection.Segment{To: 1, Models: 1}, 0
 	}
 	mean = total / requests
 	preceding := 0.0
@@ -275,13 +282,13 @@
 			preceding += m.PrefillMs
 			continue
 		}
-		seg = segment{from: preceding / total, to: (preceding + m.PrefillMs) / total, models: len(work)}
+		seg = selection.Segment{From: preceding / total, To: (preceding + m.PrefillMs) / total, Models: len(work)}
 		if i == len(work)-1 && m.PrefillMs > 0 {
-			seg.to, seg.longWork = 1, m.LongPrefillMs/m.PrefillMs
+			seg.To, seg.LongWork = 1, m.LongPrefillMs/m.PrefillMs
 		}
 		return seg, mean
 	}
-	return segment{0, 1, len(work), 0}, mean
+	return selection.Segment{To: 1, Models: len(work)}, mean
 }
 
 // Attempts counts the requests that the daemons of a failure domain sent to a service, as exponentially decaying sums.
--- a/pool/estimates_test.go
+++ b/pool/estimates_test.go
@@ -34,12 +34,12 @@
 		}
 	}
 	want, _ := daemons[0].segment("llm", "large", now)
-	if want.from < 0.4 || want.from > 0.5 || want.longWork < 0.2 || want.longWork > 0.5 {
+	if want.From < 0.4 || want.From > 0.5 || want.LongWork < 0.2 || want.LongWork > 0.5 {
 		t.Errorf("unexpected segment of the large model: %+v", want)
 	}
 	for i, d := range daemons {
 		got, _ := d.segment("llm", "large", now)
-		if math.Abs(got.from-want.from) > 1e-9 || math.Abs(got.longWork-want.longWork) > 1e-9 {
+		if math.Abs(got.From-want.From) > 1e-9 || math.Abs(got.LongWork-want.LongWork) > 1e-9 {
 			t.Errorf("segment of daemon %d is %+v, of daemon 0 %+v", i, got, want)
 		}
 		if p := d.latencyModel("llm", "large"); math.Abs(p.tokenMs-0.1) > 0.01 {
--- a/pool/peerprefill.go
+++ b/pool/peerprefill.go
@@ -40,5 +40,8 @@
 // remainingPeerPrefillMs returns the rest of the prefill time of other daemons' prompts, in milliseconds, if the
 // endpoint processes them without a pause.
 func (s *routedState) remainingPeerPrefillMs(now time.Time) float64 {
+	if s.peerPrefillMs == 0 {
+		return 0
+	}
 	return max(0, s.peerPrefillMs-float64(now.Sub(s.peerPrefillAt))/float64(time.Millisecond))
 }
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -6,6 +6,7 @@
 
 	"github.com/bramleytrail/bramleytrail/config"
 	"github.com/bramleytrail/bramleytrail/engine"
+	"github.com/bramleytrail/bramleytrail/selection"
 )
 
 // maxPickAttempts bounds the selections in one Pick. A selection fails if another request takes the capacity between
@@ -33,6 +34,7 @@
 	// Routed describes the request of a route; nil for other requests.
 	Routed *RoutedQuery
 
+	choice           *routedChoice // of a routed request
 	expectedDelay    time.Duration // expected delay at the endpoint chosen for a routed request
 	expectedUncached int64         // prompt tokens that this endpoint probably has to process
 }
@@ -78,7 +80,8 @@
 	group := t.groups[groupKey{q.Service, q.Version}]
 	shortage := Shortage{Listed: len(group)}
 	if q.Routed != nil {
-		q.Routed.prepare(p, &q, group, now)
+		c := p.prepareChoice(&q, now)
+		defer c.free()
 	}
 	for attempt := 0; attempt < maxPickAttempts && len(group) > 0; attempt++ {
 		shortage = Shortage{Listed: len(group)}
@@ -102,7 +105,7 @@
 	return Reservation{}, shortage, false
 }
 
-// evaluate returns the endpoint as a candidate, or counts in shortage why it can't take the request.
+// evaluate returns the endpoint as a candidate for a request of a service without routes, or counts in shortage why it can't take the request.
 func (e *endpoint) evaluate(q *Query, view *config.View, rules *serviceRules, now time.Time, shortage *Shortage) (candidate, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -114,15 +117,6 @@
 		shortage.Excluded++
 		return candidate{}, false
 	}
-	if q.Routed != nil {
-		if r, retryAt := e.checkRoutedAdmission(q, rules, now); r != accepted {
-			shortage.count(r, retryAt)
-			return candidate{}, false
-		}
-		uncached := e.uncachedTokens(q, now)
-		score, delay := e.routedScore(q, uncached, now)
-		return candidate{e: e, domain: e.host.Domain, score: score, lastChosen: e.lastChosen, delay: delay, uncached: uncached}, true
-	}
 	if r := e.checkAdmission(q, rules, now); r != accepted {
 		shortage.count(r, e.ejectedUntil)
 		return candidate{}, false
@@ -135,7 +129,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if q.Routed != nil {
-		if r, _ := e.checkRoutedAdmission(q, rules, now); r != accepted {
+		var c selection.Candidate
+		e.snapshot(&c, q.choice, rules, now)
+		if q.choice.request.Check(&c) != selection.Usable {
 			return Reservation{}, false
 		}
 		e.reserveRouted(q, now)
@@ -156,14 +152,12 @@
 	}, true
 }
 
-// count counts a refusal. retryAt is used for ejected endpoints and for cold ones over their rate.
+// count counts a refusal. retryAt is used for ejected endpoints.
 func (s *Shortage) count(r refusal, retryAt time.Time) {
 	switch r {
 	case refusedEjected:
 		s.Ejected++
-		if s.RetryAt.IsZero() || retryAt.Before(s.RetryAt) {
-			s.RetryAt = retryAt
-		}
+		s.retryAt(retryAt)
 	case refusedSlots:
 		s.Full++
 	case refusedTokens:
@@ -174,15 +168,12 @@
 		s.Stale++
 	case refusedSuspect:
 		s.Suspect++
-	case refusedCold:
-		s.Full++
-		if s.RetryAt.IsZero() || retryAt.Before(s.RetryAt) {
-			s.RetryAt = retryAt
-		}
-	case refusedLeaving:
-		s.Leaving++
-	case refusedRelease, refusedModel:
-		s.Excluded++
+	}
+}
+
+func (s *Shortage) retryAt(at time.Time) {
+	if s.RetryAt.IsZero() || at.Before(s.RetryAt) {
+		s.RetryAt = at
 	}
 }
 
--- a/pool/policy.go
+++ b/pool/policy.go
@@ -26,20 +26,17 @@
 // endpoints of the daemon's own failure domain go first.
 const costTolerance = 0.08
 
-// candidate is an endpoint that can take a request.
+// candidate is an endpoint that can take a request of a service without routes.
 type candidate struct {
 	e          *endpoint
-	domain     string
 	score      float64
-	lastChosen time.Time     // when this daemon last sent a request to it
-	delay      time.Duration // expected time until a routed answer begins
-	uncached   int64         // prompt tokens of a routed request that the endpoint probably has to process
+	lastChosen time.Time // when this daemon last sent a request to it
 }
 
 // selectEndpoint returns the endpoint that the policy selects, or nil if none can take the request.
 func (p *Pool) selectEndpoint(group []*endpoint, q *Query, t *table, now time.Time, shortage *Shortage) *endpoint {
 	if q.Routed != nil {
-		return p.selectRouted(group, q, t, now, shortage)
+		return p.selectRouted(group, q, t.rules[q.Service], now, shortage)
 	}
 	start, compared := p.scanOrder(len(group))
 	var list [maxCandidates]candidate
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -11,6 +11,7 @@
 	"github.com/bramleytrail/bramleytrail/config"
 	"github.com/bramleytrail/bramleytrail/hostlist"
 	"github.com/bramleytrail/bramleytrail/object"
+	"github.com/bramleytrail/bramleytrail/selection"
 )
 
 // shardCount is the number of locks that the endpoints share.
@@ -209,8 +210,8 @@
 	e := p.endpoints[h.ID]
 	if e == nil || e.host.Addr != h.Addr {
 		key := xxhash.Sum64String(h.ID)
-		e = &endpoint{key: key, mu: &p.shards[key%shardCount]}
-		e.stagger = float64(rendezvous(xxhash.Sum64String(p.spec.Self), key)>>11) / (1 << 53)
+		e = &endpoint{key: key, mu: &p.shards[key%shardCount], properties: &selection.Endpoint{}}
+		e.stagger = float64(selection.Rendezvous(xxhash.Sum64String(p.spec.Self), key)>>11) / (1 << 53)
 		e.stated = p.statements.of(h.ID, h.Started)
 	}
 	e.mu.Lock()
@@ -222,6 +223,10 @@
 	}
 	e.host = h
 	e.local = h.Domain == p.spec.Domain
+	e.properties = &selection.Endpoint{
+		ID: h.ID, Domain: h.Domain, Release: h.Release, Models: h.Models, Key: e.key, Slots: h.Slots, Local: e.local,
+		InService: p.view.DomainInService(h.Domain), Stagger: e.stagger, Position: e.properties.Position, GroupSize: e.properties.GroupSize,
+	}
 	e.assignment, e.conservativeAssignment = a, conservative
 	return e
 }
--- a/pool/reachability.go
+++ b/pool/reachability.go
@@ -19,9 +19,6 @@
 	// unreachableProbeInterval is the time after which another request may go to an unreachable domain if it is
 	// preferred otherwise.
 	unreachableProbeInterval = time.Second
-	// unreachablePenalty is added to the cost of endpoints in an unreachable domain, as a fraction of the request's
-	// target time.
-	unreachablePenalty = 1.0
 )
 
 // reachability records which failure domains this daemon can connect to. It is safe for concurrent use.
--- a/pool/routed.go
+++ b/pool/routed.go
@@ -1,20 +1,21 @@
 package pool
 
 import (
-	"cmp"
 	"math"
+	"slices"
+	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/bramleytrail/bramleytrail/engine"
+	"github.com/bramleytrail/bramleytrail/selection"
 )
 
 // Endpoints of routed services refuse requests beyond their limits and report their load, so daemons need no shares of
 // their slots. A daemon compares endpoints by what it knows of their load: its own requests exactly, and those of other
 // daemons as of the last answer. Scores are milliseconds of expected delay.
 
-// delayTolerance is the difference, in milliseconds, up to which scores count as equal.
-const delayTolerance = 2.0
-
 // RoutedQuery describes a request to a routed service.
 type RoutedQuery struct {
 	Model string // empty if every endpoint can serve the request
@@ -33,73 +34,123 @@
 	// Gap is the longest pause within a streamed answer that is still on time; 0 for other answers.
 	Gap time.Duration
 
-	latency       latencyModel // of Model
-	affinityKey   uint64       // key of the endpoint that the hash of the prompt's shared parts selects; 0 for none
-	segment       segment      // endpoints that the model prefers
-	meanPrefillMs float64      // mean prefill time of the service's requests, in milliseconds
-	long          bool         // the prefill pauses the streams at the endpoint noticeably
+	latency latencyModel // of Model
+	long    bool         // the prefill pauses the streams at the endpoint noticeably
 }
 
-// prepare computes what does not depend on the endpoint.
-func (q *RoutedQuery) prepare(p *Pool, query *Query, group []*endpoint, now time.Time) {
-	q.latency = p.estimates.latencyModel(query.Service, q.Model)
-	q.segment, q.meanPrefillMs = p.estimates.segment(query.Service, q.Model, now)
-	q.long = q.Gap > 0 && q.latency.tokenMs*float64(query.Prompt) > longPromptShare*float64(q.Gap/time.Millisecond)
-	q.affinityKey = 0
-	if len(q.Parts) < 2 {
-		return
-	}
-	key := partKey(q.Model, q.Parts[len(q.Parts)-2].ID) // the last part belongs to this request only
-	var best uint64
-	for _, e := range group {
-		if h := rendezvous(key, e.key); h >= best && e.isPreferred(q) {
-			best, q.affinityKey = h, e.key
-		}
-	}
+// longPromptShare is the prefill time from which a prompt counts as long, as a fraction of the route's maximum gap.
+const longPromptShare = 0.4
+
+// routedChoice holds what the choice for one request needs. Its buffers are reused.
+type routedChoice struct {
+	chooser  selection.Chooser
+	request  selection.Request
+	partKeys []uint64 // of the prompt's parts
 }
 
-// isPreferred reports whether the model's requests may go to the endpoint and prefer it.
-func (e *endpoint) isPreferred(q *RoutedQuery) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return q.allowsRelease(e.host.Release) && e.inSegment(q)
+var routedChoices = sync.Pool{New: func() any { return new(routedChoice) }}
+
+func (c *routedChoice) free() {
+	c.request = selection.Request{Parts: c.request.Parts[:0]} // refers to the query
+	routedChoices.Put(c)
 }
 
-func (q *RoutedQuery) allowsRelease(release string) bool {
-	return (q.Release == "" || release == q.Release) && (q.NotRelease == "" || release != q.NotRelease)
+// prepareChoice sets the query's choice and what does not depend on the endpoint. The caller frees the choice.
+func (p *Pool) prepareChoice(query *Query, now time.Time) *routedChoice {
+	q := query.Routed
+	c := routedChoices.Get().(*routedChoice)
+	query.choice = c
+	q.latency = p.estimates.latencyModel(query.Service, q.Model)
+	segment, meanPrefillMs := p.estimates.segment(query.Service, q.Model, now)
+	q.long = q.Gap > 0 && q.latency.tokenMs*float64(query.Prompt) > longPromptShare*float64(q.Gap/time.Millisecond)
+	tokens := c.request.Parts[:0]
+	c.partKeys = c.partKeys[:0]
+	model := xxhash.Sum64String(q.Model)
+	for _, part := range q.Parts {
+		tokens = append(tokens, part.Tokens)
+		c.partKeys = append(c.partKeys, partKey(model, part.ID))
+	}
+	c.request = selection.Request{
+		Model: q.Model, Release: q.Release, NotRelease: q.NotRelease, Exclude: query.Exclude, Suspect: query.Suspect, Prompt: query.Prompt, Parts: tokens,
+		Target: q.Target, Gap: q.Gap, Bytes: q.Bytes, Segment: segment, Long: q.long, BaseMs: q.latency.baseMs, TokenMs: q.latency.tokenMs, MeanPrefillMs: meanPrefillMs,
+	}
+	if n := len(c.partKeys); n >= 2 {
+		c.request.PartsKey = c.partKeys[n-2] // the last part belongs to this request only
+	}
+	return c
 }
 
 // Service returns the name of the endpoint's service.
 func (r *Reservation) Service() string { return r.service }
 
-// precedes reports whether the endpoint is preferred over another one with the same score: the least recently chosen
-// one goes first. Among endpoints that were never chosen, which is most of them at a daemon with few requests, each
-// daemon starts with a different one.
-func (c *candidate) precedes(other *candidate) bool {
-	return cmp.Or(c.lastChosen.Compare(other.lastChosen), cmp.Compare(c.e.stagger, other.e.stagger)) < 0
-}
-
-// selectRouted compares all endpoints of a group, because few endpoints of a large group are in the request's segment
-// and failure domain.
-func (p *Pool) selectRouted(group []*endpoint, q *Query, t *table, now time.Time, shortage *Shortage) *endpoint {
-	var best candidate
+// selectRouted returns the endpoint that package selection chooses, or nil.
+func (p *Pool) selectRouted(group []*endpoint, q *Query, rules *serviceRules, now time.Time, shortage *Shortage) *endpoint {
+	c := q.choice
+	c.chooser.Candidates = slices.Grow(c.chooser.Candidates[:0], len(group))[:len(group)]
 	allReachable := p.reachability.allReachable()
-	for _, e := range group {
-		c, ok := e.evaluate(q, t.view, t.rules[q.Service], now, shortage)
-		if !ok {
-			continue
-		}
-		if !allReachable && p.reachability.unreachable(c.domain, now) {
-			c.score += unreachablePenalty * float64(q.Routed.Target/time.Millisecond)
-		}
-		better := c.score < best.score-delayTolerance
-		tied := math.Abs(c.score-best.score) <= delayTolerance
-		if best.e == nil || better || tied && c.precedes(&best) {
-			best = c
+	for i, e := range group {
+		candidate := &c.chooser.Candidates[i]
+		e.mu.Lock()
+		e.snapshot(candidate, c, rules, now)
+		e.mu.Unlock()
+		candidate.Unreachable = !allReachable && p.reachability.unreachable(candidate.Domain, now)
+	}
+	d := c.chooser.Choose(&c.request)
+	for i := range d.Evaluations {
+		if r := d.Evaluations[i].Rejection; r != selection.Usable {
+			shortage.countRouted(r, &c.chooser.Candidates[i], now)
 		}
 	}
-	q.expectedDelay, q.expectedUncached = best.delay, best.uncached
-	return best.e
+	q.expectedDelay, q.expectedUncached = time.Duration(d.Chosen.DelayMs*float64(time.Millisecond)), d.Chosen.Uncached
+	if d.Index < 0 {
+		return nil
+	}
+	return group[d.Index]
+}
+
+// snapshot sets c to the state of the endpoint. The caller holds e.mu.
+func (e *endpoint) snapshot(c *selection.Candidate, choice *routedChoice, rules *serviceRules, now time.Time) {
+	*c = selection.Candidate{
+		Endpoint: e.properties, Rejection: choice.request.Exclusion(e.properties), Leaving: e.stated.leaving,
+		Suspects: e.suspects, Requests: e.estimatedRequests(now), SinceChosen: math.MaxInt64,
+	}
+	if until := later(e.ejectedUntil, e.stated.busyUntil); !until.IsZero() {
+		c.UnavailableFor = until.Sub(now)
+	}
+	if !e.lastChosen.IsZero() {
+		c.SinceChosen = now.Sub(e.lastChosen)
+	}
+	if choice.request.Check(c) != selection.Usable {
+		return
+	}
+	if c.ColdWait = e.coldWait(rules, now); c.ColdWait > 0 {
+		return
+	}
+	c.CachedParts = e.routed.countCached(choice.partKeys, now)
+	c.PrefillMs, c.PeerPrefillMs = e.routed.prefillMs, e.routed.remainingPeerPrefillMs(now)
+	c.Slowdown, c.FailureRate = e.currentSlowdown(now), e.routed.failureRate
+}
+
+// countRouted counts a rejected endpoint of a routed service.
+func (s *Shortage) countRouted(r selection.Reason, c *selection.Candidate, now time.Time) {
+	switch r {
+	case selection.DomainOut:
+		s.DomainOut++
+	case selection.Excluded, selection.OtherRelease, selection.OtherModel:
+		s.Excluded++
+	case selection.Leaving:
+		s.Leaving++
+	case selection.Ejected:
+		s.Ejected++
+		s.retryAt(now.Add(c.RetryIn(r)))
+	case selection.SuspectRuns:
+		s.Suspect++
+	case selection.Cold:
+		s.Full++
+		s.retryAt(now.Add(c.RetryIn(r)))
+	case selection.Full:
+		s.Full++
+	}
 }
 
 // CountUsable returns the number of endpoints of a service that run a software version, are not ejected, and are in a
--- a/pool/routedadmission.go
+++ b/pool/routedadmission.go
@@ -1,9 +1,6 @@
 package pool
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 const (
 	// peerRequestsTTL is the age at which a reported load no longer counts. Requests take about a second.
@@ -18,31 +15,6 @@
 	coldGrace, coldSpread = time.Second, time.Second
 )
 
-// checkRoutedAdmission is checkAdmission for routed services. For ejected endpoints and for cold ones over their rate,
-// it also returns when they may take a request.
-func (e *endpoint) checkRoutedAdmission(q *Query, r *serviceRules, now time.Time) (refusal, time.Time) {
-	routed := q.Routed
-	switch {
-	case !routed.allowsRelease(e.host.Release):
-		return refusedRelease, time.Time{}
-	case routed.Model != "" && len(e.host.Models) > 0 && !slices.Contains(e.host.Models, routed.Model):
-		return refusedModel, time.Time{}
-	case e.stated.leaving:
-		return refusedLeaving, time.Time{}
-	case now.Before(e.ejectedUntil) || now.Before(e.stated.busyUntil):
-		return refusedEjected, later(e.ejectedUntil, e.stated.busyUntil)
-	case q.Suspect && e.suspects > 0:
-		return refusedSuspect, time.Time{}
-	}
-	if wait := e.coldWait(r, now); wait > 0 {
-		return refusedCold, now.Add(wait)
-	}
-	if e.host.Slots > 0 && e.estimatedRequests(now) >= e.host.Slots {
-		return refusedSlots, time.Time{}
-	}
-	return accepted, time.Time{}
-}
-
 // estimatedRequests returns the number of requests at the endpoint: this daemon's own and the last known number of the
 // others.
 func (e *endpoint) estimatedRequests(now time.Time) int {
--- a/pool/routedstate.go
+++ b/pool/routedstate.go
@@ -52,12 +52,12 @@
 // count as cached from the time they are sent.
 func (e *endpoint) reserveRouted(query *Query, now time.Time) {
 	q := query.Routed
-	query.Prompt = e.uncachedTokens(query, now)
+	query.Prompt = query.expectedUncached
 	e.routed.prefillMs += q.latency.tokenMs * float64(query.Prompt)
 	if !e.routed.coldTokensAt.IsZero() { // the endpoint is cold
 		e.routed.coldTokens--
 	}
-	e.routed.recordParts(q, now)
+	e.routed.recordParts(query.choice.partKeys, now)
 }
 
 func (s *routedState) countFailure() {
--- a/pool/share.go
+++ b/pool/share.go
@@ -5,6 +5,7 @@
 
 	"github.com/bramleytrail/bramleytrail/hostlist"
 	"github.com/bramleytrail/bramleytrail/object"
+	"github.com/bramleytrail/bramleytrail/selection"
 )
 
 // minShare is the number of slots per assigned daemon. With 4, a daemon of the target deployment has no endpoint for 1
@@ -81,7 +82,7 @@
 		return assignment{unassigned, len(daemons)}
 	}
 	own := &daemons[selfIndex]
-	local, score := own.domain == endpoint.Domain, rendezvous(own.hash, key)
+	local, score := own.domain == endpoint.Domain, selection.Rendezvous(own.hash, key)
 	ahead, groupSize := 0, 0
 	for i := range daemons {
 		d := &daemons[i]
@@ -89,7 +90,7 @@
 			continue
 		}
 		groupSize++
-		if s := rendezvous(d.hash, key); s > score || s == score && d.id < self {
+		if s := selection.Rendezvous(d.hash, key); s > score || s == score && d.id < self {
 			ahead++
 		}
 	}
@@ -105,13 +106,3 @@
 	id, domain string
 	hash       uint64
 }
-
-// rendezvous combines the hashes of a daemon and an endpoint with the finalizer of SplitMix64.
-func rendezvous(daemon, endpoint uint64) uint64 { return splitMix64(daemon + splitMix64(endpoint)) }
-
-func splitMix64(z uint64) uint64 {
-	z += 0x9e3779b97f4a7c15
-	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
-	z = (z ^ z>>27) * 0x94d049bb133111eb
-	return z ^ z>>31
-}
--- a/pool/routedcost.go
+++ b/selection/cost.go
@@ -1,4 +1,4 @@
-package pool
+package selection
 
 import "time"
 
@@ -19,9 +19,6 @@
 	// crossDomainDelay and crossDomainDelayPerKB represent the price of traffic between failure domains, in
 	// milliseconds for each request and for each kilobyte of it.
 	crossDomainDelay, crossDomainDelayPerKB = 10.0, 2.0
-	// slowdownHalfLife is the age at which a measured slowdown has half its effect. A slow endpoint is tried again
-	// after a few of these periods.
-	slowdownHalfLife = 4 * time.Second
 	// uncachedDelayPer1000 represents the price of processing prompt tokens that another endpoint may have in its cache, in
 	// milliseconds for 1,000 tokens. It does not depend on the model: a small model reads fast, but the tokens that it reads
 	// evict others from the cache all the same.
@@ -29,40 +26,42 @@
 	// failurePenalty is added to the cost of an endpoint that always fails, as a multiple of the target time. A failed
 	// request is sent again, or is lost if it may run only once.
 	failurePenalty = 2.0
+	// unreachablePenalty is added to the cost of endpoints in an unreachable domain, as a fraction of the request's
+	// target time.
+	unreachablePenalty = 1.0
 )
 
-// routedScore returns the cost of sending the request to the endpoint, in milliseconds, and its expected delay. uncached is
-// the number of prompt tokens that the endpoint has to process. The cost also includes the delay for other requests, the
-// price of uncached tokens, and penalties for failures, other segments and other domains.
-func (e *endpoint) routedScore(query *Query, uncached int64, now time.Time) (score float64, expected time.Duration) {
-	q := query.Routed
-	target := float64(q.Target / time.Millisecond)
-	prefill := q.latency.tokenMs * float64(uncached)
-	requests := float64(e.estimatedRequests(now))
-	delay := e.routed.prefillMs + prefill + q.latency.baseMs
-	if e.host.Slots > 0 {
-		delay += q.latency.baseMs * batchDelay * requests / float64(e.host.Slots)
+// costModel computes costs for one request.
+type costModel struct {
+	*Request
+	affinityKey uint64 // result of Request.affinity
+	segment     segmentBounds
+}
+
+// evaluate computes the cost of sending the request to the candidate, and its expected delay. The cost also includes the
+// delay for other requests, the price of uncached tokens, and penalties for failures, other segments and other domains.
+func (m *costModel) evaluate(c *Candidate, out *Evaluation) {
+	target := float64(m.Target / time.Millisecond)
+	out.Uncached = m.uncached(c, m.affinityKey)
+	uncached := float64(out.Uncached)
+	prefill := m.TokenMs * uncached
+	requests := float64(c.Requests)
+	delay := c.PrefillMs + prefill + m.BaseMs
+	if c.Slots > 0 {
+		delay += m.BaseMs * batchDelay * requests / float64(c.Slots)
 	}
-	slowdown := e.currentSlowdown(now)
-	delay += e.routed.remainingPeerPrefillMs(now)
-	delay *= slowdown
-	cost := delay + uncachedDelayPer1000*float64(uncached)/1000 + failurePenalty*e.routed.failureRate*target
-	cost += (slowdown*prefill*prefillInterference + contentionDelay*q.meanPrefillMs) * requests
-	if !e.inSegment(q) {
+	delay += c.PeerPrefillMs
+	delay *= c.Slowdown
+	cost := delay + uncachedDelayPer1000*uncached/1000 + failurePenalty*c.FailureRate*target
+	cost += (c.Slowdown*prefill*prefillInterference + contentionDelay*m.MeanPrefillMs) * requests
+	if !m.segment.includes(m.Request, c.Endpoint) {
 		cost += outOfSegmentPenalty * target
 	}
-	if !e.local {
-		cost += crossDomainDelay + crossDomainDelayPerKB*float64(q.Bytes)/1024
+	if !c.Local {
+		cost += crossDomainDelay + crossDomainDelayPerKB*float64(m.Bytes)/1024
 	}
-	return cost, time.Duration(delay * float64(time.Millisecond))
-}
-
-// currentSlowdown returns the endpoint's latency as a multiple of the expected one. It decays to 1 with the age of the
-// measurement.
-func (e *endpoint) currentSlowdown(now time.Time) float64 {
-	if e.routed.slowdownAt.IsZero() {
-		return 1
+	if c.Unreachable {
+		cost += unreachablePenalty * target
 	}
-	age := float64(now.Sub(e.routed.slowdownAt)) / float64(slowdownHalfLife)
-	return 1 + (e.routed.slowdown-1)/(1+age*age)
+	out.CostMs, out.DelayMs = cost, delay
 }
