--- a/claim/claim.go
+++ b/claim/claim.go
@@ -158,7 +158,7 @@
 type Claim struct {
 	filter   *Filter
 	key      string
-	revision uint64
+	revision kv.Revision
 	record   Record
 	closed   bool
 }
@@ -196,19 +196,19 @@
 }
 
 // writeRecord stores a record if the revision of its key is prev, and returns the new revision.
-func (f *Filter) writeRecord(ctx context.Context, key string, r Record, prev uint64) (uint64, error) {
+func (f *Filter) writeRecord(ctx context.Context, key string, r Record, prev kv.Revision) (kv.Revision, error) {
 	data, err := json.Marshal(r)
 	if err != nil {
-		return 0, fmt.Errorf("encode claim %s: %w", key, err)
+		return kv.Revision{}, fmt.Errorf("encode claim %s: %w", key, err)
 	}
 	return f.spec.Store.CAS(ctx, key, data, prev, 0)
 }
 
 // readRecord returns a record and its revision.
-func (f *Filter) readRecord(ctx context.Context, key string) (Record, uint64, error) {
+func (f *Filter) readRecord(ctx context.Context, key string) (Record, kv.Revision, error) {
 	e, err := f.spec.Store.Get(ctx, key)
 	if err != nil {
-		return Record{}, 0, err
+		return Record{}, kv.Revision{}, err
 	}
 	r, err := decodeRecord(e.Value)
 	return r, e.Revision, err
@@ -226,7 +226,7 @@
 // effect if the stored nonce is the claim's own. The call is not sent as long as this is unknown.
 func (f *Filter) acquire(ctx context.Context, c *Claim) (*Claim, *Record, error) {
 	var cause error
-	conflict, uncertain, needWrite, prev := false, false, true, uint64(0)
+	conflict, uncertain, needWrite, prev := false, false, true, kv.Revision{}
 	for attempt := range maxAcquireAttempts {
 		if attempt > 0 && pause.For(ctx, acquireRetryDelay) != nil {
 			break
@@ -244,7 +244,7 @@
 		r, rev, err := f.readRecord(ctx, c.key)
 		switch {
 		case err == nil && r.Nonce == c.record.Nonce:
-			return f.acquired(c, rev, 0) // 0, because it is unknown when the write took effect
+			return f.acquired(c, rev, kv.Revision{}) // zero, because it is unknown when the write took effect
 		case err == nil && r.State != Released:
 			return f.answerRepeat(c, r)
 		case err == nil || errors.Is(err, kv.ErrNotFound):
@@ -265,9 +265,9 @@
 // acquired completes acquire after the claim was stored at revision rev. If rev is not above revisionBefore, which was
 // seen before the write, the store was restored from older data and an earlier claim of this key may be lost. The claim
 // is then released and an error returned.
-func (f *Filter) acquired(c *Claim, rev, revisionBefore uint64) (*Claim, *Record, error) {
+func (f *Filter) acquired(c *Claim, rev, revisionBefore kv.Revision) (*Claim, *Record, error) {
 	c.revision = rev
-	if rev <= revisionBefore {
+	if rev.Compare(revisionBefore) <= 0 {
 		f.handleRestore()
 		c.Release()
 		return nil, nil, result.Wrap(result.ClaimUnavailable, result.NotRun, errClaimsMayBeLost).WithRetryAfter(restoreHold)
@@ -370,7 +370,7 @@
 		own := r.Nonce == c.record.Nonce
 		switch {
 		case errors.Is(err, kv.ErrNotFound):
-			rev = 0
+			rev = kv.Revision{}
 		case err != nil:
 			return false
 		case own && r.State == Released, !own && r.State != Released:
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -127,7 +127,7 @@
 	old, recent := time.Now().Add(-60*24*time.Hour), time.Now()
 	put := func(name string, s State, at time.Time) string {
 		key := StoreKey("lots", "growers", name)
-		if _, err := newFilter(store).writeRecord(t.Context(), key, Record{State: s, Key: name, At: at}, 0); err != nil {
+		if _, err := newFilter(store).writeRecord(t.Context(), key, Record{State: s, Key: name, At: at}, kv.Revision{}); err != nil {
 			t.Fatal(err)
 		}
 		return key
@@ -172,7 +172,7 @@
 		store := memkv.New()
 		filter := newFilter(store)
 		defer filter.Close(context.Background())
-		if _, err := filter.writeRecord(context.Background(), "claim/x", r, 0); err != nil {
+		if _, err := filter.writeRecord(context.Background(), "claim/x", r, kv.Revision{}); err != nil {
 			t.Skip() // times outside the years 0 to 9999 can't be encoded
 		}
 		again, _, err := filter.readRecord(context.Background(), "claim/x")
--- a/claim/restore.go
+++ b/claim/restore.go
@@ -41,7 +41,7 @@
 type recentClaim struct {
 	key      string
 	record   Record
-	revision uint64
+	revision kv.Revision
 }
 
 // recentClaims keeps the recent claims of a daemon in memory, and the state of the detection of restores. Claims that
@@ -49,18 +49,18 @@
 type recentClaims struct {
 	mu           sync.Mutex
 	entries      []recentClaim // ordered by their last write, oldest first
-	maxRevision  uint64        // highest revision seen since the last detected restore
+	maxRevision  kv.Revision   // highest revision seen since the last detected restore
 	holdUntil    time.Time
 	rewriteDue   bool // whether rewriteLostClaims has to run
 	failedProbes int  // consecutive probes without an answer
 }
 
 // put adds or replaces a claim that was stored at revision. It discards the answer to save memory.
-func (r *recentClaims) put(key string, record Record, revision uint64) {
+func (r *recentClaims) put(key string, record Record, revision kv.Revision) {
 	record.Header, record.Body, record.BodyKept = nil, nil, false
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.maxRevision = max(r.maxRevision, revision)
+	r.maxRevision = r.maxRevision.Max(revision)
 	r.entries = slices.DeleteFunc(r.entries, func(k recentClaim) bool { return k.key == key })
 	if len(r.entries) == maxRecentClaims {
 		r.entries = r.entries[1:]
@@ -70,7 +70,7 @@
 
 // highestRevision returns the highest revision seen. If a later write does not get a higher one, the store was restored
 // from older data.
-func (r *recentClaims) highestRevision() uint64 {
+func (r *recentClaims) highestRevision() kv.Revision {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.maxRevision
@@ -88,7 +88,7 @@
 func (r *recentClaims) startHold(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.maxRevision, r.holdUntil, r.rewriteDue = 0, now.Add(restoreHold), true
+	r.maxRevision, r.holdUntil, r.rewriteDue = kv.Revision{}, now.Add(restoreHold), true
 }
 
 // latest returns the claim that was written last, or false if there is none. It first drops claims older than
@@ -123,7 +123,7 @@
 			f.recent.recordProbeFailure()
 			continue
 		}
-		if f.recent.recordProbeSuccess() || e.Revision < k.revision {
+		if f.recent.recordProbeSuccess() || e.Revision.Compare(k.revision) < 0 {
 			f.handleRestore()
 		}
 		if f.recent.takeRewriteDue() {
@@ -187,7 +187,7 @@
 // replaced. A claim of another daemon is kept, because its call may have been sent, and this daemon's own is dropped
 // from memory.
 func (f *Filter) rewriteClaim(ctx context.Context, k recentClaim) (present bool, err error) {
-	rev, err := f.writeRecord(ctx, k.key, k.record, 0)
+	rev, err := f.writeRecord(ctx, k.key, k.record, kv.Revision{})
 	if errors.Is(err, kv.ErrConflict) {
 		var r Record
 		if r, rev, err = f.readRecord(ctx, k.key); err != nil {
@@ -195,7 +195,7 @@
 		}
 		own := r.Nonce == k.record.Nonce
 		switch {
-		case own && (rev >= k.revision || r.State == k.record.State): // higher if the reply to the last write was lost
+		case own && (rev.Compare(k.revision) >= 0 || r.State == k.record.State): // higher if the reply to the last write was lost
 			return true, nil
 		case !own && r.State != Released:
 			f.recent.remove(k.key, k.record.Nonce)
@@ -217,10 +217,10 @@
 }
 
 // setRevision sets the revision of a claim that was rewritten.
-func (r *recentClaims) setRevision(key string, revision uint64) {
+func (r *recentClaims) setRevision(key string, revision kv.Revision) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.maxRevision = max(r.maxRevision, revision)
+	r.maxRevision = r.maxRevision.Max(revision)
 	for i := range r.entries {
 		if r.entries[i].key == key {
 			r.entries[i].revision = revision
--- a/ctl/config.go
+++ b/ctl/config.go
@@ -96,17 +96,17 @@
 
 // currentRevision reads the configuration revision in force. It returns the revision, its decoded objects and the key-value
 // store's revision of the entry, for a compare-and-swap. All are zero if nothing was published yet.
-func currentRevision(ctx context.Context, store kv.Store) (config.Revision, object.Set, uint64, error) {
+func currentRevision(ctx context.Context, store kv.Store) (config.Revision, object.Set, kv.Revision, error) {
 	e, err := store.Get(ctx, config.Key)
 	if errors.Is(err, kv.ErrNotFound) {
-		return config.Revision{}, object.Set{}, 0, nil
+		return config.Revision{}, object.Set{}, kv.Revision{}, nil
 	}
 	if err != nil {
-		return config.Revision{}, object.Set{}, 0, err
+		return config.Revision{}, object.Set{}, kv.Revision{}, err
 	}
 	rev, err := config.UnmarshalRevision(e.Value)
 	if err != nil {
-		return rev, object.Set{}, 0, err
+		return rev, object.Set{}, kv.Revision{}, err
 	}
 	set, err := declare.Decode(rev.Body)
 	return rev, set, e.Revision, err
@@ -118,7 +118,7 @@
 	store           kv.Store
 	currentRevision config.Revision // in force; zero if nothing was published yet
 	inForce         object.Set      // objects of currentRevision
-	storeRevision   uint64          // the key-value store's revision of the entry that holds currentRevision
+	storeRevision   kv.Revision     // the key-value store's revision of the entry that holds currentRevision
 }
 
 // loadComparison loads a directory's declarations and reads the revision in force.
@@ -249,7 +249,7 @@
 // writeRevision stores a revision by a compare-and-swap with prev, the key-value store's revision of the entry. If the call
 // fails, for example because its reply was lost, it reads the entry back: the write succeeded if the stored value is the written
 // one.
-func writeRevision(ctx context.Context, store kv.Store, rev config.Revision, prev uint64) error {
+func writeRevision(ctx context.Context, store kv.Store, rev config.Revision, prev kv.Revision) error {
 	data, err := rev.Marshal()
 	if err != nil {
 		return err
@@ -265,7 +265,7 @@
 		return fmt.Errorf("publish revision %d: %w", rev.Number, err)
 	}
 	// The history is only needed to explain conflicts, so a failure here doesn't fail the publication.
-	_, _ = store.CAS(ctx, historyKey(rev.Number), data, 0, 0)
+	_, _ = store.CAS(ctx, historyKey(rev.Number), data, kv.Revision{}, 0)
 	return nil
 }
 
--- a/daemon/documents.go
+++ b/daemon/documents.go
@@ -347,8 +347,8 @@
 		d.spec.Log.WithError(err).Error("could not encode the configuration revision in force")
 		return
 	}
-	if stored.Revision > 0 {
-		_, err := d.spec.Platform.Store.CAS(d.ctx, config.ReplacedKey(replaced), stored.Value, 0, 0)
+	if !stored.Revision.IsZero() {
+		_, err := d.spec.Platform.Store.CAS(d.ctx, config.ReplacedKey(replaced), stored.Value, kv.Revision{}, 0)
 		if err != nil && !errors.Is(err, kv.ErrConflict) {
 			d.spec.Log.WithError(err).Warn("could not save the configuration revision that is to be replaced")
 			return // retried with the next read
--- a/daemon/documents_test.go
+++ b/daemon/documents_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/bramleytrail/bramleytrail/config"
 	"github.com/bramleytrail/bramleytrail/hostlist"
+	"github.com/bramleytrail/bramleytrail/kv"
 	"github.com/bramleytrail/bramleytrail/kv/memkv"
 	"github.com/bramleytrail/bramleytrail/peer"
 )
@@ -147,7 +148,7 @@
 		f.store.Restore(older)
 		f.store.Faults.SetDown(false)
 		for _, key := range []string{"a", "b", "c"} {
-			if _, err := f.store.CAS(context.Background(), key, nil, 0, 0); err != nil {
+			if _, err := f.store.CAS(context.Background(), key, nil, kv.Revision{}, 0); err != nil {
 				t.Fatal(err)
 			}
 		}
--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -121,16 +121,16 @@
 	return s.Store.Get(ctx, key)
 }
 
-func (s gatedStore) CAS(ctx context.Context, key string, v []byte, prev uint64, l kv.LeaseID) (uint64, error) {
+func (s gatedStore) CAS(ctx context.Context, key string, v []byte, prev kv.Revision, l kv.LeaseID) (kv.Revision, error) {
 	ctx, cancel, err := s.gate.enter(ctx)
 	if err != nil {
-		return 0, err
+		return kv.Revision{}, err
 	}
 	defer cancel()
 	return s.Store.CAS(ctx, key, v, prev, l)
 }
 
-func (s gatedStore) Watch(ctx context.Context, prefix string, after uint64) (c kv.Changes, err error) {
+func (s gatedStore) Watch(ctx context.Context, prefix string, after kv.Revision) (c kv.Changes, err error) {
 	err = s.gate.longPoll(ctx, func(ctx context.Context) (err error) {
 		c, err = s.Store.Watch(ctx, prefix, after)
 		return err
--- a/duty/duty.go
+++ b/duty/duty.go
@@ -30,10 +30,10 @@
 type Duty struct {
 	spec Spec
 
-	mu      sync.Mutex
-	lease   kv.LeaseID
-	fence   uint64 // 0 if not held
-	expires time.Time
+	mu       sync.Mutex
+	lease    kv.LeaseID
+	acquired kv.Revision // at which the daemon acquired the duty, zero if not held
+	expires  time.Time
 }
 
 // New returns a duty that is not held.
@@ -48,7 +48,7 @@
 func (d *Duty) Fence() (uint64, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.fence, d.fence != 0 && d.spec.Now().Before(d.expires)
+	return d.acquired.Token(), !d.acquired.IsZero() && d.spec.Now().Before(d.expires)
 }
 
 // Lease returns the fencing token and the expiry of the lease by this process's monotonic clock; both are zero if the duty
@@ -56,7 +56,7 @@
 func (d *Duty) Lease() (fence uint64, expires time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.fence, d.expires
+	return d.acquired.Token(), d.expires
 }
 
 // AcquireOrRenew renews the lease, or tries to acquire the duty if the daemon does not hold it. It reports whether the
@@ -97,7 +97,7 @@
 	if err != nil {
 		return false, fmt.Errorf("grant lease for duty %s: %w", d.spec.Name, err)
 	}
-	fence, err := d.spec.Store.CAS(ctx, key, []byte(d.spec.Owner), 0, lease)
+	acquired, err := d.spec.Store.CAS(ctx, key, []byte(d.spec.Owner), kv.Revision{}, lease)
 	if err != nil {
 		_ = d.spec.Store.Revoke(ctx, lease) // otherwise it expires
 		if errors.Is(err, kv.ErrConflict) {
@@ -106,7 +106,7 @@
 		return false, fmt.Errorf("acquire duty %s: %w", d.spec.Name, err)
 	}
 	d.mu.Lock()
-	d.lease, d.fence, d.expires = lease, fence, start.Add(d.spec.TTL)
+	d.lease, d.acquired, d.expires = lease, acquired, start.Add(d.spec.TTL)
 	d.mu.Unlock()
 	return true, nil
 }
@@ -114,7 +114,7 @@
 func (d *Duty) clear() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.lease, d.fence, d.expires = 0, 0, time.Time{}
+	d.lease, d.acquired, d.expires = 0, kv.Revision{}, time.Time{}
 }
 
 // Release gives up the duty and revokes its lease, so that the next holder need not wait for the lease to expire. If the
--- a/duty/state.go
+++ b/duty/state.go
@@ -25,8 +25,8 @@
 	key              string
 	fence            uint64
 	number           uint64
-	revision         uint64 // of the stored entry, 0 if there is none
-	lastWriteUnknown bool   // the outcome of the last write is unknown
+	revision         kv.Revision // of the stored entry, zero if there is none
+	lastWriteUnknown bool        // the outcome of the last write is unknown
 }
 
 // OpenState reads the state and writes it back with the term's fencing token. From then on, writes of earlier holders
@@ -85,7 +85,7 @@
 	e, err := s.store.Get(ctx, s.key)
 	switch {
 	case errors.Is(err, kv.ErrNotFound):
-		s.revision = 0
+		s.revision = kv.Revision{}
 		return old, nil
 	case err != nil:
 		return old, fmt.Errorf("read state %s: %w", s.key, err)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -256,7 +256,7 @@
 		g.relayMessage(m)
 	}
 	switch {
-	case m.Revision > 0:
+	case !m.Revision.IsZero():
 		g.view.receive(m)
 	case len(m.Crashes) > 0:
 		g.crashes.receive(m.Crashes)
--- a/gateway/largedoc_test.go
+++ b/gateway/largedoc_test.go
@@ -20,11 +20,11 @@
 	readTime time.Duration
 
 	mu      sync.Mutex
-	history []uint64 // revisions of the document
+	history []kv.Revision // revisions of the document
 }
 
 // publish writes the document and returns its revision.
-func (s *slowLinkStore) publish(t *testing.T, value string) uint64 {
+func (s *slowLinkStore) publish(t *testing.T, value string) kv.Revision {
 	t.Helper()
 	rev := write(t, s.Store, versionedKey, value)
 	s.mu.Lock()
@@ -53,7 +53,7 @@
 }
 
 // WatchFor implements kv.TimedWatcher. Like the platform's, it returns each state of the document.
-func (s *slowLinkStore) WatchFor(ctx context.Context, prefix string, after uint64, _ time.Duration) (kv.Changes, error) {
+func (s *slowLinkStore) WatchFor(ctx context.Context, prefix string, after kv.Revision, _ time.Duration) (kv.Changes, error) {
 	limited, cancel := context.WithTimeout(ctx, time.Millisecond)
 	defer cancel()
 	c, err := s.Store.Watch(limited, prefix, after)
@@ -64,7 +64,7 @@
 	history := slices.Clone(s.history)
 	s.mu.Unlock()
 	for _, rev := range history {
-		if rev > after && rev <= c.Revision {
+		if rev.Compare(after) > 0 && rev.Compare(c.Revision) <= 0 {
 			err = s.wait(ctx)
 		}
 	}
@@ -110,7 +110,7 @@
 				defer g.cancel()
 				time.Sleep(5 * time.Second)
 				version := func() uint64 { return g.config.Revision().Number }
-				if version() != uint64(tc.bytes) || before > endpoint || g.pool.CountUsable("s", "v1", time.Now()) != 1 {
+				if version() != uint64(tc.bytes) || before.Compare(endpoint) > 0 || g.pool.CountUsable("s", "v1", time.Now()) != 1 {
 					t.Fatalf("version %d before the change, want %d and an endpoint", version(), tc.bytes)
 				}
 				published, after := time.Now(), endpoint
--- a/gateway/messages_test.go
+++ b/gateway/messages_test.go
@@ -128,11 +128,11 @@
 		c := network.listen(i)
 		g.spec.PeerAddr = c.addr.String()
 		f.daemons, f.conns = append(f.daemons, g), append(f.conns, c)
-		entries = append(entries, kv.Entry{Key: memberPrefix + g.spec.Name, Value: g.memberValue(), Revision: uint64(i + 1)})
+		entries = append(entries, kv.Entry{Key: memberPrefix + g.spec.Name, Value: g.memberValue(), Revision: numbered(uint64(i + 1))})
 	}
 	for i, g := range f.daemons {
 		g.exchange.Store(notice.New(f.conns[i], g.exchangeSpec()))
-		g.view.advance(kv.Changes{Reset: true, Revision: 1000, Entries: entries}, time.Now())
+		g.view.advance(kv.Changes{Reset: true, Revision: numbered(1000), Entries: entries}, time.Now())
 		go g.crashes.run()
 	}
 	debug.SetMemoryLimit(limit)
@@ -193,11 +193,11 @@
 		time.AfterFunc(f.delay(300*time.Millisecond), func() { g.testCrash(fingerprint, endpoint, parts) })
 		time.AfterFunc(400*time.Millisecond+f.delay(2*time.Second), func() { g.testAnswer(fingerprint, parts) })
 	}
-	changes := kv.Changes{Revision: 1000 + uint64(endpoints)}
+	changes := kv.Changes{Revision: numbered(1000 + uint64(endpoints))}
 	for i := range endpoints {
-		changes.Entries = append(changes.Entries, kv.Entry{Key: fmt.Sprintf("endpoint-%d", i), Value: make([]byte, 200), Revision: 1001 + uint64(i)})
+		changes.Entries = append(changes.Entries, kv.Entry{Key: fmt.Sprintf("endpoint-%d", i), Value: make([]byte, 200), Revision: numbered(1001 + uint64(i))})
 	}
-	f.daemons[0].view.notifyPeers(1000, changes, time.Now())
+	f.daemons[0].view.notifyPeers(numbered(1000), changes, time.Now())
 }
 
 // exchangeOthers sends messages of the other kinds for a time: sessions of all requests that a release concerns, evidence, estimates
@@ -212,14 +212,14 @@
 		for i, g := range f.daemons {
 			x, session := g.exchange.Load(), f.rand.Uint64()
 			time.AfterFunc(f.delay(perDaemon), func() {
-				g.releases.broadcast(notice.Message{Service: "llm", Order: 1, Session: session, InUseFor: time.Minute})
+				g.releases.broadcast(notice.Message{Service: "llm", Order: numbered(1), Session: session, InUseFor: time.Minute})
 				g.announcePrompt(pool.Reservation{ID: "i-0123456789", Domain: g.spec.Domain}, time.Second)
 			})
 			if f.rand.Float64() < perDaemon.Seconds()/estimateInterval(time.Hour, g.view.domainPeers()).Seconds() {
 				_ = x.SendToDomain(g.spec.Domain, notice.Message{From: g.spec.Name, Estimates: estimates})
 			}
 			if i%2 == 0 && f.rand.Float64() < perDaemon.Seconds() {
-				_ = x.SendToDomain(g.spec.Domain, notice.Message{From: g.spec.Name, Service: "llm", Order: 1, Evidence: make([]byte, 2000)})
+				_ = x.SendToDomain(g.spec.Domain, notice.Message{From: g.spec.Name, Service: "llm", Order: numbered(1), Evidence: make([]byte, 2000)})
 			}
 		}
 	}
--- a/gateway/notify.go
+++ b/gateway/notify.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"cmp"
 	"errors"
 	"slices"
 	"time"
@@ -32,7 +31,7 @@
 // notifyPeers sends changes after a revision to other daemons, so that few of them have to poll the store. The leader sends them
 // to all failure domains, another domain leader to its own domain, other daemons to none. polledAt is the time at which the
 // poll began that read the changes.
-func (v *storeView) notifyPeers(after uint64, c kv.Changes, polledAt time.Time) {
+func (v *storeView) notifyPeers(after kv.Revision, c kv.Changes, polledAt time.Time) {
 	x := v.g.exchange.Load()
 	if x == nil || c.Reset || !v.isDomainLeader() {
 		return
@@ -80,8 +79,8 @@
 // splitChanges returns the changes after a revision as notifications that each fit in a datagram, in the order of revisions. For
 // an operators' document, the notification contains only the key and the revision: these documents control access, so each
 // daemon reads them from the store.
-func (v *storeView) splitChanges(after uint64, c kv.Changes) []notice.Message {
-	entries := slices.SortedStableFunc(slices.Values(c.Entries), func(a, b kv.Entry) int { return cmp.Compare(a.Revision, b.Revision) })
+func (v *storeView) splitChanges(after kv.Revision, c kv.Changes) []notice.Message {
+	entries := slices.SortedStableFunc(slices.Values(c.Entries), func(a, b kv.Entry) int { return a.Revision.Compare(b.Revision) })
 	m := notice.Message{After: after, Revision: c.Revision}
 	var out []notice.Message
 	size := 0
@@ -90,7 +89,7 @@
 			e.Value = nil
 		}
 		bytes := len(e.Key) + len(e.Value)
-		if last := len(m.Changes) - 1; last >= 0 && m.Changes[last].Revision < e.Revision && (size+bytes > maxPayloadBytes || last+1 == notice.MaxChanges) {
+		if last := len(m.Changes) - 1; last >= 0 && m.Changes[last].Revision.Compare(e.Revision) < 0 && (size+bytes > maxPayloadBytes || last+1 == notice.MaxChanges) {
 			full := m
 			full.Revision = m.Changes[last].Revision
 			out = append(out, full)
@@ -119,12 +118,12 @@
 // accept applies the changes of a notification if they follow the revision in force without a gap. It reports whether the view
 // is now up to date as of the notification. If a changed document can't be read, it applies nothing and sets pollNow.
 func (v *storeView) accept(m notice.Message, now time.Time) bool {
-	if v.revision == 0 || m.After > v.revision || m.Revision < v.revision {
+	if v.revision.IsZero() || m.After.Compare(v.revision) > 0 || m.Revision.Compare(v.revision) < 0 {
 		return false
 	}
 	c := kv.Changes{Revision: m.Revision}
 	for _, e := range m.Changes {
-		if e.Revision <= v.revision {
+		if e.Revision.Compare(v.revision) <= 0 {
 			continue
 		}
 		entry := kv.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted}
@@ -148,14 +147,14 @@
 // polls at once.
 func (v *storeView) readOperatorDoc(change notice.Change) (kv.Entry, bool) {
 	held, known := v.entry(change.Key)
-	if known && held.Revision >= change.Revision {
+	if known && held.Revision.Compare(change.Revision) >= 0 {
 		return held, true
 	}
 	e, err := v.g.spec.Store.Get(v.g.ctx, change.Key)
 	if errors.Is(err, kv.ErrNotFound) && change.Deleted && known {
 		return kv.Entry{Key: change.Key, Revision: change.Revision, Deleted: true}, true
 	}
-	if err == nil && e.Revision >= change.Revision {
+	if err == nil && e.Revision.Compare(change.Revision) >= 0 {
 		return e, true
 	}
 	v.g.log.WithField("key", change.Key).WithField("told", change.Revision).WithField("read", e.Revision).WithError(err).Info("changed document not read")
@@ -163,7 +162,7 @@
 }
 
 // notifyRecovery notifies the peers of the failure domain that the store answers again.
-func (v *storeView) notifyRecovery(revision uint64) {
+func (v *storeView) notifyRecovery(revision kv.Revision) {
 	x := v.g.exchange.Load()
 	if x == nil {
 		return
--- a/gateway/outdated_test.go
+++ b/gateway/outdated_test.go
@@ -38,7 +38,7 @@
 		if c := code(g); c != result.UnknownService {
 			t.Errorf("code %v while the store answers, want %v", c, result.UnknownService)
 		}
-		g.view.receive(notice.Message{From: "d1", PolledAt: 1, After: 0, Revision: 9, Changes: []notice.Change{{Key: "op", Revision: 9}}})
+		g.view.receive(notice.Message{From: "d1", PolledAt: 1, After: numbered(0), Revision: numbered(9), Changes: []notice.Change{{Key: "op", Revision: numbered(9)}}})
 		store.set(true, nil)
 		time.Sleep(propagation + watchTimeout)
 		if c := code(g); c != result.OutdatedConfig {
--- a/gateway/poll.go
+++ b/gateway/poll.go
@@ -40,7 +40,7 @@
 // poll reads the changes after the revision in force. An unavailable store is first probed, which is cheaper. The leader waits at
 // the store for a change.
 func (v *storeView) poll(unavailable, isLeader bool) (kv.Changes, error) {
-	if unavailable && v.revision > 0 {
+	if unavailable && !v.revision.IsZero() {
 		if err := v.probe(); err != nil {
 			return kv.Changes{}, err
 		}
@@ -149,7 +149,7 @@
 
 // watch waits for changes after a revision, for at most wait if the store supports that. It is cancelled when another call of
 // the store fails.
-func (v *storeView) watch(revision uint64, wait time.Duration) (kv.Changes, error) {
+func (v *storeView) watch(revision kv.Revision, wait time.Duration) (kv.Changes, error) {
 	select {
 	case <-v.callFailed: // a failure before this call
 	default:
--- a/gateway/releases.go
+++ b/gateway/releases.go
@@ -30,14 +30,14 @@
 
 // phaseRecord is the phase of a release as stored for all daemons. Order identifies the release.
 type phaseRecord struct {
-	Order uint64        `json:"order"`
+	Order kv.Revision   `json:"order"`
 	Phase release.Phase `json:"phase"`
 }
 
 // trackedRelease is this daemon's state of the newest release of a service. Fields that change are guarded by releases.mu, except
 // sessions, which has its own lock.
 type trackedRelease struct {
-	order        uint64
+	order        kv.Revision
 	target       string
 	firstSeen    time.Time // when the first daemon saw the order, as far as known here
 	trackedSince time.Time // since when this daemon is notified which sessions are in use
@@ -391,7 +391,7 @@
 // cas writes a value if the entry still has the revision that this daemon knows. It returns false if another daemon was first or
 // the call failed.
 func (r *releases) cas(key string, value []byte) bool {
-	var prev uint64
+	var prev kv.Revision
 	if e, ok := r.g.view.entry(key); ok {
 		prev = e.Revision
 	}
--- a/gateway/releases_test.go
+++ b/gateway/releases_test.go
@@ -21,8 +21,8 @@
 type writableStore struct{ fakeStore }
 
 // CAS implements kv.Store.
-func (*writableStore) CAS(context.Context, string, []byte, uint64, kv.LeaseID) (uint64, error) {
-	return 1, nil
+func (*writableStore) CAS(context.Context, string, []byte, kv.Revision, kv.LeaseID) (kv.Revision, error) {
+	return numbered(1), nil
 }
 
 // Guards against a data race between a daemon that writes the state of a release and a message that changes the release's
@@ -30,13 +30,13 @@
 func TestDecisionWrittenWhilePhaseChanges(t *testing.T) {
 	for range 200 {
 		g := testGateway(&writableStore{})
-		rel := &object.Release{Service: "s", TargetVersion: "v2", Order: 1, Duration: time.Second, State: object.ReleaseRunning}
+		rel := &object.Release{Service: "s", TargetVersion: "v2", Order: numbered(1), Duration: time.Second, State: object.ReleaseRunning}
 		tracked := g.releases.track(rel, time.Now())
 		start := make(chan struct{})
 		var wg sync.WaitGroup
 		wg.Go(func() {
 			<-start
-			g.releases.receive(notice.Message{Service: "s", Order: 1, Phase: string(release.Promoted)})
+			g.releases.receive(notice.Message{Service: "s", Order: numbered(1), Phase: string(release.Promoted)})
 		})
 		wg.Go(func() {
 			<-start
@@ -64,7 +64,7 @@
 	rel := object.Release{Service: "s", TargetVersion: string(order.Value), Duration: time.Minute, State: object.ReleaseRunning, Order: order.Revision}
 	status, found := entries[testStatusKey]
 	rel.StateRevision = status.Revision
-	if found && status.Revision > order.Revision {
+	if found && status.Revision.Compare(order.Revision) > 0 {
 		rel.State, rel.Announced = object.ReleaseState(status.Value), true
 	}
 	return object.Set{Services: []object.Service{{Name: "s", Type: object.ServicePlain, Routed: &object.RoutedService{}}}, Releases: []object.Release{rel}}, 1, true, nil
@@ -77,7 +77,7 @@
 func (releaseDocuments) OrderKey(string) string { return testOrderKey }
 
 // write stores a value over whatever the key holds, and returns its revision.
-func write(t *testing.T, store kv.Store, key, value string) uint64 {
+func write(t *testing.T, store kv.Store, key, value string) kv.Revision {
 	t.Helper()
 	e, err := store.Get(t.Context(), key)
 	if err != nil && err != kv.ErrNotFound {
@@ -130,23 +130,23 @@
 }
 
 // CAS implements kv.Store.
-func (s *gatedStore) CAS(ctx context.Context, key string, value []byte, prev uint64, lease kv.LeaseID) (uint64, error) {
+func (s *gatedStore) CAS(ctx context.Context, key string, value []byte, prev kv.Revision, lease kv.LeaseID) (kv.Revision, error) {
 	if s.away.Load() {
-		return 0, kv.ErrUnavailable
+		return kv.Revision{}, kv.ErrUnavailable
 	}
 	return s.Store.CAS(ctx, key, value, prev, lease)
 }
 
 // CASIf implements kv.ConditionalWriter.
-func (s *gatedStore) CASIf(ctx context.Context, c kv.Condition, key string, value []byte, prev uint64, lease kv.LeaseID) (uint64, error) {
+func (s *gatedStore) CASIf(ctx context.Context, c kv.Condition, key string, value []byte, prev kv.Revision, lease kv.LeaseID) (kv.Revision, error) {
 	if s.away.Load() {
-		return 0, kv.ErrUnavailable
+		return kv.Revision{}, kv.ErrUnavailable
 	}
 	return s.Store.CASIf(ctx, c, key, value, prev, lease)
 }
 
 // Watch implements kv.Store.
-func (s *gatedStore) Watch(ctx context.Context, prefix string, after uint64) (kv.Changes, error) {
+func (s *gatedStore) Watch(ctx context.Context, prefix string, after kv.Revision) (kv.Changes, error) {
 	if s.away.Load() {
 		return kv.Changes{}, kv.ErrUnavailable
 	}
@@ -218,7 +218,7 @@
 		g, rel := canaryGateway(t)
 		defer g.cancel()
 		hear := func(p release.Phase) {
-			g.releases.receive(notice.Message{Service: "s", Order: 7, Phase: string(p)})
+			g.releases.receive(notice.Message{Service: "s", Order: numbered(7), Phase: string(p)})
 		}
 		view := config.Index(config.Revision{Number: 2}, object.Set{Releases: []object.Release{*rel}})
 		hear(release.Reverted)
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -54,7 +54,7 @@
 	notifications chan notification
 
 	// Used by run only:
-	revision    uint64           // of the newest change in force, 0 before the first read
+	revision    kv.Revision      // of the newest change in force, zero before the first read
 	recoveredAt time.Time        // when the store last answered again after an outage
 	newestPoll  map[string]int64 // PolledAt of the newest notification, by sender
 	pollNow     bool             // a changed document could not be read, so that a poll is due
@@ -138,7 +138,7 @@
 
 // advance applies changes that follow the revision in force, and moves the view to their revision.
 func (v *storeView) advance(c kv.Changes, now time.Time) {
-	if v.revision > 0 && now.Sub(v.recoveredAt) < lapsedGrace {
+	if !v.revision.IsZero() && now.Sub(v.recoveredAt) < lapsedGrace {
 		c.Entries = v.retainLapsed(c.Entries, now)
 	}
 	v.revision = c.Revision
@@ -276,7 +276,7 @@
 // putIfNewer applies a change to a map of entries unless it is older than the entry there. Older changes occur because the read
 // of a document may return a later state than that of the change that another daemon has sent.
 func putIfNewer(m map[string]kv.Entry, e kv.Entry) {
-	if old, ok := m[e.Key]; ok && old.Revision > e.Revision {
+	if old, ok := m[e.Key]; ok && old.Revision.Compare(e.Revision) > 0 {
 		return
 	}
 	if e.Deleted {
--- a/gateway/view_test.go
+++ b/gateway/view_test.go
@@ -34,7 +34,7 @@
 	kv.Store
 	mu           sync.Mutex
 	unresponsive bool
-	revision     uint64
+	revision     kv.Revision
 	reset        []kv.Entry // returned by the next watch as the whole content
 	changes      []kv.Entry // returned by the next watch as changes
 	calls        int
@@ -76,14 +76,14 @@
 }
 
 // Watch implements kv.Store. It returns when there is new content, else after its time limit.
-func (s *fakeStore) Watch(ctx context.Context, _ string, _ uint64) (kv.Changes, error) {
+func (s *fakeStore) Watch(ctx context.Context, _ string, _ kv.Revision) (kv.Changes, error) {
 	for range 100 {
 		s.mu.Lock()
 		unresponsive, reset := s.unresponsive, s.reset
 		changes := s.changes
 		s.reset, s.changes = nil, nil
 		if reset != nil || changes != nil {
-			s.revision++
+			s.revision.Number++
 		}
 		revision := s.revision
 		s.mu.Unlock()
@@ -261,7 +261,7 @@
 
 // storeNotification returns a message about the store.
 func storeNotification(after, revision uint64, changes ...notice.Change) notice.Message {
-	return notice.Message{After: after, Revision: revision, Changes: changes}
+	return notice.Message{After: numbered(after), Revision: numbered(revision), Changes: changes}
 }
 
 // Guards against changes from other daemons that are lost, or applied with a gap before them, out of order, or before this daemon
@@ -271,13 +271,13 @@
 		g := testGateway(memkv.New())
 		v := g.view
 		endpoint := func(n uint64, addr string) notice.Change {
-			return notice.Change{Key: "e1", Value: []byte(addr), Revision: n}
+			return notice.Change{Key: "e1", Value: []byte(addr), Revision: numbered(n)}
 		}
 		usable := func() int { return g.pool.CountUsable("s", "v1", time.Now()) }
 		if v.accept(storeNotification(0, 5, endpoint(5, "a:1")), time.Now()) || usable() != 0 {
 			t.Error("a daemon that has not read the store accepted a notification")
 		}
-		v.advance(kv.Changes{Reset: true, Revision: 5, Entries: []kv.Entry{{Key: "e1", Value: []byte("a:1"), Revision: 4}}}, time.Now())
+		v.advance(kv.Changes{Reset: true, Revision: numbered(5), Entries: []kv.Entry{{Key: "e1", Value: []byte("a:1"), Revision: numbered(4)}}}, time.Now())
 		for _, c := range []struct {
 			name string
 			m    notice.Message
@@ -285,14 +285,14 @@
 			want uint64 // revision in force after it
 			n    int
 		}{
-			{"with a gap", storeNotification(6, 7, notice.Change{Key: "e1", Revision: 7, Deleted: true}), false, 5, 1},
+			{"with a gap", storeNotification(6, 7, notice.Change{Key: "e1", Revision: numbered(7), Deleted: true}), false, 5, 1},
 			{"up to date", storeNotification(5, 5), true, 5, 1},
-			{"next", storeNotification(5, 6, notice.Change{Key: "e2", Value: []byte("a:2"), Revision: 6}), true, 6, 2},
-			{"overlapping", storeNotification(4, 8, endpoint(5, "old:1"), notice.Change{Key: "e2", Revision: 8, Deleted: true}), true, 8, 1},
-			{"older", storeNotification(4, 7, notice.Change{Key: "e1", Revision: 7, Deleted: true}), false, 8, 1},
+			{"next", storeNotification(5, 6, notice.Change{Key: "e2", Value: []byte("a:2"), Revision: numbered(6)}), true, 6, 2},
+			{"overlapping", storeNotification(4, 8, endpoint(5, "old:1"), notice.Change{Key: "e2", Revision: numbered(8), Deleted: true}), true, 8, 1},
+			{"older", storeNotification(4, 7, notice.Change{Key: "e1", Revision: numbered(7), Deleted: true}), false, 8, 1},
 		} {
-			if ok := v.accept(c.m, time.Now()); ok != c.ok || v.revision != c.want || usable() != c.n {
-				t.Errorf("%s: accepted %v, revision %d with %d endpoints", c.name, ok, v.revision, usable())
+			if ok := v.accept(c.m, time.Now()); ok != c.ok || v.revision != numbered(c.want) || usable() != c.n {
+				t.Errorf("%s: accepted %v, revision %s with %d endpoints", c.name, ok, v.revision, usable())
 			}
 		}
 		if h := v.endpoints["e1"]; h.Addr != "a:1" {
@@ -307,13 +307,13 @@
 func TestManyChangesAreToldInOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		sender, receiver := testGateway(memkv.New()).view, testGateway(memkv.New()).view
-		receiver.revision = 100
+		receiver.revision = numbered(100)
 		var c kv.Changes
 		for i := range 300 {
-			c.Entries = append(c.Entries, kv.Entry{Key: fmt.Sprintf("e%03d", i), Value: bytes.Repeat([]byte("x"), 200), Revision: uint64(400 - i)})
+			c.Entries = append(c.Entries, kv.Entry{Key: fmt.Sprintf("e%03d", i), Value: bytes.Repeat([]byte("x"), 200), Revision: numbered(uint64(400 - i))})
 		}
-		c.Revision = 400
-		list := sender.splitChanges(100, c)
+		c.Revision = numbered(400)
+		list := sender.splitChanges(numbered(100), c)
 		if len(list) < 2 {
 			t.Fatalf("%d messages for 300 changes of 200 bytes", len(list))
 		}
@@ -325,10 +325,10 @@
 				t.Errorf("message %d not accepted", i)
 			}
 		}
-		if receiver.revision != 400 || len(receiver.endpoints) != 300 {
-			t.Errorf("revision %d with %d endpoints", receiver.revision, len(receiver.endpoints))
+		if receiver.revision != numbered(400) || len(receiver.endpoints) != 300 {
+			t.Errorf("revision %s with %d endpoints", receiver.revision, len(receiver.endpoints))
 		}
-		receiver.revision = 100
+		receiver.revision = numbered(100)
 		if receiver.accept(list[1], time.Now()) {
 			t.Error("the second message was accepted without the first")
 		}
@@ -361,7 +361,7 @@
 // Guards against operators' documents that are taken from another daemon's notification, or from a read that is older than the
 // notification, and against a poll by each daemon whenever a document changes.
 func TestOperatorsDocumentsAreReadFromTheStore(t *testing.T) {
-	held := kv.Entry{Key: "o1", Value: []byte("held"), Revision: 4}
+	held := kv.Entry{Key: "o1", Value: []byte("held"), Revision: numbered(4)}
 	for _, c := range []struct {
 		name     string
 		change   notice.Change
@@ -370,16 +370,16 @@
 		accepted bool
 		want     string // value in force; empty for none
 	}{
-		{"read", notice.Change{Key: "o1", Revision: 6, Value: []byte("word")}, kv.Entry{Key: "o1", Value: []byte("read"), Revision: 6}, nil, true, "read"},
-		{"newer than the word", notice.Change{Key: "o1", Revision: 6}, kv.Entry{Key: "o1", Value: []byte("newer"), Revision: 9}, nil, true, "newer"},
-		{"old read", notice.Change{Key: "o1", Revision: 6, Value: []byte("word")}, held, nil, false, "held"},
-		{"store away", notice.Change{Key: "o1", Revision: 6, Value: []byte("word")}, kv.Entry{}, kv.ErrUnavailable, false, "held"},
-		{"removed", notice.Change{Key: "o1", Revision: 6, Deleted: true}, kv.Entry{}, kv.ErrNotFound, true, ""},
-		{"said to be removed", notice.Change{Key: "o1", Revision: 6, Deleted: true}, held, nil, false, "held"},
-		{"new and not there yet", notice.Change{Key: "o1", Revision: 6}, kv.Entry{}, kv.ErrNotFound, false, "held"},
+		{"read", notice.Change{Key: "o1", Revision: numbered(6), Value: []byte("word")}, kv.Entry{Key: "o1", Value: []byte("read"), Revision: numbered(6)}, nil, true, "read"},
+		{"newer than the word", notice.Change{Key: "o1", Revision: numbered(6)}, kv.Entry{Key: "o1", Value: []byte("newer"), Revision: numbered(9)}, nil, true, "newer"},
+		{"old read", notice.Change{Key: "o1", Revision: numbered(6), Value: []byte("word")}, held, nil, false, "held"},
+		{"store away", notice.Change{Key: "o1", Revision: numbered(6), Value: []byte("word")}, kv.Entry{}, kv.ErrUnavailable, false, "held"},
+		{"removed", notice.Change{Key: "o1", Revision: numbered(6), Deleted: true}, kv.Entry{}, kv.ErrNotFound, true, ""},
+		{"said to be removed", notice.Change{Key: "o1", Revision: numbered(6), Deleted: true}, held, nil, false, "held"},
+		{"new and not there yet", notice.Change{Key: "o1", Revision: numbered(6)}, kv.Entry{}, kv.ErrNotFound, false, "held"},
 	} {
 		v := testGateway(&fixedStore{memkv.New(), c.read, c.err}).view
-		v.advance(kv.Changes{Reset: true, Revision: 5, Entries: []kv.Entry{held}}, time.Now())
+		v.advance(kv.Changes{Reset: true, Revision: numbered(5), Entries: []kv.Entry{held}}, time.Now())
 		if got := v.accept(storeNotification(5, 6, c.change), time.Now()); got != c.accepted || v.pollNow == c.accepted {
 			t.Errorf("%s: accepted %v, polls the store at once: %v", c.name, got, v.pollNow)
 		}
@@ -388,13 +388,13 @@
 		}
 	}
 	v := testGateway(memkv.New()).view
-	for _, m := range v.splitChanges(5, kv.Changes{Revision: 6, Entries: []kv.Entry{{Key: "o1", Value: []byte("secret"), Revision: 6}}}) {
+	for _, m := range v.splitChanges(numbered(5), kv.Changes{Revision: numbered(6), Entries: []kv.Entry{{Key: "o1", Value: []byte("secret"), Revision: numbered(6)}}}) {
 		if len(m.Changes) != 1 || m.Changes[0].Value != nil {
 			t.Errorf("sent %+v, want one change without its value", m.Changes)
 		}
 	}
-	putIfNewer(v.operatorDocs, kv.Entry{Key: "o1", Value: []byte("newer"), Revision: 9})
-	putIfNewer(v.operatorDocs, kv.Entry{Key: "o1", Value: []byte("older"), Revision: 7})
+	putIfNewer(v.operatorDocs, kv.Entry{Key: "o1", Value: []byte("newer"), Revision: numbered(9)})
+	putIfNewer(v.operatorDocs, kv.Entry{Key: "o1", Value: []byte("older"), Revision: numbered(7)})
 	if got := string(v.operatorDocs["o1"].Value); got != "newer" {
 		t.Errorf("%q in force after an older change, want %q", got, "newer")
 	}
@@ -443,13 +443,13 @@
 		defer x.Close()
 		g.exchange.Store(x)
 		daemons = append(daemons, g)
-		entries = append(entries, kv.Entry{Key: memberPrefix + g.spec.Name, Value: []byte(g.spec.Domain + " " + x.Addr()), Revision: uint64(i + 1)})
+		entries = append(entries, kv.Entry{Key: memberPrefix + g.spec.Name, Value: []byte(g.spec.Domain + " " + x.Addr()), Revision: numbered(uint64(i + 1))})
 	}
 	for _, g := range daemons {
-		g.view.advance(kv.Changes{Reset: true, Revision: 100, Entries: entries}, time.Now())
+		g.view.advance(kv.Changes{Reset: true, Revision: numbered(100), Entries: entries}, time.Now())
 	}
-	change := kv.Changes{Revision: 101, Entries: []kv.Entry{{Key: "e1", Value: []byte("a:1"), Revision: 101}}}
-	daemons[0].view.notifyPeers(100, change, time.Now())
+	change := kv.Changes{Revision: numbered(101), Entries: []kv.Entry{{Key: "e1", Value: []byte("a:1"), Revision: numbered(101)}}}
+	daemons[0].view.notifyPeers(numbered(100), change, time.Now())
 	received := map[string]int{}
 	for len(received) < domains*each-1 { // if a daemon is not notified, the test times out
 		a := <-got
@@ -460,8 +460,8 @@
 	}
 	for _, g := range daemons[1:] {
 		m := <-g.view.notifications
-		if !g.view.accept(m.Message, time.Now()) || g.view.revision != 101 {
-			t.Errorf("%s did not apply the change: revision %d", g.spec.Name, g.view.revision)
+		if !g.view.accept(m.Message, time.Now()) || g.view.revision != numbered(101) {
+			t.Errorf("%s did not apply the change: revision %s", g.spec.Name, g.view.revision)
 		}
 	}
 }
@@ -473,7 +473,7 @@
 }
 
 // Watch implements kv.Store without waiting.
-func (s *countingStore) Watch(ctx context.Context, prefix string, after uint64) (kv.Changes, error) {
+func (s *countingStore) Watch(ctx context.Context, prefix string, after kv.Revision) (kv.Changes, error) {
 	s.calls.Add(1)
 	ctx, cancel := context.WithTimeout(ctx, time.Millisecond)
 	defer cancel()
@@ -491,7 +491,7 @@
 	for _, notified := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
 			store := &countingStore{Store: memkv.New()}
-			revision, err := store.CAS(t.Context(), memberPrefix+"a", nil, 0, 0) // the leader is another daemon
+			revision, err := store.CAS(t.Context(), memberPrefix+"a", nil, kv.Revision{}, 0) // the leader is another daemon
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -503,7 +503,7 @@
 			for range int(span / (100 * time.Millisecond)) {
 				time.Sleep(100 * time.Millisecond)
 				if notified {
-					g.view.receive(storeNotification(revision, revision))
+					g.view.receive(storeNotification(revision.Number, revision.Number))
 				}
 			}
 			n := store.calls.Load()
@@ -540,9 +540,9 @@
 }
 
 // CAS implements kv.Store.
-func (s *meteredStore) CAS(ctx context.Context, key string, value []byte, prev uint64, lease kv.LeaseID) (uint64, error) {
+func (s *meteredStore) CAS(ctx context.Context, key string, value []byte, prev kv.Revision, lease kv.LeaseID) (kv.Revision, error) {
 	if err := s.call(10); err != nil {
-		return 0, err
+		return kv.Revision{}, err
 	}
 	return s.Store.CAS(ctx, key, value, prev, lease)
 }
@@ -564,7 +564,7 @@
 }
 
 // Watch implements kv.Store without waiting.
-func (s *meteredStore) Watch(ctx context.Context, prefix string, after uint64) (kv.Changes, error) {
+func (s *meteredStore) Watch(ctx context.Context, prefix string, after kv.Revision) (kv.Changes, error) {
 	if err := s.call(10); err != nil {
 		return kv.Changes{}, err
 	}
@@ -588,7 +588,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			inner := memkv.New()
 			for i := range c.peers {
-				if _, err := inner.CAS(t.Context(), fmt.Sprintf("%sa%02d", memberPrefix, i), []byte("a a:1"), 0, 0); err != nil {
+				if _, err := inner.CAS(t.Context(), fmt.Sprintf("%sa%02d", memberPrefix, i), []byte("a a:1"), kv.Revision{}, 0); err != nil {
 					t.Fatal(err)
 				}
 			}
@@ -606,7 +606,7 @@
 				t.Errorf("%d peers: an outage of %v costs %d tenths of a read", c.peers, outage, n)
 			}
 			store.down.Store(false)
-			g.view.receive(notice.Message{From: "a00", Revision: 1, After: 1, StoreRecovered: true})
+			g.view.receive(notice.Message{From: "a00", Revision: numbered(1), After: numbered(1), StoreRecovered: true})
 			time.Sleep(200 * time.Millisecond)
 			if g.view.unavailable.Load() {
 				t.Errorf("%d peers: the store is treated as unavailable after a notification of its recovery", c.peers)
@@ -626,7 +626,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if _, err := inner.CAS(t.Context(), memberPrefix+"d0", []byte("a"), 0, lease); err != nil {
+		if _, err := inner.CAS(t.Context(), memberPrefix+"d0", []byte("a"), kv.Revision{}, lease); err != nil {
 			t.Fatal(err)
 		}
 		store := &meteredStore{Store: inner}
@@ -648,10 +648,10 @@
 	g := testGateway(memkv.New())
 	g.spec.Name, g.spec.Propagation = "d1", 4*time.Second
 	member := func(name, domain string) kv.Entry {
-		return kv.Entry{Key: memberPrefix + name, Value: []byte(domain + " a:1"), Revision: 1}
+		return kv.Entry{Key: memberPrefix + name, Value: []byte(domain + " a:1"), Revision: numbered(1)}
 	}
 	g.view.isLoaded.Store(true)
-	g.view.advance(kv.Changes{Reset: true, Revision: 5, Entries: []kv.Entry{member("c0", "b"), member("d1", "a"), member("d2", "a")}}, time.Now())
+	g.view.advance(kv.Changes{Reset: true, Revision: numbered(5), Entries: []kv.Entry{member("c0", "b"), member("d1", "a"), member("d2", "a")}}, time.Now())
 	domainLeader := g.view.pollInterval(g.view.isLeader())
 	g.spec.Name = "d2"
 	for range 1000 {
@@ -695,7 +695,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if _, err := store.CAS(t.Context(), memberPrefix+"d0", []byte("a"), 0, lease); err != nil {
+		if _, err := store.CAS(t.Context(), memberPrefix+"d0", []byte("a"), kv.Revision{}, lease); err != nil {
 			t.Fatal(err)
 		}
 		slow := &slowStore{Store: store}
@@ -717,7 +717,7 @@
 type slowStore struct{ kv.Store }
 
 // Watch implements kv.Store.
-func (s *slowStore) Watch(ctx context.Context, prefix string, after uint64) (kv.Changes, error) {
+func (s *slowStore) Watch(ctx context.Context, prefix string, after kv.Revision) (kv.Changes, error) {
 	timer := time.NewTimer(400 * time.Millisecond)
 	defer timer.Stop()
 	select {
@@ -734,7 +734,7 @@
 	t.Helper()
 	g := testGateway(memkv.New())
 	g.spec.Exposure, g.spec.SessionGap = release.Limit{Share: 1}, 2*time.Second
-	rel := &object.Release{Service: "s", TargetVersion: "v2", Duration: time.Minute, State: object.ReleaseRunning, Order: 7}
+	rel := &object.Release{Service: "s", TargetVersion: "v2", Duration: time.Minute, State: object.ReleaseRunning, Order: numbered(7)}
 	g.pool.SetHosts(hostlist.List{Hosts: []hostlist.Host{
 		{ID: "e1", Role: hostlist.RoleEndpoint, Service: "s", Domain: "a", Addr: "a:1", State: hostlist.StateLive, Release: "v1"},
 		{ID: "e2", Role: hostlist.RoleEndpoint, Service: "s", Domain: "a", Addr: "a:2", State: hostlist.StateLive, Release: "v2"},
@@ -766,11 +766,11 @@
 			t.Error("in the canary before the daemons could notify each other of the sessions in use")
 		}
 		time.Sleep(3 * time.Second)
-		g.releases.receive(notice.Message{Service: "s", Order: 7, Session: session, InUseFor: 4 * time.Second})
+		g.releases.receive(notice.Message{Service: "s", Order: numbered(7), Session: session, InUseFor: 4 * time.Second})
 		if inCanary() {
 			t.Error("a session that another daemon serves on the old version is in the canary")
 		}
-		g.releases.receive(notice.Message{Service: "s", Order: 6, Session: session, InUseFor: time.Minute})
+		g.releases.receive(notice.Message{Service: "s", Order: numbered(6), Session: session, InUseFor: time.Minute})
 		time.Sleep(4 * time.Second)
 		if !inCanary() {
 			t.Error("a session that is no longer in use is not in the canary")
@@ -782,15 +782,15 @@
 		if inCanary() {
 			t.Error("a session with a request on the old version is in the canary")
 		}
-		g.releases.receive(notice.Message{Service: "s", Order: 7, Phase: string(release.Promoted)})
+		g.releases.receive(notice.Message{Service: "s", Order: numbered(7), Phase: string(release.Promoted)})
 		if !inCanary() {
 			t.Error("a session stays on the old version in the phase in which all are moved")
 		}
-		g.releases.receive(notice.Message{Service: "s", Order: 7, Phase: string(release.Reverted)})
+		g.releases.receive(notice.Message{Service: "s", Order: numbered(7), Phase: string(release.Reverted)})
 		if inCanary() {
 			t.Error("a session goes to a version that was reverted")
 		}
-		g.releases.receive(notice.Message{Service: "s", Order: 7, Phase: string(release.Promoted)})
+		g.releases.receive(notice.Message{Service: "s", Order: numbered(7), Phase: string(release.Promoted)})
 		if inCanary() {
 			t.Error("an outdated message brings back a version that was reverted")
 		}
@@ -831,16 +831,16 @@
 		g, rel := canaryGateway(t)
 		bad := peerEvidenceOf(6, 2)
 		for range 5 { // the same evidence again from one daemon
-			g.releases.receive(notice.Message{Service: "s", Order: 7, From: "d1", Evidence: bad.Encode()})
+			g.releases.receive(notice.Message{Service: "s", Order: numbered(7), From: "d1", Evidence: bad.Encode()})
 		}
-		g.releases.receive(notice.Message{Service: "s", Order: 7, From: "d9", Evidence: []byte{1, 9}})
-		g.releases.receive(notice.Message{Service: "s", Order: 6, From: "d8", Evidence: bad.Encode()})
+		g.releases.receive(notice.Message{Service: "s", Order: numbered(7), From: "d9", Evidence: []byte{1, 9}})
+		g.releases.receive(notice.Message{Service: "s", Order: numbered(6), From: "d8", Evidence: bad.Encode()})
 		g.releases.evaluate(rel, time.Now())
 		if p := g.releases.phase(rel); p != release.Canary {
 			t.Errorf("phase %s after two failures, want %s", p, release.Canary)
 		}
-		g.releases.receive(notice.Message{Service: "s", Order: 7, From: "d2", Evidence: bad.Encode()})
-		g.releases.receive(notice.Message{Service: "s", Order: 7, From: "d3", Evidence: bad.Encode()})
+		g.releases.receive(notice.Message{Service: "s", Order: numbered(7), From: "d2", Evidence: bad.Encode()})
+		g.releases.receive(notice.Message{Service: "s", Order: numbered(7), From: "d3", Evidence: bad.Encode()})
 		g.releases.evaluate(rel, time.Now())
 		if p := g.releases.phase(rel); p != release.Reverted {
 			t.Errorf("phase %s after 6 of 18 answers failed at three daemons, want %s", p, release.Reverted)
@@ -860,7 +860,7 @@
 				sendAttempt(g, attempt("v2", strconv.Itoa(i), false))
 			}
 		}
-		g.releases.receive(notice.Message{Service: "s", Order: 7, From: "d1", Age: 19 * time.Second})
+		g.releases.receive(notice.Message{Service: "s", Order: numbered(7), From: "d1", Age: 19 * time.Second})
 		g.releases.evaluate(rel, time.Now())
 		g.releases.evaluate(rel, time.Now())
 		if p := g.releases.phase(rel); p != release.Promoted {
@@ -884,13 +884,13 @@
 			answers     int
 			want        int64
 		}{{1, 6, 56}, {1, 8, 58}, {1, 6, 58}, {2, 2, 58 + 52}, {1, 9, 58 + 52}, {2, 4, 58 + 54}} {
-			g.releases.receive(notice.Message{Service: "s", Order: 7, From: "d1", Incarnation: m.incarnation, Evidence: peerEvidenceOf(m.answers, 0).Encode()})
+			g.releases.receive(notice.Message{Service: "s", Order: numbered(7), From: "d1", Incarnation: m.incarnation, Evidence: peerEvidenceOf(m.answers, 0).Encode()})
 			if got := total(); got != m.want {
 				t.Errorf("%d requests after those of incarnation %d with %d answers, want %d", got, m.incarnation, m.answers, m.want)
 			}
 		}
 		all := peerEvidenceOf(400, 0)
-		g.releases.receive(notice.Message{Service: "s", Order: 7, From: "d1", Domain: g.spec.Domain, Evidence: all.Encode()})
+		g.releases.receive(notice.Message{Service: "s", Order: numbered(7), From: "d1", Domain: g.spec.Domain, Evidence: all.Encode()})
 		if got := total(); got != all.Requests {
 			t.Errorf("%d requests although the domain's other daemons know of %d", got, all.Requests)
 		}
@@ -941,3 +941,6 @@
 		g.cancel()
 	})
 }
+
+// numbered returns a revision of era 0.
+func numbered(n uint64) kv.Revision { return kv.Revision{Number: n} }
--- a/kv/httpkv/client.go
+++ b/kv/httpkv/client.go
@@ -46,13 +46,13 @@
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
 type casRequest struct {
-	Value    []byte     `json:"value"`
-	Previous uint64     `json:"previous"`
-	Lease    kv.LeaseID `json:"lease,omitempty"`
+	Value    []byte      `json:"value"`
+	Previous kv.Revision `json:"previous"`
+	Lease    kv.LeaseID  `json:"lease,omitempty"`
 }
 
 type revisionReply struct {
-	Revision uint64 `json:"revision"`
+	Revision kv.Revision `json:"revision"`
 }
 
 type leaseRequest struct {
@@ -75,9 +75,9 @@
 }
 
 // CAS implements kv.Store.
-func (c *Client) CAS(ctx context.Context, key string, value []byte, prev uint64, lease kv.LeaseID) (uint64, error) {
+func (c *Client) CAS(ctx context.Context, key string, value []byte, prev kv.Revision, lease kv.LeaseID) (kv.Revision, error) {
 	if len(value) > kv.MaxValueBytes {
-		return 0, kv.ErrTooLarge
+		return kv.Revision{}, kv.ErrTooLarge
 	}
 	var reply revisionReply
 	err := c.call(ctx, http.MethodPut, keyPath(key), casRequest{Value: value, Previous: prev, Lease: lease}, &reply)
@@ -85,8 +85,8 @@
 }
 
 // Delete implements kv.Store.
-func (c *Client) Delete(ctx context.Context, key string, prev uint64) error {
-	return c.call(ctx, http.MethodDelete, keyPath(key)+"?previous="+strconv.FormatUint(prev, 10), nil, nil)
+func (c *Client) Delete(ctx context.Context, key string, prev kv.Revision) error {
+	return c.call(ctx, http.MethodDelete, keyPath(key)+"?previous="+url.QueryEscape(prev.String()), nil, nil)
 }
 
 // List implements kv.Store.
@@ -99,9 +99,9 @@
 }
 
 // Watch implements kv.Store.
-func (c *Client) Watch(ctx context.Context, prefix string, after uint64) (kv.Changes, error) {
+func (c *Client) Watch(ctx context.Context, prefix string, after kv.Revision) (kv.Changes, error) {
 	var out kv.Changes
-	path := "/v1/watch?prefix=" + url.QueryEscape(prefix) + "&after=" + strconv.FormatUint(after, 10)
+	path := "/v1/watch?prefix=" + url.QueryEscape(prefix) + "&after=" + url.QueryEscape(after.String())
 	err := c.do(ctx, http.MethodGet, path, nil, &out)
 	return out, err
 }
--- a/kv/httpkv/contract_test.go
+++ b/kv/httpkv/contract_test.go
@@ -40,7 +40,7 @@
 	}
 }
 
-func mustCAS(t *testing.T, ctx context.Context, s kv.Store, key, value string, prev uint64, lease kv.LeaseID) uint64 {
+func mustCAS(t *testing.T, ctx context.Context, s kv.Store, key, value string, prev kv.Revision, lease kv.LeaseID) kv.Revision {
 	t.Helper()
 	rev, err := s.CAS(ctx, key, []byte(value), prev, lease)
 	if err != nil {
@@ -53,10 +53,11 @@
 // large, unavailable. Callers decide by these whether a write took effect.
 func TestErrors(t *testing.T) {
 	eachStore(t, func(t *testing.T, ctx context.Context, s kv.Store, fake *memkv.Store) {
-		rev := mustCAS(t, ctx, s, "a/x y?%", "1", 0, 0)
+		rev := mustCAS(t, ctx, s, "a/x y?%", "1", kv.Revision{}, 0)
 		if e, err := s.Get(ctx, "a/x y?%"); err != nil || string(e.Value) != "1" || e.Revision != rev {
 			t.Errorf("get of the written key: %+v, %v", e, err)
 		}
+		next := kv.Revision{Number: rev.Number + 1}
 		check := func(name string, err, want error) {
 			t.Helper()
 			if !errors.Is(err, want) {
@@ -65,17 +66,17 @@
 		}
 		_, err := s.Get(ctx, "none")
 		check("get", err, kv.ErrNotFound)
-		_, err = s.CAS(ctx, "a/x y?%", nil, rev+1, 0)
+		_, err = s.CAS(ctx, "a/x y?%", nil, next, 0)
 		check("stale write", err, kv.ErrConflict)
-		_, err = s.CAS(ctx, "b", nil, 0, 99)
+		_, err = s.CAS(ctx, "b", nil, kv.Revision{}, 99)
 		check("write without lease", err, kv.ErrNoLease)
-		_, err = s.CAS(ctx, "b", make([]byte, kv.MaxValueBytes+1), 0, 0)
+		_, err = s.CAS(ctx, "b", make([]byte, kv.MaxValueBytes+1), kv.Revision{}, 0)
 		check("large write", err, kv.ErrTooLarge)
-		check("stale delete", s.Delete(ctx, "a/x y?%", rev+1), kv.ErrConflict)
-		check("delete", s.Delete(ctx, "none", 1), kv.ErrNotFound)
+		check("stale delete", s.Delete(ctx, "a/x y?%", next), kv.ErrConflict)
+		check("delete", s.Delete(ctx, "none", kv.Revision{Number: 1}), kv.ErrNotFound)
 		check("keep alive", s.KeepAlive(ctx, 99), kv.ErrNoLease)
 		fake.Faults.LoseReplies(1)
-		_, err = s.CAS(ctx, "c", []byte("x"), 0, 0)
+		_, err = s.CAS(ctx, "c", []byte("x"), kv.Revision{}, 0)
 		check("lost reply", err, kv.ErrUnavailable)
 		if e, err := s.Get(ctx, "c"); err != nil || string(e.Value) != "x" {
 			t.Errorf("a write whose reply was lost did not take effect: %v", err)
@@ -90,10 +91,10 @@
 // down.
 func TestWatch(t *testing.T) {
 	eachStore(t, func(t *testing.T, ctx context.Context, s kv.Store, fake *memkv.Store) {
-		mustCAS(t, ctx, s, "other", "0", 0, 0)
+		mustCAS(t, ctx, s, "other", "0", kv.Revision{}, 0)
 		snapshot := fake.Snapshot()
-		rev := mustCAS(t, ctx, s, "w/a", "1", 0, 0)
-		c, err := s.Watch(ctx, "w/", 0)
+		rev := mustCAS(t, ctx, s, "w/a", "1", kv.Revision{}, 0)
+		c, err := s.Watch(ctx, "w/", kv.Revision{})
 		if err != nil || len(c.Entries) != 1 || c.Revision != rev {
 			t.Fatalf("watch from revision 0: %+v, %v; want one entry", c, err)
 		}
@@ -109,7 +110,7 @@
 			t.Errorf("watch after a deletion: %+v; want one deleted entry", c)
 		}
 		fake.Restore(snapshot)
-		if c, err := s.Watch(ctx, "w/", rev+1); err != nil || !c.Reset || len(c.Entries) != 0 {
+		if c, err := s.Watch(ctx, "w/", kv.Revision{Number: rev.Number + 1}); err != nil || !c.Reset || len(c.Entries) != 0 {
 			t.Errorf("watch after the store lost writes: %+v, %v; want a reset without entries", c, err)
 		}
 		failed := make(chan error, 1)
@@ -128,10 +129,10 @@
 	})
 }
 
-func snapshotRevision(ctx context.Context, s kv.Store) uint64 {
+func snapshotRevision(ctx context.Context, s kv.Store) kv.Revision {
 	e, err := s.Get(ctx, "other")
 	if err != nil {
-		return 0
+		return kv.Revision{}
 	}
 	return e.Revision
 }
@@ -143,7 +144,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		rev := mustCAS(t, ctx, s, "l", "1", 0, id)
+		rev := mustCAS(t, ctx, s, "l", "1", kv.Revision{}, id)
 		if err := s.KeepAlive(ctx, id); err != nil {
 			t.Error(err)
 		}
@@ -158,8 +159,8 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if next := mustCAS(t, ctx, s, "l", "2", 0, second); next <= rev {
-			t.Errorf("fencing token %d is not above the previous one, %d", next, rev)
+		if next := mustCAS(t, ctx, s, "l", "2", kv.Revision{}, second); next.Compare(rev) <= 0 {
+			t.Errorf("fencing token %s is not above the previous one, %s", next, rev)
 		}
 		if err := s.Revoke(ctx, second); err != nil {
 			t.Error(err)
--- a/kv/httpkv/page_test.go
+++ b/kv/httpkv/page_test.go
@@ -16,11 +16,11 @@
 		const values = maxResponseBytes/kv.MaxValueBytes + 2
 		value := make([]byte, kv.MaxValueBytes)
 		for i := range values {
-			if _, err := fake.CAS(ctx, fmt.Sprintf("p/%04d", i), value, 0, 0); err != nil {
+			if _, err := fake.CAS(ctx, fmt.Sprintf("p/%04d", i), value, kv.Revision{}, 0); err != nil {
 				t.Fatal(err)
 			}
 		}
-		mustCAS(t, ctx, fake, "q", "not in the prefix", 0, 0)
+		mustCAS(t, ctx, fake, "q", "not in the prefix", kv.Revision{}, 0)
 		n := 0
 		for e, err := range kv.All(ctx, s, "p/") {
 			if want := fmt.Sprintf("p/%04d", n); err != nil || e.Key != want || len(e.Value) != len(value) {
@@ -39,7 +39,7 @@
 func TestPageLimits(t *testing.T) {
 	eachStore(t, func(t *testing.T, ctx context.Context, s kv.Store, fake *memkv.Store) {
 		for i := range kv.MaxPageEntries + 1 {
-			mustCAS(t, ctx, fake, fmt.Sprintf("p/%04d", i), "0123", 0, 0)
+			mustCAS(t, ctx, fake, fmt.Sprintf("p/%04d", i), "0123", kv.Revision{}, 0)
 		}
 		for name, c := range map[string]struct {
 			r    kv.Range
--- a/kv/httpkv/server.go
+++ b/kv/httpkv/server.go
@@ -44,7 +44,7 @@
 }
 
 func (s server) delete(w http.ResponseWriter, r *http.Request) {
-	prev, err := strconv.ParseUint(r.FormValue("previous"), 10, 64)
+	prev, err := kv.ParseRevision(r.FormValue("previous"))
 	if err != nil {
 		http.Error(w, "bad revision", http.StatusBadRequest)
 		return
@@ -64,7 +64,7 @@
 }
 
 func (s server) watch(w http.ResponseWriter, r *http.Request) {
-	after, err := strconv.ParseUint(r.FormValue("after"), 10, 64)
+	after, err := kv.ParseRevision(r.FormValue("after"))
 	if err != nil {
 		http.Error(w, "bad revision", http.StatusBadRequest)
 		return
--- a/kv/memkv/store.go
+++ b/kv/memkv/store.go
@@ -25,10 +25,10 @@
 
 	mu        sync.Mutex
 	entries   map[string]kv.Entry
-	deleted   map[string]uint64 // deleted key to the revision of its deletion
+	deleted   map[string]kv.Revision // deleted key to the revision of its deletion
 	leases    map[kv.LeaseID]*lease
 	leaseOf   map[string]kv.LeaseID // key to the lease that holds it
-	revision  uint64
+	revision  kv.Revision
 	lastLease kv.LeaseID
 	changed   chan struct{} // closed and replaced at each change
 }
@@ -38,7 +38,7 @@
 	return &Store{
 		Faults:  newFaults(),
 		entries: map[string]kv.Entry{},
-		deleted: map[string]uint64{},
+		deleted: map[string]kv.Revision{},
 		leases:  map[kv.LeaseID]*lease{},
 		leaseOf: map[string]kv.LeaseID{},
 		changed: make(chan struct{}),
@@ -62,41 +62,41 @@
 }
 
 // CAS implements kv.Store.
-func (s *Store) CAS(ctx context.Context, key string, value []byte, prev uint64, id kv.LeaseID) (uint64, error) {
+func (s *Store) CAS(ctx context.Context, key string, value []byte, prev kv.Revision, id kv.LeaseID) (kv.Revision, error) {
 	return s.CASIf(ctx, kv.Condition{Key: key, Revision: prev}, key, value, prev, id)
 }
 
 // CASIf implements kv.ConditionalWriter.
-func (s *Store) CASIf(ctx context.Context, c kv.Condition, key string, value []byte, prev uint64, id kv.LeaseID) (uint64, error) {
+func (s *Store) CASIf(ctx context.Context, c kv.Condition, key string, value []byte, prev kv.Revision, id kv.LeaseID) (kv.Revision, error) {
 	if err := s.Faults.beforeCall(ctx, CallCAS); err != nil {
-		return 0, err
+		return kv.Revision{}, err
 	}
 	rev, err := s.cas(c, key, value, prev, id)
 	if err != nil {
-		return 0, err
+		return kv.Revision{}, err
 	}
 	return rev, s.Faults.afterWrite(ctx, key)
 }
 
-func (s *Store) cas(c kv.Condition, key string, value []byte, prev uint64, id kv.LeaseID) (uint64, error) {
+func (s *Store) cas(c kv.Condition, key string, value []byte, prev kv.Revision, id kv.LeaseID) (kv.Revision, error) {
 	if len(value) > kv.MaxValueBytes {
-		return 0, kv.ErrTooLarge
+		return kv.Revision{}, kv.ErrTooLarge
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expireLeases()
 	if s.entries[key].Revision != prev || s.entries[c.Key].Revision != c.Revision {
-		return 0, kv.ErrConflict
+		return kv.Revision{}, kv.ErrConflict
 	}
 	if id != 0 {
 		l, ok := s.leases[id]
 		if !ok {
-			return 0, kv.ErrNoLease
+			return kv.Revision{}, kv.ErrNoLease
 		}
 		l.keys[key] = true
 	}
 	s.setLease(key, id)
-	s.revision++
+	s.revision.Number++
 	s.entries[key] = kv.Entry{Key: key, Value: slices.Clone(value), Revision: s.revision}
 	delete(s.deleted, key)
 	s.notify()
@@ -118,7 +118,7 @@
 }
 
 // Delete implements kv.Store.
-func (s *Store) Delete(ctx context.Context, key string, prev uint64) error {
+func (s *Store) Delete(ctx context.Context, key string, prev kv.Revision) error {
 	if err := s.Faults.beforeCall(ctx, CallDelete); err != nil {
 		return err
 	}
@@ -141,7 +141,7 @@
 func (s *Store) remove(key string) {
 	s.setLease(key, 0)
 	delete(s.entries, key)
-	s.revision++
+	s.revision.Number++
 	s.deleted[key] = s.revision
 	s.notify()
 }
@@ -181,10 +181,10 @@
 }
 
 // entriesAfter returns the entries below prefix with a revision above after, ordered by key.
-func (s *Store) entriesAfter(prefix string, after uint64) []kv.Entry {
+func (s *Store) entriesAfter(prefix string, after kv.Revision) []kv.Entry {
 	var out []kv.Entry
 	for k, e := range s.entries {
-		if strings.HasPrefix(k, prefix) && e.Revision > after {
+		if strings.HasPrefix(k, prefix) && e.Revision.Compare(after) > 0 {
 			e.Value = slices.Clone(e.Value)
 			out = append(out, e)
 		}
@@ -194,7 +194,7 @@
 }
 
 // Watch implements kv.Store.
-func (s *Store) Watch(ctx context.Context, prefix string, after uint64) (kv.Changes, error) {
+func (s *Store) Watch(ctx context.Context, prefix string, after kv.Revision) (kv.Changes, error) {
 	if err := s.Faults.beforeCall(ctx, CallWatch); err != nil {
 		return kv.Changes{}, err
 	}
@@ -218,16 +218,16 @@
 }
 
 // changesAfter returns the current result of a watch and a channel that is closed at the next change.
-func (s *Store) changesAfter(prefix string, after uint64) (kv.Changes, <-chan struct{}) {
+func (s *Store) changesAfter(prefix string, after kv.Revision) (kv.Changes, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expireLeases()
-	if after > s.revision { // the store lost writes
-		return kv.Changes{Entries: s.entriesAfter(prefix, 0), Revision: s.revision, Reset: true}, s.changed
+	if after.Compare(s.revision) > 0 { // the store lost writes
+		return kv.Changes{Entries: s.entriesAfter(prefix, kv.Revision{}), Revision: s.revision, Reset: true}, s.changed
 	}
 	out := s.entriesAfter(prefix, after)
 	for k, rev := range s.deleted {
-		if strings.HasPrefix(k, prefix) && rev > after {
+		if strings.HasPrefix(k, prefix) && rev.Compare(after) > 0 {
 			out = append(out, kv.Entry{Key: k, Revision: rev, Deleted: true})
 		}
 	}
@@ -309,7 +309,7 @@
 // Snapshot is a copy of a store's entries and revision.
 type Snapshot struct {
 	entries  map[string]kv.Entry
-	revision uint64
+	revision kv.Revision
 }
 
 // Snapshot returns a copy of the current entries, for Restore.
@@ -331,7 +331,7 @@
 	for k, e := range snap.entries {
 		s.entries[k] = e
 	}
-	s.deleted = map[string]uint64{}
+	s.deleted = map[string]kv.Revision{}
 	s.revision = snap.revision
 	s.notify()
 }
--- a/kv/memkv/unreliable.go
+++ b/kv/memkv/unreliable.go
@@ -115,9 +115,9 @@
 }
 
 // CAS implements kv.Store.
-func (u *Unreliable) CAS(ctx context.Context, key string, value []byte, prev uint64, lease kv.LeaseID) (uint64, error) {
+func (u *Unreliable) CAS(ctx context.Context, key string, value []byte, prev kv.Revision, lease kv.LeaseID) (kv.Revision, error) {
 	var mu sync.Mutex
-	var rev uint64
+	var rev kv.Revision
 	err := u.call(ctx, true, func(ctx context.Context) error {
 		r, err := u.Store.CAS(ctx, key, value, prev, lease)
 		mu.Lock()
@@ -131,7 +131,7 @@
 }
 
 // Delete implements kv.Store.
-func (u *Unreliable) Delete(ctx context.Context, key string, prev uint64) error {
+func (u *Unreliable) Delete(ctx context.Context, key string, prev kv.Revision) error {
 	return u.call(ctx, true, func(ctx context.Context) error { return u.Store.Delete(ctx, key, prev) })
 }
 
--- a/kv/page.go
+++ b/kv/page.go
@@ -25,9 +25,9 @@
 type Page struct {
 	Entries []Entry `json:"entries"`
 	Next    string  `json:"next,omitempty"` // Range.From of the next page; empty after the last one
-	// Revision is the store's revision when the page was read, 0 if the store does not report it. A watch that follows a
+	// Revision is the store's revision when the page was read, zero if the store does not report it. A watch that follows a
 	// list starts at the revision of the first page.
-	Revision uint64 `json:"revision,omitempty"`
+	Revision Revision `json:"revision,omitzero"`
 }
 
 // Bounds returns the limits to apply to one page, with defaults and maximums resolved.
--- a/ledger/compact.go
+++ b/ledger/compact.go
@@ -130,7 +130,7 @@
 		}
 		// If the store was restored from older data during the pass, it may have lost the value although the deletions
 		// took effect. Creating the value again is a no-op if it is still there.
-		if _, err := c.spec.Store.CAS(ctx, v.key, v.data, 0, 0); err != nil && !errors.Is(err, kv.ErrConflict) {
+		if _, err := c.spec.Store.CAS(ctx, v.key, v.data, kv.Revision{}, 0); err != nil && !errors.Is(err, kv.ErrConflict) {
 			return err
 		}
 		group = remaining
@@ -168,7 +168,7 @@
 		return mergedValue{}, err
 	}
 	for key := mergedKey(group[0]); ; key += collisionSuffix {
-		_, err := c.spec.Store.CAS(ctx, key, data, 0, 0)
+		_, err := c.spec.Store.CAS(ctx, key, data, kv.Revision{}, 0)
 		if err == nil {
 			return mergedValue{key, data, indexByID(bills), true}, nil
 		}
--- a/ledger/compact_test.go
+++ b/ledger/compact_test.go
@@ -43,12 +43,12 @@
 	return e, err
 }
 
-func (s *faultStore) CAS(ctx context.Context, key string, value []byte, prev uint64, lease kv.LeaseID) (rev uint64, err error) {
+func (s *faultStore) CAS(ctx context.Context, key string, value []byte, prev kv.Revision, lease kv.LeaseID) (rev kv.Revision, err error) {
 	err = s.call(func() error { rev, err = s.Store.CAS(ctx, key, value, prev, lease); return err })
 	return rev, err
 }
 
-func (s *faultStore) Delete(ctx context.Context, key string, prev uint64) error {
+func (s *faultStore) Delete(ctx context.Context, key string, prev kv.Revision) error {
 	return s.call(func() error { return s.Store.Delete(ctx, key, prev) })
 }
 
@@ -257,8 +257,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := memkv.New()
 		want := storeSampleBatches(t, store)
-		for _, key := range []string{Prefix + "north/a/0", mergedKey(storedBatch{key: Prefix + "north/d0/000000000000", revision: 1, bills: want[:3]})} {
-			if _, err := store.CAS(t.Context(), key, []byte("damaged"), 0, 0); err != nil {
+		for _, key := range []string{Prefix + "north/a/0", mergedKey(storedBatch{key: Prefix + "north/d0/000000000000", revision: kv.Revision{Number: 1}, bills: want[:3]})} {
+			if _, err := store.CAS(t.Context(), key, []byte("damaged"), kv.Revision{}, 0); err != nil {
 				t.Fatal(err)
 			}
 		}
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -194,7 +194,7 @@
 func TestDamagedBatch(t *testing.T) {
 	store := memkv.New()
 	id := BatchID{Domain: "north", Incarnation: "d1", Seq: 1}
-	if _, err := store.CAS(t.Context(), id.Key(), []byte("damaged"), 0, 0); err != nil {
+	if _, err := store.CAS(t.Context(), id.Key(), []byte("damaged"), kv.Revision{}, 0); err != nil {
 		t.Fatal(err)
 	}
 	if err := WriteBatch(t.Context(), store, id, []Bill{testBill("x")}, "d1"); err != nil {
@@ -309,7 +309,7 @@
 			t.Fatal(err)
 		}
 	}
-	if _, err := store.CAS(t.Context(), Prefix+"north/d2/1", []byte("damaged"), 0, 0); err != nil {
+	if _, err := store.CAS(t.Context(), Prefix+"north/d2/1", []byte("damaged"), kv.Revision{}, 0); err != nil {
 		t.Fatal(err)
 	}
 	if _, err := Prune(t.Context(), store, time.Now(), false); err == nil {
--- a/ledger/merged.go
+++ b/ledger/merged.go
@@ -30,7 +30,7 @@
 // storedBatch is a batch that was read from the key-value store to be merged.
 type storedBatch struct {
 	key      string
-	revision uint64
+	revision kv.Revision
 	size     int // stored size in bytes
 	bills    []Bill
 }
@@ -42,7 +42,7 @@
 	for i := range first.bills {
 		last = max(last, first.bills[i].At)
 	}
-	sum := sha256.Sum256(fmt.Appendf(nil, "%s %d", first.key, first.revision))
+	sum := sha256.Sum256(fmt.Appendf(nil, "%s %s", first.key, first.revision))
 	period := time.UnixMilli(last).UTC().Truncate(CompactPeriod).Format("20060102T1504")
 	return MergedPrefix + period + "/" + hex.EncodeToString(sum[:mergedHashBytes])
 }
--- a/ledger/store.go
+++ b/ledger/store.go
@@ -51,7 +51,7 @@
 		if err != nil {
 			return err
 		}
-		_, err = store.CAS(ctx, key, data, 0, 0)
+		_, err = store.CAS(ctx, key, data, kv.Revision{}, 0)
 		if !errors.Is(err, kv.ErrConflict) {
 			return err
 		}
--- a/notice/kind.go
+++ b/notice/kind.go
@@ -64,7 +64,7 @@
 	switch {
 	case len(m.Batch) > 0:
 		return m.Batch[0].Kind()
-	case m.Revision > 0:
+	case !m.Revision.IsZero():
 		return KindChanges
 	case len(m.Crashes) > 0 && m.Minor:
 		return KindClear
@@ -89,7 +89,7 @@
 
 // delayed returns the message as it must be sent after it has waited: the times in it count until it is sent.
 func (m Message) delayed(wait time.Duration) Message {
-	if m.Age > 0 || m.Revision > 0 {
+	if m.Age > 0 || !m.Revision.IsZero() {
 		m.Age += wait
 	}
 	if len(m.Crashes) > 0 {
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -13,6 +13,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/bramleytrail/bramleytrail/kv"
 	"github.com/bramleytrail/bramleytrail/poison"
 	"github.com/bramleytrail/bramleytrail/pool"
 )
@@ -30,8 +31,8 @@
 // of the other subjects are zero and are omitted from the encoding.
 type Message struct {
 	// Service and Order identify a release.
-	Service string `msgpack:"s,omitempty"`
-	Order   uint64 `msgpack:"o,omitempty"`
+	Service string      `msgpack:"s,omitempty"`
+	Order   kv.Revision `msgpack:"o,omitempty"`
 	// Age is the time since the release was ordered, as far as the sender knows; see also Revision.
 	Age time.Duration `msgpack:"a,omitempty"`
 	// Phase is the phase that the release has reached; empty for a message about a session.
@@ -54,9 +55,9 @@
 	Work     time.Duration `msgpack:"w,omitempty"`
 	// Revision is the revision of the store's content at the sender, read at the time Age before the message was sent. Changes
 	// are all changes after the revision After up to Revision; there are none if both are the same.
-	Revision uint64   `msgpack:"r,omitempty"`
-	After    uint64   `msgpack:"u,omitempty"`
-	Changes  []Change `msgpack:"c,omitempty"`
+	Revision kv.Revision `msgpack:"r,omitempty"`
+	After    kv.Revision `msgpack:"u,omitempty"`
+	Changes  []Change    `msgpack:"c,omitempty"`
 	// PolledAt is the sender's time of the poll that read the changes, in Unix nanoseconds. It orders the messages about the store
 	// from one sender.
 	PolledAt int64 `msgpack:"k,omitempty"`
@@ -76,10 +77,10 @@
 
 // Change is a change of an entry of the store. Value is omitted if the receivers must read the entry from the store.
 type Change struct {
-	Key      string `msgpack:"k"`
-	Value    []byte `msgpack:"v,omitempty"`
-	Revision uint64 `msgpack:"r"`
-	Deleted  bool   `msgpack:"d,omitempty"`
+	Key      string      `msgpack:"k"`
+	Value    []byte      `msgpack:"v,omitempty"`
+	Revision kv.Revision `msgpack:"r"`
+	Deleted  bool        `msgpack:"d,omitempty"`
 }
 
 // PacketConn sends and receives datagrams. *net.UDPConn implements it.
@@ -394,7 +395,7 @@
 		list = []Message{m}
 	}
 	return slices.DeleteFunc(list, func(inner Message) bool {
-		peerOnly := inner.Revision > 0 || inner.Relay || len(inner.Estimates) > 0 || len(inner.Crashes) > 0 || len(m.Batch) > 0
+		peerOnly := !inner.Revision.IsZero() || inner.Relay || len(inner.Estimates) > 0 || len(inner.Crashes) > 0 || len(m.Batch) > 0
 		return !inner.valid() || peerOnly && !fromPeer || inner.Relay && len(m.Batch) > 0
 	})
 }
@@ -404,8 +405,8 @@
 	if m.InUseFor < 0 || m.Age < 0 || m.Work < 0 || len(m.Batch) > 0 {
 		return false
 	}
-	if m.Revision > 0 {
-		return m.After <= m.Revision && len(m.Changes) <= MaxChanges
+	if !m.Revision.IsZero() {
+		return m.After.Compare(m.Revision) <= 0 && len(m.Changes) <= MaxChanges
 	}
 	return m.Service != "" || m.From != "" && (len(m.Estimates) > 0 || len(m.Crashes) > 0 && len(m.Crashes) <= MaxCrashes)
 }
--- a/notice/notice_test.go
+++ b/notice/notice_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/bramleytrail/bramleytrail/kv"
 )
 
 // Guards against a message that misses one of the other daemons, or that is sent to its own sender.
@@ -30,7 +32,7 @@
 		peers = append(peers, Peer{domain + "1", domain, x.Addr(), 0})
 	}
 	sender.SetPeers(peers)
-	want := Message{Service: "s", Order: 7, Session: 1 << 63, InUseFor: 5 * time.Second}
+	want := Message{Service: "s", Order: kv.Revision{Number: 7}, Session: 1 << 63, InUseFor: 5 * time.Second}
 	if err := errors.Join(sender.SendToDomain("a", want), sender.SendToDomain("b", want)); err != nil {
 		t.Fatal(err)
 	}
@@ -70,11 +72,11 @@
 	}
 	receiver.SetPeers([]Peer{{"s", "a", senders[1].Addr(), 0}})
 	for i, x := range senders {
-		if err := x.SendToDomain("a", Message{Revision: 9, After: 8, Changes: []Change{{Key: "k", Value: []byte{byte(i)}, Revision: 9}}}); err != nil {
+		if err := x.SendToDomain("a", Message{Revision: kv.Revision{Number: 9}, After: kv.Revision{Number: 8}, Changes: []Change{{Key: "k", Value: []byte{byte(i)}, Revision: kv.Revision{Number: 9}}}}); err != nil {
 			t.Fatal(err)
 		}
 	}
-	if m := <-got; m.Revision != 9 || len(m.Changes) != 1 || m.Changes[0].Value[0] != 1 {
+	if m := <-got; m.Revision != (kv.Revision{Number: 9}) || len(m.Changes) != 1 || m.Changes[0].Value[0] != 1 {
 		t.Errorf("got %+v", m)
 	}
 }
@@ -175,7 +177,7 @@
 // FuzzDecode guards against a panic on arbitrary datagrams, and against accepting messages that only known daemons may send.
 func FuzzDecode(f *testing.F) {
 	f.Add([]byte{0x81, 0xa1, 's', 0xa1, 'x'})
-	for _, m := range []Message{{Service: "s", Relay: true}, {Revision: 2, After: 1}, {Batch: []Message{{Service: "s"}, {Service: "s", Relay: true}, {Batch: []Message{{Service: "s"}}}}}} {
+	for _, m := range []Message{{Service: "s", Relay: true}, {Revision: kv.Revision{Number: 2}, After: kv.Revision{Number: 1}}, {Batch: []Message{{Service: "s"}, {Service: "s", Relay: true}, {Batch: []Message{{Service: "s"}}}}}} {
 		data, err := msgpack.Marshal(&m)
 		if err != nil {
 			f.Fatal(err)
@@ -185,7 +187,7 @@
 	f.Fuzz(func(t *testing.T, data []byte) {
 		for _, fromPeer := range []bool{true, false} {
 			for _, m := range decode(data, fromPeer) {
-				if m.Service == "" && m.Revision == 0 && len(m.Estimates) == 0 || len(m.Batch) > 0 || !fromPeer && (m.Revision > 0 || m.Relay || len(m.Estimates) > 0) {
+				if m.Service == "" && m.Revision.IsZero() && len(m.Estimates) == 0 || len(m.Batch) > 0 || !fromPeer && (!m.Revision.IsZero() || m.Relay || len(m.Estimates) > 0) {
 					t.Errorf("peer %v: %+v", fromPeer, m)
 				}
 			}
--- a/notice/outbox_test.go
+++ b/notice/outbox_test.go
@@ -8,20 +8,21 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/bramleytrail/bramleytrail/kv"
 	"github.com/bramleytrail/bramleytrail/poison"
 	"github.com/bramleytrail/bramleytrail/pool"
 )
 
 // sampleMessages has a message of each kind.
 var sampleMessages = [kinds]Message{
-	KindPhase:     {Service: "s", Order: 1, Phase: "promoted"},
-	KindChanges:   {From: "d", Revision: 2, After: 1, Changes: []Change{{Key: "servers/i-0123456789", Value: make([]byte, 200), Revision: 2}}},
-	KindSession:   {Service: "s", Order: 1, Session: 1, InUseFor: time.Second},
+	KindPhase:     {Service: "s", Order: kv.Revision{Number: 1}, Phase: "promoted"},
+	KindChanges:   {From: "d", Revision: kv.Revision{Number: 2}, After: kv.Revision{Number: 1}, Changes: []Change{{Key: "servers/i-0123456789", Value: make([]byte, 200), Revision: kv.Revision{Number: 2}}}},
+	KindSession:   {Service: "s", Order: kv.Revision{Number: 1}, Session: 1, InUseFor: time.Second},
 	KindSuspect:   {From: "d", Suspect: true, Crashes: []poison.Record{{Fingerprint: 1, Crash: "i/1"}}},
 	KindCrash:     {From: "d", Crashes: []poison.Record{{Fingerprint: 1, Crash: "i/1"}}},
-	KindEvidence:  {From: "d", Service: "s", Order: 1, Evidence: make([]byte, 500)},
+	KindEvidence:  {From: "d", Service: "s", Order: kv.Revision{Number: 1}, Evidence: make([]byte, 500)},
 	KindClear:     {From: "d", Minor: true, Crashes: []poison.Record{{Sound: true, Parts: []uint64{1}}}},
-	KindIdle:      {Service: "s", Order: 1, Session: 1, InUseFor: time.Second, Minor: true},
+	KindIdle:      {Service: "s", Order: kv.Revision{Number: 1}, Session: 1, InUseFor: time.Second, Minor: true},
 	KindEstimates: {From: "d", Estimates: []pool.Estimate{{Service: "s"}}},
 	KindPrompt:    {Service: "s", Endpoint: "i", Work: time.Second},
 }
@@ -142,7 +143,7 @@
 	to := newPeers(manyPeers(1, 2, 0), "").in("0")
 	wait := 300 * time.Millisecond
 	for kind, m := range map[Kind]Message{
-		KindChanges: {Revision: 2, After: 1, Age: time.Second},
+		KindChanges: {Revision: kv.Revision{Number: 2}, After: kv.Revision{Number: 1}, Age: time.Second},
 		KindCrash:   {From: "d", Crashes: []poison.Record{{Fingerprint: 1, Crash: "i/1", Ago: time.Second}}},
 	} {
 		data, err := encode(m)
--- a/object/route.go
+++ b/object/route.go
@@ -1,6 +1,10 @@
 package object
 
-import "time"
+import (
+	"time"
+
+	"github.com/bramleytrail/bramleytrail/kv"
+)
 
 // RepeatPolicy tells how often a call of a route may run.
 type RepeatPolicy string
@@ -68,9 +72,9 @@
 	Duration      time.Duration `json:"duration"` // time within which the release has to end
 	State         ReleaseState  `json:"state"`
 	// Order identifies the operators' order, so that a later order for the same version is a different release.
-	Order uint64 `json:"order"`
-	// StateRevision is the revision of the entry with the state, 0 if there is none yet. A new state is only stored over that entry.
-	StateRevision uint64 `json:"stateRevision,omitempty"`
+	Order kv.Revision `json:"order"`
+	// StateRevision is the revision of the entry with the state, zero if there is none yet. A new state is only stored over that entry.
+	StateRevision kv.Revision `json:"stateRevision,omitzero"`
 	// Announced means that the state has been reported to the operators.
 	Announced bool `json:"announced,omitempty"`
 }
--- a/observe/store.go
+++ b/observe/store.go
@@ -24,13 +24,13 @@
 }
 
 // CAS implements kv.Store.
-func (s InstrumentedStore) CAS(ctx context.Context, key string, value []byte, prev uint64, lease kv.LeaseID) (rev uint64, err error) {
+func (s InstrumentedStore) CAS(ctx context.Context, key string, value []byte, prev kv.Revision, lease kv.LeaseID) (rev kv.Revision, err error) {
 	defer func(t time.Time) { s.record("cas", t, err) }(time.Now())
 	return s.Store.CAS(ctx, key, value, prev, lease)
 }
 
 // CASIf implements kv.ConditionalWriter. If the wrapped store does not, the condition is not checked.
-func (s InstrumentedStore) CASIf(ctx context.Context, c kv.Condition, key string, value []byte, prev uint64, lease kv.LeaseID) (rev uint64, err error) {
+func (s InstrumentedStore) CASIf(ctx context.Context, c kv.Condition, key string, value []byte, prev kv.Revision, lease kv.LeaseID) (rev kv.Revision, err error) {
 	w, ok := s.Store.(kv.ConditionalWriter)
 	if !ok {
 		return s.CAS(ctx, key, value, prev, lease)
@@ -40,7 +40,7 @@
 }
 
 // Delete implements kv.Store.
-func (s InstrumentedStore) Delete(ctx context.Context, key string, prev uint64) (err error) {
+func (s InstrumentedStore) Delete(ctx context.Context, key string, prev kv.Revision) (err error) {
 	defer func(t time.Time) { s.record("delete", t, err) }(time.Now())
 	return s.Store.Delete(ctx, key, prev)
 }
@@ -52,13 +52,13 @@
 }
 
 // Watch implements kv.Store.
-func (s InstrumentedStore) Watch(ctx context.Context, prefix string, after uint64) (c kv.Changes, err error) {
+func (s InstrumentedStore) Watch(ctx context.Context, prefix string, after kv.Revision) (c kv.Changes, err error) {
 	defer func(t time.Time) { s.recordWatch(ctx, t, err) }(time.Now())
 	return s.Store.Watch(ctx, prefix, after)
 }
 
 // WatchFor implements kv.TimedWatcher. If the wrapped store does not, the store itself decides how long a watch waits.
-func (s InstrumentedStore) WatchFor(ctx context.Context, prefix string, after uint64, wait time.Duration) (c kv.Changes, err error) {
+func (s InstrumentedStore) WatchFor(ctx context.Context, prefix string, after kv.Revision, wait time.Duration) (c kv.Changes, err error) {
 	w, ok := s.Store.(kv.TimedWatcher)
 	if !ok {
 		return s.Watch(ctx, prefix, after)
--- a/suspect/suspect.go
+++ b/suspect/suspect.go
@@ -36,7 +36,7 @@
 	Parts *poison.PartTable
 	Store kv.Store
 	Key   string // of the entry
-	// Entry returns the newest state of the entry that this daemon has or can read, with revision 0 if there is none.
+	// Entry returns the newest state of the entry that this daemon has or can read, with a zero revision if there is none.
 	Entry func(context.Context) (kv.Entry, error)
 	// OnWrite is called with the entry after this daemon has written it; it may be nil.
 	OnWrite func(kv.Entry)
@@ -53,7 +53,7 @@
 	wake chan struct{}
 
 	mu       sync.Mutex
-	applied  uint64 // revision of the entry that was applied last
+	applied  kv.Revision // revision of the entry that was applied last
 	reported []poison.RefusedParts
 }
 
@@ -132,12 +132,12 @@
 }
 
 // Apply puts the entry in force and returns its sets and its revision. An entry that can't be decoded counts as empty.
-func (k *Keeper) Apply(e kv.Entry) (sets []poison.RefusedParts, revision uint64) {
+func (k *Keeper) Apply(e kv.Entry) (sets []poison.RefusedParts, revision kv.Revision) {
 	now := time.Now()
 	sets, err := decode(e.Value, now)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if e.Revision == k.applied || e.Revision > 0 && e.Revision < k.applied { // known, or an older read
+	if e.Revision == k.applied || !e.Revision.IsZero() && e.Revision.Compare(k.applied) < 0 { // known, or an older read
 		return sets, e.Revision
 	}
 	k.applied = e.Revision
@@ -149,12 +149,12 @@
 }
 
 // read applies the newest state of the entry.
-func (k *Keeper) read(ctx context.Context) (sets []poison.RefusedParts, revision uint64, err error) {
+func (k *Keeper) read(ctx context.Context) (sets []poison.RefusedParts, revision kv.Revision, err error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	e, err := k.spec.Entry(ctx)
 	if err != nil {
-		return nil, 0, err
+		return nil, kv.Revision{}, err
 	}
 	sets, revision = k.Apply(e)
 	return sets, revision, nil
@@ -204,7 +204,7 @@
 }
 
 // write replaces the entry if it still has the given revision.
-func (k *Keeper) write(ctx context.Context, sets []poison.RefusedParts, revision uint64) error {
+func (k *Keeper) write(ctx context.Context, sets []poison.RefusedParts, revision kv.Revision) error {
 	value, err := encode(sets, time.Now())
 	if err != nil {
 		return err
--- a/suspect/suspect_test.go
+++ b/suspect/suspect_test.go
@@ -122,7 +122,7 @@
 func TestUnreadableEntryIsReplaced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := memkv.New()
-		if _, err := store.CAS(t.Context(), testKey, []byte("{"), 0, 0); err != nil {
+		if _, err := store.CAS(t.Context(), testKey, []byte("{"), kv.Revision{}, 0); err != nil {
 			t.Fatal(err)
 		}
 		d := newDaemon(store, 0)
@@ -143,8 +143,8 @@
 // failingWrites is a store whose writes fail.
 type failingWrites struct{ kv.Store }
 
-func (failingWrites) CAS(context.Context, string, []byte, uint64, kv.LeaseID) (uint64, error) {
-	return 0, kv.ErrUnavailable
+func (failingWrites) CAS(context.Context, string, []byte, kv.Revision, kv.LeaseID) (kv.Revision, error) {
+	return kv.Revision{}, kv.ErrUnavailable
 }
 
 // Guards against a trial that was not granted and counts at the daemon that asked for it.
