suspect: refused prompt parts survive a restore of the store

Cause: a backup may lack refused sets or trials that were written since. Daemons without evidence of their own then served those parts again.

Change: on the first entry of a newer era, the sets in force stay in force, and are written again for up to 10 s, in the order of ranks, by one daemon if its write arrives. memkv.Store.RestoreInNewEra is for tests.

--- a/kv/memkv/store.go
+++ b/kv/memkv/store.go
@@ -222,7 +222,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expireLeases()
-	if after.Compare(s.revision) > 0 { // the store lost writes
+	if after.Compare(s.revision) > 0 || !after.IsZero() && after.Era != s.revision.Era { // the store lost writes
 		return kv.Changes{Entries: s.entriesAfter(prefix, kv.Revision{}), Revision: s.revision, Reset: true}, s.changed
 	}
 	out := s.entriesAfter(prefix, after)
@@ -335,3 +335,18 @@
 	s.revision = snap.revision
 	s.notify()
 }
+
+// RestoreInNewEra is Restore that begins a new era, as the platform's store does if it reports eras. Leases are kept.
+func (s *Store) RestoreInNewEra(snap Snapshot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	era := s.revision.Era + 1
+	s.entries = map[string]kv.Entry{}
+	for k, e := range snap.entries {
+		e.Revision.Era = era
+		s.entries[k] = e
+	}
+	s.deleted = map[string]kv.Revision{}
+	s.revision = kv.Revision{Era: era, Number: snap.revision.Number}
+	s.notify()
+}
--- a/suspect/suspect.go
+++ b/suspect/suspect.go
@@ -29,6 +29,9 @@
 	callTimeout = 600 * time.Millisecond
 	// setTTL is the time after which a set is dropped.
 	setTTL = 24 * time.Hour
+	// lostTTL is the time after a restore of the store in which lost sets are written again. It covers the longest delay of a write and some
+	// failed ones. Later, a set that is missing was removed by a daemon.
+	lostTTL = 10 * time.Second
 )
 
 // Spec configures a Keeper.
@@ -36,7 +39,7 @@
 	Parts *poison.PartTable
 	Store kv.Store
 	Key   string // of the entry
-	// Entry returns the newest state of the entry that this daemon has or can read, with a zero revision if there is none.
+	// Entry returns the newest state of the entry that this daemon has or can read. If there is none, the number of its revision is 0.
 	Entry func(context.Context) (kv.Entry, error)
 	// OnWrite is called with the entry after this daemon has written it; it may be nil.
 	OnWrite func(kv.Entry)
@@ -52,9 +55,12 @@
 	spec Spec
 	wake chan struct{}
 
-	mu       sync.Mutex
-	applied  kv.Revision // revision of the entry that was applied last
-	reported []poison.RefusedParts
+	mu        sync.Mutex
+	sets      []poison.RefusedParts // that were applied last
+	lost      []poison.RefusedParts // applied before a restore of the store and not read since; written again until lostUntil
+	lostUntil time.Time
+	applied   kv.Revision // revision of the entry that was applied last
+	reported  []poison.RefusedParts
 }
 
 // New returns a keeper. Run must be called.
@@ -131,16 +137,27 @@
 	return out
 }
 
-// Apply puts the entry in force and returns its sets and its revision. An entry that can't be decoded counts as empty.
+// Apply puts the entry in force and returns its sets and its revision. An entry that can't be decoded counts as empty. Sets that the store
+// has lost in a restore stay in force and are among the returned ones.
 func (k *Keeper) Apply(e kv.Entry) (sets []poison.RefusedParts, revision kv.Revision) {
 	now := time.Now()
 	sets, err := decode(e.Value, now)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if e.Revision == k.applied || !e.Revision.IsZero() && e.Revision.Compare(k.applied) < 0 { // known, or an older read
-		return sets, e.Revision
+		return withLost(sets, k.lost), e.Revision
 	}
-	k.applied = e.Revision
+	if e.Revision.Era > k.applied.Era {
+		k.lost, k.lostUntil = k.sets, now.Add(lostTTL)
+	}
+	if now.After(k.lostUntil) {
+		k.lost = nil
+	}
+	k.lost = slices.DeleteFunc(slices.Clone(k.lost), func(x poison.RefusedParts) bool {
+		return now.Sub(x.Since) >= setTTL || slices.ContainsFunc(sets, func(s poison.RefusedParts) bool { return slices.Equal(s.IDs, x.IDs) && s.Trials >= x.Trials })
+	})
+	sets = withLost(sets, k.lost)
+	k.applied, k.sets = e.Revision, sets
 	if err != nil {
 		k.spec.Log.WithField("key", k.spec.Key).WithError(err).Warn("entry not used")
 	}
@@ -148,6 +165,30 @@
 	return sets, e.Revision
 }
 
+// withLost returns sets with the lost ones. A lost set replaces the same one with fewer trials.
+func withLost(sets, lost []poison.RefusedParts) []poison.RefusedParts {
+	if len(lost) == 0 {
+		return sets
+	}
+	out := slices.Clone(sets)
+	for _, x := range lost {
+		i := slices.IndexFunc(out, func(s poison.RefusedParts) bool { return slices.Equal(s.IDs, x.IDs) })
+		if i < 0 {
+			out = append(out, x)
+		} else if out[i].Trials < x.Trials {
+			out[i] = x
+		}
+	}
+	return out
+}
+
+// hasLost reports whether the store has lost sets that must be written again.
+func (k *Keeper) hasLost() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.lost) > 0 && time.Now().Before(k.lostUntil)
+}
+
 // read applies the newest state of the entry.
 func (k *Keeper) read(ctx context.Context) (sets []poison.RefusedParts, revision kv.Revision, err error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -168,6 +209,7 @@
 	var since time.Time // from which the conclusions differ from the sets in common
 	for ctx.Err() == nil {
 		want, same, settled := k.spec.Parts.Conclude(time.Now())
+		same = same && !k.hasLost()
 		k.report()
 		switch now := time.Now(); {
 		case same:
@@ -211,6 +253,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	if revision.Number == 0 {
+		revision = kv.Revision{} // no entry, whatever the era
+	}
 	next, err := k.spec.Store.CAS(ctx, k.spec.Key, value, revision, 0)
 	if err != nil {
 		return err
@@ -219,6 +264,9 @@
 	if k.spec.OnWrite != nil {
 		k.spec.OnWrite(e)
 	}
+	k.mu.Lock()
+	k.lost = nil // the value has them, except those that this daemon knows to be sound
+	k.mu.Unlock()
 	k.Apply(e)
 	return nil
 }
--- a/suspect/suspect_test.go
+++ b/suspect/suspect_test.go
@@ -166,3 +166,56 @@
 		}
 	})
 }
+
+// Guards against refused parts that are allowed again because the store was restored from a backup without them, and against daemons that
+// write them again for ever although one has found them sound.
+func TestRefusedPartsSurviveRestore(t *testing.T) {
+	for _, sound := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			store := memkv.New()
+			backup := store.Snapshot()
+			daemons := []*daemon{newDaemon(store, 0), newDaemon(store, 1)}
+			era := uint64(0)
+			for _, d := range daemons {
+				d.keeper.spec.Entry = func(ctx context.Context) (kv.Entry, error) {
+					e, err := store.Get(ctx, testKey)
+					if errors.Is(err, kv.ErrNotFound) {
+						return kv.Entry{Revision: kv.Revision{Era: era}}, nil
+					}
+					return e, err
+				}
+				d.run(t)
+			}
+			daemons[0].see(9)
+			time.Sleep(2 * time.Second)
+			e, err := store.Get(t.Context(), testKey)
+			if err != nil {
+				t.Fatal(err)
+			}
+			daemons[1].keeper.Apply(e) // as its view does
+			store.RestoreInNewEra(backup)
+			era = 1
+			if sound {
+				daemons[1].parts.MarkSound([]uint64{9}, time.Now())
+			}
+			for _, d := range daemons {
+				d.keeper.Apply(kv.Entry{Revision: kv.Revision{Era: era}})
+				if v := d.verdict(9); v != poison.PartsRefused && !sound {
+					t.Errorf("verdict %d after the restore, want refused", v)
+				}
+			}
+			time.Sleep(20 * time.Second)
+			writes := store.Faults.Counts()[memkv.CallCAS]
+			time.Sleep(20 * time.Second)
+			if n := store.Faults.Counts()[memkv.CallCAS]; n > writes || writes > 5 {
+				t.Errorf("%d writes, then %d more", writes, n-writes)
+			}
+			later := newDaemon(store, 2)
+			later.run(t)
+			synctest.Wait()
+			if v := later.verdict(9); (v == poison.PartsRefused) == sound {
+				t.Errorf("verdict %d at a later daemon, parts found sound: %t", v, sound)
+			}
+		})
+	}
+}
