Merge the era of store revisions with duties

Tokens of duties are those of the revision at which the duty was acquired, and the holder compares their era with the newest era that the store's client has seen. Checked with go vet and the tests of duty, usage and notice.

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -32,10 +32,10 @@
 type Duty struct {
 	spec Spec
 
-	mu      sync.Mutex
-	lease   kv.LeaseID
-	fence   uint64 // 0 if not held
-	expires time.Time
+	mu       sync.Mutex
+	lease    kv.LeaseID
+	revision kv.Revision // at which the daemon acquired the duty, zero if not held
+	expires  time.Time
 	// acquired is the time at which this daemon learned that it holds the duty.
 	acquired time.Time
 }
@@ -48,9 +48,6 @@
 	return &Duty{spec: spec}
 }
 
-// token returns the fencing token of the term whose acquisition was written at a revision.
-func token(revision uint64) uint64 { return revision }
-
 // eraShift is the number of bits of a token below its era.
 const eraShift = 40
 
@@ -66,7 +63,7 @@
 func (d *Duty) Fence() (uint64, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.fence, d.fence != 0 && d.spec.Now().Before(d.expires)
+	return d.revision.Token(), !d.revision.IsZero() && d.spec.Now().Before(d.expires)
 }
 
 // Lease returns the fencing token and the expiry of the lease by this process's monotonic clock; both are zero if the duty
@@ -74,7 +71,7 @@
 func (d *Duty) Lease() (fence uint64, expires time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.fence, d.expires
+	return d.revision.Token(), d.expires
 }
 
 // Term returns what Term.Check needs to know of the lease: the token, the time of the acquisition and the expiry. It is zero if
@@ -82,7 +79,7 @@
 func (d *Duty) Term() Term {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return Term{Token: d.fence, Acquired: d.acquired, Expires: d.expires}
+	return Term{Token: d.revision.Token(), Acquired: d.acquired, Expires: d.expires}
 }
 
 // AcquireOrRenew renews the lease, or tries to acquire the duty if the daemon does not hold it. It reports whether the
@@ -122,7 +119,7 @@
 	if err != nil {
 		return false, fmt.Errorf("grant lease for duty %s: %w", d.spec.Name, err)
 	}
-	revision, err := d.spec.Store.CAS(ctx, d.spec.Key, []byte(d.spec.Owner), 0, lease)
+	revision, err := d.spec.Store.CAS(ctx, d.spec.Key, []byte(d.spec.Owner), kv.Revision{}, lease)
 	if err != nil {
 		_ = d.spec.Store.Revoke(ctx, lease) // otherwise it expires
 		if errors.Is(err, kv.ErrConflict) {
@@ -131,7 +128,7 @@
 		return false, fmt.Errorf("acquire duty %s: %w", d.spec.Name, err)
 	}
 	d.mu.Lock()
-	d.lease, d.fence, d.expires, d.acquired = lease, token(revision), start.Add(d.spec.TTL), d.spec.Now()
+	d.lease, d.revision, d.expires, d.acquired = lease, revision, start.Add(d.spec.TTL), d.spec.Now()
 	d.mu.Unlock()
 	return true, nil
 }
@@ -139,7 +136,7 @@
 func (d *Duty) clear() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.lease, d.fence, d.expires, d.acquired = 0, 0, time.Time{}, time.Time{}
+	d.lease, d.revision, d.expires, d.acquired = 0, kv.Revision{}, time.Time{}, time.Time{}
 }
 
 // Drop gives up the duty without a call of the store. It is for a lease of an earlier era of the store, whose ID may now be that
--- a/gateway/duties.go
+++ b/gateway/duties.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/bramleytrail/bramleytrail/duty"
+	"github.com/bramleytrail/bramleytrail/kv"
 	"github.com/bramleytrail/bramleytrail/notice"
 	"github.com/bramleytrail/bramleytrail/pause"
 	"github.com/bramleytrail/bramleytrail/scaling"
@@ -92,7 +93,7 @@
 // holderEntry is the holder of the duties as the store shows it.
 type holderEntry struct {
 	name     string
-	revision uint64
+	revision kv.Revision
 }
 
 func newDuties(g *Gateway, s DutySpec) *duties {
--- a/gateway/dutyholder.go
+++ b/gateway/dutyholder.go
@@ -35,7 +35,12 @@
 )
 
 // storeEra returns the highest era of the store that this daemon has seen.
-func (d *duties) storeEra() uint64 { return 0 }
+func (d *duties) storeEra() uint64 {
+	if s, ok := d.g.spec.Store.(kv.EraReporter); ok {
+		return s.Era()
+	}
+	return 0
+}
 
 // heldToken returns the token of this daemon's term, 0 if it does not hold the duties.
 func (d *duties) heldToken() uint64 {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -271,7 +271,7 @@
 		if g.duties != nil {
 			g.duties.receive(*m.Duty)
 		}
-	case m.Revision > 0:
+	case !m.Revision.IsZero():
 		g.view.receive(m)
 	case len(m.Crashes) > 0:
 		g.crashes.receive(m.Crashes)
