platform: bounds of a service's endpoints are decoded

Cause: the configuration may state for a service how many endpoints each failure domain may have and how long one takes to boot. This was ignored.

--- a/object/object.go
+++ b/object/object.go
@@ -90,6 +90,15 @@
 	TokensPerEvent int `json:"tokensPerEvent,omitempty"`
 	// Tariffs are the tariffs of the service's models, by name. A model without one has no declared price.
 	Tariffs map[string]Tariff `json:"tariffs,omitempty"`
+	// Scaling lets the system set the number of endpoints in each failure domain; nil leaves it to the platform.
+	Scaling *Scaling `json:"scaling,omitempty"`
+}
+
+// Scaling bounds the number of endpoints of a service in each failure domain.
+type Scaling struct {
+	Minimum  int           `json:"minimum"`
+	Maximum  int           `json:"maximum"`
+	BootTime time.Duration `json:"bootTime"` // from an order until the new endpoint serves
 }
 
 // Tariff is what a model charges for a request, in the operators' unit of cost.
