--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -71,6 +71,8 @@
 	// GrantTrial asks whether all daemons agree that a request runs although it has a refused set of prompt parts, or some of one. Nil
 	// grants none.
 	GrantTrial func(context.Context, poison.RefusedParts) bool
+	// OnRefused is called when a request of a routed service is refused because its endpoints are full; it may be nil.
+	OnRefused func(service string)
 	// Router sends routed requests; nil if there are no routes.
 	Router engine.Router
 	// RetryRatio is the number of retries that each routed request adds to the budget of its service. RetryReserve
@@ -114,6 +116,9 @@
 // Waiting returns the number of requests that wait for capacity.
 func (f *Filter) Waiting() int { return f.queue.Waiting() }
 
+// WaitingFor returns the number of requests that wait for capacity of a service.
+func (f *Filter) WaitingFor(service string) int { return f.queue.WaitingFor(service) }
+
 // Input is a model request.
 type Input struct {
 	View        *config.View
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -39,6 +39,7 @@
 	// fingerprint identifies the request in the crash table; 0 for plain services.
 	fingerprint uint64
 	shortage    pool.Shortage // why the last try found no capacity
+	full        bool          // whether the wait failed because the endpoints are full
 	maxWait     time.Duration // from which deadline is computed
 	deadline    time.Time     // of the wait
 	// refresh applies the newest configuration to view and queries. It fails if that no longer allows the request.
@@ -103,6 +104,7 @@
 	case queue.Cancelled:
 		return contextError(ctx, result.NotRun)
 	default:
+		w.full = r.Reason == queue.Full || r.Reason == queue.TooLong || w.shortage.Full > 0
 		return noEndpointError(w.shortage, r)
 	}
 }
--- a/dispatch/routed.go
+++ b/dispatch/routed.go
@@ -50,6 +50,7 @@
 	Route       string
 	Service     string
 	Endpoint    string // ID
+	Domain      string // failure domain of the endpoint
 	Addr        string
 	Release     string // software version that the endpoint runs
 	Model       string
@@ -59,6 +60,8 @@
 	Latency     time.Duration // until the header of the answer, or the failure
 	Prompt      int64         // tokens
 	Uncached    int64         // prompt tokens that the endpoint was expected to process
+	Target      time.Duration // of the route, for the beginning of the answer
+	Retry       bool          // the request was sent to an endpoint before
 	LastEventID int64         // ID of the last event that the caller had before the attempt, 0 for none
 	Fingerprint uint64        // of the request's content
 	// Confidence is the model's confidence in the answer; nil if it states none.
@@ -81,6 +84,7 @@
 	wait     time.Duration // for capacity, before the current attempt
 	attempts int           // attempts at endpoints that ran, may have run or refused the request
 	exclude  []string      // IDs of the endpoints that failed
+	busy     bool          // the last attempt's endpoint was full
 	ran      result.Ran
 	parts    []uint64  // of the prompt, that other requests may share
 	sentAt   time.Time // of the current attempt
@@ -137,6 +141,13 @@
 	}
 }
 
+// countRefusal reports that the request is refused because the endpoints of its service are full.
+func (x *Exchange) countRefusal() {
+	if x.filter.spec.OnRefused != nil {
+		x.filter.spec.OnRefused(x.in.Service)
+	}
+}
+
 // checkAttempt returns an error if crashes, the route's attempts or the retry budget forbid another attempt. It charges
 // the budget for attempts after the first one.
 func (x *Exchange) checkAttempt() error {
@@ -147,6 +158,9 @@
 		return nil
 	}
 	if x.attempts >= x.in.Route.Attempts || !x.prepaid.Swap(false) && !x.budget.withdraw(0, x.filter.spec.Now()) {
+		if x.busy {
+			x.countRefusal()
+		}
 		return &result.Error{Code: x.failureCode(), Ran: x.ran, RetryAfter: busyRetryAfter, Detail: "The attempts or the retry budget are used up."}
 	}
 	return nil
@@ -186,6 +200,9 @@
 		return err
 	}
 	err := x.filter.waitForCapacity(x.ctx, &w)
+	if w.full {
+		x.countRefusal()
+	}
 	return w.granted, err
 }
 
@@ -256,9 +273,9 @@
 // describeAttempt describes an attempt that has not ended.
 func (x *Exchange) describeAttempt(r *pool.Reservation) RoutedAttempt {
 	return RoutedAttempt{
-		Request: x.in.Request.ID, Route: x.in.Route.Name, Service: x.in.Service, Endpoint: r.ID, Addr: r.Addr, Release: r.SoftwareRelease(),
+		Request: x.in.Request.ID, Route: x.in.Route.Name, Service: x.in.Service, Endpoint: r.ID, Domain: r.Domain, Addr: r.Addr, Release: r.SoftwareRelease(),
 		Model: x.in.Request.Model, Wait: x.wait, Expected: r.ExpectedDelay, Prompt: x.in.Prompt, Uncached: r.ExpectedUncached, LastEventID: x.in.Request.LastEvent,
-		Fingerprint: x.in.Fingerprint,
+		Fingerprint: x.in.Fingerprint, Target: x.in.Route.TargetLatency, Retry: x.attempts > 0 || len(x.exclude) > 0,
 	}
 }
 
@@ -286,7 +303,7 @@
 	if errors.As(err, &e) {
 		return err
 	}
-	x.exclude = append(x.exclude, r.ID)
+	x.exclude, x.busy = append(x.exclude, r.ID), false
 	if x.ctx.Err() != nil {
 		x.ran = max(x.ran, result.RunUnknown) // the endpoint may have received the request
 		r.Release(pool.Cancelled, now)
@@ -302,6 +319,7 @@
 		return nil
 	case errors.Is(err, engine.ErrBusy):
 		x.attempts++
+		x.busy = true
 		r.Release(pool.Busy, now)
 		return nil
 	}
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -104,6 +104,19 @@
 // Waiting returns the number of waiting requests.
 func (q *Queue) Waiting() int { return int(q.waiting.Load()) }
 
+// WaitingFor returns the number of requests that wait for a service. A request that waits for several versions counts for each.
+func (q *Queue) WaitingFor(service string) int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	n := 0
+	for k, fq := range q.queues {
+		if k.Service == service {
+			n += fq.count
+		}
+	}
+	return n
+}
+
 // Wait blocks until the request gets capacity, or can't get any before its deadline, or ctx ends.
 func (q *Queue) Wait(ctx context.Context, req Request) Result {
 	w := q.enqueue(req)
