gateway: demand is collected and endpoints are ordered

Cause: the decision on the number of endpoints needs the daemons' demand and the holder's view of the endpoints.

Change: serviceScaler collects this daemon's demand for services with bounds and, at the holder of the duty, decides and orders. It is wired together with the duties. Services without bounds are neither counted nor scaled.

Checked: TestDemandOfDaemon, TestOrdersOfHolder; all tests of gateway, platform, dispatch, pool and queue.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -36,6 +36,7 @@
 	"github.com/bramleytrail/bramleytrail/relay"
 	"github.com/bramleytrail/bramleytrail/release"
 	"github.com/bramleytrail/bramleytrail/result"
+	"github.com/bramleytrail/bramleytrail/scaling"
 	"github.com/bramleytrail/bramleytrail/suspect"
 )
 
@@ -139,6 +140,7 @@
 	releases      *releases
 	crashes       *crashReports
 	suspects      *suspect.Keeper
+	demands       *demandCounter
 	traffic       *peerTraffic
 	readyServer   *http.Server
 	metricsServer *http.Server
@@ -167,8 +169,9 @@
 	g.crashes = newCrashReports(g)
 	g.traffic = newPeerTraffic(g)
 	g.suspects = g.newSuspects()
+	g.demands = &demandCounter{counts: map[serviceDomain]scaling.Demand{}}
 	g.dispatch = dispatch.New(dispatch.Spec{
-		Pool: g.pool, Poison: g.poison, OnCrash: g.crashes.add, OnClear: g.crashes.clear, IsDown: s.IsDown, GrantTrial: g.suspects.Grant, Router: s.Router, Rand: mathrand.Uint64, QueueWait: queueWait, Now: time.Now,
+		Pool: g.pool, Poison: g.poison, OnCrash: g.crashes.add, OnClear: g.crashes.clear, IsDown: s.IsDown, GrantTrial: g.suspects.Grant, OnRefused: g.countRefusal, Router: s.Router, Rand: mathrand.Uint64, QueueWait: queueWait, Now: time.Now,
 		RetryRatio: retryBudgetShare * s.RetryRatio, RetryWindow: s.RetryWindow, RetryReserve: func() float64 { return retryBudgetShare * s.RetryReserve / float64(max(1, g.members())) },
 	})
 	g.releases = newReleases(g)
@@ -185,7 +188,7 @@
 func (g *Gateway) newPipeline() *pipeline.Pipeline {
 	return &pipeline.Pipeline{
 		Config: g.config, Admit: g.admit, Dispatch: g.dispatch, Closing: g.closing, Now: time.Now, OnStart: func(*pipeline.Progress) {}, OnFinish: g.recordOutcome,
-		Routes: &pipeline.Routes{Releases: g.releases, Escalator: cascade.NewEscalator(g.spec.EvenConfidence), AnswerValue: g.spec.AnswerValue, EventIntervals: relay.NewEventIntervals(), MayBeBehind: func() bool { return g.view.mayBeBehind() }, OnSend: g.releases.begin, OnAttempt: g.recordAttempt, OnBroken: g.recordBroken, OnEscalate: g.recordEscalation},
+		Routes: &pipeline.Routes{Releases: g.releases, Escalator: cascade.NewEscalator(g.spec.EvenConfidence), AnswerValue: g.spec.AnswerValue, EventIntervals: relay.NewEventIntervals(), MayBeBehind: func() bool { return g.view.mayBeBehind() }, OnSend: g.recordSend, OnAttempt: g.recordAttempt, OnBroken: g.recordBroken, OnEscalate: g.recordEscalation},
 	}
 }
 
@@ -408,8 +411,14 @@
 	g.log.WithFields(f).WithError(o.Err).Info("request failed")
 }
 
+func (g *Gateway) recordSend(a dispatch.RoutedAttempt) {
+	g.releases.begin(a)
+	g.countSend(a)
+}
+
 func (g *Gateway) recordAttempt(a dispatch.RoutedAttempt) {
 	g.releases.end(a)
+	g.countLate(a)
 	f := logrus.Fields{"request": a.Request, "service": a.Service, "endpoint": a.Endpoint, "addr": a.Addr, "release": a.Release, "status": a.Status, "ms": a.Latency.Milliseconds(), "wait_ms": a.Wait.Milliseconds(), "expected_ms": a.Expected.Milliseconds(), "endpoints_age_ms": g.view.age().Milliseconds()}
 	if a.Model != "" {
 		f["model"], f["prompt"], f["uncached"] = a.Model, a.Prompt, a.Uncached
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -68,6 +68,15 @@
 	return n
 }
 
+// memberDomains returns the failure domains of all daemons, by name.
+func (v *storeView) memberDomains() map[string]string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	domains := map[string]string{}
+	eachMember(v.ownEntries, func(m member) { domains[m.id] = m.domain })
+	return domains
+}
+
 // domainPeers returns the number of other daemons in this daemon's failure domain.
 func (v *storeView) domainPeers() int {
 	return v.countMembers(func(m member) bool { return m.domain == v.g.spec.Domain && m.id != v.g.spec.Name })
