usage: correction of a clock that differs from the median

A correction that sets the clock back moves counts of windows that have not begun to the open one; all others stay. The ledger replaces what a daemon reported before a correction.

--- a/usage/counter.go
+++ b/usage/counter.go
@@ -52,6 +52,24 @@
 	return true
 }
 
+// SetBack applies an adjustment of the clock after which it shows now. Counts of windows that have not begun yet are moved to that of now;
+// the others stay where they are, since the times of their requests are not known.
+func (c *Counter) SetBack(now time.Time) {
+	current := WindowOf(now, c.window)
+	for _, k := range slices.Sorted(maps.Keys(c.windows)) {
+		if k <= current {
+			continue
+		}
+		if c.windows[current] == nil {
+			c.windows[current] = map[string]int{}
+		}
+		for team, n := range c.windows[k] {
+			c.windows[current][team] += n
+		}
+		delete(c.windows, k)
+	}
+}
+
 // Snapshot returns the counts of the windows that end after a time and begin before now, also of those without requests.
 func (c *Counter) Snapshot(after, now time.Time) []Window {
 	var out []Window
--- a/usage/ledger.go
+++ b/usage/ledger.go
@@ -26,6 +26,7 @@
 	Daemon      string
 	Incarnation int64     // start of the daemon in Unix nanoseconds
 	At          time.Time // when the counts were read, by the daemon's estimate of true time
+	Adjusted    int       // number of adjustments of that estimate
 	Windows     []Window
 }
 
@@ -82,12 +83,13 @@
 	hasRecord  bool  // first is that of a record
 	collecting time.Time
 	newest     map[string]int64 // incarnation by daemon
+	adjusted   map[source]int
 }
 
 // NewLedger returns a ledger of a daemon that started at a time.
 func NewLedger(s Spec, started time.Time) *Ledger {
 	first := WindowOf(started, s.Window)
-	return &Ledger{spec: s, collecting: started, reports: map[int64]map[source]*observed{}, closed: map[int64]*closedWindow{}, first: first, next: first, newest: map[string]int64{}}
+	return &Ledger{spec: s, collecting: started, reports: map[int64]map[source]*observed{}, closed: map[int64]*closedWindow{}, first: first, next: first, newest: map[string]int64{}, adjusted: map[source]int{}}
 }
 
 // maxListed bounds the windows that Close lists as not sent after a long time without a holder.
@@ -121,6 +123,9 @@
 	l.next = max(l.next, WindowOf(now, l.spec.Window)-maxListed)
 }
 
+// Shift applies an adjustment of the estimate of true time.
+func (l *Ledger) Shift(by time.Duration) { l.collecting = l.collecting.Add(by) }
+
 // Receive applies a report.
 func (l *Ledger) Receive(r Report) {
 	l.newest[r.Daemon] = max(l.newest[r.Daemon], r.Incarnation)
@@ -130,6 +135,15 @@
 		l.next = min(l.next, l.first)
 	}
 	key := source{r.Daemon, r.Incarnation}
+	switch old := l.adjusted[key]; {
+	case r.Adjusted < old:
+		return
+	case r.Adjusted > old: // what it counted may be in other windows now
+		for _, sources := range l.reports {
+			delete(sources, key)
+		}
+		l.adjusted[key] = r.Adjusted
+	}
 	newest := WindowOf(r.At, l.spec.Window)
 	for _, w := range r.Windows {
 		if w.Number > newest || w.Number < newest-int64(l.spec.Late/l.spec.Window)-1 {
@@ -254,6 +268,7 @@
 		}
 		return k < oldest
 	})
+	maps.DeleteFunc(l.adjusted, func(s source, _ int) bool { return s.incarnation < l.newest[s.daemon] || l.newest[s.daemon] == 0 })
 	maps.DeleteFunc(l.newest, func(daemon string, _ int64) bool {
 		for _, sources := range l.reports {
 			for s := range sources {
