--- a/gateway/duties.go
+++ b/gateway/duties.go
@@ -32,6 +32,8 @@
 	Limits         duty.Limits
 	Window, Late   time.Duration // see usage.Spec
 	RetryDelay     time.Duration // after a failed call
+	// TimeOfDay returns the time of day, which is read at the start of the daemon; nil for time.Now.
+	TimeOfDay func() time.Time
 }
 
 // scaler decides how many endpoints are needed. Its methods are called once a second; demand on each daemon, step on the holder of the
@@ -63,9 +65,9 @@
 
 // duties counts requests, reports the counts to the holder of the deployment's duties, and is the holder when its turn comes.
 type duties struct {
-	g       *Gateway
-	spec    DutySpec
-	started time.Time // by the clock that estimates true time
+	g           *Gateway
+	spec        DutySpec
+	incarnation int64 // start of the daemon in Unix nanoseconds
 
 	calling    sync.RWMutex // held for reading during calls of the platform
 	leasing    sync.Mutex   // held while the lease is acquired, renewed or released
@@ -74,6 +76,8 @@
 	mu       sync.Mutex
 	job      *duty.Duty
 	clock    *usage.Clock
+	started  time.Time     // by clock
+	offsets  usage.Offsets // of the daemons that report to this holder
 	counter  *usage.Counter
 	ledger   *usage.Ledger
 	recorded uint64 // token of the term that the stored record names as the last one
@@ -84,9 +88,10 @@
 	holder   holderEntry   // to which they were sent
 
 	// Used by act only:
-	state      *duty.State
-	stateToken uint64
-	unsaved    bool
+	state         *duty.State
+	stateToken    uint64
+	unsaved       bool
+	clocksChecked time.Time
 }
 
 // holderEntry is the holder of the duties as the store shows it.
@@ -96,8 +101,12 @@
 }
 
 func newDuties(g *Gateway, s DutySpec) *duties {
-	d := &duties{g: g, spec: s, clock: usage.NewClock(time.Now(), duty.BootTime()), demands: map[string]scaling.Report{}, finals: map[int64]int{}}
+	if s.TimeOfDay == nil {
+		s.TimeOfDay = time.Now
+	}
+	d := &duties{g: g, spec: s, clock: usage.NewClock(s.TimeOfDay(), duty.BootTime()), demands: map[string]scaling.Report{}, finals: map[int64]int{}}
 	d.started = d.now()
+	d.incarnation = d.started.UnixNano()
 	if s.Usage {
 		d.counter = usage.NewCounter(s.Window, int(s.Late/s.Window)+3)
 		d.ledger = usage.NewLedger(usage.Spec{Window: s.Window, Late: s.Late, Wait: min(usageWait, s.Late/4), Reserve: min(2*s.Limits.Call, s.Late/4)}, d.started)
@@ -174,7 +183,7 @@
 	}
 	d.mu.Lock()
 	now := d.now()
-	base := notice.Duty{From: d.g.spec.Name, Incarnation: d.started.UnixNano(), At: now.UnixNano(), Adjusted: d.clock.Adjusted()}
+	base := notice.Duty{From: d.g.spec.Name, Incarnation: d.incarnation, At: now.UnixNano(), Adjusted: d.clock.Adjusted()}
 	var windows []usage.Window
 	if d.counter != nil {
 		windows = d.pending(holder, now)
@@ -236,21 +245,74 @@
 	return out
 }
 
-// receive applies a report of a daemon, if this daemon is the holder.
+// receive applies a report of a daemon, if this daemon is the holder, or a correction by the holder.
 func (d *duties) receive(r notice.Duty) {
+	if r.Correction != 0 {
+		d.receiveCorrection(r)
+		return
+	}
 	if d.heldToken() == 0 {
 		return
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.ledger != nil && len(r.Usage) > 0 {
-		d.ledger.Receive(usage.Report{Daemon: r.From, Incarnation: r.Incarnation, At: time.Unix(0, r.At), Windows: r.Usage})
+		d.receiveUsage(r)
 	}
 	if r.HasDemands && (len(d.demands) < maxReporters || d.demands[r.From].Daemon != "") {
 		d.demands[r.From] = scaling.Report{Daemon: r.From, Domain: d.g.view.domainOf(r.From), At: time.Now(), Demands: r.Demands}
 	}
 }
 
+// receiveUsage applies counts of a daemon and the time that its clock shows. The caller holds mu.
+func (d *duties) receiveUsage(r notice.Duty) {
+	at := time.Unix(0, r.At)
+	offset := at.Add(r.Waited).Sub(d.now())
+	d.offsets.Receive(r.From, r.Incarnation, r.Adjusted, offset)
+	if offset.Abs() > d.spec.Late { // no window of it is open here
+		d.g.spec.Metrics.Counter("bramley_usage_reports_ignored_total").Inc()
+		return
+	}
+	d.ledger.Receive(usage.Report{Daemon: r.From, Incarnation: r.Incarnation, At: at, Adjusted: r.Adjusted, Windows: r.Usage})
+}
+
+// correctClocks sends a correction to each daemon whose estimate of true time differs too much from the median of the others. One that is
+// lost is sent again after the daemon's next report.
+func (d *duties) correctClocks() {
+	members := d.g.view.memberNames()
+	d.mu.Lock()
+	list := d.offsets.Corrections(members)
+	d.mu.Unlock()
+	for _, c := range list {
+		m := notice.Duty{From: d.g.spec.Name, Incarnation: c.Incarnation, Adjusted: c.Adjusted, Correction: c.By}
+		if c.Daemon == d.g.spec.Name {
+			d.receiveCorrection(m)
+		} else if x := d.g.exchange.Load(); x != nil {
+			if err := x.SendToPeer(c.Daemon, notice.Message{Duty: &m}); err != nil {
+				d.g.log.WithField("daemon", c.Daemon).WithError(err).Debug("sending correction of a clock failed")
+			}
+		}
+	}
+}
+
+// receiveCorrection corrects the estimate of true time, unless the correction is not by the holder or was applied before.
+func (d *duties) receiveCorrection(r notice.Duty) {
+	holder, ok := d.currentHolder()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !ok || holder.name != r.From || r.Incarnation != d.incarnation || r.Adjusted != d.clock.Adjusted() || d.counter == nil {
+		return
+	}
+	d.clock.Adjust(r.Correction)
+	d.started = d.started.Add(r.Correction)
+	d.counter.SetBack(d.now())
+	d.ledger.Shift(r.Correction)
+	d.offsets.Shift(r.Correction)
+	clear(d.finals)
+	d.g.spec.Metrics.Counter("bramley_clock_corrections_total").Inc()
+	d.g.log.WithField("holder", r.From).WithField("by_ms", r.Correction.Milliseconds()).Warn("estimate of true time corrected")
+}
+
 // currentHolder returns the holder that the store shows.
 func (d *duties) currentHolder() (holderEntry, bool) {
 	e, ok := d.g.view.entry(dutiesKey)
--- a/gateway/dutyholder.go
+++ b/gateway/dutyholder.go
@@ -180,6 +180,10 @@
 			return err
 		}
 	}
+	if d.ledger != nil && time.Since(d.clocksChecked) >= dutyReportInterval {
+		d.clocksChecked = time.Now()
+		d.correctClocks()
+	}
 	if d.ledger == nil || d.check(token) != "" {
 		return d.save(token)
 	}
@@ -224,6 +228,7 @@
 		d.ledger.Begin(d.now(), duty.Era(token), record)
 	}
 	clear(d.demands)
+	d.offsets = usage.Offsets{}
 	d.mu.Unlock()
 	d.state, d.stateToken, d.unsaved = state, token, true
 	return nil
