--- a/gateway/duties.go
+++ b/gateway/duties.go
@@ -147,10 +147,12 @@
 		}
 		d := g.duties
 		d.mu.Lock()
-		counted := d.counter.Add(team, d.now())
+		counted, first := d.counter.Add(team, d.now())
 		d.mu.Unlock()
 		if !counted {
 			uncounted.Inc()
+		}
+		if first { // one line for each window
 			g.log.WithField("team", team).WithField("limit", usage.MaxTeams).Warn("request not counted for usage: too many teams")
 		}
 	}
--- a/usage/clock_test.go
+++ b/usage/clock_test.go
@@ -49,7 +49,7 @@
 	l.Receive(Report{Daemon: "d", Incarnation: at(0).UnixNano(), At: at(time.Hour), Windows: c.Snapshot(at(0), at(time.Hour))})
 	l.Receive(Report{Daemon: "d", Incarnation: at(0).UnixNano(), At: at(4 * time.Second), Windows: []Window{{Number: 200, Counts: map[string]int{"team": 9}, Total: 9}}})
 	c.SetBack(at(4 * time.Second))
-	if !c.Add("team", at(4*time.Second)) {
+	if counted, _ := c.Add("team", at(4*time.Second)); !counted {
 		t.Error("request after the correction is not counted")
 	}
 	r := Report{Daemon: "d", Incarnation: at(0).UnixNano(), Adjusted: 1, At: at(5 * time.Second), Windows: c.Snapshot(at(0), at(5*time.Second))}
@@ -61,12 +61,12 @@
 	}
 }
 
-// Guards against a team over the limit that displaces counts, and against names in a report that exceed a datagram.
+// Guards against a team over the limit that displaces counts or floods the log, and against names in a report that exceed a datagram.
 func TestTooManyTeams(t *testing.T) {
 	c := NewCounter(testSpec.Window, 2)
-	for i := range MaxTeams + 1 {
-		if counted := c.Add(fmt.Sprint("team", i), at(0)); counted != (i < MaxTeams) {
-			t.Fatalf("team %d counted: %t", i, counted)
+	for i := range MaxTeams + 3 {
+		if counted, first := c.Add(fmt.Sprint("team", i), at(0)); counted != (i < MaxTeams) || first != (i == MaxTeams) {
+			t.Fatalf("team %d counted: %t, first refused: %t", i, counted, first)
 		}
 	}
 	groups, n := Split(c.Snapshot(at(0), at(0)), 1000), 0
--- a/usage/counter.go
+++ b/usage/counter.go
@@ -23,6 +23,7 @@
 	window  time.Duration
 	keep    int
 	windows map[int64]map[string]int
+	refused int64 // last window in which a request was not counted
 }
 
 // NewCounter returns a counter for windows of a length, which keeps a number of them.
@@ -31,9 +32,17 @@
 }
 
 // Add counts a request of a team whose answer began at a time. It returns false if the request was not counted, because the window has
-// too many teams or is no longer kept.
-func (c *Counter) Add(team string, at time.Time) bool {
+// too many teams or is no longer kept. first says that it is the first such request of the window.
+func (c *Counter) Add(team string, at time.Time) (counted, first bool) {
 	k := WindowOf(at, c.window)
+	if c.add(team, k) {
+		return true, false
+	}
+	first, c.refused = k != c.refused, k
+	return false, first
+}
+
+func (c *Counter) add(team string, k int64) bool {
 	w := c.windows[k]
 	if w == nil {
 		w = map[string]int{}
