pipeline: say before the body is read whether a request will be denied

Cause: the body of a request without a valid key or route is kept in memory although it will never be sent.

Change: Pipeline.Denies runs the same check as the identify stage and returns the team. A request that was denied, and would be allowed by a configuration that came in between, gets 503 (outdated configuration), as its body is gone.

Checked: go test -race ./pipeline ./platform with the change that uses it.

--- a/pipeline/request.go
+++ b/pipeline/request.go
@@ -30,6 +30,8 @@
 	Body   []byte
 	// Meta describes a request of a route; nil for other requests.
 	Meta *Metadata
+	// Denied says that Denies returned true, and that Body was not kept.
+	Denied bool
 
 	parsed    bool // chat and parseErr are set
 	chat      chat
--- a/pipeline/routed.go
+++ b/pipeline/routed.go
@@ -142,23 +142,48 @@
 // unless the route is public or no teams are configured.
 func (s *routedStages) identify() error {
 	s.setStage(StageIdentify)
-	path, _, _ := strings.Cut(s.r.Path, "?")
-	if s.route = s.view.Route(s.r.Meta.Host, path); s.route == nil {
-		return s.deny(result.Newf(result.UnknownService, "No route of host %q.", s.r.Meta.Host))
+	var err error
+	if s.route, s.team, err = identifyRouted(s.view, s.r); s.route != nil {
+		s.outcome.Route = s.route
 	}
-	s.outcome.Route = s.route
-	team := s.view.TeamByKey(s.r.Meta.APIKey)
-	if team == nil && !s.route.Public && len(s.view.Teams) > 0 {
-		return s.deny(result.Newf(result.Unauthenticated, ""))
-	}
-	if team != nil {
-		s.team = team.Name
+	if err != nil {
+		return s.deny(err)
 	}
 	s.outcome.Team = s.team
 	s.updatePosition(func(p *Position) { p.Team = s.team })
+	if s.r.Denied { // a newer configuration allows it, but its body is gone
+		return result.Newf(result.OutdatedConfig, "").WithRetryAfter(noConfigRetryAfter)
+	}
 	return s.permit.Charge(s.team, int64(len(s.r.Body)))
 }
 
+// identifyRouted returns the route of a request and its team, which is empty for a public route without a key.
+func identifyRouted(view *config.View, r *Request) (route *object.Route, team string, err error) {
+	path, _, _ := strings.Cut(r.Path, "?")
+	if route = view.Route(r.Meta.Host, path); route == nil {
+		return nil, "", result.Newf(result.UnknownService, "No route of host %q.", r.Meta.Host)
+	}
+	t := view.TeamByKey(r.Meta.APIKey)
+	if t == nil && !route.Public && len(view.Teams) > 0 {
+		return route, "", result.Newf(result.Unauthenticated, "")
+	}
+	if t != nil {
+		team = t.Name
+	}
+	return route, team, nil
+}
+
+// Denies reports whether Route would deny a request whatever its body is, so that the body need not be kept, and returns its
+// team, which is empty for a request without a valid key.
+func (p *Pipeline) Denies(r *Request) (team string, denied bool) {
+	view := p.Config.View()
+	if view == nil {
+		return "", true
+	}
+	_, team, err := identifyRouted(view, r)
+	return team, err != nil
+}
+
 // deny returns an error that says for good that the request is not allowed, or one for the time being if a newer configuration may allow it.
 func (s *routedStages) deny(final error) error {
 	if behind := s.p.Routes.MayBeBehind; behind != nil && behind() {
