entry, gateway, platform: count what callers make the daemon hold where it is read

Cause: CallerProtocol.Request read whole bodies before they were counted, the operators' limits on header sections and idle connections were not used, and the number of connections did not depend on the limit on descriptors.

Change: the connections of routed services are counted by package intake: header sections in the connection's Read, bodies before their buffer is allocated. max-header-bytes, header-timeout-ms and idle-timeout-ms are applied and may change while the daemon runs. Bodies of requests that will be denied are read and not kept. limits.file-descriptors bounds connections and requests in flight. The receive buffers of waiting connections, and of new ones while many are open, are bounded. Refusals before a request is complete are 408, 413, 431 and 503; none of these requests runs. admit no longer limits bodies in this daemon: the entry's budget covers them, and a team may use more than half of it while no other team needs it.

Metrics: bramley_caller_bytes, bramley_caller_connections, bramley_caller_connections_waiting, bramley_caller_connections_ended_total.

--- a/entry/routed.go
+++ b/entry/routed.go
@@ -1,10 +1,12 @@
 package entry
 
 import (
+	"errors"
 	"net/http"
 	"sync/atomic"
 	"time"
 
+	"github.com/bramleytrail/bramleytrail/intake"
 	"github.com/bramleytrail/bramleytrail/pipeline"
 	"github.com/bramleytrail/bramleytrail/relay"
 	"github.com/bramleytrail/bramleytrail/result"
@@ -13,8 +15,10 @@
 // Protocol translates between the HTTP protocol of the callers of routed services and the pipeline. It must be safe for
 // concurrent use.
 type Protocol interface {
-	// Request reads a caller's request.
+	// Request decodes a caller's request without its body. Its errors are those of requests that have not run.
 	Request(r *http.Request) (*pipeline.Request, error)
+	// Limits returns the operators' limits in force.
+	Limits() Limits
 	// Failure returns the response to a request that failed with e.
 	Failure(e *result.Error) (status int, h http.Header, body []byte)
 }
@@ -26,9 +30,10 @@
 	if s.keepAlivesDisabled.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	req, err := s.spec.Protocol.Request(r)
+	gated, _ := r.Context().Value(connKey{}).(*gatedConn)
+	req, err := s.readRequest(r, gated)
 	if err != nil {
-		c.fail(result.From(err))
+		c.refuse(r, result.From(err), gated)
 		return
 	}
 	err = s.spec.Pipeline.Route(r.Context(), req, c)
@@ -37,6 +42,62 @@
 	}
 }
 
+// errHeaderTooLarge is the error of a header section that exceeds the operators' limit.
+var errHeaderTooLarge = errors.New("header section too large")
+
+// readRequest reads a request. The body of a request that will be denied is read, so that the connection can be used again, but
+// not kept.
+func (s *Server) readRequest(r *http.Request, conn *gatedConn) (*pipeline.Request, error) {
+	limits := s.spec.Protocol.Limits().orDefaults()
+	lines, bytes := headerSize(r)
+	if bytes > limits.HeaderBytes {
+		return nil, result.Wrap(result.BadRequest, result.NotRun, errHeaderTooLarge)
+	}
+	if conn != nil {
+		conn.inHeader.Store(false)
+	}
+	b := &bodyReader{r: r, conn: conn, limit: limits.BodyBytes}
+	if r.ContentLength > b.limit {
+		return nil, b.tooLarge()
+	}
+	req, err := s.spec.Protocol.Request(r)
+	if err != nil {
+		return nil, err
+	}
+	var team string
+	team, req.Denied = s.spec.Pipeline.Denies(req)
+	if conn != nil {
+		if reason := conn.identify(team, intake.HeaderCost(lines, bytes)); reason != intake.ReasonNone {
+			return nil, refusal(reason)
+		}
+	}
+	if req.Denied {
+		err = b.discard()
+	} else {
+		req.Body, err = b.all()
+	}
+	if err != nil {
+		return nil, err
+	}
+	if conn != nil {
+		if reason := conn.serve(); reason != intake.ReasonNone {
+			return nil, refusal(reason)
+		}
+	}
+	return req, nil
+}
+
+// headerSize returns the number of header fields and the least number of bytes with which they can have been sent.
+func headerSize(r *http.Request) (lines, bytes int) {
+	for name, values := range r.Header {
+		for _, v := range values {
+			lines++
+			bytes += len(name) + len(v) + len(":\n")
+		}
+	}
+	return lines, bytes
+}
+
 // routedCaller is a relay.Caller that sends the answer through net/http.
 type routedCaller struct {
 	w            http.ResponseWriter
@@ -104,9 +165,26 @@
 	return c.Reply(status, h, body)
 }
 
-// fail is Fail for a caller that may have left.
-func (c *routedCaller) fail(e *result.Error) {
-	_ = c.Fail(e) // the caller may have left
+// refuse answers a request that was not read whole. The connection of a request that was ended, or whose header section is too
+// large, is closed, after its client has had time to read the response.
+func (c *routedCaller) refuse(r *http.Request, e *result.Error, conn *gatedConn) {
+	tooLarge := errors.Is(e, errHeaderTooLarge)
+	if conn == nil || !tooLarge && !conn.ended.Load() {
+		if conn != nil && r.ContentLength != 0 {
+			_ = conn.SetReadDeadline(time.Now().Add(lingerTime)) // net/http reads the rest of a small body before it responds
+		}
+		_ = c.Fail(e) // the caller may have left
+		return
+	}
+	c.w.Header().Set("Connection", "close")
+	if tooLarge {
+		_ = writeResponse(c.w, http.StatusRequestHeaderFieldsTooLarge, nil, nil) // the caller may have left
+	} else {
+		_ = c.Fail(e) // the caller may have left
+	}
+	if c.controller.Flush() == nil {
+		conn.linger()
+	}
 }
 
 var _ relay.Failer = (*routedCaller)(nil)
--- a/entry/server.go
+++ b/entry/server.go
@@ -19,6 +19,7 @@
 	"github.com/bramleytrail/bramleytrail/claim"
 	"github.com/bramleytrail/bramleytrail/config"
 	"github.com/bramleytrail/bramleytrail/identify"
+	"github.com/bramleytrail/bramleytrail/intake"
 	"github.com/bramleytrail/bramleytrail/object"
 	"github.com/bramleytrail/bramleytrail/pipeline"
 	"github.com/bramleytrail/bramleytrail/relay"
@@ -32,6 +33,7 @@
 	defaultIdleTimeout = 2 * time.Minute       // with net/http, also the limit for reading a request
 	headerTimeout      = 10 * time.Second      // limit for reading a header, with net/http
 	maxHeaderBytes     = 64 << 10
+	noTimeout          = 24 * time.Hour
 	servicePrefix      = "/v1/services/"
 )
 
@@ -53,6 +55,10 @@
 	// Protocol makes the server one of routed services: all requests are read by it and served as requests of routes. Nil
 	// serves the router's own HTTP interface.
 	Protocol Protocol
+	// Intake bounds what callers make a server of routed services without TLS hold; its zero value sets no bound. OnEnd is called for each of its connections that is
+	// refused or closed by a limit; it may be nil.
+	Intake intake.Limits
+	OnEnd  func(r intake.Reason)
 }
 
 // Server is the HTTP server for callers. Its methods are safe for concurrent use after Start has returned.
@@ -63,6 +69,7 @@
 	addr   string
 	// aborted is set by Abort. Nothing is sent to callers from then on.
 	aborted            atomic.Bool
+	gate               *gate       // nil without a protocol and with TLS
 	keepAlivesDisabled atomic.Bool // answers of routed services close their connections
 
 	mu       sync.Mutex
@@ -74,7 +81,29 @@
 	if spec.IdleTimeout == 0 {
 		spec.IdleTimeout = defaultIdleTimeout
 	}
-	return &Server{spec: spec, hijacked: map[*streamCaller]struct{}{}}
+	s := &Server{spec: spec, hijacked: map[*streamCaller]struct{}{}}
+	if spec.Protocol != nil && spec.TLS == nil { // header sections can't be counted below TLS
+		s.gate = newGate(spec.Intake, spec.Protocol.Limits, spec.OnEnd)
+	}
+	return s
+}
+
+// Held is what callers make a server of routed services hold.
+type Held struct {
+	HeaderBytes, BodyBytes int64
+	Connections            int
+	Waiting                int // connections that wait for memory
+}
+
+// Held returns what callers make a server of routed services hold.
+func (s *Server) Held() Held {
+	if s.gate == nil {
+		return Held{}
+	}
+	s.gate.mu.Lock()
+	defer s.gate.mu.Unlock()
+	t := s.gate.table
+	return Held{t.HeldBytes(intake.KindHeader), t.HeldBytes(intake.KindBody), t.Connections(), t.Waiting()}
 }
 
 // Start opens the port and serves callers in the background.
@@ -124,7 +153,14 @@
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: log.New(io.Discard, "", 0),
 		TLSNextProto: map[string]func(*http.Server, *tls.Conn, http.Handler){}, // disables HTTP/2, whose connections can't be hijacked
 	}
-	limited := &limitedListener{Listener: ln, slots: make(chan struct{}, s.spec.MaxConnections)}
+	var limited net.Listener = &limitedListener{Listener: ln, slots: make(chan struct{}, s.spec.MaxConnections)}
+	if s.gate != nil {
+		gated := newGatedListener(ln, s.gate, s.spec.MaxConnections)
+		limited = gated
+		s.server.MaxHeaderBytes, s.server.ConnContext, s.server.ConnState = 2*hardMaxHeaderBytes, connContext, connState
+		s.server.IdleTimeout, s.server.ReadHeaderTimeout = noTimeout, noTimeout // the gate has the operators' limits
+		go s.gate.run(gated.stop)
+	}
 	serve := func() error { return s.server.Serve(limited) }
 	if s.spec.TLS != nil {
 		serve = func() error { return s.server.ServeTLS(limited, "", "") }
--- /dev/null
+++ b/gateway/callerlimits.go
@@ -0,0 +1,58 @@
+package gateway
+
+import (
+	"fmt"
+
+	"github.com/bramleytrail/bramleytrail/intake"
+)
+
+const (
+	// maxInFlight bounds the requests in flight, and maxConnections the connections of callers.
+	maxInFlight, maxConnections = 1500, 3000
+	// unusedDescriptors is the part of the limit on file descriptors that is left unused. Of the rest, callers' connections and
+	// requests in flight, which need one for an endpoint, have these shares; what remains is for the store, peers and listeners.
+	unusedDescriptors                         = 200
+	connectionDescriptors, requestDescriptors = 0.65, 0.3
+	// minConnections is the lower bound for deployments with very few descriptors.
+	minConnections = 16
+	// callerMemoryShare is the fraction of Spec.MemoryBytes for everything that callers make the daemon hold, and bodyMemoryShare
+	// the part of it that bodies above intake.SmallBytes may use. Together with the daemon's own heap they stay under
+	// heapMemoryShare, so that the garbage collector does not run all the time.
+	callerMemoryShare, bodyMemoryShare = 0.4, 0.35
+	// connectionMemoryShare is the fraction of Spec.MemoryBytes that connections may use.
+	connectionMemoryShare = 0.3
+)
+
+// callerLimits bound what callers make the daemon hold.
+type callerLimits struct {
+	connections, inFlight int
+	intake                intake.Limits
+}
+
+// callerLimitsFor derives the limits from the machine's memory in bytes and the limit on file descriptors, 0 if not known.
+func callerLimitsFor(memory int64, descriptors int) callerLimits {
+	l := callerLimits{connections: maxConnections, inFlight: maxInFlight}
+	if descriptors > 0 {
+		usable := float64(max(0, descriptors-unusedDescriptors))
+		l.connections = min(l.connections, int(connectionDescriptors*usable))
+		l.inFlight = min(l.inFlight, int(requestDescriptors*usable))
+	}
+	l.connections = max(minConnections, min(l.connections, int(connectionMemoryShare*float64(memory)/intake.ConnectionCost)))
+	l.inFlight = max(minConnections/2, l.inFlight)
+	l.intake = intake.Limits{Memory: int64(callerMemoryShare * float64(memory)), Bodies: int64(bodyMemoryShare * float64(memory))}
+	return l
+}
+
+// recordConnectionEnd counts a connection that a limit on callers refused or closed.
+func (g *Gateway) recordConnectionEnd(r intake.Reason) {
+	g.spec.Metrics.Counter(fmt.Sprintf("bramley_caller_connections_ended_total{reason=%q}", string(r))).Inc()
+}
+
+// registerCallerGauges registers the gauges of what callers make the daemon hold.
+func (g *Gateway) registerCallerGauges() {
+	m := g.spec.Metrics
+	m.Gauge(`bramley_caller_bytes{kind="header"}`, func() float64 { return float64(g.entry.Held().HeaderBytes) })
+	m.Gauge(`bramley_caller_bytes{kind="body"}`, func() float64 { return float64(g.entry.Held().BodyBytes) })
+	m.Gauge("bramley_caller_connections", func() float64 { return float64(g.entry.Held().Connections) })
+	m.Gauge("bramley_caller_connections_waiting", func() float64 { return float64(g.entry.Held().Waiting) })
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -40,11 +40,9 @@
 )
 
 const (
-	// maxInFlight bounds the requests in flight; each needs two file descriptors.
-	maxInFlight = 1500
-	// bodyMemoryShare is the fraction of Spec.MemoryBytes that the bodies of requests in flight may use. heapMemoryShare is
-	// the fraction that is set as the runtime's soft memory limit, above which the garbage collector runs more often.
-	bodyMemoryShare, heapMemoryShare = 0.25, 0.6
+	// heapMemoryShare is the fraction of Spec.MemoryBytes that is set as the runtime's soft memory limit, above which the
+	// garbage collector runs more often.
+	heapMemoryShare = 0.6
 	// stallTimeout is the longest time for which a caller may read nothing of its answer.
 	stallTimeout = 10 * time.Second
 	// queueWait is the longest time for which a request waits for a free slot at an endpoint.
@@ -105,6 +103,7 @@
 	Grace       time.Duration // grace period from the stop signal until the process must have exited
 	MemoryBytes int64
 	LinkBytes   int64 // bandwidth of the host's link in bytes a second; 0 if not known
+	Descriptors int   // limit on open file descriptors; 0 if not known
 	// RetryRatio is the number of retries that each request adds to the retry budget of its service, RetryReserve the largest
 	// budget that accumulates over all daemons.
 	RetryRatio, RetryReserve float64
@@ -158,8 +157,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &Gateway{
 		spec: s, log: s.Log.WithFields(logrus.Fields{"daemon": s.Name, "domain": s.Domain}), config: &config.Holder{}, poison: poison.NewTable(), startedAt: time.Now(), ctx: ctx, cancel: cancel,
-		admit: admit.New(admit.Spec{MaxInFlight: maxInFlight, MaxBytes: int64(bodyMemoryShare * float64(s.MemoryBytes))}),
 	}
+	limits := callerLimitsFor(s.MemoryBytes, s.Descriptors)
+	g.admit = admit.New(admit.Spec{MaxInFlight: limits.inFlight}) // the entry counts the bodies
 	g.closing = pipeline.NewClosing()
 	g.announcements = newAnnounceLimiter()
 	debug.SetMemoryLimit(int64(heapMemoryShare * float64(s.MemoryBytes)))
@@ -175,8 +175,8 @@
 	g.config.OnChange(func(v *config.View) { g.pool.SetView(v, time.Now()) })
 	g.view = newStoreView(g)
 	g.entry = entry.New(entry.Spec{
-		Addr: s.CallerAddr, MaxConnections: 2 * maxInFlight, StallTimeout: stallTimeout, Config: g.config, Ready: g.Ready, Protocol: s.Protocol,
-		Pipeline: g.newPipeline(),
+		Addr: s.CallerAddr, MaxConnections: limits.connections, StallTimeout: stallTimeout, Config: g.config, Ready: g.Ready, Protocol: s.Protocol,
+		Pipeline: g.newPipeline(), Intake: limits.intake, OnEnd: g.recordConnectionEnd,
 	})
 	return g
 }
--- a/gateway/operator.go
+++ b/gateway/operator.go
@@ -33,6 +33,7 @@
 	g.spec.Metrics.Gauge("bramley_store_age_seconds", func() float64 { return g.view.age().Seconds() })
 	g.spec.Metrics.Gauge("bramley_members", func() float64 { return float64(g.members()) })
 	g.spec.Metrics.Gauge("bramley_waiting_requests", func() float64 { return float64(g.dispatch.Waiting()) })
+	g.registerCallerGauges()
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { g.spec.Metrics.Write(w) })
 	mux.HandleFunc("GET /state", func(w http.ResponseWriter, _ *http.Request) {
