intake: count buffers that were given up until they are collected

Cause: with many whole bodies at once the process reached 69,744 and 83,444 KB of a bound of 88,473 (platform/crowd, TestManyLargeBodiesAtOnce, two runs beside a load average of 29 to 37), although the bodies held were a third of it: the runtime collects buffers of megabytes too late.

Change: buffers above 64 KiB count until a collection has ended that began after they were given up. A collection starts when they reach a quarter of the bodies' part, or when a request waits for memory.

--- a/entry/gate.go
+++ b/entry/gate.go
@@ -8,6 +8,7 @@
 	"math"
 	"net"
 	"net/http"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -94,8 +95,18 @@
 func (g *gate) do(decide func(t *intake.Table, now time.Time) []intake.Action) {
 	g.mu.Lock()
 	actions := decide(g.table, time.Now())
+	collect := g.table.StartCollection()
 	g.mu.Unlock()
 	g.perform(actions)
+	if collect {
+		go g.collect()
+	}
+}
+
+// collect frees the buffers that were given up.
+func (g *gate) collect() {
+	runtime.GC()
+	g.do((*intake.Table).EndCollection)
 }
 
 func (g *gate) perform(actions []intake.Action) {
@@ -120,8 +131,12 @@
 	g.mu.Lock()
 	granted, actions := ask(g.table, time.Now())
 	reason := c.state.Closing()
+	collect := g.table.StartCollection()
 	g.mu.Unlock()
 	g.perform(actions)
+	if collect {
+		go g.collect()
+	}
 	if granted || reason != intake.ReasonNone {
 		return reason
 	}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -16,6 +16,8 @@
 	// closeFactor is the ratio of what a connection that makes progress holds to what a small request needs, from which on the
 	// connection is closed for it. Requests of similar size would otherwise close each other.
 	closeFactor = 4
+	// garbageShare is the inverse of the part of Limits.Bodies that garbage may reach before it is collected.
+	garbageShare = 4
 	// progressBytes is what a connection must have sent to have made progress. Single bytes now and then are none.
 	progressBytes = 1 << 10
 )
@@ -116,6 +118,10 @@
 	groups map[string]int64 // bytes of bodies by group
 	small  []*Conn          // that wait for memory, in the order of their arrival
 	large  []*Conn
+	// garbage is the size of the buffers that were given up and not collected yet, collecting that of the ones that the running
+	// collection will free. The collector of the runtime starts too late for buffers of megabytes that follow each other fast.
+	garbage, collecting int64
+	collect             bool // a collection must be started
 }
 
 // New returns a table without connections.
@@ -213,6 +219,7 @@
 	if c.held[kind] <= bytes {
 		return nil
 	}
+	t.giveUp(c.held[kind] - bytes)
 	t.add(c, kind, bytes-c.held[kind])
 	return t.advance(now)
 }
@@ -263,6 +270,21 @@
 	return []Action{t.end(victim, ReasonStalled, now)}
 }
 
+// StartCollection reports whether the caller must collect garbage now and then call EndCollection.
+func (t *Table) StartCollection() bool {
+	if !t.collect || t.collecting > 0 || t.garbage == 0 {
+		return false
+	}
+	t.collect, t.collecting, t.garbage = false, t.garbage, 0
+	return true
+}
+
+// EndCollection says that all buffers that had been given up at the start of the collection are free.
+func (t *Table) EndCollection(now time.Time) []Action {
+	t.collecting = 0
+	return t.advance(now)
+}
+
 // HeldBytes returns what is held of a kind, and Connections the number of connections. Waiting returns how many wait for memory.
 func (t *Table) HeldBytes(k Kind) int64 { return t.held[k] }
 
@@ -295,12 +317,22 @@
 
 // free returns all that a connection holds, and ends its wait.
 func (t *Table) free(c *Conn) {
+	t.giveUp(c.held[KindBody])
 	for k := range Kinds {
 		t.add(c, k, -c.held[k])
 	}
 	t.unqueue(c)
 }
 
+// giveUp counts a buffer that is no longer used. Small ones are left to the collector's own pace.
+func (t *Table) giveUp(bytes int64) {
+	if bytes <= SmallBytes {
+		return
+	}
+	t.garbage += bytes
+	t.collect = t.collect || t.garbage > t.limits.Bodies/garbageShare
+}
+
 func (t *Table) unqueue(c *Conn) {
 	if c.want == 0 {
 		return
@@ -330,21 +362,21 @@
 
 // used returns all that is held.
 func (t *Table) used() int64 {
-	return t.held[KindHeader] + t.held[KindBody] + int64(len(t.conns))*ConnectionCost
+	return t.held[KindHeader] + t.held[KindBody] + t.garbage + t.collecting + int64(len(t.conns))*ConnectionCost
 }
 
 // lacking returns the bytes by which a request for memory exceeds the limits.
 func (t *Table) lacking(c *Conn, kind Kind, bytes int64) int64 {
 	n := t.used() + bytes - t.limits.Memory
 	if kind == KindBody && !t.isSmall(c, bytes) {
-		n = max(n, t.held[KindBody]+bytes-t.limits.Bodies)
+		n = max(n, t.held[KindBody]+t.garbage+t.collecting+bytes-t.limits.Bodies)
 	}
 	return n
 }
 
 // fits reports whether memory can be granted. What the only request on the daemon needs is always granted.
 func (t *Table) fits(c *Conn, kind Kind, bytes int64) bool {
-	return t.lacking(c, kind, bytes) <= 0 || t.held[KindHeader]+t.held[KindBody] == c.Held()
+	return t.lacking(c, kind, bytes) <= 0 || t.held[KindHeader]+t.held[KindBody] == c.Held() && t.garbage+t.collecting == 0
 }
 
 // end marks a connection to be refused or closed. Its memory counts until Close or Finish.
@@ -375,7 +407,8 @@
 // makeSpace closes connections so that c can get what it wants: stalled ones, those that hold most first, and if these don't
 // suffice the largest of the group that holds most, if c needs little or its group holds much less.
 func (t *Table) makeSpace(c *Conn, now time.Time) []Action {
-	need := t.lacking(c, c.wantKind, c.want)
+	t.collect = true
+	need := t.lacking(c, c.wantKind, c.want) - t.garbage - t.collecting
 	var stalled []*Conn
 	var largest *Conn
 	for x := range t.conns {
