intake, gateway: keep memory for small requests also when connections use much

Cause: connections and bodies together could use the whole budget, so that nothing was left for small requests while large ones are being answered.

Change: a body above 64 KiB gets memory only up to 0.4 of the machine's, counted with all that is held; the whole budget is 0.45 instead of 0.4, since connections take more of it (2,535 of 16 KiB each are 0.3 of 134 MB).

--- a/gateway/callerlimits.go
+++ b/gateway/callerlimits.go
@@ -16,9 +16,9 @@
 	// minConnections is the lower bound for deployments with very few descriptors.
 	minConnections = 16
 	// callerMemoryShare is the fraction of Spec.MemoryBytes for everything that callers make the daemon hold, and bodyMemoryShare
-	// the part of it that bodies above intake.SmallBytes may use. Together with the daemon's own heap they stay under
+	// the part up to which it is given to bodies above intake.SmallBytes. Together with the daemon's own heap they stay under
 	// heapMemoryShare, so that the garbage collector does not run all the time.
-	callerMemoryShare, bodyMemoryShare = 0.4, 0.35
+	callerMemoryShare, bodyMemoryShare = 0.45, 0.4
 	// connectionMemoryShare is the fraction of Spec.MemoryBytes that connections may use.
 	connectionMemoryShare = 0.3
 )
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -25,7 +25,7 @@
 // Limits bound what is held for callers.
 type Limits struct {
 	Memory int64 // bytes for everything: connections, header sections and bodies
-	Bodies int64 // part of Memory that bodies above SmallBytes may use
+	Bodies int64 // up to which Memory is given to bodies above SmallBytes; the rest is left for small requests
 	// Stall is the time without progress after which a connection may be closed if its memory or place is needed.
 	Stall time.Duration
 	// Wait is the longest wait for memory.
@@ -367,11 +367,10 @@
 
 // lacking returns the bytes by which a request for memory exceeds the limits.
 func (t *Table) lacking(c *Conn, kind Kind, bytes int64) int64 {
-	n := t.used() + bytes - t.limits.Memory
 	if kind == KindBody && !t.isSmall(c, bytes) {
-		n = max(n, t.held[KindBody]+t.garbage+t.collecting+bytes-t.limits.Bodies)
+		return t.used() + bytes - t.limits.Bodies
 	}
-	return n
+	return t.used() + bytes - t.limits.Memory
 }
 
 // fits reports whether memory can be granted. What the only request on the daemon needs is always granted.
