--- a/reference/pages.go
+++ b/reference/pages.go
@@ -53,5 +53,26 @@
 		}
 		fmt.Fprintf(&b, "| `--%s` | `%s` | %s | %s |\n", tag.Get("long"), tag.Get("env"), def, tag.Get("description"))
 	}
+	b.WriteString(callerLimits)
 	return b.String()
 }
+
+// callerLimits is the part of the page about the limits that bramleytrail derives.
+const callerLimits = `
+## Limits of bramleytrail on its callers
+
+These have no flag. The daemon derives them from its settings file, or takes them from the operators' configuration, whose
+changes apply to open connections within 0.1 s. See [design/untrusted-clients.md](design/untrusted-clients.md).
+
+| limit | from | default |
+|---|---|---|
+| request line, header fields (431) | ` + "`max-header-bytes`" + `, each | 65,536 bytes; at most 1 MiB |
+| body (413) | ` + "`max-body-bytes`" + ` | 4 MiB |
+| time from the first byte of a header section to its end (408) | ` + "`header-timeout-ms`" + ` | 10 s |
+| time without a request (closed) | ` + "`idle-timeout-ms`" + ` | 2 min |
+| time of a request's arrival (400) | none | 2 min |
+| memory of connections, header sections and bodies (503 after 1 s) | ` + "`limits.memory-mb`" + ` | 0.45 of it; for bodies above 64 KiB 0.4 |
+| connections of callers | ` + "`limits.file-descriptors`" + ` less 200 | 0.65 of it, at most 3,000 and 0.3 of the memory at 16 KiB each |
+| requests in flight (503) | ` + "`limits.file-descriptors`" + ` less 200 | 0.3 of it, at most 1,500 |
+| time without 1 KiB of progress after which a connection may give way to others | none | 1 s |
+`
