usage: a window that was sent and dropped is not opened again

Each report of a daemon that started before the first record lowered the first window again, so that windows that were sent and dropped later counted as abandoned, with a log line for each. TestWindowIsAbandonedAfterItWasSent fails before.

--- a/usage/ledger.go
+++ b/usage/ledger.go
@@ -81,6 +81,7 @@
 	first      int64 // lowest window that may be sent without being in a record
 	next       int64 // lowest window of which nothing was said yet
 	hasRecord  bool  // first is that of a record
+	pruned     int64 // lowest window that has not been dropped from closed
 	collecting time.Time
 	newest     map[string]int64 // incarnation by daemon
 	adjusted   map[source]int
@@ -131,8 +132,9 @@
 	l.newest[r.Daemon] = max(l.newest[r.Daemon], r.Incarnation)
 	if !l.hasRecord { // nothing was sent before: the window in which the first daemon started is reported too
 		oldest := WindowOf(l.collecting.Add(-l.spec.Late), l.spec.Window) // the daemon's clock may be wrong by years
-		l.first = min(l.first, max(WindowOf(time.Unix(0, r.Incarnation), l.spec.Window), oldest))
-		l.next = min(l.next, l.first)
+		if first := max(WindowOf(time.Unix(0, r.Incarnation), l.spec.Window), oldest, l.pruned); first < l.first {
+			l.first, l.next = first, min(l.next, first)
+		}
 	}
 	key := source{r.Daemon, r.Incarnation}
 	switch old := l.adjusted[key]; {
@@ -264,7 +266,7 @@
 	maps.DeleteFunc(l.reports, func(k int64, _ map[source]*observed) bool { return k < oldest })
 	maps.DeleteFunc(l.closed, func(k int64, _ *closedWindow) bool {
 		if k < oldest {
-			l.first = max(l.first, k+1)
+			l.first, l.pruned = max(l.first, k+1), max(l.pruned, k+1)
 		}
 		return k < oldest
 	})
--- a/usage/ledger_test.go
+++ b/usage/ledger_test.go
@@ -181,3 +181,21 @@
 		}
 	}
 }
+
+// Guards against a window that is reported as abandoned, again and again, after it was sent and dropped.
+func TestWindowIsAbandonedAfterItWasSent(t *testing.T) {
+	l := NewLedger(Spec{Window: 5 * time.Second, Late: 10 * time.Second, Wait: 2 * time.Second, Reserve: time.Second}, at(0))
+	l.Begin(at(0), 0, nil)
+	for s := time.Second; s < time.Minute; s += time.Second {
+		l.Receive(Report{Daemon: "a", Incarnation: at(0).UnixNano(), At: at(s)})
+		for _, c := range l.Close(at(s), []string{"a"}) {
+			if c.Outcome != "" {
+				t.Fatalf("after %v, window %d is %s", s, c.Number, c.Outcome)
+			}
+		}
+		l.Stored()
+		for w, _, ok := l.Due(at(s)); ok; w, _, ok = l.Due(at(s)) {
+			l.Done(w.Number)
+		}
+	}
+}
