gateway: take up duties while the store is slow

An acquisition makes three calls, which had to end within the time of one renewal: at 0.3 s a call, no daemon ever became the holder. They have two thirds of the lease now, and renewals are timed from before the calls.

--- a/gateway/dutyholder.go
+++ b/gateway/dutyholder.go
@@ -73,7 +73,12 @@
 			}
 			vacantSince = time.Now().Add(candidateRetry)
 		}
-		ok, err := d.acquireOrRenew(min(interval, dutyStoreTimeout))
+		timeout := min(interval, dutyStoreTimeout)
+		if !held { // three calls, after which a renewal still arrives in time
+			timeout = 2 * interval
+		}
+		begun := time.Now()
+		ok, err := d.acquireOrRenew(timeout)
 		if err != nil && errors.Is(err, kv.ErrUnavailable) {
 			d.g.view.reportFailure()
 		}
@@ -83,9 +88,9 @@
 			wait = candidateInterval
 		case ok && !held:
 			d.g.log.WithField("token", d.job.Term().Token).Info("duty acquired")
-			wait = interval
+			wait = max(0, interval-time.Since(begun)) // the lease counts from before the calls
 		case ok:
-			wait = interval
+			wait = max(0, interval-time.Since(begun))
 		default:
 			d.noteLost(before, false)
 		}
