gateway: a stopping holder of duties hands over its counts

It reported once before it ended, also when no other daemon held the duties yet. It waits for one now, 2 s and its grace period at most.

--- a/gateway/duties.go
+++ b/gateway/duties.go
@@ -52,6 +52,9 @@
 	// finalReports is the number of reports to one holder with the final counts of a window; at a loss of 1 in 10 datagrams, 1 of 1,000
 	// windows lacks the last of them.
 	finalReports = 3
+	// lastReportWait is the longest time for which a stopping daemon waits for a holder, to which it reports: that of a takeover. Each of its
+	// lastReports is a datagram that may be lost.
+	lastReportWait, lastReports = 2 * time.Second, 2
 	// maxReportBytes bounds the counts in one datagram.
 	maxReportBytes = notice.MaxMessageBytes * 3 / 4
 	// maxDemands bounds the demands in one datagram.
@@ -219,6 +222,22 @@
 	}
 }
 
+// reportLast reports before the daemon ends, when its requests are finished. If it was the holder, no other daemon has its counts.
+func (d *duties) reportLast(end time.Time) {
+	if limit := time.Now().Add(lastReportWait); d.counter != nil && limit.Before(end) {
+		end = limit
+	}
+	for sent := 0; ; {
+		if holder, ok := d.currentHolder(); ok && holder.name != d.g.spec.Name || d.counter == nil {
+			d.report()
+			sent++
+		}
+		if alone := len(d.g.view.memberNames()) < 2; sent == lastReports || alone || time.Now().After(end) || pause.For(d.g.ctx, candidateInterval) != nil {
+			return
+		}
+	}
+}
+
 // pending returns the counts of the windows that the holder may not have closed, unless their final counts were sent to it often enough.
 // The caller holds mu.
 func (d *duties) pending(holder holderEntry, now time.Time) []usage.Window {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -385,7 +385,7 @@
 		err = g.entry.Shutdown(ctx)
 	}
 	if g.duties != nil {
-		g.duties.report()
+		g.duties.reportLast(end)
 	}
 	g.cancel()
 	g.view.deregister()
