entry: count no byte that net/http reads beside the handler

Cause: net/http begins to read one byte of the next request before the handler runs. If the byte came before the handler had marked the header section as complete, and no memory was left, the refusal would have been written while the request was served.

Change: reads of one byte are not counted and never refused. Found by reading; not reproduced. The test of requests within the limits has pipelined ones.

Checked: go test -race ./entry; the tests of the limits in platform under the race detector.

--- a/entry/gate.go
+++ b/entry/gate.go
@@ -282,7 +282,7 @@
 // Read implements net.Conn.
 func (c *gatedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if !c.inHeader.Load() {
+	if !c.inHeader.Load() || len(p) == 1 { // one byte: net/http awaits the end of the connection or the next request beside the handler
 		return n, err
 	}
 	if n > 0 {
