gateway: the view outlives a restore of the store

Cause: after a restore, daemons kept a view in which reused revisions hid new entries, or took the backup for the newest state: orders that operators had taken back were in effect again, live endpoints were lost or got the address of another one, and the releases that had ended began again.

Change: on the first read of a newer era, what the backup has differently from the content in force is refused (a configuration of a lower version) or held: orders for 5 s, endpoints for 1.8 s, missing daemons for 3 s. Notifications carry the era; daemons then read the store within 500 ms at random, and ignore notifications of an older era. An order with the same target in a newer era is the same release, whose end is written again. Gauge bramley_store_era.

Checked: TestOrdersAreHeldAfterRestore, TestEndpointsAfterRestore, TestNotificationsOfOtherEras and TestReleaseContinuesAfterRestore fail without the change; platform.TestConfigurationWrittenAfterRestore fails on (timeout after 20 s) and passes now.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -194,10 +194,7 @@
 	g.spec.Metrics.Gauge("bramley_refused_part_sets", func() float64 { return float64(len(g.poison.Parts.Refused())) })
 	return suspect.New(suspect.Spec{
 		Parts: g.poison.Parts, Store: g.spec.Store, Key: suspectPartsKey, Log: g.log,
-		Entry: func(context.Context) (kv.Entry, error) {
-			e, _ := g.view.entry(suspectPartsKey)
-			return e, nil
-		},
+		Entry:   func(context.Context) (kv.Entry, error) { return g.view.suspectParts(), nil },
 		OnWrite: func(e kv.Entry) { g.view.putOwn(e) },
 		Rank:    func() int { return g.view.rank() },
 		OnTrial: g.spec.Metrics.Counter(`bramley_suspect_requests_total{kind="part_trial"}`).Inc,
--- a/gateway/notify.go
+++ b/gateway/notify.go
@@ -154,7 +154,7 @@
 	if errors.Is(err, kv.ErrNotFound) && change.Deleted && known {
 		return kv.Entry{Key: change.Key, Revision: change.Revision, Deleted: true}, true
 	}
-	if err == nil && e.Revision.Compare(change.Revision) >= 0 {
+	if err == nil && e.Revision.Era == change.Revision.Era && e.Revision.Compare(change.Revision) >= 0 { // in a newer era, it may be older
 		return e, true
 	}
 	v.g.log.WithField("key", change.Key).WithField("told", change.Revision).WithField("read", e.Revision).WithError(err).Info("changed document not read")
--- a/gateway/poll.go
+++ b/gateway/poll.go
@@ -75,9 +75,13 @@
 		case <-timer.C:
 			v.apply(kv.Changes{}, time.Now())
 		case m := <-v.notifications:
+			v.noteNewerEra(m.Message, now)
 			if m.StoreRecovered {
 				if unavailable {
 					due = now
+					if v.rereadAt.After(now) { // all daemons read everything, so that they must not do it at once
+						due = v.rereadAt
+					}
 				}
 			} else if next, ok := v.acceptAndDefer(m, now); ok && next.After(due) {
 				due = next
@@ -85,6 +89,9 @@
 			if v.pollNow {
 				due = now
 			}
+			if at := v.rereadAt; !unavailable && !at.IsZero() && at.Before(due) {
+				due = at
+			}
 		case <-callFailed:
 			due = now
 		case <-v.g.ctx.Done():
@@ -106,7 +113,7 @@
 	return m.receivedAt.Add(v.pollInterval(v.isLeader()) - m.Age), true
 }
 
-// nextExpiry returns the earliest time at which a lapsed endpoint is dropped, but no later than limit.
+// nextExpiry returns the earliest time at which a lapsed endpoint is dropped or a held entry is applied, but no later than limit.
 func (v *storeView) nextExpiry(limit time.Time) time.Time {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -115,6 +122,11 @@
 			limit = at
 		}
 	}
+	for _, h := range v.heldEntries {
+		if h.until.Before(limit) {
+			limit = h.until
+		}
+	}
 	return limit
 }
 
--- a/gateway/releases.go
+++ b/gateway/releases.go
@@ -47,6 +47,7 @@
 	promotedAt   time.Time        // zero before the promotion
 	due          time.Time        // when this daemon writes the pending decision
 	pending      release.Phase
+	restored     bool              // the store was restored during the release, so that its state may have to be written again
 	sessions     *release.Sessions // that are in use on the old version
 }
 
@@ -103,9 +104,10 @@
 	}
 	r.mu.Lock()
 	t := r.tracked[rel.Service]
+	known := t != nil && t.isOf(rel)
 	r.mu.Unlock()
 	switch {
-	case t == nil || t.order != rel.Order:
+	case !known:
 		return false
 	case !isSession:
 		return true
@@ -122,7 +124,7 @@
 		return
 	}
 	r.mu.Lock()
-	phase := t.phase
+	phase, order := t.phase, t.order
 	r.mu.Unlock()
 	if phase != release.Canary {
 		return
@@ -133,7 +135,7 @@
 	}
 	now := time.Now()
 	t.sessions.MarkInUse(session, now.Add(inUseFor), now)
-	r.broadcast(notice.Message{Service: service, Order: t.order, Session: session, InUseFor: inUseFor, Minor: ended})
+	r.broadcast(notice.Message{Service: service, Order: order, Session: session, InUseFor: inUseFor, Minor: ended})
 }
 
 // broadcast sends a message about a release to all other daemons, with the age of the order.
@@ -213,7 +215,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if t := r.tracked[rel.Service]; t != nil && t.order == rel.Order {
+	if t := r.tracked[rel.Service]; t != nil && t.isOf(rel) {
 		return t.phase
 	}
 	return release.Canary
@@ -277,7 +279,7 @@
 		r.broadcast(notice.Message{Service: rel.Service, Order: rel.Order, Phase: string(after)})
 	}
 	r.sendEvidence(rel, t, now)
-	if due && !ended && after != release.Completed { // this daemon or another one has read the completion from the store
+	if due && !ended && (after != release.Completed || t.restored) { // without a restore, this daemon or another one has read the completion from the store
 		r.writeDecision(rel, t, next)
 	}
 }
@@ -290,11 +292,22 @@
 	}
 }
 
+// isOf reports whether t is the state of a release. An order for the same version in a newer era of the store is the same order: the
+// revision counts as of that era, or the operators wrote the order again.
+func (t *trackedRelease) isOf(rel *object.Release) bool {
+	return t.order == rel.Order || t.order.Era < rel.Order.Era && t.target == rel.TargetVersion
+}
+
 // track returns the state of a release, which it creates for a new order.
 func (r *releases) track(rel *object.Release, now time.Time) *trackedRelease {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t := r.tracked[rel.Service]
+	if t != nil && t.order != rel.Order && t.isOf(rel) {
+		r.g.log.WithField("service", rel.Service).WithField("target", rel.TargetVersion).WithField("order", rel.Order).WithField("before", t.order).
+			WithField("phase", t.phase).Info("release continued after a restore of the store")
+		t.order, t.pending, t.restored = rel.Order, "", true
+	}
 	if t == nil || t.order != rel.Order {
 		t = &trackedRelease{
 			order: rel.Order, target: rel.TargetVersion, firstSeen: now, trackedSince: now, phase: release.Canary,
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -39,6 +39,7 @@
 	endpoints    map[string]hostlist.Host
 	ownEntries   map[string]kv.Entry  // under ownPrefix, by key
 	lapsed       map[string]time.Time // endpoints missing after an outage, with the time at which they are dropped
+	heldEntries  map[string]heldEntry // states of a restored store that are not applied yet, by key
 	memberCount  int                  // of daemons among ownEntries
 	ended        []hostlist.Host      // endpoints whose process has ended without notice, among the changes being applied
 	listed       []hostlist.Host      // endpoints that are new or have a new address, among the changes being applied
@@ -48,6 +49,7 @@
 	docPending    atomic.Bool  // a changed document is known and not in force yet
 	isLoaded      atomic.Bool
 	firstLoad     chan struct{} // closed when isLoaded becomes true
+	era           atomic.Uint64 // of the content in force
 	unavailable   atomic.Bool   // run's last call failed
 	lease         atomic.Uint64 // of this daemon's membership entry, 0 before it is registered
 	callFailed    chan struct{} // a call of the store outside run has failed
@@ -58,6 +60,7 @@
 	recoveredAt time.Time        // when the store last answered again after an outage
 	newestPoll  map[string]int64 // PolledAt of the newest notification, by sender
 	pollNow     bool             // a changed document could not be read, so that a poll is due
+	rereadAt    time.Time        // when a poll is due because of a newer era, zero if none is
 }
 
 func newStoreView(g *Gateway) *storeView {
@@ -91,6 +94,7 @@
 	wait := firstRetryDelay
 	for v.g.ctx.Err() == nil {
 		polledAt := time.Now()
+		v.rereadAt = time.Time{}
 		isLeader := v.isLeader()
 		changes, err := v.poll(unavailable, isLeader)
 		if err != nil {
@@ -116,12 +120,15 @@
 		after, wasAvailable := v.revision, !unavailable
 		unavailable, wait = false, firstRetryDelay
 		v.unavailable.Store(false)
+		restored := v.isRestored(changes)
 		v.advance(changes, time.Now())
 		v.noteCurrent(polledAt)
 		if !v.isLoaded.Swap(true) {
 			close(v.firstLoad)
 		}
-		if wasAvailable { // after an outage, each daemon decides on its own which endpoints have lapsed
+		if restored {
+			v.notifyRestored(changes, polledAt)
+		} else if wasAvailable { // after an outage, each daemon decides on its own which endpoints have lapsed
 			v.notifyPeers(after, changes, polledAt)
 		}
 		v.waitForNextPoll(polledAt.Add(v.pollInterval(isLeader)), unavailable)
@@ -138,10 +145,17 @@
 
 // advance applies changes that follow the revision in force, and moves the view to their revision.
 func (v *storeView) advance(c kv.Changes, now time.Time) {
+	if v.isRestored(c) {
+		v.recoveredAt = now // leases of endpoints may have expired, as during an outage
+		c = v.mergeRestored(c, now)
+	} else {
+		v.dropHeld(c.Entries)
+	}
 	if !v.revision.IsZero() && now.Sub(v.recoveredAt) < lapsedGrace {
 		c.Entries = v.retainLapsed(c.Entries, now)
 	}
 	v.revision = c.Revision
+	v.era.Store(c.Revision.Era)
 	v.confirmedAt.Store(now.UnixNano())
 	v.apply(c, now)
 }
@@ -190,6 +204,7 @@
 	for _, e := range c.Entries {
 		changed[v.applyEntry(e, now)] = true
 	}
+	v.applyHeld(now, changed)
 	hostsChanged := v.dropExpired(now) || changed[KindEndpoint] || changed[KindOther]
 	var operatorDocs map[string]kv.Entry
 	var hosts []hostlist.Host
@@ -203,8 +218,7 @@
 	v.ended, v.listed = nil, nil
 	v.mu.Unlock()
 	if changed[KindOther] {
-		e, _ := v.entry(suspectPartsKey) // without one, all sets are gone
-		v.g.suspects.Apply(e)
+		v.g.suspects.Apply(v.suspectParts())
 	}
 	for _, h := range ended {
 		v.g.dispatch.EndpointEnded(h.ID, h.Started)
@@ -375,6 +389,14 @@
 	putIfNewer(v.ownEntries, e)
 }
 
+// suspectParts returns the entry of suspectPartsKey. If there is none, its revision has only the era.
+func (v *storeView) suspectParts() kv.Entry {
+	if e, ok := v.entry(suspectPartsKey); ok {
+		return e
+	}
+	return kv.Entry{Key: suspectPartsKey, Revision: kv.Revision{Era: v.era.Load()}}
+}
+
 // entry returns the entry of a key among the gateway's own entries and the operators' documents.
 func (v *storeView) entry(key string) (kv.Entry, bool) {
 	v.mu.Lock()
