--- a/dispatch/routed.go
+++ b/dispatch/routed.go
@@ -59,6 +59,7 @@
 	Latency     time.Duration // until the header of the answer, or the failure
 	Prompt      int64         // tokens
 	Uncached    int64         // prompt tokens that the endpoint was expected to process
+	Choice      string        // why the endpoint was preferred
 	LastEventID int64         // ID of the last event that the caller had before the attempt, 0 for none
 	Fingerprint uint64        // of the request's content
 	// Confidence is the model's confidence in the answer; nil if it states none.
@@ -257,7 +258,7 @@
 func (x *Exchange) describeAttempt(r *pool.Reservation) RoutedAttempt {
 	return RoutedAttempt{
 		Request: x.in.Request.ID, Route: x.in.Route.Name, Service: x.in.Service, Endpoint: r.ID, Addr: r.Addr, Release: r.SoftwareRelease(),
-		Model: x.in.Request.Model, Wait: x.wait, Expected: r.ExpectedDelay, Prompt: x.in.Prompt, Uncached: r.ExpectedUncached, LastEventID: x.in.Request.LastEvent,
+		Model: x.in.Request.Model, Wait: x.wait, Expected: r.ExpectedDelay, Prompt: x.in.Prompt, Uncached: r.ExpectedUncached, Choice: r.Preference.String(), LastEventID: x.in.Request.LastEvent,
 		Fingerprint: x.in.Fingerprint,
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -412,7 +412,7 @@
 
 func (g *Gateway) recordAttempt(a dispatch.RoutedAttempt) {
 	g.releases.end(a)
-	f := logrus.Fields{"request": a.Request, "service": a.Service, "endpoint": a.Endpoint, "addr": a.Addr, "release": a.Release, "status": a.Status, "ms": a.Latency.Milliseconds(), "wait_ms": a.Wait.Milliseconds(), "expected_ms": a.Expected.Milliseconds(), "endpoints_age_ms": g.view.age().Milliseconds()}
+	f := logrus.Fields{"request": a.Request, "service": a.Service, "endpoint": a.Endpoint, "addr": a.Addr, "release": a.Release, "choice": a.Choice, "status": a.Status, "ms": a.Latency.Milliseconds(), "wait_ms": a.Wait.Milliseconds(), "expected_ms": a.Expected.Milliseconds(), "endpoints_age_ms": g.view.age().Milliseconds()}
 	if a.Model != "" {
 		f["model"], f["prompt"], f["uncached"] = a.Model, a.Prompt, a.Uncached
 	}
@@ -427,6 +427,7 @@
 		e = e.WithError(a.Err).WithField("fingerprint", strconv.FormatUint(a.Fingerprint, 16))
 	}
 	g.spec.Metrics.Counter(fmt.Sprintf(`bramley_attempts_total{service=%q,outcome=%q}`, a.Service, attemptOutcome(a))).Inc()
+	g.spec.Metrics.Counter(fmt.Sprintf(`bramley_endpoint_choices_total{service=%q,choice=%q}`, a.Service, a.Choice)).Inc()
 	g.spec.Metrics.Histogram(fmt.Sprintf(`bramley_attempt_seconds{service=%q}`, a.Service)).Update(a.Latency.Seconds())
 	e.Info("attempt")
 }
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -37,6 +37,7 @@
 	choice           *routedChoice // of a routed request
 	expectedDelay    time.Duration // expected delay at the endpoint chosen for a routed request
 	expectedUncached int64         // prompt tokens that this endpoint probably has to process
+	preference       selection.Preference
 }
 
 // Shortage counts why the endpoints of a group could not be chosen.
@@ -61,16 +62,18 @@
 	// prompt tokens that the endpoint probably has to process.
 	ExpectedDelay    time.Duration
 	ExpectedUncached int64
-	service          string
-	tokens           int64
-	prefillTokens    int64 // prompt tokens in prefill; 0 after the first token
-	Started          int64 // start time of the endpoint's process, see hostlist.Host
-	suspect          bool
-	exclusive        bool // no other daemon may have a suspect at the endpoint
-	endpoint         *endpoint
-	pool             *Pool
-	pending          pendingPrefill
-	reservedAt       time.Time
+	// Preference is why the endpoint was preferred for a routed request.
+	Preference    selection.Preference
+	service       string
+	tokens        int64
+	prefillTokens int64 // prompt tokens in prefill; 0 after the first token
+	Started       int64 // start time of the endpoint's process, see hostlist.Host
+	suspect       bool
+	exclusive     bool // no other daemon may have a suspect at the endpoint
+	endpoint      *endpoint
+	pool          *Pool
+	pending       pendingPrefill
+	reservedAt    time.Time
 }
 
 // Pick selects an endpoint by the pool's policy and reserves capacity there. It returns false if no endpoint can take
@@ -148,7 +151,7 @@
 	return Reservation{
 		ID: e.host.ID, Addr: e.host.Addr, Domain: e.host.Domain, service: q.Service, tokens: q.Tokens, prefillTokens: q.Prompt,
 		Started: e.host.Started, suspect: q.Suspect, exclusive: q.Suspect && e.hasRankZero(rules, now), endpoint: e, pending: pendingPrefillOf(q), reservedAt: now,
-		ExpectedDelay: q.expectedDelay, ExpectedUncached: q.Prompt,
+		ExpectedDelay: q.expectedDelay, ExpectedUncached: q.Prompt, Preference: q.preference,
 	}, true
 }
 
--- a/pool/routed.go
+++ b/pool/routed.go
@@ -109,6 +109,7 @@
 		}
 	}
 	q.expectedDelay, q.expectedUncached = time.Duration(d.Chosen.DelayMs*float64(time.Millisecond)), d.Chosen.Uncached
+	q.preference = d.Preference
 	if d.Index < 0 {
 		return nil
 	}
