selection: an endpoint avoided as slow is tried again

An endpoint whose mean speed is low gets no requests while others cost less, and then sends no reports, so that it was avoided for as long as the others had room. The mean fades towards the group's in 20 s without reports.

--- a/selection/speed.go
+++ b/selection/speed.go
@@ -14,6 +14,9 @@
 	slowPeriod = 200 * time.Millisecond
 	// meanTime is the time constant of an endpoint's mean, many times slowPeriod.
 	meanTime = 5 * time.Second
+	// meanLifetime is the time constant with which the mean fades towards the group's without reports. An endpoint that is
+	// avoided as slow sends none, and has to be tried again.
+	meanLifetime = 20 * time.Second
 	// maxMeanWeight bounds the weight of one report in the mean, so that at least three are needed to see a slow machine.
 	maxMeanWeight = 0.25
 	// meanTolerance is the relative difference of an endpoint's mean from its group's that is not used. With slow periods
@@ -59,7 +62,7 @@
 	if s.Latest == 0 || groupMean <= 0 {
 		return 1
 	}
-	mean := s.value(groupMean) / groupMean
+	mean := 1 + (s.value(groupMean)/groupMean-1)*fade(float64(age)/float64(meanLifetime))
 	switch {
 	case mean > 1+meanTolerance:
 		mean -= meanTolerance
--- a/selection/speed_test.go
+++ b/selection/speed_test.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Guards against a transient slow period that counts like a slow machine, a slow machine that is not seen, and an old report.
+// Guards against a transient slow period that counts like a slow machine, a slow machine that is not seen or avoided forever, and an old report.
 func TestSlowPeriodsAndSlowMachines(t *testing.T) {
 	usual, slow := Slowness{}, Slowness{}
 	for range 20 {
@@ -24,6 +24,7 @@
 		{"fresh report of a slow period, long work", period, 10 * time.Millisecond, 3000, 1, 1.15},
 		{"old report of a slow period", period, 2 * time.Second, 50, 1, 1.1},
 		{"slow machine, long work", slow, 2 * time.Second, 3000, 1.8, 2.5},
+		{"slow machine, no report for a minute", slow, time.Minute, 3000, 1, 1},
 		{"absurd report", Slowness{}.Report(1e300, time.Second), 0, 50, 1, maxSlowness},
 	} {
 		if got := c.s.relative(1, c.age, c.workMs); got < c.low || got > c.high {
