--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -279,7 +279,9 @@
 	case len(m.Crashes) > 0:
 		g.crashes.receive(m.Crashes)
 	case len(m.Estimates) > 0:
-		g.pool.SetPeerEstimates(m.From, m.Estimates, time.Now())
+		now := time.Now()
+		g.pool.SetPeerEstimates(m.From, m.Estimates, now)
+		g.pool.RecordPeerReports(m.Reports, now)
 	case m.Endpoint != "":
 		g.pool.RecordPeerPrefill(m.Endpoint, m.Work, time.Now())
 	default:
@@ -399,7 +401,7 @@
 func (g *Gateway) recordAttempt(a dispatch.RoutedAttempt) {
 	g.releases.end(a)
 	g.countLate(a)
-	f := logrus.Fields{"request": a.Request, "service": a.Service, "endpoint": a.Endpoint, "addr": a.Addr, "release": a.Release, "status": a.Status, "ms": a.Latency.Milliseconds(), "wait_ms": a.Wait.Milliseconds(), "expected_ms": a.Expected.Milliseconds(), "endpoints_age_ms": g.view.age().Milliseconds()}
+	f := logrus.Fields{"request": a.Request, "service": a.Service, "endpoint": a.Endpoint, "addr": a.Addr, "release": a.Release, "choice": a.Choice, "status": a.Status, "ms": a.Latency.Milliseconds(), "wait_ms": a.Wait.Milliseconds(), "expected_ms": a.Expected.Milliseconds(), "endpoints_age_ms": g.view.age().Milliseconds()}
 	if a.Model != "" {
 		f["model"], f["prompt"], f["uncached"] = a.Model, a.Prompt, a.Uncached
 	}
@@ -414,6 +416,7 @@
 		e = e.WithError(a.Err).WithField("fingerprint", strconv.FormatUint(a.Fingerprint, 16))
 	}
 	g.spec.Metrics.Counter(fmt.Sprintf(`bramley_attempts_total{service=%q,outcome=%q}`, a.Service, attemptOutcome(a))).Inc()
+	g.spec.Metrics.Counter(fmt.Sprintf(`bramley_endpoint_choices_total{service=%q,choice=%q}`, a.Service, a.Choice)).Inc()
 	g.spec.Metrics.Histogram(fmt.Sprintf(`bramley_attempt_seconds{service=%q}`, a.Service)).Update(a.Latency.Seconds())
 	e.Info("attempt")
 }
