httpconn: a response cut by a reset during the upload is an error

Cause: a reset is reported once per socket. While a long request body was still being written, the writer got the error and the reader only io.EOF, which ended a body without a length as if it were complete. Only reuse of the connection depended on the writer's result. Statuses below 200 were all skipped as interim, and those above 599 were passed on.

Change: the end of a body without a length is accepted only if the request was written in full, the kernel has no reset pending, and the peer has acknowledged all bytes (a peer that closes acknowledges what it received). The first error of a body is repeated, since the connection reports it only once. A final status outside 200 to 599, also 101, is ErrInvalidStatus, which counts as an invalid response of the endpoint.

--- a/engine/httpconn/pool.go
+++ b/engine/httpconn/pool.go
@@ -207,9 +207,11 @@
 	ctx  context.Context
 	stop func() bool
 
-	mu      sync.Mutex
-	writing bool // the request body has not been written completely
-	ended   bool
+	written chan struct{} // closed when writing the request body has ended; nil if the whole request was written before the response was read
+	sendErr error         // of writing the request body; valid after written is closed
+
+	mu    sync.Mutex
+	ended bool
 }
 
 // roundTrip writes the request and returns the response that belongs to it.
@@ -231,7 +233,7 @@
 			x.wrapBody(resp)
 			return resp, nil
 		}
-		if try > 0 || resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		if try > 0 || resp.Close || IsUnframed(resp) {
 			return nil, errMismatch
 		}
 		x.conn.limiter.mode = modeDiscard
@@ -247,9 +249,13 @@
 	defer func() { x.conn.limiter.mode = modeBody }()
 	for {
 		resp, err := http.ReadResponse(x.conn.reader, req)
-		if err != nil || resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
-			return resp, err
+		if err != nil {
+			return nil, err
+		}
+		if isInterim(resp.StatusCode) {
+			continue
 		}
+		return resp, checkStatus(resp.StatusCode)
 	}
 }
 
@@ -269,27 +275,56 @@
 	if err := w.Flush(); err != nil {
 		return err
 	}
-	x.writing = true
+	x.written = make(chan struct{})
 	go func() {
-		_, err := x.conn.Write(r.Body)
-		x.mu.Lock()
-		defer x.mu.Unlock()
-		x.writing = err != nil // a connection whose request body was not sent completely is not reused
+		_, x.sendErr = x.conn.Write(r.Body)
+		close(x.written)
 	}()
 	return nil
 }
 
+// isWritten reports whether the request was written completely.
+func (x *exchange) isWritten() bool {
+	if x.written == nil {
+		return true
+	}
+	select {
+	case <-x.written:
+		return x.sendErr == nil
+	default:
+		return false
+	}
+}
+
+// checkEnd returns an error if the end of the connection is not the end of a complete response without a length.
+func (x *exchange) checkEnd() error {
+	if x.written != nil {
+		timer := time.NewTimer(maxSendWait)
+		defer timer.Stop()
+		select {
+		case <-x.written:
+		case <-timer.C:
+		}
+	}
+	if !x.isWritten() {
+		return fmt.Errorf("%w: the request was not written completely", ErrTruncated)
+	}
+	return checkClosed(x.conn.Conn)
+}
+
 // body is a response body that ends its exchange when it is closed.
 type body struct {
 	io.ReadCloser
 	x        *exchange
-	complete bool // read to its end
+	unframed bool  // ends with its connection
+	err      error // of the first read that failed; a connection reports its reset only once
 }
 
 // wrapBody replaces the body of the response by one that ends the exchange, and sets when the connection expires.
 func (x *exchange) wrapBody(resp *http.Response) {
-	resp.Body = &body{ReadCloser: resp.Body, x: x}
+	unframed := IsUnframed(resp)
 	reusable := !resp.Close && (resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0)
+	resp.Body = &body{ReadCloser: resp.Body, x: x, unframed: unframed}
 	if limit, ok := keepAliveTimeout(resp.Header); ok {
 		x.conn.expires = x.pool.spec.Now().Add(limit)
 	}
@@ -299,16 +334,22 @@
 }
 
 func (b *body) Read(p []byte) (int, error) {
+	if b.err != nil {
+		return 0, b.err
+	}
 	n, err := b.ReadCloser.Read(p)
-	if err == io.EOF {
-		b.complete = true
+	if err == io.EOF && b.unframed {
+		if cut := b.x.checkEnd(); cut != nil {
+			err = cut
+		}
 	}
+	b.err = err
 	return n, err
 }
 
 // Close returns the connection to the pool if the body was read to its end, and closes the connection otherwise.
 func (b *body) Close() error {
-	b.x.finish(b.complete)
+	b.x.finish(b.err == io.EOF)
 	return nil
 }
 
@@ -317,7 +358,7 @@
 // has ended.
 func (x *exchange) finish(complete bool) {
 	x.mu.Lock()
-	ended, writing := x.ended, x.writing
+	ended := x.ended
 	x.ended = true
 	x.mu.Unlock()
 	if ended {
@@ -325,7 +366,7 @@
 	}
 	active := x.stop() // false if ctx has ended and its connection is being closed
 	now := x.pool.spec.Now()
-	if !complete || writing || !active || x.conn.buffered() > 0 || !x.conn.expires.IsZero() && !now.Before(x.conn.expires) {
+	if !complete || !x.isWritten() || !active || x.conn.buffered() > 0 || !x.conn.expires.IsZero() && !now.Before(x.conn.expires) {
 		_ = x.conn.Close()
 		return
 	}
