httpengine, store: truncated responses and invalid statuses are errors

Cause: the transport of net/http accepts the end of a connection that was reset during the upload, and passes on statuses 000 to 099 and from 600.

Change: httpconn.NewTransport wraps a transport of net/http. It learns from httptrace whether the request was written in full and checks the end of the connection as Pool does. The client of the engines and that of the store use it.

--- a/engine/httpconn/truncated_test.go
+++ b/engine/httpconn/truncated_test.go
@@ -207,3 +207,47 @@
 		}
 	}
 }
+
+// Guards against a transport that accepts a response which was cut during the upload, or rejects one that is complete.
+func TestTransportTellsCutFromComplete(t *testing.T) {
+	for name, tc := range map[string]struct {
+		read  int64 // bytes of the request's body that the endpoint reads before it answers
+		reset bool
+		size  int
+	}{
+		"complete":                   {uploadBytes, false, uploadBytes},
+		"complete, short":            {5, false, 5},
+		"complete, without a body":   {0, false, 0},
+		"reset during the upload":    {0, true, uploadBytes},
+		"closed during the upload":   {0, false, uploadBytes},
+		"reset after half of it":     {uploadBytes / 2, true, uploadBytes},
+		"reset without an upload":    {0, true, 0},
+		"reset after a short upload": {5, true, 5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			addr := startEndpoint(t, func(c *net.TCPConn, r *bufio.Reader) {
+				_, _ = io.CopyN(io.Discard, r, tc.read)
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nbody")
+				if tc.reset {
+					time.Sleep(5 * time.Millisecond)
+					_ = c.SetLinger(0)
+				}
+			})
+			client := &http.Client{Transport: NewTransport(&http.Transport{})}
+			defer client.CloseIdleConnections()
+			whole := !tc.reset && tc.read == int64(tc.size)
+			for range 8 {
+				resp, err := client.Post("http://"+addr, "", strings.NewReader(strings.Repeat("u", tc.size)))
+				var data []byte
+				if err == nil {
+					data, err = io.ReadAll(resp.Body)
+					_ = resp.Body.Close()
+				}
+				if (err == nil) != whole || whole && string(data) != "body" {
+					t.Fatalf("got %q, %v; want a complete response: %t", data, err, whole)
+				}
+			}
+		})
+	}
+}
--- a/engine/httpengine/cache.go
+++ b/engine/httpengine/cache.go
@@ -19,9 +19,7 @@
 // may have become unresponsive. The kernel sizes the receive buffer: the small one of token streams would limit the
 // throughput on paths with latency.
 func newCacheClient(dial DialFunc) *http.Client {
-	t := newTransport(dial, true)
-	t.ReadBufferSize, t.WriteBufferSize = cacheTransportBufSize, cacheTransportBufSize
-	return &http.Client{Transport: t, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	return &http.Client{Transport: newTransportWith(dial, true, cacheTransportBufSize), CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 }
 
 func cacheURL(addr, session string) string {
--- a/engine/httpengine/client.go
+++ b/engine/httpengine/client.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/bramleytrail/bramleytrail/engine"
+	"github.com/bramleytrail/bramleytrail/engine/httpconn"
 )
 
 const (
@@ -135,17 +136,22 @@
 }
 
 // newTransport returns a transport that opens connections with dial.
-func newTransport(dial DialFunc, disableKeepAlives bool) *http.Transport {
-	return &http.Transport{
+func newTransport(dial DialFunc, disableKeepAlives bool) *httpconn.Transport {
+	return newTransportWith(dial, disableKeepAlives, transportBufSize)
+}
+
+// newTransportWith is like newTransport, with buffers of a size in bytes.
+func newTransportWith(dial DialFunc, disableKeepAlives bool, bufSize int) *httpconn.Transport {
+	return httpconn.NewTransport(&http.Transport{
 		DialContext:            dial,
 		MaxIdleConnsPerHost:    maxIdlePerHost,
 		IdleConnTimeout:        idleTimeout,
 		DisableKeepAlives:      disableKeepAlives,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxHeaderBytes,
-		ReadBufferSize:         transportBufSize,
-		WriteBufferSize:        transportBufSize,
-	}
+		ReadBufferSize:         bufSize,
+		WriteBufferSize:        bufSize,
+	})
 }
 
 // Close closes idle connections. Calls in progress continue.
