--- a/engine/httpconn/end.go
+++ b/engine/httpconn/end.go
@@ -21,24 +21,25 @@
 // the request was not written in full, or the connection was reset.
 var ErrTruncated = fmt.Errorf("truncated response: %w", io.ErrUnexpectedEOF)
 
-// ErrInvalidStatus means that the status of a response, after interim ones, is not in the range 200 to 599.
-var ErrInvalidStatus = errors.New("invalid status of a response")
+// ErrInvalidStatus means that the status line of a response, after interim ones, has a status outside 200 to 599 or another version than
+// HTTP/1.x.
+var ErrInvalidStatus = errors.New("invalid status line of a response")
 
 // IsUnframed reports whether the body of a response ends with its connection, since it has neither a length nor chunks.
 func IsUnframed(resp *http.Response) bool {
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
 }
 
-// isInterim reports whether a response with this status precedes the final one. The router never asks for another protocol, so a 101 is
-// invalid.
-func isInterim(status int) bool {
-	return status >= 100 && status < 200 && status != http.StatusSwitchingProtocols
+// isInterim reports whether a response precedes the final one. The router never asks for another protocol, so a 101 is invalid.
+func isInterim(resp *http.Response) bool {
+	return resp.ProtoMajor == 1 && resp.StatusCode >= 100 && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols
 }
 
-// checkStatus returns ErrInvalidStatus for a final status outside 200 to 599.
-func checkStatus(status int) error {
-	if status < 200 || status > 599 {
-		return fmt.Errorf("%w: %d", ErrInvalidStatus, status)
+// checkStatus returns ErrInvalidStatus if the status line of a final response is not valid. In a version below HTTP/1.0, net/http takes
+// chunks for the body itself.
+func checkStatus(resp *http.Response) error {
+	if resp.StatusCode < 200 || resp.StatusCode > 599 || resp.ProtoMajor != 1 {
+		return fmt.Errorf("%w: %s, status %d", ErrInvalidStatus, resp.Proto, resp.StatusCode)
 	}
 	return nil
 }
--- a/engine/httpconn/pool.go
+++ b/engine/httpconn/pool.go
@@ -252,10 +252,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if isInterim(resp.StatusCode) {
+		if isInterim(resp) {
 			continue
 		}
-		return resp, checkStatus(resp.StatusCode)
+		return resp, checkStatus(resp)
 	}
 }
 
--- a/engine/httpconn/transport.go
+++ b/engine/httpconn/transport.go
@@ -42,7 +42,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := checkStatus(resp.StatusCode); err != nil {
+	if err := checkStatus(resp); err != nil {
 		_ = resp.Body.Close()
 		return nil, err
 	}
