pool: an absurd load report does not make a failure domain look crowded

A report may tell up to a million requests of an endpoint with 8 slots. The mean of the domain was then above its capacity, and its requests left for other domains. A report counts for at most two requests for each slot.

TestAbsurdLoadReport fails without the bound.

--- a/pool/routed.go
+++ b/pool/routed.go
@@ -129,7 +129,7 @@
 		c.SinceChosen = now.Sub(e.lastChosen)
 	}
 	if choice.request.BySpeed {
-		c.InFlight, c.Others, c.OthersMean, c.LoadAge, c.Speed = int(e.inFlight), e.routed.peerRequests, e.routed.peerMean, selection.NoReport, e.routed.slowness
+		c.InFlight, c.Others, c.OthersMean, c.LoadAge, c.Speed = int(e.inFlight), e.plausibleRequests(), e.routed.peerMean, selection.NoReport, e.routed.slowness
 		if !e.routed.peerRequestsAt.IsZero() {
 			c.LoadAge = now.Sub(e.routed.peerRequestsAt)
 		}
--- a/pool/routed_test.go
+++ b/pool/routed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -374,3 +375,22 @@
 		t.Error("wrong services count as reporting their speed")
 	}
 }
+
+// Guards against one endpoint with an absurd report that makes its whole failure domain look crowded.
+func TestAbsurdLoadReport(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := routedPool("d0", 1, 4, 0, now, nil)
+	p.spec.Rand = rand.New(rand.NewPCG(1, 0)).Uint64
+	for i := range 60 {
+		r, _, ok := p.Pick(routedQuery("m", 10), now)
+		if !ok || r.Domain != "a" {
+			t.Fatalf("request %d: endpoint %v, %q", i, ok, r.ID)
+		}
+		now = now.Add(20 * time.Millisecond)
+		r.RecordRoutedHeader(20*time.Millisecond, true, &engine.SlotLoad{Running: 2, Slots: 8, Slowness: 1}, 0, now)
+		if i >= 20 {
+			p.RecordPeerReports([]PeerReport{{Endpoint: p.table.Load().byID["a0"].key, Requests: 1 << 20, Slowness: 10000}}, now.Add(time.Millisecond))
+		}
+		r.Release(Succeeded, now)
+	}
+}
--- a/pool/speedreports.go
+++ b/pool/speedreports.go
@@ -12,6 +12,9 @@
 	// slownessTTL is the time for which a service counts as one whose endpoints report their speed after the latest report.
 	// It bridges pauses between requests; with traffic, reports come with each answer.
 	slownessTTL = time.Minute
+	// maxRequestsPerSlot bounds what a report of one endpoint can do to the expected load of its failure domain. Work that
+	// waits behind so many requests is late anyway.
+	maxRequestsPerSlot = 2
 	// holdAlpha is the weight of the latest request in the mean time for which a request takes a slot.
 	holdAlpha = 0.05
 )
@@ -43,10 +46,19 @@
 // recordRequests records the number of requests that the endpoint had at a time. The caller holds the lock.
 func (e *endpoint) recordRequests(n int, at time.Time) {
 	e.routed.peerRequests = max(0, n-int(e.inFlight))
-	e.routed.peerMean = e.routed.peerMean.Report(float64(e.routed.peerRequests), at.Sub(e.routed.peerRequestsAt))
+	e.routed.peerMean = e.routed.peerMean.Report(float64(e.plausibleRequests()), at.Sub(e.routed.peerRequestsAt))
 	e.routed.peerRequestsAt = at
 }
 
+// plausibleRequests returns the reported requests of other daemons, up to maxRequestsPerSlot for each slot. The caller holds
+// the lock.
+func (e *endpoint) plausibleRequests() int {
+	if e.host.Slots <= 0 {
+		return e.routed.peerRequests
+	}
+	return min(e.routed.peerRequests, maxRequestsPerSlot*e.host.Slots)
+}
+
 // recordSlowness records the slowness that the endpoint had at a time. The caller holds the lock.
 func (e *endpoint) recordSlowness(slowness float64, at time.Time) {
 	e.routed.slowness = e.routed.slowness.Report(slowness, at.Sub(e.routed.slownessAt))
