--- a/engine/routed.go
+++ b/engine/routed.go
@@ -68,17 +68,15 @@
 }
 
 // SlotLoad is the load that an endpoint reports with a response: running requests, waiting requests and its total
-// slots; UnknownLoad for a figure that is not known.
+// slots. A figure that is not known is 0.
 type SlotLoad struct {
 	Running, Waiting, Slots int
+	RunningUnknown          bool
 	// Slowness is how long work currently takes on the endpoint's machine as a multiple of the usual time; 0 if it is not
 	// reported.
 	Slowness float64
 }
 
-// UnknownLoad stands for a figure of a SlotLoad that the endpoint did not report in a usable form.
-const UnknownLoad = -1
-
 // Router sends routed requests. It is safe for concurrent use.
 type Router interface {
 	// Route sends a request to the endpoint at addr. It returns ErrUnreachable, ErrBusy or ErrMisdirected only if the
--- a/pool/routed_test.go
+++ b/pool/routed_test.go
@@ -363,7 +363,7 @@
 	if !ok || p.ReportsSpeed("llm", now) {
 		t.Fatal("no endpoint, or a speed without a report")
 	}
-	r.RecordRoutedHeader(time.Millisecond, true, &engine.SlotLoad{Running: 7, Waiting: engine.UnknownLoad, Slots: engine.UnknownLoad}, 0, now)
+	r.RecordRoutedHeader(time.Millisecond, true, &engine.SlotLoad{Running: 7, RunningUnknown: true}, 0, now)
 	if p.ReportsSpeed("llm", now) {
 		t.Error("a report without a speed counts as one with it")
 	}
--- a/pool/speedreports.go
+++ b/pool/speedreports.go
@@ -31,8 +31,8 @@
 // recordLoad records a load report that came with an answer. The caller holds the lock of the endpoint.
 func (r *Reservation) recordLoad(load *engine.SlotLoad, now time.Time) {
 	e := r.endpoint
-	if load.Running >= 0 {
-		e.recordRequests(load.Running+max(0, load.Waiting), now)
+	if !load.RunningUnknown {
+		e.recordRequests(load.Running+load.Waiting, now)
 		e.routed.unshared = load.Slowness > 0
 	}
 	if load.Slowness > 0 {
