dispatch: admission for services that report their speed

Work that could not end before its deadline was sent, and repeats of it too; an overloaded service held all callers alike until their wait was over.

Before the first attempt and each repeat, the exchange asks package admission, only for services whose endpoints report their speed. A refusal is a 503 with Retry-After if no endpoint may have run the request. Otherwise the result is final at once: the endpoint's own error answer if there is one, or a 502. Answers that have begun and answers of a cascade are never refused. The reason is in the error of the request's log line and in the counter bramley_admission_refused_total. pool.ServiceLoad gives the slots in use at usable endpoints, and a dry run of Pick the shortest delay of any endpoint. The longest wait for capacity ends when the deadline can no longer be met.

Checked with the tests of dispatch, pool, pipeline and admission under the race detector.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -73,6 +73,8 @@
 	GrantTrial func(context.Context, poison.RefusedParts) bool
 	// OnRefused is called when a request of a routed service is refused because its endpoints are full; it may be nil.
 	OnRefused func(service string)
+	// OnNotAdmitted is called when package admission refuses a request, or a repeat of one, of a routed service; it may be nil.
+	OnNotAdmitted func(service, reason string)
 	// Router sends routed requests; nil if there are no routes.
 	Router engine.Router
 	// RetryRatio is the number of retries that each routed request adds to the budget of its service. RetryReserve
@@ -102,6 +104,7 @@
 	routedBudgets   sync.Map // retry budgets by routed service, each a *windowBudget
 	firstTokenTimes firstTokenTimes
 	breaks          brokenAttempts
+	admissions      sync.Map // by routed service, each a *serviceAdmission
 }
 
 // New returns a filter whose retry and hedge budgets are full.
--- a/dispatch/routed.go
+++ b/dispatch/routed.go
@@ -38,6 +38,10 @@
 	Assign func(view *config.View, retry bool) (required, excluded string)
 	// Refresh returns the newest configuration, or an error if it no longer allows the request. Nil keeps View.
 	Refresh func() (*config.View, error)
+	// Arrived is when the request arrived, and Duration returns the expected time from the beginning of a model's answer to its end,
+	// 0 if it is not known. They are used for services whose endpoints report their speed. Duration may be nil.
+	Arrived  time.Time
+	Duration func(model string) time.Duration
 	// OnSend is called when an attempt begins, and OnAttempt at its end; they may be nil.
 	OnSend, OnAttempt func(RoutedAttempt)
 	// OnBroken is called when the connection of an attempt broke, after the check of its endpoint; it may be nil.
@@ -90,6 +94,8 @@
 	sentAt   time.Time // of the current attempt
 	// prepaid is set if the budget was already charged for the next attempt.
 	prepaid atomic.Bool
+
+	admission exchangeAdmission
 }
 
 // NewExchange prepares a routed request and counts it for the retry budget of its service. It sends nothing.
@@ -148,12 +154,15 @@
 	}
 }
 
-// checkAttempt returns an error if crashes, the route's attempts or the retry budget forbid another attempt. It charges
-// the budget for attempts after the first one.
+// checkAttempt returns an error if crashes, admission, the route's attempts or the retry budget forbid another attempt. It
+// charges the budget for attempts after the first one.
 func (x *Exchange) checkAttempt() error {
 	if err := x.checkCrashes(); err != nil {
 		return err
 	}
+	if err := x.checkAdmission(x.ran != result.NotRun); err != nil {
+		return err
+	}
 	if x.attempts == 0 {
 		return nil
 	}
@@ -216,6 +225,9 @@
 	if t := x.in.Route.TargetLatency; t > 0 {
 		wait = min(wait, 2*t)
 	}
+	if limit := x.admission.maxWait; limit > 0 {
+		wait = min(wait, limit)
+	}
 	return wait
 }
 
@@ -236,6 +248,7 @@
 	if x.in.OnSend != nil {
 		x.in.OnSend(x.describeAttempt(&r))
 	}
+	x.countServed(now)
 	x.sentAt = now
 	stallTimer := x.startAnswerTimer(&r, cancel)
 	resp, err := x.filter.spec.Router.Route(ctx, r.Addr, &req)
--- a/dispatch/routedanswer.go
+++ b/dispatch/routedanswer.go
@@ -40,6 +40,10 @@
 	if !x.in.Route.MayRepeat() || x.attempts+1 >= x.in.Route.Attempts || !x.budget.canWithdraw(x.filter.spec.Now()) {
 		return false
 	}
+	if x.checkAdmission(true) != nil { // this answer is the final one
+		return false
+	}
+	x.admission.decided = true
 	a.CountRun()
 	x.exclude = append(x.exclude, a.Endpoint)
 	a.err = engine.ErrFailed
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -182,7 +182,7 @@
 		}
 	}
 	g.dispatch = dispatch.New(dispatch.Spec{
-		Pool: g.pool, Poison: g.poison, OnCrash: g.crashes.add, OnClear: g.crashes.clear, IsDown: s.IsDown, GrantTrial: g.suspects.Grant, OnRefused: g.countRefusal, Router: s.Router, Rand: mathrand.Uint64, QueueWait: queueWait, Now: time.Now,
+		Pool: g.pool, Poison: g.poison, OnCrash: g.crashes.add, OnClear: g.crashes.clear, IsDown: s.IsDown, GrantTrial: g.suspects.Grant, OnRefused: g.countRefusal, OnNotAdmitted: g.countNotAdmitted, Router: s.Router, Rand: mathrand.Uint64, QueueWait: queueWait, Now: time.Now,
 		RetryRatio: retryBudgetShare * s.RetryRatio, RetryWindow: s.RetryWindow, RetryReserve: func() float64 { return retryBudgetShare * s.RetryReserve / float64(max(1, g.members())) },
 	})
 	g.releases = newReleases(g)
--- a/pipeline/routed.go
+++ b/pipeline/routed.go
@@ -258,6 +258,8 @@
 		},
 		Query: pool.RoutedQuery{Parts: m.Parts, Target: s.route.TargetLatency, Gap: s.route.TargetGap, Bytes: len(s.r.Body)},
 	}
+	in.Arrived = s.start
+	in.Duration = func(model string) time.Duration { return s.expectedDuration(model, m.ExpectedTokens) }
 	in.Assign = func(view *config.View, retry bool) (required, excluded string) {
 		if s.p.Routes.Releases == nil {
 			return "", ""
@@ -391,13 +393,22 @@
 // true if there is no deadline, or if the caller gave no estimate of the length or the length of an event is not known.
 func (s *routedStages) fitsDeadline(ctx context.Context, model string, tokens int64) bool {
 	deadline, ok := ctx.Deadline()
-	svc := s.view.Services[s.service]
-	if !ok || svc == nil || svc.Routed == nil || svc.Routed.TokensPerEvent <= 0 || s.r.Meta.ExpectedTokens <= 0 {
+	duration := s.expectedDuration(model, tokens)
+	if !ok || duration == 0 {
 		return true
 	}
+	return s.p.Now().Add(time.Duration(durationMargin * float64(duration))).Before(deadline)
+}
+
+// expectedDuration returns the time that a model's stream with the given number of tokens probably takes, or 0 if the caller gave
+// no estimate of the length or the time for an event is not known.
+func (s *routedStages) expectedDuration(model string, tokens int64) time.Duration {
+	svc := s.view.Services[s.service]
+	if svc == nil || svc.Routed == nil || svc.Routed.TokensPerEvent <= 0 || s.r.Meta.ExpectedTokens <= 0 {
+		return 0
+	}
 	events := float64(tokens) / float64(svc.Routed.TokensPerEvent)
-	estimate := s.p.Routes.EventIntervals.MeanMillis(s.service, model) * durationMargin * events
-	return s.p.Now().Add(time.Duration(estimate * float64(time.Millisecond))).Before(deadline)
+	return time.Duration(s.p.Routes.EventIntervals.MeanMillis(s.service, model) * events * float64(time.Millisecond))
 }
 
 // durationMargin is the factor by which an answer may take longer than estimated. Callers' estimates of the length are only
--- a/pipeline/routedrelay.go
+++ b/pipeline/routedrelay.go
@@ -285,6 +285,9 @@
 		return cause
 	}
 	s.answer.Fail(cause)
+	if begun {
+		s.exchange.MarkBegun()
+	}
 	s.outcome.Stream.Resumes++
 	for {
 		next, err := s.exchange.Do(s.modelName(), s.lastEventID)
--- a/pool/demand_test.go
+++ b/pool/demand_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/bramleytrail/bramleytrail/engine"
 	"github.com/bramleytrail/bramleytrail/hostlist"
 )
 
@@ -34,3 +35,26 @@
 		t.Error("a domain with one failed endpoint counts as unreachable")
 	}
 }
+
+// Guards against refusals at idle endpoints because reports are old, and against slots of endpoints that are not usable.
+func TestServiceLoad(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := routedPool("d0", 1, 2, 0, now, nil)
+	before := p.ServiceLoad("llm", now)
+	r, _, ok := p.Pick(routedQuery("m", 10), now)
+	if !ok || before.Slots == 0 || before.InUse != 0 {
+		t.Fatalf("%+v before requests", before)
+	}
+	slots := r.endpoint.host.Slots
+	r.RecordRoutedHeader(time.Millisecond, true, &engine.SlotLoad{Running: slots, Waiting: 3, Slots: slots, Slowness: 1}, 0, now)
+	if got := p.ServiceLoad("llm", now); got != (ServiceLoad{before.Slots, slots, 3}) {
+		t.Errorf("%+v with a full endpoint", got)
+	}
+	if got := p.ServiceLoad("llm", now.Add(peerRequestsTTL)); got != (ServiceLoad{before.Slots, 1, 0}) {
+		t.Errorf("%+v with an old report", got)
+	}
+	r.RecordStatement(true, 0, now)
+	if got := p.ServiceLoad("llm", now); got != (ServiceLoad{before.Slots - slots, 0, 0}) {
+		t.Errorf("%+v after the endpoint said that it leaves", got)
+	}
+}
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -37,6 +37,7 @@
 	choice           *routedChoice // of a routed request
 	expectedDelay    time.Duration // expected delay at the endpoint chosen for a routed request
 	expectedUncached int64         // prompt tokens that this endpoint probably has to process
+	shortestDelay    time.Duration // shortest expected delay at any endpoint that can take the routed request
 }
 
 // Shortage counts why the endpoints of a group could not be chosen.
@@ -61,16 +62,19 @@
 	// prompt tokens that the endpoint probably has to process.
 	ExpectedDelay    time.Duration
 	ExpectedUncached int64
-	service          string
-	tokens           int64
-	prefillTokens    int64 // prompt tokens in prefill; 0 after the first token
-	Started          int64 // start time of the endpoint's process, see hostlist.Host
-	suspect          bool
-	exclusive        bool // no other daemon may have a suspect at the endpoint
-	endpoint         *endpoint
-	pool             *Pool
-	pending          pendingPrefill
-	reservedAt       time.Time
+	// ShortestDelay is the shortest expected time until any endpoint that can take the request begins the answer. It is set by a dry
+	// run for a routed request.
+	ShortestDelay time.Duration
+	service       string
+	tokens        int64
+	prefillTokens int64 // prompt tokens in prefill; 0 after the first token
+	Started       int64 // start time of the endpoint's process, see hostlist.Host
+	suspect       bool
+	exclusive     bool // no other daemon may have a suspect at the endpoint
+	endpoint      *endpoint
+	pool          *Pool
+	pending       pendingPrefill
+	reservedAt    time.Time
 }
 
 // Pick selects an endpoint by the pool's policy and reserves capacity there. It returns false if no endpoint can take
@@ -90,7 +94,7 @@
 			break
 		}
 		if q.DryRun {
-			return Reservation{ExpectedDelay: q.expectedDelay, ExpectedUncached: q.expectedUncached}, shortage, true
+			return Reservation{ExpectedDelay: q.expectedDelay, ExpectedUncached: q.expectedUncached, ShortestDelay: q.shortestDelay}, shortage, true
 		}
 		if r, ok := best.reserve(&q, t.rules[q.Service], now); ok {
 			r.pool = p
--- a/pool/routed.go
+++ b/pool/routed.go
@@ -96,12 +96,16 @@
 		candidate.Unreachable = !allReachable && p.reachability.unreachable(candidate.Domain, now)
 	}
 	d := c.chooser.Choose(&c.request)
+	shortestMs := d.Chosen.DelayMs
 	for i := range d.Evaluations {
-		if r := d.Evaluations[i].Rejection; r != selection.Usable {
-			shortage.countRouted(r, &c.chooser.Candidates[i], now)
+		if e := &d.Evaluations[i]; e.Rejection != selection.Usable {
+			shortage.countRouted(e.Rejection, &c.chooser.Candidates[i], now)
+		} else {
+			shortestMs = min(shortestMs, e.DelayMs)
 		}
 	}
 	q.expectedDelay, q.expectedUncached = time.Duration(d.Chosen.DelayMs*float64(time.Millisecond)), d.Chosen.Uncached
+	q.shortestDelay = time.Duration(shortestMs * float64(time.Millisecond))
 	if d.Index < 0 {
 		return nil
 	}
