--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -24,8 +24,12 @@
 	decided         bool          // the next attempt was admitted already
 	begun           bool          // the caller has a part of the answer
 	maxWait         time.Duration // for capacity; 0 for no limit
+	refusal         string        // why the last refused attempt was refused
 }
 
+// NotAdmitted returns why package admission refused an attempt; empty if it refused none.
+func (x *Exchange) NotAdmitted() string { return x.admission.refusal }
+
 // MarkBegun records that the caller has a part of the answer: further attempts are not refused by admission.
 func (x *Exchange) MarkBegun() { x.admission.begun = true }
 
@@ -72,6 +76,7 @@
 	}
 	detail := fmt.Sprintf("Not admitted (%v): the answer would begin in %d ms and end %d ms later, %d ms remain; %d of %d slots are in use, %d requests wait.",
 		d.Reason, r.Delay.Milliseconds(), r.Duration.Milliseconds(), r.Remaining.Milliseconds(), load.InUse, load.Slots, load.Queued+load.Waiting)
+	x.admission.refusal = detail
 	return &result.Error{Code: x.failureCode(), Ran: x.ran, RetryAfter: d.RetryAfter, Detail: detail}
 }
 
--- a/dispatch/admission_test.go
+++ b/dispatch/admission_test.go
@@ -67,8 +67,8 @@
 				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 				defer cancel()
 				answer, err := f.NewExchange(ctx, in).Do("m", c.lastEvent)
-				if err == nil && answer.Status == http.StatusInternalServerError && answer.Retry() {
-					t.Error("a hopeless repeat")
+				if err == nil && answer.Status == http.StatusInternalServerError && (answer.Retry() || answer.exchange.NotAdmitted() == "") {
+					t.Error("a hopeless repeat, or no reason")
 				}
 				got := &result.Error{}
 				if err != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -426,6 +426,7 @@
 		f["release"], f["session"] = st.Release, strconv.FormatUint(st.Session, 16)
 		f["gap_ms"], f["resumed"], f["first_ms"] = st.MaxGap.Milliseconds(), st.Resumes, o.FirstByte.Milliseconds()
 	}
+	addNotRepeated(f, o)
 	if o.Err == nil {
 		g.log.WithFields(f).Info("request answered")
 		return
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -67,6 +67,9 @@
 	Confidence   float64
 	Choice       *choose.Choice // chat requests only; nil if the request ended before the choice
 	ClaimHolder
+	// NotRepeated is why the failure of an endpoint was the answer although the route allows another attempt; empty if admission allowed
+	// it.
+	NotRepeated string
 	// Stream describes a routed stream; nil for other answers.
 	Stream *StreamOutcome
 	Err    error // nil for a request that was answered completely
--- a/pipeline/routed.go
+++ b/pipeline/routed.go
@@ -304,6 +304,9 @@
 		if !failed && s.escalate(ctx, answer) {
 			continue
 		}
+		if failed {
+			s.outcome.NotRepeated = s.exchange.NotAdmitted()
+		}
 		answer.CountRun()
 		s.answer = answer
 		break
