--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -182,7 +182,7 @@
 		}
 	}
 	g.dispatch = dispatch.New(dispatch.Spec{
-		Pool: g.pool, Poison: g.poison, OnCrash: g.crashes.add, OnClear: g.crashes.clear, IsDown: s.IsDown, GrantTrial: g.suspects.Grant, OnRefused: g.countRefusal, Router: s.Router, Rand: mathrand.Uint64, QueueWait: queueWait, Now: time.Now,
+		Pool: g.pool, Poison: g.poison, OnCrash: g.crashes.add, OnClear: g.crashes.clear, IsDown: s.IsDown, GrantTrial: g.suspects.Grant, OnRefused: g.countRefusal, OnNotAdmitted: g.countNotAdmitted, Router: s.Router, Rand: mathrand.Uint64, QueueWait: queueWait, Now: time.Now,
 		RetryRatio: retryBudgetShare * s.RetryRatio, RetryWindow: s.RetryWindow, RetryReserve: func() float64 { return retryBudgetShare * s.RetryReserve / float64(max(1, g.members())) },
 	})
 	g.releases = newReleases(g)
@@ -279,9 +279,7 @@
 	case len(m.Crashes) > 0:
 		g.crashes.receive(m.Crashes)
 	case len(m.Estimates) > 0:
-		now := time.Now()
-		g.pool.SetPeerEstimates(m.From, m.Estimates, now)
-		g.pool.RecordPeerReports(m.Reports, now)
+		g.receiveEstimates(m)
 	case m.Endpoint != "":
 		g.pool.RecordPeerPrefill(m.Endpoint, m.Work, time.Now())
 	default:
@@ -384,6 +382,7 @@
 		f["release"], f["session"] = st.Release, strconv.FormatUint(st.Session, 16)
 		f["gap_ms"], f["resumed"], f["first_ms"] = st.MaxGap.Milliseconds(), st.Resumes, o.FirstByte.Milliseconds()
 	}
+	addNotRepeated(f, o)
 	if o.Err == nil {
 		g.log.WithFields(f).Info("request answered")
 		return
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -38,6 +38,7 @@
 	expectedDelay    time.Duration // expected delay at the endpoint chosen for a routed request
 	expectedUncached int64         // prompt tokens that this endpoint probably has to process
 	preference       selection.Preference
+	shortestDelay    time.Duration // shortest expected delay at any endpoint that can take the routed request
 }
 
 // Shortage counts why the endpoints of a group could not be chosen.
@@ -63,7 +64,10 @@
 	ExpectedDelay    time.Duration
 	ExpectedUncached int64
 	// Preference is why the endpoint was preferred for a routed request.
-	Preference    selection.Preference
+	Preference selection.Preference
+	// ShortestDelay is the shortest expected time until any endpoint that can take the request begins the answer. It is set by a dry
+	// run for a routed request.
+	ShortestDelay time.Duration
 	service       string
 	tokens        int64
 	prefillTokens int64 // prompt tokens in prefill; 0 after the first token
@@ -93,7 +97,7 @@
 			break
 		}
 		if q.DryRun {
-			return Reservation{ExpectedDelay: q.expectedDelay, ExpectedUncached: q.expectedUncached}, shortage, true
+			return Reservation{ExpectedDelay: q.expectedDelay, ExpectedUncached: q.expectedUncached, ShortestDelay: q.shortestDelay}, shortage, true
 		}
 		if r, ok := best.reserve(&q, t.rules[q.Service], now); ok {
 			r.pool = p
