gateway: notifications do not make a daemon call a store that refuses it

A daemon that could not read a changed document polled at once at each further notification, also while the store refused its host. The delays between attempts apply now, and the document is read after the outage.

--- a/gateway/notify.go
+++ b/gateway/notify.go
@@ -132,6 +132,9 @@
 		entry := kv.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted}
 		if v.g.spec.Documents.Kind(e.Key) == KindOperator {
 			v.docPending.Store(true)
+			if v.unavailable.Load() { // the poll after the outage reads it
+				return false
+			}
 			var ok bool
 			if entry, ok = v.readOperatorDoc(e); !ok {
 				v.pollNow = true
--- a/gateway/poll.go
+++ b/gateway/poll.go
@@ -86,7 +86,7 @@
 			} else if next, ok := v.acceptAndDefer(m, now); ok && next.After(due) {
 				due = next
 			}
-			if v.pollNow {
+			if v.pollNow && !unavailable { // otherwise the delays between attempts limit the calls to a store that refuses this host
 				due = now
 			}
 			if at := v.rereadAt; !unavailable && !at.IsZero() && at.Before(due) {
