declare, platform, ctl: check a configuration before it is published

Change: findings have a stable code, a severity, a line and an example. declare.Warn and declare.WarnRoutes report what daemons accept but what has no effect; declare.CheckRoutes holds the error of ParseConfig. The new command bramleyctl check reads a directory, a file or standard input, declarations or a platform configuration, and shows differences by meaning. Checked: go build, go vet, runs on both examples and on edited copies.

--- a/ctl/main.go
+++ b/ctl/main.go
@@ -118,6 +118,7 @@
 		data        any
 	}{
 		{"validate", "Check a directory of declarations as one set", &validateCommand{app: a}},
+		{"check", "Check declarations or a platform configuration before it is published", &checkCommand{app: a}},
 		{"diff", "Show how a directory differs from the revision in force", &diffCommand{app: a}},
 		{"publish", "Check a directory and publish it as the next revision", &publishCommand{app: a}},
 		{"status", "Show which daemon has which revision", &statusCommand{app: a}},
--- a/declare/check.go
+++ b/declare/check.go
@@ -23,8 +23,8 @@
 	maxStepTime    = 30 * 24 * time.Hour
 )
 
-// Check validates the whole set and returns every finding. It takes the file names in the findings from sources, which
-// may be nil.
+// Check validates the whole set and returns every error; daemons refuse a set with any. It takes the files, lines and examples
+// in the findings from sources, which may be nil.
 func Check(set object.Set, sources Sources) []Finding {
 	c := checker{set: set, sources: sources, index: newIndex(set)}
 	c.checkDomains()
@@ -80,44 +80,51 @@
 	findings []Finding
 }
 
-func (c *checker) report(ref Ref, field, problem, want string) {
-	c.findings = append(c.findings, Finding{File: c.sources[ref], Kind: ref.Kind, Name: ref.Name, Field: field, Problem: problem, Want: want})
+func (c *checker) report(code Code, ref Ref, field, problem, want string) {
+	f := NewFinding(code, ref, field, problem, want)
+	if src, ok := c.sources[ref]; ok { // without sources, the findings are not for operators
+		f.File, f.Line = src.File, src.line(field)
+	}
+	if c.sources != nil {
+		f.Example = example(ref.Kind, field)
+	}
+	c.findings = append(c.findings, f)
 }
 
 // checkRange reports a value outside low to high, both inclusive.
 func (c *checker) checkRange(ref Ref, field string, v, low, high int64) {
 	if v < low || v > high {
-		c.report(ref, field, fmt.Sprintf("%d is out of range", v), fmt.Sprintf("%d to %d", low, high))
+		c.report(CodeOutOfRange, ref, field, fmt.Sprintf("%d is out of range", v), fmt.Sprintf("%d to %d", low, high))
 	}
 }
 
 // checkDuration reports a duration that is not positive or exceeds high.
 func (c *checker) checkDuration(ref Ref, field string, v, high time.Duration) {
 	if v <= 0 || v > high {
-		c.report(ref, field, fmt.Sprintf("%s is out of range", v), fmt.Sprintf("above 0s and at most %s", high))
+		c.report(CodeOutOfRange, ref, field, fmt.Sprintf("%s is out of range", v), fmt.Sprintf("above 0s and at most %s", high))
 	}
 }
 
 func (c *checker) checkDomains() {
 	if len(c.set.FailureDomains) == 0 {
-		c.report(Ref{Kind: object.KindFailureDomain}, "", "none is declared", "at least one failure domain")
+		c.report(CodeMissing, Ref{Kind: object.KindFailureDomain}, "", "none is declared", "at least one failure domain")
 	}
 	in := 0
 	for _, d := range c.set.FailureDomains {
 		ref := Ref{object.KindFailureDomain, d.Name}
 		if d.Region == "" {
-			c.report(ref, "region", "is missing", "the region's name")
+			c.report(CodeMissing, ref, "region", "is missing", "the region's name")
 		}
 		switch d.State {
 		case object.DomainIn:
 			in++
 		case object.DomainOut:
 		default:
-			c.report(ref, "state", fmt.Sprintf("%q is unknown", d.State), "in or out")
+			c.report(CodeUnknownValue, ref, "state", fmt.Sprintf("%q is unknown", d.State), "in or out")
 		}
 	}
 	if in == 0 && len(c.set.FailureDomains) > 0 {
-		c.report(Ref{Kind: object.KindFailureDomain}, "state", "every failure domain is out", "at least one failure domain in service")
+		c.report(CodeNoDomainInService, Ref{Kind: object.KindFailureDomain}, "state", "every failure domain is out", "at least one failure domain in service")
 	}
 }
 
@@ -125,14 +132,14 @@
 	for _, s := range c.set.Services {
 		ref := Ref{object.KindService, s.Name}
 		if s.Type != object.ServiceModel && s.Type != object.ServicePlain {
-			c.report(ref, "type", fmt.Sprintf("%q is unknown", s.Type), "model or plain")
+			c.report(CodeUnknownValue, ref, "type", fmt.Sprintf("%q is unknown", s.Type), "model or plain")
 		}
 		if len(s.FailureDomains) == 0 {
-			c.report(ref, "failureDomains", "is empty", "at least one failure domain")
+			c.report(CodeMissing, ref, "failureDomains", "is empty", "at least one failure domain")
 		}
 		for i, d := range s.FailureDomains {
 			if _, ok := c.index.domains[d]; !ok {
-				c.report(ref, fmt.Sprintf("failureDomains[%d]", i), fmt.Sprintf("failure domain %q is not declared", d), "a declared failure domain")
+				c.report(CodeNotDeclared, ref, fmt.Sprintf("failureDomains[%d]", i), fmt.Sprintf("failure domain %q is not declared", d), "a declared failure domain")
 			}
 		}
 		c.checkRange(ref, "limits.slots", int64(s.Limits.Slots), 1, maxSlots)
@@ -154,12 +161,12 @@
 		svc, ok := c.index.services[m.Service]
 		switch {
 		case !ok:
-			c.report(ref, "service", fmt.Sprintf("service %q is not declared", m.Service), "a declared service")
+			c.report(CodeNotDeclared, ref, "service", fmt.Sprintf("service %q is not declared", m.Service), "a declared service")
 		case svc.Type != object.ServiceModel:
-			c.report(ref, "service", fmt.Sprintf("service %q has type %s", m.Service, svc.Type), "a service of type model")
+			c.report(CodeWrongType, ref, "service", fmt.Sprintf("service %q has type %s", m.Service, svc.Type), "a service of type model")
 		}
 		if len(c.index.byModel[m.Name]) == 0 {
-			c.report(ref, "", "has no version", "at least one Version that names this model")
+			c.report(CodeMissing, ref, "", "has no version", "at least one Version that names this model")
 		}
 	}
 }
@@ -168,12 +175,12 @@
 	for _, v := range c.set.Versions {
 		ref := Ref{object.KindVersion, v.Name}
 		if _, ok := c.index.models[v.Model]; !ok {
-			c.report(ref, "model", fmt.Sprintf("model %q is not declared", v.Model), "a declared model")
+			c.report(CodeNotDeclared, ref, "model", fmt.Sprintf("model %q is not declared", v.Model), "a declared model")
 		}
 		switch v.State {
 		case object.VersionActive, object.VersionWithdrawn, object.VersionRetired:
 		default:
-			c.report(ref, "state", fmt.Sprintf("%q is unknown", v.State), "active, withdrawn or retired")
+			c.report(CodeUnknownValue, ref, "state", fmt.Sprintf("%q is unknown", v.State), "active, withdrawn or retired")
 		}
 		c.checkFraction(ref, "quality", v.Quality)
 		c.checkRange(ref, "prices.input", v.Prices.Input, 0, maxPrice)
@@ -185,7 +192,7 @@
 // checkFraction reports a value outside 0 to 1, or NaN.
 func (c *checker) checkFraction(ref Ref, field string, v float64) {
 	if !(v >= 0 && v <= 1) {
-		c.report(ref, field, fmt.Sprintf("%g is out of range", v), "0 to 1")
+		c.report(CodeOutOfRange, ref, field, fmt.Sprintf("%g is out of range", v), "0 to 1")
 	}
 }
 
@@ -194,7 +201,7 @@
 		ref := Ref{object.KindSessionPolicy, p.Name}
 		c.checkDuration(ref, "maxAge", p.MaxAge, maxSessionAge)
 		if p.OnWithdrawn != object.WithdrawnMove && p.OnWithdrawn != object.WithdrawnRefuse {
-			c.report(ref, "onWithdrawn", fmt.Sprintf("%q is unknown", p.OnWithdrawn), "move or refuse")
+			c.report(CodeUnknownValue, ref, "onWithdrawn", fmt.Sprintf("%q is unknown", p.OnWithdrawn), "move or refuse")
 		}
 	}
 }
@@ -203,7 +210,7 @@
 	for _, cs := range c.set.Cascades {
 		ref := Ref{object.KindCascade, cs.Name}
 		if len(cs.Steps) == 0 {
-			c.report(ref, "steps", "is empty", "at least one model")
+			c.report(CodeMissing, ref, "steps", "is empty", "at least one model")
 		}
 		c.checkFraction(ref, "minConfidence", cs.MinConfidence)
 		c.checkRange(ref, "minTokens", cs.MinTokens, 0, maxTokens)
@@ -211,12 +218,12 @@
 		for i, step := range cs.Steps {
 			field := fmt.Sprintf("steps[%d]", i)
 			if _, ok := c.index.cascades[step]; ok {
-				c.report(ref, field, fmt.Sprintf("%q is a cascade", step), "a model; cascades can't contain cascades")
+				c.report(CodeWrongType, ref, field, fmt.Sprintf("%q is a cascade", step), "a model; cascades can't contain cascades")
 				continue
 			}
 			c.checkModelRef(ref, field, step)
 			if seen[step] {
-				c.report(ref, field, fmt.Sprintf("model %q appears twice", step), "each model once")
+				c.report(CodeDuplicate, ref, field, fmt.Sprintf("model %q appears twice", step), "each model once")
 			}
 			seen[step] = true
 		}
@@ -226,7 +233,7 @@
 // checkModelRef reports a reference to a model that is not declared or that has only retired versions.
 func (c *checker) checkModelRef(ref Ref, field, name string) {
 	if _, ok := c.index.models[name]; !ok {
-		c.report(ref, field, fmt.Sprintf("model %q is not declared", name), "a declared model")
+		c.report(CodeNotDeclared, ref, field, fmt.Sprintf("model %q is not declared", name), "a declared model")
 		return
 	}
 	versions := c.index.byModel[name]
@@ -236,7 +243,7 @@
 		}
 	}
 	if len(versions) > 0 {
-		c.report(ref, field, fmt.Sprintf("model %q has only retired versions", name), "a model with a version that is not retired")
+		c.report(CodeNoUsableVersion, ref, field, fmt.Sprintf("model %q has only retired versions", name), "a model with a version that is not retired")
 	}
 }
 
@@ -253,7 +260,7 @@
 		c.checkRange(ref, "limits.burst", int64(t.Limits.Burst), 1, maxConcurrent)
 		c.checkRange(ref, "limits.maxTokens", t.Limits.MaxTokens, 1, maxTokens)
 		if !(t.Limits.RequestsPerSecond > 0 && t.Limits.RequestsPerSecond <= maxRate) {
-			c.report(ref, "limits.requestsPerSecond", fmt.Sprintf("%g is out of range", t.Limits.RequestsPerSecond), fmt.Sprintf("above 0 and at most %d", maxRate))
+			c.report(CodeOutOfRange, ref, "limits.requestsPerSecond", fmt.Sprintf("%g is out of range", t.Limits.RequestsPerSecond), fmt.Sprintf("above 0 and at most %d", maxRate))
 		}
 	}
 }
@@ -261,15 +268,15 @@
 // checkTeamKeys reports invalid key hashes and those in keyOwner, which maps the hashes seen so far to their teams.
 func (c *checker) checkTeamKeys(ref Ref, t object.Team, keyOwner map[string]string) {
 	if len(t.KeyHashes) == 0 {
-		c.report(ref, "keyHashes", "is empty", "at least one hex SHA-256 hash")
+		c.report(CodeMissing, ref, "keyHashes", "is empty", "at least one hex SHA-256 hash")
 	}
 	for i, h := range t.KeyHashes {
 		field := fmt.Sprintf("keyHashes[%d]", i)
 		if _, err := hex.DecodeString(h); err != nil || len(h) != sha256HexChars {
-			c.report(ref, field, "is not a SHA-256 hash", "64 lower-case hex digits")
+			c.report(CodeInvalidKeyHash, ref, field, "is not a SHA-256 hash", "64 lower-case hex digits")
 		}
 		if other, ok := keyOwner[h]; ok {
-			c.report(ref, field, fmt.Sprintf("is also a key of team %q", other), "a key that belongs to one team")
+			c.report(CodeSharedKey, ref, field, fmt.Sprintf("is also a key of team %q", other), "a key that belongs to one team")
 		}
 		keyOwner[h] = t.Name
 	}
@@ -277,7 +284,7 @@
 
 func (c *checker) checkTeamRefs(ref Ref, t object.Team) {
 	if len(t.Models) == 0 && len(t.Services) == 0 {
-		c.report(ref, "models", "the team may use no model and no service", "at least one model or plain service")
+		c.report(CodeNoPermission, ref, "models", "the team may use no model and no service", "at least one model or plain service")
 	}
 	for i, m := range t.Models {
 		c.checkModelRef(ref, fmt.Sprintf("models[%d]", i), m)
@@ -287,14 +294,14 @@
 		svc, ok := c.index.services[name]
 		switch {
 		case !ok:
-			c.report(ref, field, fmt.Sprintf("service %q is not declared", name), "a declared service")
+			c.report(CodeNotDeclared, ref, field, fmt.Sprintf("service %q is not declared", name), "a declared service")
 		case svc.Type != object.ServicePlain:
-			c.report(ref, field, fmt.Sprintf("service %q has type %s", name, svc.Type), "a service of type plain; model services are allowed through models")
+			c.report(CodeWrongType, ref, field, fmt.Sprintf("service %q has type %s", name, svc.Type), "a service of type plain; model services are allowed through models")
 		}
 	}
 	if t.SessionPolicy != "" {
 		if _, ok := c.index.policies[t.SessionPolicy]; !ok {
-			c.report(ref, "sessionPolicy", fmt.Sprintf("session policy %q is not declared", t.SessionPolicy), "a declared session policy")
+			c.report(CodeNotDeclared, ref, "sessionPolicy", fmt.Sprintf("session policy %q is not declared", t.SessionPolicy), "a declared session policy")
 		}
 	}
 	c.checkTeamCascade(ref, t)
@@ -307,7 +314,7 @@
 	}
 	cs, ok := c.index.cascades[t.Cascade]
 	if !ok {
-		c.report(ref, "cascade", fmt.Sprintf("cascade %q is not declared", t.Cascade), "a declared cascade")
+		c.report(CodeNotDeclared, ref, "cascade", fmt.Sprintf("cascade %q is not declared", t.Cascade), "a declared cascade")
 		return
 	}
 	allowed := map[string]bool{}
@@ -316,7 +323,7 @@
 	}
 	for _, step := range cs.Steps {
 		if !allowed[step] {
-			c.report(ref, "cascade", fmt.Sprintf("step %q of cascade %q is not among the team's models", step, cs.Name), "a cascade of allowed models")
+			c.report(CodeCascadeNotAllowed, ref, "cascade", fmt.Sprintf("step %q of cascade %q is not among the team's models", step, cs.Name), "a cascade of allowed models")
 		}
 	}
 }
@@ -336,11 +343,11 @@
 		}
 	}
 	if !found {
-		c.report(ref, "models", "no allowed model has an active version", "at least one active version")
+		c.report(CodeNoUsableVersion, ref, "models", "no allowed model has an active version", "at least one active version")
 		return
 	}
 	if best < t.QualityTarget {
-		c.report(ref, "qualityTarget", fmt.Sprintf("%g is above the best allowed version's quality %g", t.QualityTarget, best), fmt.Sprintf("at most %g, or a better allowed model", best))
+		c.report(CodeUnreachableQuality, ref, "qualityTarget", fmt.Sprintf("%g is above the best allowed version's quality %g", t.QualityTarget, best), fmt.Sprintf("at most %g, or a better allowed model", best))
 	}
 }
 
@@ -350,13 +357,13 @@
 		ref := Ref{object.KindRollout, r.Name}
 		c.checkModelRef(ref, "model", r.Model)
 		if other, ok := byModel[r.Model]; ok {
-			c.report(ref, "model", fmt.Sprintf("model %q already has roll-out %q", r.Model, other), "one roll-out per model")
+			c.report(CodeDuplicate, ref, "model", fmt.Sprintf("model %q already has roll-out %q", r.Model, other), "one roll-out per model")
 		}
 		byModel[r.Model] = r.Name
 		c.checkRolloutVersion(ref, "from", r.From, r.Model)
 		c.checkRolloutVersion(ref, "to", r.To, r.Model)
 		if r.From == r.To {
-			c.report(ref, "to", "equals from", "a different version")
+			c.report(CodeSameVersion, ref, "to", "equals from", "a different version")
 		}
 		c.checkRolloutSteps(ref, r)
 	}
@@ -367,22 +374,22 @@
 	v, ok := c.index.versions[name]
 	switch {
 	case !ok:
-		c.report(ref, field, fmt.Sprintf("version %q is not declared", name), "a declared version")
+		c.report(CodeNotDeclared, ref, field, fmt.Sprintf("version %q is not declared", name), "a declared version")
 	case v.Model != model:
-		c.report(ref, field, fmt.Sprintf("version %q belongs to model %q", name, v.Model), "a version of model "+model)
+		c.report(CodeWrongType, ref, field, fmt.Sprintf("version %q belongs to model %q", name, v.Model), "a version of model "+model)
 	case v.State == object.VersionRetired:
-		c.report(ref, field, fmt.Sprintf("version %q is retired", name), "a version that is not retired")
+		c.report(CodeNoUsableVersion, ref, field, fmt.Sprintf("version %q is retired", name), "a version that is not retired")
 	}
 }
 
 func (c *checker) checkRolloutSteps(ref Ref, r object.Rollout) {
 	if len(r.Steps) == 0 {
-		c.report(ref, "steps", "is empty", "at least one share")
+		c.report(CodeMissing, ref, "steps", "is empty", "at least one share")
 	}
 	previous := 0.0
 	for i, s := range r.Steps {
 		if !(s > previous && s <= 1) {
-			c.report(ref, fmt.Sprintf("steps[%d]", i), fmt.Sprintf("%g does not ascend from %g", s, previous), "shares that ascend, above 0 and at most 1")
+			c.report(CodeStepsNotAscending, ref, fmt.Sprintf("steps[%d]", i), fmt.Sprintf("%g does not ascend from %g", s, previous), "shares that ascend, above 0 and at most 1")
 		}
 		previous = s
 	}
--- a/declare/load.go
+++ b/declare/load.go
@@ -1,6 +1,7 @@
 package declare
 
 import (
+	"errors"
 	"fmt"
 	"io/fs"
 	"os"
@@ -15,9 +16,9 @@
 	"github.com/bramleytrail/bramleytrail/object"
 )
 
-// maxFileBytes bounds one declaration file. All declarations of a deployment with 18 versions and 100 teams take less
+// MaxFileBytes bounds one declaration file. All declarations of a deployment with 18 versions and 100 teams take less
 // than 100 KB.
-const maxFileBytes = 4 << 20
+const MaxFileBytes = 4 << 20
 
 // Ref identifies a declared object.
 type Ref struct {
@@ -25,9 +26,6 @@
 	Name string
 }
 
-// Sources maps each object to the file that declares it.
-type Sources map[Ref]string
-
 // envelope holds the fields that every document has.
 type envelope struct {
 	APIVersion string      `yaml:"apiVersion"`
@@ -80,18 +78,29 @@
 	findings []Finding
 }
 
-func (l *loader) report(file string, ref Ref, field, problem, want string) {
-	l.findings = append(l.findings, Finding{File: file, Kind: ref.Kind, Name: ref.Name, Field: field, Problem: problem, Want: want})
+func (l *loader) report(code Code, file string, line int, ref Ref, field, problem, want string) {
+	f := NewFinding(code, ref, field, problem, want)
+	f.File, f.Line, f.Example = file, line, example(ref.Kind, "")
+	l.findings = append(l.findings, f)
+}
+
+// errorLine returns the line that a YAML error names, or otherwise.
+func errorLine(err error, otherwise int) int {
+	var ye yaml.Error
+	if errors.As(err, &ye) && ye.GetToken() != nil && ye.GetToken().Position != nil {
+		return ye.GetToken().Position.Line
+	}
+	return otherwise
 }
 
 func (l *loader) addFile(name string, data []byte) {
-	if len(data) > maxFileBytes {
-		l.report(name, Ref{}, "", fmt.Sprintf("file has %d bytes", len(data)), fmt.Sprintf("at most %d bytes", maxFileBytes))
+	if len(data) > MaxFileBytes {
+		l.report(CodeTooLarge, name, 0, Ref{}, "", fmt.Sprintf("file has %d bytes", len(data)), fmt.Sprintf("at most %d bytes", MaxFileBytes))
 		return
 	}
 	file, err := parser.ParseBytes(data, 0)
 	if err != nil {
-		l.report(name, Ref{}, "", firstLine(err), "a valid YAML document")
+		l.report(CodeSyntax, name, errorLine(err, 0), Ref{}, "", firstLine(err), "a valid YAML document")
 		return
 	}
 	for _, doc := range file.Docs {
@@ -105,29 +114,30 @@
 func (l *loader) addDocument(file string, body ast.Node) {
 	var env envelope
 	if err := yaml.NodeToValue(body, &env, yaml.Strict()); err != nil {
-		l.report(file, Ref{}, "", firstLine(err), "the fields apiVersion, kind, name and spec")
+		l.report(CodeSyntax, file, errorLine(err, NodeLine(body)), Ref{}, "", firstLine(err), "the fields apiVersion, kind, name and spec")
 		return
 	}
-	ref := Ref{env.Kind, env.Name}
+	ref, src := Ref{env.Kind, env.Name}, Source{file, body}
 	if env.APIVersion != object.APIVersion {
-		l.report(file, ref, "apiVersion", fmt.Sprintf("%q is not supported", env.APIVersion), object.APIVersion)
+		l.report(CodeUnsupportedVersion, file, src.line("apiVersion"), ref, "apiVersion", fmt.Sprintf("%q is not supported", env.APIVersion), object.APIVersion)
 		return
 	}
 	if !validName(env.Name) {
-		l.report(file, ref, "name", fmt.Sprintf("%q is not a valid name", env.Name), "1 to 63 of a-z, 0-9, '-' and '.', first a letter or digit")
+		l.report(CodeInvalidName, file, src.line("name"), ref, "name", fmt.Sprintf("%q is not a valid name", env.Name), "1 to 63 of a-z, 0-9, '-' and '.', first a letter or digit")
 		return
 	}
 	if first, ok := l.sources[ref]; ok {
-		l.report(file, ref, "name", "declared twice, first in "+first, "one declaration of each name and kind")
+		l.report(CodeDuplicate, file, src.line("name"), ref, "name", "declared twice, first in "+first.File, "one declaration of each name and kind")
 		return
 	}
-	l.sources[ref] = file
-	l.addObject(file, ref, env.Spec)
+	l.sources[ref] = src
+	l.addObject(src, ref, env.Spec)
 }
 
-func (l *loader) addObject(file string, ref Ref, spec ast.Node) {
+func (l *loader) addObject(src Source, ref Ref, spec ast.Node) {
+	file := src.File
 	if spec == nil || spec.Type() == ast.NullType {
-		l.report(file, ref, "spec", "is missing", "the fields of a "+string(ref.Kind))
+		l.report(CodeMissing, file, src.line("name"), ref, "spec", "is missing", "the fields of a "+string(ref.Kind))
 		return
 	}
 	var err error
@@ -149,11 +159,11 @@
 	case object.KindRollout:
 		err = decodeSpec(spec, &l.set.Rollouts, object.Rollout{Name: ref.Name, Step: -1})
 	default:
-		l.report(file, ref, "kind", fmt.Sprintf("%q is unknown", ref.Kind), "one of "+kindList())
+		l.report(CodeUnknownValue, file, src.line("kind"), ref, "kind", fmt.Sprintf("%q is unknown", ref.Kind), "one of "+kindList())
 		return
 	}
 	if err != nil {
-		l.report(file, ref, "spec", firstLine(err), "only the documented fields, each with its type")
+		l.report(CodeInvalidField, file, errorLine(err, src.line("spec")), ref, "spec", firstLine(err), "only the documented fields, each with its type")
 	}
 }
 
--- a/declare/placement.go
+++ b/declare/placement.go
@@ -16,7 +16,7 @@
 		return
 	}
 	if s.Type != object.ServiceModel {
-		c.report(ref, "placement.enabled", fmt.Sprintf("the service has type %s", s.Type), "a service of type model")
+		c.report(CodeWrongType, ref, "placement.enabled", fmt.Sprintf("the service has type %s", s.Type), "a service of type model")
 	}
 	c.checkRange(ref, "placement.versionsPerEndpoint", int64(p.VersionsPerEndpoint), 1, maxVersionsPerEndpoint)
 }
@@ -30,10 +30,10 @@
 	base, ok := c.index.versions[v.AdapterOf]
 	switch {
 	case !ok:
-		c.report(ref, "adapterOf", fmt.Sprintf("version %q is not declared", v.AdapterOf), "a declared version")
+		c.report(CodeNotDeclared, ref, "adapterOf", fmt.Sprintf("version %q is not declared", v.AdapterOf), "a declared version")
 	case base.AdapterOf != "":
-		c.report(ref, "adapterOf", fmt.Sprintf("version %q is an adapter", v.AdapterOf), "a version with weights of its own")
+		c.report(CodeWrongType, ref, "adapterOf", fmt.Sprintf("version %q is an adapter", v.AdapterOf), "a version with weights of its own")
 	case c.index.models[base.Model].Service != c.index.models[v.Model].Service:
-		c.report(ref, "adapterOf", fmt.Sprintf("version %q belongs to another service", v.AdapterOf), "a version of the same service")
+		c.report(CodeWrongType, ref, "adapterOf", fmt.Sprintf("version %q belongs to another service", v.AdapterOf), "a version of the same service")
 	}
 }
--- a/object/object.go
+++ b/object/object.go
@@ -18,6 +18,7 @@
 	KindSessionPolicy Kind = "SessionPolicy"
 	KindCascade       Kind = "Cascade"
 	KindRollout       Kind = "Rollout"
+	KindRoute         Kind = "Route" // part of the platform's configuration, not declared in files
 )
 
 // Set is a complete set of declared objects, each list ordered by name.
@@ -86,6 +87,9 @@
 	// ColdPerSecond is the number of requests per second, over all daemons, that an endpoint can take while it is cold; 0
 	// if it can take as many as a warm one.
 	ColdPerSecond float64 `json:"coldPerSecond,omitempty"`
+	// Connections is the number of connections that an endpoint accepts; 0 if unknown. Daemons do not use it: only the check before
+	// a publication compares it with the slots.
+	Connections int `json:"connections,omitempty"`
 	// TokensPerEvent is the number of tokens in one event of a stream; 0 if unknown.
 	TokensPerEvent int `json:"tokensPerEvent,omitempty"`
 	// Tariffs are the tariffs of the service's models, by name. A model without one has no declared price.
