--- a/config/holder.go
+++ b/config/holder.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"sync/atomic"
+
+	"github.com/bramleytrail/bramleytrail/declare"
 )
 
 // Holder keeps the newest valid revision that the daemon has seen. It is safe for concurrent use; View and Revision
@@ -59,7 +61,7 @@
 func (h *Holder) ApplyView(view *View) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if view.Revision.Number < h.Revision().Number {
+	if declare.Outdated(view.Revision.Number, h.Revision().Number) {
 		return false
 	}
 	h.setLocked(view)
--- a/ctl/check.go
+++ b/ctl/check.go
@@ -35,7 +35,7 @@
 	Warnings int               `json:"warnings"`
 	Findings []declare.Finding `json:"findings"`
 	Against  string            `json:"against,omitempty"`
-	Changes  []declare.Change  `json:"changes,omitempty"` // from Against; none if there are errors
+	Changes  []declare.Change  `json:"changes,omitempty"` // since Against; none if the content has errors
 }
 
 // configuration is a checked configuration: declared objects, or the operators' configuration of the platform if document is set.
@@ -43,6 +43,8 @@
 	set      object.Set
 	document *platform.Config
 	platform bool // also set if the document has errors and so is nil
+	name     string
+	data     []byte // content of the document
 	findings []declare.Finding
 }
 
@@ -76,6 +78,11 @@
 	if err != nil {
 		return out, err
 	}
+	if !declare.HasErrors(cfg.findings) && (c.Against != "" || c.InForce) {
+		if err := c.compare(&cfg, &out); err != nil {
+			return out, err
+		}
+	}
 	out.Findings = append([]declare.Finding{}, cfg.findings...)
 	for _, f := range out.Findings {
 		if f.Severity == declare.SeverityError {
@@ -83,9 +90,11 @@
 		}
 	}
 	out.Warnings, out.OK = len(out.Findings)-out.Errors, len(out.Findings) == 0
-	if out.Errors > 0 || c.Against == "" && !c.InForce {
-		return out, nil
-	}
+	return out, nil
+}
+
+// compare adds the changes to out, and the findings of the version to cfg if it is compared with the one in force.
+func (c *checkCommand) compare(cfg *configuration, out *checkOutput) (err error) {
 	var other configuration
 	if c.InForce {
 		other, out.Against, err = c.loadInForce(cfg.platform)
@@ -95,17 +104,20 @@
 	}
 	switch {
 	case err != nil:
-		return out, err
+		return err
 	case other.platform != cfg.platform:
-		return out, fmt.Errorf("%s is another kind of configuration", out.Against)
+		return fmt.Errorf("%s is another kind of configuration", out.Against)
 	case declare.HasErrors(other.findings):
-		return out, fmt.Errorf("%s has errors; check it first", out.Against)
-	case cfg.platform:
-		out.Changes = platform.DiffConfig(other.document, cfg.document)
-	default:
+		return fmt.Errorf("%s has errors; check it first", out.Against)
+	case !cfg.platform:
 		out.Changes = declare.DiffMeaning(other.set, cfg.set)
+		return nil
 	}
-	return out, nil
+	out.Changes = platform.DiffConfig(other.document, cfg.document)
+	if c.InForce {
+		cfg.findings = append(cfg.findings, platform.CheckVersion(cfg.name, cfg.data, cfg.document, other.document, out.Changes)...)
+	}
+	return nil
 }
 
 // retryBudget returns the retry budget in the settings file, or nil without one.
@@ -160,7 +172,7 @@
 
 func checkDocument(name string, data []byte, budget *declare.RetryBudget) configuration {
 	doc, findings := platform.CheckConfig(name, data, budget)
-	return configuration{document: doc, platform: true, findings: findings}
+	return configuration{document: doc, platform: true, name: name, data: data, findings: findings}
 }
 
 // checkDeclared adds the findings of the whole set to those of its files. Warnings are only determined for a set without errors.
--- a/declare/routes.go
+++ b/declare/routes.go
@@ -23,6 +23,23 @@
 	return c.findings
 }
 
+// Outdated reports whether daemons ignore a set with routes because its version is below the one in force.
+func Outdated(version, inForce uint64) bool { return version < inForce }
+
+// CheckVersion compares the version of a set with routes with the one in force. Daemons apply another set with the version in
+// force, but its version then no longer tells which of the two a daemon has.
+func CheckVersion(version, inForce uint64, changed bool) []Finding {
+	var c routeChecker
+	want := fmt.Sprintf("above %d", inForce)
+	switch {
+	case Outdated(version, inForce):
+		c.report(CodeVersionOutdated, "", 0, "", "version", fmt.Sprintf("%d is below %d, which is in force", version, inForce), want)
+	case version == inForce && changed:
+		c.report(CodeVersionUnchanged, "", 0, "", "version", fmt.Sprintf("%d is in force with other content", version), want)
+	}
+	return c.findings
+}
+
 // WarnRoutes returns the parts of a set with routes that have no effect or contradict each other. Daemons accept them. Attempts
 // are compared with the retry budget unless it is nil.
 func WarnRoutes(set object.Set, budget *RetryBudget) []Finding {
--- a/declare/rules.go
+++ b/declare/rules.go
@@ -43,6 +43,7 @@
 	CodeSameVersion        Code = "same-version"
 	CodeStepsNotAscending  Code = "steps-not-ascending"
 	CodeRouteNoService     Code = "route-without-service"
+	CodeVersionOutdated    Code = "version-outdated"
 )
 
 // Codes of warnings.
@@ -68,11 +69,12 @@
 	CodeConnectionsShort  Code = "connections-below-slots"
 	CodeColdRate          Code = "cold-rate"
 	CodeLimitIgnored      Code = "limit-ignored"
+	CodeVersionUnchanged  Code = "version-unchanged"
 )
 
 // rules holds every rule once.
 var rules = []Rule{
-	{CodeSyntax, SeverityError, "the content is not valid YAML or JSON, or lacks the fields of a document", "spec: [`"},
+	{CodeSyntax, SeverityError, "the content is not valid YAML or JSON, or lacks the fields of a document", "steps: [m"},
 	{CodeTooLarge, SeverityError, "a file or the published form exceeds its largest size", "a file above 4 MiB"},
 	{CodeInvalidField, SeverityError, "a field is unknown or has a value of the wrong type", "modells: [m]"},
 	{CodeUnsupportedVersion, SeverityError, "the schema version is not supported", "apiVersion: v0"},
@@ -93,6 +95,7 @@
 	{CodeSameVersion, SeverityError, "a roll-out replaces a version by itself", "from: v1 and to: v1"},
 	{CodeStepsNotAscending, SeverityError, "the shares of a roll-out do not ascend", "steps: [0.5, 0.1]"},
 	{CodeRouteNoService, SeverityError, "a route has no service", `{"name": "r", "host": "a.example", "path-prefix": "/r/"}`},
+	{CodeVersionOutdated, SeverityError, "the version is below the one in force (with `--in-force`)", `"version": 6, while 7 is in force`},
 
 	{CodeUnused, SeverityWarning, "nothing refers to the object, so it has no effect", "a cascade that no team names"},
 	{CodeStepNeverReached, SeverityWarning, "a step of a cascade has no active version", "a step whose versions are withdrawn"},
@@ -115,6 +118,7 @@
 	{CodeConnectionsShort, SeverityWarning, "fewer connections than slots, so some slots are never used", `"connection-limit": 4, "engine": {"slots": 8}`},
 	{CodeColdRate, SeverityWarning, "a cold endpoint takes less than one request in the timeout of every route of its service", `"cold-per-s": 0.1 with "timeout-ms": 1000`},
 	{CodeLimitIgnored, SeverityWarning, "the limit is negative or contradicts itself, so it is ignored", `"scaling": {"minimum": 9, "maximum": 8, "boot-time-s": 8}`},
+	{CodeVersionUnchanged, SeverityWarning, "the version is in force with other content (with `--in-force`)", `"version": 7, while 7 is in force with other routes`},
 }
 
 // Rules returns all rules, errors first.
--- a/reference/config.go
+++ b/reference/config.go
@@ -8,6 +8,7 @@
 	"reflect"
 	"strings"
 
+	"github.com/bramleytrail/bramleytrail/declare"
 	"github.com/bramleytrail/bramleytrail/object"
 )
 
@@ -98,9 +99,33 @@
 		fmt.Fprintf(&b, "\n## %s\n\n%s\n\n| field of spec | type | meaning |\n|---|---|---|\n", t.Name(), trimTypeName(docs.typeDocs[t.Name()]))
 		docs.writeFields(&b, t, "")
 	}
+	writeFindings(&b)
 	return b.String(), nil
 }
 
+const findingsIntro = `
+## Check before publication
+
+` + "`bramleyctl check DIR|FILE|-`" + ` checks declarations in YAML or, if the content is a JSON object, the operators' configuration of the
+platform (` + "`op/config`" + `). It needs no daemon. ` + "`-`" + ` reads standard input. Each finding has a code, a severity, a file and line, a path, what
+was expected and an example that works. ` + "`--against DIR|FILE`" + ` or ` + "`--in-force`" + ` (with ` + "`--store`" + `) also shows the differences by meaning.
+` + "`--settings FILE`" + ` is a daemon's settings file, whose retry budget is compared with the attempts. ` + "`--format json`" + ` prints JSON. Exit
+status: 0 nothing found, 1 findings, 2 the check could not run. Codes stay the same when texts change.
+
+Daemons refuse a configuration with an error. They accept one with warnings.
+
+| code | severity | meaning | example that has the finding |
+|---|---|---|---|
+`
+
+// writeFindings writes the section about the check and its findings.
+func writeFindings(b *strings.Builder) {
+	b.WriteString(findingsIntro)
+	for _, r := range declare.Rules() {
+		fmt.Fprintf(b, "| `%s` | %s | %s | %s |\n", r.Code, r.Severity, r.Meaning, strings.ReplaceAll(r.Example, "|", "\\|"))
+	}
+}
+
 // writeFields writes a table row for each field of a struct type. Fields of nested structs follow with dotted names.
 func (d *packageDocs) writeFields(b *strings.Builder, t reflect.Type, prefix string) {
 	for f := range fieldsOf(t) {
