ctl: no finding of the version if nothing was published yet

Cause: check --in-force compared the version 0 with that of an empty store. Change: the version is compared only with a published configuration. Checked: go test ./ctl, with a case for it.

--- a/ctl/check.go
+++ b/ctl/check.go
@@ -114,7 +114,7 @@
 		return nil
 	}
 	out.Changes = platform.DiffConfig(other.document, cfg.document)
-	if c.InForce {
+	if c.InForce && other.document.Version > 0 { // 0 if nothing was published yet
 		cfg.findings = append(cfg.findings, platform.CheckVersion(cfg.name, cfg.data, cfg.document, other.document, out.Changes)...)
 	}
 	return nil
--- a/ctl/check_test.go
+++ b/ctl/check_test.go
@@ -161,6 +161,9 @@
 func TestCheckDifferencesAndExitCodes(t *testing.T) {
 	store := memkv.New()
 	document, declared := readText(t, platformExample), readText(t, declaredExample)
+	if _, out := runCheck(t, store, `{"version":0,"routes":[]}`, "--in-force"); out.Warnings > 0 {
+		t.Errorf("nothing was published, but %v", out.Findings)
+	}
 	putDocument(t, store, document)
 	if code, out := run(t, store, "publish", "../examples/nogalera"); code != ExitOK {
 		t.Fatal(out)
