release: slow answers are counted from twice the 95th percentile

Cause: an answer was slow from twice the 90th percentile of the version in use, and 10 in 100 were expected to be. Among answers of unequal length, 3 in 10 that take five times as long then give little more than the expected ones.

Change: slowTail is 0.05 instead of 0.1. A version that is twice as slow in all answers still gives the expected number, so that cold endpoints are judged as before.

The other tests of the package pass.

--- a/release/baseline.go
+++ b/release/baseline.go
@@ -13,7 +13,7 @@
 	// slowTail is the share of the latencies of the versions in use that are longer than the quantile that others are compared
 	// with, and slowRatio the multiple of that quantile from which a latency counts as slow. Endpoints that have just started, or
 	// have empty caches, are slower for some seconds, but by less than this.
-	slowTail, slowRatio = 0.1, 2.0
+	slowTail, slowRatio = 0.05, 2.0
 	// intervalRatio is the ratio to the median interval of the versions in use up to which another version is about as fast.
 	intervalRatio = 1.35
 	// minDeviation is the smallest standard deviation of the logarithm of intervals, since that of few of them is uncertain.
