release, gateway: quick answers count at the age at which slow ones do

Cause: an answer counted when it came, and a slow one when it became slow.

Change: release.EarlyAnswers keeps a quick answer until its request is as old as one that counts as slow.

The older tests of the package give the same as before; of gateway, the tests of releases and their evidence pass.

--- a/gateway/releaseevidence.go
+++ b/gateway/releaseevidence.go
@@ -32,6 +32,7 @@
 type releaseEvidence struct {
 	own          release.Evidence            // without unanswered
 	unanswered   map[attemptKey]startedAt    // attempts of the new version
+	early        release.EarlyAnswers        // in good time, not counted as such yet
 	streams      map[attemptKey]startedAt    // streams of the new version with few events so far
 	peers        map[string]peerEvidence     // by name, of the other daemons of the failure domain
 	domain       release.Evidence            // of this failure domain, as received from its daemons
@@ -101,6 +102,7 @@
 // ofDaemon returns this daemon's evidence. Attempts and streams count as slow as soon as they are, not only when their answer or
 // next event comes.
 func (x *releaseEvidence) ofDaemon(b *baselines, now time.Time) release.Evidence {
+	x.early.Settle(b.latencies, &x.own, now)
 	sum := x.own.Clone()
 	for key, start := range x.unanswered {
 		if t := b.latencies.CompareLatency(start.service, start.route, start.model, now.Sub(start.Time)); t.Slow > 0 {
@@ -202,6 +204,9 @@
 	answer := release.Answer{Route: a.Route, Endpoint: a.Endpoint, New: isNew, Failed: failed}
 	if isNew && !failed {
 		answer.Latency = r.baselines.latencies.CompareLatency(a.Service, a.Route, a.Model, a.Latency)
+		if judged && !a.Abandoned && answer.Latency.Slow == 0 && t.evidence.early.Add(a.Service, a.Route, a.Model, a.Endpoint, time.Now().Add(-a.Latency)) {
+			answer.Latency = release.Timing{}
+		}
 	}
 	if judged && (!a.Abandoned || answer.Latency.Slow > 0) {
 		t.evidence.own.Record(answer)
--- a/gateway/releases_test.go
+++ b/gateway/releases_test.go
@@ -230,3 +230,29 @@
 		}
 	})
 }
+
+// Guards against quick answers of a new version that are compared before slow ones of the same time are known.
+func TestQuickAnswersCountWhenSlowOnesWould(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, rel := canaryGateway(t)
+		for range 60 {
+			sendAttempt(g, attempt("v1", "", false))
+		}
+		for i := range 12 {
+			sendAttempt(g, attempt("v2", strconv.Itoa(i), false))
+		}
+		timed := func() int64 {
+			tracked := g.releases.track(rel, time.Now())
+			c, _ := tracked.evidence.total(g.releases.baselines, time.Now()).Totals()
+			return c.Latency.Timed
+		}
+		if n := timed(); n != 0 {
+			t.Errorf("%d answers compared at once, want none", n)
+		}
+		time.Sleep(time.Second)
+		if n := timed(); n != 12 {
+			t.Errorf("%d answers compared after ten times the usual latency, want 12", n)
+		}
+		g.cancel()
+	})
+}
--- a/release/daemons_test.go
+++ b/release/daemons_test.go
@@ -35,6 +35,8 @@
 	spreadFactor                                       = 5
 )
 
+var simStart = time.Unix(0, 0)
+
 // simDaemon is a daemon with what it knows of the release.
 type simDaemon struct {
 	baseline          *Baseline
@@ -44,6 +46,7 @@
 	phase             Phase
 	promotedAt        time.Duration
 	open              []simAttempt
+	early             EarlyAnswers
 	ratedAt           time.Duration
 	rated             int64
 	requestsPerSecond float64
@@ -73,6 +76,7 @@
 
 // ofDaemon returns the evidence with the attempts that are slow so far.
 func (d *simDaemon) ofDaemon(now time.Duration) Evidence {
+	d.early.Settle(d.baseline, &d.own, simStart.Add(now))
 	sum := d.own.Clone()
 	for _, a := range d.open {
 		if t := d.baseline.CompareLatency("s", strconv.Itoa(a.route), "", now-a.at); a.isNew && t.Slow > 0 {
@@ -108,6 +112,9 @@
 		answer := Answer{Route: route, Endpoint: strconv.Itoa(a.endpoint), New: a.isNew}
 		if a.isNew {
 			answer.Latency = d.baseline.CompareLatency("s", route, "", a.until-a.at)
+			if answer.Latency.Slow == 0 && d.early.Add("s", route, "", answer.Endpoint, simStart.Add(a.at)) {
+				answer.Latency = Timing{}
+			}
 		}
 		d.own.Record(answer)
 		if a.bad {
