release: a version is completed on current evidence

Cause: a version was promoted 1.3 s before its deadline and completed 0.5 to 0.7 s later on 31 to 43 answers of some 300, as 30 answers or 4 % of the duration were enough. A completion is final, so a version that is slow under load then kept all requests.

Change: a completion waits until 150 answers since the promotion are known, or half of those that there must be by now; answers count once they were compared, if times are compared. From 0.5 s before the deadline it no longer waits for that: completions written 0.3 s before it were seen too late.

--- a/release/release.go
+++ b/release/release.go
@@ -31,6 +31,12 @@
 	// minPromoted is the part of the duration for which all requests go to the new version before it is completed, unless it has
 	// given enoughAnswers by then.
 	minPromoted, enoughAnswers = 0.04, 30
+	// provingAnswers and currentShare define when the evidence since the promotion is current enough for a completion: by its number of
+	// answers, or as the share of the requests sent since then. With 35 of 350 answers known, slow versions were completed.
+	provingAnswers, currentShare = 150, 0.5
+	// latestCompleteReserve is the time before the deadline from which evidence that is not current no longer delays a completion.
+	// Completions that were written 0.3 s before it were seen too late.
+	latestCompleteReserve = 500 * time.Millisecond
 	// minAnswers is the number of answers of the new version that are required to promote it before promoteReserve.
 	minAnswers = 3
 )
@@ -123,7 +129,19 @@
 func (s State) seenEnough(r *object.Release) bool {
 	since := s.Evidence.since(s.AtPromotion)
 	tried := s.Elapsed-s.PromotedAt >= time.Duration(minPromoted*float64(r.Duration)) || since.newAnswers() >= enoughAnswers
-	return tried && !since.Unproven(s.Endpoints) && !s.Evidence.Unproven(s.Endpoints)
+	current := s.isCurrent(since) || s.Elapsed >= r.Duration-latestCompleteReserve
+	return tried && current && !since.Unproven(s.Endpoints) && !s.Evidence.Unproven(s.Endpoints)
+}
+
+// isCurrent reports whether the evidence since the promotion holds enough answers, or most of those that there must be by now. If
+// times are compared, an answer counts once it failed or was compared.
+func (s State) isCurrent(since Evidence) bool {
+	c, _ := since.Totals()
+	answers := c.Answers
+	if all, _ := s.Evidence.Totals(); all.Latency.Timed > 0 {
+		answers = c.Latency.Timed + c.Failures
+	}
+	return answers >= provingAnswers || float64(answers) >= currentShare*s.Rate*(s.Elapsed-s.PromotedAt).Seconds()
 }
 
 // mayPromote reports whether the new version may get all requests until the deadline.
