release: fewer of many endpoint groups are left out as outliers

Cause: a group of endpoints was left out from a log likelihood ratio of 0.7 to the others, however many groups there were. The worst 4 of 16 groups with ten answers each reach that by chance, and held a large part of the slow answers.

Change: the limit grows with the logarithm of the number of groups over 3, to 2.4 for 16 groups. For 3 groups it is 0.7 as before.

--- a/release/suspicion.go
+++ b/release/suspicion.go
@@ -19,6 +19,9 @@
 	// possibleOutlier and clearOutlier are logarithms of the likelihood ratio between an outlier and a group like the others.
 	// A version is not taken back for the former, and not completed in spite of any but the latter.
 	possibleOutlier, clearOutlier = 0.7, 3.0
+	// fewGroups is the number of groups up to which possibleOutlier applies as it is. The worst of more groups is further from the others by
+	// chance, and leaving out the worst 4 of 16 would hide a slow version.
+	fewGroups = 3.0
 	// singleGroupLimit bounds the suspicion while only one group of several endpoints has been tried.
 	singleGroupLimit = 0.55 * revertSuspicion
 	// minBad is the number of bad answers that are required, and minExcess by how much their share must be larger than expected.
@@ -225,6 +228,7 @@
 	for _, g := range groups {
 		total = total.plus(g)
 	}
+	evidence = max(evidence, possibleOutlier+math.Log(float64(len(groups))/fewGroups))
 	left := slices.Clone(groups)
 	for range int(math.Ceil(outlierShare * float64(len(groups)))) {
 		worst, largest := -1, evidence
