gateway: report usage to a new holder at once

TestDaemonWithWrongClock failed because requests were lost, not because it waited for the wrong window: a holder that took over closed windows 0.75 s (Wait with the test's settings) after its takeover, while daemons report once a second, so that some of them, and the holder itself, had not reported yet. The log named them.

Daemons now report to a new holder 0.03 to 0.43 s after their view shows it, and the holder applies its own counts before it closes windows.

--- a/gateway/duties.go
+++ b/gateway/duties.go
@@ -162,9 +162,10 @@
 	}
 }
 
-// runReports reports to the holder once a second and after the end of each window, until the daemon stops.
+// runReports reports to the holder once a second, after the end of each window and when there is a new holder, until the daemon stops.
 func (d *duties) runReports() {
 	offset := reportDelay + time.Duration(float64(reportSpread)*d.g.nameShare())
+	var known holderEntry
 	for {
 		d.mu.Lock()
 		now := d.now()
@@ -174,8 +175,17 @@
 			next := usage.WindowEnd(usage.WindowOf(now.Add(-offset), d.spec.Window), d.spec.Window).Add(offset)
 			wait = min(wait, next.Sub(now)+time.Millisecond)
 		}
-		if pause.For(d.g.ctx, wait) != nil {
-			return
+		// A new holder knows no counts, and may have to close windows before the next regular report.
+		for end := time.Now().Add(wait); time.Now().Before(end); {
+			if pause.For(d.g.ctx, min(time.Until(end), candidateInterval)) != nil {
+				return
+			}
+			if holder, ok := d.currentHolder(); ok && holder != known {
+				known = holder
+				if soon := time.Now().Add(offset); soon.Before(end) {
+					end = soon
+				}
+			}
 		}
 		d.report()
 	}
@@ -246,12 +256,8 @@
 		d.holder = holder
 		clear(d.finals)
 	}
-	oldest := now.Add(-d.spec.Late)
-	if oldest.Before(d.started) {
-		oldest = d.started
-	}
 	var out []usage.Window
-	for _, w := range d.counter.Snapshot(oldest, now) {
+	for _, w := range d.counter.Snapshot(d.oldest(now), now) {
 		if !usage.WindowEnd(w.Number, d.spec.Window).After(now) {
 			if d.finals[w.Number]++; d.finals[w.Number] > finalReports {
 				continue
@@ -260,13 +266,26 @@
 		out = append(out, w)
 	}
 	for k := range d.finals {
-		if k < usage.WindowOf(oldest, d.spec.Window) {
+		if k < usage.WindowOf(d.oldest(now), d.spec.Window) {
 			delete(d.finals, k)
 		}
 	}
 	return out
 }
 
+// oldest returns a time in the oldest window that may still be reported and in which this daemon ran. The caller holds mu.
+func (d *duties) oldest(now time.Time) time.Time {
+	if t := now.Add(-d.spec.Late); t.After(d.started) {
+		return t
+	}
+	return d.started
+}
+
+// receiveOwn applies the counts of this daemon, the holder, so that no window is closed without them. The caller holds mu.
+func (d *duties) receiveOwn(now time.Time) {
+	d.ledger.Receive(usage.Report{Daemon: d.g.spec.Name, Incarnation: d.incarnation, At: now, Adjusted: d.clock.Adjusted(), Windows: d.counter.Snapshot(d.oldest(now), now)})
+}
+
 // receive applies a report of a daemon, if this daemon is the holder, or a correction by the holder.
 func (d *duties) receive(r notice.Duty) {
 	if r.Correction != 0 {
--- a/gateway/dutyholder.go
+++ b/gateway/dutyholder.go
@@ -198,7 +198,9 @@
 		return d.save(token)
 	}
 	d.mu.Lock()
-	closings := d.ledger.Close(d.now(), d.g.view.memberNames())
+	now := d.now()
+	d.receiveOwn(now)
+	closings := d.ledger.Close(now, d.g.view.memberNames())
 	d.mu.Unlock()
 	for _, c := range closings {
 		d.logClosing(c)
