usage: give up windows as missed before they are dropped

A window that was neither sent nor given up when it was dropped, after terms that lost their lease, was then reported as abandoned, as after a restore of the store. Close now drops windows after it has gone through them. TestWindowIsAbandonedWithoutRestore fails without the change.

--- a/usage/ledger.go
+++ b/usage/ledger.go
@@ -179,7 +179,6 @@
 
 // Close closes the windows whose time has come. members are the daemons that are expected to report.
 func (l *Ledger) Close(now time.Time, members []string) []Closing {
-	l.prune(now)
 	var out []Closing
 	for k := l.next; !now.Before(WindowEnd(k, l.spec.Window)); k++ {
 		end := WindowEnd(k, l.spec.Window)
@@ -201,6 +200,7 @@
 		}
 	}
 	l.advance()
+	l.prune(now) // afterwards, so that a window that was not sent is given up as missed and not dropped
 	return out
 }
 
--- a/usage/ledger_test.go
+++ b/usage/ledger_test.go
@@ -199,3 +199,12 @@
 		}
 	}
 }
+
+// Guards against a window that is reported as abandoned, as after a restore, because it was dropped before it was given up as missed.
+func TestWindowIsAbandonedWithoutRestore(t *testing.T) {
+	l := NewLedger(testSpec, at(0))
+	l.Begin(at(12*time.Second), 0, &Record{Holder: "a", First: 200, Windows: []Window{{Number: 200, Counts: map[string]int{"team": 1}}}})
+	if got := closed(l.Close(at(40*time.Second), []string{"d"})); !strings.HasPrefix(got, "200 missed1 201 missed0 202 missed0") {
+		t.Errorf("closed %q, want windows 200 to 202 missed", got)
+	}
+}
