duty, usage, gateway: replace a stored record that can't be decoded

The record is now logged with its key and the error, counted in bramley_usage_records_unreadable_total, and replaced: windows that ended before the takeover and are not known are abandoned, later ones are sent. In the middle of a term the holder opens the state again and keeps what it knows.

TestWindowIsSentWithOtherCounts now contains unreadable records and fails if the rule is left out.

--- a/duty/state.go
+++ b/duty/state.go
@@ -12,6 +12,9 @@
 // ErrSuperseded is returned when a newer holder has written the state. The term is over.
 var ErrSuperseded = errors.New("duty: state belongs to a newer holder")
 
+// ErrUndecodable is returned when the stored state can't be decoded. It stays so until a holder replaces it.
+var ErrUndecodable = errors.New("duty: state can't be decoded")
+
 // storedState is the value of a state's key.
 type storedState struct {
 	Fence  uint64 `json:"fence"`  // fencing token of the term that wrote it
@@ -31,10 +34,13 @@
 
 // OpenState reads the state and writes it back with the term's fencing token. From then on, writes of earlier holders
 // fail. It returns the body that the previous holder left, nil if there is none, and ErrSuperseded if the state belongs to
-// a newer term.
+// a newer term. Together with ErrUndecodable it returns a State that has not been written yet, and whose Save replaces what is stored.
 func OpenState(ctx context.Context, store kv.Store, key string, fence uint64) (*State, []byte, error) {
 	s := &State{store: store, key: key, fence: fence}
 	old, err := s.read(ctx)
+	if errors.Is(err, ErrUndecodable) {
+		return s, nil, err
+	}
 	if err != nil {
 		return nil, nil, err
 	}
@@ -54,7 +60,7 @@
 	}
 	var s storedState
 	if err := json.Unmarshal(e.Value, &s); err != nil {
-		return 0, nil, fmt.Errorf("decode state %s: %w", key, err)
+		return 0, nil, fmt.Errorf("%w: %s: %w", ErrUndecodable, key, err)
 	}
 	return s.Number, s.Body, nil
 }
@@ -91,7 +97,8 @@
 		return old, fmt.Errorf("read state %s: %w", s.key, err)
 	}
 	if err := json.Unmarshal(e.Value, &old); err != nil {
-		return old, fmt.Errorf("decode state %s: %w", s.key, err)
+		s.revision = e.Revision
+		return old, fmt.Errorf("%w: %s: %w", ErrUndecodable, s.key, err)
 	}
 	if old.Fence > s.fence {
 		return old, ErrSuperseded
--- a/gateway/duties.go
+++ b/gateway/duties.go
@@ -95,6 +95,7 @@
 	state         *duty.State
 	stateToken    uint64
 	unsaved       bool
+	reopen        bool // the state must be opened again before it can be saved
 	clocksChecked time.Time
 }
 
--- a/gateway/dutyholder.go
+++ b/gateway/dutyholder.go
@@ -185,7 +185,7 @@
 
 // act makes one round of the holder: it records its term, then closes, records and sends windows when it may.
 func (d *duties) act(token uint64) error {
-	if d.stateToken != token {
+	if d.stateToken != token || d.reopen {
 		if err := d.begin(token); err != nil {
 			return err
 		}
@@ -223,29 +223,50 @@
 func (d *duties) begin(token uint64) error {
 	ctx, cancel := context.WithTimeout(d.g.ctx, 2*dutyStoreTimeout)
 	defer cancel()
-	state, body, err := duty.OpenState(ctx, d.g.spec.Store, usageKey, token)
+	state, record, unreadable, err := d.openRecord(ctx, token)
 	if err != nil {
 		return err
 	}
-	var record *usage.Record
-	if len(body) > 0 {
-		record = &usage.Record{}
-		if err := json.Unmarshal(body, record); err != nil {
-			return fmt.Errorf("decode record of usage: %w", err)
-		}
+	if d.stateToken == token { // opened again, since the stored record became unreadable: this holder knows what it contained
+		d.state, d.unsaved, d.reopen = state, true, false
+		return nil
 	}
 	d.mu.Lock()
 	d.sameHost = record != nil && record.Holder == d.g.spec.Name && record.Era == duty.Era(token)
-	if d.ledger != nil {
+	switch {
+	case d.ledger == nil:
+	case unreadable:
+		d.ledger.BeginUnreadable(d.now())
+	default:
 		d.ledger.Begin(d.now(), duty.Era(token), record)
 	}
 	clear(d.demands)
 	d.offsets = usage.Offsets{}
 	d.mu.Unlock()
-	d.state, d.stateToken, d.unsaved = state, token, true
+	d.state, d.stateToken, d.unsaved, d.reopen = state, token, true, false
 	return nil
 }
 
+// openRecord opens the stored record for a term. If it is unreadable, it is replaced by the next save: otherwise it would block the duties
+// until someone deletes it.
+func (d *duties) openRecord(ctx context.Context, token uint64) (state *duty.State, record *usage.Record, unreadable bool, err error) {
+	state, body, err := duty.OpenState(ctx, d.g.spec.Store, usageKey, token)
+	switch {
+	case errors.Is(err, duty.ErrUndecodable):
+		unreadable = true
+	case err != nil:
+		return nil, nil, false, err
+	case len(body) > 0:
+		record, err = usage.DecodeRecord(body)
+		unreadable = err != nil
+	}
+	if unreadable {
+		d.g.spec.Metrics.Counter("bramley_usage_records_unreadable_total").Inc()
+		d.g.log.WithField("key", usageKey).WithError(err).Error("stored record of usage is unreadable and is replaced")
+	}
+	return state, record, unreadable, nil
+}
+
 // save stores the record if it has changed.
 func (d *duties) save(token uint64) error {
 	if !d.unsaved {
@@ -264,6 +285,7 @@
 	ctx, cancel := context.WithTimeout(d.g.ctx, dutyStoreTimeout)
 	defer cancel()
 	if err := d.state.Save(ctx, body); err != nil {
+		d.reopen = errors.Is(err, duty.ErrUndecodable)
 		return err
 	}
 	d.unsaved = false
--- a/usage/ledger.go
+++ b/usage/ledger.go
@@ -1,6 +1,9 @@
 package usage
 
 import (
+	"encoding/json"
+	"errors"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -30,6 +33,18 @@
 	Windows     []Window
 }
 
+// DecodeRecord decodes a stored record.
+func DecodeRecord(body []byte) (*Record, error) {
+	r := &Record{}
+	if err := json.Unmarshal(body, r); err != nil {
+		return nil, fmt.Errorf("decode record of usage: %w", err)
+	}
+	if r.Holder == "" { // for example of the empty object, which decodes
+		return nil, errors.New("decode record of usage: no holder")
+	}
+	return r, nil
+}
+
 // Record is what is stored for the next holder before anything is sent.
 type Record struct {
 	Holder string `json:"holder"` // host that wrote it
@@ -102,6 +117,15 @@
 // If the record is of an earlier era, the store may have lost newer ones: windows that ended before the acquisition and that are not known
 // may have been sent with other counts. Later ones can't have been sent, since their counts would have had to be stored in this era.
 func (l *Ledger) Begin(now time.Time, era uint64, record *Record) {
+	l.begin(now, record, record == nil && era > 0 || record != nil && record.Era != era)
+}
+
+// BeginUnreadable begins a term whose holder could not decode what the store holds: windows that ended before the acquisition and that are
+// not known may have been sent with other counts, as after a restore.
+func (l *Ledger) BeginUnreadable(now time.Time) { l.begin(now, nil, true) }
+
+// begin begins a term. lost says that windows may have been sent that are not in the record.
+func (l *Ledger) begin(now time.Time, record *Record, lost bool) {
 	l.collecting = now
 	// Another holder may have chosen other counts for what was not stored.
 	maps.DeleteFunc(l.closed, func(_ int64, c *closedWindow) bool { return !c.stored || c.Counts == nil })
@@ -117,7 +141,7 @@
 			}
 		}
 	}
-	if record == nil && era > 0 || record != nil && record.Era != era {
+	if lost {
 		l.hasRecord = true
 		l.first = max(l.first, WindowOf(now.Add(Margin), l.spec.Window))
 	}
--- a/usage/ledger_test.go
+++ b/usage/ledger_test.go
@@ -126,10 +126,12 @@
 				previousEnd = now.Add(lease)
 			}
 			holder, era, acts = x.r.IntN(len(names)), x.era, now.Add(lease)
-			if holder != previous || previousEnd.Equal(now) {
-				ledgers[holder].Begin(now, era, x.record)
-			} else {
+			if holder == previous && !previousEnd.Equal(now) {
 				acts = now // the same process
+			}
+			if !calm && x.r.IntN(5) == 0 {
+				ledgers[holder].BeginUnreadable(now)
+			} else {
 				ledgers[holder].Begin(now, era, x.record)
 			}
 		}
@@ -208,3 +210,18 @@
 		t.Errorf("closed %q, want windows 200 to 202 missed", got)
 	}
 }
+
+// Guards against duties that a record without content blocks, or that send what was perhaps sent before.
+func TestUnreadableRecordIsReplaced(t *testing.T) {
+	for _, body := range []string{"", "{", "{}", "null", `{"holder":"a","windows":{}}`, "[]"} {
+		if r, err := DecodeRecord([]byte(body)); err == nil {
+			t.Errorf("%q was decoded as %v", body, r)
+		}
+	}
+	l := NewLedger(testSpec, at(0))
+	l.BeginUnreadable(at(6 * time.Second))
+	l.Receive(report("d", 1, at(12*time.Second)))
+	if got := closed(l.Close(at(12*time.Second), []string{"d"})); got != "200 abandoned0 201 1" {
+		t.Errorf("closed %q, want window 200 abandoned and 201 sent", got)
+	}
+}
