usage: keep windows open while missing counts can still arrive

A window was closed 2 s after its end without the daemons that had not reported, also when they were only cut off. It now stays open until the reserve of a successor is left before it is due: the rest of the lease, its own wait, a call and the takeover, 7.5 s with the usual settings, so 2.5 s after its end. Daemons without an entry are waited for if they had not reported for 2 s before it disappeared, or report after it, until 15 s after their last report; one that stopped is not. A daemon that started after the end of a window is not waited for. The metric bramley_usage_awaited shows how many are waited for.

TestWindowWaitsForDaemons now requires the new bound instead of the former one of 2 s. The new tests fail if the bound, the absent daemons or the exception for new daemons is left out, and if the window is kept open until 1.8 s before it is due (no successor is in time).

--- a/gateway/duties.go
+++ b/gateway/duties.go
@@ -50,8 +50,8 @@
 	// reportDelay and reportSpread determine when the daemons report after the end of a window: spread, so that the holder's link is not
 	// loaded by all of them at once.
 	reportDelay, reportSpread = 30 * time.Millisecond, 400 * time.Millisecond
-	// finalReports is the number of reports to one holder with the final counts of a window; at a loss of 1 in 10 datagrams, 1 of 1,000
-	// windows lacks the last of them.
+	// finalReports is the smallest number of reports to one holder with the final counts of a window; at a loss of 1 in 10 datagrams, 1 of
+	// 1,000 windows lacks the last of them. They are repeated for as long as the holder keeps the window open.
 	finalReports = 3
 	// lastReportWait is the longest time for which a stopping daemon waits for a holder, to which it reports: that of a takeover. Each of its
 	// lastReports is a datagram that may be lost.
@@ -60,9 +60,12 @@
 	maxReportBytes = notice.MaxMessageBytes * 3 / 4
 	// maxDemands bounds the demands in one datagram.
 	maxDemands = 100
-	// usageWait is the time after the end of a window for which the holder waits for daemons that have not reported: two reports may be
-	// lost. Until the report is due, a successor then still has time for the rest of the lease, its own wait and a call.
+	// usageWait is the time after the end of a window, or after a takeover, for which the holder waits at least for daemons that have not
+	// reported: two reports may be lost.
 	usageWait = 2 * time.Second
+	// takeoverTime is the time from the end of a lease to the wait of the next holder: two looks at the view, the delay of the second rank,
+	// and the calls of the store.
+	takeoverTime = 600 * time.Millisecond
 	// maxReporters bounds the daemons whose demand the holder keeps.
 	maxReporters = 2000
 )
@@ -71,6 +74,7 @@
 type duties struct {
 	g           *Gateway
 	spec        DutySpec
+	usage       usage.Spec
 	incarnation int64 // start of the daemon in Unix nanoseconds
 
 	calling    sync.RWMutex // held for reading during calls of the platform
@@ -114,7 +118,19 @@
 	d.incarnation = d.started.UnixNano()
 	if s.Usage {
 		d.counter = usage.NewCounter(s.Window, int(s.Late/s.Window)+3)
-		d.ledger = usage.NewLedger(usage.Spec{Window: s.Window, Late: s.Late, Wait: min(usageWait, s.Late/4), Reserve: min(2*s.Limits.Call, s.Late/4)}, d.started)
+		d.usage = usage.Spec{
+			Window: s.Window, Late: s.Late, Wait: min(usageWait, s.Late/4), Reserve: min(2*s.Limits.Call, s.Late/4),
+			Handover: 2*s.Limits.Lease + s.Limits.Call + takeoverTime, // the lease may have been renewed just before, and the successor waits a whole one
+		}
+		d.ledger = usage.NewLedger(d.usage, d.started)
+		g.spec.Metrics.Gauge("bramley_usage_awaited", func() float64 {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			if d.heldToken() == 0 {
+				return 0
+			}
+			return float64(d.ledger.Awaited())
+		})
 	}
 	d.job = duty.New(duty.Spec{Store: g.spec.Store, Name: "duties", Key: dutiesKey, Owner: g.spec.Name, TTL: s.Limits.Lease, Now: duty.BootTime})
 	g.spec.Metrics.Gauge("bramley_duty_held", func() float64 {
@@ -259,8 +275,8 @@
 	}
 	var out []usage.Window
 	for _, w := range d.counter.Snapshot(d.oldest(now), now) {
-		if !usage.WindowEnd(w.Number, d.spec.Window).After(now) {
-			if d.finals[w.Number]++; d.finals[w.Number] > finalReports {
+		if end := usage.WindowEnd(w.Number, d.spec.Window); !end.After(now) {
+			if d.finals[w.Number]++; d.finals[w.Number] > finalReports && now.After(end.Add(d.usage.Open())) {
 				continue
 			}
 		}
--- a/usage/ledger.go
+++ b/usage/ledger.go
@@ -13,13 +13,19 @@
 type Spec struct {
 	Window time.Duration // length of a window
 	Late   time.Duration // after the end of a window, when its report is due
-	// Wait is the longest time for which a window stays open after its end, or after the ledger has begun to collect reports, for daemons
+	// Wait is the shortest time for which a window stays open after its end, or after the ledger has begun to collect reports, for daemons
 	// that have not reported after the end.
 	Wait time.Duration
 	// Reserve is the time before a report is due that is kept for the call. A window is closed then with what is known.
 	Reserve time.Duration
+	// Handover is the time before a report is due that a successor of the holder needs to send it: the rest of the lease, its own wait and
+	// a call. While daemons are missing, a window stays open until then, if that is later than Wait.
+	Handover time.Duration
 }
 
+// Open returns the time after its end for which a window stays open for daemons that have not reported, if the holder does not change.
+func (s Spec) Open() time.Duration { return min(max(s.Wait, s.Late-s.Handover), s.Late-s.Reserve) }
+
 // Margin is the largest difference between the clocks of two holders that is allowed for. Estimates of true time that are further than
 // half of it from the median are corrected.
 const Margin = time.Second
@@ -100,12 +106,17 @@
 	collecting time.Time
 	newest     map[string]int64 // incarnation by daemon
 	adjusted   map[source]int
+	absence    absence
+	awaited    int
 }
 
 // NewLedger returns a ledger of a daemon that started at a time.
 func NewLedger(s Spec, started time.Time) *Ledger {
 	first := WindowOf(started, s.Window)
-	return &Ledger{spec: s, collecting: started, reports: map[int64]map[source]*observed{}, closed: map[int64]*closedWindow{}, first: first, next: first, newest: map[string]int64{}, adjusted: map[source]int{}}
+	l := &Ledger{spec: s, collecting: started, reports: map[int64]map[source]*observed{}, closed: map[int64]*closedWindow{}, first: first, next: first, newest: map[string]int64{}, adjusted: map[source]int{}}
+	l.absence.limit = s.Late + s.Window // no window from before is open then
+	l.absence.reset(started)
+	return l
 }
 
 // maxListed bounds the windows that Close lists as not sent after a long time without a holder.
@@ -127,6 +138,7 @@
 // begin begins a term. lost says that windows may have been sent that are not in the record.
 func (l *Ledger) begin(now time.Time, record *Record, lost bool) {
 	l.collecting = now
+	l.absence.reset(now)
 	// Another holder may have chosen other counts for what was not stored.
 	maps.DeleteFunc(l.closed, func(_ int64, c *closedWindow) bool { return !c.stored || c.Counts == nil })
 	for _, c := range l.closed {
@@ -149,11 +161,18 @@
 }
 
 // Shift applies an adjustment of the estimate of true time.
-func (l *Ledger) Shift(by time.Duration) { l.collecting = l.collecting.Add(by) }
+func (l *Ledger) Shift(by time.Duration) {
+	l.collecting = l.collecting.Add(by)
+	l.absence.shift(by)
+}
+
+// Awaited returns the number of daemons without a membership entry for which windows are kept open.
+func (l *Ledger) Awaited() int { return l.awaited }
 
 // Receive applies a report.
 func (l *Ledger) Receive(r Report) {
 	l.newest[r.Daemon] = max(l.newest[r.Daemon], r.Incarnation)
+	l.absence.receive(r.Daemon, r.At)
 	if !l.hasRecord { // nothing was sent before: the window in which the first daemon started is reported too
 		oldest := WindowOf(l.collecting.Add(-l.spec.Late), l.spec.Window) // the daemon's clock may be wrong by years
 		if first := max(WindowOf(time.Unix(0, r.Incarnation), l.spec.Window), oldest, l.pruned); first < l.first {
@@ -201,8 +220,11 @@
 	Missing []string // daemons that have not reported after its end
 }
 
-// Close closes the windows whose time has come. members are the daemons that are expected to report.
+// Close closes the windows whose time has come. members are the daemons that are expected to report. Those that were members and have
+// disappeared without a report shortly before may be cut off, and are expected too.
 func (l *Ledger) Close(now time.Time, members []string) []Closing {
+	absent := l.absence.update(now, members)
+	l.awaited, members = len(absent), slices.Concat(members, absent)
 	var out []Closing
 	for k := l.next; !now.Before(WindowEnd(k, l.spec.Window)); k++ {
 		end := WindowEnd(k, l.spec.Window)
@@ -237,13 +259,8 @@
 
 // close closes a window if its time has come.
 func (l *Ledger) close(k int64, now time.Time, members []string) (c Closing, ok bool) {
-	end := WindowEnd(k, l.spec.Window)
-	from := end
-	if l.collecting.After(from) {
-		from = l.collecting
-	}
 	missing := l.missing(k, members)
-	if len(missing) > 0 && now.Before(from.Add(l.spec.Wait)) && now.Before(end.Add(l.spec.Late-l.spec.Reserve)) {
+	if len(missing) > 0 && now.Before(l.openUntil(k)) {
 		return Closing{}, false
 	}
 	w := Window{Number: k, Counts: l.sum(k)}
@@ -251,16 +268,37 @@
 	return Closing{Window: w, Missing: missing}, true
 }
 
+// openUntil returns the time until which a window stays open while daemons are missing.
+func (l *Ledger) openUntil(k int64) time.Time {
+	end := WindowEnd(k, l.spec.Window)
+	last := end.Add(l.spec.Late - l.spec.Reserve)
+	until := end.Add(l.spec.Open())
+	if !l.collecting.Before(until) { // a successor of this holder would be too late anyway
+		return last
+	}
+	if t := l.collecting.Add(l.spec.Wait); t.After(until) {
+		until = t
+	}
+	if until.After(last) {
+		return last
+	}
+	return until
+}
+
 // giveUp records that a window is not sent.
 func (l *Ledger) giveUp(k int64, o Outcome) Closing {
 	l.closed[k] = &closedWindow{Window: Window{Number: k}, outcome: o}
 	return Closing{Window: Window{Number: k}, Outcome: o}
 }
 
-// missing returns the members whose counts of a window are not final.
+// missing returns the members whose counts of a window are not final. A daemon that started after the end of the window has none.
 func (l *Ledger) missing(k int64, members []string) []string {
 	var out []string
+	end := WindowEnd(k, l.spec.Window).UnixNano()
 	for _, m := range members {
+		if started := l.newest[m]; started >= end && l.adjusted[source{m, started}] == 0 {
+			continue
+		}
 		if o := l.reports[k][source{m, l.newest[m]}]; o == nil || !o.final {
 			out = append(out, m)
 		}
