usage: a new holder neither skips windows nor abandons them silently

A daemon that took over soon after its start began with the window of its start instead of the first one that the record leaves to it; these windows are now sent if there is time, and logged otherwise. And a holder that abandoned windows stored that before it logged it, so that nobody logged it if its term ended first; it now logs it when the term begins.

TestHolderThatJustStartedSkipsWindows fails without the change.

--- a/gateway/dutyholder.go
+++ b/gateway/dutyholder.go
@@ -233,16 +233,20 @@
 	}
 	d.mu.Lock()
 	d.sameHost = record != nil && record.Holder == d.g.spec.Name && record.Era == duty.Era(token)
+	var abandoned []usage.Closing
 	switch {
 	case d.ledger == nil:
 	case unreadable:
-		d.ledger.BeginUnreadable(d.now())
+		abandoned = d.ledger.BeginUnreadable(d.now())
 	default:
-		d.ledger.Begin(d.now(), duty.Era(token), record)
+		abandoned = d.ledger.Begin(d.now(), duty.Era(token), record)
 	}
 	clear(d.demands)
 	d.offsets = usage.Offsets{}
 	d.mu.Unlock()
+	for _, c := range abandoned {
+		d.logClosing(c)
+	}
 	d.state, d.stateToken, d.unsaved, d.reopen = state, token, true, false
 	return nil
 }
--- a/usage/ledger.go
+++ b/usage/ledger.go
@@ -102,6 +102,7 @@
 	first      int64 // lowest window that may be sent without being in a record
 	next       int64 // lowest window of which nothing was said yet
 	hasRecord  bool  // first is that of a record
+	begun      bool  // a term has begun, so that windows below next were settled or logged
 	pruned     int64 // lowest window that has not been dropped from closed
 	collecting time.Time
 	newest     map[string]int64 // incarnation by daemon
@@ -127,16 +128,18 @@
 //
 // If the record is of an earlier era, the store may have lost newer ones: windows that ended before the acquisition and that are not known
 // may have been sent with other counts. Later ones can't have been sent, since their counts would have had to be stored in this era.
-func (l *Ledger) Begin(now time.Time, era uint64, record *Record) {
-	l.begin(now, record, record == nil && era > 0 || record != nil && record.Era != era)
+//
+// It returns the windows that are abandoned now: the next record no longer has them, so that a successor knows nothing of them.
+func (l *Ledger) Begin(now time.Time, era uint64, record *Record) []Closing {
+	return l.begin(now, record, record == nil && era > 0 || record != nil && record.Era != era)
 }
 
 // BeginUnreadable begins a term whose holder could not decode what the store holds: windows that ended before the acquisition and that are
 // not known may have been sent with other counts, as after a restore.
-func (l *Ledger) BeginUnreadable(now time.Time) { l.begin(now, nil, true) }
+func (l *Ledger) BeginUnreadable(now time.Time) []Closing { return l.begin(now, nil, true) }
 
 // begin begins a term. lost says that windows may have been sent that are not in the record.
-func (l *Ledger) begin(now time.Time, record *Record, lost bool) {
+func (l *Ledger) begin(now time.Time, record *Record, lost bool) []Closing {
 	l.collecting = now
 	l.absence.reset(now)
 	// Another holder may have chosen other counts for what was not stored.
@@ -146,7 +149,11 @@
 	}
 	if record != nil {
 		l.hasRecord, l.first = true, record.First
-		l.next = max(l.next, record.First)
+		if l.begun {
+			l.next = max(l.next, record.First)
+		} else { // windows from before the start of this process may still be sent, or are logged
+			l.next = record.First
+		}
 		for _, w := range record.Windows {
 			if l.closed[w.Number] == nil {
 				l.closed[w.Number] = &closedWindow{Window: w, stored: true, tried: true}
@@ -157,7 +164,19 @@
 		l.hasRecord = true
 		l.first = max(l.first, WindowOf(now.Add(Margin), l.spec.Window))
 	}
+	if record == nil && lost && !l.begun {
+		l.next = min(l.next, WindowOf(now.Add(-l.spec.Late), l.spec.Window))
+	}
+	l.begun = true
 	l.next = max(l.next, WindowOf(now, l.spec.Window)-maxListed)
+	var out []Closing
+	for k := l.next; k < l.first; k++ {
+		if l.closed[k] == nil {
+			out = append(out, l.giveUp(k, Abandoned))
+		}
+	}
+	l.advance()
+	return out
 }
 
 // Shift applies an adjustment of the estimate of true time.
