--- a/gateway/duties.go
+++ b/gateway/duties.go
@@ -50,8 +50,8 @@
 	// reportDelay and reportSpread determine when the daemons report after the end of a window: spread, so that the holder's link is not
 	// loaded by all of them at once.
 	reportDelay, reportSpread = 30 * time.Millisecond, 400 * time.Millisecond
-	// finalReports is the number of reports to one holder with the final counts of a window; at a loss of 1 in 10 datagrams, 1 of 1,000
-	// windows lacks the last of them.
+	// finalReports is the smallest number of reports to one holder with the final counts of a window; at a loss of 1 in 10 datagrams, 1 of
+	// 1,000 windows lacks the last of them. They are repeated for as long as the holder keeps the window open.
 	finalReports = 3
 	// lastReportWait is the longest time for which a stopping daemon waits for a holder, to which it reports: that of a takeover. Each of its
 	// lastReports is a datagram that may be lost.
@@ -60,9 +60,12 @@
 	maxReportBytes = notice.MaxMessageBytes * 3 / 4
 	// maxDemands bounds the demands in one datagram.
 	maxDemands = 100
-	// usageWait is the time after the end of a window for which the holder waits for daemons that have not reported: two reports may be
-	// lost. Until the report is due, a successor then still has time for the rest of the lease, its own wait and a call.
+	// usageWait is the time after the end of a window, or after a takeover, for which the holder waits at least for daemons that have not
+	// reported: two reports may be lost.
 	usageWait = 2 * time.Second
+	// takeoverTime is the time from the end of a lease to the wait of the next holder: two looks at the view, the delay of the second rank,
+	// and the calls of the store.
+	takeoverTime = 600 * time.Millisecond
 	// maxReporters bounds the daemons whose demand the holder keeps.
 	maxReporters = 2000
 )
@@ -71,6 +74,7 @@
 type duties struct {
 	g           *Gateway
 	spec        DutySpec
+	usage       usage.Spec
 	incarnation int64 // start of the daemon in Unix nanoseconds
 
 	calling    sync.RWMutex // held for reading during calls of the platform
@@ -95,6 +99,7 @@
 	state         *duty.State
 	stateToken    uint64
 	unsaved       bool
+	reopen        bool // the state must be opened again before it can be saved
 	clocksChecked time.Time
 }
 
@@ -113,7 +118,19 @@
 	d.incarnation = d.started.UnixNano()
 	if s.Usage {
 		d.counter = usage.NewCounter(s.Window, int(s.Late/s.Window)+3)
-		d.ledger = usage.NewLedger(usage.Spec{Window: s.Window, Late: s.Late, Wait: min(usageWait, s.Late/4), Reserve: min(2*s.Limits.Call, s.Late/4)}, d.started)
+		d.usage = usage.Spec{
+			Window: s.Window, Late: s.Late, Wait: min(usageWait, s.Late/4), Reserve: min(2*s.Limits.Call, s.Late/4),
+			Handover: 2*s.Limits.Lease + s.Limits.Call + takeoverTime, // the lease may have been renewed just before, and the successor waits a whole one
+		}
+		d.ledger = usage.NewLedger(d.usage, d.started)
+		g.spec.Metrics.Gauge("bramley_usage_awaited", func() float64 {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			if d.heldToken() == 0 {
+				return 0
+			}
+			return float64(d.ledger.Awaited())
+		})
 	}
 	d.job = duty.New(duty.Spec{Store: g.spec.Store, Name: "duties", Key: dutiesKey, Owner: g.spec.Name, TTL: s.Limits.Lease, Now: duty.BootTime})
 	g.spec.Metrics.Gauge("bramley_duty_held", func() float64 {
@@ -162,9 +179,10 @@
 	}
 }
 
-// runReports reports to the holder once a second and after the end of each window, until the daemon stops.
+// runReports reports to the holder once a second, after the end of each window and when there is a new holder, until the daemon stops.
 func (d *duties) runReports() {
 	offset := reportDelay + time.Duration(float64(reportSpread)*d.g.nameShare())
+	var known holderEntry
 	for {
 		d.mu.Lock()
 		now := d.now()
@@ -174,8 +192,17 @@
 			next := usage.WindowEnd(usage.WindowOf(now.Add(-offset), d.spec.Window), d.spec.Window).Add(offset)
 			wait = min(wait, next.Sub(now)+time.Millisecond)
 		}
-		if pause.For(d.g.ctx, wait) != nil {
-			return
+		// A new holder knows no counts, and may have to close windows before the next regular report.
+		for end := time.Now().Add(wait); time.Now().Before(end); {
+			if pause.For(d.g.ctx, min(time.Until(end), candidateInterval)) != nil {
+				return
+			}
+			if holder, ok := d.currentHolder(); ok && holder != known {
+				known = holder
+				if soon := time.Now().Add(offset); soon.Before(end) {
+					end = soon
+				}
+			}
 		}
 		d.report()
 	}
@@ -246,27 +273,36 @@
 		d.holder = holder
 		clear(d.finals)
 	}
-	oldest := now.Add(-d.spec.Late)
-	if oldest.Before(d.started) {
-		oldest = d.started
-	}
 	var out []usage.Window
-	for _, w := range d.counter.Snapshot(oldest, now) {
-		if !usage.WindowEnd(w.Number, d.spec.Window).After(now) {
-			if d.finals[w.Number]++; d.finals[w.Number] > finalReports {
+	for _, w := range d.counter.Snapshot(d.oldest(now), now) {
+		if end := usage.WindowEnd(w.Number, d.spec.Window); !end.After(now) {
+			if d.finals[w.Number]++; d.finals[w.Number] > finalReports && now.After(end.Add(d.usage.Open())) {
 				continue
 			}
 		}
 		out = append(out, w)
 	}
 	for k := range d.finals {
-		if k < usage.WindowOf(oldest, d.spec.Window) {
+		if k < usage.WindowOf(d.oldest(now), d.spec.Window) {
 			delete(d.finals, k)
 		}
 	}
 	return out
 }
 
+// oldest returns a time in the oldest window that may still be reported and in which this daemon ran. The caller holds mu.
+func (d *duties) oldest(now time.Time) time.Time {
+	if t := now.Add(-d.spec.Late); t.After(d.started) {
+		return t
+	}
+	return d.started
+}
+
+// receiveOwn applies the counts of this daemon, the holder, so that no window is closed without them. The caller holds mu.
+func (d *duties) receiveOwn(now time.Time) {
+	d.ledger.Receive(usage.Report{Daemon: d.g.spec.Name, Incarnation: d.incarnation, At: now, Adjusted: d.clock.Adjusted(), Windows: d.counter.Snapshot(d.oldest(now), now)})
+}
+
 // receive applies a report of a daemon, if this daemon is the holder, or a correction by the holder.
 func (d *duties) receive(r notice.Duty) {
 	if r.Correction != 0 {
