--- a/pipeline/routed.go
+++ b/pipeline/routed.go
@@ -1,9 +1,7 @@
 package pipeline
 
 import (
-	"cmp"
 	"context"
-	"math"
 	"strings"
 	"time"
 
@@ -67,6 +65,8 @@
 	Releases Releases // nil if there are no releases
 	// Escalator chooses among the models of a route by the confidence in their answers and their prices.
 	Escalator *cascade.Escalator
+	// FirstChoice chooses the model that is asked first, for services whose endpoints report their speed.
+	FirstChoice *cascade.FirstChoice
 	// AnswerValue is the value of a good answer as a multiple of the largest model's tariff, see cascade.Value.
 	AnswerValue float64
 	// EventIntervals estimates how long streams take.
@@ -80,18 +80,11 @@
 	OnAnswer func(team string)
 	// OnBroken is called when the connection of an attempt broke; it may be nil.
 	OnBroken func(dispatch.BrokenAttempt)
-	// OnEscalate is called when an answer is dropped to ask a larger model; it may be nil.
-	OnEscalate func(EscalationOutcome)
-}
-
-// EscalationOutcome describes an answer that was dropped to ask a larger model.
-type EscalationOutcome struct {
-	Request    string // ID
-	From, To   string // models
-	Confidence float64
-	// Value is what a good answer is worth, and Price the expected price of that of the larger model, in the operators' unit
-	// of cost.
-	Value, Price float64
+	// OnEscalate is called when an answer is dropped to ask a larger model, OnKeep when an answer is delivered although it is more likely poor
+	// than good, and OnFirstModel when a request asks a larger model first; they may be nil.
+	OnEscalate   func(EscalationOutcome)
+	OnKeep       func(KeptAnswer)
+	OnFirstModel func(request, model string)
 }
 
 // routedStages holds the state of one request of a route. Its methods are the stages.
@@ -315,6 +308,7 @@
 func (s *routedStages) dispatch(ctx context.Context) error {
 	s.setStage(StageDispatch)
 	s.exchange = s.p.Dispatch.NewExchange(ctx, s.input())
+	s.chooseFirst(ctx)
 	for {
 		answer, err := s.exchange.Do(s.modelName(), s.r.Meta.LastEventID)
 		if err != nil {
@@ -355,90 +349,3 @@
 		r.Used(s.service, version, s.sessionHash(), s.route.Timeout, ended)
 	}
 }
-
-// escalate drops a doubtful answer if a larger model may be asked, and reports whether it did; the next attempt then asks that
-// model. The answer is kept if the request must not be repeated or resumes a stream, if the limits of the exchange forbid
-// another attempt, or if the larger model's answer would probably begin after the route's target or end after the deadline.
-func (s *routedStages) escalate(ctx context.Context, a *dispatch.RoutedAnswer) bool {
-	if !s.isCascade() || !a.HasConfidence || !s.route.MayRepeat() || s.r.Meta.LastEventID > 0 {
-		return false
-	}
-	escalator := s.p.Routes.Escalator
-	s.answers = append(s.answers, cascade.Answer{Model: s.model, Confidence: a.Confidence})
-	if n := len(s.answers); n > 1 {
-		escalator.RecordPair(s.route.Models, s.answers[n-2], s.answers[n-1])
-	}
-	e := s.escalation(ctx)
-	next := escalator.Next(e)
-	if next < 0 || !s.exchange.ReserveEscalation() {
-		return false
-	}
-	if s.p.Routes.OnEscalate != nil {
-		s.p.Routes.OnEscalate(EscalationOutcome{s.r.ID, s.modelName(), s.route.Models[next], a.Confidence, e.Value, e.Price(next)})
-	}
-	a.CountRun()
-	a.MarkCancelled()
-	a.Close()
-	s.model = next
-	return true
-}
-
-// escalation describes the request and the answers so far to the escalator.
-func (s *routedStages) escalation(ctx context.Context) cascade.Escalation {
-	var service object.RoutedService
-	if svc := s.view.Services[s.service]; svc != nil && svc.Routed != nil {
-		service = *svc.Routed
-	}
-	tariffs := cascade.Tariffs(&service, s.route.Models)
-	answerTokens := max(1, cmp.Or(s.r.Meta.ExpectedTokens, s.r.Meta.MaxTokens))
-	prices := map[int]float64{}
-	return cascade.Escalation{
-		Models: s.route.Models, Answers: s.answers, MaxCalls: s.exchange.RemainingCalls(),
-		Value: cascade.Value(s.p.Routes.AnswerValue, tariffs[len(tariffs)-1], s.r.Meta.Prompt, answerTokens),
-		Price: func(model int) float64 {
-			price, known := prices[model]
-			if !known {
-				price = s.escalationPrice(ctx, s.route.Models[model], tariffs[model], answerTokens)
-				prices[model] = price
-			}
-			return price
-		},
-	}
-}
-
-// escalationPrice returns the expected price of a larger model's answer, or +Inf if it can't be asked or its answer would
-// probably be late.
-func (s *routedStages) escalationPrice(ctx context.Context, model string, tariff object.Tariff, answerTokens int64) float64 {
-	quote, ok := s.exchange.Quote(model)
-	late := s.route.TargetLatency > 0 && s.p.Now().Sub(s.start)+quote.Delay > s.route.TargetLatency
-	if !ok || late || !s.fitsDeadline(ctx, model, answerTokens) {
-		return math.Inf(1)
-	}
-	return tariff.Price(quote.Uncached, answerTokens)
-}
-
-// fitsDeadline reports whether a model's answer with the given number of tokens would probably end before the deadline. It is
-// true if there is no deadline, or if the caller gave no estimate of the length or the length of an event is not known.
-func (s *routedStages) fitsDeadline(ctx context.Context, model string, tokens int64) bool {
-	deadline, ok := ctx.Deadline()
-	duration := s.expectedDuration(model, tokens)
-	if !ok || duration == 0 {
-		return true
-	}
-	return s.p.Now().Add(time.Duration(durationMargin * float64(duration))).Before(deadline)
-}
-
-// expectedDuration returns the time that a model's stream with the given number of tokens probably takes, or 0 if the caller gave
-// no estimate of the length or the time for an event is not known.
-func (s *routedStages) expectedDuration(model string, tokens int64) time.Duration {
-	svc := s.view.Services[s.service]
-	if svc == nil || svc.Routed == nil || svc.Routed.TokensPerEvent <= 0 || s.r.Meta.ExpectedTokens <= 0 {
-		return 0
-	}
-	events := float64(tokens) / float64(svc.Routed.TokensPerEvent)
-	return time.Duration(s.p.Routes.EventIntervals.MeanMillis(s.service, model) * events * float64(time.Millisecond))
-}
-
-// durationMargin is the factor by which an answer may take longer than estimated. Callers' estimates of the length are only
-// right at the median, and the time between events varies with the load of the endpoint.
-const durationMargin = 1.5
--- a/relay/eventintervals.go
+++ b/relay/eventintervals.go
@@ -5,20 +5,31 @@
 	"time"
 )
 
-// intervalSmoothing is the weight of the newest interval in the exponential moving average.
-const intervalSmoothing = 0.005
+const (
+	// intervalSmoothing is the weight of the newest interval in the moving average, once there are enough of them. The first ones have
+	// equal weights: otherwise the estimate would be that of the first stream for some hundred events.
+	intervalSmoothing = 0.005
+	// maxIntervalRatio bounds an interval to a multiple of the mean. A stream that waits for an endpoint that has failed says nothing
+	// about the pace of others.
+	maxIntervalRatio = 8
+)
 
 // EventIntervals estimates the mean time between two events in the streams of each model of each service. It is safe for
 // concurrent use.
 type EventIntervals struct {
 	mu   sync.Mutex
-	mean map[streamKey]float64 // milliseconds
+	mean map[streamKey]intervalMean
+}
+
+type intervalMean struct {
+	ms float64
+	n  int // intervals observed
 }
 
 type streamKey struct{ service, model string }
 
 // NewEventIntervals returns an EventIntervals without observations.
-func NewEventIntervals() *EventIntervals { return &EventIntervals{mean: map[streamKey]float64{}} }
+func NewEventIntervals() *EventIntervals { return &EventIntervals{mean: map[streamKey]intervalMean{}} }
 
 // Observe records the time between two events.
 func (e *EventIntervals) Observe(service, model string, interval time.Duration) {
@@ -26,16 +37,18 @@
 	defer e.mu.Unlock()
 	k := streamKey{service, model}
 	ms := float64(interval) / float64(time.Millisecond)
-	old, ok := e.mean[k]
-	if !ok {
-		old = ms
+	m := e.mean[k]
+	if m.n > 0 {
+		ms = min(ms, maxIntervalRatio*m.ms)
 	}
-	e.mean[k] = old + intervalSmoothing*(ms-old)
+	m.n++
+	m.ms += max(intervalSmoothing, 1/float64(m.n)) * (ms - m.ms)
+	e.mean[k] = m
 }
 
 // MeanMillis returns the mean time between two events in milliseconds, 0 if none was observed.
 func (e *EventIntervals) MeanMillis(service, model string) float64 {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.mean[streamKey{service, model}]
+	return e.mean[streamKey{service, model}].ms
 }
