--- a/dispatch/escalation.go
+++ b/dispatch/escalation.go
@@ -6,8 +6,13 @@
 	"github.com/bramleytrail/bramleytrail/pool"
 )
 
-// failureBudgetShare is the fraction of the retry budget that is reserved for failures: cascades don't use it.
-const failureBudgetShare = 0.2
+const (
+	// failureBudgetShare is the fraction of the retry budget that is reserved for failures: cascades don't use it.
+	failureBudgetShare = 0.2
+	// rankBudgetShare is the fraction of the budget that cascades leave, for each rank, to those of more urgent requests, and
+	// maxRankBudgetShare its limit.
+	rankBudgetShare, maxRankBudgetShare = 0.15, 0.45
+)
 
 // Quote describes the answer that another model would probably give.
 type Quote struct {
@@ -34,8 +39,9 @@
 // ReserveEscalation charges the retry budget for the next attempt, which a cascade makes, and reports whether the budget
 // allows it. The part of the budget that is reserved for failures is left. The budget is charged at once because the
 // answer at hand is on time and must not be dropped unless the next attempt is certain.
-func (x *Exchange) ReserveEscalation() bool {
-	if !x.budget.withdraw(failureBudgetShare, x.filter.spec.Now()) {
+func (x *Exchange) ReserveEscalation(rank int) bool {
+	keep := failureBudgetShare + min(rankBudgetShare*float64(rank), maxRankBudgetShare)
+	if !x.budget.withdraw(keep, x.filter.spec.Now()) {
 		return false
 	}
 	x.prepaid.Store(true)
--- a/pipeline/escalation.go
+++ b/pipeline/escalation.go
@@ -86,7 +86,7 @@
 		s.recordKept(a, *obstacle)
 		return false
 	}
-	if !s.exchange.ReserveEscalation() {
+	if !s.exchange.ReserveEscalation(s.rank()) {
 		s.recordPossible(a, false)
 		s.recordKept(a, KeepBudget)
 		return false
@@ -175,7 +175,7 @@
 	}
 	elapsed := s.p.Now().Sub(s.start)
 	late := s.route.TargetLatency > 0 && elapsed+q.Delay > s.route.TargetLatency
-	price := tariff.Price(q.Uncached, answerTokens)
+	price := tariff.Price(q.Uncached, answerTokens) * s.p.Routes.EventIntervals.Congestion(s.service, model)
 	out := quote{price: price, loss: 1 - s.chanceInTime(ctx, model, answerTokens, q.Delay)}
 	if out.loss > 0.5 {
 		out.obstacle = KeepDeadline
--- a/selection/cache.go
+++ b/selection/cache.go
@@ -4,7 +4,7 @@
 
 // affinityCachedShare is the fraction of a prompt's shared tokens that counts as cached at the endpoint that their
 // hash selects. All daemons send them there if they have no other information.
-const affinityCachedShare = 0.7
+const affinityCachedShare = 0.9
 
 // affinity returns the key of the endpoint that the hash of the prompt's shared parts selects among those that the
 // request may go to and prefers; 0 for none.
