--- a/cascade/escalator.go
+++ b/cascade/escalator.go
@@ -55,16 +55,6 @@
 	Value float64
 	// Price returns the price of an answer by a model, or +Inf if the model can't be asked.
 	Price func(model int) float64
-	// Loss returns the share of Value that is lost on average because the answer of a model arrives too late; nil for none.
-	Loss func(model int) float64
-}
-
-// loss returns the share of the value that is lost because the answer of a model arrives too late.
-func (r *Escalation) loss(model int) float64 {
-	if r.Loss == nil {
-		return 0
-	}
-	return r.Loss(model)
 }
 
 // Next returns the index of the model to call next, or -1 to accept the answer at hand. It minimizes the sum of the prices
@@ -86,19 +76,13 @@
 		if price >= lowest {
 			continue
 		}
-		if cost := e.costOf(&r, i, price); cost < lowest {
+		if cost := price + e.remainingCost(&r, i, largest); cost < lowest {
 			next, lowest = i, cost
 		}
 	}
 	return next
 }
 
-// costOf returns the expected cost of asking a larger model at a price.
-func (e *Escalator) costOf(r *Escalation, model int, price float64) float64 {
-	loss := r.loss(model)
-	return price + loss*r.Value + (1-loss)*e.remainingCost(r, model, len(r.Models)-1)
-}
-
 // LikelyPoor reports whether an answer with this confidence is more likely poor than good.
 func (e *Escalator) LikelyPoor(confidence float64) bool { return confidence < e.evenConfidence }
 
--- a/cascade/escalator_test.go
+++ b/cascade/escalator_test.go
@@ -42,7 +42,7 @@
 		{"no confidence", []Answer{{0, math.NaN()}}, 2, cheap, -1},
 	} {
 		e := NewEscalator(0.5)
-		if got := e.Next(Escalation{Models: modelFamily, Answers: tc.answers, MaxCalls: tc.maxCalls, Value: value, Price: tc.price}); got != tc.want {
+		if got := e.Next(Escalation{modelFamily, tc.answers, tc.maxCalls, value, tc.price}); got != tc.want {
 			t.Errorf("%s: next model is %d, want %d", tc.name, got, tc.want)
 		}
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -197,10 +197,9 @@
 
 // newPipeline returns the stages of a request.
 func (g *Gateway) newPipeline() *pipeline.Pipeline {
-	escalator := cascade.NewEscalator(g.spec.EvenConfidence)
 	return &pipeline.Pipeline{
 		Config: g.config, Admit: g.admit, Dispatch: g.dispatch, Closing: g.closing, Now: time.Now, OnStart: func(*pipeline.Progress) {}, OnFinish: g.recordOutcome,
-		Routes: &pipeline.Routes{Releases: g.releases, Escalator: escalator, FirstChoice: cascade.NewFirstChoice(escalator), AnswerValue: g.spec.AnswerValue, EventIntervals: relay.NewEventIntervals(), MayBeBehind: func() bool { return g.view.mayBeBehind() }, OnSend: g.recordSend, OnAttempt: g.recordAttempt, OnBroken: g.recordBroken, OnEscalate: g.recordEscalation, OnKeep: g.recordKept, OnFirstModel: g.recordFirstModel, OnAnswer: g.countAnswer()},
+		Routes: &pipeline.Routes{Releases: g.releases, Escalator: cascade.NewEscalator(g.spec.EvenConfidence), AnswerValue: g.spec.AnswerValue, EventIntervals: relay.NewEventIntervals(), MayBeBehind: func() bool { return g.view.mayBeBehind() }, OnSend: g.recordSend, OnAttempt: g.recordAttempt, OnBroken: g.recordBroken, OnEscalate: g.recordEscalation, OnKeep: g.recordKept, OnAnswer: g.countAnswer()},
 	}
 }
 
@@ -464,9 +463,4 @@
 		Info("doubtful answer kept")
 }
 
-func (g *Gateway) recordFirstModel(request, model string) {
-	g.spec.Metrics.Counter(fmt.Sprintf(`bramley_larger_models_first_total{model=%q}`, model)).Inc()
-	g.log.WithFields(logrus.Fields{"request": request, "model": model}).Info("larger model asked first")
-}
-
 var _ pipeline.Releases = (*releases)(nil)
--- a/pipeline/routed.go
+++ b/pipeline/routed.go
@@ -65,8 +65,6 @@
 	Releases Releases // nil if there are no releases
 	// Escalator chooses among the models of a route by the confidence in their answers and their prices.
 	Escalator *cascade.Escalator
-	// FirstChoice chooses the model that is asked first, for services whose endpoints report their speed.
-	FirstChoice *cascade.FirstChoice
 	// AnswerValue is the value of a good answer as a multiple of the largest model's tariff, see cascade.Value.
 	AnswerValue float64
 	// EventIntervals estimates how long streams take.
@@ -80,11 +78,10 @@
 	OnAnswer func(team string)
 	// OnBroken is called when the connection of an attempt broke; it may be nil.
 	OnBroken func(dispatch.BrokenAttempt)
-	// OnEscalate is called when an answer is dropped to ask a larger model, OnKeep when an answer is delivered although it is more likely poor
-	// than good, and OnFirstModel when a request asks a larger model first; they may be nil.
-	OnEscalate   func(EscalationOutcome)
-	OnKeep       func(KeptAnswer)
-	OnFirstModel func(request, model string)
+	// OnEscalate is called when an answer is dropped to ask a larger model, and OnKeep when an answer is delivered although it is more likely
+	// poor than good; they may be nil.
+	OnEscalate func(EscalationOutcome)
+	OnKeep     func(KeptAnswer)
 }
 
 // routedStages holds the state of one request of a route. Its methods are the stages.
@@ -308,7 +305,6 @@
 func (s *routedStages) dispatch(ctx context.Context) error {
 	s.setStage(StageDispatch)
 	s.exchange = s.p.Dispatch.NewExchange(ctx, s.input())
-	s.chooseFirst(ctx)
 	for {
 		answer, err := s.exchange.Do(s.modelName(), s.r.Meta.LastEventID)
 		if err != nil {
