--- a/cascade/value.go
+++ b/cascade/value.go
@@ -16,10 +16,16 @@
 	return multiple * largest.Price(prompt, answerWeight*answer)
 }
 
+// normalCongestion is the congestion up to which a model is not busy: the pace of streams varies by as much with the mix of requests.
+const normalCongestion = 1.75
+
 // CongestedPrice returns what an answer by a busy model costs. congestion is the time between two events of its streams as a multiple of that
 // in an idle service. A busy model answers one request at the expense of others, so it is asked for those that are worth most for its time:
-// the price stands for this time, as it does for operators.
-func CongestedPrice(price, congestion float64) float64 { return price * max(1, congestion) }
+// the price stands for this time, as it does for operators. The time that others wait rises faster than the congestion.
+func CongestedPrice(price, congestion float64) float64 {
+	excess := max(1, congestion/normalCongestion)
+	return price * excess * excess
+}
 
 // Tariffs returns the tariffs of models, which are ordered from the smallest to the largest. If the service does not
 // declare a price for each of them, the prices are in proportion to the order of the models.
