--- a/cascade/escalator.go
+++ b/cascade/escalator.go
@@ -83,6 +83,9 @@
 	return next
 }
 
+// LikelyPoor reports whether an answer with this confidence is more likely poor than good.
+func (e *Escalator) LikelyPoor(confidence float64) bool { return confidence < e.evenConfidence }
+
 // remainingCost returns the expected cost after a call to a larger model: its answer is poor too, or its confidence gives
 // reason to call the largest model.
 func (e *Escalator) remainingCost(r *Escalation, model, largest int) float64 {
