release: expect as many slow answers as the old version gives, over all daemons

A daemon compares the answers of a new version with the 95th percentile of its own few answers of the old one. Among answers of very unequal length that limit was too high: with a deviation of the logarithm of the times of 0.8, it was over seven times the median, and answers had to be as old to count.

The limit is now twice the 85th percentile. The expected share of slow answers comes from all daemons: each also compares its answers of the old version with the same limits, as they are and as if they took 1.4 times and twice as long. The share of the new version's answers above the median tells by how much it is slower as a whole, which is allowed up to twice. At least 5 % are expected to be slow. The counts travel in the rows of the evidence that describe the old version without answers; daemons of an earlier release ignore them. A version is not completed while 6 % more slow answers than expected are more probable (10 % before).

The simulations compare answers of the old version as the daemons do.

--- a/gateway/releaseevidence.go
+++ b/gateway/releaseevidence.go
@@ -197,17 +197,21 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t, isNew := r.runningFor(a.Service, a.Release)
+	var scaled release.Scaled
 	if judged && !failed && !a.Abandoned && r.isInUse(a.Service, a.Release) {
+		if t != nil { // before it becomes part of what it is compared with, as an answer of the new version
+			scaled = r.baselines.latencies.CompareScaled(a.Service, a.Route, a.Model, a.Latency)
+		}
 		r.baselines.latencies.Add(a.Service, a.Route, a.Model, a.Latency)
 	}
 	if t == nil {
 		return
 	}
 	delete(t.evidence.unanswered, attemptKey{a.Request, a.Endpoint})
-	answer := release.Answer{Route: a.Route, Endpoint: a.Endpoint, New: isNew, Failed: failed}
+	answer := release.Answer{Route: a.Route, Endpoint: a.Endpoint, New: isNew, Failed: failed, Scaled: scaled}
 	if isNew && !failed {
 		answer.Latency = r.baselines.latencies.CompareLatency(a.Service, a.Route, a.Model, a.Latency)
-		if judged && !a.Abandoned && answer.Latency.Slow == 0 && t.evidence.early.Add(a.Service, a.Route, a.Model, a.Endpoint, time.Now().Add(-a.Latency)) {
+		if judged && !a.Abandoned && answer.Latency.Slow == 0 && t.evidence.early.Add(a.Service, a.Route, a.Model, a.Endpoint, time.Now().Add(-a.Latency), answer.Latency) {
 			answer.Latency = release.Timing{}
 		}
 	}
--- a/release/baseline.go
+++ b/release/baseline.go
@@ -12,8 +12,10 @@
 	minBaseline, maxBaseline = 6, 1024
 	// slowTail is the share of the latencies of the versions in use that are longer than the quantile that others are compared
 	// with, and slowRatio the multiple of that quantile from which a latency counts as slow. Endpoints that have just started, or
-	// have empty caches, are slower for some seconds, but by less than this.
-	slowTail, slowRatio = 0.05, 2.0
+	// have empty caches, are slower for some seconds, but by less than this. A longer quantile is uncertain with the few answers of one
+	// daemon, and no answer counts before it is as old as the multiple of it: with 0.05 and a deviation of the logarithm of 0.8, 7.5 times
+	// the median, with 0.15 4.6 times.
+	slowTail, slowRatio = 0.15, 2.0
 	// intervalRatio is the ratio to the median interval of the versions in use up to which another version is about as fast.
 	intervalRatio = 1.35
 	// minDeviation is the smallest standard deviation of the logarithm of intervals, since that of few of them is uncertain.
@@ -69,10 +71,14 @@
 		return Timing{}
 	}
 	quantile, tail := h.quantile(slowTail)
-	t := Timing{1, 0, tail}
+	median, _ := h.quantile(0.5)
+	t := Timing{Timed: 1, Expected: tail}
 	if float64(d) > slowRatio*float64(quantile) {
 		t.Slow = 1
 	}
+	if d > median {
+		t.Above = 1
+	}
 	return t
 }
 
@@ -119,3 +125,13 @@
 	upper := float64(shortestLatency) * math.Exp2(float64(i+1)/bucketsPerDoubling)
 	return time.Duration(upper), float64(above+1) / float64(h.total+1)
 }
+
+// CompareScaled compares the time until an answer of a version in use began with those before it, for the expectation of how many
+// answers of another version are slow.
+func (b *Baseline) CompareScaled(service, route, model string, d time.Duration) (out Scaled) {
+	for i := range out {
+		scale := math.Pow(slowRatio, float64(i)/(scales-1))
+		out[i] = b.CompareLatency(service, route, model, time.Duration(scale*float64(d)))
+	}
+	return out
+}
--- a/release/early.go
+++ b/release/early.go
@@ -13,14 +13,15 @@
 type earlyAnswer struct {
 	service, route, model, endpoint string
 	sentAt                          time.Time
+	above                           int64 // Timing.Above
 }
 
 // Add adds an answer that is not slow, by the time at which its request was sent. It reports false if there are maxEarlyAnswers.
-func (x *EarlyAnswers) Add(service, route, model, endpoint string, sentAt time.Time) bool {
+func (x *EarlyAnswers) Add(service, route, model, endpoint string, sentAt time.Time, t Timing) bool {
 	if len(x.answers) >= maxEarlyAnswers {
 		return false
 	}
-	x.answers = append(x.answers, earlyAnswer{service, route, model, endpoint, sentAt})
+	x.answers = append(x.answers, earlyAnswer{service, route, model, endpoint, sentAt, t.Above})
 	return true
 }
 
@@ -33,7 +34,7 @@
 			rest = append(rest, a)
 			continue
 		}
-		t.Slow = 0
+		t.Slow, t.Above = 0, a.above
 		e.RecordLatency(a.route, a.endpoint, t)
 	}
 	clear(x.answers[len(rest):])
--- a/release/evidence.go
+++ b/release/evidence.go
@@ -18,7 +18,7 @@
 	endpointGroups = 16
 	// oldVersion takes the place of the group in the cells of the old version.
 	oldVersion = endpointGroups
-	// maxCells bounds the cells of encoded evidence; those with the fewest answers are left out.
+	// maxCells bounds the rows of encoded evidence; cells with the fewest answers are left out.
 	maxCells = 250
 	// sumUnit is the unit in which the sums of Timing and Shift are encoded.
 	sumUnit = 1e-3
@@ -33,19 +33,23 @@
 	Endpoint string // ID
 	New      bool   // whether the endpoint runs the new version
 	Failed   bool
-	// Latency compares the time until the answer began with that of the versions in use.
+	// Latency compares the time until the answer of the new version began with that of the versions in use, and Scaled that of
+	// an answer of the latter with those before.
 	Latency Timing
+	Scaled  Scaled
 }
 
 // Timing counts times that were compared with those of the versions in use, see Baseline.
 type Timing struct {
 	Timed, Slow int64
+	Above       int64   // longer than the median of the versions in use
 	Expected    float64 // number of slow ones if the version is as fast as those in use
 }
 
 func (t *Timing) add(o Timing) {
 	t.Timed += o.Timed
 	t.Slow += o.Slow
+	t.Above += o.Above
 	t.Expected += o.Expected
 }
 
@@ -56,7 +60,7 @@
 
 // since returns the growth since the earlier timing o.
 func (t Timing) since(o Timing) Timing {
-	return Timing{max(0, t.Timed-o.Timed), max(0, t.Slow-o.Slow), max(0, t.Expected-o.Expected)}
+	return Timing{max(0, t.Timed-o.Timed), max(0, t.Slow-o.Slow), max(0, t.Above-o.Above), max(0, t.Expected-o.Expected)}
 }
 
 // Counts holds the results of some answers.
@@ -107,6 +111,7 @@
 	Requests int64 // sent to either version since the order
 	Exposed  int64 // of these, sent to the new version
 	cells    map[cell]Counts
+	profiles map[uint32]profile // by hash of the route
 }
 
 // Record adds an answer.
@@ -117,14 +122,17 @@
 	}
 	if !a.New {
 		e.add(cell{routeHash(a.Route), oldVersion}, c)
+		e.addProfile(routeHash(a.Route), profile{old: a.Scaled})
 		return
 	}
 	c.Latency = a.Latency
+	e.addProfile(routeHash(a.Route), profile{newVersion: a.Latency})
 	e.add(newVersionCell(a.Route, a.Endpoint), c)
 }
 
 // RecordLatency adds the time for which a request of the new version has waited for its answer, which may still come.
 func (e *Evidence) RecordLatency(route, endpoint string, t Timing) {
+	e.addProfile(routeHash(route), profile{newVersion: t})
 	e.add(newVersionCell(route, endpoint), Counts{Latency: t})
 }
 
@@ -144,6 +152,7 @@
 		e.cells = map[cell]Counts{}
 	}
 	sum := e.cells[key]
+	c.Latency.Above = 0 // kept in the profile
 	sum.Add(c)
 	e.cells[key] = sum
 }
@@ -151,6 +160,7 @@
 // Clone returns a copy of e.
 func (e Evidence) Clone() Evidence {
 	e.cells = maps.Clone(e.cells)
+	e.profiles = maps.Clone(e.profiles)
 	return e
 }
 
@@ -161,11 +171,20 @@
 	for key, c := range o.cells {
 		e.add(key, c)
 	}
+	for route, p := range o.profiles {
+		e.addProfile(route, p)
+	}
 }
 
 // since returns e without the new version's answers of before. Those of the old version stay, to compare with.
 func (e Evidence) since(before Evidence) Evidence {
-	out := Evidence{Requests: e.Requests - before.Requests, Exposed: e.Exposed - before.Exposed, cells: make(map[cell]Counts, len(e.cells))}
+	out := Evidence{
+		Requests: e.Requests - before.Requests, Exposed: e.Exposed - before.Exposed,
+		cells: make(map[cell]Counts, len(e.cells)), profiles: make(map[uint32]profile, len(e.profiles)),
+	}
+	for route, p := range e.profiles {
+		out.profiles[route] = p.since(before.profiles[route])
+	}
 	for key, c := range e.cells {
 		if key.group != oldVersion {
 			c = c.since(before.cells[key])
@@ -200,32 +219,35 @@
 }
 
 // Encode returns the evidence in the form in which messages carry it: variable-length integers, first the numbers of requests,
-// then a row for each cell.
+// then a row for each cell and those of the profiles.
 func (e Evidence) Encode() []byte {
 	data := binary.AppendUvarint(nil, uint64(e.Requests))
 	data = binary.AppendUvarint(data, uint64(e.Exposed))
-	for _, key := range e.bounded() {
+	rows := e.profileRows()
+	for _, key := range e.bounded(maxCells - len(rows)) {
 		c := e.cells[key]
-		row := []int64{
+		rows = append(rows, [9]int64{
 			int64(key.route), int64(key.group), c.Answers, c.Failures,
-			c.Latency.Timed, c.Latency.Slow, inUnits(c.Latency.Expected), c.Interval.Timed,
-		}
-		for _, v := range row {
+			c.Latency.Timed, c.Latency.Slow, inUnits(c.Latency.Expected), c.Interval.Timed, inUnits(c.Interval.Sum),
+		})
+	}
+	for _, row := range rows {
+		for _, v := range row[:8] {
 			data = binary.AppendUvarint(data, uint64(v))
 		}
-		data = binary.AppendVarint(data, inUnits(c.Interval.Sum))
+		data = binary.AppendVarint(data, row[8])
 	}
 	return data
 }
 
 func inUnits(sum float64) int64 { return int64(math.Round(sum / sumUnit)) }
 
-// bounded returns the keys of at most maxCells cells, those with the most answers.
-func (e Evidence) bounded() []cell {
+// bounded returns the keys of at most n cells, those with the most answers.
+func (e Evidence) bounded(n int) []cell {
 	keys := slices.SortedFunc(maps.Keys(e.cells), func(a, b cell) int {
 		return cmp.Or(cmp.Compare(e.cells[b].Answers, e.cells[a].Answers), cmp.Compare(a.route, b.route), cmp.Compare(a.group, b.group))
 	})
-	return keys[:min(len(keys), maxCells)]
+	return keys[:min(len(keys), n)]
 }
 
 // DecodeEvidence decodes the result of Encode. It returns an error for malformed data and for impossible counts.
@@ -252,9 +274,9 @@
 			return Evidence{}, errMalformedEvidence
 		}
 		data = data[n:]
-		var v [7]int64
-		for i := range v {
-			if v[i], ok = next(); !ok {
+		row := [9]int64{int64(route)}
+		for i := 1; i < 8; i++ {
+			if row[i], ok = next(); !ok {
 				return Evidence{}, errMalformedEvidence
 			}
 		}
@@ -263,11 +285,18 @@
 			return Evidence{}, errMalformedEvidence
 		}
 		data = data[n:]
-		c := Counts{v[1], v[2], Timing{v[3], v[4], float64(v[5]) * sumUnit}, Shift{v[6], float64(shift) * sumUnit}}
-		if v[0] > oldVersion || c.Failures > c.Answers || c.Latency.Slow > c.Latency.Timed || math.Abs(c.Interval.Sum) > maxDifference*float64(c.Interval.Timed)+1 {
+		row[8] = shift
+		if row[1] == oldVersion && row[2] == 0 && row[3] == 0 {
+			if err := e.addProfileRow(row); err != nil {
+				return Evidence{}, err
+			}
+			continue
+		}
+		c := Counts{row[2], row[3], Timing{Timed: row[4], Slow: row[5], Expected: float64(row[6]) * sumUnit}, Shift{row[7], float64(shift) * sumUnit}}
+		if row[1] > oldVersion || c.Failures > c.Answers || c.Latency.Slow > c.Latency.Timed || math.Abs(c.Interval.Sum) > maxDifference*float64(c.Interval.Timed)+1 {
 			return Evidence{}, errMalformedEvidence
 		}
-		e.add(cell{uint32(route), uint8(v[0])}, c)
+		e.add(cell{uint32(route), uint8(row[1])}, c)
 	}
 	return e, nil
 }
--- a/release/exposure_test.go
+++ b/release/exposure_test.go
@@ -210,6 +210,7 @@
 		r.evidence.Exposed++
 		a.Latency = r.baseline.CompareLatency("s", a.Route, "", latency)
 	} else if !failed {
+		a.Scaled = r.baseline.CompareScaled("s", a.Route, "", latency)
 		r.baseline.Add("s", a.Route, "", latency)
 	}
 	r.evidence.Record(a)
--- a/release/suspicion.go
+++ b/release/suspicion.go
@@ -29,6 +29,9 @@
 	// tolerance is the difference in the share of bad answers that must be improbable before a version is completed, if it has
 	// at least minProof answers.
 	tolerance, minProof = 0.1, 12
+	// slowTolerance takes the place of tolerance for late beginnings: among times of very unequal length, only half of the answers that
+	// take five times as long are later than the limit.
+	slowTolerance = 0.06
 	// priorCalls is the weight of all routes' failure rate in that of one route, and priorFailures is added to its failures, so
 	// that few calls of the old version count as uncertain.
 	priorCalls, priorFailures = 4.0, 0.5
@@ -53,7 +56,7 @@
 
 // compare compares the new version's answers with the old one's, over all routes and by route.
 func (e Evidence) compare() (all comparisons, byRoute map[uint32]comparisons) {
-	rates := e.failureRates()
+	rates, shares := e.failureRates(), e.slowShares()
 	all, byRoute = comparisons{}, map[uint32]comparisons{}
 	for key, c := range e.cells {
 		if key.group == oldVersion || c == (Counts{}) {
@@ -66,7 +69,7 @@
 			if groups[key.group] == nil {
 				groups[key.group] = &comparison{}
 			}
-			groups[key.group].add(c, rates.of(key.route))
+			groups[key.group].add(c, rates.of(key.route), key.route, shares)
 		}
 	}
 	return all, byRoute
@@ -103,9 +106,11 @@
 	intervals           drift
 }
 
-func (c *comparison) add(counts Counts, failureRate float64) {
+func (c *comparison) add(counts Counts, failureRate float64, route uint32, shares slowShares) {
 	c.failures = c.failures.plus(tally{float64(counts.Answers), float64(counts.Failures), failureRate * float64(counts.Answers)})
-	c.latencies = c.latencies.plus(tally{float64(counts.Latency.Timed), float64(counts.Latency.Slow), counts.Latency.Expected})
+	if timed := float64(counts.Latency.Timed); timed > 0 {
+		c.latencies = c.latencies.plus(tally{timed, float64(counts.Latency.Slow), timed * shares.of(route, counts.Latency.Expected/timed)})
+	}
 	c.intervals = c.intervals.plus(drift{float64(counts.Interval.Timed), counts.Interval.Sum})
 }
 
@@ -119,7 +124,7 @@
 	// unlike compares the sample with the others of its version. It is 0 for a sample that is as good.
 	unlike(others S) float64
 	// isWorse reports whether the sample is more probable with tolerance more bad answers than expected.
-	isWorse() bool
+	isWorse(tolerance float64) bool
 }
 
 // tally is a number of answers, how many of them were bad, and how many were expected to be.
@@ -157,7 +162,7 @@
 	return tally{t.answers, t.bad, max(1, others.bad/others.expected) * t.expected}.poissonRatio()
 }
 
-func (t tally) isWorse() bool {
+func (t tally) isWorse(tolerance float64) bool {
 	more := tolerance * t.answers
 	return t.expected > 0 && t.bad*math.Log1p(more/t.expected) > more
 }
@@ -186,7 +191,7 @@
 	return drift{max(d.n, minBad), d.sum - max(0, others.sum/others.n)*d.n}.logLikelihoodRatio()
 }
 
-func (d drift) isWorse() bool { return d.sum > 0 }
+func (d drift) isWorse(float64) bool { return d.sum > 0 }
 
 // samplesOf returns one sample of each group that has answers.
 func samplesOf[S sample[S]](groups comparisons, of func(*comparison) S) (out []S) {
@@ -254,10 +259,10 @@
 		return true
 	}
 	all, _ := e.compare()
-	return unproven(samplesOf(all, failuresOf)) || unproven(samplesOf(all, latenciesOf)) || unproven(samplesOf(all, intervalsOf))
+	return unproven(samplesOf(all, failuresOf), tolerance) || unproven(samplesOf(all, latenciesOf), slowTolerance) || unproven(samplesOf(all, intervalsOf), tolerance)
 }
 
-func unproven[S sample[S]](groups []S) bool {
+func unproven[S sample[S]](groups []S, tolerance float64) bool {
 	total := withoutOutliers(groups, clearOutlier)
-	return total.size() >= minProof && total.isWorse()
+	return total.size() >= minProof && total.isWorse(tolerance)
 }
