release, gateway: completions that wait for evidence are logged, and written in time if the first daemon dies

A completion that waits for evidence had no log line and no metric, and no test covered a failure during the wait. The decision now says what it waits for (release.Completion); each daemon logs the end of the wait with its duration, the answers that counted and the reason, and records both in histograms.

A sound version was completed after its deadline if the first daemon had died: the wait ends 0.5 s before it, and the second daemon wrote 0.8 s later. The second daemon now writes a completion 0.35 s before the deadline, but not earlier than 0.15 s after its own decision. At most one more write follows, which the store refuses if the first one came in time.

--- a/gateway/releases.go
+++ b/gateway/releases.go
@@ -24,6 +24,9 @@
 	// writeDelayPerRank is the time for which a daemon delays the write of a decision, for each daemon of lower rank. All daemons
 	// can make the decision, but one write is enough.
 	writeDelayPerRank = 800 * time.Millisecond
+	// completionWriteReserve is the time before the deadline at which the second daemon writes a completion that the first one has not, as when
+	// it died during the wait for evidence, and minCompletionDelay its shortest delay. A write after the first one changes nothing.
+	completionWriteReserve, minCompletionDelay = 350 * time.Millisecond, 150 * time.Millisecond
 	// sessionMargin is added to Spec.SessionGap for messages that are still in transit.
 	sessionMargin = 500 * time.Millisecond
 )
@@ -47,6 +50,7 @@
 	promotedAt   time.Time        // zero before the promotion
 	due          time.Time        // when this daemon writes the pending decision
 	pending      release.Phase
+	wait         completionWait
 	restored     bool              // the store was restored during the release, so that its state may have to be written again
 	sessions     *release.Sessions // that are in use on the old version
 }
@@ -264,14 +268,16 @@
 		r.log(rel, t, p).Info("release's phase learned")
 		r.enter(t, p)
 	}
-	next := release.NextPhase(r.state(t, now, endpoints), rel, r.g.spec.Exposure)
+	state := r.state(t, now, endpoints)
+	next := release.NextPhase(state, rel, r.g.spec.Exposure)
+	r.observeWait(rel, t, state, next, now)
 	if next == release.Reverted && t.phase != next { // a revert does not wait for other daemons
 		r.log(rel, t, next).Warn("release taken back")
 		r.enter(t, next)
 	}
 	if next != t.pending {
 		t.pending = next
-		t.due = now.Add(time.Duration(r.g.view.rank()) * writeDelayPerRank)
+		t.due = now.Add(writeDelay(r.g.view.rank(), next, t.firstSeen.Add(rel.Duration).Sub(now)))
 	}
 	due, after := !now.Before(t.due), t.phase
 	r.mu.Unlock()
@@ -309,6 +315,9 @@
 		t.order, t.pending, t.restored = rel.Order, "", true
 	}
 	if t == nil || t.order != rel.Order {
+		if t != nil {
+			r.endWait(t, rel.Service, endedByUnordered, now)
+		}
 		t = &trackedRelease{
 			order: rel.Order, target: rel.TargetVersion, firstSeen: now, trackedSince: now, phase: release.Canary,
 			evidence: newReleaseEvidence(), sessions: release.NewSessions(),
--- a/release/release.go
+++ b/release/release.go
@@ -106,10 +106,10 @@
 	if suspicion >= revertSuspicion {
 		return Reverted
 	}
-	switch {
-	case s.Phase == Canary && suspicion < promoteSuspicion && s.mayPromote(r, limit):
+	if s.Phase == Canary && suspicion < promoteSuspicion && s.mayPromote(r, limit) {
 		return Promoted
-	case s.Phase == Promoted && s.Elapsed >= completeAt(r) && s.Evidence.tried() && s.seenEnough(r):
+	}
+	if c := s.Completion(r); c.Due && c.Hold == "" {
 		return Completed
 	}
 	return s.Phase
@@ -124,26 +124,6 @@
 	return suspicion
 }
 
-// seenEnough reports whether a promoted version has been seen long enough, or in enough answers, and that they don't speak for a
-// regression.
-func (s State) seenEnough(r *object.Release) bool {
-	since := s.Evidence.since(s.AtPromotion)
-	tried := s.Elapsed-s.PromotedAt >= time.Duration(minPromoted*float64(r.Duration)) || since.newAnswers() >= enoughAnswers
-	current := s.isCurrent(since) || s.Elapsed >= r.Duration-latestCompleteReserve
-	return tried && current && !since.Unproven(s.Endpoints) && !s.Evidence.Unproven(s.Endpoints)
-}
-
-// isCurrent reports whether the evidence since the promotion holds enough answers, or most of those that there must be by now. If
-// times are compared, an answer counts once it failed or was compared.
-func (s State) isCurrent(since Evidence) bool {
-	c, _ := since.Totals()
-	answers := c.Answers
-	if all, _ := s.Evidence.Totals(); all.Latency.Timed > 0 {
-		answers = c.Latency.Timed + c.Failures
-	}
-	return answers >= provingAnswers || float64(answers) >= currentShare*s.Rate*(s.Elapsed-s.PromotedAt).Seconds()
-}
-
 // mayPromote reports whether the new version may get all requests until the deadline.
 func (s State) mayPromote(r *object.Release, limit Limit) bool {
 	if s.Elapsed < time.Duration(promoteFrom*float64(r.Duration)) || s.Endpoints == 0 {
