declare, platform, ctl: the check warns of fields that daemons do not read

A misspelled field of the platform's configuration had no effect and no finding. The check now walks the document beside the type that daemons decode it into and warns with the path and line, for any name of a field. Daemons accept the same documents as before.

--- a/declare/rules.go
+++ b/declare/rules.go
@@ -69,6 +69,7 @@
 	CodeConnectionsShort  Code = "connections-below-slots"
 	CodeColdRate          Code = "cold-rate"
 	CodeLimitIgnored      Code = "limit-ignored"
+	CodeUnknownField      Code = "unknown-field"
 	CodeVersionUnchanged  Code = "version-unchanged"
 )
 
@@ -118,6 +119,7 @@
 	{CodeConnectionsShort, SeverityWarning, "fewer connections than slots, so some slots are never used", `"connection-limit": 4, "engine": {"slots": 8}`},
 	{CodeColdRate, SeverityWarning, "a cold endpoint takes less than one request in the timeout of every route of its service", `"cold-per-s": 0.1 with "timeout-ms": 1000`},
 	{CodeLimitIgnored, SeverityWarning, "the limit is negative or contradicts itself, so it is ignored", `"scaling": {"minimum": 9, "maximum": 8, "boot-time-s": 8}`},
+	{CodeUnknownField, SeverityWarning, "daemons do not read the field, so it has no effect", `"time-out-ms": 500`},
 	{CodeVersionUnchanged, SeverityWarning, "the version is in force with other content (with `--in-force`)", `"version": 7, while 7 is in force with other routes`},
 }
 
--- a/declare/source.go
+++ b/declare/source.go
@@ -129,3 +129,25 @@
 	}
 	return strings.Join(strings.Fields(n.String()), " ")
 }
+
+// FieldLine returns the line of a field of the object at a path, which is empty for the whole document, or of the object if it is not found.
+// Unlike Line, it takes any name.
+func (d Document) FieldLine(object, field string) int {
+	n := d.body
+	if n != nil && object != "" {
+		n = find(d.body, "$."+object)
+	}
+	var values []*ast.MappingValueNode
+	switch v := n.(type) {
+	case *ast.MappingNode:
+		values = v.Values
+	case *ast.MappingValueNode:
+		values = []*ast.MappingValueNode{v}
+	}
+	for _, v := range values {
+		if v.Key.GetToken().Value == field {
+			return NodeLine(v.Key)
+		}
+	}
+	return d.Line(object)
+}
