release, gateway: the log shows the number of slow answers that the decision expects

The lines about a release showed only what the daemons expect by their own baselines, which no longer decides alone. The new field is slow_expected.

--- a/gateway/releases.go
+++ b/gateway/releases.go
@@ -436,7 +436,7 @@
 	return r.g.log.WithFields(logrus.Fields{
 		"service": rel.Service, "target": rel.TargetVersion, "order": rel.Order, "phase": t.phase, "next": next,
 		"new": fmt.Sprintf("%d/%d failed", newVersion.Failures, newVersion.Answers), "old": fmt.Sprintf("%d/%d failed", old.Failures, old.Answers),
-		"slow": newVersion.Latency.String(), "slow_streams": newVersion.Interval.String(), "exposed": fmt.Sprintf("%d/%d", total.Exposed, total.Requests),
+		"slow": newVersion.Latency.String(), "slow_expected": total.ExpectedSlow(), "slow_streams": newVersion.Interval.String(), "exposed": fmt.Sprintf("%d/%d", total.Exposed, total.Requests),
 		"suspicion": total.Suspicion(r.g.pool.CountUsable(rel.Service, rel.TargetVersion, time.Now())),
 		"age_ms":    time.Since(t.firstSeen).Milliseconds(), "duration_ms": rel.Duration.Milliseconds(),
 		"peers": len(t.evidence.peers), "other_domains": len(t.evidence.otherDomains),
--- a/release/profile.go
+++ b/release/profile.go
@@ -149,3 +149,13 @@
 	e.addProfile(uint32(row[0]), p)
 	return nil
 }
+
+// ExpectedSlow returns the number of slow answers that is expected of the new version if it is sound, over all daemons.
+func (e Evidence) ExpectedSlow() float64 {
+	all, _ := e.compare()
+	sum := 0.0
+	for _, c := range all {
+		sum += c.latencies.expected
+	}
+	return sum
+}
