queue, selection, pool: a request waits no longer than the reports that endpoints are full last

Cause: a daemon that has no requests at endpoints, and whose last reports say that others' requests fill them, heard of no end of a request. Its waiting requests were tried again only when another one arrived or at their deadline, and were then refused although the endpoints were idle. Change: for services whose endpoints report their speed, an endpoint that is full returns the time at which its report has faded so far that it is not. A queue also kept the earlier time of a waiting request if a Signal led to an attempt that returned a new one; it now wakes the request. This second part concerns all services: they returned such times for ejected and cold endpoints already. Result: TestWaitEndsWhenReportsAreOld (dispatch) fails without the change (waits for 1 s, then no_endpoint) and passes with it (at most 100 ms); TestRetryTimeOfSignalIsKept (queue) fails without the change (1 s) and passes (60 ms).

--- a/dispatch/admission_test.go
+++ b/dispatch/admission_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/bramleytrail/bramleytrail/engine"
+	"github.com/bramleytrail/bramleytrail/pool"
 	"github.com/bramleytrail/bramleytrail/result"
 )
 
@@ -84,3 +85,26 @@
 		})
 	}
 }
+
+// Guards against a request that waits until its time is over at a daemon without requests, whose endpoints were full of others' when it last heard of them.
+func TestWaitEndsWhenReportsAreOld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, in := routedFilter(t, routerFunc(answerOK))
+		in.Query.Target = 100 * time.Millisecond
+		for range 4 {
+			q := pool.Query{Service: "llm", Prompt: in.Prompt, Routed: &pool.RoutedQuery{Model: "m", Target: in.Query.Target}}
+			r, _, ok := f.spec.Pool.Pick(q, time.Now())
+			if !ok {
+				t.Fatal("no endpoint")
+			}
+			r.RecordRoutedHeader(time.Millisecond, true, &engine.SlotLoad{Running: 20, Slots: 8, Slowness: 1}, 0, time.Now())
+			r.Release(pool.Succeeded, time.Now().Add(100*time.Millisecond))
+		}
+		start := time.Now()
+		answer, err := f.NewExchange(t.Context(), in).Do("m", 0)
+		if waited := time.Since(start); err != nil || waited == 0 || waited > 100*time.Millisecond {
+			t.Fatalf("waited for %v: %v", waited, err)
+		}
+		answer.Close()
+	})
+}
--- a/pool/routed.go
+++ b/pool/routed.go
@@ -106,7 +106,7 @@
 	shortestMs := d.Chosen.DelayMs
 	for i := range d.Evaluations {
 		if e := &d.Evaluations[i]; e.Rejection != selection.Usable {
-			shortage.countRouted(e.Rejection, &c.chooser.Candidates[i], now)
+			shortage.countRouted(e.Rejection, c.request.RetryIn(&c.chooser.Candidates[i], e.Rejection), now)
 		} else {
 			shortestMs = min(shortestMs, e.DelayMs)
 		}
@@ -150,8 +150,8 @@
 	c.Slowdown, c.FailureRate = e.currentSlowdown(now), e.routed.failureRate
 }
 
-// countRouted counts a rejected endpoint of a routed service.
-func (s *Shortage) countRouted(r selection.Reason, c *selection.Candidate, now time.Time) {
+// countRouted counts a rejected endpoint of a routed service, which may take the request after retryIn; 0 if that is not known.
+func (s *Shortage) countRouted(r selection.Reason, retryIn time.Duration, now time.Time) {
 	switch r {
 	case selection.DomainOut:
 		s.DomainOut++
@@ -161,14 +161,17 @@
 		s.Leaving++
 	case selection.Ejected:
 		s.Ejected++
-		s.retryAt(now.Add(c.RetryIn(r)))
+		s.retryAt(now.Add(retryIn))
 	case selection.SuspectRuns:
 		s.Suspect++
 	case selection.Cold:
 		s.Full++
-		s.retryAt(now.Add(c.RetryIn(r)))
+		s.retryAt(now.Add(retryIn))
 	case selection.Full:
 		s.Full++
+		if retryIn > 0 {
+			s.retryAt(now.Add(retryIn))
+		}
 	}
 }
 
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -96,6 +96,8 @@
 	result    Result
 	finished  bool
 	done      chan struct{}
+	wakeAt    time.Time     // when Wait tries again without a Signal
+	wake      chan struct{} // tells Wait that retryAt is earlier than wakeAt
 }
 
 // New returns an empty queue.
@@ -129,6 +131,7 @@
 		timer := time.NewTimer(q.untilNextTry(w))
 		select {
 		case <-w.done:
+		case <-w.wake:
 		case <-timer.C:
 			q.retryOrTimeOut(w)
 		case <-ctx.Done():
@@ -145,7 +148,7 @@
 	defer q.mu.Unlock()
 	now := q.spec.Now()
 	q.seq++
-	w := &waiter{Request: req, seq: q.seq, done: make(chan struct{})}
+	w := &waiter{Request: req, seq: q.seq, done: make(chan struct{}), wake: make(chan struct{}, 1)}
 	hasCapacity := false   // there was free capacity when Check ran
 	if q.empty(req.Keys) { // there is no request to overtake
 		if v := q.attempt(w, now); v.OK || w.finished {
@@ -257,6 +260,12 @@
 func (q *Queue) attempt(w *waiter, now time.Time) TryResult {
 	v := w.Try(now)
 	w.retryAt = v.RetryAt
+	if !w.finished && !w.retryAt.IsZero() && w.retryAt.Before(w.wakeAt) {
+		select {
+		case w.wake <- struct{}{}:
+		default: // Wait was told already
+		}
+	}
 	switch {
 	case v.OK:
 		q.finish(w, Result{Reason: Granted})
@@ -306,6 +315,7 @@
 	if !w.retryAt.IsZero() && w.retryAt.Before(at) {
 		at = w.retryAt
 	}
+	w.wakeAt = at
 	return at.Sub(q.spec.Now())
 }
 
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -192,3 +192,24 @@
 		}
 	})
 }
+
+// Guards against a wait that goes on although an attempt on a Signal returned an earlier time at which another one is worthwhile.
+func TestRetryTimeOfSignalIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q, start, tries := New(Spec{Limit: 1, Now: time.Now}), time.Now(), 0
+		try := func(now time.Time) TryResult {
+			switch tries++; tries {
+			case 1, 2:
+				return TryResult{Exhausted: true}
+			case 3:
+				return TryResult{Exhausted: true, RetryAt: now.Add(50 * time.Millisecond)}
+			}
+			return TryResult{OK: true}
+		}
+		time.AfterFunc(10*time.Millisecond, func() { q.Signal(testKey.Service, nil) })
+		r := q.Wait(t.Context(), Request{Keys: []Key{testKey}, Weight: 1, Deadline: start.Add(time.Second), Try: try, Check: try})
+		if waited := time.Since(start); r.Reason != Granted || waited != 60*time.Millisecond {
+			t.Errorf("%v after %v, want a grant after 60 ms", r.Reason, waited)
+		}
+	})
+}
--- a/selection/load.go
+++ b/selection/load.go
@@ -182,13 +182,31 @@
 	}
 	known := float64(c.InFlight)
 	if c.LoadAge != NoReport {
-		known += float64(c.Others) * fade(float64(c.LoadAge)/(max(r.HoldMs, 1)*float64(time.Millisecond)))
+		known += float64(c.Others) * fade(float64(c.LoadAge)/r.holdAge())
 	}
+	return known >= r.capacity(c)
+}
+
+// holdAge returns the mean time for which a request takes a slot, in nanoseconds.
+func (r *Request) holdAge() float64 { return max(r.HoldMs, 1) * float64(time.Millisecond) }
+
+// capacity returns the number of requests from which the candidate counts as full.
+func (r *Request) capacity(c *Candidate) float64 {
 	queueable := 0.0
 	if r.HoldMs > 0 {
 		queueable = queueableShare * float64(r.Target/time.Millisecond) / r.HoldMs * float64(c.Slots)
 	}
-	return known >= float64(c.Slots)+queueable
+	return float64(c.Slots) + queueable
+}
+
+// fullFor returns the time after which a candidate that is full is no longer, if nothing more is heard of it: its report fades. It returns 0
+// if this daemon's own requests suffice to fill it, since it hears of their ends.
+func (r *Request) fullFor(c *Candidate) time.Duration {
+	free := r.capacity(c) - float64(c.InFlight)
+	if !r.BySpeed || free <= 0 || c.LoadAge == NoReport || float64(c.Others) < free {
+		return 0
+	}
+	return max(time.Millisecond, time.Duration(r.holdAge()*math.Log(float64(c.Others)/free))-c.LoadAge+time.Millisecond)
 }
 
 // fade returns exp(-x), or 0 where that is negligible: most reports of an endpoint with short requests are much older than
--- a/selection/selection.go
+++ b/selection/selection.go
@@ -234,10 +234,16 @@
 	return Usable
 }
 
-// RetryIn returns the time after which a candidate that was rejected as Ejected or Cold may take a request.
-func (c *Candidate) RetryIn(r Reason) time.Duration {
-	if r == Cold {
+// RetryIn returns the time after which a candidate that was rejected for a reason may take the request even if this daemon hears nothing
+// more of it; 0 if that is not known.
+func (r *Request) RetryIn(c *Candidate, reason Reason) time.Duration {
+	switch reason {
+	case Ejected:
+		return c.UnavailableFor
+	case Cold:
 		return c.ColdWait
+	case Full:
+		return r.fullFor(c)
 	}
-	return c.UnavailableFor
+	return 0
 }
