gateway: an order that operators write again after a restore is the same release

A version that was rolled back got requests again after a restore of the store. Operators write their orders again, also those that the backup has. The order in the backup was recognized as that of the tracked release, because its era is higher; the one written after it is of the same era with a higher revision and began a new release of the same version.

For 6 s after the first order of a new era, another order for the same version is now the same release. An operator who orders the version once more within that time on purpose has to write the order again later.

Measured: TestSecondRestoreWithinSeconds and the four cases of TestDaemonReturnsAfterRestore write the order again. All five failed on the code of before with one request to the version that was rolled back, and pass now (race detector, beside a load average of about 35). TestWriteExecutedAfterRestore passes on both.

--- a/gateway/releases.go
+++ b/gateway/releases.go
@@ -48,6 +48,7 @@
 	due          time.Time        // when this daemon writes the pending decision
 	pending      release.Phase
 	restored     bool              // the store was restored during the release, so that its state may have to be written again
+	sameUntil    time.Time         // until when another order for the same version is this one, which operators write again after a restore
 	sessions     *release.Sessions // that are in use on the old version
 }
 
@@ -104,7 +105,7 @@
 	}
 	r.mu.Lock()
 	t := r.tracked[rel.Service]
-	known := t != nil && t.isOf(rel)
+	known := t != nil && t.isOf(rel, now)
 	r.mu.Unlock()
 	switch {
 	case !known:
@@ -215,7 +216,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if t := r.tracked[rel.Service]; t != nil && t.isOf(rel) {
+	if t := r.tracked[rel.Service]; t != nil && t.isOf(rel, time.Now()) {
 		return t.phase
 	}
 	return release.Canary
@@ -293,9 +294,9 @@
 }
 
 // isOf reports whether t is the state of a release. An order for the same version in a newer era of the store is the same order: the
-// revision counts as of that era, or the operators wrote the order again.
-func (t *trackedRelease) isOf(rel *object.Release) bool {
-	return t.order == rel.Order || t.order.Era < rel.Order.Era && t.target == rel.TargetVersion
+// revision counts as of that era, or the operators wrote the order again. They may also write an order again that the restored store has.
+func (t *trackedRelease) isOf(rel *object.Release, now time.Time) bool {
+	return t.order == rel.Order || t.target == rel.TargetVersion && t.order.Compare(rel.Order) < 0 && (t.order.Era < rel.Order.Era || now.Before(t.sameUntil))
 }
 
 // track returns the state of a release, which it creates for a new order.
@@ -303,9 +304,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t := r.tracked[rel.Service]
-	if t != nil && t.order != rel.Order && t.isOf(rel) {
+	if t != nil && t.order != rel.Order && t.isOf(rel, now) {
 		r.g.log.WithField("service", rel.Service).WithField("target", rel.TargetVersion).WithField("order", rel.Order).WithField("before", t.order).
 			WithField("phase", t.phase).Info("release continued after a restore of the store")
+		if t.order.Era < rel.Order.Era {
+			t.sameUntil = now.Add(restoreSettle)
+		}
 		t.order, t.pending, t.restored = rel.Order, "", true
 	}
 	if t == nil || t.order != rel.Order {
--- a/gateway/restore.go
+++ b/gateway/restore.go
@@ -15,6 +15,9 @@
 	// operatorHold is the time for which the operators' orders from before a restore of the store stay in force where the restored
 	// store has other ones. Operators write their newer state again within it; endpoints take 2 s for theirs.
 	operatorHold = 5 * time.Second
+	// restoreSettle is the time after a restore by which also the states of releases are written again for orders that operators have
+	// written within operatorHold.
+	restoreSettle = operatorHold + time.Second
 	// memberHold is the time for which daemons that a restored store does not list remain members. Each finds that its lease is lost
 	// with its next renewal, which spreads their writes over leaseRenewInterval.
 	memberHold = 2 * leaseRenewInterval
