gateway: a daemon that starts after a restore asks its peers what it must not fall below

A daemon that starts between a restore of the store and the operators' writes has nothing to compare with and served the backup: it admitted a removed key and sent requests to a version that was rolled back.

If the first content that it reads is of era 1 or higher and lists other daemons, the operators' documents are now held back until three peers have answered a datagram (kind changes) with the version of the configuration in force, the revision of their content and the time for which they still hold entries of the restore, or until 1 s has passed. They are held back further while the store's configuration is older than the highest answer, while a peer is in a newer era, and while the peers' states are not settled (6 s after the restore). The daemon is not ready meanwhile and answers 503 with Retry-After. No store call is made; the wait of a leader's poll is cut short if the hold ends earlier. The source of random numbers of the polls' delays is a field, for the count of store calls that follows.

Decisions that the specification leaves open: within an era the revision's number is not compared, since it would delay ordinary starts; daemons that start themselves count as answers without a minimum; questions of unknown addresses are answered, 50 a second at most; a needed version is kept while the process runs.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -270,6 +270,8 @@
 		g.relayMessage(m)
 	}
 	switch {
+	case m.Minimum != nil:
+		g.view.minimum.receive(*m.Minimum)
 	case m.Duty != nil:
 		if g.duties != nil {
 			g.duties.receive(*m.Duty)
--- a/gateway/operator.go
+++ b/gateway/operator.go
@@ -32,6 +32,12 @@
 	g.spec.Metrics.Gauge("bramley_config_version", func() float64 { return float64(g.config.Revision().Number) })
 	g.spec.Metrics.Gauge("bramley_store_age_seconds", func() float64 { return g.view.age().Seconds() })
 	g.spec.Metrics.Gauge("bramley_store_era", func() float64 { return float64(g.view.era.Load()) })
+	g.spec.Metrics.Gauge("bramley_configuration_held", func() float64 {
+		if g.view.minimum.isHolding() {
+			return 1
+		}
+		return 0
+	})
 	g.spec.Metrics.Gauge("bramley_members", func() float64 { return float64(g.members()) })
 	g.spec.Metrics.Gauge("bramley_waiting_requests", func() float64 { return float64(g.dispatch.Waiting()) })
 	g.registerCallerGauges()
--- a/gateway/peertraffic.go
+++ b/gateway/peertraffic.go
@@ -55,7 +55,7 @@
 func (g *Gateway) exchangeSpec() notice.Spec {
 	t := g.traffic
 	return notice.Spec{
-		Handle: g.receive, Domain: g.spec.Domain, LinkBytes: g.spec.LinkBytes,
+		Handle: g.receive, AnswerMinimum: g.view.minimum.answer, Domain: g.spec.Domain, LinkBytes: g.spec.LinkBytes,
 		OnSend: func(k notice.Kind, n int) { t.out[k].add(n) }, OnReceive: func(k notice.Kind, n int) { t.in[k].add(n) },
 		OnDrop: func(k notice.Kind, copies int) { t.dropped[k].Add(copies) },
 	}
--- a/gateway/poll.go
+++ b/gateway/poll.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	mathrand "math/rand/v2"
 	"time"
 
 	"github.com/bramleytrail/bramleytrail/kv"
@@ -48,6 +47,7 @@
 	wait := time.Duration(0)
 	if isLeader && !unavailable {
 		wait = time.Duration(leaderWaitShare * float64(v.maxPollInterval()))
+		wait = max(0, time.Until(v.minimum.nextCheck(time.Now().Add(wait))))
 	}
 	return v.watch(v.revision, wait)
 }
@@ -74,6 +74,8 @@
 		select {
 		case <-timer.C:
 			v.apply(kv.Changes{}, time.Now())
+		case <-v.minimum.changed:
+			v.apply(kv.Changes{}, time.Now())
 		case m := <-v.notifications:
 			v.noteNewerEra(m.Message, now)
 			if m.StoreRecovered {
@@ -113,8 +115,10 @@
 	return m.receivedAt.Add(v.pollInterval(v.isLeader()) - m.Age), true
 }
 
-// nextExpiry returns the earliest time at which a lapsed endpoint is dropped or a held entry is applied, but no later than limit.
+// nextExpiry returns the earliest time at which a lapsed endpoint is dropped, a held entry is applied or documents may no longer be held
+// back, but no later than limit.
 func (v *storeView) nextExpiry(limit time.Time) time.Time {
+	limit = v.minimum.nextCheck(limit)
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for _, at := range v.lapsed {
@@ -141,7 +145,7 @@
 
 // pollInterval returns the time from one poll until the next, with jitter for daemons that are not leaders.
 func (v *storeView) pollInterval(isLeader bool) time.Duration {
-	share := 1 - pollJitter*mathrand.Float64()
+	share := 1 - pollJitter*v.random()
 	switch {
 	case isLeader:
 		share = leaderPollShare
--- a/gateway/restore.go
+++ b/gateway/restore.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	mathrand "math/rand/v2"
 	"strings"
 	"time"
 
@@ -193,7 +192,7 @@
 	if m.Revision.Era <= v.revision.Era || !v.rereadAt.IsZero() {
 		return
 	}
-	v.rereadAt = now.Add(time.Duration(mathrand.Float64() * float64(eraReadSpread)))
+	v.rereadAt = now.Add(time.Duration(v.random() * float64(eraReadSpread)))
 	v.g.log.WithField("era", m.Revision.Era).WithField("from", m.From).Info("told that the store was restored from a backup")
 }
 
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	mathrand "math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -51,13 +52,18 @@
 	currentAt     atomic.Int64 // time at which the content in force was the store's, in nanoseconds since Gateway.startedAt
 	docPending    atomic.Bool  // a changed document is known and not in force yet
 	isLoaded      atomic.Bool
-	firstLoad     chan struct{} // closed when isLoaded becomes true
-	era           atomic.Uint64 // of the content in force
+	firstLoad     chan struct{}               // closed when isLoaded becomes true
+	era           atomic.Uint64               // of the content in force
+	inForce       atomic.Pointer[kv.Revision] // of the content in force, nil before the first read
+	restoredAt    atomic.Pointer[time.Time]   // when a restore was noticed last, nil if none was
+	minimum       *minimumCheck
 	unavailable   atomic.Bool   // run's last call failed
 	lease         atomic.Uint64 // of this daemon's membership entry, 0 before it is registered
 	callFailed    chan struct{} // a call of the store outside run has failed
 	notifications chan notification
 
+	random func() float64 // in [0, 1), for the delays of polls
+
 	// Used by run only:
 	revision    kv.Revision      // of the newest change in force, zero before the first read
 	recoveredAt time.Time        // when the store last answered again after an outage
@@ -67,10 +73,12 @@
 }
 
 func newStoreView(g *Gateway) *storeView {
-	return &storeView{
-		g: g, operatorDocs: map[string]kv.Entry{}, endpoints: map[string]hostlist.Host{}, ownEntries: map[string]kv.Entry{}, lapsed: map[string]time.Time{},
+	v := &storeView{
+		g: g, random: mathrand.Float64, operatorDocs: map[string]kv.Entry{}, endpoints: map[string]hostlist.Host{}, ownEntries: map[string]kv.Entry{}, lapsed: map[string]time.Time{},
 		callFailed: make(chan struct{}, 1), firstLoad: make(chan struct{}), notifications: make(chan notification, maxPendingNotifications), newestPoll: map[string]int64{},
 	}
+	v.minimum = newMinimumCheck(v)
+	return v
 }
 
 // loaded reports whether the store's content has been read since the start.
@@ -150,6 +158,8 @@
 func (v *storeView) advance(c kv.Changes, now time.Time) {
 	if v.isRestored(c) {
 		v.recoveredAt = now // leases of endpoints may have expired, as during an outage
+		v.restoredAt.Store(&now)
+		v.minimum.extend(now)
 		c = v.mergeRestored(c, now)
 	} else {
 		v.dropHeld(c.Entries)
@@ -157,8 +167,12 @@
 	if !v.revision.IsZero() && now.Sub(v.recoveredAt) < lapsedGrace {
 		c.Entries = v.retainLapsed(c.Entries, now)
 	}
+	if v.revision.IsZero() {
+		v.minimum.begin(c.Revision, c.Entries, now)
+	}
 	v.revision = c.Revision
 	v.era.Store(c.Revision.Era)
+	v.inForce.Store(&c.Revision)
 	v.confirmedAt.Store(now.UnixNano())
 	v.apply(c, now)
 }
@@ -229,8 +243,11 @@
 	for _, h := range listed {
 		v.g.dispatch.AddressTaken(h.Addr, h.ID, h.Started)
 	}
-	if changed[KindOperator] {
-		v.applyOperatorDocs(operatorDocs)
+	if operatorDocs == nil {
+		operatorDocs = v.heldDocs()
+	}
+	if operatorDocs != nil {
+		v.applyOperatorDocs(operatorDocs, now)
 	}
 	if hostsChanged {
 		v.g.pool.SetHosts(hostlist.List{Hosts: hosts}, now)
@@ -238,7 +255,7 @@
 	if changed[KindOther] {
 		v.setPeers()
 	}
-	if len(c.Entries) > 0 {
+	if len(c.Entries) > 0 || operatorDocs != nil {
 		v.g.releases.signal()
 	}
 }
@@ -368,14 +385,14 @@
 }
 
 // applyOperatorDocs puts the operators' documents in force, unless they can't be decoded or are older than the configuration in
-// force.
-func (v *storeView) applyOperatorDocs(entries map[string]kv.Entry) {
+// force. At a daemon that starts they may be held back, see minimumCheck.
+func (v *storeView) applyOperatorDocs(entries map[string]kv.Entry, now time.Time) {
 	set, version, found, err := v.g.spec.Documents.Set(entries)
 	if err != nil {
 		v.g.log.WithError(err).Error("decoding the operators' documents failed; configuration unchanged")
 		return
 	}
-	if !found {
+	if !found || !v.minimum.mayApply(version, now) {
 		return
 	}
 	before := v.g.config.Revision().Number
--- a/notice/kind.go
+++ b/notice/kind.go
@@ -9,7 +9,7 @@
 // Kinds of messages.
 const (
 	KindPhase     Kind = iota // phase of a release
-	KindChanges               // changes in the store, and its recovery
+	KindChanges               // changes in the store, its recovery, and what its content must not fall below
 	KindSession               // session in use on the old version of a release
 	KindSuspect               // crash records of requests that met several crashes
 	KindCrash                 // other crash records
@@ -68,7 +68,7 @@
 		return m.Batch[0].Kind()
 	case m.Duty != nil:
 		return KindDuty
-	case !m.Revision.IsZero():
+	case m.Minimum != nil, !m.Revision.IsZero():
 		return KindChanges
 	case len(m.Crashes) > 0 && m.Minor:
 		return KindClear
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -80,6 +80,8 @@
 	StoreRecovered bool `msgpack:"y,omitempty"`
 	// Duty is a report to the holder of the deployment's duties.
 	Duty *Duty `msgpack:"q,omitempty"`
+	// Minimum asks what the store's content must not fall below, or answers that.
+	Minimum *Minimum `msgpack:"e,omitempty"`
 	// Batch holds messages that are sent as one; the other fields are then unused.
 	Batch []Message `msgpack:"g,omitempty"`
 }
@@ -110,6 +112,21 @@
 	Correction time.Duration `msgpack:"c,omitempty"`
 }
 
+// Minimum is a question of a daemon that starts, or the answer of another one: what the content of a restored store must not fall below.
+type Minimum struct {
+	From string `msgpack:"f"`
+	// Question identifies the question and its answers.
+	Question uint64 `msgpack:"q"`
+	// Answered tells an answer from a question. Serving says that From has a configuration in force; the fields below are zero otherwise.
+	Answered bool `msgpack:"a,omitempty"`
+	Serving  bool `msgpack:"s,omitempty"`
+	// Config is the version of the configuration in force, and Revision that of the store's content in force.
+	Config   uint64      `msgpack:"c,omitempty"`
+	Revision kv.Revision `msgpack:"r,omitempty"`
+	// Unsettled is the time for which From still holds what the restored store has differently.
+	Unsettled time.Duration `msgpack:"u,omitempty"`
+}
+
 // PacketConn sends and receives datagrams. *net.UDPConn implements it.
 type PacketConn interface {
 	ReadFromUDP(b []byte) (int, *net.UDPAddr, error)
@@ -122,6 +139,9 @@
 type Spec struct {
 	// Handle is called with each valid message, one at a time.
 	Handle func(Message)
+	// AnswerMinimum returns the answer to a question about the minimum, which is sent to the address from which the question came; false
+	// for none. It may be nil and must not block.
+	AnswerMinimum func(Minimum) (Minimum, bool)
 	// Domain is the failure domain of this daemon, and LinkBytes the bandwidth of its host's link in bytes a second; 0 if not known.
 	Domain    string
 	LinkBytes int64
@@ -407,11 +427,29 @@
 			x.spec.OnReceive(list[0].Kind(), n)
 		}
 		for _, m := range list {
+			if m.Minimum != nil && !m.Minimum.Answered {
+				x.answerMinimum(*m.Minimum, from)
+				continue
+			}
 			x.spec.Handle(m)
 		}
 	}
 }
 
+// answerMinimum answers a question about the minimum. The asking daemon may be new, so that its address is not that of a known daemon.
+func (x *Exchange) answerMinimum(question Minimum, from *net.UDPAddr) {
+	if x.spec.AnswerMinimum == nil {
+		return
+	}
+	answer, ok := x.spec.AnswerMinimum(question)
+	if !ok {
+		return
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	_ = x.send([]*net.UDPAddr{from}, []Message{{Minimum: &answer}}) // the question is asked again, also of other daemons
+}
+
 // isPeer reports whether an address is that of a known daemon. Only such a daemon's messages about the store, estimates,
 // duties and crashes are accepted, and only its messages are relayed.
 func (x *Exchange) isPeer(from *net.UDPAddr) bool {
@@ -421,7 +459,7 @@
 }
 
 // decode returns the valid messages of a datagram. It ignores datagrams that are not messages. If the sender is not a known
-// daemon, it also drops messages about the store, with estimates, crashes or reports, to be relayed, or in a batch.
+// daemon, it also drops messages about the store, with estimates, crashes, reports or a minimum, to be relayed, or in a batch.
 func decode(data []byte, fromPeer bool) []Message {
 	var m Message
 	if err := msgpack.Unmarshal(data, &m); err != nil {
@@ -432,7 +470,7 @@
 		list = []Message{m}
 	}
 	return slices.DeleteFunc(list, func(inner Message) bool {
-		peerOnly := !inner.Revision.IsZero() || inner.Duty != nil || inner.Relay || len(inner.Estimates) > 0 || len(inner.Crashes) > 0 || len(m.Batch) > 0
+		peerOnly := !inner.Revision.IsZero() || inner.Duty != nil || inner.Minimum != nil && inner.Minimum.Answered || inner.Relay || len(inner.Estimates) > 0 || len(inner.Crashes) > 0 || len(m.Batch) > 0
 		return !inner.valid() || peerOnly && !fromPeer || inner.Relay && len(m.Batch) > 0
 	})
 }
@@ -445,6 +483,9 @@
 	if m.Duty != nil {
 		return m.Duty.From != "" && m.Duty.Waited >= 0
 	}
+	if m.Minimum != nil {
+		return m.Minimum.From != "" && m.Minimum.Unsettled >= 0
+	}
 	if !m.Revision.IsZero() {
 		return m.After.Compare(m.Revision) <= 0 && len(m.Changes) <= MaxChanges
 	}
--- a/notice/notice_test.go
+++ b/notice/notice_test.go
@@ -194,3 +194,37 @@
 		}
 	})
 }
+
+// Guards against a minimum that a stranger states, and against a new daemon whose question is not answered because it is a stranger.
+func TestMinimumOfStrangers(t *testing.T) {
+	got := make(chan Message, 10)
+	answer := func(q Minimum) (Minimum, bool) {
+		return Minimum{From: "old", Question: q.Question, Answered: true, Config: 5}, true
+	}
+	old, err := Open("127.0.0.1:0", Spec{Handle: func(Message) {}, AnswerMinimum: answer})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer old.Close()
+	starting, err := Listen("127.0.0.1:0", func(m Message) { got <- m })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer starting.Close()
+	stranger, err := Listen("127.0.0.1:0", func(Message) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stranger.Close()
+	starting.SetPeers([]Peer{{"old", "a", old.Addr(), 0}})
+	stranger.SetPeers([]Peer{{"starting", "a", starting.Addr(), 0}})
+	if err := errors.Join(
+		stranger.SendToPeer("starting", Message{Minimum: &Minimum{From: "old", Question: 7, Answered: true, Config: 9}}),
+		starting.SendToPeer("old", Message{Minimum: &Minimum{From: "starting", Question: 7}}),
+	); err != nil {
+		t.Fatal(err)
+	}
+	if m := <-got; m.Minimum == nil || m.Minimum.Config != 5 || m.Minimum.Question != 7 {
+		t.Errorf("got %+v", m)
+	}
+}
