claim: a newer era of the store is a restore

The claims of bramleyd detected restores by revisions whose numbers fall. In a store that reports eras, a revision of a newer era is higher than all earlier ones, so that the restore was not seen: a repeat of a call whose claim was lost acquired a new claim and could run twice, and an outcome that was lost was never written again, because the running record of the backup counted as later.

A revision of a newer era than all that were seen now starts the hold and the rewriting, wherever it appears: in a probe, in the write of a claim, in the write of an outcome. In another era a stored record is later than the one in memory only if it has an outcome. A claim that the store still has takes over its new revision, so that one restore is detected once. Responses of an era before that of the restore do not lower what is known.

A daemon without claims of its own still detects outages only, as before.

TestRestoreWithoutAnOutage/eras and TestOutcomeLostByRestore/eras fail on the code of before (repeat acquired a claim; outcome not known again) and pass now; the cases without eras pass on both.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -263,12 +263,12 @@
 }
 
 // acquired completes acquire after the claim was stored at revision rev. If rev is not above revisionBefore, which was
-// seen before the write, the store was restored from older data and an earlier claim of this key may be lost. The claim
-// is then released and an error returned.
+// seen before the write, or of a newer era, the store was restored from older data and an earlier claim of this key may be
+// lost. The claim is then released and an error returned.
 func (f *Filter) acquired(c *Claim, rev, revisionBefore kv.Revision) (*Claim, *Record, error) {
 	c.revision = rev
-	if rev.Compare(revisionBefore) <= 0 {
-		f.handleRestore()
+	if rev.Compare(revisionBefore) <= 0 || f.recent.isNewEra(rev) {
+		f.handleRestore(rev.Era)
 		c.Release()
 		return nil, nil, result.Wrap(result.ClaimUnavailable, result.NotRun, errClaimsMayBeLost).WithRetryAfter(restoreHold)
 	}
@@ -341,6 +341,9 @@
 	c.retryInBackground(func(ctx context.Context) bool {
 		rev, err := c.filter.writeRecord(ctx, c.key, c.record, c.revision)
 		if err == nil {
+			if c.filter.recent.isNewEra(rev) {
+				c.filter.handleRestore(rev.Era)
+			}
 			c.filter.recent.put(c.key, c.record, rev)
 		}
 		return err == nil || c.outcomeSettled(ctx, err)
--- a/claim/restore.go
+++ b/claim/restore.go
@@ -50,6 +50,7 @@
 	mu           sync.Mutex
 	entries      []recentClaim // ordered by their last write, oldest first
 	maxRevision  kv.Revision   // highest revision seen since the last detected restore
+	era          uint64        // in which the store was when a restore was detected last
 	holdUntil    time.Time
 	rewriteDue   bool // whether rewriteLostClaims has to run
 	failedProbes int  // consecutive probes without an answer
@@ -60,7 +61,7 @@
 	record.Header, record.Body, record.BodyKept = nil, nil, false
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.maxRevision = r.maxRevision.Max(revision)
+	r.observe(revision)
 	r.entries = slices.DeleteFunc(r.entries, func(k recentClaim) bool { return k.key == key })
 	if len(r.entries) == maxRecentClaims {
 		r.entries = r.entries[1:]
@@ -68,8 +69,24 @@
 	r.entries = append(r.entries, recentClaim{key, record, revision})
 }
 
-// highestRevision returns the highest revision seen. If a later write does not get a higher one, the store was restored
-// from older data.
+// observe updates the highest revision, unless a response from before a detected restore was delayed. The caller holds mu.
+func (r *recentClaims) observe(revision kv.Revision) {
+	if revision.Era >= r.era {
+		r.maxRevision = r.maxRevision.Max(revision)
+	}
+}
+
+// isNewEra reports whether a revision is of a newer era than all that were seen: the store was restored. Before any
+// revision was seen, it is not known.
+func (r *recentClaims) isNewEra(revision kv.Revision) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := len(r.entries) > 0 || !r.maxRevision.IsZero()
+	return known && revision.Era > max(r.era, r.maxRevision.Era)
+}
+
+// highestRevision returns the highest revision seen. If a later write does not get a higher one of the same era, the store
+// was restored from older data.
 func (r *recentClaims) highestRevision() kv.Revision {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -84,10 +101,11 @@
 }
 
 // startHold starts the time in which new claims are rejected, and requests a rewrite. It resets the highest revision,
-// because revisions start again at an older one.
-func (r *recentClaims) startHold(now time.Time) {
+// because revisions start again at an older one. era is the newest era that is known.
+func (r *recentClaims) startHold(now time.Time, era uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.era = max(r.era, era)
 	r.maxRevision, r.holdUntil, r.rewriteDue = kv.Revision{}, now.Add(restoreHold), true
 }
 
@@ -123,8 +141,9 @@
 			f.recent.recordProbeFailure()
 			continue
 		}
-		if f.recent.recordProbeSuccess() || e.Revision.Compare(k.revision) < 0 {
-			f.handleRestore()
+		// Of a claim that was not written again after a detected restore, k.revision may be of an older era.
+		if f.recent.recordProbeSuccess() || e.Revision.Compare(k.revision) < 0 || f.recent.isNewEra(e.Revision) {
+			f.handleRestore(e.Revision.Era)
 		}
 		if f.recent.takeRewriteDue() {
 			f.rewriteLostClaims(ctx)
@@ -132,9 +151,9 @@
 	}
 }
 
-// handleRestore starts the hold after a restore was detected or suspected.
-func (f *Filter) handleRestore() {
-	f.recent.startHold(f.spec.Now())
+// handleRestore starts the hold after a restore was detected or suspected. era is that of the response that showed it.
+func (f *Filter) handleRestore(era uint64) {
+	f.recent.startHold(f.spec.Now(), era)
 	if f.spec.OnSuspectedRestore != nil {
 		f.spec.OnSuspectedRestore()
 	}
@@ -195,7 +214,8 @@
 		}
 		own := r.Nonce == k.record.Nonce
 		switch {
-		case own && (rev.Compare(k.revision) >= 0 || r.State == k.record.State): // higher if the reply to the last write was lost
+		case own && (r.State == k.record.State || isLater(rev, r.State, k.revision)):
+			f.recent.setRevision(k.key, rev)
 			return true, nil
 		case !own && r.State != Released:
 			f.recent.remove(k.key, k.record.Nonce)
@@ -209,6 +229,16 @@
 	return false, err
 }
 
+// isLater reports whether the stored state of an own claim is later than the one in memory at revision known, because the
+// reply to the last write was lost. In a newer era the numbers of revisions are assigned again: a record that has an
+// outcome is then later, since it differs from the one in memory, and a running one is that of the backup.
+func isLater(stored kv.Revision, state State, known kv.Revision) bool {
+	if stored.Era != known.Era {
+		return state != Running
+	}
+	return stored.Number >= known.Number
+}
+
 // remove removes the claim with the given key and nonce. Another claim of the same key is kept.
 func (r *recentClaims) remove(key, nonce string) {
 	r.mu.Lock()
@@ -216,11 +246,11 @@
 	r.entries = slices.DeleteFunc(r.entries, func(k recentClaim) bool { return k.key == key && k.record.Nonce == nonce })
 }
 
-// setRevision sets the revision of a claim that was rewritten.
+// setRevision sets the revision of a claim that was rewritten, or that the store still has.
 func (r *recentClaims) setRevision(key string, revision kv.Revision) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.maxRevision = r.maxRevision.Max(revision)
+	r.observe(revision)
 	for i := range r.entries {
 		if r.entries[i].key == key {
 			r.entries[i].revision = revision
--- a/claim/restore_test.go
+++ b/claim/restore_test.go
@@ -15,8 +15,16 @@
 var testInput = Input{Service: "lots", Team: "growers", Key: "k", Request: 1}
 
 // runAfterRestore runs test with two daemons after the store was restored to a snapshot from before the owner's claim
-// of a call that ran. The store is unavailable for outage before the restore.
-func runAfterRestore(t *testing.T, outage time.Duration, test func(t *testing.T, owner, other *Filter)) {
+// of a call that ran, or if claimKept from before its outcome. The store is unavailable for outage before the restore. It runs for a store
+// that reports eras and one that does not.
+func runAfterRestore(t *testing.T, outage time.Duration, claimKept bool, test func(t *testing.T, owner, other *Filter)) {
+	t.Helper()
+	for name, restore := range map[string]func(*memkv.Store, memkv.Snapshot){"numbers": (*memkv.Store).Restore, "eras": (*memkv.Store).RestoreInNewEra} {
+		t.Run(name, func(t *testing.T) { runAfterRestoreWith(t, outage, claimKept, restore, test) })
+	}
+}
+
+func runAfterRestoreWith(t *testing.T, outage time.Duration, claimKept bool, restore func(*memkv.Store, memkv.Snapshot), test func(t *testing.T, owner, other *Filter)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		store := memkv.New()
@@ -29,16 +37,26 @@
 			go f.Run(ctx)
 		}
 		time.Sleep(2 * probeInterval)
-		snapshot := store.Snapshot()
-		c, _, err := filters[0].Do(t.Context(), testInput)
+		earlier := testInput
+		earlier.Key = "earlier"
+		c, _, err := filters[0].Do(t.Context(), earlier)
 		if err != nil {
 			t.Fatal(err)
 		}
 		c.Finish(Done, 200, nil, []byte("ran"), true)
 		synctest.Wait()
+		snapshot := store.Snapshot()
+		if c, _, err = filters[0].Do(t.Context(), testInput); err != nil {
+			t.Fatal(err)
+		}
+		if claimKept {
+			snapshot = store.Snapshot()
+		}
+		c.Finish(Done, 200, nil, []byte("ran"), true)
+		synctest.Wait()
 		store.Faults.SetDown(outage > 0)
 		time.Sleep(outage)
-		store.Restore(snapshot)
+		restore(store, snapshot)
 		store.Faults.SetDown(false)
 		test(t, filters[0], filters[1])
 		if notified.Load() == 0 {
@@ -69,7 +87,7 @@
 // Guards against a second run of a call whose claim the store lost in an outage, on any daemon and at any time
 // afterwards.
 func TestRestoreAfterAnOutage(t *testing.T) {
-	runAfterRestore(t, 3*probeInterval, func(t *testing.T, owner, other *Filter) {
+	runAfterRestore(t, 3*probeInterval, false, func(t *testing.T, owner, other *Filter) {
 		for range 20 {
 			repeatCall(t, owner, "owner")
 			repeatCall(t, other, "other")
@@ -84,7 +102,7 @@
 // Guards against a second run when the store loses claims without an outage: on the owner at any time, and on another
 // daemon after the owner's next probe. Also guards against claims that are rejected for longer than the hold.
 func TestRestoreWithoutAnOutage(t *testing.T) {
-	runAfterRestore(t, 0, func(t *testing.T, owner, other *Filter) {
+	runAfterRestore(t, 0, false, func(t *testing.T, owner, other *Filter) {
 		repeatCall(t, owner, "owner at once")
 		time.Sleep(probeInterval + 2*rewriteInterval)
 		if !repeatCall(t, owner, "owner") || !repeatCall(t, other, "other") {
@@ -104,6 +122,16 @@
 	})
 }
 
+// Guards against an outcome that the restored store does not have, and that its owner does not write again because the claim itself is there.
+func TestOutcomeLostByRestore(t *testing.T) {
+	runAfterRestore(t, 0, true, func(t *testing.T, owner, other *Filter) {
+		time.Sleep(probeInterval + 2*rewriteInterval)
+		if !repeatCall(t, owner, "owner") || !repeatCall(t, other, "other") {
+			t.Error("the outcome is not known again")
+		}
+	})
+}
+
 // startClaim returns a filter that runs and holds the claim of testInput, with its store and a function that ends its
 // Run.
 func startClaim(t *testing.T) (*memkv.Store, *Filter, *Claim, context.CancelFunc) {
