--- a/gateway/restore.go
+++ b/gateway/restore.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	mathrand "math/rand/v2"
 	"strings"
 	"time"
 
@@ -15,6 +14,9 @@
 	// operatorHold is the time for which the operators' orders from before a restore of the store stay in force where the restored
 	// store has other ones. Operators write their newer state again within it; endpoints take 2 s for theirs.
 	operatorHold = 5 * time.Second
+	// restoreSettle is the time after a restore by which also the states of releases are written again for orders that operators have
+	// written within operatorHold.
+	restoreSettle = operatorHold + time.Second
 	// memberHold is the time for which daemons that a restored store does not list remain members. Each finds that its lease is lost
 	// with its next renewal, which spreads their writes over leaseRenewInterval.
 	memberHold = 2 * leaseRenewInterval
@@ -190,7 +192,7 @@
 	if m.Revision.Era <= v.revision.Era || !v.rereadAt.IsZero() {
 		return
 	}
-	v.rereadAt = now.Add(time.Duration(mathrand.Float64() * float64(eraReadSpread)))
+	v.rereadAt = now.Add(time.Duration(v.random() * float64(eraReadSpread)))
 	v.g.log.WithField("era", m.Revision.Era).WithField("from", m.From).Info("told that the store was restored from a backup")
 }
 
