httpengine: an invalid status is a failure of the endpoint

An invalid status was taken for a broken connection. A stream was then requested again from the same endpoint, which did not know it, and the call counted as cancelled, so the endpoint kept getting requests. It is now handled like a status of 500: the endpoint is ejected and the next one gets the request.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -23,7 +23,8 @@
 	ErrUnknownStream = errors.New("engine: unknown stream")
 	// ErrStaleFence means that an order's fencing token is older than one that the endpoint has already seen.
 	ErrStaleFence = errors.New("engine: stale fencing token")
-	// ErrFailed means that the endpoint accepted the request and then reported an error of its own.
+	// ErrFailed means that the endpoint accepted the request and then reported an error of its own, or answered with an invalid status. The
+	// request may have run.
 	ErrFailed = errors.New("engine: endpoint failed")
 	// ErrStalled is the context cause with which a caller cancels a call that makes no progress. Idle connections to the
 	// same endpoint may be unresponsive as well, so a Client uses none of them afterwards.
--- a/engine/httpengine/client.go
+++ b/engine/httpengine/client.go
@@ -228,9 +228,13 @@
 	return NewStream(resp, func() { c.dropStalled(req.Context(), req.URL.Host) }), nil
 }
 
-// transportError wraps ErrUnreachable if the connection could not be opened, so that nothing was sent, and ErrBroken
-// otherwise.
+// transportError wraps ErrUnreachable if the connection could not be opened, so that nothing was sent, ErrFailed if the response has an
+// invalid status, which is an error of the endpoint, and ErrBroken otherwise. After ErrBroken, a stream would be requested again from the
+// same endpoint.
 func transportError(err error) error {
+	if errors.Is(err, httpconn.ErrInvalidStatus) {
+		return fmt.Errorf("%w: %w", engine.ErrFailed, err)
+	}
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
 		return fmt.Errorf("%w: %w", engine.ErrUnreachable, err)
