entry, gateway, daemon: bound the clients of the ports for readiness and metrics

The ports of bramleytrail had no limits, that of bramleyd for operators only one on connections, which 64 idle ones used up. entry.Port serves these ports with the connections, header size and header time bounded by the gate of the callers' port. If all places are taken, the connection without progress for longest, at least 0.1 s, is closed without a response, also while it is served, because requests on these ports change nothing. The descriptors of the ports are taken from those that were left over, or from the callers' share if that does not suffice (252 instead of 260 connections of callers with 600 descriptors).

--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -9,9 +8,8 @@
 	"net/http/pprof"
 	"time"
 
-	"github.com/lesismal/nbio/nbhttp"
-
 	"github.com/bramleytrail/bramleytrail/cachemove"
+	"github.com/bramleytrail/bramleytrail/entry"
 	"github.com/bramleytrail/bramleytrail/observe"
 	"github.com/bramleytrail/bramleytrail/peer"
 	"github.com/bramleytrail/bramleytrail/placement"
@@ -19,9 +17,8 @@
 )
 
 const (
-	maxDumpEndpoints       = 200
-	maxDumpRequests        = 50 // each of requests in flight and of ended ones
-	maxOperatorConnections = 64
+	maxDumpEndpoints = 200
+	maxDumpRequests  = 50 // each of requests in flight and of ended ones
 )
 
 // State is the dump of a daemon's state. It contains no API keys, prompts or answers.
@@ -78,8 +75,8 @@
 // operatorServer serves metrics, state dumps and profiles on a separate port, which callers cannot reach.
 type operatorServer struct {
 	daemon *Daemon
-	engine *nbhttp.Engine // serves TCP sockets; nil if the daemon uses a Network
-	server *http.Server   // serves a Network; nil otherwise
+	port   *entry.Port  // serves TCP sockets; nil if the daemon uses a Network
+	server *http.Server // serves a Network; nil otherwise
 	addr   string
 }
 
@@ -96,20 +93,12 @@
 	if o.daemon.network != nil {
 		return o.serveOnNetwork(o.daemon.network, addr, mux)
 	}
-	o.engine = nbhttp.NewEngine(nbhttp.Config{
-		Name: "operators", Network: "tcp", Addrs: []string{addr}, IOMod: nbhttp.IOModBlocking, MaxBlockingOnline: maxOperatorConnections,
-		MaxLoad: maxOperatorConnections, Handler: mux,
-		Listen: func(network, addr string) (net.Listener, error) {
-			ln, err := net.Listen(network, addr)
-			if err == nil {
-				o.addr = ln.Addr().String()
-			}
-			return ln, err
-		},
-	})
-	if err := o.engine.Start(); err != nil {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
 		return fmt.Errorf("listen for operators on %s: %w", addr, err)
 	}
+	o.port = entry.OpenPort(ln, mux, entry.PortConnections)
+	o.addr = o.port.Addr()
 	return nil
 }
 
@@ -130,7 +119,7 @@
 		_ = o.server.Close() // the process stops; nothing can be done about an error
 		return
 	}
-	_ = o.engine.Shutdown(context.Background())
+	o.port.Close()
 }
 
 func (o *operatorServer) metrics(w http.ResponseWriter, _ *http.Request) {
--- a/entry/gate.go
+++ b/entry/gate.go
@@ -82,7 +82,10 @@
 }
 
 func newGate(l intake.Limits, limits func() Limits, onEnd func(intake.Reason)) *gate {
-	l.Stall, l.Wait = stallLimit, memoryWait
+	l.Wait = memoryWait
+	if l.Stall == 0 {
+		l.Stall = stallLimit
+	}
 	if l.Memory == 0 {
 		l.Memory, l.Bodies = math.MaxInt64, math.MaxInt64
 	}
@@ -153,9 +156,9 @@
 	return reason
 }
 
-// run applies the time limits until stop is closed and no connection is open.
-func (g *gate) run(stop <-chan struct{}) {
-	tick := time.NewTicker(sweepInterval)
+// run applies the time limits at an interval until stop is closed and no connection is open.
+func (g *gate) run(stop <-chan struct{}, interval time.Duration) {
+	tick := time.NewTicker(interval)
 	defer tick.Stop()
 	stopped := false
 	for {
@@ -180,10 +183,11 @@
 // gatedListener accepts connections for a gate. It limits their number.
 type gatedListener struct {
 	net.Listener
-	gate  *gate
-	slots chan struct{} // holds an element for each open connection; its capacity is the limit
-	stop  chan struct{} // closed with the listener
-	close func() error
+	gate       *gate
+	slots      chan struct{} // holds an element for each open connection; its capacity is the limit
+	stop       chan struct{} // closed with the listener
+	close      func() error
+	sendBuffer int // of each connection; 0 for that of the kernel
 }
 
 func newGatedListener(ln net.Listener, g *gate, connections int) *gatedListener {
@@ -214,6 +218,9 @@
 		return err
 	})
 	c.inHeader.Store(true)
+	if tcp, ok := conn.(*net.TCPConn); ok && l.sendBuffer > 0 {
+		_ = tcp.SetWriteBuffer(l.sendBuffer) // the connection also works without it
+	}
 	open := 0
 	l.gate.do(func(t *intake.Table, now time.Time) []intake.Action {
 		c.state = t.Open(now, c)
--- a/entry/server.go
+++ b/entry/server.go
@@ -159,7 +159,7 @@
 		limited = gated
 		s.server.MaxHeaderBytes, s.server.ConnContext, s.server.ConnState = 2*hardMaxHeaderBytes, connContext, connState
 		s.server.IdleTimeout, s.server.ReadHeaderTimeout = noTimeout, noTimeout // the gate has the operators' limits
-		go s.gate.run(gated.stop)
+		go s.gate.run(gated.stop, sweepInterval)
 	}
 	serve := func() error { return s.server.Serve(limited) }
 	if s.spec.TLS != nil {
--- a/gateway/callerlimits.go
+++ b/gateway/callerlimits.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"github.com/bramleytrail/bramleytrail/entry"
 	"github.com/bramleytrail/bramleytrail/intake"
 )
 
@@ -21,21 +22,27 @@
 	callerMemoryShare, bodyMemoryShare = 0.45, 0.4
 	// connectionMemoryShare is the fraction of Spec.MemoryBytes that connections may use.
 	connectionMemoryShare = 0.3
+	// portDescriptors is the share of the usable descriptors for the connections of each of the ports for readiness and metrics, which have
+	// minPortConnections at least. ownDescriptors are those of the daemon itself: listeners, the store and the runtime.
+	portDescriptors, minPortConnections, ownDescriptors = 0.02, 8, 12
 )
 
 // callerLimits bound what callers make the daemon hold.
 type callerLimits struct {
 	connections, inFlight int
+	port                  int // connections of each of the ports for readiness and metrics
 	intake                intake.Limits
 }
 
 // callerLimitsFor derives the limits from the machine's memory in bytes and the limit on file descriptors, 0 if not known.
 func callerLimitsFor(memory int64, descriptors int) callerLimits {
-	l := callerLimits{connections: maxConnections, inFlight: maxInFlight}
+	l := callerLimits{connections: maxConnections, inFlight: maxInFlight, port: entry.PortConnections}
 	if descriptors > 0 {
 		usable := float64(max(0, descriptors-unusedDescriptors))
-		l.connections = min(l.connections, int(connectionDescriptors*usable))
 		l.inFlight = min(l.inFlight, int(requestDescriptors*usable))
+		l.port = min(l.port, max(minPortConnections, int(portDescriptors*usable)))
+		rest := int(usable) - l.inFlight - 2*l.port - ownDescriptors
+		l.connections = min(l.connections, int(connectionDescriptors*usable), rest)
 	}
 	l.connections = max(minConnections, min(l.connections, int(connectionMemoryShare*float64(memory)/intake.ConnectionCost)))
 	l.inFlight = max(minConnections/2, l.inFlight)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -144,11 +144,9 @@
 	suspects      *suspect.Keeper
 	demands       *demandCounter
 	traffic       *peerTraffic
-	duties        *duties // nil for none
-	scaler        scaler  // nil for no scaling
-	readyServer   *http.Server
-	metricsServer *http.Server
-	readyAddr     string
+	duties        *duties       // nil for none
+	scaler        scaler        // nil for no scaling
+	ports         []*entry.Port // for readiness checks, and for metrics unless there is none
 	stopping      atomic.Bool
 	closing       *pipeline.Closing
 	exchange      atomic.Pointer[notice.Exchange] // nil before Start, or without PeerAddr
@@ -288,32 +286,28 @@
 }
 
 func (g *Gateway) serveReady() error {
-	g.readyServer = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	err := g.openPort(g.spec.ReadyAddr, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		if !g.Ready() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
-	})}
-	var err error
-	if g.readyAddr, err = serve(g.readyServer, g.spec.ReadyAddr); err != nil || g.spec.MetricsAddr == "" {
+	}))
+	if err != nil || g.spec.MetricsAddr == "" {
 		return err
 	}
-	g.metricsServer = &http.Server{Handler: g.operatorHandler()}
-	_, err = serve(g.metricsServer, g.spec.MetricsAddr)
-	return err
+	return g.openPort(g.spec.MetricsAddr, g.operatorHandler())
 }
 
-// serve starts a server on a new listener and returns the listener's address.
-func serve(s *http.Server, addr string) (string, error) {
+func (g *Gateway) openPort(addr string, h http.Handler) error {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
-		return "", fmt.Errorf("listen on %s: %w", addr, err)
+		return fmt.Errorf("listen on %s: %w", addr, err)
 	}
-	go func() { _ = s.Serve(ln) }() // returns http.ErrServerClosed after Close
-	return ln.Addr().String(), nil
+	g.ports = append(g.ports, entry.OpenPort(ln, h, callerLimitsFor(g.spec.MemoryBytes, g.spec.Descriptors).port))
+	return nil
 }
 
 // Addrs returns the listen addresses for callers and for readiness checks. They are known after Start.
-func (g *Gateway) Addrs() (callers, ready string) { return g.entry.Addr(), g.readyAddr }
+func (g *Gateway) Addrs() (callers, ready string) { return g.entry.Addr(), g.ports[0].Addr() }
 
 // Run serves until ctx is done, then stops within the grace period.
 func (g *Gateway) Run(ctx context.Context) error {
@@ -354,6 +348,9 @@
 	if x := g.exchange.Load(); x != nil {
 		x.Close()
 	}
+	for _, p := range g.ports {
+		p.Close()
+	}
 	g.log.WithField("seconds", time.Since(start).Seconds()).Info("daemon stopped")
 	return err
 }
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -28,6 +28,9 @@
 	Bodies int64 // up to which Memory is given to bodies above SmallBytes; the rest is left for small requests
 	// Stall is the time without progress after which a connection may be closed if its memory or place is needed.
 	Stall time.Duration
+	// ReadsOnly says that requests change nothing: a connection gives up its place also while its request is being served or waits for
+	// memory, and is closed without a response, which would take time.
+	ReadsOnly bool
 	// Wait is the longest wait for memory.
 	Wait time.Duration
 	// HeaderTimeout limits the time from the first byte of a header section to its end, IdleTimeout that without a request.
@@ -256,7 +259,7 @@
 	var victim *Conn
 	for c := range t.conns {
 		switch {
-		case c.closing != ReasonNone || c.phase == Serving || now.Sub(c.progress) < t.limits.Stall || c.want > 0:
+		case c.closing != ReasonNone || now.Sub(c.progress) < t.limits.Stall || !t.limits.ReadsOnly && (c.phase == Serving || c.want > 0):
 		case victim == nil || c.phase == Idle && victim.phase != Idle || (c.phase == Idle) == (victim.phase == Idle) && c.progress.Before(victim.progress):
 			victim = c
 		}
@@ -264,10 +267,13 @@
 	if victim == nil {
 		return nil
 	}
+	reason := ReasonStalled
 	if victim.phase == Idle {
-		return []Action{t.end(victim, ReasonPlace, now)}
+		reason = ReasonPlace
 	}
-	return []Action{t.end(victim, ReasonStalled, now)}
+	a := t.end(victim, reason, now)
+	a.Force = t.limits.ReadsOnly
+	return []Action{a}
 }
 
 // StartCollection reports whether the caller must collect garbage now and then call EndCollection.
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -317,3 +317,16 @@
 		t.Errorf("%d bytes used", tb.used())
 	}
 }
+
+// Guards against clients that read no responses and keep all places of a port whose requests change nothing.
+func TestRoomAmongServedRequests(t *testing.T) {
+	tb := New(Limits{Memory: mb, Bodies: mb, Stall: 100 * time.Millisecond, ReadsOnly: true})
+	c, _, _ := begin(tb, "", 100, at(0))
+	tb.Serve(c, at(1))
+	if actions := tb.MakeRoom(at(100)); len(actions) != 0 {
+		t.Errorf("closed after 99 ms: %v", actions)
+	}
+	if actions := tb.MakeRoom(at(101)); len(actions) != 1 || actions[0].Conn != c || !actions[0].Force {
+		t.Errorf("after 100 ms: %v", actions)
+	}
+}
--- a/reference/pages.go
+++ b/reference/pages.go
@@ -75,4 +75,18 @@
 | connections of callers | ` + "`limits.file-descriptors`" + ` less 200 | 0.65 of it, at most 3,000 and 0.3 of the memory at 16 KiB each |
 | requests in flight (503) | ` + "`limits.file-descriptors`" + ` less 200 | 0.3 of it, at most 1,500 |
 | time without 1 KiB of progress after which a connection may give way to others | none | 1 s |
+
+## Limits of the ports for readiness and metrics of both daemons
+
+These have no setting, and the readiness of bramleyd is on its port for callers. If all places are taken, the connection that has made no
+progress for longest, at least 0.1 s, gives its place to a new one.
+
+| limit | value |
+|---|---|
+| connections of each port | 64; of bramleytrail 0.02 of ` + "`limits.file-descriptors`" + ` less 200, 8 to 64 |
+| request line, header fields (431) | 8,192 bytes, each |
+| memory of header sections of each port (503 after 1 s) | 512 KiB |
+| time from the first byte of a header section to its end (408) | 3 s |
+| time without a request (closed) | 2 min |
+| time from the first byte of a response to its end (closed) | 10 s |
 `
