local: an endpoint of TestInvalidStatusOfStream counts a request before it answers

It counted afterwards, so the daemon could record the failure first; the test then said once that the endpoint got no request. Its bounds are the same.

--- a/local/invalidstatus_test.go
+++ b/local/invalidstatus_test.go
@@ -72,7 +72,7 @@
 	}
 	if req.URL.Path == b.path {
 		line = "HTTP/1.1 " + b.status + " Status\r\n"
-		defer b.asked.Add(1)
+		b.asked.Add(1)
 	}
 	_, _ = io.Copy(conn, io.MultiReader(strings.NewReader(line), r))
 }
