local: TestStoreCallsOfAClaimedCall waits until the duties are taken over

It counts store calls after one of two daemons has stopped. The other one takes over the duties, which needs store calls of its own. The stop took a second, because nbhttp closes its connections slowly, and usually covered that.

--- a/local/claims_test.go
+++ b/local/claims_test.go
@@ -381,6 +381,22 @@
 	drainAll(ctx, t, d)
 }
 
+// awaitQuietStore waits until the number of store calls has not changed for longer than a silent holder of a duty keeps it, since the daemon
+// that is left then takes over the duties.
+func awaitQuietStore(ctx context.Context, t *testing.T, counts func() any) {
+	t.Helper()
+	const quiet = 1200 * time.Millisecond
+	last, since := counts(), time.Now()
+	if err := Wait(ctx, func() bool {
+		if now := counts(); now != last {
+			last, since = now, time.Now()
+		}
+		return time.Since(since) >= quiet
+	}); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // Guards against more store calls than intended on the whole path: two writes for a claimed call, one write for a
 // daemon's bills of an interval, and one conflicting write and one read for a retry.
 func TestStoreCallsOfAClaimedCall(t *testing.T) {
@@ -401,6 +417,7 @@
 		c := d.Platform.KV.Faults.Counts()
 		return [3]int{c[memkv.CallCAS], c[memkv.CallGet], c[memkv.CallDelete] + c[memkv.CallList] + c[memkv.CallGrant]}
 	}
+	awaitQuietStore(ctx, t, func() any { return counts() })
 	check := func(phase string, before, want [3]int) {
 		t.Helper()
 		for i, n := range counts() {
