entry, daemon: bramleyd counts what callers make it hold

nbhttp read header sections and bodies in full before the handler could count them. The callers' port of bramleyd on sockets is now served by net/http behind the gate of package entry, with the budget and the decisions of package intake. The metrics of connections and bytes are those of bramleytrail. nbio is no longer needed.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -26,6 +26,7 @@
 	"github.com/bramleytrail/bramleytrail/entry"
 	"github.com/bramleytrail/bramleytrail/hostlist"
 	"github.com/bramleytrail/bramleytrail/identify"
+	"github.com/bramleytrail/bramleytrail/intake"
 	"github.com/bramleytrail/bramleytrail/kv"
 	"github.com/bramleytrail/bramleytrail/kv/httpkv"
 	"github.com/bramleytrail/bramleytrail/ledger"
@@ -139,7 +140,6 @@
 }
 
 func newDaemon(s *settings.Settings, p Platform, engines engine.Client, log *logrus.Logger, m *observe.Metrics) *Daemon {
-	setNBIOLogger(log)
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Daemon{
 		settings: s, engines: engines, incarnation: s.ID + "-" + rand.Text()[:10],
@@ -294,12 +294,14 @@
 			}
 		},
 	}
+	limits, connections := intake.LimitsFor(memoryBytes(s))
 	var listen func(string) (net.Listener, error)
 	if d.network != nil {
 		listen = d.network.Listen
 	}
 	return entry.New(entry.Spec{
-		Addr: s.Listen, Listen: listen, TLS: d.callerTLS, MaxConnections: s.MaxConnections, StallTimeout: s.StallTimeout, Pipeline: p, Config: d.config, Ready: d.Ready,
+		Addr: s.Listen, Listen: listen, TLS: d.callerTLS, MaxConnections: min(s.MaxConnections, connections), StallTimeout: s.StallTimeout, Pipeline: p, Config: d.config, Ready: d.Ready,
+		Intake: limits, OnEnd: d.recordConnectionEnd,
 	})
 }
 
--- a/daemon/main.go
+++ b/daemon/main.go
@@ -6,12 +6,12 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"sync"
+	"runtime/debug"
 	"syscall"
 
-	"github.com/lesismal/nbio/logging"
 	"github.com/sirupsen/logrus"
 
+	"github.com/bramleytrail/bramleytrail/intake"
 	"github.com/bramleytrail/bramleytrail/settings"
 )
 
@@ -33,6 +33,9 @@
 		return exitInvalidSettings
 	}
 	log := NewLogger(s.LogLevel)
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(intake.HeapShare * float64(memoryBytes(s))))
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	if err := NewFromSettings(s, log).Run(ctx); err != nil {
@@ -51,21 +54,3 @@
 	}
 	return log
 }
-
-var setNBIOLoggerOnce sync.Once
-
-// setNBIOLogger redirects the log of the nbio HTTP library to the daemon's log. The library has one logger per process, so
-// only the first daemon of a process sets it.
-func setNBIOLogger(log *logrus.Logger) {
-	setNBIOLoggerOnce.Do(func() { logging.SetLogger(nbioLogger{log.WithField("component", "nbio")}) })
-}
-
-// nbioLogger forwards the log lines of the nbio library. The library's info lines are routine and become debug lines; its
-// errors become warnings.
-type nbioLogger struct{ log *logrus.Entry }
-
-func (nbioLogger) SetLevel(int)                    {}
-func (l nbioLogger) Debug(format string, v ...any) { l.log.Debugf(format, v...) }
-func (l nbioLogger) Info(format string, v ...any)  { l.log.Debugf(format, v...) }
-func (l nbioLogger) Warn(format string, v ...any)  { l.log.Warnf(format, v...) }
-func (l nbioLogger) Error(format string, v ...any) { l.log.Warnf(format, v...) }
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -150,6 +150,7 @@
 }
 
 func (d *Daemon) registerGauges() {
+	d.registerCallerGauges()
 	d.metrics.Gauge("bramley_requests_in_flight", func() float64 { return float64(d.admit.InFlight()) })
 	d.metrics.Gauge("bramley_bills_held", func() float64 { held, _ := d.ledger.Held(); return float64(held) })
 	d.metrics.Gauge("bramley_bills_held_uncopied", func() float64 { _, uncopied := d.ledger.Held(); return float64(uncopied) })
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -16,13 +16,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/lesismal/nbio/nbhttp"
-
 	"github.com/bramleytrail/bramleytrail/relay"
 	"github.com/bramleytrail/bramleytrail/result"
 )
 
-// errNotHijackable can only occur if nbhttp or net/http changes the type of its response writer.
+// errNotHijackable can only occur if net/http changes the type of its response writer.
 var errNotHijackable = errors.New("response writer does not implement http.Hijacker")
 
 // errStreamUnsupported is returned if an answer is streamed to a caller that did not ask for a stream.
@@ -88,8 +86,8 @@
 // errCallerGone is returned by writes after the caller closed its connection or the server was aborted.
 var errCallerGone = errors.New("caller closed the connection")
 
-// streamCaller is a relay.Caller that writes to a hijacked connection. The response writer of nbhttp reports neither failed
-// writes nor that the caller has left; the connection reports both. All methods are for the goroutine of the request, except
+// streamCaller is a relay.Caller that writes to a hijacked connection. A write to it returns its error, and a read shows
+// that the caller has left. All methods are for the goroutine of the request, except
 // that close may be called by any.
 type streamCaller struct {
 	conn         net.Conn
@@ -147,7 +145,7 @@
 
 // limitSendBuffer limits the kernel memory that a stalled stream uses. It has no effect on connections other than TCP.
 func limitSendBuffer(conn net.Conn) {
-	if wrapped, ok := conn.(*nbhttp.Conn); ok {
+	if wrapped, ok := conn.(*gatedConn); ok {
 		conn = wrapped.Conn
 	}
 	if tcp, ok := conn.(*net.TCPConn); ok {
--- a/entry/doc.go
+++ b/entry/doc.go
@@ -1,3 +1,3 @@
-// Package entry is the HTTP server for callers. It passes their requests to the pipeline. Connections are served by nbhttp, or
-// by net/http where nbhttp falls short: with TLS, on custom listeners and for routed services.
+// Package entry is the HTTP server for callers, and for the ports of readiness checks and operators. It passes requests of callers to the
+// pipeline. What clients make it hold is counted before it is read; package intake decides.
 package entry
--- a/entry/nbhttp_test.go
+++ b/entry/hijack_test.go
@@ -13,38 +13,30 @@
 	"testing"
 	"time"
 
-	"github.com/lesismal/nbio/nbhttp"
+	"github.com/bramleytrail/bramleytrail/intake"
 )
 
-// hijackedConn starts an nbhttp engine as Server.Start does, sends a request whose handler hijacks the connection, and returns
-// both ends of the connection.
+// hijackedConn starts a server with the connections of Server.Start, sends a request whose handler hijacks the connection, and returns both
+// ends of the connection.
 func hijackedConn(t *testing.T) (server, caller net.Conn) {
 	t.Helper()
 	conns := make(chan net.Conn, 1)
-	var addr string
-	e := nbhttp.NewEngine(nbhttp.Config{
-		Name: "test", Network: "tcp", Addrs: []string{"127.0.0.1:0"}, IOMod: nbhttp.IOModBlocking, BlockingReadBufferSize: readBufferSize,
-		Listen: func(network, a string) (net.Listener, error) {
-			ln, err := net.Listen(network, a)
-			if err == nil {
-				addr = ln.Addr().String()
-			}
-			return ln, err
-		},
-		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			conn, _, err := w.(http.Hijacker).Hijack()
-			if err != nil {
-				t.Error(err)
-				return
-			}
-			conns <- conn
-		}),
-	})
-	if err := e.Start(); err != nil {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = e.Shutdown(context.Background()) })
-	caller, err := net.Dial("tcp", addr)
+	gated := newGatedListener(ln, newGate(intake.Limits{}, func() Limits { return Limits{} }, nil), 1)
+	e := &http.Server{ConnContext: connContext, ConnState: connState, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		conns <- conn
+	})}
+	go func() { _ = e.Serve(gated) }() // returns http.ErrServerClosed after Close
+	t.Cleanup(func() { _ = e.Close() })
+	caller, err = net.Dial("tcp", ln.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -60,7 +52,7 @@
 	return server, caller
 }
 
-// Guards against a version of nbhttp that hides a closed connection after Hijack: a blocked read must return an error, and
+// Guards against a closed connection that is hidden after Hijack: a blocked read must return an error, and
 // writes must fail.
 func TestHijackedConnectionReportsDeparture(t *testing.T) {
 	server, caller := hijackedConn(t)
@@ -85,7 +77,7 @@
 	}
 }
 
-// Guards against a version of nbhttp whose writes after Hijack ignore their deadline, or buffer without limit, while the caller
+// Guards against writes after Hijack that ignore their deadline, or buffer without limit, while the caller
 // reads nothing.
 func TestHijackedConnectionBlocksAndTimesOut(t *testing.T) {
 	server, _ := hijackedConn(t)
@@ -114,12 +106,13 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = s.Shutdown(context.Background()) })
+	const tooManyBytes = maxBodyBytes + maxHeaderBytes
 	header := func(length int) string {
 		return fmt.Sprintf("POST /unknown HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n", length)
 	}
 	for name, request := range map[string]io.Reader{
-		"header": io.MultiReader(bytes.NewReader([]byte("GET / HTTP/1.1\r\nX: ")), bytes.NewReader(bytes.Repeat([]byte("a"), 2*maxReadBytes))),
-		"body":   io.MultiReader(bytes.NewReader([]byte(header(2*maxReadBytes))), bytes.NewReader(make([]byte, 2*maxReadBytes))),
+		"header": io.MultiReader(bytes.NewReader([]byte("GET / HTTP/1.1\r\nX: ")), bytes.NewReader(bytes.Repeat([]byte("a"), 2*tooManyBytes))),
+		"body":   io.MultiReader(bytes.NewReader([]byte(header(2*tooManyBytes))), bytes.NewReader(make([]byte, 2*tooManyBytes))),
 		"idle":   bytes.NewReader([]byte(header(0))),
 	} {
 		conn, err := net.Dial("tcp", s.Addr())
--- a/entry/routed.go
+++ b/entry/routed.go
@@ -165,24 +165,31 @@
 	return c.Reply(status, h, body)
 }
 
-// refuse answers a request that was not read whole. The connection of a request that was ended, or whose header section is too
-// large, is closed, after its client has had time to read the response.
+// refuse answers a request that was not read whole.
 func (c *routedCaller) refuse(r *http.Request, e *result.Error, conn *gatedConn) {
 	tooLarge := errors.Is(e, errHeaderTooLarge)
+	refuseWith(c.w, r, conn, tooLarge, func() {
+		if tooLarge && conn != nil {
+			_ = writeResponse(c.w, http.StatusRequestHeaderFieldsTooLarge, nil, nil) // the caller may have left
+		} else {
+			_ = c.Fail(e) // the caller may have left
+		}
+	})
+}
+
+// refuseWith answers a request that was not read whole. The connection of a request that was ended, or whose header section is too large, is
+// closed, after its client has had time to read the response.
+func refuseWith(w http.ResponseWriter, r *http.Request, conn *gatedConn, tooLarge bool, respond func()) {
 	if conn == nil || !tooLarge && !conn.ended.Load() {
 		if conn != nil && r.ContentLength != 0 {
 			_ = conn.SetReadDeadline(time.Now().Add(lingerTime)) // net/http reads the rest of a small body before it responds
 		}
-		_ = c.Fail(e) // the caller may have left
+		respond()
 		return
 	}
-	c.w.Header().Set("Connection", "close")
-	if tooLarge {
-		_ = writeResponse(c.w, http.StatusRequestHeaderFieldsTooLarge, nil, nil) // the caller may have left
-	} else {
-		_ = c.Fail(e) // the caller may have left
-	}
-	if c.controller.Flush() == nil {
+	w.Header().Set("Connection", "close")
+	respond()
+	if http.NewResponseController(w).Flush() == nil {
 		conn.linger()
 	}
 }
--- a/entry/server.go
+++ b/entry/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"io"
 	"log"
@@ -14,8 +15,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/lesismal/nbio/nbhttp"
-
 	"github.com/bramleytrail/bramleytrail/claim"
 	"github.com/bramleytrail/bramleytrail/config"
 	"github.com/bramleytrail/bramleytrail/identify"
@@ -28,12 +27,11 @@
 
 const (
 	maxBodyBytes       = 4 << 20
-	maxReadBytes       = maxBodyBytes + 64<<10 // body and header of a request, with nbhttp
-	readBufferSize     = 4 << 10               // bytes for each connection, with nbhttp
-	defaultIdleTimeout = 2 * time.Minute       // with net/http, also the limit for reading a request
-	headerTimeout      = 10 * time.Second      // limit for reading a header, with net/http
+	defaultIdleTimeout = 2 * time.Minute  // also the limit for reading a request
+	headerTimeout      = 10 * time.Second // limit for reading a header
 	maxHeaderBytes     = 64 << 10
 	noTimeout          = 24 * time.Hour
+	chatPath           = "/v1/chat/completions"
 	servicePrefix      = "/v1/services/"
 )
 
@@ -45,8 +43,8 @@
 	MaxConnections int                                     // open at the same time
 	// StallTimeout limits the time that one write of a streamed answer may take.
 	StallTimeout time.Duration
-	// IdleTimeout limits the time between two requests on a connection of nbhttp; 0 for two minutes. With net/http the limit
-	// is always two minutes.
+	// IdleTimeout limits the time between two requests on a connection to a server without a protocol; 0 for two minutes. With TLS and
+	// custom listeners the limit is always two minutes.
 	IdleTimeout time.Duration
 	Pipeline    *pipeline.Pipeline
 	Config      *config.Holder
@@ -55,8 +53,8 @@
 	// Protocol makes the server one of routed services: all requests are read by it and served as requests of routes. Nil
 	// serves the router's own HTTP interface.
 	Protocol Protocol
-	// Intake bounds what callers make a server of routed services without TLS hold; its zero value sets no bound. OnEnd is called for each of its connections that is
-	// refused or closed by a limit; it may be nil.
+	// Intake bounds what callers make a server without TLS and without a custom listener hold; its zero value sets no bound. OnEnd is called
+	// for each of its connections that is refused or closed by a limit; it may be nil.
 	Intake intake.Limits
 	OnEnd  func(r intake.Reason)
 }
@@ -64,12 +62,11 @@
 // Server is the HTTP server for callers. Its methods are safe for concurrent use after Start has returned.
 type Server struct {
 	spec   Spec
-	engine *nbhttp.Engine // nil with TLS, a custom listener or a protocol
-	server *http.Server   // nil if engine is not
+	server *http.Server
 	addr   string
 	// aborted is set by Abort. Nothing is sent to callers from then on.
 	aborted            atomic.Bool
-	gate               *gate       // nil without a protocol and with TLS
+	gate               *gate       // nil with TLS and with a custom listener
 	keepAlivesDisabled atomic.Bool // answers of routed services close their connections
 
 	mu       sync.Mutex
@@ -82,20 +79,28 @@
 		spec.IdleTimeout = defaultIdleTimeout
 	}
 	s := &Server{spec: spec, hijacked: map[*streamCaller]struct{}{}}
-	if spec.Protocol != nil && spec.TLS == nil { // header sections can't be counted below TLS
-		s.gate = newGate(spec.Intake, spec.Protocol.Limits, spec.OnEnd)
+	if spec.TLS == nil && spec.Listen == nil { // header sections can't be counted below TLS; custom listeners are connections in memory
+		s.gate = newGate(spec.Intake, s.limits, spec.OnEnd)
 	}
 	return s
 }
 
-// Held is what callers make a server of routed services hold.
+// limits returns the operators' limits in force.
+func (s *Server) limits() Limits {
+	if s.spec.Protocol != nil {
+		return s.spec.Protocol.Limits()
+	}
+	return Limits{IdleTimeout: s.spec.IdleTimeout}
+}
+
+// Held is what callers make a server hold.
 type Held struct {
 	HeaderBytes, BodyBytes int64
 	Connections            int
 	Waiting                int // connections that wait for memory
 }
 
-// Held returns what callers make a server of routed services hold.
+// Held returns what callers make a server hold.
 func (s *Server) Held() Held {
 	if s.gate == nil {
 		return Held{}
@@ -107,38 +112,7 @@
 }
 
 // Start opens the port and serves callers in the background.
-//
-// nbhttp runs in blocking mode. In non-blocking mode its write queue has no limit, so that a caller that reads slowly could
-// exhaust the memory of the process.
 func (s *Server) Start() error {
-	if s.spec.TLS != nil || s.spec.Listen != nil || s.spec.Protocol != nil {
-		return s.startServer()
-	}
-	conf := nbhttp.Config{
-		Name: "entry", Network: "tcp", Addrs: []string{s.spec.Addr}, IOMod: nbhttp.IOModBlocking, MaxBlockingOnline: s.spec.MaxConnections,
-		MaxLoad: s.spec.MaxConnections, ReadLimit: maxReadBytes, MaxHTTPBodySize: maxBodyBytes,
-		BlockingReadBufferSize: readBufferSize, KeepaliveTime: s.spec.IdleTimeout, Handler: s,
-		Listen: func(network, addr string) (net.Listener, error) {
-			ln, err := net.Listen(network, addr)
-			if err == nil {
-				s.addr = ln.Addr().String()
-			}
-			return ln, err
-		},
-	}
-	s.engine = nbhttp.NewEngine(conf)
-	// In blocking mode, nbhttp stops reading from a connection that exceeds the idle timeout, but does not close it.
-	s.engine.OnClose(func(c net.Conn, _ error) { _ = c.Close() })
-	if err := s.engine.Start(); err != nil {
-		return fmt.Errorf("listen for callers on %s: %w", s.spec.Addr, err)
-	}
-	return nil
-}
-
-// startServer opens the port and serves callers with net/http. nbhttp can't be used with TLS, because a read after Hijack
-// returns at once with no bytes and no error, which hides that the caller left; nor with custom listeners, because it only
-// accepts sockets.
-func (s *Server) startServer() error {
 	listen := s.spec.Listen
 	if listen == nil {
 		listen = func(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
@@ -173,13 +147,10 @@
 func (s *Server) Addr() string { return s.addr }
 
 // Shutdown closes the port and all connections. It does not wait for requests in flight, which must have ended.
-func (s *Server) Shutdown(ctx context.Context) error {
-	if s.server != nil {
-		err := s.server.Close()
-		s.closeHijacked()
-		return err
-	}
-	return s.engine.Shutdown(ctx)
+func (s *Server) Shutdown(context.Context) error {
+	err := s.server.Close()
+	s.closeHijacked()
+	return err
 }
 
 // DisableKeepAlives makes each further answer of a routed service close its connection, so that callers connect to other
@@ -199,9 +170,14 @@
 		s.serveRouted(w, r)
 		return
 	}
+	conn, err := s.begin(r)
+	if err != nil {
+		s.refuse(w, r, conn, err)
+		return
+	}
 	switch path := r.URL.Path; {
-	case path == "/v1/chat/completions":
-		s.serveChat(w, r)
+	case path == chatPath:
+		s.serveChat(w, r, conn)
 	case path == "/v1/models":
 		s.serveModels(w, r)
 	case path == "/readyz":
@@ -209,7 +185,7 @@
 	case path == "/healthz":
 		w.WriteHeader(http.StatusOK)
 	case strings.HasPrefix(path, servicePrefix):
-		s.servePlain(w, r)
+		s.servePlain(w, r, conn)
 	case strings.HasPrefix(path, relay.ClaimPrefix):
 		s.serveClaim(w, r)
 	default:
@@ -226,27 +202,70 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// newRequest reads a request. Its ID is random, since IDs of callers can't be trusted to be unique.
-func newRequest(r *http.Request) (*pipeline.Request, error) {
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes+1))
+// begin counts the header section of a request that is not of a route. A request without a body that is passed on is complete then.
+func (s *Server) begin(r *http.Request) (*gatedConn, error) {
+	conn, _ := r.Context().Value(connKey{}).(*gatedConn)
+	if conn == nil {
+		return nil, nil
+	}
+	lines, bytes := headerSize(r)
+	if bytes > s.limits().orDefaults().HeaderBytes {
+		return conn, result.Wrap(result.BadRequest, result.NotRun, errHeaderTooLarge)
+	}
+	conn.inHeader.Store(false)
+	var group string
+	if _, team, err := s.authenticate(r); err == nil {
+		group = team.Name
+	}
+	if reason := conn.identify(group, intake.HeaderCost(lines, bytes)); reason != intake.ReasonNone {
+		return conn, refusal(reason)
+	}
+	if path := r.URL.Path; path == chatPath || strings.HasPrefix(path, servicePrefix) {
+		return conn, nil // its body is read
+	}
+	if reason := conn.serve(); reason != intake.ReasonNone {
+		return conn, refusal(reason)
+	}
+	return conn, nil
+}
+
+// refuse answers a request that was not read whole.
+func (s *Server) refuse(w http.ResponseWriter, r *http.Request, conn *gatedConn, err error) {
+	status := 0
+	if errors.Is(err, errHeaderTooLarge) {
+		status = http.StatusRequestHeaderFieldsTooLarge
+	}
+	refuseWith(w, r, conn, errors.Is(err, errHeaderTooLarge), func() { writeError(w, err, status) })
+}
+
+// newRequest reads a request. Its ID is random, since IDs of callers can't be trusted to be unique. The body of a request that will be
+// denied for want of a valid key is held, too, since a newer configuration may allow it.
+func newRequest(r *http.Request, conn *gatedConn) (*pipeline.Request, error) {
+	b := &bodyReader{r: r, conn: conn, limit: maxBodyBytes}
+	if r.ContentLength > b.limit {
+		return nil, b.tooLarge()
+	}
+	body, err := b.all()
 	if err != nil {
-		return nil, result.Wrap(result.BadRequest, result.NotRun, err)
+		return nil, err
 	}
-	if len(body) > maxBodyBytes {
-		return nil, result.Newf(result.BodyTooLarge, "The limit is %d bytes.", maxBodyBytes)
+	if conn != nil {
+		if reason := conn.serve(); reason != intake.ReasonNone {
+			return nil, refusal(reason)
+		}
 	}
 	return &pipeline.Request{ID: rand.Text(), Method: r.Method, Path: r.URL.RequestURI(), Header: r.Header.Clone(), Body: body}, nil
 }
 
 // serveChat serves a chat completion request. Only a streamed answer takes over the connection.
-func (s *Server) serveChat(w http.ResponseWriter, r *http.Request) {
+func (s *Server) serveChat(w http.ResponseWriter, r *http.Request, conn *gatedConn) {
 	if r.Method != http.MethodPost {
 		writeError(w, result.Newf(result.BadRequest, "The method must be POST."), http.StatusMethodNotAllowed)
 		return
 	}
-	req, err := newRequest(r)
+	req, err := newRequest(r, conn)
 	if err != nil {
-		writeError(w, err, 0)
+		s.refuse(w, r, conn, err)
 		return
 	}
 	if !req.WantsStream() {
@@ -264,11 +283,11 @@
 
 // servePlain serves a call of a plain service. The service is the first element of the path after servicePrefix, the path and
 // query at the endpoint are what follows.
-func (s *Server) servePlain(w http.ResponseWriter, r *http.Request) {
+func (s *Server) servePlain(w http.ResponseWriter, r *http.Request, conn *gatedConn) {
 	service, path, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, servicePrefix), "/")
-	req, err := newRequest(r)
+	req, err := newRequest(r, conn)
 	if err != nil {
-		writeError(w, err, 0)
+		s.refuse(w, r, conn, err)
 		return
 	}
 	req.Path = "/" + path
--- a/gateway/callerlimits.go
+++ b/gateway/callerlimits.go
@@ -16,12 +16,6 @@
 	connectionDescriptors, requestDescriptors = 0.65, 0.3
 	// minConnections is the lower bound for deployments with very few descriptors.
 	minConnections = 16
-	// callerMemoryShare is the fraction of Spec.MemoryBytes for everything that callers make the daemon hold, and bodyMemoryShare
-	// the part up to which it is given to bodies above intake.SmallBytes. Together with the daemon's own heap they stay under
-	// heapMemoryShare, so that the garbage collector does not run all the time.
-	callerMemoryShare, bodyMemoryShare = 0.45, 0.4
-	// connectionMemoryShare is the fraction of Spec.MemoryBytes that connections may use.
-	connectionMemoryShare = 0.3
 	// portDescriptors is the share of the usable descriptors for the connections of each of the ports for readiness and metrics, which have
 	// minPortConnections at least. ownDescriptors are those of the daemon itself: listeners, the store and the runtime.
 	portDescriptors, minPortConnections, ownDescriptors = 0.02, 8, 12
@@ -36,6 +30,7 @@
 
 // callerLimitsFor derives the limits from the machine's memory in bytes and the limit on file descriptors, 0 if not known.
 func callerLimitsFor(memory int64, descriptors int) callerLimits {
+	var most int
 	l := callerLimits{connections: maxConnections, inFlight: maxInFlight, port: entry.PortConnections}
 	if descriptors > 0 {
 		usable := float64(max(0, descriptors-unusedDescriptors))
@@ -44,9 +39,9 @@
 		rest := int(usable) - l.inFlight - 2*l.port - ownDescriptors
 		l.connections = min(l.connections, int(connectionDescriptors*usable), rest)
 	}
-	l.connections = max(minConnections, min(l.connections, int(connectionMemoryShare*float64(memory)/intake.ConnectionCost)))
+	l.intake, most = intake.LimitsFor(memory)
+	l.connections = max(minConnections, min(l.connections, most))
 	l.inFlight = max(minConnections/2, l.inFlight)
-	l.intake = intake.Limits{Memory: int64(callerMemoryShare * float64(memory)), Bodies: int64(bodyMemoryShare * float64(memory))}
 	return l
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/bramleytrail/bramleytrail/engine"
 	"github.com/bramleytrail/bramleytrail/entry"
 	"github.com/bramleytrail/bramleytrail/hostlist"
+	"github.com/bramleytrail/bramleytrail/intake"
 	"github.com/bramleytrail/bramleytrail/kv"
 	"github.com/bramleytrail/bramleytrail/notice"
 	"github.com/bramleytrail/bramleytrail/object"
@@ -43,7 +44,7 @@
 const (
 	// heapMemoryShare is the fraction of Spec.MemoryBytes that is set as the runtime's soft memory limit, above which the
 	// garbage collector runs more often.
-	heapMemoryShare = 0.6
+	heapMemoryShare = intake.HeapShare
 	// stallTimeout is the longest time for which a caller may read nothing of its answer.
 	stallTimeout = 10 * time.Second
 	// queueWait is the longest time for which a request waits for a free slot at an endpoint.
--- a/session/session.go
+++ b/session/session.go
@@ -70,7 +70,7 @@
 // caller's own identifier; the result then has only an ID. An empty value gives the zero token. Any error wraps
 // ErrBadToken.
 func (s *Signer) Parse(value string) (Token, error) {
-	value = strings.TrimSpace(value) // the HTTP engine nbhttp returns a space for an empty header
+	value = strings.TrimSpace(value) // some HTTP servers return a space for an empty header
 	if !strings.HasPrefix(value, tokenPrefix) {
 		if len(value) > maxIDBytes {
 			return Token{}, fmt.Errorf("%w: identifier has more than %d bytes", ErrBadToken, maxIDBytes)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -42,6 +42,7 @@
 
 	MaxInFlight         int           `long:"max-in-flight" env:"BRAMLEY_MAX_IN_FLIGHT" description:"requests in flight in this daemon" default:"2000"`
 	MaxConnections      int           `long:"max-connections" env:"BRAMLEY_MAX_CONNECTIONS" description:"open connections of callers" default:"8000"`
+	MemoryMB            int           `long:"memory-mb" env:"BRAMLEY_MEMORY_MB" description:"memory in MiB that this daemon may use; bounds what callers make it hold, see below, and its heap; 0 for 1024 without a bound on the heap" default:"0"`
 	QueueWait           time.Duration `long:"queue-wait" env:"BRAMLEY_QUEUE_WAIT" description:"longest wait for room at an endpoint" default:"5s"`
 	StallTimeout        time.Duration `long:"stall-timeout" env:"BRAMLEY_STALL_TIMEOUT" description:"longest time for which a caller may read nothing" default:"2m"`
 	PauseAfter          time.Duration `long:"pause-after" env:"BRAMLEY_PAUSE_AFTER" description:"time after which a streamed answer that its caller does not read gives up its endpoint; 0 for never" default:"10s"`
@@ -67,6 +68,9 @@
 	OrderToken string `no-flag:"true"`
 }
 
+// minMemoryMB is the least memory with which a daemon can serve; idle, it uses some 20 MiB.
+const minMemoryMB = 48
+
 // minSessionKeyBytes is the shortest accepted session key; a shorter one could be guessed.
 const minSessionKeyBytes = 16
 
@@ -232,6 +236,9 @@
 	if s.CacheMoves > 0 && (s.CacheMovesPerSource < 1 || s.CacheMoveBytes < 1 || s.CacheMoveTime <= 0) {
 		report("cache-moves", "needs positive --cache-moves-per-source, --cache-move-bytes and --cache-move-time")
 	}
+	if s.MemoryMB != 0 && s.MemoryMB < minMemoryMB {
+		report("memory-mb", "%d is neither 0 nor at least %d", s.MemoryMB, minMemoryMB)
+	}
 	if s.Settle < 0 {
 		report("settle", "%s is negative", s.Settle)
 	}
