entry: a stream of bramleyd is served after its handler has returned

With net/http, a stalled stream held 63,846 to 68,987 bytes (TestSlowCallers without the race detector, bound 65,536; 4 of 5 runs failed), because the handler kept the buffers of the connection alive. A panic ends the request only, as before. Checked with a selection of the tests of local under the race detector and three cases of TestRouterClients, not with the whole package.

--- a/entry/caller.go
+++ b/entry/caller.go
@@ -113,7 +113,7 @@
 	}
 	_ = conn.SetReadDeadline(time.Time{}) // removes the server's deadline for the next request
 	limitSendBuffer(conn)
-	ctx, cancel := context.WithCancel(r.Context())
+	ctx, cancel := context.WithCancel(context.WithoutCancel(r.Context())) // the handler returns before the request ends
 	c := &streamCaller{conn: conn, stallTimeout: s.spec.StallTimeout, aborted: &s.aborted}
 	s.mu.Lock()
 	s.hijacked[c] = struct{}{}
@@ -126,6 +126,16 @@
 	return c, ctx, nil
 }
 
+// serveStream serves a request on a hijacked connection after its handler has returned, which frees the buffers of net/http for the connection
+// (some 10 KB). A panic ends the request only, as in a handler.
+func (s *Server) serveStream(c *streamCaller, serve func()) {
+	go func() {
+		defer func() { _ = recover() }()
+		defer s.closeStream(c)
+		serve()
+	}()
+}
+
 // closeStream closes a hijacked connection.
 func (s *Server) closeStream(c *streamCaller) {
 	c.close()
--- a/entry/server.go
+++ b/entry/server.go
@@ -277,8 +277,7 @@
 		writeError(w, err, 0)
 		return
 	}
-	defer s.closeStream(c)
-	_ = s.spec.Pipeline.Chat(ctx, req, c)
+	s.serveStream(c, func() { _ = s.spec.Pipeline.Chat(ctx, req, c) })
 }
 
 // servePlain serves a call of a plain service. The service is the first element of the path after servicePrefix, the path and
@@ -299,8 +298,7 @@
 		writeError(w, err, 0)
 		return
 	}
-	defer s.closeStream(c)
-	_ = s.spec.Pipeline.Plain(ctx, service, req, c)
+	s.serveStream(c, func() { _ = s.spec.Pipeline.Plain(ctx, service, req, c) })
 }
 
 // authenticate returns the configuration in force and the team of a request that the pipeline does not serve.
