--- a/entry/caller.go
+++ b/entry/caller.go
@@ -16,13 +16,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/lesismal/nbio/nbhttp"
-
 	"github.com/bramleytrail/bramleytrail/relay"
 	"github.com/bramleytrail/bramleytrail/result"
 )
 
-// errNotHijackable can only occur if nbhttp or net/http changes the type of its response writer.
+// errNotHijackable can only occur if net/http changes the type of its response writer.
 var errNotHijackable = errors.New("response writer does not implement http.Hijacker")
 
 // errStreamUnsupported is returned if an answer is streamed to a caller that did not ask for a stream.
@@ -88,8 +86,8 @@
 // errCallerGone is returned by writes after the caller closed its connection or the server was aborted.
 var errCallerGone = errors.New("caller closed the connection")
 
-// streamCaller is a relay.Caller that writes to a hijacked connection. The response writer of nbhttp reports neither failed
-// writes nor that the caller has left; the connection reports both. All methods are for the goroutine of the request, except
+// streamCaller is a relay.Caller that writes to a hijacked connection. A write to it returns its error, and a read shows
+// that the caller has left. All methods are for the goroutine of the request, except
 // that close may be called by any.
 type streamCaller struct {
 	conn         net.Conn
@@ -115,7 +113,7 @@
 	}
 	_ = conn.SetReadDeadline(time.Time{}) // removes the server's deadline for the next request
 	limitSendBuffer(conn)
-	ctx, cancel := context.WithCancel(r.Context())
+	ctx, cancel := context.WithCancel(context.WithoutCancel(r.Context())) // the handler returns before the request ends
 	c := &streamCaller{conn: conn, stallTimeout: s.spec.StallTimeout, aborted: &s.aborted}
 	s.mu.Lock()
 	s.hijacked[c] = struct{}{}
@@ -128,6 +126,16 @@
 	return c, ctx, nil
 }
 
+// serveStream serves a request on a hijacked connection after its handler has returned, which frees the buffers of net/http for the connection
+// (some 10 KB). A panic ends the request only, as in a handler.
+func (s *Server) serveStream(c *streamCaller, serve func()) {
+	go func() {
+		defer func() { _ = recover() }()
+		defer s.closeStream(c)
+		serve()
+	}()
+}
+
 // closeStream closes a hijacked connection.
 func (s *Server) closeStream(c *streamCaller) {
 	c.close()
@@ -147,7 +155,7 @@
 
 // limitSendBuffer limits the kernel memory that a stalled stream uses. It has no effect on connections other than TCP.
 func limitSendBuffer(conn net.Conn) {
-	if wrapped, ok := conn.(*nbhttp.Conn); ok {
+	if wrapped, ok := conn.(*gatedConn); ok {
 		conn = wrapped.Conn
 	}
 	if tcp, ok := conn.(*net.TCPConn); ok {
