--- a/selection/cost.go
+++ b/selection/cost.go
@@ -22,7 +22,7 @@
 	// uncachedDelayPer1000 represents the price of processing prompt tokens that another endpoint may have in its cache, in
 	// milliseconds for 1,000 tokens. It does not depend on the model: a small model reads fast, but the tokens that it reads
 	// evict others from the cache all the same.
-	uncachedDelayPer1000 = 80.0
+	uncachedDelayPer1000 = 40.0
 	// failurePenalty is added to the cost of an endpoint that always fails, as a multiple of the target time. A failed
 	// request is sent again, or is lost if it may run only once.
 	failurePenalty = 2.0
