--- a/review/stage/client.go
+++ b/review/stage/client.go
@@ -60,6 +60,12 @@
 	if _, err := io.WriteString(c, r.text()); err != nil {
 		return answer{err: err}
 	}
+	return readAnswer(c, in, r)
+}
+
+// readAnswer reads the answer to a request that was sent, until its deadline from now on.
+func readAnswer(c net.Conn, in *bufio.Reader, r *request) (a answer) {
+	_ = c.SetDeadline(time.Now().Add(r.deadline)) // fails on a closed connection, as does the read
 	resp, err := http.ReadResponse(in, &http.Request{Method: r.method})
 	if err != nil {
 		return answer{err: err}
--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -25,11 +25,11 @@
 	calm := flag.Bool("calm", false, "leave the disruption out")
 	flag.Parse()
 	cases := map[string]func(*stage) (broken bool, err error){
-		"models": playModels, "parts": playParts, "sessions": playSessions, "crashes": playCrashes,
+		"models": playModels, "parts": playParts, "drain": playDrain, "sessions": playSessions, "crashes": playCrashes,
 	}
 	play := cases[flag.Arg(0)]
 	if play == nil {
-		fmt.Fprintln(os.Stderr, "stage: name one of the cases models, parts, sessions and crashes")
+		fmt.Fprintln(os.Stderr, "stage: name one of the cases models, parts, drain, sessions and crashes")
 		os.Exit(exitNotRun)
 	}
 	s, err := newStage(*gateway, *file, !*calm)
