intake: count what a request uses while it is served

What callers saw: nothing yet; it is the part of the memory that nobody counted. Connections, header sections and bodies were counted, but not the connection to an endpoint with its goroutines and buffers, the head of the response and the part of the answer in hand. With streams in flight, what is counted was some 24 KiB a request below what is used.

Change: intake has a third kind of memory, that of requests in flight. The cost of a connection is a parameter, since one with TLS takes more.

Evidence: TestRequestsInFlightStayWithinTheBudget: the budget holds for any number of requests, one that waits for 1 s gets the reason "memory", and the count is zero when all have left.

--- a/daemon/callerlimits.go
+++ b/daemon/callerlimits.go
@@ -26,8 +26,9 @@
 
 // registerCallerGauges registers the gauges of what callers make the daemon hold.
 func (d *Daemon) registerCallerGauges() {
-	d.metrics.Gauge(`bramley_caller_bytes{kind="header"}`, func() float64 { return float64(d.entry.Held().HeaderBytes) })
-	d.metrics.Gauge(`bramley_caller_bytes{kind="body"}`, func() float64 { return float64(d.entry.Held().BodyBytes) })
+	for k := range intake.Kinds {
+		d.metrics.Gauge(fmt.Sprintf(`bramley_caller_bytes{kind=%q}`, k), func() float64 { return float64(d.entry.Held().Bytes[k]) })
+	}
 	d.metrics.Gauge("bramley_caller_connections", func() float64 { return float64(d.entry.Held().Connections) })
 	d.metrics.Gauge("bramley_caller_connections_waiting", func() float64 { return float64(d.entry.Held().Waiting) })
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -294,7 +294,11 @@
 			}
 		},
 	}
-	limits, connections := intake.LimitsFor(memoryBytes(s))
+	connectionCost := int64(intake.ConnectionCost)
+	if d.callerTLS != nil {
+		connectionCost = intake.SecureConnectionCost
+	}
+	limits, connections := intake.LimitsFor(memoryBytes(s), connectionCost)
 	var listen func(string) (net.Listener, error)
 	if d.network != nil {
 		listen = d.network.Listen
--- a/entry/gate.go
+++ b/entry/gate.go
@@ -364,6 +364,13 @@
 	return reason
 }
 
+// reserve asks for the memory that a request uses while it is served, and waits for it. Nothing of the request is decoded before.
+func (c *gatedConn) reserve() intake.Reason {
+	return c.gate.want(c, func(t *intake.Table, now time.Time) (bool, []intake.Action) {
+		return t.Admit(c.state, now)
+	})
+}
+
 // serve says that the request is complete, so that the connection is no longer closed for its memory.
 func (c *gatedConn) serve() (reason intake.Reason) {
 	c.gate.do(func(t *intake.Table, now time.Time) []intake.Action {
--- a/entry/routed.go
+++ b/entry/routed.go
@@ -61,6 +61,9 @@
 		return nil, b.tooLarge()
 	}
 	req, err := s.spec.Protocol.Request(r)
+		if reason := conn.reserve(); reason != intake.ReasonNone {
+			return nil, refusal(reason)
+		}
 	if err != nil {
 		return nil, err
 	}
--- a/entry/server.go
+++ b/entry/server.go
@@ -95,9 +95,9 @@
 
 // Held is what callers make a server hold.
 type Held struct {
-	HeaderBytes, BodyBytes int64
-	Connections            int
-	Waiting                int // connections that wait for memory
+	Bytes       [intake.Kinds]int64
+	Connections int
+	Waiting     int // connections that wait for memory
 }
 
 // Held returns what callers make a server hold.
@@ -108,7 +108,11 @@
 	s.gate.mu.Lock()
 	defer s.gate.mu.Unlock()
 	t := s.gate.table
-	return Held{t.HeldBytes(intake.KindHeader), t.HeldBytes(intake.KindBody), t.Connections(), t.Waiting()}
+	h := Held{Connections: t.Connections(), Waiting: t.Waiting()}
+	for k := range intake.Kinds {
+		h.Bytes[k] = t.HeldBytes(k)
+	}
+	return h
 }
 
 // Start opens the port and serves callers in the background.
@@ -224,6 +228,9 @@
 		return conn, nil // its body is read
 	}
 	if reason := conn.serve(); reason != intake.ReasonNone {
+		if reason := conn.reserve(); reason != intake.ReasonNone {
+			return conn, refusal(reason)
+		}
 		return conn, refusal(reason)
 	}
 	return conn, nil
--- a/gateway/callerlimits.go
+++ b/gateway/callerlimits.go
@@ -39,7 +39,7 @@
 		rest := int(usable) - l.inFlight - 2*l.port - ownDescriptors
 		l.connections = min(l.connections, int(connectionDescriptors*usable), rest)
 	}
-	l.intake, most = intake.LimitsFor(memory)
+	l.intake, most = intake.LimitsFor(memory, intake.ConnectionCost)
 	l.connections = max(minConnections, min(l.connections, most))
 	l.inFlight = max(minConnections/2, l.inFlight)
 	return l
@@ -53,8 +53,9 @@
 // registerCallerGauges registers the gauges of what callers make the daemon hold.
 func (g *Gateway) registerCallerGauges() {
 	m := g.spec.Metrics
-	m.Gauge(`bramley_caller_bytes{kind="header"}`, func() float64 { return float64(g.entry.Held().HeaderBytes) })
-	m.Gauge(`bramley_caller_bytes{kind="body"}`, func() float64 { return float64(g.entry.Held().BodyBytes) })
+	for k := range intake.Kinds {
+		m.Gauge(fmt.Sprintf(`bramley_caller_bytes{kind=%q}`, k), func() float64 { return float64(g.entry.Held().Bytes[k]) })
+	}
 	m.Gauge("bramley_caller_connections", func() float64 { return float64(g.entry.Held().Connections) })
 	m.Gauge("bramley_caller_connections_waiting", func() float64 { return float64(g.entry.Held().Waiting) })
 }
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -6,8 +6,17 @@
 
 import "time"
 
-// ConnectionCost is the memory in bytes that an open connection uses: its goroutine, buffers and entries in tables.
-const ConnectionCost = 16 << 10
+const (
+	// ConnectionCost is the memory in bytes that an open connection uses: its goroutine, buffers and entries in tables.
+	ConnectionCost = 16 << 10
+	// SecureConnectionCost is ConnectionCost with TLS, which holds a record of 16 KiB while it is read, and another one while it is
+	// decrypted.
+	SecureConnectionCost = 56 << 10
+	// RequestCost is the memory in bytes that a request uses while it is served, beside its header section and its body: the connection to
+	// an endpoint with its goroutines and buffers, the head of the response, the part of the answer that is being passed on, and what was
+	// decoded of the request.
+	RequestCost = 24 << 10
+)
 
 const (
 	// SmallBytes is the size up to which a body counts as small. Small bodies and header sections may use the part of the budget
@@ -24,8 +33,10 @@
 
 // Limits bound what is held for callers.
 type Limits struct {
-	Memory int64 // bytes for everything: connections, header sections and bodies
+	Memory int64 // bytes for everything: connections, header sections, bodies and requests in flight
 	Bodies int64 // up to which Memory is given to bodies above SmallBytes; the rest is left for small requests
+	// Connection is the memory that an open connection uses; 0 for ConnectionCost.
+	Connection int64
 	// Stall is the time without progress after which a connection may be closed if its memory or place is needed.
 	Stall time.Duration
 	// ReadsOnly says that requests change nothing: a connection gives up its place also while its request is being served or waits for
@@ -53,11 +64,15 @@
 
 // Kinds of memory.
 const (
-	KindHeader Kind = iota
-	KindBody
-	Kinds // number of kinds
+	KindHeader  Kind = iota
+	KindBody         // also the copies of a body that are made for its calls
+	KindRequest      // of a request in flight, see RequestCost
+	Kinds            // number of kinds
 )
 
+// String returns the name of the kind, as metrics show it.
+func (k Kind) String() string { return [Kinds]string{"header", "body", "request"}[k] }
+
 // Reason says why a connection was refused or closed.
 type Reason string
 
@@ -105,7 +120,14 @@
 }
 
 // Held returns what a connection holds.
-func (c *Conn) Held() int64 { return c.held[KindHeader] + c.held[KindBody] }
+func (c *Conn) Held() int64 { return sum(c.held) }
+
+func sum(held [Kinds]int64) (total int64) {
+	for _, n := range held {
+		total += n
+	}
+	return total
+}
 
 // Closing returns why the connection must be refused or closed, or ReasonNone.
 func (c *Conn) Closing() Reason { return c.closing }
@@ -129,6 +151,9 @@
 
 // New returns a table without connections.
 func New(l Limits) *Table {
+	if l.Connection == 0 {
+		l.Connection = ConnectionCost
+	}
 	return &Table{limits: l, conns: map[*Conn]struct{}{}, groups: map[string]int64{}}
 }
 
@@ -170,7 +195,14 @@
 	return t.Want(c, KindHeader, cost-c.held[KindHeader], now)
 }
 
-// Identify says that the header section of a request is complete and uses cost, and that its body will be counted for a group. It
+// Admit says that the header section of a request is complete, and asks for the memory that the request uses while it is served. It returns
+// as Want does.
+func (t *Table) Admit(c *Conn, now time.Time) (granted bool, actions []Action) {
+	t.enter(c, Body, now)
+	return t.Want(c, KindRequest, RequestCost, now)
+}
+
+// Identify says that the header section of a request uses cost, and that its body will be counted for a group. It
 // returns the reason if the connection must be refused.
 func (t *Table) Identify(c *Conn, group string, cost int64, now time.Time) Reason {
 	t.add(c, KindHeader, cost-c.held[KindHeader])
@@ -356,7 +388,10 @@
 	return list
 }
 
-func (t *Table) isSmall(c *Conn, bytes int64) bool { return c.Held()+bytes <= SmallBytes }
+// isSmall reports whether a connection's header section and body are small with more bytes.
+func (t *Table) isSmall(c *Conn, bytes int64) bool {
+	return c.held[KindHeader]+c.held[KindBody]+bytes <= SmallBytes
+}
 
 // queue returns the connections that wait before one that wants memory.
 func (t *Table) queue(c *Conn, bytes int64) []*Conn {
@@ -368,7 +403,7 @@
 
 // used returns all that is held.
 func (t *Table) used() int64 {
-	return t.held[KindHeader] + t.held[KindBody] + t.garbage + t.collecting + int64(len(t.conns))*ConnectionCost
+	return sum(t.held) + t.garbage + t.collecting + int64(len(t.conns))*t.limits.Connection
 }
 
 // lacking returns the bytes by which a request for memory exceeds the limits.
@@ -381,7 +416,7 @@
 
 // fits reports whether memory can be granted. What the only request on the daemon needs is always granted.
 func (t *Table) fits(c *Conn, kind Kind, bytes int64) bool {
-	return t.lacking(c, kind, bytes) <= 0 || t.held[KindHeader]+t.held[KindBody] == c.Held() && t.garbage+t.collecting == 0
+	return t.lacking(c, kind, bytes) <= 0 || sum(t.held) == c.Held() && t.garbage+t.collecting == 0
 }
 
 // end marks a connection to be refused or closed. Its memory counts until Close or Finish.
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -330,3 +330,55 @@
 		t.Errorf("after 100 ms: %v", actions)
 	}
 }
+
+// Guards against requests in flight that use memory without being counted, and that stay counted after they have ended.
+func TestRequestsInFlightStayWithinTheBudget(t *testing.T) {
+	tb := newTable(8 * mb)
+	var serving []*Conn
+	for i := range 1000 {
+		c := tb.Open(at(i), nil)
+		tb.Receive(c, 3000, at(i))
+		granted, _ := tb.Admit(c, at(i))
+		if used := tb.used(); granted && used > 8*mb {
+			t.Fatalf("%d bytes used by %d requests", used, i+1)
+		}
+		if !granted {
+			break
+		}
+		tb.Identify(c, "crowd", 3000, at(i))
+		if r := tb.Serve(c, at(i)); r != ReasonNone {
+			t.Fatalf("a request that was admitted is refused: %s", r)
+		}
+		serving = append(serving, c)
+	}
+	if n, most := len(serving), 8*mb/(ConnectionCost+RequestCost); n < most/2 || n > most {
+		t.Errorf("%d requests in flight, want about %d", n, most)
+	}
+	waiting := tb.small[0]
+	if actions := tb.Sweep(at(3000)); len(actions) != 1 || actions[0].Conn != waiting || actions[0].Reason != ReasonMemory {
+		t.Errorf("actions %v for a request that has waited for memory and whose header section is complete", actions)
+	}
+	leave(tb, waiting, at(3000))
+	for i, c := range serving {
+		if i%2 == 0 {
+			tb.Finish(c, at(3000))
+		}
+		leave(tb, c, at(3000))
+	}
+	if tb.used() != 0 {
+		t.Errorf("%d bytes are counted after all have left", tb.used())
+	}
+}
+
+// Guards against an ordinary request that gets no memory while a crowd has all of it in bodies.
+func TestSmallRequestIsServedBesideBodies(t *testing.T) {
+	tb := newTable(8 * mb)
+	for range 10 {
+		begin(tb, "crowd", 3*mb, at(0))
+	}
+	c := tb.Open(at(10), nil)
+	tb.Receive(c, 1000, at(10))
+	if granted, _ := tb.Admit(c, at(10)); !granted {
+		t.Error("the request waits although a part of the memory is left for small ones")
+	}
+}
--- a/intake/share.go
+++ b/intake/share.go
@@ -11,8 +11,9 @@
 	HeapShare = 0.6
 )
 
-// LimitsFor returns the limits on memory for a daemon that may use a number of bytes, and the largest number of connections.
-func LimitsFor(memory int64) (l Limits, connections int) {
+// LimitsFor returns the limits on memory for a daemon that may use a number of bytes, and the largest number of connections, each of which
+// uses connectionCost.
+func LimitsFor(memory, connectionCost int64) (l Limits, connections int) {
 	m := float64(memory)
-	return Limits{Memory: int64(callerShare * m), Bodies: int64(bodyShare * m)}, int(connectionShare * m / ConnectionCost)
+	return Limits{Memory: int64(callerShare * m), Bodies: int64(bodyShare * m), Connection: connectionCost}, int(connectionShare * m / float64(connectionCost))
 }
