result: quote at most 128 bytes of a text in the detail of an error

What callers saw: bramleyd exceeded its memory after some hundred requests with long names of models or services, each refused.

Cause: the detail quotes the name, and the last 1,024 errors are kept for operators, whatever their length.

Change: Newf shortens long texts among its arguments to their beginning and length, and keeps none of their memory.

--- a/result/error.go
+++ b/result/error.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 	"time"
 )
 
@@ -60,11 +61,29 @@
 	return e.Code.Info().Text + " " + e.Detail
 }
 
-// Newf returns an error with a formatted detail for a request that did not run.
+// maxQuoted is the length in bytes up to which a detail quotes a text. Callers choose texts such as names of models; details are sent,
+// logged and kept for operators.
+const maxQuoted = 128
+
+// Newf returns an error with a formatted detail for a request that did not run. It shortens long texts among the arguments.
 func Newf(code Code, format string, args ...any) *Error {
+	for i, a := range args {
+		if text, ok := a.(string); ok {
+			args[i] = Shorten(text)
+		}
+	}
 	return &Error{Code: code, Detail: fmt.Sprintf(format, args...)}
 }
 
+// Shorten returns a text as it may be quoted in errors and log lines: its beginning and its length if it is long. The result shares no
+// memory with a long text.
+func Shorten(text string) string {
+	if len(text) <= maxQuoted {
+		return text
+	}
+	return fmt.Sprintf("%s... (%d bytes)", strings.ToValidUTF8(text[:maxQuoted], "?"), len(text))
+}
+
 // Wrap returns an error with a cause and without a detail.
 func Wrap(code Code, ran Ran, err error) *Error {
 	return &Error{Code: code, Ran: ran, Err: err}
