--- a/daemon/main.go
+++ b/daemon/main.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/bramleytrail/bramleytrail/intake"
+	"github.com/bramleytrail/bramleytrail/observe"
 	"github.com/bramleytrail/bramleytrail/settings"
 )
 
@@ -48,7 +49,7 @@
 // NewLogger returns a logger that writes JSON lines to standard error. An unknown level leaves the logger at info.
 func NewLogger(level string) *logrus.Logger {
 	log := logrus.New()
-	log.SetFormatter(&logrus.JSONFormatter{})
+	log.SetFormatter(&observe.LogFormatter{})
 	if l, err := logrus.ParseLevel(level); err == nil {
 		log.SetLevel(l)
 	}
--- a/observe/logwriter.go
+++ b/observe/logwriter.go
@@ -6,14 +6,15 @@
 	"sync/atomic"
 )
 
-// maxQueuedLines is the number of log lines that wait to be written; at 1 KB each they take 1 MB.
-const maxQueuedLines = 1024
+// maxQueuedLines and maxQueuedBytes bound the log lines that wait to be written. Most lines have less than 1 KB.
+const maxQueuedLines, maxQueuedBytes = 1024, 1 << 20
 
 // LogWriter writes log lines in the background, so that callers never wait for the reader of the log. Lines that arrive
 // while the queue is full are dropped and counted. It is safe for concurrent use.
 type LogWriter struct {
 	out       io.Writer
 	lines     chan []byte
+	queued    atomic.Int64 // bytes of the lines that wait
 	dropped   atomic.Int64
 	done      chan struct{}
 	closeOnce sync.Once
@@ -28,11 +29,15 @@
 
 // Write queues one line. It never blocks and never fails.
 func (w *LogWriter) Write(line []byte) (int, error) {
-	select {
-	case w.lines <- append([]byte(nil), line...):
-	default:
-		w.dropped.Add(1)
+	if size := int64(len(line)); w.queued.Add(size) <= maxQueuedBytes {
+		select {
+		case w.lines <- append([]byte(nil), line...):
+			return len(line), nil
+		default:
+		}
 	}
+	w.queued.Add(-int64(len(line)))
+	w.dropped.Add(1)
 	return len(line), nil
 }
 
@@ -44,6 +49,7 @@
 	defer close(w.done)
 	for line := range w.lines {
 		_, _ = w.out.Write(line) // a failure to write the log can't be reported anywhere
+		w.queued.Add(-int64(len(line)))
 	}
 }
 
