keyed: one table for what is kept by values that callers choose, divided among teams

What callers saw: with a crowd whose sessions, parts of prompts or crashing requests are no two alike, others lose what a rule needs: their sessions could change their version during a release, since a full table took no further ones; their parts counted as suspicious again; the crashes of a request were forgotten at random, or not counted.

Cause: each table had its own limit, and none told whose entries go.

Change: package keyed has a table of limited size in which a new entry replaces the least recently used one of the owner with the most entries; owners are teams. Sessions in use, sound parts and those that survived, requests at crashes, attempts that broke off, parts at endpoints, and beginnings of prompts are such tables now. Records of crashes and messages about sessions carry the team's hash; daemons of earlier versions omit and ignore it. The crashes of which a request was not the cause are bounded, too.

--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -121,7 +121,7 @@
 // complete records that the answer is complete.
 func (a *Answer) complete() {
 	if !a.done && a.finished {
-		a.filter.sendCleared(a.filter.soundParts(a.in.Parts))
+		a.filter.sendCleared(a.filter.soundParts(a.in.Team, a.in.Parts))
 	}
 	a.done = true
 }
@@ -142,7 +142,7 @@
 		a.crashRecorded = false
 		a.filter.spec.OnClear(a.filter.spec.Poison.Clear(a.in.Fingerprint, a.filter.spec.Now()))
 	}
-	a.survival.progress(a.filter, a.in.Parts, a.filter.spec.Now())
+	a.survival.progress(a.filter, a.in.Team, a.in.Parts, a.filter.spec.Now())
 	a.ran = result.DidRun
 	a.finished = ev.FinishReason != ""
 	a.text.WriteString(ev.Text)
--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/bramleytrail/bramleytrail/engine"
+	"github.com/bramleytrail/bramleytrail/keyed"
 	"github.com/bramleytrail/bramleytrail/poison"
 )
 
@@ -122,7 +123,7 @@
 func (c *call) recordCrash(in *Input) bool {
 	now := c.filter.spec.Now()
 	r := poison.Record{
-		Crash: c.reservation.ID + "/" + c.boot, Request: xxhash.Sum64String(in.RequestID), Parts: c.filter.spec.Poison.Parts.Suspicious(in.Parts),
+		Crash: c.reservation.ID + "/" + c.boot, Team: keyed.OwnerOf(in.Team), Request: xxhash.Sum64String(in.RequestID), Parts: c.filter.spec.Poison.Parts.Suspicious(in.Parts),
 		Ran: now.Sub(c.startedAt),
 	}
 	counts := !c.reservation.BesideSuspect(now)
--- a/dispatch/promptparts.go
+++ b/dispatch/promptparts.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/bramleytrail/bramleytrail/engine"
+	"github.com/bramleytrail/bramleytrail/keyed"
 	"github.com/bramleytrail/bramleytrail/poison"
 	"github.com/bramleytrail/bramleytrail/result"
 )
@@ -54,10 +55,11 @@
 	return &result.Error{Code: result.SuspectRequest, Ran: ran, RetryAfter: min(wait, maxRetryAfter)}
 }
 
-// soundParts records that a request with the parts got a complete answer, and returns the records that other daemons must have.
-func (f *Filter) soundParts(parts []uint64) []poison.Record {
-	if cleared := f.spec.Poison.Parts.MarkSound(parts, f.spec.Now()); len(cleared) > 0 {
-		return []poison.Record{{Sound: true, Parts: cleared}}
+// soundParts records that a request of a team with the parts got a complete answer, and returns the records that other daemons must have.
+func (f *Filter) soundParts(team string, parts []uint64) []poison.Record {
+	owner := keyed.OwnerOf(team)
+	if cleared := f.spec.Poison.Parts.MarkSound(owner, parts, f.spec.Now()); len(cleared) > 0 {
+		return []poison.Record{{Sound: true, Parts: cleared, Team: owner}}
 	}
 	return nil
 }
@@ -75,8 +77,8 @@
 	done    bool
 }
 
-// progress records that a part of the answer to a request with the given parts arrived.
-func (s *survival) progress(f *Filter, parts []uint64, now time.Time) {
+// progress records that a part of the answer to a request of a team with the given parts arrived.
+func (s *survival) progress(f *Filter, team string, parts []uint64, now time.Time) {
 	if s.begunAt.IsZero() {
 		s.begunAt = now
 	}
@@ -87,7 +89,8 @@
 		return
 	}
 	s.done = true
-	if suspected := f.spec.Poison.Parts.MarkSurvived(parts); len(suspected) > 0 {
-		f.sendCleared([]poison.Record{{Survived: true, Parts: suspected}})
+	owner := keyed.OwnerOf(team)
+	if suspected := f.spec.Poison.Parts.MarkSurvived(owner, parts); len(suspected) > 0 {
+		f.sendCleared([]poison.Record{{Survived: true, Parts: suspected, Team: owner}})
 	}
 }
--- a/dispatch/routedcrash.go
+++ b/dispatch/routedcrash.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -11,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/bramleytrail/bramleytrail/engine"
+	"github.com/bramleytrail/bramleytrail/keyed"
 	"github.com/bramleytrail/bramleytrail/poison"
 	"github.com/bramleytrail/bramleytrail/pool"
 )
@@ -53,7 +53,7 @@
 	}
 	now := spec.Now()
 	b := brokenAttempt{process: process{r.ID, r.Started}, addr: r.Addr, at: now, record: poison.Record{
-		Fingerprint: x.in.Fingerprint, Crash: crashID(r.ID, r.Started), Request: xxhash.Sum64String(x.in.Request.ID), Ran: now.Sub(x.sentAt),
+		Fingerprint: x.in.Fingerprint, Team: keyed.OwnerOf(x.in.Team), Crash: crashID(r.ID, r.Started), Request: xxhash.Sum64String(x.in.Request.ID), Ran: now.Sub(x.sentAt),
 	}}
 	b.record.Parts = spec.Poison.Parts.Suspicious(x.parts)
 	if !errors.Is(err, engine.ErrStalled) {
@@ -102,34 +102,47 @@
 	record poison.Record
 }
 
-// brokenAttempts holds the broken attempts of the last breakTTL. It is safe for concurrent use.
+// brokenAttempts holds the broken attempts of the last breakTTL. If there are more than maxBreaks, the oldest of the team with the most is
+// dropped, and does not count if its endpoint turns out to have ended. It is safe for concurrent use.
 type brokenAttempts struct {
-	mu   sync.Mutex
-	list []brokenAttempt
+	mu    sync.Mutex
+	table *keyed.Table[uint64, brokenAttempt] // by number; nil before the first one
+	added uint64
 }
 
 func (b *brokenAttempts) add(a brokenAttempt) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.list = slices.DeleteFunc(b.list, func(old brokenAttempt) bool { return a.at.Sub(old.at) > breakTTL })
-	if len(b.list) < maxBreaks {
-		b.list = append(b.list, a)
+	if b.table == nil {
+		b.table = keyed.New[uint64, brokenAttempt](maxBreaks)
 	}
+	b.remove(func(old *brokenAttempt) bool { return a.at.Sub(old.at) > breakTTL })
+	b.added++
+	b.table.Put(a.record.Team, b.added, a)
+}
+
+// remove removes and returns the attempts for which match returns true. The caller holds mu.
+func (b *brokenAttempts) remove(match func(*brokenAttempt) bool) (out []brokenAttempt) {
+	if b.table == nil {
+		return nil
+	}
+	var removed []uint64
+	for n, a := range b.table.All() {
+		if match(&a) {
+			removed, out = append(removed, n), append(out, a)
+		}
+	}
+	for _, n := range removed {
+		b.table.Delete(n)
+	}
+	return out
 }
 
 // take removes and returns the attempts for which match returns true.
 func (b *brokenAttempts) take(match func(*brokenAttempt) bool) []brokenAttempt {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var out []brokenAttempt
-	b.list = slices.DeleteFunc(b.list, func(a brokenAttempt) bool {
-		if match(&a) {
-			out = append(out, a)
-			return true
-		}
-		return false
-	})
-	return out
+	return b.remove(match)
 }
 
 // EndpointEnded counts a crash against the requests whose attempts broke at a process of an endpoint. The host list tells so by removing
@@ -161,10 +174,10 @@
 		return
 	}
 	spec := &x.filter.spec
-	x.filter.sendCleared(append(spec.Poison.ClearAnswered(x.in.Fingerprint, spec.Now()), x.filter.soundParts(x.parts)...))
+	x.filter.sendCleared(append(spec.Poison.ClearAnswered(x.in.Fingerprint, spec.Now()), x.filter.soundParts(x.in.Team, x.parts)...))
 }
 
 // Progress records that a part of the answer arrived.
 func (a *RoutedAnswer) Progress(now time.Time) {
-	a.survival.progress(a.exchange.filter, a.exchange.parts, now)
+	a.survival.progress(a.exchange.filter, a.exchange.in.Team, a.exchange.parts, now)
 }
--- a/gateway/messages_test.go
+++ b/gateway/messages_test.go
@@ -165,7 +165,7 @@
 func (g *Gateway) testAnswer(fingerprint uint64, parts []uint64) {
 	now := time.Now()
 	records := g.poison.ClearAnswered(fingerprint, now)
-	if cleared := g.poison.Parts.MarkSound(parts, now); len(cleared) > 0 {
+	if cleared := g.poison.Parts.MarkSound(0, parts, now); len(cleared) > 0 {
 		records = append(records, poison.Record{Sound: true, Parts: cleared})
 	}
 	g.crashes.clear(records)
@@ -181,7 +181,7 @@
 				known = append(known, p+1)
 			}
 		}
-		g.poison.Parts.MarkSound(known, time.Now())
+		g.poison.Parts.MarkSound(0, known, time.Now())
 	}
 	for range inFlight {
 		g, fingerprint := f.daemons[f.rand.IntN(len(f.daemons))], f.rand.Uint64()
--- a/gateway/releases.go
+++ b/gateway/releases.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/bramleytrail/bramleytrail/config"
+	"github.com/bramleytrail/bramleytrail/keyed"
 	"github.com/bramleytrail/bramleytrail/kv"
 	"github.com/bramleytrail/bramleytrail/notice"
 	"github.com/bramleytrail/bramleytrail/object"
@@ -121,7 +122,7 @@
 }
 
 // Used implements pipeline.Releases.
-func (r *releases) Used(service, version string, session uint64, limit time.Duration, ended bool) {
+func (r *releases) Used(service, version, team string, session uint64, limit time.Duration, ended bool) {
 	r.mu.Lock()
 	t := r.tracked[service]
 	r.mu.Unlock()
@@ -138,9 +139,9 @@
 	if !ended {
 		inUseFor += limit
 	}
-	now := time.Now()
-	t.sessions.MarkInUse(session, now.Add(inUseFor), now)
-	r.broadcast(notice.Message{Service: service, Order: order, Session: session, InUseFor: inUseFor, Minor: ended})
+	owner := keyed.OwnerOf(team)
+	t.sessions.MarkInUse(owner, session, time.Now().Add(inUseFor))
+	r.broadcast(notice.Message{Service: service, Order: order, Session: session, SessionTeam: owner, InUseFor: inUseFor, Minor: ended})
 }
 
 // broadcast sends a message about a release to all other daemons, with the age of the order.
@@ -179,7 +180,7 @@
 		return
 	}
 	if m.Phase == "" {
-		t.sessions.MarkInUse(m.Session, now.Add(min(m.InUseFor, maxSessionHold)), now)
+		t.sessions.MarkInUse(m.SessionTeam, m.Session, now.Add(min(m.InUseFor, maxSessionHold)))
 		return
 	}
 	if p := release.Hear(t.phase, release.Phase(m.Phase)); p != t.phase {
--- a/gateway/view_test.go
+++ b/gateway/view_test.go
@@ -778,7 +778,7 @@
 		if only, not := g.releases.Assign(view, "s", session, true, true); only != "" || not != "v2" {
 			t.Errorf("a retry is restricted to %q and excluded from %q, want \"\" and \"v2\"", only, not)
 		}
-		g.releases.Used("s", "v1", session, 5*time.Second, false)
+		g.releases.Used("s", "v1", "team", session, 5*time.Second, false)
 		if inCanary() {
 			t.Error("a session with a request on the old version is in the canary")
 		}
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -50,9 +50,11 @@
 	Domain string `msgpack:"b,omitempty"`
 	// Relay asks the receiver to forward the message to the daemons of its failure domain.
 	Relay bool `msgpack:"l,omitempty"`
-	// Session is in use on the release's old version for the time InUseFor.
-	Session  uint64        `msgpack:"n,omitempty"`
-	InUseFor time.Duration `msgpack:"t,omitempty"`
+	// Session is in use on the release's old version for the time InUseFor. SessionTeam is its team, see keyed.OwnerOf; daemons of earlier
+	// versions do not send it.
+	Session     uint64        `msgpack:"n,omitempty"`
+	SessionTeam uint32        `msgpack:"nt,omitempty"`
+	InUseFor    time.Duration `msgpack:"t,omitempty"`
 	// Endpoint was sent a prompt whose prefill takes about the time Work.
 	Endpoint string        `msgpack:"d,omitempty"`
 	Work     time.Duration `msgpack:"w,omitempty"`
--- a/pipeline/routed.go
+++ b/pipeline/routed.go
@@ -11,6 +11,7 @@
 	"github.com/bramleytrail/bramleytrail/config"
 	"github.com/bramleytrail/bramleytrail/dispatch"
 	"github.com/bramleytrail/bramleytrail/engine"
+	"github.com/bramleytrail/bramleytrail/keyed"
 	"github.com/bramleytrail/bramleytrail/object"
 	"github.com/bramleytrail/bramleytrail/poison"
 	"github.com/bramleytrail/bramleytrail/pool"
@@ -41,9 +42,9 @@
 	// no restriction. isSession says that session identifies a session and not only the request. A retry never goes to a version
 	// in its canary phase.
 	Assign(view *config.View, service string, session uint64, isSession, retry bool) (required, excluded string)
-	// Used records that a session is in use on a version. It is called with each answer of an endpoint, when the request may
+	// Used records that a session of a team is in use on a version. It is called with each answer of an endpoint, when the request may
 	// take up to limit longer, and with ended set at the end of the request.
-	Used(service, version string, session uint64, limit time.Duration, ended bool)
+	Used(service, version, team string, session uint64, limit time.Duration, ended bool)
 	// BeginStream records the first event of a stream. RecordPace records the mean time between its events, once it has had
 	// PaceIntervals of them or has ended; 0 says that there were too few.
 	BeginStream(s Stream)
@@ -301,7 +302,7 @@
 		Request: engine.RoutedRequest{
 			ID: s.r.ID, Method: s.r.Method, Host: m.Host, Target: s.r.Path, Header: s.r.Header, Body: s.r.Body, Team: s.team, Rank: s.rank(),
 		},
-		Query: pool.RoutedQuery{Parts: m.Parts, Target: s.route.TargetLatency, Gap: s.route.TargetGap, Bytes: len(s.r.Body)},
+		Query: pool.RoutedQuery{Team: keyed.OwnerOf(s.team), Parts: m.Parts, Target: s.route.TargetLatency, Gap: s.route.TargetGap, Bytes: len(s.r.Body)},
 	}
 	in.Arrived = s.start
 	in.Duration = func(model string) time.Duration { return s.expectedDuration(model, m.ExpectedTokens) }
@@ -372,6 +373,6 @@
 // recordSessionUse reports to Releases that the session is in use on a version, or that this request's use has ended.
 func (s *routedStages) recordSessionUse(version string, ended bool) {
 	if r := s.p.Routes.Releases; r != nil && s.inSession() {
-		r.Used(s.service, version, s.sessionHash(), s.route.Timeout, ended)
+		r.Used(s.service, version, s.team, s.sessionHash(), s.route.Timeout, ended)
 	}
 }
--- a/poison/parts.go
+++ b/poison/parts.go
@@ -5,6 +5,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/bramleytrail/bramleytrail/keyed"
 )
 
 const (
@@ -12,8 +14,9 @@
 	maxParts = 16
 	// maxSightings bounds the evidence that is kept. That of the crash with most of it yields: it says least about each of its requests.
 	maxSightings = 2048
-	// maxKnownParts bounds the parts that are remembered as sound, and those that survived, each twice over.
-	maxKnownParts = 1 << 14
+	// maxKnownParts bounds the parts that are remembered as sound, and those that survived. A part that is forgotten counts as suspicious at
+	// the next crash until a request with it is answered.
+	maxKnownParts = 1 << 15
 	// reviewInterval is the longest time between two reviews of the evidence while it grows or ages.
 	reviewInterval = 50 * time.Millisecond
 	// MaxPartTrials is the number of requests with a refused set of parts that may still run, in all daemons together, without
@@ -51,8 +54,8 @@
 	onReview atomic.Pointer[func()]
 
 	mu         sync.Mutex
-	sound      generations
-	survived   generations
+	sound      partSet
+	survived   partSet
 	sightings  []*sighting
 	own        conclusion     // from the evidence
 	shared     []RefusedParts // sets that the daemons have in common
@@ -70,15 +73,15 @@
 
 // NewPartTable returns an empty table.
 func NewPartTable() *PartTable {
-	return &PartTable{}
+	return &PartTable{sound: newPartSet(), survived: newPartSet()}
 }
 
 // OnReview sets a function that is called when there is new evidence. It must not block.
 func (t *PartTable) OnReview(f func()) { t.onReview.Store(&f) }
 
-// MarkSound records that requests with the parts got a complete answer. It returns those of which other daemons have to know, because there
+// MarkSound records that requests of a team, see keyed.OwnerOf, with the parts got a complete answer. It returns those of which other daemons have to know, because there
 // is evidence against them.
-func (t *PartTable) MarkSound(parts []uint64, now time.Time) (cleared []uint64) {
+func (t *PartTable) MarkSound(team uint32, parts []uint64, now time.Time) (cleared []uint64) {
 	if len(parts) == 0 {
 		return nil
 	}
@@ -88,7 +91,7 @@
 		if t.sound.has(p) {
 			continue
 		}
-		t.sound.add(p)
+		t.sound.add(team, p)
 		if t.isSuspect(p) {
 			cleared = append(cleared, p)
 		}
@@ -114,16 +117,16 @@
 	t.review(now)
 }
 
-// MarkSurvived records that an endpoint went on answering a request with the parts for a while. It returns those of which other daemons
+// MarkSurvived records that an endpoint went on answering a request of a team with the parts for a while. It returns those of which other daemons
 // have to know, because there is evidence against them. It does not prove them sound, as the endpoint may still crash.
-func (t *PartTable) MarkSurvived(parts []uint64) (suspected []uint64) {
+func (t *PartTable) MarkSurvived(team uint32, parts []uint64) (suspected []uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, p := range parts {
 		if t.sound.has(p) || t.survived.has(p) {
 			continue
 		}
-		t.survived.add(p)
+		t.survived.add(team, p)
 		if t.isSuspect(p) {
 			suspected = append(suspected, p)
 		}
@@ -221,7 +224,7 @@
 	fresh := false
 	for _, p := range r.Parts {
 		fresh = fresh || !list.has(p)
-		list.add(p)
+		list.add(r.Team, p)
 	}
 	if r.Sound && fresh {
 		t.clear(r.Parts, now)
@@ -435,23 +438,17 @@
 	return slices.ContainsFunc(a, func(p uint64) bool { return slices.Contains(b, p) })
 }
 
-// generations is a set of limited size that forgets the elements that were not added or asked for recently.
-type generations struct{ recent, earlier map[uint64]struct{} }
-
-func (g *generations) has(v uint64) bool {
-	if _, ok := g.recent[v]; ok {
-		return true
-	}
-	if _, ok := g.earlier[v]; ok {
-		g.add(v)
-		return true
-	}
-	return false
+// partSet is a set of limited size, of which the parts go that were not added or asked for recently, of the team with the most of them.
+type partSet struct {
+	parts *keyed.Table[uint64, struct{}]
 }
 
-func (g *generations) add(v uint64) {
-	if len(g.recent) >= maxKnownParts || g.recent == nil {
-		g.recent, g.earlier = map[uint64]struct{}{}, g.recent
-	}
-	g.recent[v] = struct{}{}
+func newPartSet() partSet { return partSet{keyed.New[uint64, struct{}](maxKnownParts)} }
+
+func (s partSet) has(part uint64) bool {
+	_, ok := s.parts.Use(part)
+	return ok
 }
+
+// add adds a part that a team's request had, see keyed.OwnerOf.
+func (s partSet) add(team uint32, part uint64) { s.parts.Put(team, part, struct{}{}) }
--- a/poison/parts_test.go
+++ b/poison/parts_test.go
@@ -32,7 +32,7 @@
 // Guards against a part that crashes endpoints without end, and against the refusal of what came with it.
 func TestCrashingPartIsRefused(t *testing.T) {
 	table := NewPartTable()
-	table.MarkSound([]uint64{1}, testStart)
+	table.MarkSound(0, []uint64{1}, testStart)
 	last := sequence(table, minRounds, testStart, 1, 9)
 	now := last.Add(evidenceDelay)
 	checkVerdict(t, table, now, PartsRefused, 1, 9)
@@ -48,7 +48,7 @@
 		crashUnder(table, fmt.Sprint(i), uint64(i), testStart, 9)
 	}
 	checkVerdict(t, table, testStart.Add(patience-time.Millisecond), PartsAllowed, 9)
-	table.MarkSound([]uint64{9}, testStart.Add(patience-time.Millisecond))
+	table.MarkSound(0, []uint64{9}, testStart.Add(patience-time.Millisecond))
 	checkVerdict(t, table, testStart.Add(time.Minute), PartsAllowed, 9)
 }
 
@@ -129,7 +129,7 @@
 			table.Add(Record{Crash: fmt.Sprint(i), Request: uint64(200 + i), Parts: []uint64{6}, Ran: 150 * time.Millisecond}, now)
 		}
 	}
-	table.MarkSurvived([]uint64{5})
+	table.MarkSurvived(0, []uint64{5})
 	now := testStart.Add(2 * time.Second)
 	checkVerdict(t, table, now, PartsRefused, 9)
 	checkVerdict(t, table, now, PartsAllowed, 5)
@@ -180,7 +180,7 @@
 			checkVerdict(t, table, now, PartsRefused, 9, 1)
 			now = now.Add(200 * time.Millisecond)
 			if tc.answer {
-				table.MarkSound(tc.trial, now)
+				table.MarkSound(0, tc.trial, now)
 			} else {
 				crashUnder(table, "trial", 1, now, tc.trial...)
 			}
@@ -206,7 +206,7 @@
 		checkVerdict(t, table, now, PartsRefused, 9)
 	}
 	checkVerdict(t, table, now.Add(24*time.Hour), PartsRefused, 9)
-	table.MarkSound([]uint64{9}, now)
+	table.MarkSound(0, []uint64{9}, now)
 	checkVerdict(t, table, now, PartsAllowed, 9)
 }
 
@@ -357,11 +357,11 @@
 	}
 	l.running = slices.DeleteFunc(l.running, func(r *loadRequest) bool {
 		if !l.now.Before(r.end) {
-			l.table.MarkSound(r.parts, l.now)
+			l.table.MarkSound(0, r.parts, l.now)
 			return true
 		}
 		if l.now.Sub(r.begin) >= 100*time.Millisecond {
-			l.table.MarkSurvived(r.parts)
+			l.table.MarkSurvived(0, r.parts)
 		}
 		return false
 	})
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/bramleytrail/bramleytrail/keyed"
 )
 
 const (
@@ -32,13 +34,18 @@
 	firstTrial        = 20 * time.Second
 	maxTrialDoublings = 5
 	shardCount        = 16
-	// maxRecords bounds the number of requests in a table, which is almost empty with 16 host failures a day.
+	// maxRecords bounds the number of requests in a table, which is almost empty with 16 host failures a day. The crashes of a request that is
+	// dropped no longer count; it is one of the team with the most.
 	maxRecords = 1 << 14
+	// maxCleared bounds the crashes of which a request was not the cause. The oldest one goes; only maxTotalCrashes of them count.
+	maxCleared = 16
 )
 
 // Record states that a request was in flight at an endpoint that crashed, or that it was not the cause of that crash.
 type Record struct {
 	Fingerprint uint64 `msgpack:"f"` // of the request's content; 0 if the record is about parts only
+	// Team is the request's team, see keyed.OwnerOf. Daemons of earlier versions do not send it.
+	Team uint32 `msgpack:"g,omitempty"`
 	// Crash is the ID of the crash: the endpoint's ID and its boot ID.
 	Crash string `msgpack:"c,omitempty"`
 	// Isolated says that the request was the only one that could have caused the crash.
@@ -84,7 +91,7 @@
 // shard holds the requests of one part of the fingerprints.
 type shard struct {
 	mu        sync.Mutex
-	histories map[uint64]*history // by fingerprint
+	histories *keyed.Table[uint64, *history] // by fingerprint
 }
 
 // history holds the crashes at which one request was in flight.
@@ -116,7 +123,7 @@
 func NewTable() *Table {
 	t := &Table{Parts: NewPartTable(), resolved: map[string]time.Time{}}
 	for i := range t.shards {
-		t.shards[i].histories = map[uint64]*history{}
+		t.shards[i].histories = keyed.New[uint64, *history](maxRecords / shardCount)
 	}
 	return t
 }
@@ -143,11 +150,10 @@
 	s := &t.shards[r.Fingerprint%shardCount]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	h := s.histories[r.Fingerprint]
+	h, _ := s.histories.Use(r.Fingerprint)
 	if h == nil || now.After(h.expires) {
-		s.evict(now)
 		h = &history{}
-		s.histories[r.Fingerprint] = h
+		s.histories.Put(r.Team, r.Fingerprint, h)
 	}
 	h.expires = now.Add(recordTTL)
 	sameCrash := func(c Record) bool { return c.Crash == r.Crash }
@@ -156,7 +162,7 @@
 	}
 	if r.Cleared {
 		h.crashes = slices.DeleteFunc(h.crashes, sameCrash)
-		h.cleared = append(h.cleared, r)
+		h.addCleared(r)
 	} else {
 		h.crashes = append(h.crashes, r)
 		h.triedAt = now
@@ -169,7 +175,7 @@
 	s := &t.shards[fingerprint%shardCount]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	h := s.histories[fingerprint]
+	h, _ := s.histories.Get(fingerprint)
 	if h == nil || now.After(h.expires) {
 		return false
 	}
@@ -183,7 +189,7 @@
 	s := &t.shards[fingerprint%shardCount]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	h := s.histories[fingerprint]
+	h, _ := s.histories.Get(fingerprint)
 	if h == nil || now.After(h.expires) {
 		return true, false, 0
 	}
@@ -210,15 +216,19 @@
 	for i := range t.shards {
 		s := &t.shards[i]
 		s.mu.Lock()
-		for fp, h := range s.histories {
+		var empty []uint64
+		for fp, h := range s.histories.All() {
 			if fp == r.Fingerprint {
 				continue
 			}
 			h.crashes = slices.DeleteFunc(h.crashes, func(c Record) bool { return c.Crash == r.Crash })
 			if len(h.crashes)+len(h.cleared) == 0 {
-				delete(s.histories, fp)
+				empty = append(empty, fp)
 			}
 		}
+		for _, fp := range empty {
+			s.histories.Delete(fp)
+		}
 		s.mu.Unlock()
 	}
 }
@@ -231,21 +241,12 @@
 	return ok && !now.After(expires)
 }
 
-// evict removes expired requests, and arbitrary ones while the shard is full. The caller holds s.mu.
-func (s *shard) evict(now time.Time) {
-	for fp, h := range s.histories {
-		if now.After(h.expires) || len(s.histories) >= maxRecords/shardCount {
-			delete(s.histories, fp)
-		}
-	}
-}
-
 // Crashes returns the number of crashes at which the request was in flight and for which it was not cleared.
 func (t *Table) Crashes(fingerprint uint64, now time.Time) int {
 	s := &t.shards[fingerprint%shardCount]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	h := s.histories[fingerprint]
+	h, _ := s.histories.Get(fingerprint)
 	if h == nil || now.After(h.expires) {
 		return 0
 	}
@@ -269,7 +270,7 @@
 	s := &t.shards[fingerprint%shardCount]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	h := s.histories[fingerprint]
+	h, _ := s.histories.Get(fingerprint)
 	if h == nil || now.After(h.expires) {
 		return nil
 	}
@@ -277,16 +278,23 @@
 	for i := range cleared {
 		cleared[i].Cleared, cleared[i].Answered = true, answered
 	}
-	h.cleared, h.crashes = append(h.cleared, cleared...), nil
+	h.crashes = nil
+	h.addCleared(cleared...)
 	return cleared
 }
 
+// addCleared adds crashes of which the request was not the cause.
+func (h *history) addCleared(list ...Record) {
+	h.cleared = append(h.cleared, list...)
+	h.cleared = slices.Delete(h.cleared, 0, max(0, len(h.cleared)-maxCleared))
+}
+
 // Refused reports whether the request was in flight at too many crashes to be run again.
 func (t *Table) Refused(fingerprint uint64, now time.Time) bool {
 	s := &t.shards[fingerprint%shardCount]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	h := s.histories[fingerprint]
+	h, _ := s.histories.Get(fingerprint)
 	if h == nil || now.After(h.expires) {
 		return false
 	}
@@ -307,7 +315,7 @@
 	for i := range t.shards {
 		s := &t.shards[i]
 		s.mu.Lock()
-		for _, h := range s.histories {
+		for _, h := range s.histories.All() {
 			if !now.After(h.expires) {
 				out = append(append(out, h.crashes...), h.cleared...)
 			}
--- a/pool/promptcache.go
+++ b/pool/promptcache.go
@@ -3,13 +3,15 @@
 import (
 	"time"
 
+	"github.com/bramleytrail/bramleytrail/keyed"
 	"github.com/bramleytrail/bramleytrail/selection"
 )
 
 const (
 	// cachedPartTTL is the age at which a prompt part that was sent to an endpoint no longer counts as cached there.
 	cachedPartTTL = 15 * time.Second
-	// maxCachedParts bounds the prompt parts that are remembered for an endpoint.
+	// maxCachedParts bounds the prompt parts that are remembered for an endpoint. Those that a team's requests push out are its own once it
+	// has the most; their next prompts may go to an endpoint that does not have them.
 	maxCachedParts = 512
 )
 
@@ -21,30 +23,26 @@
 // countCached returns the number of leading prompt parts that are probably in the endpoint's cache. A part counts as
 // cached only if all parts before it do.
 func (s *routedState) countCached(parts []uint64, now time.Time) int {
+	if s.cachedParts == nil {
+		return 0
+	}
 	for i, key := range parts {
-		if at, ok := s.cachedParts[key]; !ok || now.Sub(at) > cachedPartTTL {
+		if at, ok := s.cachedParts.Get(key); !ok || now.Sub(at) > cachedPartTTL {
 			return i
 		}
 	}
 	return len(parts)
 }
 
-// recordParts records that the endpoint is sent a prompt. Its parts count as cached there from now on.
-func (s *routedState) recordParts(parts []uint64, now time.Time) {
+// recordParts records that the endpoint is sent a prompt of a team. Its parts count as cached there from now on.
+func (s *routedState) recordParts(team uint32, parts []uint64, now time.Time) {
 	if len(parts) == 0 {
 		return
 	}
 	if s.cachedParts == nil {
-		s.cachedParts = map[uint64]time.Time{}
+		s.cachedParts = keyed.New[uint64, time.Time](maxCachedParts)
 	}
 	for _, key := range parts {
-		s.cachedParts[key] = now
-	}
-	if len(s.cachedParts) > maxCachedParts {
-		for k, at := range s.cachedParts {
-			if now.Sub(at) > cachedPartTTL || len(s.cachedParts) > maxCachedParts {
-				delete(s.cachedParts, k)
-			}
-		}
+		s.cachedParts.Put(team, key, now)
 	}
 }
--- a/pool/routed.go
+++ b/pool/routed.go
@@ -19,6 +19,7 @@
 // RoutedQuery describes a request to a routed service.
 type RoutedQuery struct {
 	Model string // empty if every endpoint can serve the request
+	Team  uint32 // to which what is remembered of the prompt belongs, see keyed.OwnerOf
 	// Parts are the parts of the prompt that other requests may share, in order. The last one belongs to this request
 	// only.
 	Parts []engine.PromptPart
@@ -82,7 +83,7 @@
 		c.request.PartsKey = c.partKeys[n-2] // the last part belongs to this request only
 	}
 	if c.request.BySpeed {
-		c.request.PartsShare = t.rules[query.Service].reports.share(c.request.PartsKey, !query.DryRun, now)
+		c.request.PartsShare = t.rules[query.Service].reports.share(q.Team, c.request.PartsKey, !query.DryRun, now)
 	}
 	return c
 }
--- a/pool/routedstate.go
+++ b/pool/routedstate.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/bramleytrail/bramleytrail/engine"
+	"github.com/bramleytrail/bramleytrail/keyed"
 	"github.com/bramleytrail/bramleytrail/selection"
 )
 
@@ -30,25 +31,25 @@
 
 // routedState is what this daemon knows about an endpoint of a routed service.
 type routedState struct {
-	peerRequests   int            // requests of other daemons according to the last report
-	peerRequestsAt time.Time      // time of that report
-	peerMean       selection.Mean // of peerRequests
-	unshared       bool           // the report came to this daemon and was not sent to others
-	slowdown       float64        // moving average of the latency as a multiple of the expected one
-	slowdownAt     time.Time      // time of the latest measurement
-	cachedParts    map[uint64]time.Time
-	coldUntil      time.Time          // cold until this time according to the endpoint
-	prefillMs      float64            // expected prefill time of this daemon's unanswered requests, in milliseconds
-	failureRate    float64            // moving average, 0 to 1
-	failureStreak  int                // consecutive failed answers
-	coldTokens     float64            // token bucket of requests while the endpoint is cold
-	coldTokensAt   time.Time          // when coldTokens was computed; zero while the endpoint is warm
-	peerPrefillMs  float64            // prefill time of other daemons' prompts at peerPrefillAt, in milliseconds
-	peerPrefillAt  time.Time          // when peerPrefillMs was computed
-	down           bool               // ejected for failures since its last answer, so it may have restarted
-	maybeColdUntil time.Time          // before this time, the host list may not show a restart yet
-	slowness       selection.Slowness // reported slowness
-	slownessAt     time.Time          // time of the latest report of it
+	peerRequests   int                             // requests of other daemons according to the last report
+	peerRequestsAt time.Time                       // time of that report
+	peerMean       selection.Mean                  // of peerRequests
+	unshared       bool                            // the report came to this daemon and was not sent to others
+	slowdown       float64                         // moving average of the latency as a multiple of the expected one
+	slowdownAt     time.Time                       // time of the latest measurement
+	cachedParts    *keyed.Table[uint64, time.Time] // times at which prompt parts were last sent; nil before the first one
+	coldUntil      time.Time                       // cold until this time according to the endpoint
+	prefillMs      float64                         // expected prefill time of this daemon's unanswered requests, in milliseconds
+	failureRate    float64                         // moving average, 0 to 1
+	failureStreak  int                             // consecutive failed answers
+	coldTokens     float64                         // token bucket of requests while the endpoint is cold
+	coldTokensAt   time.Time                       // when coldTokens was computed; zero while the endpoint is warm
+	peerPrefillMs  float64                         // prefill time of other daemons' prompts at peerPrefillAt, in milliseconds
+	peerPrefillAt  time.Time                       // when peerPrefillMs was computed
+	down           bool                            // ejected for failures since its last answer, so it may have restarted
+	maybeColdUntil time.Time                       // before this time, the host list may not show a restart yet
+	slowness       selection.Slowness              // reported slowness
+	slownessAt     time.Time                       // time of the latest report of it
 }
 
 // reserveRouted records the work of a request at the endpoint and sets query.Prompt to the uncached tokens. Prompt parts
@@ -60,7 +61,7 @@
 	if !e.routed.coldTokensAt.IsZero() { // the endpoint is cold
 		e.routed.coldTokens--
 	}
-	e.routed.recordParts(query.choice.partKeys, now)
+	e.routed.recordParts(q.Team, query.choice.partKeys, now)
 }
 
 func (s *routedState) countFailure() {
--- a/suspect/suspect_test.go
+++ b/suspect/suspect_test.go
@@ -77,7 +77,7 @@
 		if v := second.verdict(9); v != poison.PartsRefused {
 			t.Errorf("verdict %d at a later daemon, want refused", v)
 		}
-		second.parts.MarkSound([]uint64{9}, time.Now())
+		second.parts.MarkSound(0, []uint64{9}, time.Now())
 		time.Sleep(5 * time.Second)
 		third := newDaemon(store, 2)
 		third.run(t)
@@ -196,7 +196,7 @@
 			store.RestoreInNewEra(backup)
 			era = 1
 			if sound {
-				daemons[1].parts.MarkSound([]uint64{9}, time.Now())
+				daemons[1].parts.MarkSound(0, []uint64{9}, time.Now())
 			}
 			for _, d := range daemons {
 				d.keeper.Apply(kv.Entry{Revision: kv.Revision{Era: era}})
