pool: count requests by the names of models that routes or endpoints have

Cause: estimates of latency and load, the times of events, and the baselines of releases are kept by the name that the caller sent, for ever, and copied several times a second into a message to other daemons that was too long to be sent.

The endpoint still gets the name as it was sent. Estimates of other daemons are added under the same names.

--- a/dispatch/routed.go
+++ b/dispatch/routed.go
@@ -56,8 +56,8 @@
 	Endpoint    string // ID
 	Domain      string // failure domain of the endpoint
 	Addr        string
-	Release     string // software version that the endpoint runs
-	Model       string
+	Release     string        // software version that the endpoint runs
+	Model       string        // name under which the request is counted, see pool.CountedModel
 	Status      int           // HTTP status of the answer, 0 if there was none
 	Wait        time.Duration // for capacity, before the attempt
 	Expected    time.Duration // expected latency
@@ -93,6 +93,7 @@
 	ran      result.Ran
 	parts    []uint64  // of the prompt, that other requests may share
 	sentAt   time.Time // of the current attempt
+	counted  string    // name under which the model is counted
 	// prepaid is set if the budget was already charged for the next attempt.
 	prepaid atomic.Bool
 
@@ -123,7 +124,7 @@
 // which say whether an endpoint may have run the request.
 func (x *Exchange) Do(model string, lastEventID int64) (*RoutedAnswer, error) {
 	x.in.Request.Model, x.in.Request.LastEvent = model, lastEventID
-	x.in.Query.Model = model
+	x.in.Query.Model, x.counted = model, x.filter.spec.Pool.CountedModel(x.in.Service, model)
 	for {
 		if err := x.checkAttempt(); err != nil {
 			return nil, err
@@ -272,7 +273,7 @@
 	if resp.Unframed && x.filter.spec.IsDown != nil {
 		resp.Body = &unframedBody{ReadCloser: resp.Body, isDown: func() bool { return x.filter.isDown(x.ctx, r.Addr) }}
 	}
-	return &RoutedAnswer{RoutedResponse: resp, Endpoint: r.ID, Release: r.SoftwareRelease(), exchange: x, reservation: r, cancel: cancel}, nil
+	return &RoutedAnswer{RoutedResponse: resp, Endpoint: r.ID, Release: r.SoftwareRelease(), Model: x.counted, exchange: x, reservation: r, cancel: cancel}, nil
 }
 
 // recordAnswer records the header of an answer in the pool. The latency of an error answer is left out, since it says
@@ -288,7 +289,7 @@
 func (x *Exchange) describeAttempt(r *pool.Reservation) RoutedAttempt {
 	return RoutedAttempt{
 		Request: x.in.Request.ID, Route: x.in.Route.Name, Service: x.in.Service, Endpoint: r.ID, Domain: r.Domain, Addr: r.Addr, Release: r.SoftwareRelease(),
-		Model: x.in.Request.Model, Wait: x.wait, Expected: r.ExpectedDelay, Prompt: x.in.Prompt, Uncached: r.ExpectedUncached, Choice: r.Preference.String(), LastEventID: x.in.Request.LastEvent,
+		Model: x.counted, Wait: x.wait, Expected: r.ExpectedDelay, Prompt: x.in.Prompt, Uncached: r.ExpectedUncached, Choice: r.Preference.String(), LastEventID: x.in.Request.LastEvent,
 		Fingerprint: x.in.Fingerprint, Target: x.in.Route.TargetLatency, Retry: x.attempts > 0 || len(x.exclude) > 0,
 	}
 }
--- a/dispatch/routedanswer.go
+++ b/dispatch/routedanswer.go
@@ -17,6 +17,7 @@
 	*engine.RoutedResponse
 	Endpoint string
 	Release  string
+	Model    string // name under which the request is counted, see pool.CountedModel
 
 	exchange    *Exchange
 	reservation pool.Reservation
--- a/pipeline/routedrelay.go
+++ b/pipeline/routedrelay.go
@@ -159,7 +159,7 @@
 // header of the first one.
 func (s *routedStages) relayEvents(ctx context.Context) error {
 	s.lastEventID = s.r.Meta.LastEventID
-	s.outcome.Stream = &StreamOutcome{Model: s.modelName(), Endpoint: s.answer.Endpoint, Release: s.answer.Release, Session: s.sessionHash(), Prompt: s.r.Meta.Prompt, MaxTokens: s.r.Meta.MaxTokens}
+	s.outcome.Stream = &StreamOutcome{Model: s.answer.Model, Endpoint: s.answer.Endpoint, Release: s.answer.Release, Session: s.sessionHash(), Prompt: s.r.Meta.Prompt, MaxTokens: s.r.Meta.MaxTokens}
 	begun := false
 	for {
 		err := s.copyEvents(ctx, &begun)
@@ -319,7 +319,7 @@
 }
 
 func (s *routedStages) newPace() *pace {
-	return &pace{releases: s.p.Routes.Releases, stream: Stream{s.r.ID, s.service, s.answer.Release, s.route.Name, s.modelName(), s.answer.Endpoint}}
+	return &pace{releases: s.p.Routes.Releases, stream: Stream{s.r.ID, s.service, s.answer.Release, s.route.Name, s.answer.Model, s.answer.Endpoint}}
 }
 
 // event records an event.
--- a/pool/estimates.go
+++ b/pool/estimates.go
@@ -324,5 +324,8 @@
 
 // SetPeerEstimates replaces the estimates of another daemon of the failure domain.
 func (p *Pool) SetPeerEstimates(peer string, list []Estimate, now time.Time) {
+	for i := range list {
+		list[i].Model = p.countedModel(list[i].Service, list[i].Model, false)
+	}
 	p.estimates.setPeer(peer, list, now)
 }
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -104,7 +104,7 @@
 			if q.Routed != nil {
 				p.reachability.recordProbe(r.Domain, now)
 				p.announcePrefill(r)
-				p.estimates.recordRequest(q.Service, q.Routed.Model, q.Routed.long, q.Routed.Retry, q.Routed.latency.tokenMs*float64(q.Prompt), now)
+				p.estimates.recordRequest(q.Service, q.Routed.counted, q.Routed.long, q.Routed.Retry, q.Routed.latency.tokenMs*float64(q.Prompt), now)
 			}
 			return r, shortage, true
 		}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -57,6 +57,7 @@
 	reachability *reachability
 
 	estimates  *estimates // for the models of routed services
+	unnamed    unnamedModels
 	statements *statements
 
 	mu        sync.Mutex // serializes rebuild
@@ -96,6 +97,8 @@
 	byKey  map[uint64]*endpoint // by hash of the ID
 
 	localDomain uint8 // number of this daemon's failure domain
+
+	models map[modelKey]struct{} // that routes or endpoints name
 }
 
 // New returns a pool without endpoints. Call SetView and SetHosts to fill it.
@@ -187,6 +190,7 @@
 			t.add(e, svc.Type)
 		}
 	}
+	t.models = p.namedModels()
 	p.retainBusy(endpoints)
 	p.endpoints = endpoints
 	assignPositions(t.all)
--- a/pool/routed.go
+++ b/pool/routed.go
@@ -35,7 +35,8 @@
 	// Gap is the longest pause within a streamed answer that is still on time; 0 for other answers.
 	Gap time.Duration
 
-	latency latencyModel // of Model
+	counted string       // name under which the request is counted, see CountedModel
+	latency latencyModel // of counted
 	long    bool         // the prefill pauses the streams at the endpoint noticeably
 }
 
@@ -61,8 +62,9 @@
 	q := query.Routed
 	c := routedChoices.Get().(*routedChoice)
 	query.choice = c
-	q.latency = p.estimates.latencyModel(query.Service, q.Model)
-	segment, meanPrefillMs := p.estimates.segment(query.Service, q.Model, now)
+	q.counted = p.CountedModel(query.Service, q.Model)
+	q.latency = p.estimates.latencyModel(query.Service, q.counted)
+	segment, meanPrefillMs := p.estimates.segment(query.Service, q.counted, now)
 	q.long = q.Gap > 0 && q.latency.tokenMs*float64(query.Prompt) > longPromptShare*float64(q.Gap/time.Millisecond)
 	tokens := c.request.Parts[:0]
 	c.partKeys = c.partKeys[:0]
--- a/pool/routedstate.go
+++ b/pool/routedstate.go
@@ -26,7 +26,7 @@
 	if q.Routed == nil {
 		return pendingPrefill{}
 	}
-	return pendingPrefill{q.Service, q.Routed.Model, q.Prompt, q.Routed.latency.tokenMs * float64(q.Prompt)}
+	return pendingPrefill{q.Service, q.Routed.counted, q.Prompt, q.Routed.latency.tokenMs * float64(q.Prompt)}
 }
 
 // routedState is what this daemon knows about an endpoint of a routed service.
