entry: bound what sockets hold of answers that callers do not read

What callers saw: with 150 callers that ask for 8 MB and read nothing, the kernel held 483 MB in a daemon's sockets, five times the memory of its machine; such callers kept the places of requests in flight for as long as they liked.

Cause: the kernel lets the send buffer to a caller, and the receive buffer of its endpoint's connection, grow to megabytes. Writes had a time limit only in streams.

Each write to a caller has the time limit, also in bramleyd's answers without streaming.

Evidence: TestAnswersThatAreNotRead: 482,876 KB in the sockets and a peak of 29,232 before, within 98,304 for both after; one run each.

--- a/entry/caller.go
+++ b/entry/caller.go
@@ -29,8 +29,9 @@
 // replyOnlyCaller is a relay.Caller that only supports Reply. It sends the answer through the HTTP server, which keeps the
 // connection open for the next request.
 type replyOnlyCaller struct {
-	w       http.ResponseWriter
-	aborted *atomic.Bool // Server.aborted
+	w            http.ResponseWriter
+	stallTimeout time.Duration
+	aborted      *atomic.Bool // Server.aborted
 }
 
 func (c *replyOnlyCaller) Begin(int, http.Header) error { return errStreamUnsupported }
@@ -40,6 +41,7 @@
 	if c.aborted.Load() {
 		return errCallerGone
 	}
+	_ = http.NewResponseController(c.w).SetWriteDeadline(time.Now().Add(c.stallTimeout)) // on a closed connection, the write fails
 	return writeResponse(c.w, status, h, body)
 }
 
--- a/entry/gate.go
+++ b/entry/gate.go
@@ -61,12 +61,13 @@
 	memoryRetryAfter = time.Second
 )
 
-// Receive buffers of sockets, which the kernel doubles. What a client sends unread is memory of the machine.
+// Buffers of sockets, which the kernel doubles. What a client sends unread, and what it does not read, is memory of the machine.
 const (
-	manyConnections, manyBuffer = 128, 32 << 10 // from this number of connections on
-	mostConnections, mostBuffer = 512, 8 << 10
-	waitingBuffer               = 8 << 10   // of a connection that waits for memory
-	bodyBuffer                  = 256 << 10 // for a body above intake.SmallBytes that has got its memory
+	manyConnections, manyBuffer, manySendBuffer = 128, 32 << 10, 16 << 10 // from this number of connections on
+	mostConnections, mostBuffer, mostSendBuffer = 512, 8 << 10, 8 << 10
+	fewSendBuffer                               = 64 << 10
+	waitingBuffer                               = 8 << 10   // of a connection that waits for memory
+	bodyBuffer                                  = 256 << 10 // for a body above intake.SmallBytes that has got its memory
 )
 
 // errRefused ends the reading of a header section. net/http closes the connection without a response of its own.
@@ -187,7 +188,7 @@
 	slots      chan struct{} // holds an element for each open connection; its capacity is the limit
 	stop       chan struct{} // closed with the listener
 	close      func() error
-	sendBuffer int // of each connection; 0 for that of the kernel
+	sendBuffer int // of each connection; 0 for one that depends on the number of connections
 }
 
 func newGatedListener(ln net.Listener, g *gate, connections int) *gatedListener {
@@ -218,22 +219,33 @@
 		return err
 	})
 	c.inHeader.Store(true)
-	if tcp, ok := conn.(*net.TCPConn); ok && l.sendBuffer > 0 {
-		_ = tcp.SetWriteBuffer(l.sendBuffer) // the connection also works without it
-	}
 	open := 0
 	l.gate.do(func(t *intake.Table, now time.Time) []intake.Action {
 		c.state = t.Open(now, c)
 		open = t.Connections()
 		return nil
 	})
+	l.setBuffers(c, open)
+	return c, nil
+}
+
+// setBuffers bounds what the kernel holds for a connection, given the number of open ones.
+func (l *gatedListener) setBuffers(c *gatedConn, open int) {
+	send := fewSendBuffer
 	switch {
 	case open > mostConnections:
 		c.setReadBuffer(mostBuffer)
+		send = mostSendBuffer
 	case open > manyConnections:
 		c.setReadBuffer(manyBuffer)
+		send = manySendBuffer
+	}
+	if l.sendBuffer > 0 {
+		send = l.sendBuffer
+	}
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetWriteBuffer(send) // the connection also works without it
 	}
-	return c, nil
 }
 
 // acquire takes a slot. While there is none, it closes a connection that is not in use every roomInterval. It returns false if the
--- a/entry/routed.go
+++ b/entry/routed.go
@@ -55,15 +55,15 @@
 	}
 	if conn != nil {
 		conn.inHeader.Store(false)
+		if reason := conn.reserve(); reason != intake.ReasonNone {
+			return nil, refusal(reason)
+		}
 	}
 	b := &bodyReader{r: r, conn: conn, limit: limits.BodyBytes}
 	if r.ContentLength > b.limit {
 		return nil, b.tooLarge()
 	}
 	req, err := s.spec.Protocol.Request(r)
-		if reason := conn.reserve(); reason != intake.ReasonNone {
-			return nil, refusal(reason)
-		}
 	if err != nil {
 		return nil, err
 	}
@@ -110,7 +110,7 @@
 	protocol     Protocol
 	aborted      *atomic.Bool // Server.aborted
 	begun        bool
-	flush        bool // flush each write and limit its time; set for answers of unknown length
+	flush        bool // flush each write; set for answers of unknown length
 }
 
 // Begun reports whether the sending of an answer has begun.
@@ -142,9 +142,7 @@
 	if c.aborted.Load() {
 		return 0, errCallerGone
 	}
-	if c.flush {
-		_ = c.controller.SetWriteDeadline(time.Now().Add(c.stallTimeout)) // on a closed connection, the write fails
-	}
+	c.limitWrite()
 	n, err := c.w.Write(p)
 	if err == nil && c.flush {
 		err = c.controller.Flush()
@@ -152,6 +150,12 @@
 	return n, err
 }
 
+// limitWrite limits the time of the next write, and of what net/http writes after it. A caller that reads nothing would otherwise keep its
+// place, and a limit that was set for an earlier answer on the connection would have passed.
+func (c *routedCaller) limitWrite() {
+	_ = c.controller.SetWriteDeadline(time.Now().Add(c.stallTimeout)) // on a closed connection, the write fails
+}
+
 // End implements relay.Caller. net/http completes the body when the handler returns.
 func (c *routedCaller) End() error { return nil }
 
@@ -160,6 +164,7 @@
 	if c.aborted.Load() {
 		return errCallerGone
 	}
+	c.limitWrite()
 	return writeResponse(c.w, status, h, body)
 }
 
@@ -174,6 +179,7 @@
 	tooLarge := errors.Is(e, errHeaderTooLarge)
 	refuseWith(c.w, r, conn, tooLarge, func() {
 		if tooLarge && conn != nil {
+			c.limitWrite()
 			_ = writeResponse(c.w, http.StatusRequestHeaderFieldsTooLarge, nil, nil) // the caller may have left
 		} else {
 			_ = c.Fail(e) // the caller may have left
--- a/entry/server.go
+++ b/entry/server.go
@@ -276,7 +276,7 @@
 		return
 	}
 	if !req.WantsStream() {
-		_ = s.spec.Pipeline.Chat(r.Context(), req, &replyOnlyCaller{w: w, aborted: &s.aborted}) // reported to the caller and to OnFinish
+		_ = s.spec.Pipeline.Chat(r.Context(), req, &replyOnlyCaller{w: w, stallTimeout: s.spec.StallTimeout, aborted: &s.aborted}) // reported to the caller and to OnFinish
 		return
 	}
 	c, ctx, err := s.hijack(w, r)
