gateway: log requests and connections that are refused before they are served

What operators saw: a counter of connections that a limit ended, and nothing about which request was refused and why.

Change: a request that is refused before the pipeline has it gets a log line with its identity, the reason and whether it ran; a connection that a limit ended gets one with the reason.

--- a/entry/routed.go
+++ b/entry/routed.go
@@ -19,6 +19,8 @@
 	Request(r *http.Request) (*pipeline.Request, error)
 	// Limits returns the operators' limits in force.
 	Limits() Limits
+	// RequestID returns the ID that a caller gave its request, empty for none.
+	RequestID(r *http.Request) string
 	// Failure returns the response to a request that failed with e.
 	Failure(e *result.Error) (status int, h http.Header, body []byte)
 }
@@ -33,7 +35,11 @@
 	gated, _ := r.Context().Value(connKey{}).(*gatedConn)
 	req, err := s.readRequest(r, gated)
 	if err != nil {
-		c.refuse(r, result.From(err), gated)
+		e := result.From(err)
+		if s.spec.OnRefuse != nil {
+			s.spec.OnRefuse(s.spec.Protocol.RequestID(r), e)
+		}
+		c.refuse(r, e, gated)
 		return
 	}
 	err = s.spec.Pipeline.Route(r.Context(), req, c)
--- a/entry/server.go
+++ b/entry/server.go
@@ -57,6 +57,8 @@
 	// for each of its connections that is refused or closed by a limit; it may be nil.
 	Intake intake.Limits
 	OnEnd  func(r intake.Reason)
+	// OnRefuse is called with the ID of each routed request that is refused before the pipeline has it; it may be nil.
+	OnRefuse func(id string, e *result.Error)
 }
 
 // Server is the HTTP server for callers. Its methods are safe for concurrent use after Start has returned.
--- a/gateway/callerlimits.go
+++ b/gateway/callerlimits.go
@@ -45,11 +45,6 @@
 	return l
 }
 
-// recordConnectionEnd counts a connection that a limit on callers refused or closed.
-func (g *Gateway) recordConnectionEnd(r intake.Reason) {
-	g.spec.Metrics.Counter(fmt.Sprintf("bramley_caller_connections_ended_total{reason=%q}", string(r))).Inc()
-}
-
 // registerCallerGauges registers the gauges of what callers make the daemon hold.
 func (g *Gateway) registerCallerGauges() {
 	m := g.spec.Metrics
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -155,6 +155,7 @@
 	ctx           context.Context
 	cancel        context.CancelFunc
 	announcements *rate.Limiter // limits announcements of prompts
+	refusals      *refusalLog
 	wg            sync.WaitGroup
 }
 
@@ -164,6 +165,7 @@
 	g := &Gateway{
 		spec: s, log: s.Log.WithFields(logrus.Fields{"daemon": s.Name, "domain": s.Domain}), config: &config.Holder{}, poison: poison.NewTable(), startedAt: time.Now(), ctx: ctx, cancel: cancel,
 	}
+	g.refusals = newRefusalLog(g.log)
 	limits := callerLimitsFor(s.MemoryBytes, s.Descriptors)
 	g.admit = admit.New(admit.Spec{MaxInFlight: limits.inFlight}) // the entry counts the bodies
 	g.closing = pipeline.NewClosing()
@@ -189,7 +191,7 @@
 	g.view = newStoreView(g)
 	g.entry = entry.New(entry.Spec{
 		Addr: s.CallerAddr, MaxConnections: limits.connections, StallTimeout: stallTimeout, Config: g.config, Ready: g.Ready, Protocol: s.Protocol,
-		Pipeline: g.newPipeline(), Intake: limits.intake, OnEnd: g.recordConnectionEnd,
+		Pipeline: g.newPipeline(), Intake: limits.intake, OnEnd: g.recordConnectionEnd, OnRefuse: g.recordRefusal,
 	})
 	return g
 }
