engine/httpconn: bound the connections to all endpoints together

What callers saw: calls that may run only once, to many endpoints, used up the descriptors of a daemon.

Cause: up to 8 idle connections are kept to each endpoint, whatever the number of endpoints, and each such call opens a connection. Requests in flight have a share of the descriptors; idle connections had none.

Change: connections in use and idle ones together are at most as many as requests in flight. Before one more is opened, the one that has been idle for longest is closed.

--- a/engine/httpconn/pool.go
+++ b/engine/httpconn/pool.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -32,6 +33,9 @@
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 	// MaxIdle is the maximum number of idle connections to one address.
 	MaxIdle int
+	// MaxOpen is the number of open connections to all addresses from which on the one that has been idle for longest is closed before
+	// another one is opened; 0 for no limit.
+	MaxOpen int
 	// IdleTimeout is the time after which an idle connection is no longer used.
 	IdleTimeout time.Duration
 	// Limits bound what an endpoint may send apart from the body of its response; zero fields mean those of DefaultLimits.
@@ -42,8 +46,9 @@
 // Pool sends requests and keeps idle connections for reuse. It is safe for concurrent use.
 type Pool struct {
 	spec Spec
+	open atomic.Int64 // connections, in use and idle, and those that are being opened
 	mu   sync.Mutex
-	idle map[string][]*conn
+	idle map[string][]*conn // by address, the most recently used last
 }
 
 // New returns an empty pool.
@@ -54,6 +59,8 @@
 
 type conn struct {
 	net.Conn
+	pool      *Pool
+	closed    atomic.Bool
 	addr      string
 	limiter   *limitReader  // reads from the connection
 	reader    *bufio.Reader // reads from limiter
@@ -129,12 +136,24 @@
 		}
 		_ = c.Close()
 	}
+	if p.open.Add(1) > int64(p.spec.MaxOpen) && p.spec.MaxOpen > 0 {
+		p.closeOldest()
+	}
 	raw, err := p.spec.Dial(ctx, "tcp", addr)
 	if err != nil {
+		p.open.Add(-1)
 		return nil, &DialError{err}
 	}
 	limiter := &limitReader{conn: bufio.NewReaderSize(raw, readBufSize)}
-	return &conn{Conn: raw, addr: addr, limiter: limiter, reader: bufio.NewReaderSize(limiter, lineBufSize), writer: bufio.NewWriterSize(raw, writeBufSize)}, nil
+	return &conn{Conn: raw, pool: p, addr: addr, limiter: limiter, reader: bufio.NewReaderSize(limiter, lineBufSize), writer: bufio.NewWriterSize(raw, writeBufSize)}, nil
+}
+
+// Close implements net.Conn. Further calls only repeat the close of the connection.
+func (c *conn) Close() error {
+	if !c.closed.Swap(true) {
+		c.pool.open.Add(-1)
+	}
+	return c.Conn.Close()
 }
 
 // buffered returns the number of bytes received but not yet read.
@@ -176,6 +195,25 @@
 	p.idle[c.addr] = append(list, c)
 }
 
+// closeOldest closes the connection that has been idle for longest, if there is one.
+func (p *Pool) closeOldest() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var oldest *conn
+	for addr, list := range p.idle {
+		switch {
+		case len(list) == 0:
+			delete(p.idle, addr)
+		case oldest == nil || list[0].idleSince.Before(oldest.idleSince):
+			oldest = list[0]
+		}
+	}
+	if oldest != nil {
+		p.idle[oldest.addr] = p.idle[oldest.addr][1:]
+		_ = oldest.Close()
+	}
+}
+
 // CloseIdle closes the idle connections to an address, for example after one of them stalled.
 func (p *Pool) CloseIdle(addr string) {
 	p.mu.Lock()
--- a/gateway/callerlimits.go
+++ b/gateway/callerlimits.go
@@ -45,6 +45,12 @@
 	return l
 }
 
+// MaxEndpointConnections returns the number of connections to endpoints, in use and idle, that a daemon may have open, given its memory in
+// bytes and the limit on file descriptors: one for each request in flight.
+func MaxEndpointConnections(memory int64, descriptors int) int {
+	return callerLimitsFor(memory, descriptors).inFlight
+}
+
 // registerCallerGauges registers the gauges of what callers make the daemon hold.
 func (g *Gateway) registerCallerGauges() {
 	m := g.spec.Metrics
