engine/httpconn: an endpoint may repeat the request's header in the head of its answer

What callers saw: a request with an identifier of 14 KB got 502 where endpoints repeat it in the head of their answers. Eight such callers made a daemon eject all endpoints in turn, and ordinary requests got 503.

Cause: the head of an answer may have 16 KiB, which bounds what a faulty endpoint makes a daemon hold. What the caller makes the endpoint repeat counted, too, and the failure counted against the endpoint.

Change: the size of the request's own header comes on top.

--- a/engine/httpconn/limits.go
+++ b/engine/httpconn/limits.go
@@ -11,7 +11,8 @@
 // one, its connection is closed and the request fails with ErrResponseTooLarge.
 type Limits struct {
 	// HeaderBytes and HeaderLines bound the status lines and headers of one exchange in total, including those of interim
-	// responses and of responses to other requests.
+	// responses and of responses to other requests. An endpoint may repeat what the request's header has, so the size of that comes on top:
+	// otherwise a caller with a long value would make the endpoints look faulty.
 	HeaderBytes, HeaderLines int
 	// DiscardBytes bounds the body, with its framing, of a response to another request, which is discarded.
 	DiscardBytes int64
@@ -34,6 +35,17 @@
 	return l
 }
 
+// withEcho returns the limits for the exchange of a request.
+func (l Limits) withEcho(r *Request) Limits {
+	l.HeaderBytes += len(r.Target)
+	for name, values := range r.Header {
+		for _, v := range values {
+			l.HeaderBytes += len(name) + len(v) + len(": \r\n")
+		}
+	}
+	return l
+}
+
 // ErrResponseTooLarge means that an endpoint sent more than the Limits allow.
 var ErrResponseTooLarge = errors.New("response exceeds the limits")
 
--- a/engine/httpconn/open_test.go
+++ b/engine/httpconn/open_test.go
@@ -6,7 +6,9 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
+	"time"
 )
 
 // Guards against idle connections to many addresses that add up, and against connections that stay counted.
@@ -36,3 +38,24 @@
 		t.Errorf("%d connections are counted after all were closed", open)
 	}
 }
+
+// Guards against a head that is too long only because it repeats what the request's header has.
+func TestHeadMayRepeatTheRequest(t *testing.T) {
+	long := strings.Repeat("i", 15<<10)
+	for _, tc := range []struct {
+		repeated int
+		ok       bool
+	}{{1, true}, {2, true}, {4, false}} {
+		p := pipePool(Limits{}, func(c net.Conn) {
+			if readRequest(c) == nil {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+strings.Repeat("Id: "+long+"\r\n", tc.repeated)+"Content-Length: 0\r\n\r\n")
+			}
+		})
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		_, err := p.Do(ctx, "e", &Request{Method: http.MethodGet, Host: "e", Target: "/", Header: http.Header{"Id": {long}}})
+		cancel()
+		if (err == nil) != tc.ok {
+			t.Errorf("a header of %d bytes, repeated %d times: error %v", len(long), tc.repeated, err)
+		}
+	}
+}
--- a/engine/httpconn/pool.go
+++ b/engine/httpconn/pool.go
@@ -258,7 +258,7 @@
 		return nil, err
 	}
 	req := &http.Request{Method: r.Method}
-	x.conn.limiter.reset(x.pool.spec.Limits)
+	x.conn.limiter.reset(x.pool.spec.Limits.withEcho(r))
 	for try := 0; ; try++ {
 		resp, err := x.readResponse(req)
 		if err != nil {
