dispatch: an endpoint that refuses an unknown model is not ejected

What callers saw: requests for models that no endpoint has, which these refuse with 421, made a daemon eject all endpoints of the service.

Cause: 421 also means that the address belongs to another endpoint now, so it counted as a failed connection, whoever named the model.

Change: if neither a route nor an endpoint names the model of a request, its 421 says nothing about the endpoint. The request still uses up its attempts, and is then refused as one that has not run.

Evidence: TestRefusedModelNames: 63 ejections before, none after.

--- a/dispatch/routed.go
+++ b/dispatch/routed.go
@@ -310,6 +310,11 @@
 	x.in.OnAttempt(t)
 }
 
+// namesUnknownModel reports whether the caller named a model that neither a route nor an endpoint names.
+func (x *Exchange) namesUnknownModel() bool {
+	return x.in.Request.Model != "" && !x.filter.spec.Pool.NamesModel(x.in.Service, x.in.Request.Model)
+}
+
 // handleFailure releases the reservation of a failed attempt and records what the failure says about the endpoint and
 // the request. It returns nil if another endpoint may be tried.
 func (x *Exchange) handleFailure(r pool.Reservation, err error) error {
@@ -330,7 +335,11 @@
 		return nil
 	case errors.Is(err, engine.ErrMisdirected):
 		x.attempts++
-		r.Release(pool.ConnectionFailed, now)
+		if x.namesUnknownModel() {
+			r.Release(pool.Cancelled, now) // the endpoint may have refused the model
+		} else {
+			r.Release(pool.ConnectionFailed, now)
+		}
 		return nil
 	case errors.Is(err, engine.ErrBusy):
 		x.attempts++
