pool: a prompt that an endpoint has no memory for does not keep others away

What callers saw: an endpoint refuses a prompt that is larger than its memory as if it were full. Each such refusal kept all requests from the endpoint for 0.1 s, so that a few callers with huge prompts could keep everyone out.

Cause: a refusal was taken for a statement about the endpoint, whatever its answer says about its load.

Change: if the endpoint reports free slots with the refusal, only prompts of that size or more are kept from it for that time.

--- a/pool/pick.go
+++ b/pool/pick.go
@@ -78,6 +78,7 @@
 	pool          *Pool
 	pending       pendingPrefill
 	reservedAt    time.Time
+	hadFreeSlots  bool // the endpoint reported free slots with its answer
 }
 
 // Pick selects an endpoint by the pool's policy and reserves capacity there. It returns false if no endpoint can take
@@ -304,7 +305,11 @@
 			e.recordFailure(now)
 		}
 	case Busy:
-		if until := now.Add(busyBackoff); until.After(e.ejectedUntil) {
+		until := now.Add(busyBackoff)
+		switch {
+		case r.hadFreeSlots: // it has no memory for a prompt of this size
+			e.routed.refused = refusedPrompt{r.pending.prompt, until}
+		case until.After(e.ejectedUntil):
 			e.ejectedUntil = until
 		}
 	case ConnectionFailed, TimedOut, ConnectTimedOut:
--- a/pool/routed.go
+++ b/pool/routed.go
@@ -129,7 +129,11 @@
 		Endpoint: e.properties, Rejection: choice.request.Exclusion(e.properties), Leaving: e.stated.leaving,
 		Suspects: e.suspects, Requests: e.estimatedRequests(now), SinceChosen: math.MaxInt64,
 	}
-	if until := later(e.ejectedUntil, e.stated.busyUntil); !until.IsZero() {
+	until := later(e.ejectedUntil, e.stated.busyUntil)
+	if choice.request.Prompt >= e.routed.refused.tokens {
+		until = later(until, e.routed.refused.until)
+	}
+	if !until.IsZero() {
 		c.UnavailableFor = until.Sub(now)
 	}
 	if !e.lastChosen.IsZero() {
--- a/pool/routedstate.go
+++ b/pool/routedstate.go
@@ -17,8 +17,9 @@
 
 // pendingPrefill is the prefill work that a request adds to an endpoint until its answer begins.
 type pendingPrefill struct {
-	service, model string
+	service, model string  // model is the name under which the request is counted
 	tokens         int64   // uncached prompt tokens
+	prompt         int64   // all prompt tokens
 	prefillMs      float64 // expected prefill time in milliseconds
 }
 
@@ -26,7 +27,14 @@
 	if q.Routed == nil {
 		return pendingPrefill{}
 	}
-	return pendingPrefill{q.Service, q.Routed.counted, q.Prompt, q.Routed.latency.tokenMs * float64(q.Prompt)}
+	return pendingPrefill{service: q.Service, model: q.Routed.counted, tokens: q.Prompt, prompt: q.choice.request.Prompt, prefillMs: q.Routed.latency.tokenMs * float64(q.Prompt)}
+}
+
+// refusedPrompt is a prompt that an endpoint with free slots refused as if it were full: it is larger than the endpoint's memory, so until a
+// time, prompts of the same size or more are not sent there. Smaller ones are.
+type refusedPrompt struct {
+	tokens int64
+	until  time.Time
 }
 
 // routedState is what this daemon knows about an endpoint of a routed service.
@@ -47,9 +55,10 @@
 	peerPrefillMs  float64                         // prefill time of other daemons' prompts at peerPrefillAt, in milliseconds
 	peerPrefillAt  time.Time                       // when peerPrefillMs was computed
 	down           bool                            // ejected for failures since its last answer, so it may have restarted
-	maybeColdUntil time.Time                       // before this time, the host list may not show a restart yet
-	slowness       selection.Slowness              // reported slowness
-	slownessAt     time.Time                       // time of the latest report of it
+	refused        refusedPrompt
+	maybeColdUntil time.Time          // before this time, the host list may not show a restart yet
+	slowness       selection.Slowness // reported slowness
+	slownessAt     time.Time          // time of the latest report of it
 }
 
 // reserveRouted records the work of a request at the endpoint and sets query.Prompt to the uncached tokens. Prompt parts
@@ -94,6 +103,7 @@
 		e.routed.slowdownAt = now
 	}
 	if load != nil {
+		r.hadFreeSlots = !load.RunningUnknown && load.Running+load.Waiting < load.Slots
 		r.recordLoad(load, now)
 	}
 	if until := now.Add(cold); cold > 0 && until.After(e.routed.coldUntil) {
