pipeline: an endpoint that gives up an answer because its caller is slow has not failed

What callers saw: callers that read nothing for some seconds made a daemon eject the endpoints that cut their answers off.

Cause: endpoints cut off what remains unread. The daemon reads only as fast as its caller does, and took the cut for a failure of the endpoint.

Change: the time for which writes to the caller have blocked is measured, since the answer was last read up to what the endpoint had sent. From 1 s on, the end of the answer says nothing about the endpoint. A stream is still resumed as before.

--- a/pipeline/routed.go
+++ b/pipeline/routed.go
@@ -101,13 +101,14 @@
 	answer      *dispatch.RoutedAnswer
 	lastEventID int64 // ID of the last event that was sent to the caller
 	answered    bool  // OnAnswer was called
+	backlog     backlog
 }
 
 // Route serves a request of a route, for which r.Meta must be set, and sends the answer, or an error response, to c. It returns
 // an error as Chat does. If the answer had begun, the caller of Route must end it visibly incomplete.
 func (p *Pipeline) Route(ctx context.Context, r *Request, c relay.Caller) error {
 	err := p.serve(ctx, r, "routed", func(ctx context.Context, rs *requestState) error {
-		s := &routedStages{requestState: rs, p: p, r: r, caller: c}
+		s := &routedStages{requestState: rs, p: p, r: r, caller: c, backlog: backlog{now: p.Now}}
 		if err := s.identify(); err != nil {
 			return err
 		}
--- a/pipeline/routedrelay.go
+++ b/pipeline/routedrelay.go
@@ -100,7 +100,7 @@
 		return &result.Error{Code: result.CallerGone, Ran: result.DidRun, Err: err}
 	}
 	if !complete {
-		if _, err := io.Copy(callerWriter{s.caller}, s.answer.Body); err != nil {
+		if _, err := io.Copy(callerWriter{measuredCaller{s.caller, &s.backlog}}, s.answer.Body); err != nil {
 			return s.abortAnswer(ctx, err)
 		}
 	}
@@ -143,10 +143,20 @@
 		s.answer.MarkCancelled()
 		return s.contextError(ctx)
 	}
-	s.answer.Fail(err)
+	s.failAnswer(err)
 	return &result.Error{Code: result.StreamBroken, Ran: result.DidRun, Err: err}
 }
 
+// failAnswer closes an answer that failed with err. The endpoint has not failed if it gave the answer up because the caller was slow.
+func (s *routedStages) failAnswer(err error) {
+	if s.backlog.isLong() {
+		s.answer.MarkCancelled()
+		s.answer.Close()
+		return
+	}
+	s.answer.Fail(err)
+}
+
 // contextError returns the error of a request whose context ended: the deadline passed or the caller left.
 func (s *routedStages) contextError(ctx context.Context) error {
 	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
@@ -186,7 +196,9 @@
 	resumed, empty := *begun, true
 	var held []byte // what precedes the first event with data or an ID; an answer that breaks off before has not begun
 	for {
+		waitingSince := s.p.Now()
 		event, id, err := events.Next()
+		s.backlog.read(waitingSince)
 		switch {
 		case err == io.EOF && resumed && empty && s.answer.Unframed:
 			return io.ErrUnexpectedEOF // nothing tells that the endpoint had nothing to add
@@ -214,11 +226,12 @@
 		if err := s.beginStream(begun, held); err != nil {
 			return err
 		}
-		if _, err := s.caller.Write(event); err != nil {
+		caller := measuredCaller{s.caller, &s.backlog}
+		if _, err := caller.Write(event); err != nil {
 			return fmt.Errorf("%w: %w", errCallerWrite, err)
 		}
 		hasData := relay.HasData(event)
-		if err := copyRest(events, callerWriter{s.caller}); err != nil {
+		if err := copyRest(events, callerWriter{caller}); err != nil {
 			return fmt.Errorf("%w: %w", errTornEvent, err)
 		}
 		s.lastEventID = max(s.lastEventID, id)
@@ -284,7 +297,8 @@
 	if errors.As(cause, &e) {
 		return cause
 	}
-	s.answer.Fail(cause)
+	s.failAnswer(cause)
+	s.backlog.blocked = 0
 	if begun {
 		s.exchange.MarkBegun()
 	}
