entry: count header sections and bodies above TLS

What callers saw: with TLS, 150 bodies of 4 MiB that stop one byte short took 645 MB of bramleyd's 96, and idle connections kept ordinary callers out for two minutes.

Cause: the gate that counts what callers make a daemon hold read the connections below TLS, and was left out with TLS.

Change: the gate reads above TLS: it makes the handshake itself, within the time of a header section, and counts what it reads then. Places of idle connections are given to others as without TLS.

--- a/entry/caller.go
+++ b/entry/caller.go
@@ -158,7 +158,7 @@
 // limitSendBuffer limits the kernel memory that a stalled stream uses. It has no effect on connections other than TCP.
 func limitSendBuffer(conn net.Conn) {
 	if wrapped, ok := conn.(*gatedConn); ok {
-		conn = wrapped.Conn
+		conn = wrapped.raw
 	}
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		_ = tcp.SetWriteBuffer(sendBufferSize) // the stream also works without it
--- a/entry/gate.go
+++ b/entry/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
@@ -188,7 +189,8 @@
 	slots      chan struct{} // holds an element for each open connection; its capacity is the limit
 	stop       chan struct{} // closed with the listener
 	close      func() error
-	sendBuffer int // of each connection; 0 for one that depends on the number of connections
+	sendBuffer int         // of each connection; 0 for one that depends on the number of connections
+	tls        *tls.Config // nil for plain connections
 }
 
 func newGatedListener(ln net.Listener, g *gate, connections int) *gatedListener {
@@ -210,9 +212,13 @@
 		_ = conn.Close()
 		return nil, net.ErrClosed
 	}
-	c := &gatedConn{Conn: conn, gate: l.gate, wake: make(chan struct{}, 1)}
+	c := &gatedConn{Conn: conn, raw: conn, gate: l.gate, wake: make(chan struct{}, 1)}
+	if l.tls != nil {
+		c.handshake = tls.Server(conn, l.tls)
+		c.Conn = c.handshake
+	}
 	c.close = sync.OnceValue(func() error {
-		err := conn.Close()
+		err := c.Conn.Close()
 		l.gate.do(func(t *intake.Table, now time.Time) []intake.Action { return t.Close(c.state, now) })
 		c.signal()
 		<-l.slots
@@ -243,7 +249,7 @@
 	if l.sendBuffer > 0 {
 		send = l.sendBuffer
 	}
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+	if tcp, ok := c.raw.(*net.TCPConn); ok {
 		_ = tcp.SetWriteBuffer(send) // the connection also works without it
 	}
 }
@@ -271,13 +277,15 @@
 // gatedConn is a connection whose header sections are counted while they are read.
 type gatedConn struct {
 	net.Conn
-	gate     *gate
-	state    *intake.Conn
-	wake     chan struct{} // signals that the state has changed
-	ended    atomic.Bool   // it must be refused or closed; its read deadline is in the past for good
-	inHeader atomic.Bool   // a header section is read, or the next one is awaited
-	header   intake.Header // of the section; used by the goroutine that reads it
-	close    func() error
+	raw       net.Conn  // below TLS, or Conn itself
+	handshake *tls.Conn // until the handshake has ended; nil for plain connections. Used by the goroutine that reads
+	gate      *gate
+	state     *intake.Conn
+	wake      chan struct{} // signals that the state has changed
+	ended     atomic.Bool   // it must be refused or closed; its read deadline is in the past for good
+	inHeader  atomic.Bool   // a header section is read, or the next one is awaited
+	header    intake.Header // of the section; used by the goroutine that reads it
+	close     func() error
 }
 
 func (c *gatedConn) signal() {
@@ -298,8 +306,22 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// shake makes the TLS handshake, for which a client has as long as for a header section.
+func (c *gatedConn) shake() error {
+	ctx, cancel := context.WithTimeout(context.Background(), c.gate.limits().orDefaults().HeaderTimeout)
+	defer cancel()
+	err := c.handshake.HandshakeContext(ctx)
+	c.handshake = nil
+	return err
+}
+
 // Read implements net.Conn.
 func (c *gatedConn) Read(p []byte) (int, error) {
+	if c.handshake != nil {
+		if err := c.shake(); err != nil {
+			return 0, err
+		}
+	}
 	n, err := c.Conn.Read(p)
 	if !c.inHeader.Load() || len(p) == 1 { // one byte: net/http awaits the end of the connection or the next request beside the handler
 		return n, err
@@ -353,8 +375,8 @@
 
 // linger lets the client read the response that was sent before the connection is closed.
 func (c *gatedConn) linger() {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		_ = tcp.CloseWrite()
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite()
 	}
 	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
 	_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes) // whatever the client still sends
@@ -362,7 +384,7 @@
 
 // setReadBuffer bounds what the kernel holds for the connection. It has no effect on connections other than TCP.
 func (c *gatedConn) setReadBuffer(bytes int) {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+	if tcp, ok := c.raw.(*net.TCPConn); ok {
 		_ = tcp.SetReadBuffer(bytes) // the connection also works without it
 	}
 }
--- a/entry/server.go
+++ b/entry/server.go
@@ -43,8 +43,8 @@
 	MaxConnections int                                     // open at the same time
 	// StallTimeout limits the time that one write of a streamed answer may take.
 	StallTimeout time.Duration
-	// IdleTimeout limits the time between two requests on a connection to a server without a protocol; 0 for two minutes. With TLS and
-	// custom listeners the limit is always two minutes.
+	// IdleTimeout limits the time between two requests on a connection to a server without a protocol; 0 for two minutes. With custom
+	// listeners the limit is always two minutes.
 	IdleTimeout time.Duration
 	Pipeline    *pipeline.Pipeline
 	Config      *config.Holder
@@ -53,7 +53,7 @@
 	// Protocol makes the server one of routed services: all requests are read by it and served as requests of routes. Nil
 	// serves the router's own HTTP interface.
 	Protocol Protocol
-	// Intake bounds what callers make a server without TLS and without a custom listener hold; its zero value sets no bound. OnEnd is called
+	// Intake bounds what callers make a server without a custom listener hold; its zero value sets no bound. OnEnd is called
 	// for each of its connections that is refused or closed by a limit; it may be nil.
 	Intake intake.Limits
 	OnEnd  func(r intake.Reason)
@@ -68,7 +68,7 @@
 	addr   string
 	// aborted is set by Abort. Nothing is sent to callers from then on.
 	aborted            atomic.Bool
-	gate               *gate       // nil with TLS and with a custom listener
+	gate               *gate       // nil with a custom listener
 	keepAlivesDisabled atomic.Bool // answers of routed services close their connections
 
 	mu       sync.Mutex
@@ -81,7 +81,7 @@
 		spec.IdleTimeout = defaultIdleTimeout
 	}
 	s := &Server{spec: spec, hijacked: map[*streamCaller]struct{}{}}
-	if spec.TLS == nil && spec.Listen == nil { // header sections can't be counted below TLS; custom listeners are connections in memory
+	if spec.Listen == nil { // custom listeners are connections in memory
 		s.gate = newGate(spec.Intake, s.limits, spec.OnEnd)
 	}
 	return s
@@ -129,23 +129,24 @@
 	}
 	s.addr = ln.Addr().String()
 	s.server = &http.Server{
-		Handler: s, TLSConfig: s.spec.TLS, ReadHeaderTimeout: headerTimeout, ReadTimeout: defaultIdleTimeout, IdleTimeout: defaultIdleTimeout,
+		Handler: s, ReadHeaderTimeout: headerTimeout, ReadTimeout: defaultIdleTimeout, IdleTimeout: defaultIdleTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: log.New(io.Discard, "", 0),
-		TLSNextProto: map[string]func(*http.Server, *tls.Conn, http.Handler){}, // disables HTTP/2, whose connections can't be hijacked
 	}
-	var limited net.Listener = &limitedListener{Listener: ln, slots: make(chan struct{}, s.spec.MaxConnections)}
-	if s.gate != nil {
+	var limited net.Listener
+	if s.gate == nil {
+		limited = &limitedListener{Listener: ln, slots: make(chan struct{}, s.spec.MaxConnections)}
+		if s.spec.TLS != nil {
+			limited = tls.NewListener(limited, s.spec.TLS)
+		}
+	} else {
 		gated := newGatedListener(ln, s.gate, s.spec.MaxConnections)
+		gated.tls = s.spec.TLS
 		limited = gated
 		s.server.MaxHeaderBytes, s.server.ConnContext, s.server.ConnState = 2*hardMaxHeaderBytes, connContext, connState
 		s.server.IdleTimeout, s.server.ReadHeaderTimeout = noTimeout, noTimeout // the gate has the operators' limits
 		go s.gate.run(gated.stop, sweepInterval)
 	}
-	serve := func() error { return s.server.Serve(limited) }
-	if s.spec.TLS != nil {
-		serve = func() error { return s.server.ServeTLS(limited, "", "") }
-	}
-	go func() { _ = serve() }() // returns http.ErrServerClosed after Shutdown
+	go func() { _ = s.server.Serve(limited) }() // returns http.ErrServerClosed after Shutdown
 	return nil
 }
 
@@ -227,12 +228,12 @@
 		return conn, refusal(reason)
 	}
 	if path := r.URL.Path; path == chatPath || strings.HasPrefix(path, servicePrefix) {
-		return conn, nil // its body is read
-	}
-	if reason := conn.serve(); reason != intake.ReasonNone {
 		if reason := conn.reserve(); reason != intake.ReasonNone {
 			return conn, refusal(reason)
 		}
+		return conn, nil // its body is read
+	}
+	if reason := conn.serve(); reason != intake.ReasonNone {
 		return conn, refusal(reason)
 	}
 	return conn, nil
