pipeline, entry: count the copies of a chat body, and the values of it before they are decoded

What callers saw: chat bodies of permitted size with millions of tiny messages took 760 MB of bramleyd's 96; very many fields, or large bodies, took more than the memory of a machine of 64 MB.

Cause: a body was counted once. Its messages and fields are decoded for each call and written again, which takes four more bodies; a message of two bytes took 32. Their number was checked after they were decoded.

Change: messages (4,096) and fields (1,024) are counted in one pass without decoding, and a body with more is refused. Memory is asked for the body and its four copies before it is read.

--- a/entry/body.go
+++ b/entry/body.go
@@ -22,6 +22,8 @@
 	r     *http.Request
 	conn  *gatedConn // nil if memory is not counted
 	limit int64      // largest body
+	// copies is the number of bodies for which memory is asked: those that are made of this one count, too. 0 stands for 1.
+	copies int64
 }
 
 // grow asks for memory for a buffer, and waits for it.
@@ -30,7 +32,7 @@
 		return nil
 	}
 	reason := b.conn.gate.want(b.conn, func(t *intake.Table, now time.Time) (bool, []intake.Action) {
-		return t.Want(b.conn.state, intake.KindBody, bytes, now)
+		return t.Want(b.conn.state, intake.KindBody, bytes*max(1, b.copies), now)
 	})
 	if reason != intake.ReasonNone {
 		return refusal(reason)
@@ -125,7 +127,7 @@
 		return
 	}
 	b.conn.gate.do(func(t *intake.Table, now time.Time) []intake.Action {
-		return t.Keep(b.conn.state, intake.KindBody, size, now)
+		return t.Keep(b.conn.state, intake.KindBody, size*max(1, b.copies), now)
 	})
 }
 
--- a/entry/server.go
+++ b/entry/server.go
@@ -249,9 +249,9 @@
 }
 
 // newRequest reads a request. Its ID is random, since IDs of callers can't be trusted to be unique. The body of a request that will be
-// denied for want of a valid key is held, too, since a newer configuration may allow it.
-func newRequest(r *http.Request, conn *gatedConn) (*pipeline.Request, error) {
-	b := &bodyReader{r: r, conn: conn, limit: maxBodyBytes}
+// denied for want of a valid key is held, too, since a newer configuration may allow it. copies is that of bodyReader.
+func newRequest(r *http.Request, conn *gatedConn, copies int64) (*pipeline.Request, error) {
+	b := &bodyReader{r: r, conn: conn, limit: maxBodyBytes, copies: copies}
 	if r.ContentLength > b.limit {
 		return nil, b.tooLarge()
 	}
@@ -273,7 +273,7 @@
 		writeError(w, result.Newf(result.BadRequest, "The method must be POST."), http.StatusMethodNotAllowed)
 		return
 	}
-	req, err := newRequest(r, conn)
+	req, err := newRequest(r, conn, pipeline.ChatCopies)
 	if err != nil {
 		s.refuse(w, r, conn, err)
 		return
@@ -294,7 +294,7 @@
 // query at the endpoint are what follows.
 func (s *Server) servePlain(w http.ResponseWriter, r *http.Request, conn *gatedConn) {
 	service, path, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, servicePrefix), "/")
-	req, err := newRequest(r, conn)
+	req, err := newRequest(r, conn, 1)
 	if err != nil {
 		s.refuse(w, r, conn, err)
 		return
--- a/pipeline/fuzz_test.go
+++ b/pipeline/fuzz_test.go
@@ -1,6 +1,7 @@
 package pipeline
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -38,3 +39,27 @@
 		t.Errorf("brackets in a string count as nested values: %v", err)
 	}
 }
+
+// Guards against bodies of very many small values, each of which would be decoded, and against usual ones that are refused.
+func TestCountsOfValuesAreLimited(t *testing.T) {
+	body := func(messages, fields int) []byte {
+		var b strings.Builder
+		for n := range fields {
+			fmt.Fprintf(&b, `"f%d":{"a":[1,2],"b":"x,y"},`, n)
+		}
+		return []byte(`{` + b.String() + `"messages":[` + strings.Repeat(`{"role":"user","content":[1,2]},`, messages-1) + `{"role":"user"}]}`)
+	}
+	for _, tc := range []struct {
+		messages, fields int
+		ok               bool
+	}{{1, 0, true}, {maxMessages, maxFields - 1, true}, {maxMessages + 1, 0, false}, {1, maxFields, false}} {
+		c, err := parseChat(body(tc.messages, tc.fields))
+		if (err == nil) != tc.ok || tc.ok && len(c.Messages) != tc.messages {
+			t.Errorf("%d messages, %d other fields: %d messages, error %v", tc.messages, tc.fields, len(c.Messages), err)
+		}
+	}
+	large := []byte(`{"messages":[1` + strings.Repeat(",1", 1<<20) + `]}`)
+	if n := testing.AllocsPerRun(1, func() { _, _ = parseChat(large) }); n > 100 {
+		t.Errorf("%g allocations for a body that is refused", n)
+	}
+}
--- a/pipeline/request.go
+++ b/pipeline/request.go
@@ -18,9 +18,14 @@
 	bytesPerToken    = 4    // to estimate the tokens of a prompt from the size of the body
 	defaultMaxTokens = 1024 // limit of an answer if the request states none
 	maxMessages      = 4096
-	maxJSONDepth     = 64 // nested JSON values
+	maxFields        = 1024 // of the body's object; the protocol has some forty
+	maxJSONDepth     = 64   // nested JSON values
 )
 
+// ChatCopies is the number of bodies that a chat completion request uses while it is served: the caller's, its messages twice while they are
+// decoded, the fields of the object, and the body for an endpoint with the router's fields.
+const ChatCopies = 5
+
 // Request is a caller's request. It must be passed to the pipeline only once, and is not safe for concurrent use.
 type Request struct {
 	ID     string // random and unique; for requests of routes, the ID that the caller gave
@@ -59,10 +64,10 @@
 
 // chat holds the fields of a chat completion request that the router reads. Other fields are forwarded unchanged.
 type chat struct {
-	Model     string            `json:"model"`
-	Messages  []json.RawMessage `json:"messages"`
-	Stream    bool              `json:"stream"`
-	MaxTokens int64             `json:"max_tokens"`
+	Model     string
+	Messages  []json.RawMessage
+	Stream    bool
+	MaxTokens int64
 }
 
 // WantsStream reports whether a chat completion request asks for a streamed answer. It is false for a body that can't be
@@ -84,13 +89,28 @@
 // parseChat parses and checks the body of a chat completion request. Errors have the code result.BadRequest.
 func parseChat(body []byte) (chat, error) {
 	var c chat
-	if tooDeep(body) {
+	switch depth, fields := measureJSON(body); {
+	case depth > maxJSONDepth:
 		return c, result.Newf(result.BadRequest, "The body has more than %d nested values.", maxJSONDepth)
+	case fields > maxFields:
+		return c, result.Newf(result.BadRequest, "The body has more than %d fields.", maxFields)
+	}
+	var fields struct {
+		Model     string          `json:"model"`
+		Messages  json.RawMessage `json:"messages"`
+		Stream    bool            `json:"stream"`
+		MaxTokens int64           `json:"max_tokens"`
 	}
-	if err := json.Unmarshal(body, &c); err != nil {
-		return c, result.Newf(result.BadRequest, "The body is not a JSON object of a chat completion request.")
+	if err := json.Unmarshal(body, &fields); err != nil {
+		return c, result.Newf(result.BadRequest, errNotChat)
 	}
-	if len(c.Messages) == 0 || len(c.Messages) > maxMessages {
+	c = chat{Model: fields.Model, Stream: fields.Stream, MaxTokens: fields.MaxTokens}
+	if _, count := measureJSON(fields.Messages); len(fields.Messages) > 0 && count <= maxMessages {
+		if err := json.Unmarshal(fields.Messages, &c.Messages); err != nil {
+			return c, result.Newf(result.BadRequest, errNotChat)
+		}
+	}
+	if len(c.Messages) == 0 {
 		return c, result.Newf(result.BadRequest, "The field messages needs 1 to %d entries.", maxMessages)
 	}
 	if c.MaxTokens < 0 {
@@ -102,10 +122,14 @@
 	return c, nil
 }
 
-// tooDeep reports whether JSON values are nested more than maxJSONDepth deep. It only counts brackets outside of strings, in
-// one pass over the body, since decoding a deeply nested body would cost far more.
-func tooDeep(body []byte) bool {
+const errNotChat = "The body is not a JSON object of a chat completion request."
+
+// measureJSON returns how deep the values of an object or array are nested, and the number of its fields or elements; 1 for an empty one. It
+// counts brackets and commas outside of strings, in one pass without decoding, which would take many times the size of very many small
+// values. It stops beyond maxJSONDepth.
+func measureJSON(body []byte) (deepest, elements int) {
 	depth := 0
+	elements = 1
 	inString, escaped := false, false
 	for _, b := range body {
 		switch {
@@ -117,14 +141,17 @@
 			inString = !inString
 		case inString:
 		case b == '{' || b == '[':
-			if depth++; depth > maxJSONDepth {
-				return true
+			depth++
+			if deepest = max(deepest, depth); depth > maxJSONDepth {
+				return deepest, elements
 			}
 		case b == '}' || b == ']':
 			depth--
+		case b == ',' && depth == 1:
+			elements++
 		}
 	}
-	return false
+	return deepest, elements
 }
 
 // prefixHash returns a hash of the beginning of the prompt, which stays the same for all turns of a conversation: the
