peer: bound the connections and messages of strangers

What callers saw: whoever reaches the port for other daemons could make bramleyd hold 1,250 MB with 60 messages that stop one byte short, 351 MB with 500 connections of one byte each, and all of its descriptors.

Cause: connections were not counted, a compressor of 0.8 MB was made for the first byte of a connection, and a message of up to 16 MB was read into memory that package gob allocates by the length that the sender announces.

Change: connections from hosts of the host list are bounded by 1,024, others by 32, of which the oldest is closed. The compressor is made for the first response. A value is handed to package gob when it is complete; above 64 KiB, 4 are read at a time from listed hosts and one from others, each within 10 s.

--- a/peer/codec.go
+++ b/peer/codec.go
@@ -79,7 +79,11 @@
 	writer  *bufio.Writer
 
 	writeMu    sync.Mutex
-	compressor *flate.Writer // nil if the connection is not compressed, and after Close
+	compressed bool
+	closed     bool
+	compressor *flate.Writer // nil before the first message of a compressed connection, and after Close
+
+	slots messageSlots // for large messages; nil for no limit
 
 	readMethod string // method of the message that is being read
 
@@ -92,39 +96,27 @@
 	return &codec{conn: m, traffic: traffic, reader: bufio.NewReader(m), writer: bufio.NewWriter(m), pending: map[uint64]string{}}
 }
 
-// compress starts compressed streams in both directions.
+// compress starts compressed streams in both directions. The compressor, which takes much memory, is made for the first message.
 func (c *codec) compress() {
-	c.compressor = compressorPool.Get().(*flate.Writer)
-	c.compressor.Reset(c.writer)
-	c.enc = gob.NewEncoder(c.compressor)
+	c.compressed = true
 	c.decodeFrom(flate.NewReader(c.reader))
 }
 
-// maxMessageBytes bounds a decompressed message. gob itself would accept a gigabyte.
-const maxMessageBytes = 16 << 20
-
-// errMessageTooLarge means that a peer sent more than maxMessageBytes.
-var errMessageTooLarge = fmt.Errorf("peer: message of more than %d bytes", maxMessageBytes)
-
-// messageReader reads messages and bounds the size of each.
-type messageReader struct {
-	source    io.Reader
-	remaining int // bytes of the current message
-}
-
-// Read implements io.Reader.
-func (r *messageReader) Read(p []byte) (int, error) {
-	if r.remaining <= 0 {
-		return 0, errMessageTooLarge
+// encoder returns the encoder of messages. The caller holds writeMu.
+func (c *codec) encoder() *gob.Encoder {
+	if c.enc == nil && c.compressed {
+		c.compressor = compressorPool.Get().(*flate.Writer)
+		c.compressor.Reset(c.writer)
+		c.enc = gob.NewEncoder(c.compressor)
+	} else if c.enc == nil {
+		c.enc = gob.NewEncoder(c.writer)
 	}
-	n, err := r.source.Read(p[:min(len(p), r.remaining)])
-	r.remaining -= n
-	return n, err
+	return c.enc
 }
 
 // decodeFrom makes the codec read its messages from a connection.
 func (c *codec) decodeFrom(r io.Reader) {
-	c.message = &messageReader{source: r}
+	c.message = &messageReader{source: r, slots: c.slots, conn: c.conn}
 	c.dec = gob.NewDecoder(c.message)
 }
 
@@ -147,7 +139,6 @@
 		c.compress()
 		return err
 	}
-	c.enc = gob.NewEncoder(c.writer)
 	c.decodeFrom(c.reader)
 	return nil
 }
@@ -156,12 +147,13 @@
 func (c *codec) write(method string, header, body any) error {
 	c.writeMu.Lock()
 	defer c.writeMu.Unlock()
-	if c.enc == nil {
+	if c.closed {
 		return net.ErrClosed
 	}
-	err := c.enc.Encode(header)
+	enc := c.encoder()
+	err := enc.Encode(header)
 	if err == nil {
-		err = c.enc.Encode(body)
+		err = enc.Encode(body)
 	}
 	if err == nil && c.compressor != nil {
 		err = c.compressor.Flush()
@@ -196,7 +188,7 @@
 	err := c.conn.Close() // unblocks a write that holds writeMu
 	c.writeMu.Lock()
 	defer c.writeMu.Unlock()
-	c.enc = nil
+	c.closed, c.enc = true, nil
 	if c.compressor != nil {
 		c.compressor.Reset(nil)
 		compressorPool.Put(c.compressor)
--- a/peer/node.go
+++ b/peer/node.go
@@ -70,7 +70,7 @@
 	topology     topology
 	election     *watcherElection
 	links        map[string]*link
-	conns        map[net.Conn]bool
+	inbound      *inbound
 	copyHolders  map[string]copyHolder // by address
 	bootstrapped bool                  // a peer has answered a digest, and sent its crash records with the answer
 	closed       bool
@@ -106,7 +106,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
 		spec: spec, listener: ln, server: rpc.NewServer(), docs: map[string]Document{}, links: map[string]*link{},
-		conns: map[net.Conn]bool{}, copyHolders: map[string]copyHolder{}, election: newWatcherElection(spec.Self.ID, spec.Now()),
+		inbound: newInbound(), copyHolders: map[string]copyHolder{}, election: newWatcherElection(spec.Self.ID, spec.Now()),
 		notified: map[string]uint64{}, exchanges: map[string]*exchange{}, fetches: map[string]*fetch{},
 		expected: map[string]expectedDoc{}, rejected: map[DocumentID]bool{}, history: map[string][]Document{}, diffs: map[string]map[DocumentID][]byte{},
 		fetchWhole: map[string]bool{}, crashQueues: map[string]*crashQueue{}, crashLimiter: newCrashLimiter(), ctx: ctx, cancel: cancel,
@@ -132,7 +132,7 @@
 	n.mu.Lock()
 	n.closed = true
 	links := maps.Clone(n.links)
-	for c := range n.conns {
+	for c := range n.inbound.conns {
 		_ = c.Close() // makes the goroutine that serves the connection return
 	}
 	n.mu.Unlock()
@@ -154,12 +154,22 @@
 			_ = conn.Close()
 			return
 		}
-		n.conns[conn] = true
+		slots, ok := n.inbound.add(conn)
+		if !ok {
+			n.mu.Unlock()
+			_ = conn.Close()
+			continue
+		}
 		n.mu.Unlock()
 		n.wg.Go(func() {
-			n.server.ServeCodec(serverCodec{newCodec(conn, n.spec.Traffic)})
+			c := newCodec(conn, n.spec.Traffic)
+			c.slots = slots
+			n.server.ServeCodec(serverCodec{c})
+			if c.message != nil {
+				c.message.release()
+			}
 			n.mu.Lock()
-			delete(n.conns, conn)
+			n.inbound.remove(conn)
 			n.mu.Unlock()
 		})
 	}
@@ -171,6 +181,7 @@
 	topology := newTopology(n.spec.Self, hosts)
 	n.mu.Lock()
 	n.topology = topology
+	n.inbound.setHosts(hosts)
 	n.election.setHosts(n.spec.Self, hosts, n.spec.Now())
 	live := map[string]bool{}
 	for _, h := range hosts {
