docs: the limits on callers that were added

Lines for the requests in flight, connections to endpoints, times of reading, parts of prompts, tokens, names of models, log lines, chat bodies, TLS, and the port for other daemons, on the generated page of settings.

--- a/reference/pages.go
+++ b/reference/pages.go
@@ -71,10 +71,27 @@
 | time from the first byte of a header section to its end (408) | ` + "`header-timeout-ms`" + ` | 10 s |
 | time without a request (closed) | ` + "`idle-timeout-ms`" + ` | 2 min |
 | time of a request's arrival (400) | none | 2 min |
-| memory of connections, header sections and bodies (503 after 1 s) | ` + "`limits.memory-mb`" + ` | 0.45 of it; for bodies above 64 KiB 0.4 |
+| memory of connections, header sections, bodies and requests in flight, at 24 KiB each (503 after 1 s) | ` + "`limits.memory-mb`" + ` | 0.45 of it; for bodies above 64 KiB 0.4 |
 | connections of callers | ` + "`limits.file-descriptors`" + ` less 200 | 0.65 of it, at most 3,000 and 0.3 of the memory at 16 KiB each |
 | requests in flight (503) | ` + "`limits.file-descriptors`" + ` less 200 | 0.3 of it, at most 1,500 |
+| connections to endpoints, in use and idle; idle ones are closed | ` + "`limits.file-descriptors`" + ` less 200 | as many as requests in flight |
+| time for which a caller may read nothing of a part of its answer (closed) | none | 10 s |
 | time without 1 KiB of progress after which a connection may give way to others | none | 1 s |
+| parts of a prompt; further ones in the middle count as one | none | 64 |
+| tokens of a prompt, a part or an answer that are believed; the endpoint gets the number as it was sent | none | 16,777,216 |
+| models that are counted by their own names, beside those that routes and endpoints name; further ones are counted together | none | 16, of up to 64 bytes |
+| bytes of a field of a log line, and of the lines that wait to be written | none | 1,024 and 1 MiB |
+| log lines a second about requests and connections refused before they are served | none | 10, after the first 50 |
+
+bramleyd has the same limits on log lines and on the time of reading. These are its own, without a setting:
+
+| limit | value |
+|---|---|
+| memory of a chat body with its copies (503 after 1 s) | 5 times its size, within the limit on bodies |
+| fields of a chat body (400) | 1,024 |
+| memory of a connection with TLS | 56 KiB; its handshake may take 10 s |
+| connections from daemons of the host list, and from other hosts, of which the oldest is closed | 1,024, and 32 |
+| messages above 64 KiB that are read at the same time from them, each within 10 s | 4, and 1 |
 
 ## Limits of the ports for readiness and metrics of both daemons
 
