--- a/entry/routed.go
+++ b/entry/routed.go
@@ -157,7 +157,7 @@
 }
 
 // limitWrite limits the time of the next write, and of what net/http writes after it. A caller that reads nothing would otherwise keep its
-// place, and a limit that was set for an earlier answer on the connection would have passed.
+// place among the requests in flight.
 func (c *routedCaller) limitWrite() {
 	_ = c.controller.SetWriteDeadline(time.Now().Add(c.stallTimeout)) // on a closed connection, the write fails
 }
