entry, peer: close without TLS what is forced to close; listed hosts no longer give way

A connection that is closed after its client has had time to read a refusal is closed below TLS: the end of TLS is written with a limit of 5 s, for which a client that reads nothing would have held up the goroutine that applies all time limits. Connections from hosts that the host list names after they were accepted no longer count as those of strangers, of which the oldest gives way; daemons that start together connect before they have the list. Found by reading the diff; TestConnectionsOfStrangersAreBounded checks the second.

--- a/entry/gate.go
+++ b/entry/gate.go
@@ -119,7 +119,8 @@
 		c := a.Conn.Owner.(*gatedConn)
 		switch {
 		case a.Force:
-			_ = c.Close() // the client has had time to read the refusal
+			_ = c.raw.Close() // without the end of TLS, for which a client that does not read would hold up all others
+			_ = c.Close()     // the client has had time to read the refusal
 		case a.Reason != intake.ReasonNone:
 			if g.onEnd != nil {
 				g.onEnd(a.Reason)
--- a/peer/inbound.go
+++ b/peer/inbound.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 
 	"github.com/bramleytrail/bramleytrail/hostlist"
 )
@@ -28,7 +29,7 @@
 	return &inbound{conns: map[net.Conn]bool{}, slots: make(messageSlots, listedSlots), unlistedSlots: make(messageSlots, unlistedSlots)}
 }
 
-// setHosts replaces the host list. It applies to connections from then on.
+// setHosts replaces the host list. Connections of hosts that are listed now no longer give way.
 func (b *inbound) setHosts(hosts []hostlist.Host) {
 	b.hosts = map[string]bool{}
 	for _, h := range hosts {
@@ -36,13 +37,19 @@
 			b.hosts[ip] = true
 		}
 	}
+	b.unlisted = slices.DeleteFunc(b.unlisted, b.isListed)
+}
+
+// isListed reports whether a connection is from a host of the host list. A connection in memory has no address and counts as one.
+func (b *inbound) isListed(c net.Conn) bool {
+	ip, _, err := net.SplitHostPort(c.RemoteAddr().String())
+	return err != nil || b.hosts[ip]
 }
 
 // add adds a connection and returns the slots for its large messages, or false if there are too many. It closes the oldest connection from
 // a host that is not listed if the new one is from another such host and there are too many of these.
 func (b *inbound) add(c net.Conn) (slots messageSlots, ok bool) {
-	ip, _, err := net.SplitHostPort(c.RemoteAddr().String())
-	if isListed := err != nil || b.hosts[ip]; isListed { // a connection in memory has no address
+	if b.isListed(c) {
 		if len(b.conns)-len(b.unlisted) >= maxListed {
 			return nil, false
 		}
@@ -62,10 +69,5 @@
 // remove removes a connection. It does nothing if the connection was removed before.
 func (b *inbound) remove(c net.Conn) {
 	delete(b.conns, c)
-	for i, x := range b.unlisted {
-		if x == c {
-			b.unlisted = append(b.unlisted[:i:i], b.unlisted[i+1:]...)
-			return
-		}
-	}
+	b.unlisted = slices.DeleteFunc(b.unlisted, func(x net.Conn) bool { return x == c })
 }
--- a/peer/inbound_test.go
+++ b/peer/inbound_test.go
@@ -50,6 +50,10 @@
 	if daemon.closed || len(b.conns) != 1+maxUnlisted {
 		t.Errorf("%d connections, that of the daemon is closed: %t", len(b.conns), daemon.closed)
 	}
+	b.setHosts([]hostlist.Host{{ID: "d2", Role: hostlist.RoleEntry, Addr: "10.0.0.2:8081"}})
+	if len(b.unlisted) != maxUnlisted/2 {
+		t.Errorf("%d connections of strangers after half of them were listed", len(b.unlisted))
+	}
 	for _, c := range append(strangers, daemon) {
 		b.remove(c)
 	}
