--- a/peer/inbound_test.go
+++ b/peer/inbound_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/gob"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -81,7 +80,7 @@
 		if !bytes.HasPrefix(data, out.Bytes()) {
 			t.Errorf("read %x of %x", out.Bytes(), data)
 		}
-		if err == nil && out.Len() != len(data) && !errors.Is(err, io.ErrUnexpectedEOF) {
+		if err == nil && out.Len() != len(data) {
 			t.Errorf("read %d of %d bytes without an error", out.Len(), len(data))
 		}
 	})
--- a/peer/messagereader.go
+++ b/peer/messagereader.go
@@ -71,7 +71,7 @@
 		value := append(make([]byte, 0, len(prefix)+int(size)), prefix...)
 		value = value[:len(prefix)+int(size)]
 		if _, err := io.ReadFull(r.source, value[len(prefix):]); err != nil {
-			return err
+			return notEnded(err)
 		}
 		r.value.Reset(value)
 		return nil
@@ -100,12 +100,20 @@
 	value.Write(prefix)
 	if _, err := io.CopyN(&value, r.source, size); err != nil {
 		r.release()
-		return err
+		return notEnded(err)
 	}
 	r.value.Reset(value.Bytes())
 	return r.conn.SetReadDeadline(time.Time{})
 }
 
+// notEnded returns the error of a read within a value: the end of the connection is not the end of its messages there.
+func notEnded(err error) error {
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
 // release gives up the last value, and its slot.
 func (r *messageReader) release() {
 	r.value.Reset(nil)
@@ -134,7 +142,7 @@
 	}
 	prefix = prefix[:1+n]
 	if _, err := io.ReadFull(r, prefix[1:]); err != nil {
-		return nil, 0, err
+		return nil, 0, notEnded(err)
 	}
 	for _, b := range prefix[1:] {
 		size = size<<8 | uint64(b)
