--- a/pipeline/request.go
+++ b/pipeline/request.go
@@ -102,12 +102,12 @@
 		MaxTokens int64           `json:"max_tokens"`
 	}
 	if err := json.Unmarshal(body, &fields); err != nil {
-		return c, result.Newf(result.BadRequest, errNotChat)
+		return c, result.Newf(result.BadRequest, notChatDetail)
 	}
 	c = chat{Model: fields.Model, Stream: fields.Stream, MaxTokens: fields.MaxTokens}
 	if _, count := measureJSON(fields.Messages); len(fields.Messages) > 0 && count <= maxMessages {
 		if err := json.Unmarshal(fields.Messages, &c.Messages); err != nil {
-			return c, result.Newf(result.BadRequest, errNotChat)
+			return c, result.Newf(result.BadRequest, notChatDetail)
 		}
 	}
 	if len(c.Messages) == 0 {
@@ -122,7 +122,8 @@
 	return c, nil
 }
 
-const errNotChat = "The body is not a JSON object of a chat completion request."
+// notChatDetail tells a caller that its body can't be decoded.
+const notChatDetail = "The body is not a JSON object of a chat completion request."
 
 // measureJSON returns how deep the values of an object or array are nested, and the number of its fields or elements; 1 for an empty one. It
 // counts brackets and commas outside of strings, in one pass without decoding, which would take many times the size of very many small
