gateway: a test holds the lock of the view that it changes

The test called applyEntry without the view's lock, which its caller must hold, beside the goroutine of the view. Only the test does so; the product holds it. What the test checks is unchanged.

--- a/gateway/releases_test.go
+++ b/gateway/releases_test.go
@@ -205,7 +205,9 @@
 				if err != nil {
 					t.Fatal(err)
 				}
+				g.view.mu.Lock()
 				g.view.applyEntry(before, time.Now()) // the entry is known before the view that is made of it
+				g.view.mu.Unlock()
 				g.releases.writeDecision(outdated, tracked, release.Reverted)
 				if after, err := store.Get(t.Context(), testStatusKey); err != nil || after.Revision != before.Revision {
 					t.Errorf("state %q was overwritten with %q, error %v", before.Value, after.Value, err)
