platform/crowd: long answers that bramleyd collects or keeps

150 callers ask for answers of 800 KB at the same time, each within the 1 MiB that an answer may have and within its team's limit of tokens, before a daemon with 64 MB. The stand-ins get longer tokens and replies for it.

--- a/standin/engine.go
+++ b/standin/engine.go
@@ -33,6 +33,7 @@
 	TokensMax       int64         // tokens of all running requests, prompts and answers, beyond which the engine crashes
 	AnswerTokens    int64         // tokens of an answer unless the request's limit is smaller; 0 for defaultAnswerTokens
 	TokenDelay      time.Duration // time between tokens
+	TokenBytes      int           // size of each token at least; 0 for that of Token
 	FirstTokenDelay time.Duration // time to the first token
 	Confidence      float64       // reported with each token; 0 to report none
 	// PrefillDelayPerToken is added to the time to the first token for each token of the prompt that is not in the session's
@@ -419,7 +420,9 @@
 
 // sendToken sends one token as an event, with the finish reason and the usage if it is the last one.
 func (e *Engine) sendToken(w http.ResponseWriter, g *generation, seq int64) error {
-	chunk := httpengine.Chunk{Choices: []httpengine.ChunkChoice{{Delta: httpengine.Delta{Content: Token(g.run.Version, g.prompt, seq)}}}}
+	token := Token(g.run.Version, g.prompt, seq)
+	token += strings.Repeat("x", max(0, e.spec.TokenBytes-len(token)))
+	chunk := httpengine.Chunk{Choices: []httpengine.ChunkChoice{{Delta: httpengine.Delta{Content: token}}}}
 	if e.spec.Confidence > 0 {
 		chunk.Choices[0].Confidence = &e.spec.Confidence
 	}
--- a/standin/plain.go
+++ b/standin/plain.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 
 	"github.com/bramleytrail/bramleytrail/engine"
@@ -31,6 +32,7 @@
 	repliesToDrop int
 	repliesToCut  int
 	failStatus    int           // of the replies to executed calls; 0 for a success
+	padding       string        // in each reply
 	held          chan struct{} // if not nil, calls wait for its close before they reply
 	down          bool
 }
@@ -67,6 +69,13 @@
 	p.down = down
 }
 
+// PadReplies makes replies longer by n bytes.
+func (p *PlainService) PadReplies(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.padding = strings.Repeat("x", n)
+}
+
 func (p *PlainService) isDown() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -117,7 +126,7 @@
 	}
 	p.mu.Lock()
 	p.runs = append(p.runs, PlainRun{Key: r.Header.Get("Idempotency-Key"), Method: r.Method, Path: r.URL.RequestURI(), Body: string(body), Team: r.Header.Get("Bramley-Team")})
-	drop, held, status := p.repliesToDrop > 0, p.held, p.failStatus
+	drop, held, status, padding := p.repliesToDrop > 0, p.held, p.failStatus, p.padding
 	if drop {
 		p.repliesToDrop--
 	}
@@ -136,6 +145,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	reply := map[string]string{"service": p.Name, "method": r.Method, "path": r.URL.RequestURI()}
+	if padding != "" {
+		reply["padding"] = padding
+	}
 	if cut {
 		sendPartialReply(w, reply)
 	}
