bramleyd: count what is held of answers

Callers: 150 of them who asked for long answers at the same time, each within its team's limit of tokens, took a daemon with 64 MB to 233,376 KB of resident memory without streaming and to 134,924 KB with streams; the process would have ended on a machine of that size. Cause: the text that is kept to continue an answer at another endpoint, the text that is collected and its JSON form, and what a cascade reads were bounded for a request at most, and by nothing for all.

Each request has an allowance, for which its connection asks package intake as the text grows. It does not wait, since a request that has begun at an endpoint can't be refused any more. A team's answers get as much of the limit on bodies as is left for others. Without memory a stream goes on, but can't be continued elsewhere; a cascade decides on what it has; a claimed call can't be replayed; an answer without streaming fails with the new code 506, which says that it ran. Plain calls without a claim no longer keep the beginning of their reply. The memory goes back with the connection's request.

--- a/bench/policy.go
+++ b/bench/policy.go
@@ -177,7 +177,7 @@
 		src := &scriptedAnswer{answer: r.answers[m], tokens: r.output}
 		reason := cascade.Confident
 		if !last {
-			_, reason = cascade.Evaluate(&spec, src, r.stream, func() time.Time { return time.Time{} })
+			_, reason = cascade.Evaluate(&spec, src, r.stream, nil, func() time.Time { return time.Time{} })
 			recordEscalation(reason != cascade.Confident)
 		}
 		if reason == cascade.Confident {
--- a/cascade/evaluate.go
+++ b/cascade/evaluate.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/bramleytrail/bramleytrail/engine"
+	"github.com/bramleytrail/bramleytrail/intake"
 	"github.com/bramleytrail/bramleytrail/object"
 )
 
@@ -15,8 +16,10 @@
 	StreamDecisionTokens = 6
 	// MaxStreamHold is the maximum time for which a streamed answer is buffered after its first token.
 	MaxStreamHold = 345 * time.Millisecond
-	// maxBufferedBytes bounds the memory of a buffered answer: beyond it, the answer is evaluated before its end.
+	// maxBufferedBytes bounds the text of a buffered answer: beyond it, the answer is evaluated before its end.
 	maxBufferedBytes = 1 << 20
+	// eventBytes is the memory for a buffered event beside its text: its part of a list that grows to up to twice its size.
+	eventBytes = 200
 )
 
 // Reason is the reason for which an answer is rejected and its request escalates. It is empty if the answer is
@@ -61,9 +64,9 @@
 
 // Evaluate reads an answer until it can be accepted or rejected, and returns the reason for an escalation. A streamed
 // answer is read until it has StreamDecisionTokens tokens or MaxStreamHold has passed, any other answer to its end;
-// both only up to maxBufferedBytes. If the reason is Confident, the returned answer is delivered without further
+// both only up to maxBufferedBytes and what the allowance has memory for. If the reason is Confident, the returned answer is delivered without further
 // evaluation. An error of src other than io.EOF gives CallFailed.
-func Evaluate(c *object.Cascade, src Source, stream bool, now func() time.Time) (*BufferedAnswer, Reason) {
+func Evaluate(c *object.Cascade, src Source, stream bool, a *intake.Allowance, now func() time.Time) (*BufferedAnswer, Reason) {
 	answer := &BufferedAnswer{remaining: src}
 	var start time.Time
 	bufferedBytes := 0
@@ -82,7 +85,7 @@
 		answer.events = append(answer.events, ev)
 		bufferedBytes += len(ev.Text)
 		decidable := stream && (ev.Seq >= StreamDecisionTokens || now().Sub(start) >= MaxStreamHold)
-		if decidable || bufferedBytes > maxBufferedBytes {
+		if decidable || bufferedBytes > maxBufferedBytes || !a.Use(eventBytes+int64(len(ev.Text))) {
 			return answer, escalationReason(c, ev, false)
 		}
 	}
--- a/cascade/evaluate_test.go
+++ b/cascade/evaluate_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/bramleytrail/bramleytrail/engine"
+	"github.com/bramleytrail/bramleytrail/intake"
 	"github.com/bramleytrail/bramleytrail/object"
 )
 
@@ -68,7 +69,7 @@
 		{"streamed slowly, decided by time", tokenEvents(20, 0.9, "stop"), io.EOF, true, MaxStreamHold, Confident, 2},
 	} {
 		src := &simulatedAnswer{events: tc.events, err: tc.err, step: tc.step}
-		buffered, got := Evaluate(c, src, tc.stream, src.now)
+		buffered, got := Evaluate(c, src, tc.stream, nil, src.now)
 		if got != tc.want || src.read != tc.read {
 			t.Errorf("%s: reason %q after %d events; want %q after %d", tc.name, got, src.read, tc.want, tc.read)
 		}
@@ -85,3 +86,17 @@
 		}
 	}
 }
+
+// noMemory refuses all memory.
+type noMemory struct{}
+
+func (noMemory) Extend(int64) bool { return false }
+func (noMemory) Return(int64)      {}
+
+// Guards against an answer without streaming that is buffered beyond its memory.
+func TestEvaluateWithoutMemory(t *testing.T) {
+	src := &simulatedAnswer{events: tokenEvents(1000, 0.9, "stop"), err: io.EOF}
+	if _, reason := Evaluate(&object.Cascade{Name: "c", MinConfidence: 0.6}, src, false, intake.NewAllowance(noMemory{}), src.now); reason != Confident || src.read > 30 {
+		t.Errorf("reason %q after %d events, want a decision within 30", reason, src.read)
+	}
+}
--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,12 +27,12 @@
 	winner     *raceResult   // result of a race's winning call that was not processed yet
 	firstEvent *engine.Event // read by start and not delivered yet
 
-	callCount          int             // calls to endpoints, including resumptions and hedges
-	callsSinceProgress int             // calls since the last part of the answer
-	exclude            []string        // IDs of the endpoints that failed since the last part of the answer
-	crashRecorded      bool            // a crash was, or may be, recorded since the last part of the answer
-	text               strings.Builder // answer so far, sent to the endpoint that continues it
-	seq                int64           // sequence number of the last event read
+	callCount          int      // calls to endpoints, including resumptions and hedges
+	callsSinceProgress int      // calls since the last part of the answer
+	exclude            []string // IDs of the endpoints that failed since the last part of the answer
+	crashRecorded      bool     // a crash was, or may be, recorded since the last part of the answer
+	text               keptText
+	seq                int64 // sequence number of the last event read
 	usage              engine.Usage
 	finished           bool // the last event was read, but perhaps not the end of the stream
 	done               bool // the answer is complete
@@ -145,7 +144,7 @@
 	a.survival.progress(a.filter, a.in.Team, a.in.Parts, a.filter.spec.Now())
 	a.ran = result.DidRun
 	a.finished = ev.FinishReason != ""
-	a.text.WriteString(ev.Text)
+	a.text.add(ev.Text)
 	a.usage = engine.Usage{InputTokens: a.in.Tokens, OutputTokens: ev.Seq}
 	if ev.Usage != nil {
 		a.usage = *ev.Usage
@@ -203,8 +202,11 @@
 	a.callsSinceProgress++
 }
 
-// checkAttempt returns an error if the limits on crashes, calls or retries forbid another attempt.
+// checkAttempt returns an error if another attempt is forbidden by the limits on crashes, calls or retries, or has no text to go on from.
 func (a *Answer) checkAttempt() error {
+	if a.text.lost {
+		return &result.Error{Code: result.StreamBroken, Ran: a.ran, Detail: "There was no memory to keep the answer for another endpoint.", RetryAfter: defaultRetryAfter}
+	}
 	if a.filter.spec.Poison.Refused(a.in.Fingerprint, a.filter.spec.Now()) {
 		return &result.Error{Code: result.PoisonRequest, Ran: a.ran}
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -13,6 +13,7 @@
 	"github.com/bramleytrail/bramleytrail/choose"
 	"github.com/bramleytrail/bramleytrail/config"
 	"github.com/bramleytrail/bramleytrail/engine"
+	"github.com/bramleytrail/bramleytrail/intake"
 	"github.com/bramleytrail/bramleytrail/object"
 	"github.com/bramleytrail/bramleytrail/pause"
 	"github.com/bramleytrail/bramleytrail/poison"
@@ -138,6 +139,8 @@
 	Cache       cachemove.Session
 	// AtMostOnce forbids another attempt after one that may have run.
 	AtMostOnce bool
+	// Answer counts the text that is kept to continue the answer elsewhere; nil if memory is not counted.
+	Answer *intake.Allowance
 	// Refresh returns the newest configuration and the candidates under it, or an error if that configuration no longer
 	// allows the request. Its argument is the configuration in use. It is called before each attempt and while the
 	// request waits. Nil keeps View and Candidates.
@@ -176,7 +179,7 @@
 func (f *Filter) Do(ctx context.Context, in Input) (*Answer, error) {
 	f.budget.deposit()
 	f.hedgeBudget.deposit()
-	a := &Answer{filter: f, in: in, ctx: ctx, call: &call{filter: f, ctx: ctx}}
+	a := &Answer{filter: f, in: in, ctx: ctx, text: keptText{allowance: in.Answer}, call: &call{filter: f, ctx: ctx}}
 	if err := a.start(); err != nil {
 		a.Close()
 		return nil, err
--- a/entry/gate.go
+++ b/entry/gate.go
@@ -406,6 +406,22 @@
 	})
 }
 
+// Extend implements intake.Memory.
+func (c *gatedConn) Extend(bytes int64) (granted bool) {
+	c.gate.do(func(t *intake.Table, now time.Time) []intake.Action {
+		granted = t.Extend(c.state, bytes)
+		return nil
+	})
+	return granted
+}
+
+// Return implements intake.Memory.
+func (c *gatedConn) Return(bytes int64) {
+	c.gate.do(func(t *intake.Table, now time.Time) []intake.Action {
+		return t.Keep(c.state, intake.KindAnswer, c.state.HeldOf(intake.KindAnswer)-bytes, now)
+	})
+}
+
 // serve says that the request is complete, so that the connection is no longer closed for its memory.
 func (c *gatedConn) serve() (reason intake.Reason) {
 	c.gate.do(func(t *intake.Table, now time.Time) []intake.Action {
--- a/entry/server.go
+++ b/entry/server.go
@@ -264,7 +264,11 @@
 			return nil, refusal(reason)
 		}
 	}
-	return &pipeline.Request{ID: rand.Text(), Method: r.Method, Path: r.URL.RequestURI(), Header: r.Header.Clone(), Body: body}, nil
+	req := &pipeline.Request{ID: rand.Text(), Method: r.Method, Path: r.URL.RequestURI(), Header: r.Header.Clone(), Body: body}
+	if conn != nil {
+		req.Answer = intake.NewAllowance(conn)
+	}
+	return req, nil
 }
 
 // serveChat serves a chat completion request. Only a streamed answer takes over the connection.
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -18,6 +18,9 @@
 	RequestCost = 24 << 10
 )
 
+// loneAnswer is the memory in bytes for the answer to the only request on a daemon: 1 MiB of text with its copies.
+const loneAnswer = 8 << 20
+
 const (
 	// SmallBytes is the size up to which a body counts as small. Small bodies and header sections may use the part of the budget
 	// that Limits.Bodies leaves, and larger connections are closed for them.
@@ -33,8 +36,8 @@
 
 // Limits bound what is held for callers.
 type Limits struct {
-	Memory int64 // bytes for everything: connections, header sections, bodies and requests in flight
-	Bodies int64 // up to which Memory is given to bodies above SmallBytes; the rest is left for small requests
+	Memory int64 // bytes for everything: connections, header sections, bodies, requests in flight and their answers
+	Bodies int64 // up to which Memory is given to bodies above SmallBytes and to answers; the rest is left for small requests
 	// Connection is the memory that an open connection uses; 0 for ConnectionCost.
 	Connection int64
 	// Stall is the time without progress after which a connection may be closed if its memory or place is needed.
@@ -67,11 +70,12 @@
 	KindHeader  Kind = iota
 	KindBody         // also the copies of a body that are made for its calls
 	KindRequest      // of a request in flight, see RequestCost
+	KindAnswer       // what is held of the answer beyond that
 	Kinds            // number of kinds
 )
 
 // String returns the name of the kind, as metrics show it.
-func (k Kind) String() string { return [Kinds]string{"header", "body", "request"}[k] }
+func (k Kind) String() string { return [Kinds]string{"header", "body", "request", "answer"}[k] }
 
 // Reason says why a connection was refused or closed.
 type Reason string
@@ -119,6 +123,9 @@
 	closedAt  time.Time // when closing was set
 }
 
+// HeldOf returns what a connection holds of a kind.
+func (c *Conn) HeldOf(k Kind) int64 { return c.held[k] }
+
 // Held returns what a connection holds.
 func (c *Conn) Held() int64 { return sum(c.held) }
 
@@ -141,8 +148,10 @@
 	conns  map[*Conn]struct{}
 	held   [Kinds]int64
 	groups map[string]int64 // bytes of bodies by group
-	small  []*Conn          // that wait for memory, in the order of their arrival
-	large  []*Conn
+	// answers is the bytes of answers by group.
+	answers map[string]int64
+	small   []*Conn // that wait for memory, in the order of their arrival
+	large   []*Conn
 	// garbage is the size of the buffers that were given up and not collected yet, collecting that of the ones that the running
 	// collection will free. The collector of the runtime starts too late for buffers of megabytes that follow each other fast.
 	garbage, collecting int64
@@ -154,7 +163,7 @@
 	if l.Connection == 0 {
 		l.Connection = ConnectionCost
 	}
-	return &Table{limits: l, conns: map[*Conn]struct{}{}, groups: map[string]int64{}}
+	return &Table{limits: l, conns: map[*Conn]struct{}{}, groups: map[string]int64{}, answers: map[string]int64{}}
 }
 
 // SetTimeouts replaces the operators' time limits.
@@ -249,6 +258,20 @@
 	return false, actions
 }
 
+// Extend asks for memory for the answer to a request that is being served. It does not wait: what is not held of an answer is no loss for
+// most requests. A group gets as much for its answers as is left for those of others, so that one group can't take all. The only request on
+// the daemon always gets up to loneAnswer.
+func (t *Table) Extend(c *Conn, bytes int64) bool {
+	left := t.limits.Bodies - t.used() - bytes
+	alone := sum(t.held) == c.Held() && c.held[KindAnswer]+bytes <= loneAnswer
+	if !alone && t.answers[c.group]+bytes > left {
+		t.collect = true // what was given up may suffice the next one
+		return false
+	}
+	t.add(c, KindAnswer, bytes)
+	return true
+}
+
 // Keep returns what a connection holds of a kind above a number of bytes.
 func (t *Table) Keep(c *Conn, kind Kind, bytes int64, now time.Time) []Action {
 	if c.held[kind] <= bytes {
@@ -339,11 +362,17 @@
 func (t *Table) add(c *Conn, kind Kind, bytes int64) {
 	c.held[kind] += bytes
 	t.held[kind] += bytes
-	if kind != KindBody {
+	var byGroup map[string]int64
+	switch kind {
+	case KindBody:
+		byGroup = t.groups
+	case KindAnswer:
+		byGroup = t.answers
+	default:
 		return
 	}
-	if t.groups[c.group] += bytes; t.groups[c.group] == 0 {
-		delete(t.groups, c.group)
+	if byGroup[c.group] += bytes; byGroup[c.group] == 0 {
+		delete(byGroup, c.group)
 	}
 }
 
@@ -356,6 +385,7 @@
 // free returns all that a connection holds, and ends its wait.
 func (t *Table) free(c *Conn) {
 	t.giveUp(c.held[KindBody])
+	t.giveUp(c.held[KindAnswer])
 	for k := range Kinds {
 		t.add(c, k, -c.held[k])
 	}
--- a/pipeline/cascade.go
+++ b/pipeline/cascade.go
@@ -33,7 +33,7 @@
 		if i == len(steps)-1 {
 			return nil
 		}
-		buffered, reason := cascade.Evaluate(s.choice.Cascade, next, s.chat.Stream, s.p.Now)
+		buffered, reason := cascade.Evaluate(s.choice.Cascade, next, s.chat.Stream, s.r.Answer, s.p.Now)
 		s.source = buffered
 		s.p.Escalations.Add(s.choice.Cascade.Name, reason != cascade.Confident)
 		switch reason {
--- a/pipeline/chat.go
+++ b/pipeline/chat.go
@@ -167,7 +167,7 @@
 	}
 	return dispatch.Input{
 		View: s.view, RequestID: id, Team: s.identity.Team.Name, Candidates: candidates, Body: s.r.Body, Priority: s.identity.Priority,
-		Tokens: s.promptTokens, MaxTokens: s.maxTokens, Prefix: s.chat.prefixHash(), Fingerprint: poison.Fingerprint(s.identity.Team.Name, s.r.Body), Parts: s.chat.sharedParts(), AtMostOnce: s.heldClaim != nil,
+		Tokens: s.promptTokens, MaxTokens: s.maxTokens, Prefix: s.chat.prefixHash(), Fingerprint: poison.Fingerprint(s.identity.Team.Name, s.r.Body), Parts: s.chat.sharedParts(), AtMostOnce: s.heldClaim != nil, Answer: s.r.Answer,
 		Refresh: refresh, Cache: s.cacheSession(),
 	}
 }
@@ -184,7 +184,7 @@
 	meta := relay.AnswerMeta{ID: "chatcmpl-" + s.r.ID, Model: s.answer.Version().Name, Created: s.start.Unix(), PauseAfter: s.p.PauseAfter}
 	if !s.chat.Stream {
 		var err error
-		s.respBody, err = relay.Collect(source, meta)
+		s.respBody, err = relay.Collect(source, meta, s.r.Answer)
 		return err
 	}
 	h, err := s.header()
--- a/pipeline/plain.go
+++ b/pipeline/plain.go
@@ -157,7 +157,7 @@
 // routerHeaderPrefix is the prefix of the headers in which the router makes statements to callers, as opposed to endpoints.
 const routerHeaderPrefix = "Bramley-"
 
-// relay sends the answer except for its end, and keeps up to claim.MaxBodyBytes bytes of the body.
+// relay sends the answer except for its end, and keeps up to claim.MaxBodyBytes bytes of the body of a claimed call.
 func (s *plainStages) relay() error {
 	s.setStage(StageRelay)
 	s.respHeader = s.r.answerHeader()
@@ -175,7 +175,11 @@
 		err = &result.Error{Code: result.CallerGone, Ran: result.DidRun, Err: err}
 		s.bodyComplete = true
 	} else {
-		s.respBody, s.bodyComplete, err = relay.Copy(s.answer, s.caller, claim.MaxBodyBytes)
+		maxKept := 0
+		if s.heldClaim != nil {
+			maxKept = claim.MaxBodyBytes
+		}
+		s.respBody, s.bodyComplete, err = relay.Copy(s.answer, s.caller, maxKept, s.r.Answer)
 	}
 	if err != nil {
 		s.readRemainder(err)
--- a/pipeline/request.go
+++ b/pipeline/request.go
@@ -9,6 +9,7 @@
 
 	"github.com/bramleytrail/bramleytrail/choose"
 	"github.com/bramleytrail/bramleytrail/claim"
+	"github.com/bramleytrail/bramleytrail/intake"
 	"github.com/bramleytrail/bramleytrail/object"
 	"github.com/bramleytrail/bramleytrail/relay"
 	"github.com/bramleytrail/bramleytrail/result"
@@ -33,6 +34,8 @@
 	Path   string // path and query; those at the endpoint for plain services
 	Header http.Header
 	Body   []byte
+	// Answer counts what is held of the answer; nil if memory is not counted.
+	Answer *intake.Allowance
 	// Meta describes a request of a route; nil for other requests.
 	Meta *Metadata
 	// Denied says that Denies returned true, and that Body was not kept.
--- a/reference/pages.go
+++ b/reference/pages.go
@@ -88,6 +88,7 @@
 | limit | value |
 |---|---|
 | memory of a chat body with its copies (503 after 1 s) | 5 times its size, within the limit on bodies |
+| memory of answers that are held, see design/untrusted-clients.md (502 without streaming) | 0.4 of the memory, half of it for one team; 8 MiB for the only request |
 | fields of a chat body (400) | 1,024 |
 | memory of a connection with TLS | 56 KiB; its handshake may take 10 s |
 | connections from daemons of the host list, and from other hosts, of which the oldest is closed | 1,024, and 32 |
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/bramleytrail/bramleytrail/engine"
+	"github.com/bramleytrail/bramleytrail/intake"
 	"github.com/bramleytrail/bramleytrail/result"
 )
 
@@ -218,9 +219,13 @@
 	return c.End()
 }
 
+// collectCopies is the memory for each byte of a text that is collected: its buffer has up to twice its size. escapeCopies is that for each
+// byte of its JSON form, of which a buffer is made first.
+const collectCopies, escapeCopies = 2, 2
+
 // Collect reads an answer to its end and returns it as a JSON completion. It fails with result.EndpointFailed if the text
-// exceeds maxAnswerBytes.
-func Collect(src Source, m AnswerMeta) ([]byte, error) {
+// exceeds maxAnswerBytes, and with result.AnswerNotHeld if the allowance does not suffice.
+func Collect(src Source, m AnswerMeta, a *intake.Allowance) ([]byte, error) {
 	var text strings.Builder
 	var last engine.Event
 	for {
@@ -234,9 +239,15 @@
 		if text.Len()+len(ev.Text) > maxAnswerBytes {
 			return nil, &result.Error{Code: result.EndpointFailed, Ran: result.DidRun, Detail: fmt.Sprintf("The answer exceeds %d bytes.", maxAnswerBytes)}
 		}
+		if !a.Use(collectCopies * int64(len(ev.Text))) {
+			return nil, notHeld()
+		}
 		text.WriteString(ev.Text)
 		last = ev
 	}
+	if !a.Use(escapeCopies * escapedSize(text.String())) {
+		return nil, notHeld()
+	}
 	out := completion{ID: m.ID, Object: "chat.completion", Created: m.Created, Model: m.Model,
 		Choices: []choice{{Message: &delta{Role: "assistant", Content: text.String()}, FinishReason: finishReason(&last)}}, Usage: newUsage(last.Usage)}
 	data, err := json.Marshal(out)
@@ -246,6 +257,21 @@
 	return data, nil
 }
 
+// notHeld returns the error of an answer for which there is no memory.
+func notHeld() error { return &result.Error{Code: result.AnswerNotHeld, Ran: result.DidRun} }
+
+// escapedSize returns the size of a text in JSON at most: package encoding/json writes six bytes for some characters.
+func escapedSize(text string) (size int64) {
+	for i := range len(text) {
+		if b := text[i]; b < ' ' || b == '"' || b == '\\' || b == '<' || b == '>' || b == '&' || b >= 0x80 {
+			size += 6
+		} else {
+			size++
+		}
+	}
+	return size
+}
+
 // finishReason returns the finish reason of an event, nil if it has none.
 func finishReason(ev *engine.Event) *string {
 	if ev.FinishReason == "" {
@@ -264,15 +290,15 @@
 }
 
 // Copy relays the body of a plain service's answer until io.EOF, and returns its start. kept reports whether start holds
-// everything that was read, which is so unless that exceeds maxKept bytes. An error has the code result.CallerGone if the
+// everything that was read, which is so unless that exceeds maxKept bytes or the allowance. An error has the code result.CallerGone if the
 // caller left, and result.StreamBroken if the body could not be read to its end.
-func Copy(body io.Reader, c Caller, maxKept int) (start []byte, kept bool, err error) {
+func Copy(body io.Reader, c Caller, maxKept int, a *intake.Allowance) (start []byte, kept bool, err error) {
 	buf := make([]byte, copyBufferSize)
 	kept = true
 	for {
 		n, readErr := body.Read(buf)
 		if n > 0 {
-			if kept = kept && len(start)+n <= maxKept; kept {
+			if kept = kept && len(start)+n <= maxKept && a.Use(collectCopies*int64(n)); kept {
 				start = append(start, buf[:n]...)
 			}
 			if _, err := c.Write(buf[:n]); err != nil {
--- a/result/code.go
+++ b/result/code.go
@@ -42,6 +42,7 @@
 	StreamBroken     Code = 503
 	CallerGone       Code = 504
 	EndpointRejected Code = 505
+	AnswerNotHeld    Code = 506
 
 	ConfigInvalid    Code = 701
 	ConfigConflict   Code = 702
@@ -100,6 +101,7 @@
 	{StreamBroken, "stream_broken", http.StatusBadGateway, typeServer, "The stream broke and could not be resumed."},
 	{CallerGone, "caller_gone", 499, typeServer, "The caller closed its connection."},
 	{EndpointRejected, "endpoint_rejected", http.StatusBadRequest, typeInvalid, "The endpoint rejected the request."},
+	{AnswerNotHeld, "answer_not_held", http.StatusBadGateway, typeServer, "The daemon had no memory to hold the answer. A streamed answer needs none."},
 	{ConfigInvalid, "config_invalid", http.StatusUnprocessableEntity, typeInvalid, "The declared objects do not pass the check."},
 	{ConfigConflict, "config_conflict", http.StatusConflict, typeInvalid, "Another revision was published in the meantime."},
 	{ConfigTooLarge, "config_too_large", http.StatusRequestEntityTooLarge, typeInvalid, "The published form exceeds the key-value service's value limit."},
