bramleyd, peer: refusals of callers and other daemons have a log line and a metric

A refusal before the pipeline, and a connection that a limit ended, had log lines at the daemon of routes only, and the limits on the port for other daemons neither a line nor a metric. The bounded log moves to package observe. Its test moved with it and checks the same.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -94,6 +94,7 @@
 	metrics        *observe.Metrics
 	inFlight       *observe.InFlight
 	recentRequests *observe.Recent
+	refusals       *observe.RefusalLog
 
 	callerTLS *tls.Config        // nil for plain HTTP
 	peerTLS   *secure.CertSource // nil for plain TCP
@@ -148,6 +149,7 @@
 		decisions: newDecisions(),
 		ctx:       ctx, cancel: cancel,
 	}
+	d.refusals = observe.NewRefusalLog(d.log)
 	d.platform = Platform{Store: observe.InstrumentedStore{Store: p.Store, Metrics: d.metrics}, Hosts: p.Hosts, Ratings: p.Ratings, Weights: p.Weights}
 	d.pool = pool.New(pool.Spec{Self: s.ID, Domain: s.Domain, Settle: s.Settle, Rand: mathrand.Uint64, Affinity: true, OnCapacity: d.signalCapacity})
 	d.docs = &documents{ctx: ctx, spec: documentsSpec{
@@ -181,7 +183,7 @@
 	ln, dial := d.securePeers(ln)
 	d.node, err = peer.New(peer.Spec{
 		Dial: dial,
-		Self: d.selfHost(), Handler: peerHandler{d}, Poison: d.poison, Log: d.log, Now: time.Now, Seeds: d.settings.Seeds, Traffic: d.metrics, Differ: hostsDiffer{},
+		Self: d.selfHost(), Handler: peerHandler{d}, Poison: d.poison, Log: d.log, Now: time.Now, Seeds: d.settings.Seeds, Traffic: d.metrics, Differ: hostsDiffer{}, OnLimit: d.recordPeerEnd,
 	}, ln)
 	if err != nil {
 		return err
@@ -305,7 +307,7 @@
 	}
 	return entry.New(entry.Spec{
 		Addr: s.Listen, Listen: listen, TLS: d.callerTLS, MaxConnections: min(s.MaxConnections, connections), StallTimeout: s.StallTimeout, Pipeline: p, Config: d.config, Ready: d.Ready,
-		Intake: limits, OnEnd: d.recordConnectionEnd,
+		Intake: limits, OnEnd: d.recordConnectionEnd, OnRefuse: d.refusals.Request,
 	})
 }
 
--- a/engine/httpconn/pool.go
+++ b/engine/httpconn/pool.go
@@ -57,6 +57,9 @@
 	return &Pool{spec: spec, idle: map[string][]*conn{}}
 }
 
+// Open returns the number of open connections, in use and idle.
+func (p *Pool) Open() int64 { return p.open.Load() }
+
 type conn struct {
 	net.Conn
 	pool      *Pool
--- a/entry/routed.go
+++ b/entry/routed.go
@@ -36,9 +36,7 @@
 	req, err := s.readRequest(r, gated)
 	if err != nil {
 		e := result.From(err)
-		if s.spec.OnRefuse != nil {
-			s.spec.OnRefuse(s.spec.Protocol.RequestID(r), e)
-		}
+		s.reportRefusal(s.spec.Protocol.RequestID(r), e)
 		c.refuse(r, e, gated)
 		return
 	}
--- a/entry/server.go
+++ b/entry/server.go
@@ -57,7 +57,7 @@
 	// for each of its connections that is refused or closed by a limit; it may be nil.
 	Intake intake.Limits
 	OnEnd  func(r intake.Reason)
-	// OnRefuse is called with the ID of each routed request that is refused before the pipeline has it; it may be nil.
+	// OnRefuse is called with the ID of each request that is refused before the pipeline has it, empty for none; it may be nil.
 	OnRefuse func(id string, e *result.Error)
 }
 
@@ -100,6 +100,8 @@
 	Bytes       [intake.Kinds]int64
 	Connections int
 	Waiting     int // connections that wait for memory
+	// RefusedAnswers counts the times that there was no memory for more of an answer.
+	RefusedAnswers int64
 }
 
 // Held returns what callers make a server hold.
@@ -110,7 +112,7 @@
 	s.gate.mu.Lock()
 	defer s.gate.mu.Unlock()
 	t := s.gate.table
-	h := Held{Connections: t.Connections(), Waiting: t.Waiting()}
+	h := Held{Connections: t.Connections(), Waiting: t.Waiting(), RefusedAnswers: t.RefusedAnswers()}
 	for k := range intake.Kinds {
 		h.Bytes[k] = t.HeldBytes(k)
 	}
@@ -239,8 +241,15 @@
 	return conn, nil
 }
 
+func (s *Server) reportRefusal(id string, e *result.Error) {
+	if s.spec.OnRefuse != nil {
+		s.spec.OnRefuse(id, e)
+	}
+}
+
 // refuse answers a request that was not read whole.
 func (s *Server) refuse(w http.ResponseWriter, r *http.Request, conn *gatedConn, err error) {
+	s.reportRefusal("", result.From(err))
 	status := 0
 	if errors.Is(err, errHeaderTooLarge) {
 		status = http.StatusRequestHeaderFieldsTooLarge
--- a/gateway/callerlimits.go
+++ b/gateway/callerlimits.go
@@ -51,6 +51,14 @@
 	return callerLimitsFor(memory, descriptors).inFlight
 }
 
+// recordConnectionEnd counts and logs a connection that a limit on callers refused or closed.
+func (g *Gateway) recordConnectionEnd(r intake.Reason) {
+	g.spec.Metrics.Counter(fmt.Sprintf("bramley_caller_connections_ended_total{reason=%q}", string(r))).Inc()
+	if r != intake.ReasonIdleTimeout {
+		g.refusals.Connection("caller", string(r))
+	}
+}
+
 // registerCallerGauges registers the gauges of what callers make the daemon hold.
 func (g *Gateway) registerCallerGauges() {
 	m := g.spec.Metrics
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -155,7 +155,7 @@
 	ctx           context.Context
 	cancel        context.CancelFunc
 	announcements *rate.Limiter // limits announcements of prompts
-	refusals      *refusalLog
+	refusals      *observe.RefusalLog
 	wg            sync.WaitGroup
 }
 
@@ -165,7 +165,7 @@
 	g := &Gateway{
 		spec: s, log: s.Log.WithFields(logrus.Fields{"daemon": s.Name, "domain": s.Domain}), config: &config.Holder{}, poison: poison.NewTable(), startedAt: time.Now(), ctx: ctx, cancel: cancel,
 	}
-	g.refusals = newRefusalLog(g.log)
+	g.refusals = observe.NewRefusalLog(g.log)
 	limits := callerLimitsFor(s.MemoryBytes, s.Descriptors)
 	g.admit = admit.New(admit.Spec{MaxInFlight: limits.inFlight}) // the entry counts the bodies
 	g.closing = pipeline.NewClosing()
@@ -191,7 +191,7 @@
 	g.view = newStoreView(g)
 	g.entry = entry.New(entry.Spec{
 		Addr: s.CallerAddr, MaxConnections: limits.connections, StallTimeout: stallTimeout, Config: g.config, Ready: g.Ready, Protocol: s.Protocol,
-		Pipeline: g.newPipeline(), Intake: limits.intake, OnEnd: g.recordConnectionEnd, OnRefuse: g.recordRefusal,
+		Pipeline: g.newPipeline(), Intake: limits.intake, OnEnd: g.recordConnectionEnd, OnRefuse: g.refusals.Request,
 	})
 	return g
 }
@@ -206,6 +206,8 @@
 
 // newSuspects returns the keeper of the refused prompt parts. The view of the store reads the entry, like all others.
 func (g *Gateway) newSuspects() *suspect.Keeper {
+	g.spec.Metrics.Gauge("bramley_crash_records_pushed_out", func() float64 { return float64(g.poison.PushedOut()) })
+	g.spec.Metrics.Gauge("bramley_sessions_pushed_out", func() float64 { return float64(g.releases.pushedOut()) })
 	g.spec.Metrics.Gauge("bramley_refused_part_sets", func() float64 { return float64(len(g.poison.Parts.Refused())) })
 	return suspect.New(suspect.Spec{
 		Parts: g.poison.Parts, Store: g.spec.Store, Key: suspectPartsKey, Log: g.log,
@@ -406,6 +408,9 @@
 	if a.Model != "" {
 		f["model"], f["prompt"], f["uncached"] = a.Model, a.Prompt, a.Uncached
 	}
+	if a.Model == pool.OtherModel {
+		g.spec.Metrics.Counter("bramley_attempts_other_model_total").Inc()
+	}
 	if a.LastEventID > 0 {
 		f["after"] = a.LastEventID
 	}
--- a/gateway/releases.go
+++ b/gateway/releases.go
@@ -144,6 +144,16 @@
 	r.broadcast(notice.Message{Service: service, Order: order, Session: session, SessionTeam: owner, InUseFor: inUseFor, Minor: ended})
 }
 
+// pushedOut returns the number of sessions that full sets have dropped, in the releases that are tracked.
+func (r *releases) pushedOut() (n int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, t := range r.tracked {
+		n += t.sessions.PushedOut()
+	}
+	return n
+}
+
 // broadcast sends a message about a release to all other daemons, with the age of the order.
 func (r *releases) broadcast(m notice.Message) {
 	r.mu.Lock()
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -150,6 +150,7 @@
 	groups map[string]int64 // bytes of bodies by group
 	// answers is the bytes of answers by group.
 	answers map[string]int64
+	refused int64   // times that Extend did not grant memory
 	small   []*Conn // that wait for memory, in the order of their arrival
 	large   []*Conn
 	// garbage is the size of the buffers that were given up and not collected yet, collecting that of the ones that the running
@@ -265,6 +266,7 @@
 	left := t.limits.Bodies - t.used() - bytes
 	alone := sum(t.held) == c.Held() && c.held[KindAnswer]+bytes <= loneAnswer
 	if !alone && t.answers[c.group]+bytes > left {
+		t.refused++
 		t.collect = true // what was given up may suffice the next one
 		return false
 	}
@@ -352,6 +354,9 @@
 // Connections returns the number of connections.
 func (t *Table) Connections() int { return len(t.conns) }
 
+// RefusedAnswers returns the number of times that Extend did not grant memory.
+func (t *Table) RefusedAnswers() int64 { return t.refused }
+
 // Waiting returns the number of connections that wait for memory.
 func (t *Table) Waiting() int { return len(t.small) + len(t.large) }
 
--- a/keyed/table.go
+++ b/keyed/table.go
@@ -16,6 +16,7 @@
 	index    map[K]int32 // position in slots
 	slots    []slot[K, V]
 	owners   map[uint32]*list
+	pushed   int64
 }
 
 // slot holds one entry. It is linked into the list of its owner's entries.
@@ -42,6 +43,9 @@
 // Len returns the number of entries.
 func (t *Table[K, V]) Len() int { return len(t.index) }
 
+// PushedOut returns the number of entries that were replaced by others in the full table.
+func (t *Table[K, V]) PushedOut() int64 { return t.pushed }
+
 // Get returns the value of a key, and whether there is an entry. It does not count as a use.
 func (t *Table[K, V]) Get(key K) (value V, ok bool) {
 	i, ok := t.index[key]
@@ -123,6 +127,7 @@
 	}
 	i := t.owners[most].oldest
 	t.remove(i)
+	t.pushed++
 	return i
 }
 
--- a/gateway/refusals_test.go
+++ b/observe/refusallog_test.go
@@ -1,4 +1,4 @@
-package gateway
+package observe
 
 import (
 	"bytes"
@@ -16,9 +16,9 @@
 	log := logrus.New()
 	log.SetOutput(&out)
 	log.SetFormatter(&logrus.JSONFormatter{})
-	g := &Gateway{refusals: newRefusalLog(logrus.NewEntry(log))}
+	l := NewRefusalLog(logrus.NewEntry(log))
 	for range 10_000 {
-		g.recordRefusal("a1", result.Newf(result.Overloaded, "Reason: %s.", "memory"))
+		l.Request("a1", result.Newf(result.Overloaded, "Reason: %s.", "memory"))
 	}
 	lines := strings.Count(out.String(), "\n")
 	if lines < refusalBurst || lines > 2*refusalBurst {
--- a/peer/inbound.go
+++ b/peer/inbound.go
@@ -46,24 +46,34 @@
 	return err != nil || b.hosts[ip]
 }
 
-// add adds a connection and returns the slots for its large messages, or false if there are too many. It closes the oldest connection from
-// a host that is not listed if the new one is from another such host and there are too many of these.
-func (b *inbound) add(c net.Conn) (slots messageSlots, ok bool) {
+// Reasons for which a limit refuses or closes a connection.
+const (
+	reasonListed       = "listed"        // refused: too many from listed hosts
+	reasonUnlisted     = "unlisted"      // the oldest from a host that is not listed gave way to another such one
+	reasonMessageBytes = "message_bytes" // its message was too large
+	reasonMessageTime  = "message_time"  // its large message took too long, or got no slot
+)
+
+// add adds a connection and returns the slots for its large messages, nil if there are too many. It closes the oldest connection from
+// a host that is not listed if the new one is from another such host and there are too many of these. The reason is empty if no connection was
+// refused or closed.
+func (b *inbound) add(c net.Conn) (slots messageSlots, reason string) {
 	if b.isListed(c) {
 		if len(b.conns)-len(b.unlisted) >= maxListed {
-			return nil, false
+			return nil, reasonListed
 		}
 		b.conns[c] = true
-		return b.slots, true
+		return b.slots, ""
 	}
 	if len(b.unlisted) >= maxUnlisted {
+		reason = reasonUnlisted
 		oldest := b.unlisted[0]
 		b.remove(oldest)
 		_ = oldest.Close() // ends the goroutine that serves it
 	}
 	b.conns[c] = true
 	b.unlisted = append(b.unlisted, c)
-	return b.unlistedSlots, true
+	return b.unlistedSlots, reason
 }
 
 // remove removes a connection. It does nothing if the connection was removed before.
--- a/peer/inbound_test.go
+++ b/peer/inbound_test.go
@@ -30,14 +30,14 @@
 	b := newInbound()
 	b.setHosts([]hostlist.Host{{ID: "d1", Role: hostlist.RoleEntry, Addr: "10.0.0.1:8081"}, {ID: "e1", Role: hostlist.RoleEndpoint, Addr: "10.0.0.2:80"}})
 	daemon := connFrom("10.0.0.1")
-	if slots, ok := b.add(daemon); !ok || cap(slots) != listedSlots {
-		t.Errorf("a daemon gets %d slots, %t", cap(slots), ok)
+	if slots, reason := b.add(daemon); reason != "" || cap(slots) != listedSlots {
+		t.Errorf("a daemon gets %d slots, reason %q", cap(slots), reason)
 	}
 	var strangers []*addressedConn
 	for n := range 3 * maxUnlisted {
 		c := connFrom(fmt.Sprintf("10.0.0.%d", 2+n%2))
-		if slots, ok := b.add(c); !ok || cap(slots) != unlistedSlots {
-			t.Errorf("a stranger gets %d slots, %t", cap(slots), ok)
+		if slots, reason := b.add(c); (reason != "") != (n >= maxUnlisted) || cap(slots) != unlistedSlots {
+			t.Errorf("stranger %d gets %d slots, reason %q", n, cap(slots), reason)
 		}
 		strangers = append(strangers, c)
 	}
--- a/peer/messagereader.go
+++ b/peer/messagereader.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"time"
 )
 
@@ -35,6 +37,7 @@
 	remaining int          // bytes of the current message
 	value     bytes.Reader // that is being handed on, with its length
 	holdsSlot bool
+	exceeded  string // why the connection ends, empty unless a limit was exceeded
 }
 
 // Read implements io.Reader.
@@ -64,6 +67,7 @@
 		return err
 	}
 	if r.remaining -= len(prefix); size > uint64(max(0, r.remaining)) {
+		r.exceeded = reasonMessageBytes
 		return errMessageTooLarge
 	}
 	r.remaining -= int(size)
@@ -89,6 +93,7 @@
 		case r.slots <- struct{}{}:
 			r.holdsSlot = true
 		case <-timer.C:
+			r.exceeded = reasonMessageTime
 			return errMessageTooSlow
 		}
 	}
@@ -100,6 +105,9 @@
 	value.Write(prefix)
 	if _, err := io.CopyN(&value, r.source, size); err != nil {
 		r.release()
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			r.exceeded = reasonMessageTime
+		}
 		return notEnded(err)
 	}
 	r.value.Reset(value.Bytes())
--- a/peer/node.go
+++ b/peer/node.go
@@ -56,6 +56,8 @@
 	// Dial connects to a peer; its context expires after dialTimeout. Nil means DialFrom with the listener's address.
 	Dial    func(ctx context.Context, addr string) (net.Conn, error)
 	Traffic Traffic // receives the size of each message; may be nil
+	// OnLimit is called with the reason for which a limit refused or closed a connection that another host has opened; it may be nil.
+	OnLimit func(reason string)
 }
 
 // Node exchanges documents, crash records and copies of bills with the other daemons of a deployment. Its methods are
@@ -154,19 +156,24 @@
 			_ = conn.Close()
 			return
 		}
-		slots, ok := n.inbound.add(conn)
-		if !ok {
-			n.mu.Unlock()
+		slots, reason := n.inbound.add(conn)
+		n.mu.Unlock()
+		if reason != "" {
+			n.reportLimit(reason)
+		}
+		if slots == nil {
 			_ = conn.Close()
 			continue
 		}
-		n.mu.Unlock()
 		n.wg.Go(func() {
 			c := newCodec(conn, n.spec.Traffic)
 			c.slots = slots
 			n.server.ServeCodec(serverCodec{c})
 			if c.message != nil {
 				c.message.release()
+				if reason := c.message.exceeded; reason != "" {
+					n.reportLimit(reason)
+				}
 			}
 			n.mu.Lock()
 			n.inbound.remove(conn)
@@ -175,6 +182,12 @@
 	}
 }
 
+func (n *Node) reportLimit(reason string) {
+	if n.spec.OnLimit != nil {
+		n.spec.OnLimit(reason)
+	}
+}
+
 // SetHosts replaces the list of daemons. It closes the connections to hosts that are no longer listed and starts an
 // exchange of documents with new peers.
 func (n *Node) SetHosts(hosts []hostlist.Host) {
--- a/poison/parts.go
+++ b/poison/parts.go
@@ -79,6 +79,12 @@
 // OnReview sets a function that is called when there is new evidence. It must not block.
 func (t *PartTable) OnReview(f func()) { t.onReview.Store(&f) }
 
+func (t *PartTable) pushedOut() int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.sound.parts.PushedOut() + t.survived.parts.PushedOut()
+}
+
 // MarkSound records that requests of a team, see keyed.OwnerOf, with the parts got a complete answer. It returns those of which other daemons have to know, because there
 // is evidence against them.
 func (t *PartTable) MarkSound(team uint32, parts []uint64, now time.Time) (cleared []uint64) {
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -241,6 +241,18 @@
 	return ok && !now.After(expires)
 }
 
+// PushedOut returns the number of requests and of parts about which the table has forgotten something because it was full.
+func (t *Table) PushedOut() int64 {
+	n := t.Parts.pushedOut()
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		n += s.histories.PushedOut()
+		s.mu.Unlock()
+	}
+	return n
+}
+
 // Crashes returns the number of crashes at which the request was in flight and for which it was not cleared.
 func (t *Table) Crashes(fingerprint uint64, now time.Time) int {
 	s := &t.shards[fingerprint%shardCount]
--- a/release/sessions.go
+++ b/release/sessions.go
@@ -35,3 +35,10 @@
 	until, ok := s.until.Get(session)
 	return ok && now.Before(until)
 }
+
+// PushedOut returns the number of sessions that were dropped because the set was full.
+func (s *Sessions) PushedOut() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.until.PushedOut()
+}
