intake: a closed connection gets no memory for its answer

A request whose connection has been closed, but which has not ended, could ask for more memory for its answer: nothing would have given it back, and a release below zero would have counted too little. TestReleasedMemoryIsReturned fails without the check with 102,400 bytes.

--- a/entry/gate.go
+++ b/entry/gate.go
@@ -418,7 +418,7 @@
 // Return implements intake.Memory.
 func (c *gatedConn) Return(bytes int64) {
 	c.gate.do(func(t *intake.Table, now time.Time) []intake.Action {
-		return t.Keep(c.state, intake.KindAnswer, c.state.HeldOf(intake.KindAnswer)-bytes, now)
+		return t.Keep(c.state, intake.KindAnswer, max(0, c.state.HeldOf(intake.KindAnswer)-bytes), now) // it holds none once it is closed
 	})
 }
 
--- a/intake/allowance_test.go
+++ b/intake/allowance_test.go
@@ -10,7 +10,7 @@
 
 func (m tableMemory) Extend(bytes int64) bool { return m.table.Extend(m.conn, bytes) }
 func (m tableMemory) Return(bytes int64) {
-	m.table.Keep(m.conn, KindAnswer, m.conn.HeldOf(KindAnswer)-bytes, at(0))
+	m.table.Keep(m.conn, KindAnswer, max(0, m.conn.HeldOf(KindAnswer)-bytes), at(0))
 }
 
 // admitted returns the allowance of a new request of a group.
@@ -70,4 +70,13 @@
 	if n := c.HeldOf(KindAnswer); n != 0 {
 		t.Errorf("%d bytes are held after the release of all", n)
 	}
+	a.Use(100 << 10)
+	leave(tb, c, at(0))
+	if a.Use(100<<10) || tb.HeldBytes(KindAnswer) != 0 {
+		t.Errorf("%d bytes are held for a connection that is closed", tb.HeldBytes(KindAnswer))
+	}
+	a.Release(100 << 10)
+	if n := tb.HeldBytes(KindAnswer); n != 0 {
+		t.Errorf("%d bytes are held after a release on a closed connection", n)
+	}
 }
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -263,6 +263,9 @@
 // most requests. A group gets as much for its answers as is left for those of others, so that one group can't take all. The only request on
 // the daemon always gets up to loneAnswer.
 func (t *Table) Extend(c *Conn, bytes int64) bool {
+	if _, open := t.conns[c]; !open {
+		return false // its request is about to end, and nothing would give the memory back
+	}
 	left := t.limits.Bodies - t.used() - bytes
 	alone := sum(t.held) == c.Held() && c.held[KindAnswer]+bytes <= loneAnswer
 	if !alone && t.answers[c.group]+bytes > left {
